--- /dev/null
+++ b/cmake/lagoonmast.cmake
@@ -0,0 +1,32 @@
+# Warnings that every target of this project is built with.
+add_library(lagoonmast_warnings INTERFACE)
+target_compile_options(lagoonmast_warnings INTERFACE -Wall -Wextra -Wpedantic -Werror)
+
+# lagoonmast_library(NAME [LINK target...]): a library from every .cpp in this folder.
+function(lagoonmast_library name)
+    cmake_parse_arguments(ARG "" "" "LINK" ${ARGN})
+    file(GLOB sources CONFIGURE_DEPENDS *.cpp)
+    if(sources)
+        add_library(${name} STATIC ${sources})
+        target_include_directories(${name} PUBLIC ${PROJECT_SOURCE_DIR}/src/libs)
+        target_link_libraries(${name} PRIVATE lagoonmast_warnings PUBLIC ${ARG_LINK})
+    else()
+        add_library(${name} INTERFACE)
+        target_include_directories(${name} INTERFACE ${PROJECT_SOURCE_DIR}/src/libs)
+        target_link_libraries(${name} INTERFACE ${ARG_LINK})
+    endif()
+endfunction()
+
+# lagoonmast_test(LIB [LINK target...]): one test program for the library LIB,
+# from every tst_*.cpp in this folder.
+function(lagoonmast_test lib)
+    cmake_parse_arguments(ARG "" "" "LINK" ${ARGN})
+    file(GLOB sources CONFIGURE_DEPENDS *.cpp)
+    add_executable(tst_${lib} ${sources})
+    target_include_directories(tst_${lib} PRIVATE ${PROJECT_SOURCE_DIR}/tests)
+    target_link_libraries(tst_${lib} PRIVATE lagoonmast_warnings testmain ${lib} ${ARG_LINK})
+    add_test(NAME tst_${lib} COMMAND tst_${lib})
+    # A fixed seed gives the same verdict on every run.
+    set_tests_properties(tst_${lib} PROPERTIES
+        ENVIRONMENT "RC_PARAMS=seed=20261 max_success=200" TIMEOUT 240)
+endfunction()
--- /dev/null
+++ b/scripts/build.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Builds everything into build/.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+cmake -G Ninja -S . -B build > build-configure.log 2>&1 || { cat build-configure.log; exit 1; }
+rm -f build-configure.log
+ninja -C build
--- /dev/null
+++ b/scripts/generate.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Makes the generated code of src/libs/wire anew from peer.proto.
+set -euo pipefail
+cd "$(dirname "$0")/../src/libs/wire"
+mkdir -p generated
+protoc --cpp_out=generated --grpc_out=generated \
+    --plugin=protoc-gen-grpc="$(command -v grpc_cpp_plugin)" peer.proto
--- /dev/null
+++ b/src/app/main.cpp
@@ -0,0 +1,4 @@
+int main()
+{
+    return 0;
+}
--- /dev/null
+++ b/src/libs/node/entryrequests.cpp
@@ -0,0 +1,543 @@
+#include "node/entryrequests.h"
+
+#include "base/hash.h"
+#include "coordination/homemap.h"
+#include "node/nodeconstants.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Node {
+
+namespace {
+
+using Base::Milliseconds;
+
+Milliseconds toMilliseconds(Base::Duration duration)
+{
+    return std::chrono::duration_cast<Milliseconds>(duration);
+}
+
+Base::PoolId poolOf(const CallerRequest &asked)
+{
+    const char *prefix =
+        asked.kind == WorkKind::ChatCompletion ? modelPoolPrefix : servicePoolPrefix;
+    return Base::PoolId(prefix + asked.target);
+}
+
+Base::ServiceUnits expectedCost(const CallerRequest &asked)
+{
+    const std::uint64_t generated = asked.maxTokens == 0
+                                        ? expectedTokensWithoutHint
+                                        : std::min(asked.maxTokens, expectedTokensWithoutHint);
+    return asked.promptTokens + generated * generatedTokenWeight;
+}
+
+std::uint64_t contentHash(const CallerRequest &asked)
+{
+    return Base::stableHash(asked.body, Base::stableHash(asked.target + asked.path));
+}
+
+Failure failureOf(FailureType type, std::string message)
+{
+    Failure failure;
+    failure.type = type;
+    failure.message = std::move(message);
+    return failure;
+}
+
+Failure failureOf(const PermitRefusal &refusal)
+{
+    using Scheduling::RefusalReason;
+    Failure failure;
+    failure.retryAfter = refusal.retryAfter;
+    switch (refusal.reason) {
+    case RefusalReason::CustomerQueueFull:
+        failure.type = FailureType::Overloaded;
+        failure.message = "too many requests of this customer are waiting";
+        return failure;
+    case RefusalReason::PoolQueueFull:
+        failure.type = FailureType::Overloaded;
+        failure.message = "too many requests are waiting";
+        return failure;
+    case RefusalReason::DeadlineUnmeetable:
+        failure.type = FailureType::DeadlineUnmet;
+        failure.message = "the expected wait passes the deadline";
+        return failure;
+    case RefusalReason::DeadlinePassed:
+        failure.type = FailureType::DeadlineUnmet;
+        failure.message = "the deadline passed while the request waited";
+        return failure;
+    case RefusalReason::NoServer:
+        break;
+    }
+    failure.type = FailureType::NoCapacity;
+    failure.message = "no backend server is usable";
+    return failure;
+}
+
+} // namespace
+
+Base::Result<std::unique_ptr<EntryRequests>> EntryRequests::create(const EntryContext &context)
+{
+    BOOST_LEAF_AUTO(budget, Scheduling::RetryBudget::create(context.settings.retries));
+    return std::unique_ptr<EntryRequests>(new EntryRequests(context, std::move(budget)));
+}
+
+EntryRequests::EntryRequests(const EntryContext &context, Scheduling::RetryBudget budget)
+    : m_context(context)
+    , m_budget(std::move(budget))
+{}
+
+void EntryRequests::open(const CallerRequest &asked, Base::TimePoint now)
+{
+    const Coordination::MembershipSelf &self = m_context.membership.self();
+    const Base::RequestKey key{self.host, self.incarnation, ++m_lastSerial};
+    OpenRequest open;
+    open.key = key;
+    open.asked = asked;
+    open.pool = poolOf(asked);
+    open.arrivedAt = now;
+    OpenRequest &added = m_open[key] = open;
+    m_byCaller[asked.caller] = key;
+
+    if (!m_context.configuration.isReady()) {
+        Failure failure = failureOf(FailureType::NotReady, "no configuration yet");
+        failure.retryAfter = notReadyRetryAfter;
+        failWith(added, failure, now);
+        return;
+    }
+    const Settings::Configuration &configuration = m_context.configuration.configuration();
+    const Settings::Customer *customer = configuration.customerByKeyDigest(asked.keyDigest);
+    if (asked.keyDigest.empty() || !customer) {
+        failWith(added, failureOf(FailureType::Unauthorized, "unknown key"), now);
+        return;
+    }
+    added.customer = customer->id;
+    const Settings::VersionedTarget *target = configuration.target(asked.workClass);
+    if (!target) {
+        failWith(added, failureOf(FailureType::UnknownClass, "unknown class of work"), now);
+        return;
+    }
+    added.target = target->target;
+    if (!m_context.directory.hasPool(added.pool)) {
+        failWith(added, failureOf(FailureType::UnknownPool, "unknown model or service"), now);
+        return;
+    }
+    m_budget.recordFirstAttempt();
+    if (!added.isClaimed()) {
+        askPermit(added, now);
+        return;
+    }
+    added.state = RequestState::Claiming;
+    m_context.claims.claim(key, {added.customer, asked.idempotencyKey, contentHash(asked)}, now,
+                           m_context.environment.wallClock.now());
+}
+
+void EntryRequests::callerGone(CallerId caller, Base::TimePoint now)
+{
+    const auto byCaller = m_byCaller.find(caller);
+    if (byCaller == m_byCaller.end())
+        return;
+    OpenRequest &open = m_open.at(byCaller->second);
+    // Work that must not be repeated runs to its end once it is sent: cancelled half-way, its
+    // key could never be answered for again.
+    if (open.isClaimed() && open.state == RequestState::Sent) {
+        open.isCallerGone = true;
+        return;
+    }
+    if (open.state == RequestState::Waiting)
+        m_context.outbox.post(open.home, PermitCancel{open.attemptId(), open.pool, open.shard});
+    if (open.state == RequestState::Sent) {
+        m_context.environment.backends.cancel(open.attemptId());
+        releasePermit(open, Scheduling::PermitOutcome::Cancelled, now);
+    }
+    settleClaim(open, now);
+    recordEnd(open, nullptr, now);
+    close(open.key);
+}
+
+void EntryRequests::callerBlocked(CallerId caller)
+{
+    const auto it = m_byCaller.find(caller);
+    if (it != m_byCaller.end())
+        m_context.environment.backends.pause(m_open.at(it->second).attemptId());
+}
+
+void EntryRequests::callerReady(CallerId caller)
+{
+    const auto it = m_byCaller.find(caller);
+    if (it != m_byCaller.end())
+        m_context.environment.backends.resume(m_open.at(it->second).attemptId());
+}
+
+void EntryRequests::claimDecided(const Claims::ClaimOutcome &outcome, Base::TimePoint now)
+{
+    const auto it = m_open.find(outcome.request);
+    if (it == m_open.end() || it->second.state != RequestState::Claiming)
+        return;
+    OpenRequest &open = it->second;
+    using Claims::ClaimVerdict;
+    recordHop(open, Hop::Claim, open.arrivedAt, now, "table",
+              outcome.verdict != ClaimVerdict::Claimed);
+    Failure failure;
+    switch (outcome.verdict) {
+    case ClaimVerdict::Claimed:
+        askPermit(open, now);
+        return;
+    case ClaimVerdict::Completed:
+        replay(open, outcome.answer, now);
+        return;
+    case ClaimVerdict::InProgress:
+        failure = failureOf(FailureType::KeyInProgress, "a call with this key is running");
+        failure.ran = Ran::Unknown;
+        failure.retryAfter = keyInProgressRetryAfter;
+        break;
+    case ClaimVerdict::Conflict:
+        failure = failureOf(FailureType::KeyConflict, "the key was used for other content");
+        break;
+    case ClaimVerdict::Undecidable:
+        failure = failureOf(FailureType::KeyInProgress, "a call with this key may have run");
+        failure.ran = Ran::Unknown;
+        break;
+    case ClaimVerdict::Unavailable:
+        failure = failureOf(FailureType::ClaimUnavailable, "the call could not be claimed");
+        failure.retryAfter = claimRetryAfter;
+        break;
+    }
+    failWith(open, failure, now);
+}
+
+void EntryRequests::granted(const Base::HostId &home, const PermitGrant &grant, Base::TimePoint now)
+{
+    OpenRequest *open = find(grant.attempt);
+    const Server *server = m_context.directory.server(grant.server);
+    const bool isWanted = open && open->state == RequestState::Waiting && server;
+    if (!isWanted) {
+        // A grant for work that is gone, or a second one: given back at once, so that the slot
+        // does not idle until the home asks.
+        const bool isSecond = open && open->state == RequestState::Sent
+                              && (open->home != home || open->server != grant.server);
+        if (!open || isSecond || !server)
+            m_context.outbox.post(home,
+                                  PermitRelease{grant.attempt, grant.pool, grant.shard,
+                                                grant.server, Scheduling::PermitOutcome::NotUsed,
+                                                std::nullopt, Milliseconds(0), 0});
+        return;
+    }
+    if (open->home != home)
+        m_context.outbox.post(open->home, PermitCancel{grant.attempt, open->pool, open->shard});
+    open->home = home;
+    open->shard = grant.shard;
+    recordHop(*open, Hop::Queue, open->askedAt, now, home.value(), false);
+    send(*open, *server, now);
+}
+
+void EntryRequests::refused(const PermitRefusal &refusal, Base::TimePoint now)
+{
+    OpenRequest *open = find(refusal.attempt);
+    if (!open || open->state != RequestState::Waiting)
+        return;
+    recordHop(*open, Hop::Queue, open->askedAt, now, open->home.value(), true);
+    failWith(*open, failureOf(refusal), now);
+}
+
+void EntryRequests::queried(const Base::HostId &home, const PermitQuery &query)
+{
+    for (const AttemptId &attempt : query.attempts) {
+        const OpenRequest *open = find(attempt);
+        if (open && open->state == RequestState::Sent)
+            continue;
+        m_context.outbox.post(home, PermitRelease{attempt,
+                                                  query.pool,
+                                                  query.shard,
+                                                  {},
+                                                  Scheduling::PermitOutcome::NotUsed,
+                                                  std::nullopt,
+                                                  Milliseconds(0),
+                                                  0});
+    }
+}
+
+void EntryRequests::backendHead(const BackendHead &head, Base::TimePoint)
+{
+    OpenRequest *open = find(head.attempt);
+    if (!open || open->state != RequestState::Sent)
+        return;
+    open->streamName = head.streamName;
+    if (open->isAnswerStarted)
+        return;
+    open->isAnswerStarted = true;
+    AnswerHead answer;
+    answer.requestId = Base::toString(open->key);
+    answer.status = head.status;
+    answer.contentType = head.contentType;
+    answer.isEventStream = open->asked.kind == WorkKind::ChatCompletion;
+    if (open->isClaimed()) {
+        open->stored.status = answer.status;
+        open->stored.contentType = answer.contentType;
+        open->stored.isEventStream = answer.isEventStream;
+    }
+    if (!open->isCallerGone)
+        m_context.environment.callers.startAnswer(open->asked.caller, answer);
+}
+
+void EntryRequests::backendPart(const BackendPart &part, Base::TimePoint now)
+{
+    OpenRequest *open = find(part.attempt);
+    // Late, doubled and crossed parts name another attempt or another place in the stream.
+    if (!open || open->state != RequestState::Sent || part.index != open->nextPart)
+        return;
+    ++open->nextPart;
+    if (!open->hasFirstPart) {
+        open->hasFirstPart = true;
+        open->firstPartAt = now;
+    }
+    open->uncharged += part.units;
+    if (open->uncharged >= m_context.settings.chargeStep) {
+        m_context.outbox.post(
+            open->home, ServiceCharge{open->attemptId(), open->pool, open->shard, open->uncharged});
+        open->charged += std::exchange(open->uncharged, 0);
+    }
+    if (open->isClaimed())
+        open->stored.parts.push_back(part.payload);
+    if (!open->isCallerGone)
+        m_context.environment.callers.appendAnswer(open->asked.caller, {part.payload});
+}
+
+void EntryRequests::backendFinished(const BackendFinished &finished, Base::TimePoint now)
+{
+    OpenRequest *open = find(finished.attempt);
+    if (!open || open->state != RequestState::Sent)
+        return;
+    if (finished.parts != open->nextPart) {
+        backendFailed({finished.attempt, SendState::MaybeRan, 0, std::nullopt}, now);
+        return;
+    }
+    recordHop(*open, Hop::Backend, open->sentAt, now, open->server.value(), false);
+    releasePermit(*open, Scheduling::PermitOutcome::Completed, now);
+    if (open->isClaimed())
+        m_context.claims.complete(open->key, encodeAnswer(open->stored), now);
+    if (!open->isCallerGone)
+        m_context.environment.callers.finishAnswer(open->asked.caller);
+    recordEnd(*open, nullptr, now);
+    close(open->key);
+}
+
+void EntryRequests::backendFailed(const BackendFailed &failed, Base::TimePoint now)
+{
+    OpenRequest *open = find(failed.attempt);
+    if (!open || open->state != RequestState::Sent)
+        return;
+    if (failed.sent == SendState::MaybeRan)
+        open->mayHaveRun = true;
+    recordHop(*open, Hop::Backend, open->sentAt, now, open->server.value(), true);
+    releasePermit(*open, Scheduling::PermitOutcome::Failed, now);
+    if (mayRetry(*open, failed)) {
+        retry(*open, now);
+        return;
+    }
+    Failure failure = failureOf(FailureType::BackendFailed, "the backend server failed");
+    failure.retryAfter = failed.retryAfter.value_or(backendRetryAfter);
+    failWith(*open, failure, now);
+}
+
+void EntryRequests::rehome(Base::TimePoint now)
+{
+    for (auto &[key, open] : m_open) {
+        const Base::HostId home = homeOf(open.pool, open.shard);
+        if (home == open.home || open.state == RequestState::Claiming)
+            continue;
+        if (open.state == RequestState::Waiting) {
+            m_context.outbox.post(open.home, PermitCancel{open.attemptId(), open.pool, open.shard});
+            open.home = home;
+            m_context.outbox.post(home, permitRequest(open, now));
+            continue;
+        }
+        open.home = home;
+        m_context.outbox.post(home, PermitHeld{open.attemptId(), open.pool, open.shard, open.server,
+                                               open.customer, open.target.name});
+    }
+}
+
+void EntryRequests::advance(Base::TimePoint) {}
+
+OpenRequest *EntryRequests::find(const AttemptId &attempt)
+{
+    const auto it = m_open.find(attempt.request);
+    if (it == m_open.end() || it->second.attempt != attempt.number)
+        return nullptr;
+    return &it->second;
+}
+
+Base::HostId EntryRequests::homeOf(const Base::PoolId &pool, std::uint32_t shard) const
+{
+    const std::vector<Base::HostId> order =
+        Coordination::homeOrder(pool, shard, m_context.membership.usableRouters());
+    return order.empty() ? m_context.membership.self().host : order.front();
+}
+
+void EntryRequests::askPermit(OpenRequest &open, Base::TimePoint now)
+{
+    ++open.attempt;
+    open.state = RequestState::Waiting;
+    open.askedAt = now;
+    open.shard = static_cast<std::uint32_t>(m_context.environment.random.next()
+                                            % m_context.directory.shards(open.pool));
+    open.home = homeOf(open.pool, open.shard);
+    m_context.outbox.post(open.home, permitRequest(open, now));
+}
+
+PermitRequest EntryRequests::permitRequest(const OpenRequest &open, Base::TimePoint now) const
+{
+    PermitRequest request;
+    request.attempt = open.attemptId();
+    request.pool = open.pool;
+    request.shard = open.shard;
+    request.customer = open.customer;
+    request.workClass = open.target.name;
+    request.waited = toMilliseconds(now - open.arrivedAt);
+    request.startWithin = open.target.startWithin - request.waited;
+    if (open.asked.deadline)
+        request.deadlineWithin = *open.asked.deadline - request.waited;
+    request.expectedCost = expectedCost(open.asked);
+    request.prefix = open.asked.prefix;
+    return request;
+}
+
+void EntryRequests::send(OpenRequest &open, const Server &server, Base::TimePoint now)
+{
+    if (open.isClaimed() && !m_context.claims.maySend(open.key, now)) {
+        // A process frozen past its lease wakes here. Nothing has left yet, so it gives up.
+        releasePermit(open, Scheduling::PermitOutcome::NotUsed, now);
+        Failure failure = failureOf(FailureType::ClaimUnavailable, "the claim lapsed");
+        failure.retryAfter = claimRetryAfter;
+        failWith(open, failure, now);
+        return;
+    }
+    open.state = RequestState::Sent;
+    open.server = server.id;
+    open.sentAt = now;
+    BackendRequest request;
+    request.attempt = open.attemptId();
+    request.server = server.id;
+    request.address = server.address;
+    request.kind = open.asked.kind;
+    request.path = open.asked.path;
+    request.contentType = open.asked.contentType;
+    request.body = open.asked.body;
+    request.traceparent = open.asked.traceparent;
+    request.idempotencyKey = open.asked.idempotencyKey;
+    request.resumeFrom = open.nextPart;
+    m_context.environment.backends.send(request);
+}
+
+void EntryRequests::releasePermit(OpenRequest &open, Scheduling::PermitOutcome outcome,
+                                  Base::TimePoint now)
+{
+    PermitRelease release;
+    release.attempt = open.attemptId();
+    release.pool = open.pool;
+    release.shard = open.shard;
+    release.server = open.server;
+    release.outcome = outcome;
+    if (open.hasFirstPart)
+        release.firstToken = toMilliseconds(open.firstPartAt - open.sentAt);
+    release.whole = toMilliseconds(now - open.sentAt);
+    release.units = std::exchange(open.uncharged, 0);
+    open.charged += release.units;
+    m_context.outbox.post(open.home, release);
+}
+
+bool EntryRequests::mayRetry(const OpenRequest &open, const BackendFailed &failed)
+{
+    if (open.attempt >= m_context.settings.largestAttempts || open.isCallerGone)
+        return false;
+    const bool isSafe =
+        failed.sent != SendState::MaybeRan || (open.asked.isRepeatable && !open.isAnswerStarted);
+    return isSafe && m_budget.takeRetry();
+}
+
+void EntryRequests::retry(OpenRequest &open, Base::TimePoint now)
+{
+    m_context.environment.observer.retried(open.key);
+    askPermit(open, now);
+}
+
+void EntryRequests::replay(OpenRequest &open, const std::string &stored, Base::TimePoint now)
+{
+    const Base::Result<StoredAnswer> answer = decodeAnswer(stored);
+    if (!answer) {
+        Failure failure = failureOf(FailureType::KeyInProgress, "the stored answer is damaged");
+        failure.ran = Ran::Unknown;
+        failWith(open, failure, now);
+        return;
+    }
+    CallerPort &callers = m_context.environment.callers;
+    callers.startAnswer(open.asked.caller, {Base::toString(open.key), answer->status,
+                                            answer->contentType, answer->isEventStream});
+    for (const std::string &part : answer->parts)
+        callers.appendAnswer(open.asked.caller, {part});
+    callers.finishAnswer(open.asked.caller);
+    recordEnd(open, nullptr, now);
+    close(open.key);
+}
+
+void EntryRequests::failWith(OpenRequest &open, Failure failure, Base::TimePoint now)
+{
+    failure.requestId = Base::toString(open.key);
+    if (open.mayHaveRun)
+        failure.ran = Ran::Unknown;
+    settleClaim(open, now);
+    if (!open.isCallerGone)
+        m_context.environment.callers.fail(open.asked.caller, failure);
+    recordEnd(open, &failure, now);
+    close(open.key);
+}
+
+void EntryRequests::settleClaim(const OpenRequest &open, Base::TimePoint now)
+{
+    if (!open.isClaimed())
+        return;
+    if (open.mayHaveRun || open.state == RequestState::Sent)
+        m_context.claims.abandon(open.key);
+    else
+        m_context.claims.release(open.key, now);
+}
+
+void EntryRequests::close(const Base::RequestKey &key)
+{
+    const auto it = m_open.find(key);
+    m_byCaller.erase(it->second.asked.caller);
+    m_open.erase(it);
+}
+
+void EntryRequests::recordHop(const OpenRequest &open, Hop hop, Base::TimePoint begin,
+                              Base::TimePoint end, const std::string &place, bool isFailed)
+{
+    m_context.environment.observer.hopFinished(
+        {open.key, open.asked.traceparent, hop, begin, end, place, isFailed});
+}
+
+void EntryRequests::recordEnd(const OpenRequest &open, const Failure *failure, Base::TimePoint now)
+{
+    recordHop(open, Hop::Entry, open.arrivedAt, now, m_context.membership.self().host.value(),
+              failure != nullptr);
+    RequestRecord record;
+    record.request = open.key;
+    record.customer = open.customer;
+    record.workClass = open.target.name;
+    record.isFailed = failure != nullptr;
+    if (failure)
+        record.failure = failure->type;
+    if (open.state == RequestState::Sent)
+        record.queueWait = open.sentAt - open.arrivedAt;
+    if (open.hasFirstPart)
+        record.firstPart = open.firstPartAt - open.arrivedAt;
+    record.whole = now - open.arrivedAt;
+    record.units = open.charged;
+    record.attempts = open.attempt;
+    m_context.environment.observer.requestFinished(record);
+}
+
+} // namespace Node
--- /dev/null
+++ b/src/libs/node/entryrequests.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "base/ids.h"
+#include "base/result.h"
+#include "base/time.h"
+#include "claims/claimbook.h"
+#include "coordination/configurationreplica.h"
+#include "coordination/membership.h"
+#include "node/environment.h"
+#include "node/nodesettings.h"
+#include "node/openrequest.h"
+#include "node/outbox.h"
+#include "node/serverdirectory.h"
+#include "scheduling/retrybudget.h"
+
+#include <cstddef>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace Node {
+
+/// What the entry side looks at but does not own.
+struct EntryContext
+{
+    const NodeSettings &settings;
+    const Environment &environment;
+    const Coordination::Membership &membership;
+    const Coordination::ConfigurationReplica &configuration;
+    const ServerDirectory &directory;
+    Claims::ClaimBook &claims;
+    Outbox &outbox;
+};
+
+/// The requests of the callers connected to this process, from arrival to final answer.
+///
+/// A request stays here, where its caller's connection is; only a permit request travels. So
+/// the loss of any other router loses no request, and it is known here, and only here, whether
+/// a byte of it was sent.
+class EntryRequests
+{
+public:
+    static Base::Result<std::unique_ptr<EntryRequests>> create(const EntryContext &context);
+
+    void open(const CallerRequest &asked, Base::TimePoint now);
+    void callerGone(CallerId caller, Base::TimePoint now);
+    void callerBlocked(CallerId caller);
+    void callerReady(CallerId caller);
+
+    void claimDecided(const Claims::ClaimOutcome &outcome, Base::TimePoint now);
+    void granted(const Base::HostId &home, const PermitGrant &grant, Base::TimePoint now);
+    void refused(const PermitRefusal &refusal, Base::TimePoint now);
+    void queried(const Base::HostId &home, const PermitQuery &query);
+
+    void backendHead(const BackendHead &head, Base::TimePoint now);
+    void backendPart(const BackendPart &part, Base::TimePoint now);
+    void backendFinished(const BackendFinished &finished, Base::TimePoint now);
+    void backendFailed(const BackendFailed &failed, Base::TimePoint now);
+
+    /// The set of usable routers changed: asks new homes, tells them of permits in use.
+    void rehome(Base::TimePoint now);
+    void advance(Base::TimePoint now);
+
+    std::size_t size() const { return m_open.size(); }
+
+private:
+    explicit EntryRequests(const EntryContext &context, Scheduling::RetryBudget budget);
+
+    OpenRequest *find(const AttemptId &attempt);
+    Base::HostId homeOf(const Base::PoolId &pool, std::uint32_t shard) const;
+    void askPermit(OpenRequest &open, Base::TimePoint now);
+    PermitRequest permitRequest(const OpenRequest &open, Base::TimePoint now) const;
+    void send(OpenRequest &open, const Server &server, Base::TimePoint now);
+    void releasePermit(OpenRequest &open, Scheduling::PermitOutcome outcome, Base::TimePoint now);
+    bool mayRetry(const OpenRequest &open, const BackendFailed &failed);
+    void retry(OpenRequest &open, Base::TimePoint now);
+    void replay(OpenRequest &open, const std::string &stored, Base::TimePoint now);
+    void failWith(OpenRequest &open, Failure failure, Base::TimePoint now);
+    void settleClaim(const OpenRequest &open, Base::TimePoint now);
+    void close(const Base::RequestKey &key);
+    void recordHop(const OpenRequest &open, Hop hop, Base::TimePoint begin, Base::TimePoint end,
+                   const std::string &place, bool isFailed);
+    void recordEnd(const OpenRequest &open, const Failure *failure, Base::TimePoint now);
+
+    EntryContext m_context;
+    Scheduling::RetryBudget m_budget;
+    std::map<Base::RequestKey, OpenRequest> m_open;
+    std::map<CallerId, Base::RequestKey> m_byCaller;
+    std::uint64_t m_lastSerial = 0;
+};
+
+} // namespace Node
--- /dev/null
+++ b/src/libs/node/environment.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "base/random.h"
+#include "base/time.h"
+#include "node/backendclient.h"
+#include "node/callerport.h"
+#include "node/nodeobserver.h"
+#include "node/peertransport.h"
+#include "platform/objectstore.h"
+#include "platform/tableservice.h"
+
+namespace Node {
+
+/// Calendar time, only for retention of claims.
+class WallClock
+{
+public:
+    virtual ~WallClock() = default;
+    virtual Base::WallTime now() const = 0;
+};
+
+/// Everything a node reaches outside itself. The objects outlive the node.
+struct Environment
+{
+    CallerPort &callers;
+    PeerTransport &peers;
+    BackendClient &backends;
+    Platform::TableService &table;
+    Platform::ObjectStore &objects;
+    NodeObserver &observer;
+    Base::RandomSource &random;
+    const WallClock &wallClock;
+};
+
+} // namespace Node
--- /dev/null
+++ b/src/libs/node/node.cpp
@@ -0,0 +1,469 @@
+#include "node/node.h"
+
+#include "coordination/homemap.h"
+#include "node/nodeconstants.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Node {
+
+namespace {
+
+/// How often time-driven state (deadlines, limiters) is looked at.
+constexpr Base::Duration advanceInterval = std::chrono::milliseconds(50);
+
+} // namespace
+
+Base::Result<std::unique_ptr<Node>> Node::create(const NodeSettings &settings,
+                                                 const Environment &environment)
+{
+    std::unique_ptr<Node> node(new Node(settings, environment));
+    Base::Result<void> assembled = node->assemble();
+    if (!assembled)
+        return assembled.error();
+    return node;
+}
+
+Node::Node(const NodeSettings &settings, const Environment &environment)
+    : m_settings(settings)
+    , m_environment(environment)
+{}
+
+Base::Result<void> Node::assemble()
+{
+    BOOST_LEAF_AUTO(membership,
+                    Coordination::Membership::create(m_settings.membership, m_settings.self));
+    m_membership = std::make_unique<Coordination::Membership>(std::move(membership));
+    BOOST_LEAF_AUTO(configuration,
+                    Coordination::ConfigurationReplica::create(m_settings.configuration,
+                                                               m_environment.table, m_operations));
+    m_configuration =
+        std::make_unique<Coordination::ConfigurationReplica>(std::move(configuration));
+    BOOST_LEAF_AUTO(claims,
+                    Claims::ClaimBook::create(m_settings.claims, m_settings.self.host,
+                                              m_settings.self.incarnation, m_environment.table,
+                                              m_operations, m_environment.random));
+    m_claims = std::make_unique<Claims::ClaimBook>(std::move(claims));
+    BOOST_LEAF_AUTO(entry,
+                    EntryRequests::create({m_settings, m_environment, *m_membership,
+                                           *m_configuration, m_directory, *m_claims, *this}));
+    m_entry = std::move(entry);
+    return {};
+}
+
+void Node::handle(const Event &event, Base::TimePoint now)
+{
+    std::visit([&](const auto &it) { on(it, now); }, event);
+    finishTurn(now);
+}
+
+void Node::advance(Base::TimePoint now)
+{
+    m_membership->advance(now);
+    m_configuration->advance(now);
+    m_claims->advance(now);
+    sendHeartbeats(now);
+    if (now >= m_nextAdvance) {
+        m_nextAdvance = now + advanceInterval;
+        m_entry->advance(now);
+        for (auto &[key, home] : m_homes)
+            home->advance(now);
+    }
+    pollLoads(now);
+    sendLedgers(now);
+    finishTurn(now);
+}
+
+Base::TimePoint Node::nextDue() const
+{
+    return std::min({m_membership->nextDue(), m_configuration->nextDue(), m_nextLoadPoll,
+                     m_nextLedger, m_nextAdvance});
+}
+
+bool Node::isDrained() const
+{
+    return m_isLeaving && m_entry->size() == 0;
+}
+
+NodeStatus Node::status() const
+{
+    NodeStatus status;
+    status.isReady = isReady();
+    status.isLeaving = m_isLeaving;
+    status.version = m_configuration->configuration().version();
+    status.liveRouters = m_membership->usableRouters().size();
+    status.openRequests = m_entry->size();
+    for (const auto &[key, home] : m_homes)
+        status.waitingHere += home->waiting();
+    return status;
+}
+
+void Node::post(const Base::HostId &to, const PeerMessage &message)
+{
+    if (to == m_settings.self.host) {
+        m_local.push_back(message);
+        return;
+    }
+    const auto it = m_membership->others().find(to);
+    if (it != m_membership->others().end())
+        m_environment.peers.send(to, it->second.peerAddress, message);
+}
+
+void Node::deliverLocally(Base::TimePoint now)
+{
+    while (!m_local.empty()) {
+        const PeerMessage message = std::move(m_local.front());
+        m_local.pop_front();
+        std::visit([&](const auto &it) { receive(m_settings.self.host, it, now); }, message);
+    }
+}
+
+void Node::finishTurn(Base::TimePoint now)
+{
+    for (const Claims::ClaimOutcome &outcome : m_claims->takeOutcomes())
+        m_entry->claimDecided(outcome, now);
+    answerTargetWrites(now);
+    applyView(now);
+    deliverLocally(now);
+}
+
+void Node::on(const CallerRequest &event, Base::TimePoint now)
+{
+    m_entry->open(event, now);
+}
+
+void Node::on(const CallerGone &event, Base::TimePoint now)
+{
+    m_entry->callerGone(event.caller, now);
+}
+
+void Node::on(const CallerBlocked &event, Base::TimePoint)
+{
+    m_entry->callerBlocked(event.caller);
+}
+
+void Node::on(const CallerReady &event, Base::TimePoint)
+{
+    m_entry->callerReady(event.caller);
+}
+
+void Node::on(const EntryHostsAsked &event, Base::TimePoint)
+{
+    const Base::ZoneId near = event.zone.isEmpty() ? m_settings.self.zone : event.zone;
+    EntryHostList list;
+    list.maxAge = m_settings.entryListMaxAge;
+    if (!m_isLeaving)
+        list.hosts.push_back({m_settings.self.callerAddress, m_settings.self.zone});
+    for (const auto &[host, member] : m_membership->others()) {
+        if (!member.isAlive || member.state == Coordination::MemberState::Leaving)
+            continue;
+        list.hosts.push_back({member.callerAddress, member.zone});
+    }
+    std::stable_sort(list.hosts.begin(), list.hosts.end(),
+                     [&](const EntryHost &a, const EntryHost &b) {
+                         return (a.zone == near) > (b.zone == near);
+                     });
+    m_environment.callers.sendEntryHosts(event.caller, list);
+}
+
+void Node::on(const TargetsAsked &event, Base::TimePoint)
+{
+    TargetList list;
+    list.version = m_configuration->configuration().version();
+    for (const auto &[name, target] : m_configuration->configuration().targets())
+        list.targets.push_back(target);
+    m_environment.callers.sendTargets(event.caller, list);
+}
+
+void Node::on(const TargetWriteAsked &event, Base::TimePoint now)
+{
+    m_configuration->writeTarget(event.caller, event.target, event.seen, now);
+}
+
+void Node::on(const StatusAsked &event, Base::TimePoint)
+{
+    m_environment.callers.sendStatus(event.caller, status());
+}
+
+void Node::on(const PeerMessageArrived &event, Base::TimePoint now)
+{
+    std::visit([&](const auto &it) { receive(event.from, it, now); }, event.message);
+}
+
+void Node::on(const PeerUnreachable &event, Base::TimePoint now)
+{
+    m_membership->recordUnreachable(event.host, now);
+}
+
+void Node::on(const BackendHead &event, Base::TimePoint now)
+{
+    m_entry->backendHead(event, now);
+}
+
+void Node::on(const BackendPart &event, Base::TimePoint now)
+{
+    m_entry->backendPart(event, now);
+}
+
+void Node::on(const BackendFinished &event, Base::TimePoint now)
+{
+    m_entry->backendFinished(event, now);
+}
+
+void Node::on(const BackendFailed &event, Base::TimePoint now)
+{
+    m_entry->backendFailed(event, now);
+}
+
+void Node::on(const BackendLoad &event, Base::TimePoint now)
+{
+    for (auto &[key, home] : m_homes)
+        home->recordLoad(event, now);
+}
+
+void Node::on(const Platform::TableOutcome &event, Base::TimePoint now)
+{
+    if (m_configuration->handle(event, now))
+        return;
+    m_claims->handle(event, now);
+}
+
+void Node::on(const Platform::ObjectOutcome &, Base::TimePoint) {}
+
+void Node::on(const HostListArrived &event, Base::TimePoint now)
+{
+    m_membership->seed(event.listing, now);
+    if (m_directory.update(event.listing))
+        m_isDirectoryChanged = true;
+}
+
+void Node::on(const ShutdownAsked &, Base::TimePoint)
+{
+    if (m_isLeaving)
+        return;
+    m_isLeaving = true;
+    m_membership->beginLeaving();
+}
+
+void Node::receive(const Base::HostId &from, const Coordination::Heartbeat &message,
+                   Base::TimePoint now)
+{
+    const auto known = m_membership->others().find(from);
+    const bool isRestarted = known != m_membership->others().end() && known->second.incarnation != 0
+                             && known->second.incarnation < message.incarnation;
+    if (isRestarted) {
+        for (auto &[key, home] : m_homes)
+            home->forgetEntry(from, now);
+    }
+    m_membership->receive(message, now);
+    const Settings::ConfigurationVersion own = m_configuration->configuration().version();
+    if (message.configurationVersion < own) {
+        const auto changes =
+            m_configuration->changesAfter(message.configurationVersion, changesPerPush);
+        if (changes.empty())
+            post(from, ConfigurationSnapshot{m_configuration->configuration()});
+        else
+            post(from, ConfigurationPush{changes});
+    }
+}
+
+void Node::receive(const Base::HostId &from, const PermitRequest &message, Base::TimePoint now)
+{
+    if (PoolHome *pool = home(message.pool, message.shard))
+        pool->request(from, message, now);
+}
+
+void Node::receive(const Base::HostId &from, const PermitGrant &message, Base::TimePoint now)
+{
+    m_entry->granted(from, message, now);
+}
+
+void Node::receive(const Base::HostId &, const PermitRefusal &message, Base::TimePoint now)
+{
+    m_entry->refused(message, now);
+}
+
+void Node::receive(const Base::HostId &, const PermitCancel &message, Base::TimePoint now)
+{
+    if (PoolHome *pool = home(message.pool, message.shard))
+        pool->cancel(message, now);
+}
+
+void Node::receive(const Base::HostId &, const PermitRelease &message, Base::TimePoint now)
+{
+    if (PoolHome *pool = home(message.pool, message.shard))
+        pool->release(message, now);
+}
+
+void Node::receive(const Base::HostId &, const ServiceCharge &message, Base::TimePoint)
+{
+    if (PoolHome *pool = home(message.pool, message.shard))
+        pool->charge(message);
+}
+
+void Node::receive(const Base::HostId &from, const PermitHeld &message, Base::TimePoint now)
+{
+    if (PoolHome *pool = home(message.pool, message.shard))
+        pool->adopt(from, message, now);
+}
+
+void Node::receive(const Base::HostId &from, const PermitQuery &message, Base::TimePoint)
+{
+    m_entry->queried(from, message);
+}
+
+void Node::receive(const Base::HostId &from, const Ping &message, Base::TimePoint)
+{
+    if (!message.isReply)
+        post(from, Ping{message.number, true});
+}
+
+void Node::receive(const Base::HostId &, const Coordination::LedgerDelta &message, Base::TimePoint)
+{
+    if (Coordination::ServiceLedger *pool = ledger(message.pool))
+        pool->merge(message);
+}
+
+void Node::receive(const Base::HostId &, const ConfigurationPush &message, Base::TimePoint)
+{
+    m_configuration->learn(message.changes);
+}
+
+void Node::receive(const Base::HostId &, const ConfigurationSnapshot &message, Base::TimePoint)
+{
+    m_configuration->learnSnapshot(message.configuration);
+}
+
+void Node::receive(const Base::HostId &from, const ConfigurationPull &, Base::TimePoint)
+{
+    post(from, ConfigurationSnapshot{m_configuration->configuration()});
+}
+
+void Node::receive(const Base::HostId &, const WorkHandover &message, Base::TimePoint now)
+{
+    if (PoolHome *pool = home(message.request.pool, message.request.shard))
+        pool->request(message.request.attempt.request.entry, message.request, now);
+}
+
+PoolHome *Node::home(const Base::PoolId &pool, std::uint32_t shard)
+{
+    const HomeKey key{pool, shard};
+    const auto it = m_homes.find(key);
+    if (it != m_homes.end())
+        return it->second.get();
+    Coordination::ServiceLedger *account = ledger(pool);
+    if (!account || !m_directory.hasPool(pool) || shard >= m_directory.shards(pool))
+        return nullptr;
+    auto created = PoolHome::create(m_settings, pool, shard, *account, *this, m_environment.random);
+    if (!created)
+        return nullptr;
+    PoolHome &added = *(m_homes[key] = std::move(*created));
+    added.setServers(m_directory.usable(pool, shard));
+    added.setClaims(m_configuration->configuration());
+    return &added;
+}
+
+Coordination::ServiceLedger *Node::ledger(const Base::PoolId &pool)
+{
+    const auto it = m_ledgers.find(pool);
+    if (it != m_ledgers.end())
+        return it->second.get();
+    auto created = Coordination::ServiceLedger::create(m_settings.ledger, m_settings.self.host,
+                                                       m_settings.self.incarnation, pool);
+    if (!created)
+        return nullptr;
+    auto &added = m_ledgers[pool];
+    added = std::make_unique<Coordination::ServiceLedger>(std::move(*created));
+    return added.get();
+}
+
+void Node::applyView(Base::TimePoint now)
+{
+    const bool isViewChanged = m_appliedView != m_membership->viewVersion();
+    if (!isViewChanged && !m_isDirectoryChanged)
+        return;
+    m_appliedView = m_membership->viewVersion();
+    m_isDirectoryChanged = false;
+    m_directory.markLeaving(*m_membership);
+    refreshHomes();
+    m_entry->rehome(now);
+}
+
+void Node::refreshHomes()
+{
+    for (auto &[key, home] : m_homes)
+        home->setServers(m_directory.usable(key.first, key.second));
+}
+
+void Node::sendHeartbeats(Base::TimePoint now)
+{
+    std::optional<Coordination::Heartbeat> heartbeat = m_membership->dueHeartbeat(now);
+    if (!heartbeat)
+        return;
+    heartbeat->configurationVersion = m_configuration->configuration().version();
+    for (const auto &[key, home] : m_homes)
+        heartbeat->pools.push_back(home->summary());
+    for (const auto &[host, member] : m_membership->others())
+        post(host, *heartbeat);
+    for (auto &[key, home] : m_homes)
+        home->setClaims(m_configuration->configuration());
+}
+
+void Node::sendLedgers(Base::TimePoint now)
+{
+    if (now < m_nextLedger)
+        return;
+    m_nextLedger = now + m_settings.ledgerInterval;
+    for (auto &[pool, ledger] : m_ledgers) {
+        const std::optional<Coordination::LedgerDelta> delta = ledger->takeDelta();
+        if (!delta)
+            continue;
+        const std::vector<Base::HostId> routers = m_membership->usableRouters();
+        for (std::uint32_t shard = 0; shard < m_directory.shards(pool); ++shard) {
+            const auto order = Coordination::homeOrder(pool, shard, routers);
+            for (std::size_t i = 0; i < std::min<std::size_t>(order.size(), 2); ++i) {
+                if (order[i] != m_settings.self.host)
+                    post(order[i], *delta);
+            }
+        }
+    }
+}
+
+void Node::pollLoads(Base::TimePoint now)
+{
+    if (now < m_nextLoadPoll)
+        return;
+    m_nextLoadPoll = now + m_settings.loadPollInterval;
+    for (const auto &[key, home] : m_homes) {
+        for (const Base::ServerId &id : home->servers()) {
+            if (const Server *server = m_directory.server(id))
+                m_environment.backends.pollLoad(id, server->address);
+        }
+    }
+}
+
+void Node::answerTargetWrites(Base::TimePoint)
+{
+    for (const Coordination::TargetWriteResult &result : m_configuration->takeWriteResults()) {
+        using Coordination::TargetWriteStatus;
+        if (result.status == TargetWriteStatus::Accepted) {
+            on(TargetsAsked{result.handle}, {});
+            continue;
+        }
+        Failure failure;
+        failure.currentVersion = result.version;
+        failure.type = result.status == TargetWriteStatus::LostRace ? FailureType::LostRace
+                                                                    : FailureType::PlatformDown;
+        failure.message = result.status == TargetWriteStatus::LostRace
+                              ? "the target was changed meanwhile"
+                              : "the platform's table did not answer";
+        if (result.status == TargetWriteStatus::Unknown)
+            failure.ran = Ran::Unknown;
+        if (failure.type == FailureType::PlatformDown)
+            failure.retryAfter = claimRetryAfter;
+        m_environment.callers.fail(result.handle, failure);
+    }
+}
+
+} // namespace Node
--- /dev/null
+++ b/src/libs/node/nodeconstants.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "base/ids.h"
+#include "base/time.h"
+
+#include <cstdint>
+
+namespace Node {
+
+inline constexpr const char *modelPoolPrefix = "model/";
+inline constexpr const char *servicePoolPrefix = "service/";
+
+/// A generated token costs an engine about this many prompt tokens: a prompt is computed in
+/// large batches, generation a token at a time.
+inline constexpr std::uint64_t generatedTokenWeight = 4;
+/// Generated tokens assumed of work whose caller gave no limit, or a larger one.
+inline constexpr std::uint64_t expectedTokensWithoutHint = 256;
+
+inline constexpr Base::Milliseconds notReadyRetryAfter{1000};
+inline constexpr Base::Milliseconds keyInProgressRetryAfter{1000};
+inline constexpr Base::Milliseconds claimRetryAfter{2000};
+inline constexpr Base::Milliseconds backendRetryAfter{1000};
+
+/// Largest number of configuration changes in one message to a peer.
+inline constexpr std::size_t changesPerPush = 200;
+
+} // namespace Node
--- /dev/null
+++ b/src/libs/node/nodesettings.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "claims/claimbook.h"
+#include "coordination/configurationreplica.h"
+#include "coordination/membership.h"
+#include "coordination/serviceledger.h"
+#include "coordination/trafficmeter.h"
+#include "scheduling/admissionpolicy.h"
+#include "scheduling/concurrencylimiter.h"
+#include "scheduling/fairqueue.h"
+#include "scheduling/retrybudget.h"
+
+#include <chrono>
+#include <cstdint>
+
+namespace Node {
+
+/// What one node is started with. The defaults are the product's; docs/design/ has the
+/// reasons.
+struct NodeSettings
+{
+    Coordination::MembershipSelf self;
+    Coordination::MembershipPolicy membership;
+    Coordination::LedgerPolicy ledger;
+    Coordination::TrafficBudget traffic;
+    Coordination::ConfigurationPolicy configuration;
+    Scheduling::FairQueuePolicy queue;
+    Scheduling::AdmissionLimits admission;
+    Scheduling::ConcurrencyLimits concurrency;
+    Scheduling::RetryBudgetPolicy retries;
+    Claims::ClaimPolicy claims;
+
+    /// How long callers may keep an entry list.
+    std::chrono::seconds entryListMaxAge{10};
+    Base::Duration loadPollInterval = std::chrono::milliseconds(500);
+    Base::Duration ledgerInterval = std::chrono::milliseconds(500);
+    /// Charged to the home while a stream runs, each time this much service is uncharged.
+    Base::ServiceUnits chargeStep = 500;
+    /// Attempts at one request, the first included.
+    std::uint32_t largestAttempts = 3;
+};
+
+} // namespace Node
--- /dev/null
+++ b/src/libs/node/openrequest.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "node/event.h"
+#include "node/storedanswer.h"
+#include "settings/configuration.h"
+
+#include <cstdint>
+#include <string>
+
+namespace Node {
+
+enum class RequestState {
+    Claiming, ///< Waits for its claim in the table.
+    Waiting,  ///< Waits for a permit.
+    Sent,     ///< On its way to, or running at, a backend server.
+};
+
+/// A caller's request that has no final answer yet, at its entry host.
+struct OpenRequest
+{
+    Base::RequestKey key;
+    CallerRequest asked;
+    Base::CustomerId customer;
+    Settings::ClassTarget target;
+    Base::PoolId pool;
+    RequestState state = RequestState::Waiting;
+    bool isCallerGone = false;
+
+    /// The current attempt, from 1.
+    std::uint32_t attempt = 0;
+    std::uint32_t shard = 0;
+    /// Router asked for the permit, or that gave it.
+    Base::HostId home;
+    Base::ServerId server;
+
+    Base::TimePoint arrivedAt;
+    Base::TimePoint askedAt;
+    Base::TimePoint sentAt;
+    Base::TimePoint firstPartAt;
+    bool hasFirstPart = false;
+    bool isAnswerStarted = false;
+    /// Some attempt may have run: it is never said again that nothing ran.
+    bool mayHaveRun = false;
+
+    std::uint64_t nextPart = 0;
+    std::string streamName;
+    Base::ServiceUnits uncharged = 0;
+    Base::ServiceUnits charged = 0;
+    /// Of work that is not repeatable: kept for a repeat of the call.
+    StoredAnswer stored;
+
+    bool isClaimed() const { return !asked.isRepeatable; }
+    AttemptId attemptId() const { return {key, attempt}; }
+};
+
+} // namespace Node
--- /dev/null
+++ b/src/libs/node/peermessage.h
@@ -0,0 +1,171 @@
+#pragma once
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "coordination/heartbeat.h"
+#include "coordination/ledgerdelta.h"
+#include "coordination/trafficmeter.h"
+#include "node/backendclient.h"
+#include "scheduling/admissionpolicy.h"
+#include "scheduling/concurrencylimiter.h"
+#include "settings/configuration.h"
+
+#include <cstdint>
+#include <optional>
+#include <variant>
+#include <vector>
+
+namespace Node {
+
+/// Entry to home: this request waits; give it a permit. Sent again when the home changes;
+/// a home that knows the attempt already ignores it.
+struct PermitRequest
+{
+    AttemptId attempt;
+    Base::PoolId pool;
+    std::uint32_t shard = 0;
+    Base::CustomerId customer;
+    Base::ClassId workClass;
+    /// How long the caller has waited so far.
+    Base::Milliseconds waited{0};
+    /// Left of the class's start target; negative once it is missed.
+    Base::Milliseconds startWithin{0};
+    /// Left of the caller's deadline.
+    std::optional<Base::Milliseconds> deadlineWithin;
+    Base::ServiceUnits expectedCost = 0;
+    std::uint64_t prefix = 0;
+
+    bool operator==(const PermitRequest &) const = default;
+};
+
+/// Home to entry: send the attempt to this server now.
+struct PermitGrant
+{
+    AttemptId attempt;
+    Base::PoolId pool;
+    std::uint32_t shard = 0;
+    Base::ServerId server;
+
+    bool operator==(const PermitGrant &) const = default;
+};
+
+/// Home to entry: the final word on an attempt that gets no permit.
+struct PermitRefusal
+{
+    AttemptId attempt;
+    Scheduling::RefusalReason reason = Scheduling::RefusalReason::NoServer;
+    Base::Milliseconds retryAfter{0};
+
+    bool operator==(const PermitRefusal &) const = default;
+};
+
+/// Entry to home: the caller left before a permit came.
+struct PermitCancel
+{
+    AttemptId attempt;
+    Base::PoolId pool;
+    std::uint32_t shard = 0;
+
+    bool operator==(const PermitCancel &) const = default;
+};
+
+/// Entry to home: the permit is free again, and what its use showed.
+struct PermitRelease
+{
+    AttemptId attempt;
+    Base::PoolId pool;
+    std::uint32_t shard = 0;
+    Base::ServerId server;
+    Scheduling::PermitOutcome outcome = Scheduling::PermitOutcome::Completed;
+    std::optional<Base::Milliseconds> firstToken;
+    Base::Milliseconds whole{0};
+    /// Service received and not charged before.
+    Base::ServiceUnits units = 0;
+
+    bool operator==(const PermitRelease &) const = default;
+};
+
+/// Entry to home: service received under a permit that is still in use.
+struct ServiceCharge
+{
+    AttemptId attempt;
+    Base::PoolId pool;
+    std::uint32_t shard = 0;
+    Base::ServiceUnits units = 0;
+
+    bool operator==(const ServiceCharge &) const = default;
+};
+
+/// Entry to a new home: a permit that an earlier home gave and that is in use.
+struct PermitHeld
+{
+    AttemptId attempt;
+    Base::PoolId pool;
+    std::uint32_t shard = 0;
+    Base::ServerId server;
+    Base::CustomerId customer;
+    Base::ClassId workClass;
+
+    bool operator==(const PermitHeld &) const = default;
+};
+
+/// Home to entry: are these still in use? Answered with a release for those that are not.
+struct PermitQuery
+{
+    std::vector<AttemptId> attempts;
+    Base::PoolId pool;
+    std::uint32_t shard = 0;
+
+    bool operator==(const PermitQuery &) const = default;
+};
+
+/// Either way: is the other side there? Answered with the same message, isReply set.
+struct Ping
+{
+    std::uint64_t number = 0;
+    bool isReply = false;
+
+    bool operator==(const Ping &) const = default;
+};
+
+/// Changes that the receiver lacks, as its heartbeat showed.
+struct ConfigurationPush
+{
+    std::vector<Settings::ConfigurationChange> changes;
+
+    bool operator==(const ConfigurationPush &) const = default;
+};
+
+/// The whole configuration, for a receiver too far behind for changes.
+struct ConfigurationSnapshot
+{
+    Settings::Configuration configuration;
+
+    bool operator==(const ConfigurationSnapshot &) const = default;
+};
+
+/// Asks for the configuration after \a version; sent by a router that starts cold.
+struct ConfigurationPull
+{
+    Settings::ConfigurationVersion version = 0;
+
+    bool operator==(const ConfigurationPull &) const = default;
+};
+
+/// Home to home: this request is yours to give a permit to; answer its entry directly.
+struct WorkHandover
+{
+    PermitRequest request;
+
+    bool operator==(const WorkHandover &) const = default;
+};
+
+using PeerMessage = std::variant<Coordination::Heartbeat, PermitRequest, PermitGrant, PermitRefusal,
+                                 PermitCancel, PermitRelease, ServiceCharge, PermitHeld,
+                                 PermitQuery, Ping, Coordination::LedgerDelta, ConfigurationPush,
+                                 ConfigurationSnapshot, ConfigurationPull, WorkHandover>;
+
+/// Under which kind the bytes of a message are counted.
+Coordination::TrafficKind trafficKind(const PeerMessage &message);
+
+} // namespace Node
--- /dev/null
+++ b/src/libs/node/poolhome.cpp
@@ -0,0 +1,335 @@
+#include "node/poolhome.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Node {
+
+namespace {
+
+constexpr Base::Duration drainPeriod = std::chrono::milliseconds(500);
+/// Weight of the newest period in the smoothed drain rate: settles in about two seconds.
+constexpr double drainSmoothing = 0.3;
+
+} // namespace
+
+Base::Result<std::unique_ptr<PoolHome>>
+PoolHome::create(const NodeSettings &settings, const Base::PoolId &pool, std::uint32_t shard,
+                 Coordination::ServiceLedger &ledger, Outbox &outbox, Base::RandomSource &random)
+{
+    BOOST_LEAF_AUTO(queue, Scheduling::FairQueue::create(settings.queue));
+    BOOST_LEAF_AUTO(admission, Scheduling::AdmissionPolicy::create(settings.admission));
+    return std::unique_ptr<PoolHome>(new PoolHome(settings, pool, shard, ledger, outbox, random,
+                                                  std::move(queue), std::move(admission)));
+}
+
+PoolHome::PoolHome(const NodeSettings &settings, const Base::PoolId &pool, std::uint32_t shard,
+                   Coordination::ServiceLedger &ledger, Outbox &outbox, Base::RandomSource &random,
+                   Scheduling::FairQueue queue, Scheduling::AdmissionPolicy admission)
+    : m_settings(settings)
+    , m_pool(pool)
+    , m_shard(shard)
+    , m_ledger(&ledger)
+    , m_outbox(&outbox)
+    , m_random(&random)
+    , m_queue(std::move(queue))
+    , m_admission(std::move(admission))
+{}
+
+void PoolHome::setServers(const std::vector<const Server *> &servers)
+{
+    for (auto &[id, state] : m_servers)
+        state.isUsable = false;
+    for (const Server *server : servers) {
+        const auto it = m_servers.find(server->id);
+        if (it != m_servers.end() && it->second.server.incarnation == server->incarnation) {
+            it->second.server = *server;
+            it->second.isUsable = true;
+            continue;
+        }
+        auto limiter = Scheduling::ConcurrencyLimiter::create(m_settings.concurrency);
+        if (!limiter)
+            continue;
+        const std::size_t inUse = it == m_servers.end() ? 0 : it->second.inUse;
+        m_servers.insert_or_assign(server->id, ServerState{*server, *limiter, inUse, true});
+    }
+    for (auto it = m_servers.begin(); it != m_servers.end();) {
+        const bool isGone = !it->second.isUsable && it->second.inUse == 0;
+        if (isGone)
+            m_selector.forgetServer(it->first);
+        it = isGone ? m_servers.erase(it) : std::next(it);
+    }
+}
+
+void PoolHome::setClaims(const Settings::Configuration &configuration)
+{
+    m_claims.clear();
+    for (const auto &[name, target] : configuration.targets()) {
+        if (target.target.claim)
+            m_claims[name] = *target.target.claim;
+    }
+}
+
+void PoolHome::request(const Base::HostId &entry, const PermitRequest &request, Base::TimePoint now)
+{
+    const auto permit = m_permits.find(request.attempt);
+    if (permit != m_permits.end()) {
+        // The grant was lost on its way: the entry would wait for ever, so it is sent again.
+        m_outbox->post(entry, PermitGrant{request.attempt, m_pool, m_shard, permit->second.server});
+        return;
+    }
+    m_queue.remove(request.attempt.request);
+    Scheduling::WaitingWork work;
+    work.request = request.attempt.request;
+    work.attempt = request.attempt.number;
+    work.customer = request.customer;
+    work.workClass = request.workClass;
+    work.arrivedAt = now - request.waited;
+    work.startBy = now + request.startWithin;
+    if (request.deadlineWithin)
+        work.deadline = now + *request.deadlineWithin;
+    work.expectedCost = request.expectedCost;
+    work.prefix = request.prefix;
+    m_waitingEntry[work.request] = entry;
+    const auto refusal = m_admission.refusalFor(work, poolState(work.customer), now, *m_random);
+    if (refusal) {
+        refuse(work, *refusal);
+        return;
+    }
+    if (m_queue.waitingOf(work.customer) == 0)
+        m_ledger->becomeBacklogged(work.customer, m_queue.backloggedCustomers());
+    m_queue.push(work);
+    dispatch(now);
+}
+
+void PoolHome::cancel(const PermitCancel &cancel, Base::TimePoint now)
+{
+    m_queue.remove(cancel.attempt.request);
+    m_waitingEntry.erase(cancel.attempt.request);
+    const auto it = m_permits.find(cancel.attempt);
+    if (it == m_permits.end())
+        return;
+    endPermit(it);
+    dispatch(now);
+}
+
+void PoolHome::release(const PermitRelease &release, Base::TimePoint now)
+{
+    const auto it = m_permits.find(release.attempt);
+    if (it == m_permits.end())
+        return;
+    m_ledger->charge(it->second.customer, release.units);
+    const auto server = m_servers.find(it->second.server);
+    if (server != m_servers.end()) {
+        Scheduling::PermitReport report;
+        report.outcome = release.outcome;
+        if (release.firstToken)
+            report.firstToken = *release.firstToken;
+        report.whole = release.whole;
+        report.served = release.units;
+        server->second.limiter.recordPermit(report, server->second.inUse, now);
+    }
+    endPermit(it);
+    ++m_drained;
+    dispatch(now);
+}
+
+void PoolHome::charge(const ServiceCharge &charge)
+{
+    const auto it = m_permits.find(charge.attempt);
+    if (it == m_permits.end())
+        return;
+    Permit &permit = it->second;
+    m_ledger->charge(permit.customer, charge.units);
+    const Base::ServiceUnits freed = std::min(permit.held, charge.units);
+    m_ledger->releaseHold(permit.customer, freed);
+    permit.held -= freed;
+}
+
+void PoolHome::adopt(const Base::HostId &entry, const PermitHeld &held, Base::TimePoint now)
+{
+    const auto server = m_servers.find(held.server);
+    if (server == m_servers.end() || m_permits.count(held.attempt) > 0)
+        return;
+    m_permits[held.attempt] = {entry, held.server, held.customer, held.workClass, 0, now};
+    ++server->second.inUse;
+    ++m_inUseByClass[held.workClass];
+}
+
+void PoolHome::recordLoad(const BackendLoad &load, Base::TimePoint now)
+{
+    const auto it = m_servers.find(load.server);
+    if (it == m_servers.end() || !load.isReachable)
+        return;
+    it->second.limiter.recordLoad(load.report, now);
+}
+
+void PoolHome::forgetEntry(const Base::HostId &entry, Base::TimePoint now)
+{
+    std::vector<Base::RequestKey> waiting;
+    for (const auto &[request, host] : m_waitingEntry) {
+        if (host == entry)
+            waiting.push_back(request);
+    }
+    for (const Base::RequestKey &request : waiting) {
+        m_queue.remove(request);
+        m_waitingEntry.erase(request);
+    }
+    for (auto it = m_permits.begin(); it != m_permits.end();) {
+        const auto current = it++;
+        if (current->second.entry == entry)
+            endPermit(current);
+    }
+    dispatch(now);
+}
+
+void PoolHome::advance(Base::TimePoint now)
+{
+    for (auto &[id, state] : m_servers)
+        state.limiter.advance(now);
+    for (const Scheduling::WaitingWork &work : m_queue.takeExpired(now)) {
+        refuse(work, m_admission.refuse(Scheduling::RefusalReason::DeadlinePassed,
+                                        poolState(work.customer), *m_random));
+    }
+    recordDrain(now);
+    dispatch(now);
+}
+
+Coordination::PoolSummary PoolHome::summary() const
+{
+    std::size_t freePermits = 0;
+    for (const Scheduling::ServerChoice &choice : freeServers())
+        freePermits += choice.limit - choice.inUse;
+    return {m_pool, m_shard, static_cast<std::uint32_t>(m_queue.size()),
+            static_cast<std::uint32_t>(freePermits), m_drainRate};
+}
+
+std::size_t PoolHome::permitLimit() const
+{
+    std::size_t limit = 0;
+    for (const auto &[id, state] : m_servers) {
+        if (state.isUsable)
+            limit += state.limiter.limit();
+    }
+    return limit;
+}
+
+std::vector<Base::ServerId> PoolHome::servers() const
+{
+    std::vector<Base::ServerId> ids;
+    for (const auto &[id, state] : m_servers)
+        ids.push_back(id);
+    return ids;
+}
+
+bool PoolHome::isOverClaim(const Base::ClassId &workClass) const
+{
+    const auto claim = m_claims.find(workClass);
+    if (claim == m_claims.end())
+        return false;
+    const auto inUse = m_inUseByClass.find(workClass);
+    const double used = inUse == m_inUseByClass.end() ? 0 : static_cast<double>(inUse->second);
+    return used >= claim->second * static_cast<double>(permitLimit());
+}
+
+void PoolHome::dispatch(Base::TimePoint now)
+{
+    while (!m_queue.isEmpty()) {
+        const std::vector<Scheduling::ServerChoice> choices = freeServers();
+        if (choices.empty())
+            return;
+        const std::optional<Scheduling::WaitingWork> work = m_queue.takeNext(*m_ledger, *this, now);
+        if (!work)
+            return;
+        const std::optional<std::size_t> chosen = m_selector.choose(choices, work->prefix, now);
+        if (!chosen) {
+            m_queue.push(*work);
+            return;
+        }
+        grant(*work, choices[*chosen].server, now);
+    }
+}
+
+std::vector<Scheduling::ServerChoice> PoolHome::freeServers() const
+{
+    std::vector<Scheduling::ServerChoice> choices;
+    for (const auto &[id, state] : m_servers) {
+        const std::size_t limit = state.limiter.limit();
+        if (!state.isUsable || state.inUse >= limit)
+            continue;
+        choices.push_back({id, state.inUse, limit, state.server.zone == m_settings.self.zone});
+    }
+    return choices;
+}
+
+void PoolHome::grant(const Scheduling::WaitingWork &work, const Base::ServerId &server,
+                     Base::TimePoint now)
+{
+    const AttemptId attempt{work.request, work.attempt};
+    const auto waiting = m_waitingEntry.find(work.request);
+    const Base::HostId entry =
+        waiting == m_waitingEntry.end() ? work.request.entry : waiting->second;
+    if (waiting != m_waitingEntry.end())
+        m_waitingEntry.erase(waiting);
+    m_permits[attempt] = {entry, server, work.customer, work.workClass, work.expectedCost, now};
+    m_ledger->hold(work.customer, work.expectedCost);
+    ++m_servers.at(server).inUse;
+    ++m_inUseByClass[work.workClass];
+    if (work.prefix != 0)
+        m_selector.recordPrefix(work.prefix, server, now);
+    m_outbox->post(entry, PermitGrant{attempt, m_pool, m_shard, server});
+}
+
+void PoolHome::endPermit(std::map<AttemptId, Permit>::iterator it)
+{
+    const Permit &permit = it->second;
+    m_ledger->releaseHold(permit.customer, permit.held);
+    const auto server = m_servers.find(permit.server);
+    if (server != m_servers.end() && server->second.inUse > 0)
+        --server->second.inUse;
+    std::size_t &inUse = m_inUseByClass[permit.workClass];
+    inUse -= std::min<std::size_t>(inUse, 1);
+    m_permits.erase(it);
+}
+
+Scheduling::PoolState PoolHome::poolState(const Base::CustomerId &customer) const
+{
+    Scheduling::PoolState state;
+    state.waiting = m_queue.size();
+    state.waitingOfCustomer = m_queue.waitingOf(customer);
+    state.backloggedCustomers = m_queue.backloggedCustomers().size();
+    if (state.waitingOfCustomer == 0)
+        ++state.backloggedCustomers;
+    for (const auto &[id, server] : m_servers) {
+        if (server.isUsable)
+            ++state.usableServers;
+    }
+    state.freePermits = summary().freePermits;
+    state.drainRate = m_drainRate;
+    return state;
+}
+
+void PoolHome::refuse(const Scheduling::WaitingWork &work,
+                      const Scheduling::AdmissionRefusal &refusal)
+{
+    const auto waiting = m_waitingEntry.find(work.request);
+    const Base::HostId entry =
+        waiting == m_waitingEntry.end() ? work.request.entry : waiting->second;
+    if (waiting != m_waitingEntry.end())
+        m_waitingEntry.erase(waiting);
+    m_outbox->post(entry,
+                   PermitRefusal{{work.request, work.attempt}, refusal.reason, refusal.retryAfter});
+}
+
+void PoolHome::recordDrain(Base::TimePoint now)
+{
+    if (now - m_drainSince < drainPeriod)
+        return;
+    const double seconds = std::chrono::duration<double>(now - m_drainSince).count();
+    const double rate = static_cast<double>(m_drained) / seconds;
+    m_drainRate = m_drainRate == 0 ? rate : m_drainRate + drainSmoothing * (rate - m_drainRate);
+    m_drained = 0;
+    m_drainSince = now;
+}
+
+} // namespace Node
--- /dev/null
+++ b/src/libs/platform/operationids.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "platform/tableservice.h"
+
+namespace Platform {
+
+/// Gives out operation ids to all parts of one node that call the platform.
+class OperationIds
+{
+public:
+    OperationId next() { return ++m_last; }
+
+private:
+    OperationId m_last = 0;
+};
+
+} // namespace Platform
--- /dev/null
+++ b/tests/support/fakes.h
@@ -0,0 +1,200 @@
+#pragma once
+
+#include "node/environment.h"
+#include "node/event.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+/// Small fakes for the interfaces of a node. Each only records what it was asked; the test
+/// decides what comes of it.
+namespace Fakes {
+
+struct CallerLog
+{
+    std::optional<Node::AnswerHead> head;
+    std::vector<std::string> parts;
+    bool isFinished = false;
+    std::optional<Node::Failure> failure;
+    std::optional<Node::EntryHostList> entryHosts;
+    std::optional<Node::TargetList> targets;
+};
+
+class Callers final : public Node::CallerPort
+{
+public:
+    void startAnswer(Node::CallerId caller, const Node::AnswerHead &head) override
+    {
+        logs[caller].head = head;
+    }
+    void appendAnswer(Node::CallerId caller, const Node::AnswerPart &part) override
+    {
+        logs[caller].parts.push_back(part.payload);
+    }
+    void finishAnswer(Node::CallerId caller) override { logs[caller].isFinished = true; }
+    void fail(Node::CallerId caller, const Node::Failure &failure) override
+    {
+        logs[caller].failure = failure;
+    }
+    void sendEntryHosts(Node::CallerId caller, const Node::EntryHostList &list) override
+    {
+        logs[caller].entryHosts = list;
+    }
+    void sendTargets(Node::CallerId caller, const Node::TargetList &list) override
+    {
+        logs[caller].targets = list;
+    }
+    void sendStatus(Node::CallerId, const Node::NodeStatus &) override {}
+
+    std::map<Node::CallerId, CallerLog> logs;
+};
+
+struct SentMessage
+{
+    Base::HostId to;
+    Node::PeerMessage message;
+};
+
+class Peers final : public Node::PeerTransport
+{
+public:
+    void send(const Base::HostId &to, const std::string &,
+              const Node::PeerMessage &message) override
+    {
+        sent.push_back({to, message});
+    }
+
+    std::deque<SentMessage> sent;
+};
+
+class Backends final : public Node::BackendClient
+{
+public:
+    void send(const Node::BackendRequest &request) override { sent.push_back(request); }
+    void cancel(const Node::AttemptId &attempt) override { cancelled.push_back(attempt); }
+    void pause(const Node::AttemptId &attempt) override { paused.push_back(attempt); }
+    void resume(const Node::AttemptId &attempt) override { resumed.push_back(attempt); }
+    void pollLoad(const Base::ServerId &server, const std::string &) override
+    {
+        polled.push_back(server);
+    }
+
+    std::deque<Node::BackendRequest> sent;
+    std::vector<Node::AttemptId> cancelled;
+    std::vector<Node::AttemptId> paused;
+    std::vector<Node::AttemptId> resumed;
+    std::vector<Base::ServerId> polled;
+};
+
+/// The platform's table as one copy of the truth, shared by the nodes of a test. Answers wait
+/// in `answers` until the test hands them on, drops them or turns them into Unknown.
+class Table
+{
+public:
+    Platform::TableOutcome read(Platform::OperationId operation, const std::string &key)
+    {
+        Platform::TableOutcome outcome{operation, Platform::TableStatus::Done, {}};
+        const auto it = rows.find(key);
+        if (it != rows.end())
+            outcome.rows.push_back(it->second);
+        return outcome;
+    }
+
+    Platform::TableOutcome scan(Platform::OperationId operation, const std::string &prefix,
+                                const std::string &after, std::size_t limit)
+    {
+        Platform::TableOutcome outcome{operation, Platform::TableStatus::Done, {}};
+        for (auto it = rows.upper_bound(std::max(prefix, after)); it != rows.end(); ++it) {
+            if (it->first.rfind(prefix, 0) != 0 || outcome.rows.size() == limit)
+                break;
+            outcome.rows.push_back(it->second);
+        }
+        return outcome;
+    }
+
+    Platform::TableOutcome transact(Platform::OperationId operation,
+                                    const std::vector<Platform::TableWrite> &writes)
+    {
+        Platform::TableOutcome outcome{operation, Platform::TableStatus::Done, {}};
+        for (const Platform::TableWrite &write : writes) {
+            const auto it = rows.find(write.key);
+            const Platform::RowVersion version = it == rows.end() ? 0 : it->second.version;
+            if (write.expected && *write.expected != version)
+                return {operation, Platform::TableStatus::Conflict, {}};
+        }
+        for (const Platform::TableWrite &write : writes) {
+            if (!write.value) {
+                rows.erase(write.key);
+                continue;
+            }
+            rows[write.key] = {write.key, *write.value, ++lastVersion};
+            outcome.rows.push_back(rows[write.key]);
+        }
+        return outcome;
+    }
+
+    std::map<std::string, Platform::TableRow> rows;
+    Platform::RowVersion lastVersion = 0;
+};
+
+/// One node's connection to the shared table.
+class TableConnection final : public Platform::TableService
+{
+public:
+    explicit TableConnection(Table &table)
+        : m_table(&table)
+    {}
+
+    void read(Platform::OperationId operation, const std::string &key) override
+    {
+        answers.push_back(m_table->read(operation, key));
+    }
+    void scan(Platform::OperationId operation, const std::string &prefix, const std::string &after,
+              std::size_t limit) override
+    {
+        answers.push_back(m_table->scan(operation, prefix, after, limit));
+    }
+    void transact(Platform::OperationId operation,
+                  const std::vector<Platform::TableWrite> &writes) override
+    {
+        answers.push_back(m_table->transact(operation, writes));
+    }
+
+    std::deque<Platform::TableOutcome> answers;
+
+private:
+    Table *m_table;
+};
+
+class Objects final : public Platform::ObjectStore
+{
+public:
+    void put(Platform::OperationId, const std::string &, const std::string &) override {}
+    void get(Platform::OperationId, const std::string &) override {}
+};
+
+class Observer final : public Node::NodeObserver
+{
+public:
+    void hopFinished(const Node::HopRecord &record) override { hops.push_back(record); }
+    void requestFinished(const Node::RequestRecord &record) override { requests.push_back(record); }
+    void retried(const Base::RequestKey &) override { ++retries; }
+
+    std::vector<Node::HopRecord> hops;
+    std::vector<Node::RequestRecord> requests;
+    int retries = 0;
+};
+
+class FixedWallClock final : public Node::WallClock
+{
+public:
+    Base::WallTime now() const override { return wall; }
+
+    Base::WallTime wall{};
+};
+
+} // namespace Fakes
--- /dev/null
+++ b/tests/support/testmain.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
