Watch over waiting requests with a digest instead of pings

Cause: a permit request or grant that is lost, or a home that is frozen or restarted, left a request waiting for ever with nobody knowing of it. Ruled out: sending every waiting request again at intervals, whose bytes grow with the backlog. Change: entry and home keep the same set of waiting attempts and compare count and hash; only what differs is asked for again. Permits unheard of for three seconds are asked for; what a lost or restarted entry held is freed.

--- a/src/libs/node/entryrequests.cpp
+++ b/src/libs/node/entryrequests.cpp
@@ -87,6 +87,7 @@
 EntryRequests::EntryRequests(const EntryContext &context, Scheduling::RetryBudget budget)
     : m_context(context)
     , m_budget(std::move(budget))
+    , m_watch(context.settings.homeWatch)
 {}
 
 void EntryRequests::open(const CallerRequest &asked, Base::TimePoint now)
@@ -146,8 +147,10 @@
         open.isCallerGone = true;
         return;
     }
-    if (open.state == RequestState::Waiting)
+    if (open.state == RequestState::Waiting) {
+        stopWaiting(open);
         m_context.outbox.post(open.home, PermitCancel{open.attemptId(), open.pool, open.shard});
+    }
     if (open.state == RequestState::Sent) {
         m_context.environment.backends.cancel(open.attemptId());
         releasePermit(open, Scheduling::PermitOutcome::Cancelled, now);
@@ -227,7 +230,9 @@
     }
     if (open->home != home)
         m_context.outbox.post(open->home, PermitCancel{grant.attempt, open->pool, open->shard});
+    stopWaiting(*open);
     open->home = home;
+    open->homeIncarnation = incarnationOf(home);
     open->shard = grant.shard;
     recordHop(*open, Hop::Queue, open->askedAt, now, home.value(), false);
     send(*open, *server, now);
@@ -238,6 +243,7 @@
     OpenRequest *open = find(refusal.attempt);
     if (!open || open->state != RequestState::Waiting)
         return;
+    stopWaiting(*open);
     recordHop(*open, Hop::Queue, open->askedAt, now, open->home.value(), true);
     failWith(*open, failureOf(refusal), now);
 }
@@ -346,21 +352,42 @@
 {
     for (auto &[key, open] : m_open) {
         const Base::HostId home = homeOf(open.pool, open.shard);
-        if (home == open.home || open.state == RequestState::Claiming)
+        const bool isSame = home == open.home && incarnationOf(home) == open.homeIncarnation;
+        if (isSame || open.state == RequestState::Claiming)
             continue;
         if (open.state == RequestState::Waiting) {
-            m_context.outbox.post(open.home, PermitCancel{open.attemptId(), open.pool, open.shard});
-            open.home = home;
-            m_context.outbox.post(home, permitRequest(open, now));
+            stopWaiting(open);
+            if (home != open.home)
+                m_context.outbox.post(open.home,
+                                      PermitCancel{open.attemptId(), open.pool, open.shard});
+            waitAt(open, home, now);
             continue;
         }
         open.home = home;
+        open.homeIncarnation = incarnationOf(home);
         m_context.outbox.post(home, PermitHeld{open.attemptId(), open.pool, open.shard, open.server,
                                                open.customer, open.target.name});
     }
 }
 
-void EntryRequests::advance(Base::TimePoint) {}
+void EntryRequests::reconcile(const Base::HostId &home, const WaitingReply &reply,
+                              Base::TimePoint now)
+{
+    const HomeWatch::Difference difference = m_watch.compare(home, reply);
+    for (const AttemptId &attempt : difference.missing) {
+        const OpenRequest *open = find(attempt);
+        if (open && open->state == RequestState::Waiting)
+            m_context.outbox.post(home, permitRequest(*open, now));
+    }
+    for (const AttemptId &attempt : difference.unwanted)
+        m_context.outbox.post(home, PermitCancel{attempt, reply.pool, reply.shard});
+}
+
+void EntryRequests::advance(Base::TimePoint now)
+{
+    for (const HomeWatch::Digest &digest : m_watch.takeDigests(now))
+        m_context.outbox.post(digest.home, digest.message);
+}
 
 OpenRequest *EntryRequests::find(const AttemptId &attempt)
 {
@@ -384,8 +411,26 @@
     open.askedAt = now;
     open.shard = static_cast<std::uint32_t>(m_context.environment.random.next()
                                             % m_context.directory.shards(open.pool));
-    open.home = homeOf(open.pool, open.shard);
-    m_context.outbox.post(open.home, permitRequest(open, now));
+    waitAt(open, homeOf(open.pool, open.shard), now);
+}
+
+void EntryRequests::waitAt(OpenRequest &open, const Base::HostId &home, Base::TimePoint now)
+{
+    open.home = home;
+    open.homeIncarnation = incarnationOf(home);
+    m_watch.add({home, open.pool, open.shard}, open.attemptId(), now);
+    m_context.outbox.post(home, permitRequest(open, now));
+}
+
+void EntryRequests::stopWaiting(const OpenRequest &open)
+{
+    m_watch.remove({open.home, open.pool, open.shard}, open.attemptId());
+}
+
+Base::Incarnation EntryRequests::incarnationOf(const Base::HostId &host) const
+{
+    const auto it = m_context.membership.others().find(host);
+    return it == m_context.membership.others().end() ? 0 : it->second.incarnation;
 }
 
 PermitRequest EntryRequests::permitRequest(const OpenRequest &open, Base::TimePoint now) const
--- a/src/libs/node/entryrequests.h
+++ b/src/libs/node/entryrequests.h
@@ -7,6 +7,7 @@
 #include "coordination/configurationreplica.h"
 #include "coordination/membership.h"
 #include "node/environment.h"
+#include "node/homewatch.h"
 #include "node/nodesettings.h"
 #include "node/openrequest.h"
 #include "node/outbox.h"
@@ -57,6 +58,9 @@
     void backendFinished(const BackendFinished &finished, Base::TimePoint now);
     void backendFailed(const BackendFailed &failed, Base::TimePoint now);
 
+    /// Compares what waits at \a home with what it says, and mends the difference.
+    void reconcile(const Base::HostId &home, const WaitingReply &reply, Base::TimePoint now);
+    std::vector<Base::HostId> takeSilentHomes() { return m_watch.takeSilentHomes(); }
     /// The set of usable routers changed: asks new homes, tells them of permits in use.
     void rehome(Base::TimePoint now);
     void advance(Base::TimePoint now);
@@ -69,6 +73,11 @@
     OpenRequest *find(const AttemptId &attempt);
     Base::HostId homeOf(const Base::PoolId &pool, std::uint32_t shard) const;
     void askPermit(OpenRequest &open, Base::TimePoint now);
+    /// Posts the permit request to \a home and watches over it there.
+    void waitAt(OpenRequest &open, const Base::HostId &home, Base::TimePoint now);
+    /// The request no longer waits at its home.
+    void stopWaiting(const OpenRequest &open);
+    Base::Incarnation incarnationOf(const Base::HostId &host) const;
     PermitRequest permitRequest(const OpenRequest &open, Base::TimePoint now) const;
     void send(OpenRequest &open, const Server &server, Base::TimePoint now);
     void releasePermit(OpenRequest &open, Scheduling::PermitOutcome outcome, Base::TimePoint now);
@@ -84,6 +93,7 @@
 
     EntryContext m_context;
     Scheduling::RetryBudget m_budget;
+    HomeWatch m_watch;
     std::map<Base::RequestKey, OpenRequest> m_open;
     std::map<CallerId, Base::RequestKey> m_byCaller;
     std::uint64_t m_lastSerial = 0;
--- a/src/libs/node/node.cpp
+++ b/src/libs/node/node.cpp
@@ -124,6 +124,8 @@
     for (const Claims::ClaimOutcome &outcome : m_claims->takeOutcomes())
         m_entry->claimDecided(outcome, now);
     answerTargetWrites(now);
+    for (const Base::HostId &home : m_entry->takeSilentHomes())
+        m_membership->recordUnreachable(home, now);
     applyView(now);
     deliverLocally(now);
 }
@@ -249,13 +251,6 @@
 void Node::receive(const Base::HostId &from, const Coordination::Heartbeat &message,
                    Base::TimePoint now)
 {
-    const auto known = m_membership->others().find(from);
-    const bool isRestarted = known != m_membership->others().end() && known->second.incarnation != 0
-                             && known->second.incarnation < message.incarnation;
-    if (isRestarted) {
-        for (auto &[key, home] : m_homes)
-            home->forgetEntry(from, now);
-    }
     m_membership->receive(message, now);
     const Settings::ConfigurationVersion own = m_configuration->configuration().version();
     if (message.configurationVersion < own) {
@@ -268,10 +263,10 @@
     }
 }
 
-void Node::receive(const Base::HostId &from, const PermitRequest &message, Base::TimePoint now)
+void Node::receive(const Base::HostId &, const PermitRequest &message, Base::TimePoint now)
 {
     if (PoolHome *pool = home(message.pool, message.shard))
-        pool->request(from, message, now);
+        pool->request(message, now);
 }
 
 void Node::receive(const Base::HostId &from, const PermitGrant &message, Base::TimePoint now)
@@ -296,10 +291,10 @@
         pool->release(message, now);
 }
 
-void Node::receive(const Base::HostId &, const ServiceCharge &message, Base::TimePoint)
+void Node::receive(const Base::HostId &, const ServiceCharge &message, Base::TimePoint now)
 {
     if (PoolHome *pool = home(message.pool, message.shard))
-        pool->charge(message);
+        pool->charge(message, now);
 }
 
 void Node::receive(const Base::HostId &from, const PermitHeld &message, Base::TimePoint now)
@@ -313,10 +308,18 @@
     m_entry->queried(from, message);
 }
 
-void Node::receive(const Base::HostId &from, const Ping &message, Base::TimePoint)
+void Node::receive(const Base::HostId &from, const WaitingDigest &message, Base::TimePoint)
+{
+    // A home that does not know the pool yet answers too: it is not gone.
+    if (const PoolHome *pool = home(message.pool, message.shard))
+        post(from, pool->compare(from, message));
+    else
+        post(from, WaitingReply{message.pool, message.shard, message.number, false, {}});
+}
+
+void Node::receive(const Base::HostId &from, const WaitingReply &message, Base::TimePoint now)
 {
-    if (!message.isReply)
-        post(from, Ping{message.number, true});
+    m_entry->reconcile(from, message, now);
 }
 
 void Node::receive(const Base::HostId &, const Coordination::LedgerDelta &message, Base::TimePoint)
@@ -343,7 +346,7 @@
 void Node::receive(const Base::HostId &, const WorkHandover &message, Base::TimePoint now)
 {
     if (PoolHome *pool = home(message.request.pool, message.request.shard))
-        pool->request(message.request.attempt.request.entry, message.request, now);
+        pool->request(message.request, now);
 }
 
 PoolHome *Node::home(const Base::PoolId &pool, std::uint32_t shard)
@@ -387,9 +390,23 @@
     m_isDirectoryChanged = false;
     m_directory.markLeaving(*m_membership);
     refreshHomes();
+    forgetLostEntries(now);
     m_entry->rehome(now);
 }
 
+void Node::forgetLostEntries(Base::TimePoint now)
+{
+    for (const auto &[host, member] : m_membership->others()) {
+        const Base::Incarnation served = m_entryIncarnations[host];
+        const bool isRestarted = served != 0 && member.incarnation != served;
+        m_entryIncarnations[host] = member.isAlive ? member.incarnation : 0;
+        if (member.isAlive && !isRestarted)
+            continue;
+        for (auto &[key, home] : m_homes)
+            home->forgetEntry(host, now);
+    }
+}
+
 void Node::refreshHomes()
 {
     for (auto &[key, home] : m_homes)
--- a/src/libs/node/node.h
+++ b/src/libs/node/node.h
@@ -91,7 +91,8 @@
     void receive(const Base::HostId &from, const ServiceCharge &message, Base::TimePoint now);
     void receive(const Base::HostId &from, const PermitHeld &message, Base::TimePoint now);
     void receive(const Base::HostId &from, const PermitQuery &message, Base::TimePoint now);
-    void receive(const Base::HostId &from, const Ping &message, Base::TimePoint now);
+    void receive(const Base::HostId &from, const WaitingDigest &message, Base::TimePoint now);
+    void receive(const Base::HostId &from, const WaitingReply &message, Base::TimePoint now);
     void receive(const Base::HostId &from, const Coordination::LedgerDelta &message,
                  Base::TimePoint now);
     void receive(const Base::HostId &from, const ConfigurationPush &message, Base::TimePoint now);
@@ -105,6 +106,8 @@
     /// Brings homes and entry requests in line with the routers and servers known now.
     void applyView(Base::TimePoint now);
     void refreshHomes();
+    /// Frees what was held for routers that are gone or have started again.
+    void forgetLostEntries(Base::TimePoint now);
     void sendHeartbeats(Base::TimePoint now);
     void sendLedgers(Base::TimePoint now);
     void pollLoads(Base::TimePoint now);
@@ -120,6 +123,8 @@
     std::unique_ptr<EntryRequests> m_entry;
     std::map<Base::PoolId, std::unique_ptr<Coordination::ServiceLedger>> m_ledgers;
     std::map<HomeKey, std::unique_ptr<PoolHome>> m_homes;
+    /// The start of each other router for which homes here hold work; 0 if it is gone.
+    std::map<Base::HostId, Base::Incarnation> m_entryIncarnations;
     std::deque<PeerMessage> m_local;
     std::uint64_t m_appliedView = 0;
     bool m_isDirectoryChanged = false;
--- a/src/libs/node/nodesettings.h
+++ b/src/libs/node/nodesettings.h
@@ -5,6 +5,7 @@
 #include "coordination/membership.h"
 #include "coordination/serviceledger.h"
 #include "coordination/trafficmeter.h"
+#include "node/homewatch.h"
 #include "scheduling/admissionpolicy.h"
 #include "scheduling/concurrencylimiter.h"
 #include "scheduling/fairqueue.h"
@@ -29,6 +30,7 @@
     Scheduling::ConcurrencyLimits concurrency;
     Scheduling::RetryBudgetPolicy retries;
     Claims::ClaimPolicy claims;
+    HomeWatchPolicy homeWatch;
 
     /// How long callers may keep an entry list.
     std::chrono::seconds entryListMaxAge{10};
--- a/src/libs/node/openrequest.h
+++ b/src/libs/node/openrequest.h
@@ -33,6 +33,7 @@
     std::uint32_t shard = 0;
     /// Router asked for the permit, or that gave it.
     Base::HostId home;
+    Base::Incarnation homeIncarnation = 0;
     Base::ServerId server;
 
     Base::TimePoint arrivedAt;
--- a/src/libs/node/peermessage.cpp
+++ b/src/libs/node/peermessage.cpp
@@ -12,7 +12,6 @@
     {
         return TrafficKind::Heartbeats;
     }
-    TrafficKind operator()(const Ping &) const { return TrafficKind::Heartbeats; }
     TrafficKind operator()(const ServiceCharge &) const { return TrafficKind::Charges; }
     TrafficKind operator()(const Coordination::LedgerDelta &) const { return TrafficKind::Ledger; }
     TrafficKind operator()(const ConfigurationPush &) const { return TrafficKind::Configuration; }
--- a/src/libs/node/peermessage.h
+++ b/src/libs/node/peermessage.h
@@ -119,13 +119,32 @@
     bool operator==(const PermitQuery &) const = default;
 };
 
-/// Either way: is the other side there? Answered with the same message, isReply set.
-struct Ping
+/// Entry to home, while requests wait there: what the entry believes to be waiting, as a count
+/// and a hash. Finds permit requests and grants that were lost, and a home that is gone.
+struct WaitingDigest
 {
+    Base::PoolId pool;
+    std::uint32_t shard = 0;
+    /// Serial number of the digest; the reply repeats it.
+    std::uint64_t number = 0;
+    std::uint32_t count = 0;
+    /// Of all waiting attempts, whatever their order.
+    std::uint64_t hash = 0;
+
+    bool operator==(const WaitingDigest &) const = default;
+};
+
+/// Home to entry: whether the digest matches; if not, what waits here for that entry, so that
+/// only what is missing is asked for again.
+struct WaitingReply
+{
+    Base::PoolId pool;
+    std::uint32_t shard = 0;
     std::uint64_t number = 0;
-    bool isReply = false;
+    bool isMatch = false;
+    std::vector<AttemptId> attempts;
 
-    bool operator==(const Ping &) const = default;
+    bool operator==(const WaitingReply &) const = default;
 };
 
 /// Changes that the receiver lacks, as its heartbeat showed.
@@ -160,10 +179,11 @@
     bool operator==(const WorkHandover &) const = default;
 };
 
-using PeerMessage = std::variant<Coordination::Heartbeat, PermitRequest, PermitGrant, PermitRefusal,
-                                 PermitCancel, PermitRelease, ServiceCharge, PermitHeld,
-                                 PermitQuery, Ping, Coordination::LedgerDelta, ConfigurationPush,
-                                 ConfigurationSnapshot, ConfigurationPull, WorkHandover>;
+using PeerMessage =
+    std::variant<Coordination::Heartbeat, PermitRequest, PermitGrant, PermitRefusal, PermitCancel,
+                 PermitRelease, ServiceCharge, PermitHeld, PermitQuery, WaitingDigest, WaitingReply,
+                 Coordination::LedgerDelta, ConfigurationPush, ConfigurationSnapshot,
+                 ConfigurationPull, WorkHandover>;
 
 /// Under which kind the bytes of a message are counted.
 Coordination::TrafficKind trafficKind(const PeerMessage &message);
--- a/src/libs/node/poolhome.cpp
+++ b/src/libs/node/poolhome.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr Base::Duration drainPeriod = std::chrono::milliseconds(500);
+/// A permit not heard of for this long is asked for. A lost release idles a slot that long.
+constexpr Base::Duration permitQueryInterval = std::chrono::seconds(3);
 /// Weight of the newest period in the smoothed drain rate: settles in about two seconds.
 constexpr double drainSmoothing = 0.3;
 
@@ -70,7 +72,7 @@
     }
 }
 
-void PoolHome::request(const Base::HostId &entry, const PermitRequest &request, Base::TimePoint now)
+void PoolHome::request(const PermitRequest &request, Base::TimePoint now)
 {
     const auto permit = m_permits.find(request.attempt);
     if (permit != m_permits.end()) {
@@ -78,7 +80,9 @@
         m_outbox->post(entry, PermitGrant{request.attempt, m_pool, m_shard, permit->second.server});
         return;
     }
-    m_queue.remove(request.attempt.request);
+    const Base::HostId &entry = request.attempt.request.entry;
+    if (!m_waitingByEntry[entry].add(request.attempt))
+        return;
     Scheduling::WaitingWork work;
     work.request = request.attempt.request;
     work.attempt = request.attempt.number;
@@ -90,7 +94,6 @@
         work.deadline = now + *request.deadlineWithin;
     work.expectedCost = request.expectedCost;
     work.prefix = request.prefix;
-    m_waitingEntry[work.request] = entry;
     const auto refusal = m_admission.refusalFor(work, poolState(work.customer), now, *m_random);
     if (refusal) {
         refuse(work, *refusal);
@@ -104,8 +107,8 @@
 
 void PoolHome::cancel(const PermitCancel &cancel, Base::TimePoint now)
 {
-    m_queue.remove(cancel.attempt.request);
-    m_waitingEntry.erase(cancel.attempt.request);
+    if (m_waitingByEntry[cancel.attempt.request.entry].remove(cancel.attempt))
+        m_queue.remove(cancel.attempt.request);
     const auto it = m_permits.find(cancel.attempt);
     if (it == m_permits.end())
         return;
@@ -134,12 +137,13 @@
     dispatch(now);
 }
 
-void PoolHome::charge(const ServiceCharge &charge)
+void PoolHome::charge(const ServiceCharge &charge, Base::TimePoint now)
 {
     const auto it = m_permits.find(charge.attempt);
     if (it == m_permits.end())
         return;
     Permit &permit = it->second;
+    permit.confirmedAt = now;
     m_ledger->charge(permit.customer, charge.units);
     const Base::ServiceUnits freed = std::min(permit.held, charge.units);
     m_ledger->releaseHold(permit.customer, freed);
@@ -166,14 +170,11 @@
 
 void PoolHome::forgetEntry(const Base::HostId &entry, Base::TimePoint now)
 {
-    std::vector<Base::RequestKey> waiting;
-    for (const auto &[request, host] : m_waitingEntry) {
-        if (host == entry)
-            waiting.push_back(request);
-    }
-    for (const Base::RequestKey &request : waiting) {
-        m_queue.remove(request);
-        m_waitingEntry.erase(request);
+    const auto waiting = m_waitingByEntry.find(entry);
+    if (waiting != m_waitingByEntry.end()) {
+        for (const AttemptId &attempt : waiting->second.attempts())
+            m_queue.remove(attempt.request);
+        m_waitingByEntry.erase(waiting);
     }
     for (auto it = m_permits.begin(); it != m_permits.end();) {
         const auto current = it++;
@@ -192,6 +193,7 @@
                                         poolState(work.customer), *m_random));
     }
     recordDrain(now);
+    queryPermits(now);
     dispatch(now);
 }
 
@@ -266,18 +268,15 @@
                      Base::TimePoint now)
 {
     const AttemptId attempt{work.request, work.attempt};
-    const auto waiting = m_waitingEntry.find(work.request);
-    const Base::HostId entry =
-        waiting == m_waitingEntry.end() ? work.request.entry : waiting->second;
-    if (waiting != m_waitingEntry.end())
-        m_waitingEntry.erase(waiting);
-    m_permits[attempt] = {entry, server, work.customer, work.workClass, work.expectedCost, now};
+    forgetWaiting(work);
+    m_permits[attempt] = {work.request.entry, server, work.customer, work.workClass,
+                          work.expectedCost,  now};
     m_ledger->hold(work.customer, work.expectedCost);
     ++m_servers.at(server).inUse;
     ++m_inUseByClass[work.workClass];
     if (work.prefix != 0)
         m_selector.recordPrefix(work.prefix, server, now);
-    m_outbox->post(entry, PermitGrant{attempt, m_pool, m_shard, server});
+    m_outbox->post(work.request.entry, PermitGrant{attempt, m_pool, m_shard, server});
 }
 
 void PoolHome::endPermit(std::map<AttemptId, Permit>::iterator it)
@@ -312,15 +311,53 @@
 void PoolHome::refuse(const Scheduling::WaitingWork &work,
                       const Scheduling::AdmissionRefusal &refusal)
 {
-    const auto waiting = m_waitingEntry.find(work.request);
-    const Base::HostId entry =
-        waiting == m_waitingEntry.end() ? work.request.entry : waiting->second;
-    if (waiting != m_waitingEntry.end())
-        m_waitingEntry.erase(waiting);
-    m_outbox->post(entry,
+    forgetWaiting(work);
+    m_outbox->post(work.request.entry,
                    PermitRefusal{{work.request, work.attempt}, refusal.reason, refusal.retryAfter});
 }
 
+void PoolHome::forgetWaiting(const Scheduling::WaitingWork &work)
+{
+    const auto it = m_waitingByEntry.find(work.request.entry);
+    if (it == m_waitingByEntry.end())
+        return;
+    it->second.remove({work.request, work.attempt});
+    if (it->second.count() == 0)
+        m_waitingByEntry.erase(it);
+}
+
+WaitingReply PoolHome::compare(const Base::HostId &entry, const WaitingDigest &digest) const
+{
+    WaitingReply reply{m_pool, m_shard, digest.number, false, {}};
+    const auto it = m_waitingByEntry.find(entry);
+    const std::size_t count = it == m_waitingByEntry.end() ? 0 : it->second.count();
+    const std::uint64_t hash = count == 0 ? 0 : it->second.hash();
+    reply.isMatch = count == digest.count && hash == digest.hash;
+    if (!reply.isMatch && count > 0)
+        reply.attempts.assign(it->second.attempts().begin(), it->second.attempts().end());
+    return reply;
+}
+
+void PoolHome::queryPermits(Base::TimePoint now)
+{
+    if (now < m_nextQuery)
+        return;
+    m_nextQuery = now + permitQueryInterval;
+    std::map<Base::HostId, PermitQuery> queries;
+    for (auto &[attempt, permit] : m_permits) {
+        if (now - permit.confirmedAt < permitQueryInterval)
+            continue;
+        // Not asked again before the next interval; the answer to a permit in use is silence.
+        permit.confirmedAt = now;
+        PermitQuery &query = queries[permit.entry];
+        query.pool = m_pool;
+        query.shard = m_shard;
+        query.attempts.push_back(attempt);
+    }
+    for (const auto &[entry, query] : queries)
+        m_outbox->post(entry, query);
+}
+
 void PoolHome::recordDrain(Base::TimePoint now)
 {
     if (now - m_drainSince < drainPeriod)
--- a/src/libs/node/poolhome.h
+++ b/src/libs/node/poolhome.h
@@ -10,6 +10,7 @@
 #include "node/outbox.h"
 #include "node/peermessage.h"
 #include "node/serverdirectory.h"
+#include "node/waitingset.h"
 #include "scheduling/admissionpolicy.h"
 #include "scheduling/concurrencylimiter.h"
 #include "scheduling/fairqueue.h"
@@ -40,12 +41,14 @@
     /// Share of the pool that each class may claim while others wait.
     void setClaims(const Settings::Configuration &configuration);
 
-    void request(const Base::HostId &entry, const PermitRequest &request, Base::TimePoint now);
+    void request(const PermitRequest &request, Base::TimePoint now);
     void cancel(const PermitCancel &cancel, Base::TimePoint now);
     void release(const PermitRelease &release, Base::TimePoint now);
-    void charge(const ServiceCharge &charge);
+    void charge(const ServiceCharge &charge, Base::TimePoint now);
     void adopt(const Base::HostId &entry, const PermitHeld &held, Base::TimePoint now);
     void recordLoad(const BackendLoad &load, Base::TimePoint now);
+    /// What waits here for \a entry, against what it believes.
+    WaitingReply compare(const Base::HostId &entry, const WaitingDigest &digest) const;
     /// \a entry is gone, and with it all that waited for it or ran under it.
     void forgetEntry(const Base::HostId &entry, Base::TimePoint now);
     void advance(Base::TimePoint now);
@@ -72,7 +75,8 @@
         Base::CustomerId customer;
         Base::ClassId workClass;
         Base::ServiceUnits held = 0;
-        Base::TimePoint grantedAt;
+        /// When it was last known to be in use.
+        Base::TimePoint confirmedAt;
     };
 
     PoolHome(const NodeSettings &settings, const Base::PoolId &pool, std::uint32_t shard,
@@ -87,7 +91,10 @@
     void endPermit(std::map<AttemptId, Permit>::iterator it);
     Scheduling::PoolState poolState(const Base::CustomerId &customer) const;
     void refuse(const Scheduling::WaitingWork &work, const Scheduling::AdmissionRefusal &refusal);
+    void forgetWaiting(const Scheduling::WaitingWork &work);
     void recordDrain(Base::TimePoint now);
+    /// Asks entry hosts for permits long unheard of: their release may have been lost.
+    void queryPermits(Base::TimePoint now);
 
     NodeSettings m_settings;
     Base::PoolId m_pool;
@@ -100,7 +107,8 @@
     Scheduling::ServerSelector m_selector;
     std::map<Base::ServerId, ServerState> m_servers;
     std::map<AttemptId, Permit> m_permits;
-    std::map<Base::RequestKey, Base::HostId> m_waitingEntry;
+    std::map<Base::HostId, WaitingSet> m_waitingByEntry;
+    Base::TimePoint m_nextQuery{};
     std::map<Base::ClassId, double> m_claims;
     std::map<Base::ClassId, std::size_t> m_inUseByClass;
     double m_drainRate = 0;
