Build again: name the entry before it is used

An older attempt whose cancel was lost now makes room for a newer one. After: builds, tst_base and tst_node pass.

--- a/src/libs/node/poolhome.cpp
+++ b/src/libs/node/poolhome.cpp
@@ -74,15 +74,19 @@
 
 void PoolHome::request(const PermitRequest &request, Base::TimePoint now)
 {
+    const Base::HostId &entry = request.attempt.request.entry;
     const auto permit = m_permits.find(request.attempt);
     if (permit != m_permits.end()) {
         // The grant was lost on its way: the entry would wait for ever, so it is sent again.
         m_outbox->post(entry, PermitGrant{request.attempt, m_pool, m_shard, permit->second.server});
         return;
     }
-    const Base::HostId &entry = request.attempt.request.entry;
-    if (!m_waitingByEntry[entry].add(request.attempt))
+    if (m_waitingByEntry[entry].contains(request.attempt))
         return;
+    // An older attempt whose cancel was lost makes room for this one.
+    if (const auto older = m_queue.remove(request.attempt.request))
+        forgetWaiting(*older);
+    m_waitingByEntry[entry].add(request.attempt);
     Scheduling::WaitingWork work;
     work.request = request.attempt.request;
     work.attempt = request.attempt.number;
