--- /dev/null
+++ b/tools/virtualfleet/callerlistener.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "node/callerport.h"
+
+namespace VirtualFleet {
+
+/// What becomes of the requests that a workload sends.
+class CallerListener
+{
+public:
+    virtual ~CallerListener() = default;
+    virtual void started(Node::CallerId caller) = 0;
+    virtual void part(Node::CallerId caller, const std::string &payload) = 0;
+    virtual void finished(Node::CallerId caller) = 0;
+    virtual void failed(Node::CallerId caller, const Node::Failure &failure) = 0;
+};
+
+} // namespace VirtualFleet
--- /dev/null
+++ b/tools/virtualfleet/modelserver.cpp
@@ -0,0 +1,124 @@
+#include "virtualfleet/modelserver.h"
+
+#include "node/nodeconstants.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace VirtualFleet {
+
+ModelServer::ModelServer(EventQueue &queue, const EngineShape &shape)
+    : m_queue(&queue)
+    , m_shape(shape)
+{}
+
+ModelServer::Token ModelServer::submit(const Work &work, AnswerSink *sink, std::uint64_t fromPart)
+{
+    const Token token = ++m_last;
+    Job job;
+    job.work = work;
+    job.sink = sink;
+    job.fromPart = fromPart;
+    m_jobs[token] = job;
+    m_waiting.push_back(token);
+    startWaiting();
+    return token;
+}
+
+void ModelServer::cancel(Token token)
+{
+    const auto it = m_jobs.find(token);
+    if (it == m_jobs.end())
+        return;
+    if (it->second.isRunning)
+        --m_running;
+    else
+        m_waiting.erase(std::find(m_waiting.begin(), m_waiting.end(), token));
+    m_jobs.erase(it);
+    startWaiting();
+}
+
+void ModelServer::detach(Token token)
+{
+    const auto it = m_jobs.find(token);
+    if (it != m_jobs.end())
+        it->second.sink = nullptr;
+}
+
+void ModelServer::setFrozen(bool isFrozen)
+{
+    m_isFrozen = isFrozen;
+    if (isFrozen)
+        return;
+    for (const Token token : std::exchange(m_stalled, {}))
+        stepAfter(token, Base::Duration::zero());
+    startWaiting();
+}
+
+void ModelServer::startWaiting()
+{
+    while (!m_isFrozen && !m_waiting.empty() && m_running < m_shape.slots) {
+        const Token token = m_waiting.front();
+        m_waiting.pop_front();
+        Job &job = m_jobs.at(token);
+        job.isRunning = true;
+        ++m_running;
+        m_journal.push_back(job.work.serial);
+        if (m_startListener)
+            m_startListener(job.work);
+        stepAfter(token, m_shape.timePerPromptToken * job.work.promptTokens);
+    }
+}
+
+Base::Duration ModelServer::slowed(Base::Duration duration) const
+{
+    return std::chrono::duration_cast<Base::Duration>(duration * m_slowness);
+}
+
+void ModelServer::stepAfter(Token token, Base::Duration delay)
+{
+    m_queue->after(slowed(delay), [this, token] { step(token); });
+}
+
+void ModelServer::step(Token token)
+{
+    const auto it = m_jobs.find(token);
+    if (it == m_jobs.end())
+        return;
+    if (m_isFrozen) {
+        m_stalled.push_back(token);
+        return;
+    }
+    Job &job = it->second;
+    const bool isFirst = job.parts == 0;
+    // The prompt and the first token come together, then parts of several tokens.
+    const std::uint32_t left = job.work.generatedTokens - job.generated;
+    const std::uint32_t tokens =
+        isFirst ? std::min(left, 1U) : std::min(left, m_shape.tokensPerPart);
+    const Base::ServiceUnits units =
+        tokens * Node::generatedTokenWeight + (isFirst ? job.work.promptTokens : 0);
+    job.generated += tokens;
+    const std::uint64_t index = job.parts++;
+    if (m_listener)
+        m_listener(job.work, units);
+    AnswerSink *const sink = index < job.fromPart ? nullptr : job.sink;
+    if (sink && isFirst)
+        sink->begun();
+    if (sink)
+        sink->part(index, std::to_string(job.work.serial) + ':' + std::to_string(index), units);
+    if (job.generated < job.work.generatedTokens) {
+        const std::uint32_t next =
+            std::min(job.work.generatedTokens - job.generated, m_shape.tokensPerPart);
+        stepAfter(token, m_shape.timePerToken * next);
+        return;
+    }
+    AnswerSink *const last = job.sink;
+    const std::uint64_t parts = job.parts;
+    m_jobs.erase(it);
+    --m_running;
+    if (last)
+        last->finished(parts);
+    startWaiting();
+}
+
+} // namespace VirtualFleet
--- /dev/null
+++ b/tools/virtualfleet/virtualrouter.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include "base/random.h"
+#include "node/node.h"
+#include "virtualfleet/callerlistener.h"
+#include "virtualfleet/eventqueue.h"
+#include "virtualfleet/modelserver.h"
+#include "virtualfleet/virtualtable.h"
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace VirtualFleet {
+
+class Fleet;
+
+/// One start of one router: a node core with fakes at its interfaces, all in virtual time.
+class VirtualRouter final : private Node::CallerPort,
+                            private Node::PeerTransport,
+                            private Node::BackendClient,
+                            private Platform::ObjectStore,
+                            private Node::NodeObserver,
+                            private Node::WallClock
+{
+public:
+    VirtualRouter(Fleet &fleet, std::size_t index, Base::Incarnation incarnation);
+    ~VirtualRouter() override;
+
+    Node::Node &node() { return *m_node; }
+    const Node::Node &node() const { return *m_node; }
+    std::size_t index() const { return m_index; }
+    Base::Incarnation incarnation() const { return m_incarnation; }
+
+    /// Hands an event to the node; held back while frozen.
+    void handle(const Node::Event &event);
+    void setFrozen(bool isFrozen);
+    bool isFrozen() const { return m_isFrozen; }
+    /// Every exchange with \a server is cut in the middle.
+    void cutTransfers(const Base::ServerId &server);
+    /// Starts the node's timer.
+    void start();
+
+    std::uint64_t bytesSent(Coordination::TrafficKind kind) const;
+    std::uint64_t bytesSent() const;
+    std::uint64_t messagesSent() const { return m_messages; }
+    std::size_t waiting() const { return m_waiting; }
+
+private:
+    class Transfer;
+
+    void startAnswer(Node::CallerId caller, const Node::AnswerHead &head) override;
+    void appendAnswer(Node::CallerId caller, const Node::AnswerPart &part) override;
+    void finishAnswer(Node::CallerId caller) override;
+    void fail(Node::CallerId caller, const Node::Failure &failure) override;
+    void sendEntryHosts(Node::CallerId caller, const Node::EntryHostList &list) override;
+    void sendTargets(Node::CallerId caller, const Node::TargetList &list) override;
+    void sendStatus(Node::CallerId caller, const Node::NodeStatus &status) override;
+
+    void send(const Base::HostId &to, const std::string &address,
+              const Node::PeerMessage &message) override;
+
+    void send(const Node::BackendRequest &request) override;
+    void cancel(const Node::AttemptId &attempt) override;
+    void pause(const Node::AttemptId &attempt) override;
+    void resume(const Node::AttemptId &attempt) override;
+    void pollLoad(const Base::ServerId &server, const std::string &address) override;
+
+    void put(Platform::OperationId operation, const std::string &key,
+             const std::string &value) override;
+    void get(Platform::OperationId operation, const std::string &key) override;
+
+    void hopFinished(const Node::HopRecord &record) override;
+    void requestFinished(const Node::RequestRecord &record) override;
+    void retried(const Base::RequestKey &request) override;
+
+    Base::WallTime now() const override;
+
+    void tick();
+    /// Runs \a action after \a delay unless this start of the router has ended by then.
+    void later(Base::Duration delay, std::function<void()> action);
+
+    Fleet *m_fleet;
+    std::size_t m_index;
+    Base::Incarnation m_incarnation;
+    Base::SeededRandom m_random;
+    std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
+    TableLink m_table;
+    std::unique_ptr<Node::Node> m_node;
+    std::map<Node::AttemptId, std::shared_ptr<Transfer>> m_transfers;
+    std::vector<Node::Event> m_held;
+    std::array<std::uint64_t, Coordination::trafficKinds> m_bytes{};
+    std::uint64_t m_messages = 0;
+    std::size_t m_waiting = 0;
+    bool m_isFrozen = false;
+};
+
+} // namespace VirtualFleet
--- /dev/null
+++ b/tools/virtualfleet/virtualtable.cpp
@@ -0,0 +1,111 @@
+#include "virtualfleet/virtualtable.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace VirtualFleet {
+
+using Platform::TableOutcome;
+using Platform::TableStatus;
+
+TableOutcome VirtualTable::read(Platform::OperationId operation, const std::string &key)
+{
+    if (m_mode == Mode::Down)
+        return {operation, TableStatus::NotDone, {}};
+    ++m_reads;
+    TableOutcome outcome{operation, TableStatus::Done, {}};
+    const auto it = m_rows.find(key);
+    if (it != m_rows.end())
+        outcome.rows.push_back(it->second);
+    return answer(outcome);
+}
+
+TableOutcome VirtualTable::scan(Platform::OperationId operation, const std::string &prefix,
+                                const std::string &after, std::size_t limit)
+{
+    if (m_mode == Mode::Down)
+        return {operation, TableStatus::NotDone, {}};
+    ++m_reads;
+    TableOutcome outcome{operation, TableStatus::Done, {}};
+    for (auto it = m_rows.upper_bound(std::max(prefix, after)); it != m_rows.end(); ++it) {
+        if (it->first.rfind(prefix, 0) != 0 || outcome.rows.size() == limit)
+            break;
+        outcome.rows.push_back(it->second);
+    }
+    return answer(outcome);
+}
+
+TableOutcome VirtualTable::transact(Platform::OperationId operation,
+                                    const std::vector<Platform::TableWrite> &writes)
+{
+    if (m_mode == Mode::Down)
+        return {operation, TableStatus::NotDone, {}};
+    ++m_writes;
+    if (!matches(writes))
+        return answer({operation, TableStatus::Conflict, {}});
+    TableOutcome outcome{operation, TableStatus::Done, {}};
+    for (const Platform::TableWrite &write : writes) {
+        if (!write.value) {
+            m_rows.erase(write.key);
+            continue;
+        }
+        const Platform::TableRow row{write.key, *write.value, ++m_last};
+        m_rows[write.key] = row;
+        outcome.rows.push_back(row);
+    }
+    return answer(outcome);
+}
+
+bool VirtualTable::matches(const std::vector<Platform::TableWrite> &writes) const
+{
+    return std::all_of(writes.begin(), writes.end(), [&](const Platform::TableWrite &write) {
+        const auto it = m_rows.find(write.key);
+        const Platform::RowVersion version = it == m_rows.end() ? 0 : it->second.version;
+        return !write.expected || *write.expected == version;
+    });
+}
+
+TableOutcome VirtualTable::answer(TableOutcome outcome) const
+{
+    if (m_mode != Mode::LosesAnswers)
+        return outcome;
+    outcome.status = TableStatus::Unknown;
+    outcome.rows.clear();
+    return outcome;
+}
+
+TableLink::TableLink(EventQueue &queue, VirtualTable &table, Base::Duration latency,
+                     Deliver deliver)
+    : m_queue(&queue)
+    , m_table(&table)
+    , m_latency(latency)
+    , m_deliver(std::move(deliver))
+{}
+
+template <typename Call>
+void TableLink::run(Call call)
+{
+    m_queue->after(m_latency, [this, call] {
+        const TableOutcome outcome = call();
+        m_queue->after(m_latency, [deliver = m_deliver, outcome] { deliver(outcome); });
+    });
+}
+
+void TableLink::read(Platform::OperationId operation, const std::string &key)
+{
+    run([this, operation, key] { return m_table->read(operation, key); });
+}
+
+void TableLink::scan(Platform::OperationId operation, const std::string &prefix,
+                     const std::string &after, std::size_t limit)
+{
+    run([=, this] { return m_table->scan(operation, prefix, after, limit); });
+}
+
+void TableLink::transact(Platform::OperationId operation,
+                         const std::vector<Platform::TableWrite> &writes)
+{
+    run([=, this] { return m_table->transact(operation, writes); });
+}
+
+} // namespace VirtualFleet
