--- a/src/libs/node/entryrequests.cpp
+++ b/src/libs/node/entryrequests.cpp
@@ -1,8 +1,9 @@
 #include "node/entryrequests.h"
 
-#include "base/hash.h"
 #include "coordination/homemap.h"
+#include "node/failures.h"
 #include "node/nodeconstants.h"
+#include "node/requesttraits.h"
 
 #include <algorithm>
 #include <utility>
@@ -18,62 +19,12 @@
     return std::chrono::duration_cast<Milliseconds>(duration);
 }
 
-Base::PoolId poolOf(const CallerRequest &asked)
+/// Guards against a frozen backend server, whose connection stays open and says nothing: the
+/// caller would wait for ever. A slow caller's stream is silent because it is held back.
+bool isSilent(const OpenRequest &open, Base::TimePoint now)
 {
-    const char *prefix =
-        asked.kind == WorkKind::ChatCompletion ? modelPoolPrefix : servicePoolPrefix;
-    return Base::PoolId(prefix + asked.target);
-}
-
-Base::ServiceUnits expectedCost(const CallerRequest &asked)
-{
-    const std::uint64_t generated = asked.maxTokens == 0
-                                        ? expectedTokensWithoutHint
-                                        : std::min(asked.maxTokens, expectedTokensWithoutHint);
-    return asked.promptTokens + generated * generatedTokenWeight;
-}
-
-std::uint64_t contentHash(const CallerRequest &asked)
-{
-    return Base::stableHash(asked.body, Base::stableHash(asked.target + asked.path));
-}
-
-Failure failureOf(FailureType type, std::string message)
-{
-    Failure failure;
-    failure.type = type;
-    failure.message = std::move(message);
-    return failure;
-}
-
-Failure failureOf(const PermitRefusal &refusal)
-{
-    using Scheduling::RefusalReason;
-    Failure failure;
-    failure.retryAfter = refusal.retryAfter;
-    switch (refusal.reason) {
-    case RefusalReason::CustomerQueueFull:
-        failure.type = FailureType::Overloaded;
-        failure.message = "too many requests of this customer are waiting";
-        return failure;
-    case RefusalReason::PoolQueueFull:
-        failure.type = FailureType::Overloaded;
-        failure.message = "too many requests are waiting";
-        return failure;
-    case RefusalReason::DeadlineUnmeetable:
-        failure.type = FailureType::DeadlineUnmet;
-        failure.message = "the expected wait passes the deadline";
-        return failure;
-    case RefusalReason::DeadlinePassed:
-        failure.type = FailureType::DeadlineUnmet;
-        failure.message = "the deadline passed while the request waited";
-        return failure;
-    case RefusalReason::NoServer:
-        break;
-    }
-    failure.type = FailureType::NoCapacity;
-    failure.message = "no backend server is usable";
-    return failure;
+    return open.state == RequestState::Sent && !open.isBlocked
+           && now - open.heardAt >= backendSilenceLimit;
 }
 
 } // namespace
@@ -88,6 +39,7 @@
     : m_context(context)
     , m_budget(std::move(budget))
     , m_watch(context.settings.homeWatch)
+    , m_recorder(context.environment.observer, context.membership.self().host)
 {}
 
 void EntryRequests::open(const CallerRequest &asked, Base::TimePoint now)
@@ -147,31 +99,31 @@
         open.isCallerGone = true;
         return;
     }
-    if (open.state == RequestState::Waiting) {
-        stopWaiting(open);
-        m_context.outbox.post(open.home, PermitCancel{open.attemptId(), open.pool, open.shard});
-    }
-    if (open.state == RequestState::Sent) {
-        m_context.environment.backends.cancel(open.attemptId());
-        releasePermit(open, Scheduling::PermitOutcome::Cancelled, now);
-    }
+    dropWork(open, now);
     settleClaim(open, now);
-    recordEnd(open, nullptr, now);
+    m_recorder.end(open, nullptr, now);
     close(open.key);
 }
 
 void EntryRequests::callerBlocked(CallerId caller)
 {
     const auto it = m_byCaller.find(caller);
-    if (it != m_byCaller.end())
-        m_context.environment.backends.pause(m_open.at(it->second).attemptId());
+    if (it == m_byCaller.end())
+        return;
+    OpenRequest &open = m_open.at(it->second);
+    open.isBlocked = true;
+    m_context.environment.backends.pause(open.attemptId());
 }
 
-void EntryRequests::callerReady(CallerId caller)
+void EntryRequests::callerReady(CallerId caller, Base::TimePoint now)
 {
     const auto it = m_byCaller.find(caller);
-    if (it != m_byCaller.end())
-        m_context.environment.backends.resume(m_open.at(it->second).attemptId());
+    if (it == m_byCaller.end())
+        return;
+    OpenRequest &open = m_open.at(it->second);
+    open.isBlocked = false;
+    open.heardAt = now;
+    m_context.environment.backends.resume(open.attemptId());
 }
 
 void EntryRequests::claimDecided(const Claims::ClaimOutcome &outcome, Base::TimePoint now)
@@ -181,8 +133,8 @@
         return;
     OpenRequest &open = it->second;
     using Claims::ClaimVerdict;
-    recordHop(open, Hop::Claim, open.arrivedAt, now, "table",
-              outcome.verdict != ClaimVerdict::Claimed);
+    m_recorder.hop(open, Hop::Claim, open.arrivedAt, now, "table",
+                   outcome.verdict != ClaimVerdict::Claimed);
     Failure failure;
     switch (outcome.verdict) {
     case ClaimVerdict::Claimed:
@@ -234,7 +186,7 @@
     open->home = home;
     open->homeIncarnation = incarnationOf(home);
     open->shard = grant.shard;
-    recordHop(*open, Hop::Queue, open->askedAt, now, home.value(), false);
+    m_recorder.hop(*open, Hop::Queue, open->askedAt, now, home.value(), false);
     send(*open, *server, now);
 }
 
@@ -244,7 +196,7 @@
     if (!open || open->state != RequestState::Waiting)
         return;
     stopWaiting(*open);
-    recordHop(*open, Hop::Queue, open->askedAt, now, open->home.value(), true);
+    m_recorder.hop(*open, Hop::Queue, open->askedAt, now, open->home.value(), true);
     failWith(*open, failureOf(refusal), now);
 }
 
@@ -265,11 +217,12 @@
     }
 }
 
-void EntryRequests::backendHead(const BackendHead &head, Base::TimePoint)
+void EntryRequests::backendHead(const BackendHead &head, Base::TimePoint now)
 {
     OpenRequest *open = find(head.attempt);
     if (!open || open->state != RequestState::Sent)
         return;
+    open->heardAt = now;
     open->streamName = head.streamName;
     if (open->isAnswerStarted)
         return;
@@ -295,6 +248,7 @@
     if (!open || open->state != RequestState::Sent || part.index != open->nextPart)
         return;
     ++open->nextPart;
+    open->heardAt = now;
     if (!open->hasFirstPart) {
         open->hasFirstPart = true;
         open->firstPartAt = now;
@@ -320,13 +274,13 @@
         backendFailed({finished.attempt, SendState::MaybeRan, 0, std::nullopt}, now);
         return;
     }
-    recordHop(*open, Hop::Backend, open->sentAt, now, open->server.value(), false);
+    m_recorder.hop(*open, Hop::Backend, open->sentAt, now, open->server.value(), false);
     releasePermit(*open, Scheduling::PermitOutcome::Completed, now);
     if (open->isClaimed())
         m_context.claims.complete(open->key, encodeAnswer(open->stored), now);
     if (!open->isCallerGone)
         m_context.environment.callers.finishAnswer(open->asked.caller);
-    recordEnd(*open, nullptr, now);
+    m_recorder.end(*open, nullptr, now);
     close(open->key);
 }
 
@@ -337,7 +291,7 @@
         return;
     if (failed.sent == SendState::MaybeRan)
         open->mayHaveRun = true;
-    recordHop(*open, Hop::Backend, open->sentAt, now, open->server.value(), true);
+    m_recorder.hop(*open, Hop::Backend, open->sentAt, now, open->server.value(), true);
     releasePermit(*open, Scheduling::PermitOutcome::Failed, now);
     if (mayRetry(*open, failed)) {
         retry(*open, now);
@@ -387,6 +341,56 @@
 {
     for (const HomeWatch::Digest &digest : m_watch.takeDigests(now))
         m_context.outbox.post(digest.home, digest.message);
+    if (now < m_nextCheck)
+        return;
+    m_nextCheck = now + openCheckInterval;
+    std::vector<Base::RequestKey> late;
+    std::vector<AttemptId> silent;
+    for (const auto &[key, open] : m_open) {
+        if (open.asked.deadline && now - open.arrivedAt >= *open.asked.deadline)
+            late.push_back(key);
+        else if (isSilent(open, now))
+            silent.push_back(open.attemptId());
+    }
+    for (const Base::RequestKey &key : late)
+        passDeadline(m_open.at(key), now);
+    for (const AttemptId &attempt : silent) {
+        m_context.environment.backends.cancel(attempt);
+        backendFailed({attempt, SendState::MaybeRan, 0, std::nullopt}, now);
+    }
+}
+
+void EntryRequests::passDeadline(OpenRequest &open, Base::TimePoint now)
+{
+    // Work that must not be repeated runs to its end once it is sent; only its caller is told.
+    const bool isSent = open.state == RequestState::Sent;
+    if (isSent)
+        open.mayHaveRun = true;
+    Failure failure = failureOf(FailureType::DeadlineUnmet, "the deadline passed");
+    failure.retryAfter = backendRetryAfter;
+    if (isSent && open.isClaimed()) {
+        if (open.isCallerGone)
+            return;
+        open.isCallerGone = true;
+        failure.requestId = Base::toString(open.key);
+        failure.ran = Ran::Unknown;
+        m_context.environment.callers.fail(open.asked.caller, failure);
+        return;
+    }
+    dropWork(open, now);
+    failWith(open, failure, now);
+}
+
+void EntryRequests::dropWork(OpenRequest &open, Base::TimePoint now)
+{
+    if (open.state == RequestState::Waiting) {
+        stopWaiting(open);
+        m_context.outbox.post(open.home, PermitCancel{open.attemptId(), open.pool, open.shard});
+    }
+    if (open.state == RequestState::Sent) {
+        m_context.environment.backends.cancel(open.attemptId());
+        releasePermit(open, Scheduling::PermitOutcome::Cancelled, now);
+    }
 }
 
 OpenRequest *EntryRequests::find(const AttemptId &attempt)
@@ -463,6 +467,8 @@
     open.state = RequestState::Sent;
     open.server = server.id;
     open.sentAt = now;
+    open.heardAt = now;
+    open.hasFirstPart = false;
     BackendRequest request;
     request.attempt = open.attemptId();
     request.server = server.id;
@@ -524,7 +530,7 @@
     for (const std::string &part : answer->parts)
         callers.appendAnswer(open.asked.caller, {part});
     callers.finishAnswer(open.asked.caller);
-    recordEnd(open, nullptr, now);
+    m_recorder.end(open, nullptr, now);
     close(open.key);
 }
 
@@ -536,7 +542,7 @@
     settleClaim(open, now);
     if (!open.isCallerGone)
         m_context.environment.callers.fail(open.asked.caller, failure);
-    recordEnd(open, &failure, now);
+    m_recorder.end(open, &failure, now);
     close(open.key);
 }
 
@@ -557,32 +563,4 @@
     m_open.erase(it);
 }
 
-void EntryRequests::recordHop(const OpenRequest &open, Hop hop, Base::TimePoint begin,
-                              Base::TimePoint end, const std::string &place, bool isFailed)
-{
-    m_context.environment.observer.hopFinished(
-        {open.key, open.asked.traceparent, hop, begin, end, place, isFailed});
-}
-
-void EntryRequests::recordEnd(const OpenRequest &open, const Failure *failure, Base::TimePoint now)
-{
-    recordHop(open, Hop::Entry, open.arrivedAt, now, m_context.membership.self().host.value(),
-              failure != nullptr);
-    RequestRecord record;
-    record.request = open.key;
-    record.customer = open.customer;
-    record.workClass = open.target.name;
-    record.isFailed = failure != nullptr;
-    if (failure)
-        record.failure = failure->type;
-    if (open.state == RequestState::Sent)
-        record.queueWait = open.sentAt - open.arrivedAt;
-    if (open.hasFirstPart)
-        record.firstPart = open.firstPartAt - open.arrivedAt;
-    record.whole = now - open.arrivedAt;
-    record.units = open.charged;
-    record.attempts = open.attempt;
-    m_context.environment.observer.requestFinished(record);
-}
-
 } // namespace Node
--- a/src/libs/node/entryrequests.h
+++ b/src/libs/node/entryrequests.h
@@ -11,6 +11,7 @@
 #include "node/nodesettings.h"
 #include "node/openrequest.h"
 #include "node/outbox.h"
+#include "node/requestrecorder.h"
 #include "node/serverdirectory.h"
 #include "scheduling/retrybudget.h"
 
@@ -46,7 +47,7 @@
     void open(const CallerRequest &asked, Base::TimePoint now);
     void callerGone(CallerId caller, Base::TimePoint now);
     void callerBlocked(CallerId caller);
-    void callerReady(CallerId caller);
+    void callerReady(CallerId caller, Base::TimePoint now);
 
     void claimDecided(const Claims::ClaimOutcome &outcome, Base::TimePoint now);
     void granted(const Base::HostId &home, const PermitGrant &grant, Base::TimePoint now);
@@ -85,18 +86,20 @@
     void retry(OpenRequest &open, Base::TimePoint now);
     void replay(OpenRequest &open, const std::string &stored, Base::TimePoint now);
     void failWith(OpenRequest &open, Failure failure, Base::TimePoint now);
+    void passDeadline(OpenRequest &open, Base::TimePoint now);
+    /// Takes the work back from its home or its backend server.
+    void dropWork(OpenRequest &open, Base::TimePoint now);
     void settleClaim(const OpenRequest &open, Base::TimePoint now);
     void close(const Base::RequestKey &key);
-    void recordHop(const OpenRequest &open, Hop hop, Base::TimePoint begin, Base::TimePoint end,
-                   const std::string &place, bool isFailed);
-    void recordEnd(const OpenRequest &open, const Failure *failure, Base::TimePoint now);
 
     EntryContext m_context;
     Scheduling::RetryBudget m_budget;
     HomeWatch m_watch;
+    RequestRecorder m_recorder;
     std::map<Base::RequestKey, OpenRequest> m_open;
     std::map<CallerId, Base::RequestKey> m_byCaller;
     std::uint64_t m_lastSerial = 0;
+    Base::TimePoint m_nextCheck{};
 };
 
 } // namespace Node
--- a/src/libs/node/node.cpp
+++ b/src/libs/node/node.cpp
@@ -145,9 +145,9 @@
     m_entry->callerBlocked(event.caller);
 }
 
-void Node::on(const CallerReady &event, Base::TimePoint)
+void Node::on(const CallerReady &event, Base::TimePoint now)
 {
-    m_entry->callerReady(event.caller);
+    m_entry->callerReady(event.caller, now);
 }
 
 void Node::on(const EntryHostsAsked &event, Base::TimePoint)
--- a/src/libs/node/nodeconstants.h
+++ b/src/libs/node/nodeconstants.h
@@ -21,6 +21,12 @@
 inline constexpr Base::Milliseconds claimRetryAfter{2000};
 inline constexpr Base::Milliseconds backendRetryAfter{1000};
 
+/// A backend server that says nothing for this long has failed the request. Far above the wait
+/// in a server's own queue, which permits keep short.
+inline constexpr Base::Duration backendSilenceLimit = std::chrono::seconds(20);
+/// How often open requests are looked through for deadlines and silence.
+inline constexpr Base::Duration openCheckInterval = std::chrono::milliseconds(100);
+
 /// Largest number of configuration changes in one message to a peer.
 inline constexpr std::size_t changesPerPush = 200;
 
--- a/src/libs/node/openrequest.h
+++ b/src/libs/node/openrequest.h
@@ -27,6 +27,8 @@
     Base::PoolId pool;
     RequestState state = RequestState::Waiting;
     bool isCallerGone = false;
+    /// The caller reads slower than its answer comes, and the server is held back.
+    bool isBlocked = false;
 
     /// The current attempt, from 1.
     std::uint32_t attempt = 0;
@@ -39,6 +41,8 @@
     Base::TimePoint arrivedAt;
     Base::TimePoint askedAt;
     Base::TimePoint sentAt;
+    /// When the backend server last said anything.
+    Base::TimePoint heardAt;
     Base::TimePoint firstPartAt;
     bool hasFirstPart = false;
     bool isAnswerStarted = false;
--- /dev/null
+++ b/src/libs/node/requestrecorder.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "node/nodeobserver.h"
+#include "node/openrequest.h"
+
+#include <string>
+
+namespace Node {
+
+/// Tells the observer of the hops and the end of the requests of one entry host.
+class RequestRecorder
+{
+public:
+    RequestRecorder(NodeObserver &observer, const Base::HostId &self);
+
+    void hop(const OpenRequest &open, Hop hop, Base::TimePoint begin, Base::TimePoint end,
+             const std::string &place, bool isFailed);
+    /// \a failure is null if the answer came whole or the caller left.
+    void end(const OpenRequest &open, const Failure *failure, Base::TimePoint now);
+
+private:
+    NodeObserver *m_observer;
+    Base::HostId m_self;
+};
+
+} // namespace Node
--- a/tools/virtualfleet/fleet.cpp
+++ b/tools/virtualfleet/fleet.cpp
@@ -97,6 +97,12 @@
     }
 }
 
+bool Fleet::draw(double share)
+{
+    constexpr std::uint64_t steps = 1000000;
+    return share > 0 && static_cast<double>(m_random.next() % steps) < share * steps;
+}
+
 void Fleet::markLeaving(const std::string &host)
 {
     m_leaving.insert(host);
--- a/tools/virtualfleet/fleet.h
+++ b/tools/virtualfleet/fleet.h
@@ -53,6 +53,11 @@
     /// A dead server refuses connections; what it ran is lost.
     void setServerDead(const Base::ServerId &id, bool isDead);
     bool isServerDead(const Base::ServerId &id) const { return m_dead.count(id) > 0; }
+    /// Share of messages between routers that are lost from now on.
+    void setLossShare(double share) { m_shape.lossShare = share; }
+    void setDoubleShare(double share) { m_shape.doubleShare = share; }
+    /// Draws whether something with a chance of \a share happens now.
+    bool draw(double share);
     void markLeaving(const std::string &host);
 
     /// Sends a caller's request to one router's node.
--- a/tools/virtualfleet/fleetshape.h
+++ b/tools/virtualfleet/fleetshape.h
@@ -36,6 +36,10 @@
     std::uint64_t seed = 1;
     /// Share of messages between routers that are lost.
     double lossShare = 0;
+    /// Share of messages between routers, and of answers of servers, that come a second time,
+    /// late.
+    double doubleShare = 0;
+    Base::Duration doubleDelay = std::chrono::milliseconds(300);
     Node::NodeSettings node;
 };
 
--- a/tools/virtualfleet/virtualrouter.cpp
+++ b/tools/virtualfleet/virtualrouter.cpp
@@ -44,7 +44,11 @@
     void tell(const Node::Event &event)
     {
         VirtualRouter *router = m_router;
-        router->later(router->m_fleet->shape().latency, [router, event] { router->handle(event); });
+        const FleetShape &shape = router->m_fleet->shape();
+        const auto deliver = [router, event] { router->handle(event); };
+        router->later(shape.latency, deliver);
+        if (router->m_fleet->draw(shape.doubleShare))
+            router->later(shape.latency + shape.doubleDelay, deliver);
     }
 
     VirtualRouter *m_router;
@@ -185,8 +189,7 @@
     ++m_messages;
     Fleet *fleet = m_fleet;
     VirtualRouter *target = fleet->routerByName(to);
-    const double draw = static_cast<double>(fleet->random().next() % 1000000) / 1000000.0;
-    if (draw < fleet->shape().lossShare)
+    if (fleet->draw(fleet->shape().lossShare))
         return;
     if (!target) {
         // The host is up but the process is not: the connection is refused.
@@ -196,12 +199,16 @@
     const std::size_t from = m_index;
     const std::size_t index = target->index();
     const Base::Incarnation incarnation = m_incarnation;
-    fleet->queue().after(fleet->shape().latency, [fleet, from, index, incarnation, message] {
+    const auto deliver = [fleet, from, index, incarnation, message] {
         VirtualRouter *receiver = fleet->router(index);
         if (!receiver || fleet->isCut(from, index))
             return;
         receiver->handle(Node::PeerMessageArrived{routerName(from), incarnation, message});
-    });
+    };
+    const FleetShape &shape = fleet->shape();
+    fleet->queue().after(shape.latency, deliver);
+    if (fleet->draw(shape.doubleShare))
+        fleet->queue().after(shape.latency + shape.doubleDelay, deliver);
 }
 
 void VirtualRouter::send(const Node::BackendRequest &request)
--- a/tools/virtualfleet/virtualtable.cpp
+++ b/tools/virtualfleet/virtualtable.cpp
@@ -85,27 +85,29 @@
 template <typename Call>
 void TableLink::run(Call call)
 {
-    m_queue->after(m_latency, [this, call] {
-        const TableOutcome outcome = call();
-        m_queue->after(m_latency, [deliver = m_deliver, outcome] { deliver(outcome); });
+    // A call outlives the router that made it: its write takes effect all the same.
+    m_queue->after(m_latency, [queue = m_queue, table = m_table, latency = m_latency,
+                               deliver = m_deliver, call] {
+        const TableOutcome outcome = call(*table);
+        queue->after(latency, [deliver, outcome] { deliver(outcome); });
     });
 }
 
 void TableLink::read(Platform::OperationId operation, const std::string &key)
 {
-    run([this, operation, key] { return m_table->read(operation, key); });
+    run([operation, key](VirtualTable &table) { return table.read(operation, key); });
 }
 
 void TableLink::scan(Platform::OperationId operation, const std::string &prefix,
                      const std::string &after, std::size_t limit)
 {
-    run([=, this] { return m_table->scan(operation, prefix, after, limit); });
+    run([=](VirtualTable &table) { return table.scan(operation, prefix, after, limit); });
 }
 
 void TableLink::transact(Platform::OperationId operation,
                          const std::vector<Platform::TableWrite> &writes)
 {
-    run([=, this] { return m_table->transact(operation, writes); });
+    run([=](VirtualTable &table) { return table.transact(operation, writes); });
 }
 
 } // namespace VirtualFleet
