--- a/tests/standins/platformstandin/platformservice.cpp
+++ b/tests/standins/platformstandin/platformservice.cpp
@@ -59,7 +59,7 @@
 {
     std::unique_ptr<PlatformService> service(new PlatformService(options));
     if (!options.text("seed").empty()) {
-        const Base::Result<void> seeded =
+        Base::Result<void> seeded =
             readSeed(options.text("seed"), service->m_table, service->m_hosts);
         if (!seeded)
             return seeded.error();
