Read a process's settings whole and name every fault

A router must not start on settings that it half understands, and a host with a dozen slips must not be started a dozen times. The reader records each fault with its JSON pointer, what was expected and what was found, and goes on. Ruled out: JSON Schema, since no validator is packaged, and stopping at the first exception.

--- /dev/null
+++ b/src/libs/settings/address.cpp
@@ -0,0 +1,34 @@
+#include "settings/address.h"
+
+#include <arpa/inet.h>
+
+#include <charconv>
+
+namespace Settings {
+
+std::optional<Address> parseAddress(std::string_view text)
+{
+    const std::size_t colon = text.rfind(':');
+    if (colon == std::string_view::npos)
+        return std::nullopt;
+    const std::string ip(text.substr(0, colon));
+    const std::string_view portText = text.substr(colon + 1);
+    std::uint16_t port = 0;
+    const char *end = portText.data() + portText.size();
+    const auto [ptr, ec] = std::from_chars(portText.data(), end, port);
+    if (ec != std::errc() || ptr != end || port == 0)
+        return std::nullopt;
+    in_addr parsed{};
+    // A zero byte would hide what follows it from inet_pton.
+    const bool isText = ip.find('\0') == std::string::npos;
+    if (!isText || inet_pton(AF_INET, ip.c_str(), &parsed) != 1)
+        return std::nullopt;
+    return Address{ip, port};
+}
+
+std::string toString(const Address &address)
+{
+    return address.ip + ":" + std::to_string(address.port);
+}
+
+} // namespace Settings
--- /dev/null
+++ b/tests/support/settingsfaults.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "settings/settingsfault.h"
+
+#include <boost/leaf/handle_errors.hpp>
+
+#include <vector>
+
+namespace Support {
+
+/// The faults that \a parse fails with; none if it succeeds.
+template <typename Parse>
+std::vector<Settings::SettingsFault> faultsOf(Parse parse)
+{
+    std::vector<Settings::SettingsFault> faults;
+    boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<void> {
+            auto parsed = parse();
+            if (!parsed)
+                return parsed.error();
+            return {};
+        },
+        [&](const Settings::SettingsFaults &found) { faults = found.faults; },
+        [&] {
+            faults.push_back({"", "a typed fault", "another error"});
+        });
+    return faults;
+}
+
+} // namespace Support
