--- /dev/null
+++ b/src/libs/daemon/backendtransfer.cpp
@@ -0,0 +1,206 @@
+#include "daemon/backendtransfer.h"
+
+#include "daemon/chunkunits.h"
+#include "daemon/daemonconstants.h"
+#include "daemon/ssewriter.h"
+
+#include <charconv>
+#include <utility>
+
+#include <strings.h>
+
+namespace Daemon {
+
+namespace {
+
+bool isName(std::string_view name, std::string_view wanted)
+{
+    return name.size() == wanted.size()
+           && strncasecmp(name.data(), wanted.data(), wanted.size()) == 0;
+}
+
+std::optional<std::uint64_t> numberOf(std::string_view text)
+{
+    std::uint64_t number = 0;
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (ec != std::errc() || end != text.data() + text.size())
+        return std::nullopt;
+    return number;
+}
+
+TransferRequest requestOf(const Node::BackendRequest &from)
+{
+    TransferRequest to;
+    to.method = "POST";
+    to.url = "http://" + from.address + from.path;
+    to.body = from.body;
+    to.mayReuseConnection = from.idempotencyKey.empty();
+    to.deadline = Base::Clock::now() + silenceTimeout;
+    to.headers.push_back("X-Request-Id: " + Base::toString(from.attempt.request) + '#'
+                         + std::to_string(from.attempt.number));
+    to.headers.push_back("Content-Type: " + from.contentType);
+    if (!from.traceparent.empty())
+        to.headers.push_back("traceparent: " + from.traceparent);
+    if (!from.idempotencyKey.empty())
+        to.headers.push_back("Idempotency-Key: " + from.idempotencyKey);
+    if (from.fence > 0)
+        to.headers.push_back("X-Fence: " + std::to_string(from.fence));
+    if (!from.resumeStream.empty()) {
+        to.headers.push_back("X-Resume-Stream: " + from.resumeStream);
+        to.headers.push_back("X-Resume-From: " + std::to_string(from.resumeFrom));
+    }
+    return to;
+}
+
+} // namespace
+
+BackendTransfer::BackendTransfer(const Node::BackendRequest &request, EventRing &ring, Over over)
+    : HttpTransfer(requestOf(request))
+    , m_ring(ring)
+    , m_over(std::move(over))
+    , m_attempt(request.attempt)
+    , m_kind(request.kind)
+    , m_address(request.address)
+    , m_parser(largestEventBytes)
+    , m_nextIndex(request.resumeStream.empty() ? 0 : request.resumeFrom)
+{
+    m_head.attempt = m_attempt;
+}
+
+void BackendTransfer::pause()
+{
+    m_isPaused = true;
+    // The caller is slow, not the server.
+    setDeadline(Base::TimePoint::max());
+    curl_easy_pause(handle(), CURLPAUSE_RECV);
+}
+
+void BackendTransfer::resume()
+{
+    m_isPaused = false;
+    extendDeadline();
+    curl_easy_pause(handle(), CURLPAUSE_CONT);
+}
+
+void BackendTransfer::finished(CURLcode code)
+{
+    const bool isWholeBody =
+        code == CURLE_OK && m_kind == Node::WorkKind::ServiceCall && !m_isNotRun;
+    if (isWholeBody)
+        finishWhole();
+    else
+        fail();
+    m_over(*this);
+}
+
+void BackendTransfer::receiveHeader(std::string_view name, std::string_view value)
+{
+    extendDeadline();
+    if (isName(name, "Content-Type"))
+        m_head.contentType = value;
+    if (isName(name, "X-Stream-Name"))
+        m_head.streamName = value;
+    if (isName(name, "X-Not-Run"))
+        m_isNotRun = isName(value, "yes");
+    if (!isName(name, "Retry-After"))
+        return;
+    constexpr std::uint64_t largestSeconds = 86400;
+    const std::optional<std::uint64_t> seconds = numberOf(value);
+    if (seconds && *seconds <= largestSeconds)
+        m_retryAfter = std::chrono::seconds(*seconds);
+}
+
+bool BackendTransfer::receiveBody(std::string_view bytes)
+{
+    extendDeadline();
+    if (isError())
+        return true;
+    if (m_kind == Node::WorkKind::ChatCompletion)
+        return receiveEvents(bytes);
+    startHead();
+    pushPart(m_nextIndex, std::string(bytes), bytes.size() / bytesPerToken);
+    return true;
+}
+
+bool BackendTransfer::receiveEvents(std::string_view bytes)
+{
+    std::vector<SseEvent> events;
+    const bool isReadable = boost::leaf::try_handle_all(
+        [&]() -> Base::Result<bool> {
+            BOOST_LEAF_CHECK(m_parser.feed(bytes, events));
+            return true;
+        },
+        [] { return false; });
+    if (!isReadable)
+        return false;
+    for (const SseEvent &event : events) {
+        if (!receiveEvent(event))
+            return false;
+    }
+    return true;
+}
+
+bool BackendTransfer::receiveEvent(const SseEvent &event)
+{
+    if (m_isSettled)
+        return true;
+    if (event.name == "error")
+        return false;
+    if (event.data == doneMarker) {
+        finishWhole();
+        return true;
+    }
+    startHead();
+    pushPart(numberOf(event.id).value_or(m_nextIndex), event.data, chunkUnits(event.data));
+    return true;
+}
+
+bool BackendTransfer::isError() const
+{
+    return m_isNotRun || (m_kind == Node::WorkKind::ChatCompletion && status() != 200);
+}
+
+void BackendTransfer::startHead()
+{
+    if (std::exchange(m_isHeadSent, true))
+        return;
+    m_head.status = status();
+    m_ring.push(m_head);
+}
+
+void BackendTransfer::pushPart(std::uint64_t index, std::string payload, Base::ServiceUnits units)
+{
+    m_nextIndex = index + 1;
+    m_ring.push(Node::BackendPart{m_attempt, index, std::move(payload), units});
+}
+
+void BackendTransfer::finishWhole()
+{
+    if (m_isSettled)
+        return;
+    startHead();
+    m_isSettled = true;
+    m_ring.push(Node::BackendFinished{m_attempt, m_nextIndex});
+}
+
+void BackendTransfer::fail()
+{
+    if (std::exchange(m_isSettled, true))
+        return;
+    Node::BackendFailed failed;
+    failed.attempt = m_attempt;
+    failed.sent = isSent() ? Node::SendState::MaybeRan : Node::SendState::NeverSent;
+    if (m_isNotRun)
+        failed.sent = Node::SendState::Refused;
+    failed.status = status();
+    failed.retryAfter = m_retryAfter;
+    m_ring.push(failed);
+}
+
+void BackendTransfer::extendDeadline()
+{
+    if (!m_isPaused)
+        setDeadline(Base::Clock::now() + silenceTimeout);
+}
+
+} // namespace Daemon
--- /dev/null
+++ b/src/libs/daemon/backendtransfer.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "daemon/eventring.h"
+#include "daemon/httptransfer.h"
+#include "daemon/sseparser.h"
+#include "node/backendclient.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Daemon {
+
+/// One attempt at a backend server: sends the work and turns the answer into events for the
+/// node.
+///
+/// The answer's head is told with its first part: until then nothing has reached the caller,
+/// and the node may still try another server.
+class BackendTransfer final : public HttpTransfer
+{
+public:
+    using Over = std::function<void(const BackendTransfer &)>;
+
+    /// \a over is called when the transfer ends by itself.
+    BackendTransfer(const Node::BackendRequest &request, EventRing &ring, Over over);
+
+    const Node::AttemptId &attempt() const { return m_attempt; }
+    const std::string &address() const { return m_address; }
+    /// Name to cancel the stream by; empty while unknown.
+    const std::string &streamName() const { return m_head.streamName; }
+
+    void pause();
+    void resume();
+    void finished(CURLcode code) override;
+
+private:
+    void receiveHeader(std::string_view name, std::string_view value) override;
+    bool receiveBody(std::string_view bytes) override;
+    bool receiveEvents(std::string_view bytes);
+    bool receiveEvent(const SseEvent &event);
+    bool isError() const;
+    void startHead();
+    void pushPart(std::uint64_t index, std::string payload, Base::ServiceUnits units);
+    void finishWhole();
+    void fail();
+    void extendDeadline();
+
+    EventRing &m_ring;
+    Over m_over;
+    Node::AttemptId m_attempt;
+    Node::WorkKind m_kind;
+    std::string m_address;
+    Node::BackendHead m_head;
+    SseParser m_parser;
+    std::uint64_t m_nextIndex = 0;
+    std::optional<Base::Milliseconds> m_retryAfter;
+    bool m_isNotRun = false;
+    bool m_isHeadSent = false;
+    bool m_isSettled = false;
+    bool m_isPaused = false;
+};
+
+} // namespace Daemon
--- /dev/null
+++ b/src/libs/daemon/corethread.cpp
@@ -0,0 +1,74 @@
+#include "daemon/corethread.h"
+
+#include <utility>
+
+namespace Daemon {
+
+namespace {
+
+constexpr Base::Duration publishInterval = std::chrono::seconds(1);
+
+} // namespace
+
+CoreThread::CoreThread(std::unique_ptr<Node::Node> node, EventRing &ring, CallerSessions &sessions,
+                       ProcessState &state, NodeWatcher &watcher)
+    : m_node(std::move(node))
+    , m_ring(ring)
+    , m_sessions(sessions)
+    , m_state(state)
+    , m_watcher(watcher)
+    , m_thread([this] { run(); })
+{}
+
+CoreThread::~CoreThread()
+{
+    m_ring.close();
+    m_thread.join();
+}
+
+void CoreThread::run()
+{
+    while (!m_ring.isClosed()) {
+        const Base::TimePoint now = Base::Clock::now();
+        const Base::TimePoint due = m_node->nextDue();
+        if (due <= now) {
+            m_node->advance(now);
+            handleOwnEvents();
+            publish(now);
+            continue;
+        }
+        const std::optional<Node::Event> event = m_ring.popFor(due - now);
+        if (event)
+            handle(*event);
+    }
+}
+
+void CoreThread::handle(const Node::Event &event)
+{
+    m_node->handle(event, Base::Clock::now());
+    handleOwnEvents();
+    m_state.isReady = m_node->isReady();
+    m_isDrained = m_node->isDrained();
+}
+
+void CoreThread::handleOwnEvents()
+{
+    // A session that has just become full is held back before its next part is taken.
+    for (std::vector<Node::Event> events = m_sessions.takeEvents(); !events.empty();
+         events = m_sessions.takeEvents()) {
+        for (const Node::Event &event : events)
+            m_node->handle(event, Base::Clock::now());
+    }
+}
+
+void CoreThread::publish(Base::TimePoint now)
+{
+    m_state.isReady = m_node->isReady();
+    m_isDrained = m_node->isDrained();
+    if (now < m_nextPublish)
+        return;
+    m_nextPublish = now + publishInterval;
+    m_watcher.nodeChanged(*m_node);
+}
+
+} // namespace Daemon
--- /dev/null
+++ b/src/libs/daemon/daemon.cpp
@@ -0,0 +1,126 @@
+#include "daemon/daemon.h"
+
+#include "daemon/daemonconstants.h"
+
+#include <random>
+#include <utility>
+
+namespace Daemon {
+
+namespace {
+
+/// Grows with each start of a host, as long as its clock is not set back between them.
+Base::Incarnation incarnationNow()
+{
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<Base::Incarnation>(
+        std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count());
+}
+
+std::uint64_t randomSeed()
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32) | device();
+}
+
+} // namespace
+
+Base::Result<std::unique_ptr<Daemon>> Daemon::create(const DaemonSettings &settings,
+                                                     const DaemonReports &reports)
+{
+    std::unique_ptr<Daemon> daemon(new Daemon(settings));
+    BOOST_LEAF_CHECK(daemon->start(reports));
+    return daemon;
+}
+
+Daemon::Daemon(const DaemonSettings &settings)
+    : m_settings(settings)
+    , m_incarnation(incarnationNow())
+    , m_ring(eventRingCapacity)
+    , m_sessions(settings.limits.streamBufferBytes, m_ring)
+    , m_random(randomSeed())
+{}
+
+Daemon::~Daemon()
+{
+    // Whoever waits at the ring goes on, and nothing is taken any more.
+    m_ring.close();
+    m_sessions.hangUpAll();
+}
+
+void Daemon::beginShutdown(Base::TimePoint now)
+{
+    if (m_state.isLeaving.exchange(true))
+        return;
+    m_leavingSince = now;
+    m_ring.push(Node::ShutdownAsked{});
+}
+
+bool Daemon::isFinished(Base::TimePoint now) const
+{
+    if (!m_leavingSince)
+        return false;
+    const bool areListsExpired =
+        now >= *m_leavingSince + nodeSettings().entryListMaxAge + leavingMargin;
+    return areListsExpired && m_core->isDrained() && m_sessions.size() == 0;
+}
+
+void Daemon::pollHosts()
+{
+    m_platform->pollHosts();
+}
+
+Base::Result<void> Daemon::start(const DaemonReports &reports)
+{
+    BOOST_LEAF_ASSIGN(m_peers, GrpcPeerTransport::create(m_settings.host, m_incarnation, m_ring));
+    BOOST_LEAF_ASSIGN(m_backends, HttpBackendClient::create(m_ring));
+    BOOST_LEAF_ASSIGN(m_platform, PlatformClient::create(m_settings.platformAddress, m_ring));
+    BOOST_LEAF_AUTO(node, createNode(reports));
+    m_core =
+        std::make_unique<CoreThread>(std::move(node), m_ring, m_sessions, m_state, reports.watcher);
+    seedPeers();
+    pollHosts();
+    BOOST_LEAF_ASSIGN(m_peerServer,
+                      GrpcPeerServer::create(m_settings.host, m_settings.peerAddress, m_ring));
+    HttpFrontSettings front;
+    front.address = m_settings.callerAddress;
+    front.connections = m_settings.limits.connections;
+    front.bodyBytes = m_settings.limits.bodyBytes;
+    front.requestIdPrefix = m_settings.host.value() + '-' + std::to_string(m_incarnation) + "-x";
+    BOOST_LEAF_ASSIGN(m_front,
+                      HttpFront::create(front, m_sessions, m_ring, m_state, reports.metrics));
+    return {};
+}
+
+Base::Result<std::unique_ptr<Node::Node>> Daemon::createNode(const DaemonReports &reports)
+{
+    const Node::Environment environment{m_sessions,  *m_peers,         *m_backends, *m_platform,
+                                        *m_platform, reports.observer, m_random,    m_wallClock};
+    return Node::Node::create(nodeSettings(), environment);
+}
+
+Node::NodeSettings Daemon::nodeSettings() const
+{
+    Node::NodeSettings settings;
+    settings.self.host = m_settings.host;
+    settings.self.incarnation = m_incarnation;
+    settings.self.zone = m_settings.zone;
+    settings.self.peerAddress = m_settings.peerAddress;
+    settings.self.callerAddress = m_settings.callerAddress;
+    return settings;
+}
+
+void Daemon::seedPeers()
+{
+    // Version 0 is older than any list of the platform.
+    Platform::HostListing listing;
+    for (const SeedRouter &seed : m_settings.seeds) {
+        Platform::ListedHost host;
+        host.name = seed.host.value();
+        host.address = seed.peerAddress;
+        listing.hosts.push_back(host);
+    }
+    m_ring.push(Node::HostListArrived{listing});
+}
+
+} // namespace Daemon
--- /dev/null
+++ b/src/libs/daemon/daemon.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "base/random.h"
+#include "base/result.h"
+#include "daemon/callersessions.h"
+#include "daemon/corethread.h"
+#include "daemon/daemonsettings.h"
+#include "daemon/eventring.h"
+#include "daemon/grpcpeerserver.h"
+#include "daemon/grpcpeertransport.h"
+#include "daemon/httpbackendclient.h"
+#include "daemon/httpfront.h"
+#include "daemon/platformclient.h"
+#include "daemon/processstate.h"
+#include "node/nodesettings.h"
+
+#include <memory>
+
+namespace Daemon {
+
+/// Calendar time of this host.
+class HostWallClock final : public Node::WallClock
+{
+public:
+    Base::WallTime now() const override { return std::chrono::system_clock::now(); }
+};
+
+/// What the daemon tells about itself: logs, metrics and traces. Outlives the daemon.
+struct DaemonReports
+{
+    Node::NodeObserver &observer;
+    NodeWatcher &watcher;
+    MetricsPage &metrics;
+};
+
+/// One router process: the node with all its threads.
+class Daemon
+{
+public:
+    /// Starts to serve. Fails with MalformedAddress, CannotListen, WatcherUnavailable,
+    /// ClientUnavailable or what the node's parts fail with.
+    static Base::Result<std::unique_ptr<Daemon>> create(const DaemonSettings &settings,
+                                                        const DaemonReports &reports);
+    ~Daemon();
+
+    /// Any thread: leaves the fleet. New work is still taken while callers may hold an old
+    /// list of entry hosts. A second call changes nothing.
+    void beginShutdown(Base::TimePoint now);
+    /// Whether the process may end without cutting anything off.
+    bool isFinished(Base::TimePoint now) const;
+    /// Asks the platform for the host list; called each hostListInterval.
+    void pollHosts();
+
+    std::uint16_t callerPort() const { return m_front->port(); }
+    std::uint16_t peerPort() const { return m_peerServer->port(); }
+    GrpcPeerTransport::Totals controlBytes() const { return m_peers->totals(); }
+
+private:
+    explicit Daemon(const DaemonSettings &settings);
+    Base::Result<void> start(const DaemonReports &reports);
+    Base::Result<std::unique_ptr<Node::Node>> createNode(const DaemonReports &reports);
+    Node::NodeSettings nodeSettings() const;
+    void seedPeers();
+
+    const DaemonSettings m_settings;
+    const Base::Incarnation m_incarnation;
+    EventRing m_ring;
+    ProcessState m_state;
+    CallerSessions m_sessions;
+    HostWallClock m_wallClock;
+    Base::SeededRandom m_random;
+    std::optional<Base::TimePoint> m_leavingSince;
+    // In this order: each thread ends before what it uses.
+    std::unique_ptr<GrpcPeerTransport> m_peers;
+    std::unique_ptr<HttpBackendClient> m_backends;
+    std::unique_ptr<PlatformClient> m_platform;
+    std::unique_ptr<CoreThread> m_core;
+    std::unique_ptr<GrpcPeerServer> m_peerServer;
+    std::unique_ptr<HttpFront> m_front;
+};
+
+} // namespace Daemon
--- /dev/null
+++ b/src/libs/daemon/grpcpeerserver.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "base/result.h"
+#include "daemon/eventring.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace Daemon {
+
+/// Takes batches from the other routers and hands their messages to the core in order.
+class GrpcPeerServer
+{
+public:
+    /// Starts to listen at \a address, "IP:PORT"; port 0 takes a free one. Fails with
+    /// CannotListen (httpfront.h).
+    static Base::Result<std::unique_ptr<GrpcPeerServer>>
+    create(const Base::HostId &self, const std::string &address, EventRing &ring);
+    ~GrpcPeerServer();
+
+    std::uint16_t port() const { return m_port; }
+
+private:
+    struct Running;
+
+    GrpcPeerServer(std::unique_ptr<Running> running, std::uint16_t port);
+
+    std::unique_ptr<Running> m_running;
+    std::uint16_t m_port;
+};
+
+} // namespace Daemon
--- /dev/null
+++ b/src/libs/daemon/grpcpeertransport.cpp
@@ -0,0 +1,158 @@
+#include "daemon/grpcpeertransport.h"
+
+#include "daemon/daemonconstants.h"
+#include "wire/peercodec.h"
+
+#include "peer.grpc.pb.h"
+
+#include <utility>
+
+#include <grpcpp/grpcpp.h>
+
+namespace Daemon {
+
+namespace Proto = lagoonmast::wire;
+
+namespace {
+
+/// A peer that comes back is found within a second; the library's own pause between tries
+/// grows to two minutes.
+constexpr int smallestReconnectMs = 100;
+constexpr int largestReconnectMs = 1000;
+
+std::shared_ptr<grpc::Channel> channelTo(const std::string &address)
+{
+    grpc::ChannelArguments arguments;
+    arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, smallestReconnectMs);
+    arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, smallestReconnectMs);
+    arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, largestReconnectMs);
+    arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
+    return grpc::CreateCustomChannel("ipv4:" + address, grpc::InsecureChannelCredentials(),
+                                     arguments);
+}
+
+} // namespace
+
+struct GrpcPeerTransport::Peer
+{
+    explicit Peer(const Base::HostId &name)
+        : host(name)
+    {}
+
+    Base::HostId host;
+    std::string address;
+    std::shared_ptr<Proto::Peer::Stub> stub;
+    PeerQueue queue{peerQueueCapacity};
+    /// Of the call that is out, if any.
+    grpc::ClientContext *context = nullptr;
+};
+
+/// One batch on its way; lives until its callback has run.
+struct GrpcPeerTransport::Call
+{
+    grpc::ClientContext context;
+    Proto::Batch batch;
+    Proto::Receipt receipt;
+    /// The stub outlives the call, also when the peer's address changes.
+    std::shared_ptr<Proto::Peer::Stub> stub;
+};
+
+Base::Result<std::unique_ptr<GrpcPeerTransport>>
+GrpcPeerTransport::create(const Base::HostId &self, Base::Incarnation incarnation, EventRing &ring)
+{
+    BOOST_LEAF_AUTO(meter, Coordination::TrafficMeter::create(Coordination::TrafficBudget()));
+    return std::unique_ptr<GrpcPeerTransport>(
+        new GrpcPeerTransport(self, incarnation, ring, std::move(meter)));
+}
+
+GrpcPeerTransport::GrpcPeerTransport(const Base::HostId &self, Base::Incarnation incarnation,
+                                     EventRing &ring, Coordination::TrafficMeter meter)
+    : m_self(self)
+    , m_incarnation(incarnation)
+    , m_ring(ring)
+    , m_meter(std::move(meter))
+{}
+
+GrpcPeerTransport::~GrpcPeerTransport()
+{
+    std::unique_lock lock(m_mutex);
+    m_isStopped = true;
+    for (const auto &[host, peer] : m_peers) {
+        if (peer->context)
+            peer->context->TryCancel();
+    }
+    m_callEnded.wait(lock, [this] { return m_callsOut == 0; });
+}
+
+void GrpcPeerTransport::send(const Base::HostId &to, const std::string &address,
+                             const Node::PeerMessage &message)
+{
+    const std::lock_guard lock(m_mutex);
+    Peer &peer = peerFor(to, address);
+    peer.queue.push(message);
+    if (!peer.context)
+        startCall(peer);
+}
+
+GrpcPeerTransport::Totals GrpcPeerTransport::totals() const
+{
+    const std::lock_guard lock(m_mutex);
+    Totals totals{};
+    for (std::size_t i = 0; i < totals.size(); ++i)
+        totals[i] = m_meter.total(static_cast<Coordination::TrafficKind>(i));
+    return totals;
+}
+
+GrpcPeerTransport::Peer &GrpcPeerTransport::peerFor(const Base::HostId &to,
+                                                    const std::string &address)
+{
+    std::unique_ptr<Peer> &peer = m_peers[to];
+    if (!peer)
+        peer = std::make_unique<Peer>(to);
+    if (peer->address != address) {
+        peer->address = address;
+        peer->stub = Proto::Peer::NewStub(channelTo(address));
+    }
+    return *peer;
+}
+
+void GrpcPeerTransport::startCall(Peer &peer)
+{
+    auto call = std::make_shared<Call>();
+    fill(*call, peer);
+    call->stub = peer.stub;
+    call->context.set_deadline(std::chrono::system_clock::now() + peerCallTimeout);
+    peer.context = &call->context;
+    ++m_callsOut;
+    call->stub->async()->Deliver(
+        &call->context, &call->batch, &call->receipt,
+        [this, &peer, call](const grpc::Status &status) { finishCall(peer, status.ok()); });
+}
+
+void GrpcPeerTransport::fill(Call &call, Peer &peer)
+{
+    const Wire::BatchEnds ends{m_self, m_incarnation, peer.host};
+    const Base::TimePoint now = Base::Clock::now();
+    Wire::startBatch(call.batch, ends);
+    // The first message's kind bears the batch's own cost.
+    std::size_t shared = call.batch.ByteSizeLong() + batchFramingBytes;
+    for (const Node::PeerMessage &message : peer.queue.take(messagesPerBatch)) {
+        const std::size_t bytes = Wire::appendMessage(call.batch, ends, message);
+        m_meter.record(Node::trafficKind(message), bytes + std::exchange(shared, 0), now);
+    }
+}
+
+void GrpcPeerTransport::finishCall(Peer &peer, bool isDelivered)
+{
+    // Before the lock: the ring may be full, and the core may be waiting in send().
+    if (!isDelivered)
+        m_ring.push(Node::PeerUnreachable{peer.host});
+    const std::lock_guard lock(m_mutex);
+    peer.context = nullptr;
+    if (!m_isStopped && !peer.queue.isEmpty())
+        startCall(peer);
+    --m_callsOut;
+    m_callEnded.notify_all();
+}
+
+} // namespace Daemon
--- /dev/null
+++ b/src/libs/daemon/grpcpeertransport.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "base/result.h"
+#include "coordination/trafficmeter.h"
+#include "daemon/eventring.h"
+#include "daemon/peerqueue.h"
+#include "node/peertransport.h"
+
+#include <array>
+#include <condition_variable>
+#include <map>
+#include <memory>
+#include <mutex>
+
+namespace Daemon {
+
+/// The node's way to the other routers: one call with a batch of messages at a time for each
+/// peer, so that their order holds and batches form by themselves while a call is out.
+class GrpcPeerTransport final : public Node::PeerTransport
+{
+public:
+    /// Bytes sent so far, by TrafficKind.
+    using Totals = std::array<std::uint64_t, Coordination::trafficKinds>;
+
+    /// \a ring must take PeerUnreachable events until this object is gone.
+    static Base::Result<std::unique_ptr<GrpcPeerTransport>>
+    create(const Base::HostId &self, Base::Incarnation incarnation, EventRing &ring);
+    /// Cancels the calls that are out and waits for their ends.
+    ~GrpcPeerTransport() override;
+
+    void send(const Base::HostId &to, const std::string &address,
+              const Node::PeerMessage &message) override;
+    Totals totals() const;
+
+private:
+    struct Peer;
+    struct Call;
+
+    GrpcPeerTransport(const Base::HostId &self, Base::Incarnation incarnation, EventRing &ring,
+                      Coordination::TrafficMeter meter);
+    Peer &peerFor(const Base::HostId &to, const std::string &address);
+    void startCall(Peer &peer);
+    void fill(Call &call, Peer &peer);
+    void finishCall(Peer &peer, bool isDelivered);
+
+    const Base::HostId m_self;
+    const Base::Incarnation m_incarnation;
+    EventRing &m_ring;
+    mutable std::mutex m_mutex;
+    std::condition_variable m_callEnded;
+    std::map<Base::HostId, std::unique_ptr<Peer>> m_peers;
+    Coordination::TrafficMeter m_meter;
+    std::size_t m_callsOut = 0;
+    bool m_isStopped = false;
+};
+
+} // namespace Daemon
--- /dev/null
+++ b/src/libs/daemon/hangupwatcher.cpp
@@ -0,0 +1,82 @@
+#include "daemon/hangupwatcher.h"
+
+#include <array>
+#include <cerrno>
+#include <cstdint>
+#include <utility>
+
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+namespace Daemon {
+
+namespace {
+
+/// Names the wake-up descriptor; callers are numbered from 1.
+constexpr Node::CallerId stopMark = 0;
+
+} // namespace
+
+Base::Result<std::unique_ptr<HangupWatcher>> HangupWatcher::create(Handler handler)
+{
+    const int poll = epoll_create1(EPOLL_CLOEXEC);
+    if (poll < 0)
+        return boost::leaf::new_error(WatcherUnavailable{errno});
+    const int wake = eventfd(0, EFD_CLOEXEC);
+    if (wake < 0) {
+        const int error = errno;
+        ::close(poll);
+        return boost::leaf::new_error(WatcherUnavailable{error});
+    }
+    return std::unique_ptr<HangupWatcher>(new HangupWatcher(poll, wake, std::move(handler)));
+}
+
+HangupWatcher::HangupWatcher(int poll, int wake, Handler handler)
+    : m_poll(poll)
+    , m_wake(wake)
+    , m_handler(std::move(handler))
+{
+    epoll_event event{};
+    event.events = EPOLLIN;
+    event.data.u64 = stopMark;
+    epoll_ctl(m_poll, EPOLL_CTL_ADD, m_wake, &event);
+    m_thread = std::thread([this] { run(); });
+}
+
+HangupWatcher::~HangupWatcher()
+{
+    const std::uint64_t one = 1;
+    [[maybe_unused]] const ssize_t written = ::write(m_wake, &one, sizeof one);
+    m_thread.join();
+    ::close(m_wake);
+    ::close(m_poll);
+}
+
+void HangupWatcher::watch(int socket, Node::CallerId caller)
+{
+    epoll_event event{};
+    event.events = EPOLLRDHUP | EPOLLONESHOT;
+    event.data.u64 = caller;
+    epoll_ctl(m_poll, EPOLL_CTL_ADD, socket, &event);
+}
+
+void HangupWatcher::unwatch(int socket)
+{
+    epoll_ctl(m_poll, EPOLL_CTL_DEL, socket, nullptr);
+}
+
+void HangupWatcher::run()
+{
+    std::array<epoll_event, 64> events{};
+    while (true) {
+        const int n = epoll_wait(m_poll, events.data(), events.size(), -1);
+        for (int i = 0; i < n; ++i) {
+            if (events[i].data.u64 == stopMark)
+                return;
+            m_handler(events[i].data.u64);
+        }
+    }
+}
+
+} // namespace Daemon
--- /dev/null
+++ b/src/libs/daemon/httpbackendclient.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "base/result.h"
+#include "daemon/backendtransfer.h"
+#include "daemon/bufferedtransfer.h"
+#include "daemon/eventring.h"
+#include "daemon/transferloop.h"
+#include "node/backendclient.h"
+
+#include <map>
+#include <memory>
+#include <set>
+
+namespace Daemon {
+
+/// The node's way to the backend servers: one thread for all of them.
+class HttpBackendClient final : public Node::BackendClient
+{
+public:
+    /// Fails with ClientUnavailable.
+    static Base::Result<std::unique_ptr<HttpBackendClient>> create(EventRing &ring);
+
+    void send(const Node::BackendRequest &request) override;
+    /// The server is told to stop the stream; no further event names the attempt.
+    void cancel(const Node::AttemptId &attempt) override;
+    void pause(const Node::AttemptId &attempt) override;
+    void resume(const Node::AttemptId &attempt) override;
+    void pollLoad(const Base::ServerId &server, const std::string &address) override;
+
+private:
+    explicit HttpBackendClient(EventRing &ring);
+
+    void startSend(const Node::BackendRequest &request);
+    void startCancel(const Node::AttemptId &attempt);
+    void startPoll(const Base::ServerId &server, const std::string &address);
+    void takeLoad(const Base::ServerId &server, const BufferedAnswer &answer);
+    BackendTransfer *find(const Node::AttemptId &attempt);
+
+    EventRing &m_ring;
+    /// Both on the loop's thread only.
+    std::map<Node::AttemptId, BackendTransfer *> m_transfers;
+    std::set<Base::ServerId> m_polled;
+    std::unique_ptr<TransferLoop> m_loop;
+};
+
+} // namespace Daemon
--- /dev/null
+++ b/src/libs/daemon/httpfront.cpp
@@ -0,0 +1,329 @@
+#include "daemon/httpfront.h"
+
+#include "daemon/address.h"
+#include "daemon/answerstream.h"
+#include "daemon/completionassembler.h"
+#include "daemon/daemonconstants.h"
+#include "daemon/httpresponse.h"
+
+#include <array>
+#include <utility>
+
+#include <ulfius.h>
+
+namespace Daemon {
+
+namespace {
+
+/// The connection that the calling thread serves. Each connection has a thread of its own, and
+/// the library names the connection only to the callback that sees the request line.
+thread_local MHD_Connection *t_connection = nullptr;
+
+constexpr unsigned int mhdFlags =
+    MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL;
+
+int currentSocket()
+{
+    if (!t_connection)
+        return -1;
+    const MHD_ConnectionInfo *info =
+        MHD_get_connection_info(t_connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    return info ? static_cast<int>(info->connect_fd) : -1;
+}
+
+void setIdleTimeout(std::chrono::seconds timeout)
+{
+    if (t_connection)
+        MHD_set_connection_option(t_connection, MHD_CONNECTION_OPTION_TIMEOUT,
+                                  static_cast<unsigned int>(timeout.count()));
+}
+
+std::string headerOf(const _u_request &request, const char *name)
+{
+    const char *value = u_map_get_case(request.map_header, name);
+    return value ? value : "";
+}
+
+HttpRequest readRequest(const _u_request &request)
+{
+    HttpRequest read;
+    read.method = request.http_verb ? request.http_verb : "";
+    read.target = request.http_url ? request.http_url : "";
+    read.fields.authorization = headerOf(request, "Authorization");
+    read.fields.contentType = headerOf(request, "Content-Type");
+    read.fields.workClass = headerOf(request, "X-Lagoonmast-Class");
+    read.fields.repeatable = headerOf(request, "X-Lagoonmast-Repeatable");
+    read.fields.idempotencyKey = headerOf(request, "Idempotency-Key");
+    read.fields.deadline = headerOf(request, "X-Lagoonmast-Deadline-Ms");
+    read.fields.traceparent = headerOf(request, "traceparent");
+    read.fields.ifMatch = headerOf(request, "If-Match");
+    if (request.binary_body_length > 0)
+        read.body.assign(static_cast<const char *>(request.binary_body),
+                         request.binary_body_length);
+    return read;
+}
+
+void setCaller(Node::Event &event, Node::CallerId caller)
+{
+    std::visit(
+        [caller](auto &it) {
+            if constexpr (requires { it.caller; })
+                it.caller = caller;
+        },
+        event);
+}
+
+bool isStreamWanted(const Node::Event &event)
+{
+    const auto *asked = std::get_if<Node::CallerRequest>(&event);
+    return asked && (asked->isStreaming || asked->kind == Node::WorkKind::ServiceCall);
+}
+
+/// Whether answers with this status have no body.
+bool isBodiless(int status)
+{
+    return status == 204 || status == 304;
+}
+
+} // namespace
+
+/// The HTTP library's callbacks; plain functions that find their object.
+struct HttpFrontCallbacks
+{
+    static int serve(const _u_request *request, _u_response *response, void *front)
+    {
+        static_cast<HttpFront *>(front)->serve(*request, *response);
+        return U_CALLBACK_COMPLETE;
+    }
+
+    static void *seeRequestLine(void *closure, const char *uri, MHD_Connection *connection)
+    {
+        t_connection = connection;
+        setIdleTimeout(idleConnectionTimeout);
+        return ulfius_uri_logger(closure, uri);
+    }
+
+    static void countConnection(void *front, MHD_Connection *, void **,
+                                MHD_ConnectionNotificationCode code)
+    {
+        if (code == MHD_CONNECTION_NOTIFY_STARTED)
+            ++static_cast<HttpFront *>(front)->m_connections;
+        else
+            --static_cast<HttpFront *>(front)->m_connections;
+    }
+
+    static ssize_t readStream(void *stream, std::uint64_t, char *buf, std::size_t size)
+    {
+        return static_cast<AnswerStream *>(stream)->read(buf, size);
+    }
+
+    static void freeStream(void *stream) { delete static_cast<AnswerStream *>(stream); }
+};
+
+Base::Result<std::unique_ptr<HttpFront>>
+HttpFront::create(const HttpFrontSettings &settings, CallerSessions &sessions, EventRing &ring,
+                  const ProcessState &state, MetricsPage &metrics)
+{
+    std::unique_ptr<HttpFront> front(new HttpFront(settings, sessions, ring, state, metrics));
+    BOOST_LEAF_CHECK(front->start());
+    return front;
+}
+
+HttpFront::HttpFront(const HttpFrontSettings &settings, CallerSessions &sessions, EventRing &ring,
+                     const ProcessState &state, MetricsPage &metrics)
+    : m_settings(settings)
+    , m_sessions(sessions)
+    , m_ring(ring)
+    , m_state(state)
+    , m_metrics(metrics)
+{}
+
+HttpFront::~HttpFront() = default;
+
+void HttpFront::Stopper::operator()(_u_instance *instance) const
+{
+    ulfius_stop_framework(instance);
+    ulfius_clean_instance(instance);
+    delete instance;
+}
+
+Base::Result<void> HttpFront::start()
+{
+    BOOST_LEAF_AUTO(address, parseAddress(m_settings.address));
+    BOOST_LEAF_ASSIGN(m_watcher, HangupWatcher::create(
+                                     [this](Node::CallerId caller) { m_sessions.hangUp(caller); }));
+    // The library takes no port 0; the real address goes in by MHD_OPTION_SOCK_ADDR.
+    m_instance.reset(new _u_instance);
+    ulfius_init_instance(m_instance.get(), 1, nullptr, nullptr);
+    m_instance->allowed_post_processor = U_POST_PROCESS_NONE;
+    m_instance->check_utf8 = 0;
+    // One byte more than allowed is read, so that a larger body shows itself as larger.
+    m_instance->max_post_body_size = m_settings.bodyBytes + 1;
+    ulfius_add_endpoint_by_val(m_instance.get(), "*", nullptr, "*", 0, &HttpFrontCallbacks::serve,
+                               this);
+    const auto limit = static_cast<intptr_t>(m_settings.connections + refusalConnections);
+    std::array<MHD_OptionItem, 9> options{{
+        {MHD_OPTION_NOTIFY_COMPLETED, reinterpret_cast<intptr_t>(&mhd_request_completed), nullptr},
+        {MHD_OPTION_URI_LOG_CALLBACK,
+         reinterpret_cast<intptr_t>(&HttpFrontCallbacks::seeRequestLine), nullptr},
+        {MHD_OPTION_NOTIFY_CONNECTION,
+         reinterpret_cast<intptr_t>(&HttpFrontCallbacks::countConnection), this},
+        {MHD_OPTION_SOCK_ADDR, 0, &address},
+        {MHD_OPTION_THREAD_STACK_SIZE, static_cast<intptr_t>(connectionStackBytes), nullptr},
+        {MHD_OPTION_CONNECTION_LIMIT, limit, nullptr},
+        {MHD_OPTION_CONNECTION_TIMEOUT, static_cast<intptr_t>(idleConnectionTimeout.count()),
+         nullptr},
+        {MHD_OPTION_LISTENING_ADDRESS_REUSE, 1, nullptr},
+        {MHD_OPTION_END, 0, nullptr},
+    }};
+    const int started =
+        ulfius_start_framework_with_mhd_options(m_instance.get(), mhdFlags, options.data());
+    if (started != U_OK)
+        return boost::leaf::new_error(CannotListen{m_settings.address});
+    return {};
+}
+
+std::uint16_t HttpFront::port() const
+{
+    const MHD_DaemonInfo *info =
+        MHD_get_daemon_info(m_instance->mhd_daemon, MHD_DAEMON_INFO_BIND_PORT);
+    return info ? info->port : 0;
+}
+
+void HttpFront::serve(const _u_request &request, _u_response &response)
+{
+    // From here on it is this process that lets the caller wait.
+    setIdleTimeout(std::chrono::seconds(0));
+    const HttpRequest read = readRequest(request);
+    boost::leaf::try_handle_all(
+        [&]() -> Base::Result<void> {
+            BOOST_LEAF_AUTO(parsed, parseRequest(read, m_settings.bodyBytes));
+            if (const auto *page = std::get_if<LocalPage>(&parsed))
+                servePage(*page, response);
+            else if (m_connections > m_settings.connections)
+                refuseConnection(response);
+            else
+                serveEvent(std::move(std::get<Node::Event>(parsed)), response);
+            return {};
+        },
+        [&](const BadRequest &bad) { refuse(bad.fault, response); },
+        [&] { refuse(RequestFault::MalformedBody, response); });
+}
+
+void HttpFront::servePage(LocalPage page, _u_response &response)
+{
+    if (page == LocalPage::Metrics) {
+        respondText(response, 200, "text/plain; version=0.0.4", m_metrics.text());
+        return;
+    }
+    const bool isTaking = m_state.isReady && !m_state.isLeaving;
+    const bool isGood = page == LocalPage::Health || isTaking;
+    respondText(response, isGood ? 200 : 503, "text/plain", isGood ? "ok\n" : "not ready\n");
+}
+
+void HttpFront::serveEvent(Node::Event event, _u_response &response)
+{
+    const std::shared_ptr<CallerSession> session = m_sessions.open();
+    const bool isStreaming = isStreamWanted(event);
+    const int socket = currentSocket();
+    setCaller(event, session->id());
+    m_watcher->watch(socket, session->id());
+    if (!m_ring.push(std::move(event)))
+        session->hangUp();
+    const std::optional<SessionItem> item = session->take();
+    if (item)
+        respondWith(session, *item, isStreaming, response);
+    if (!response.stream_callback)
+        closeSession(*session, socket);
+}
+
+void HttpFront::respondWith(const std::shared_ptr<CallerSession> &session, const SessionItem &item,
+                            bool isStreaming, _u_response &response)
+{
+    if (const auto *head = std::get_if<Node::AnswerHead>(&item))
+        startAnswer(session, *head, isStreaming, response);
+    if (const auto *failure = std::get_if<Node::Failure>(&item))
+        respondFailure(response, *failure);
+    if (const auto *hosts = std::get_if<Node::EntryHostList>(&item))
+        respondEntryHosts(response, *hosts);
+    if (const auto *targets = std::get_if<Node::TargetList>(&item))
+        respondTargets(response, *targets);
+    if (const auto *status = std::get_if<Node::NodeStatus>(&item))
+        respondStatus(response, *status);
+}
+
+void HttpFront::startAnswer(const std::shared_ptr<CallerSession> &session,
+                            const Node::AnswerHead &head, bool isStreaming, _u_response &response)
+{
+    if (!isStreaming || isBodiless(head.status)) {
+        assembleAnswer(session, head, response);
+        return;
+    }
+    const int socket = currentSocket();
+    const AnswerFraming framing = head.isEventStream ? AnswerFraming::Events : AnswerFraming::Bytes;
+    auto closed = [this, socket](const CallerSession &it) { closeSession(it, socket); };
+    auto stream = std::make_unique<AnswerStream>(session, framing, closed);
+    setHeader(response, "X-Request-Id", head.requestId);
+    if (!head.contentType.empty())
+        setHeader(response, "Content-Type", head.contentType);
+    if (head.isEventStream)
+        setHeader(response, "Cache-Control", "no-cache");
+    ulfius_set_stream_response(&response, static_cast<unsigned int>(head.status),
+                               &HttpFrontCallbacks::readStream, &HttpFrontCallbacks::freeStream,
+                               U_STREAM_SIZE_UNKNOWN, streamBlockBytes, stream.release());
+}
+
+void HttpFront::assembleAnswer(const std::shared_ptr<CallerSession> &session,
+                               const Node::AnswerHead &head, _u_response &response)
+{
+    CompletionAssembler assembler;
+    while (const std::optional<SessionItem> item = session->take()) {
+        if (const auto *part = std::get_if<Node::AnswerPart>(&*item)) {
+            assembler.add(part->payload);
+            continue;
+        }
+        if (const auto *failure = std::get_if<Node::Failure>(&*item)) {
+            respondFailure(response, *failure);
+            return;
+        }
+        if (head.isEventStream)
+            respondJson(response, head.status, assembler.completion());
+        else
+            respondText(response, head.status, head.contentType, {});
+        setHeader(response, "X-Request-Id", head.requestId);
+        return;
+    }
+}
+
+void HttpFront::refuse(RequestFault fault, _u_response &response)
+{
+    Node::Failure failure;
+    failure.message = messageOf(fault);
+    failure.requestId = nextRequestId();
+    respondFailure(response, statusOf(fault), typeName(fault), failure);
+}
+
+void HttpFront::refuseConnection(_u_response &response)
+{
+    Node::Failure failure;
+    failure.type = Node::FailureType::NoCapacity;
+    failure.message = "too many callers are connected to this host";
+    failure.retryAfter = connectionRetryAfter;
+    failure.requestId = nextRequestId();
+    respondFailure(response, failure);
+    // Frees the place that is kept for the next one.
+    setHeader(response, "Connection", "close");
+}
+
+void HttpFront::closeSession(const CallerSession &session, int socket)
+{
+    m_watcher->unwatch(socket);
+    m_sessions.close(session);
+}
+
+std::string HttpFront::nextRequestId()
+{
+    return m_settings.requestIdPrefix + std::to_string(++m_lastRefused);
+}
+
+} // namespace Daemon
--- /dev/null
+++ b/src/libs/daemon/httpfront.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "base/result.h"
+#include "daemon/callersessions.h"
+#include "daemon/eventring.h"
+#include "daemon/hangupwatcher.h"
+#include "daemon/httprequest.h"
+#include "daemon/processstate.h"
+#include "daemon/requestparser.h"
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+struct _u_instance;
+struct _u_request;
+struct _u_response;
+
+namespace Daemon {
+
+class AnswerStream;
+
+/// The HTTP library could not listen at the address.
+struct CannotListen
+{
+    std::string address;
+};
+
+struct HttpFrontSettings
+{
+    /// "IP:PORT"; port 0 takes a free one.
+    std::string address;
+    std::size_t connections = 2000;
+    std::size_t bodyBytes = 1048576;
+    /// Put before the numbers of requests that the node never sees.
+    std::string requestIdPrefix;
+};
+
+/// The HTTP server for callers and operators: a thread for each connection, which reads the
+/// request, hands it to the core as an event, and writes what comes back.
+///
+/// Answers the load pattern of more callers than the process is sized for: past the limit each
+/// is told to come back, on connections that are kept free for that. Without them the library
+/// would close the connection, and a caller could not tell that from a crash.
+class HttpFront
+{
+public:
+    /// Starts to listen. Fails with MalformedAddress, CannotListen or WatcherUnavailable.
+    static Base::Result<std::unique_ptr<HttpFront>>
+    create(const HttpFrontSettings &settings, CallerSessions &sessions, EventRing &ring,
+           const ProcessState &state, MetricsPage &metrics);
+    ~HttpFront();
+
+    std::uint16_t port() const;
+    std::size_t openConnections() const { return m_connections; }
+
+private:
+    friend struct HttpFrontCallbacks;
+    struct Stopper
+    {
+        void operator()(_u_instance *instance) const;
+    };
+
+    HttpFront(const HttpFrontSettings &settings, CallerSessions &sessions, EventRing &ring,
+              const ProcessState &state, MetricsPage &metrics);
+    Base::Result<void> start();
+
+    void serve(const _u_request &request, _u_response &response);
+    void servePage(LocalPage page, _u_response &response);
+    void serveEvent(Node::Event event, _u_response &response);
+    void respondWith(const std::shared_ptr<CallerSession> &session, const SessionItem &item,
+                     bool isStreaming, _u_response &response);
+    void startAnswer(const std::shared_ptr<CallerSession> &session, const Node::AnswerHead &head,
+                     bool isStreaming, _u_response &response);
+    void assembleAnswer(const std::shared_ptr<CallerSession> &session, const Node::AnswerHead &head,
+                        _u_response &response);
+    void refuse(RequestFault fault, _u_response &response);
+    void refuseConnection(_u_response &response);
+    void closeSession(const CallerSession &session, int socket);
+    std::string nextRequestId();
+
+    HttpFrontSettings m_settings;
+    CallerSessions &m_sessions;
+    EventRing &m_ring;
+    const ProcessState &m_state;
+    MetricsPage &m_metrics;
+    std::atomic<std::size_t> m_connections = 0;
+    std::atomic<std::uint64_t> m_lastRefused = 0;
+    std::unique_ptr<HangupWatcher> m_watcher;
+    std::unique_ptr<_u_instance, Stopper> m_instance;
+};
+
+} // namespace Daemon
--- /dev/null
+++ b/src/libs/daemon/httptransfer.cpp
@@ -0,0 +1,114 @@
+#include "daemon/httptransfer.h"
+
+#include "daemon/daemonconstants.h"
+
+#include <charconv>
+
+namespace Daemon {
+
+namespace {
+
+std::string_view trimmed(std::string_view text)
+{
+    const std::size_t begin = text.find_first_not_of(" \t");
+    if (begin == std::string_view::npos)
+        return {};
+    return text.substr(begin, text.find_last_not_of(" \t\r\n") - begin + 1);
+}
+
+/// The status of "HTTP/1.1 200 OK"; 0 if the line is no status line.
+int statusOfLine(std::string_view line)
+{
+    const std::size_t blank = line.find(' ');
+    if (line.rfind("HTTP/", 0) != 0 || blank == std::string_view::npos)
+        return 0;
+    int status = 0;
+    std::from_chars(line.data() + blank + 1, line.data() + line.size(), status);
+    return status;
+}
+
+} // namespace
+
+struct HttpTransfer::Callbacks
+{
+    static std::size_t header(char *data, std::size_t, std::size_t size, void *transfer)
+    {
+        auto &self = *static_cast<HttpTransfer *>(transfer);
+        const std::string_view line(data, size);
+        if (const int status = statusOfLine(line)) {
+            self.m_status = status;
+            return size;
+        }
+        const std::size_t colon = line.find(':');
+        if (colon != std::string_view::npos)
+            self.receiveHeader(line.substr(0, colon), trimmed(line.substr(colon + 1)));
+        return size;
+    }
+
+    static std::size_t body(char *data, std::size_t, std::size_t size, void *transfer)
+    {
+        const bool goesOn = static_cast<HttpTransfer *>(transfer)->receiveBody({data, size});
+        return goesOn ? size : 0;
+    }
+
+    static int watchSending(CURL *, curl_infotype type, char *, std::size_t size, void *transfer)
+    {
+        const bool isRequest = type == CURLINFO_HEADER_OUT || type == CURLINFO_DATA_OUT;
+        if (isRequest && size > 0)
+            static_cast<HttpTransfer *>(transfer)->m_isSent = true;
+        return 0;
+    }
+
+    /// Stops the library from sending a request a second time by itself, which it does when a
+    /// kept connection dies before an answer: the first copy may have run.
+    static int beforeSending(void *transfer, char *, char *, int, int)
+    {
+        return static_cast<HttpTransfer *>(transfer)->m_isSent ? CURL_PREREQFUNC_ABORT
+                                                               : CURL_PREREQFUNC_OK;
+    }
+};
+
+HttpTransfer::HttpTransfer(const TransferRequest &request)
+    : m_handle(curl_easy_init())
+    , m_body(request.body)
+    , m_deadline(request.deadline)
+{
+    if (m_handle)
+        setOptions(request);
+}
+
+HttpTransfer::~HttpTransfer() = default;
+
+void HttpTransfer::setOptions(const TransferRequest &request)
+{
+    curl_slist *headers = curl_slist_append(nullptr, "Expect:");
+    for (const std::string &header : request.headers)
+        headers = curl_slist_append(headers, header.c_str());
+    m_headers.reset(headers);
+    CURL *const it = m_handle.get();
+    curl_easy_setopt(it, CURLOPT_URL, request.url.c_str());
+    curl_easy_setopt(it, CURLOPT_CUSTOMREQUEST, request.method.c_str());
+    curl_easy_setopt(it, CURLOPT_HTTPHEADER, m_headers.get());
+    if (!m_body.empty() || request.method == "POST") {
+        curl_easy_setopt(it, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(m_body.size()));
+        curl_easy_setopt(it, CURLOPT_POSTFIELDS, m_body.data());
+    }
+    curl_easy_setopt(it, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+    curl_easy_setopt(it, CURLOPT_PROTOCOLS_STR, "http");
+    curl_easy_setopt(it, CURLOPT_PROXY, "");
+    curl_easy_setopt(it, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(it, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(connectTimeout.count()));
+    curl_easy_setopt(it, CURLOPT_FRESH_CONNECT, request.mayReuseConnection ? 0L : 1L);
+    curl_easy_setopt(it, CURLOPT_HEADERFUNCTION, &Callbacks::header);
+    curl_easy_setopt(it, CURLOPT_HEADERDATA, this);
+    curl_easy_setopt(it, CURLOPT_WRITEFUNCTION, &Callbacks::body);
+    curl_easy_setopt(it, CURLOPT_WRITEDATA, this);
+    curl_easy_setopt(it, CURLOPT_VERBOSE, 1L);
+    curl_easy_setopt(it, CURLOPT_DEBUGFUNCTION, &Callbacks::watchSending);
+    curl_easy_setopt(it, CURLOPT_DEBUGDATA, this);
+    curl_easy_setopt(it, CURLOPT_PREREQFUNCTION, &Callbacks::beforeSending);
+    curl_easy_setopt(it, CURLOPT_PREREQDATA, this);
+    curl_easy_setopt(it, CURLOPT_PRIVATE, this);
+}
+
+} // namespace Daemon
--- /dev/null
+++ b/src/libs/daemon/platformclient.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "base/result.h"
+#include "daemon/bufferedtransfer.h"
+#include "daemon/eventring.h"
+#include "daemon/transferloop.h"
+#include "platform/objectstore.h"
+#include "platform/tableservice.h"
+
+#include <memory>
+#include <string>
+
+namespace Daemon {
+
+/// What a call of the platform came to, as far as HTTP goes.
+enum class PlatformVerdict {
+    Answered,
+    Conflict,
+    Missing,
+    NotDone, ///< Never sent, or the service said that it did nothing.
+    Unknown, ///< Sent, and no answer that can be trusted.
+};
+
+PlatformVerdict verdictOf(const BufferedAnswer &answer);
+
+/// The node's way to the platform's table, object store and host list: one thread for all.
+///
+/// An answer that is lost is Unknown and never NotDone, unless not a byte was sent: a write
+/// may have taken effect before its answer was lost.
+class PlatformClient final : public Platform::TableService, public Platform::ObjectStore
+{
+public:
+    /// \a address is "IP:PORT". Begins to poll the host list. Fails with ClientUnavailable.
+    static Base::Result<std::unique_ptr<PlatformClient>> create(const std::string &address,
+                                                                EventRing &ring);
+
+    void read(Platform::OperationId operation, const std::string &key) override;
+    void scan(Platform::OperationId operation, const std::string &prefix, const std::string &after,
+              std::size_t limit) override;
+    void transact(Platform::OperationId operation,
+                  const std::vector<Platform::TableWrite> &writes) override;
+    void put(Platform::OperationId operation, const std::string &key,
+             const std::string &value) override;
+    void get(Platform::OperationId operation, const std::string &key) override;
+
+    /// Asks for the host list now; the answer comes as HostListArrived. The daemon calls it
+    /// each hostListInterval.
+    void pollHosts();
+
+private:
+    PlatformClient(const std::string &address, EventRing &ring);
+
+    TransferRequest requestFor(const std::string &path) const;
+    void start(const TransferRequest &request, BufferedTransfer::Done done);
+    void startTable(Platform::OperationId operation, const TransferRequest &request);
+    void takeRows(Platform::OperationId operation, const BufferedAnswer &answer);
+    void takeObject(Platform::OperationId operation, const BufferedAnswer &answer);
+    void takeListing(const BufferedAnswer &answer);
+
+    std::string m_address;
+    EventRing &m_ring;
+    std::unique_ptr<TransferLoop> m_loop;
+};
+
+} // namespace Daemon
--- /dev/null
+++ b/src/libs/daemon/sseparser.cpp
@@ -0,0 +1,59 @@
+#include "daemon/sseparser.h"
+
+#include <utility>
+
+namespace Daemon {
+
+SseParser::SseParser(std::size_t largestEvent)
+    : m_largestEvent(largestEvent)
+{}
+
+Base::Result<void> SseParser::feed(std::string_view bytes, std::vector<SseEvent> &events)
+{
+    for (const char it : bytes) {
+        // CR, LF and CRLF each end one line; the halves of a CRLF may come apart.
+        const bool isSecondHalf = it == '\n' && m_wasReturn;
+        m_wasReturn = it == '\r';
+        if (isSecondHalf)
+            continue;
+        if (it == '\n' || it == '\r') {
+            takeLine(events);
+            continue;
+        }
+        m_line += it;
+        if (m_line.size() + m_event.data.size() > m_largestEvent)
+            return boost::leaf::new_error(EventTooLarge{m_largestEvent});
+    }
+    return {};
+}
+
+void SseParser::takeLine(std::vector<SseEvent> &events)
+{
+    const std::string line = std::exchange(m_line, {});
+    if (line.empty()) {
+        if (m_hasData)
+            events.push_back(std::move(m_event));
+        m_event = {};
+        m_hasData = false;
+        return;
+    }
+    const std::size_t colon = line.find(':');
+    const std::string_view field = std::string_view(line).substr(0, colon);
+    std::string_view value;
+    if (colon != std::string::npos)
+        value = std::string_view(line).substr(colon + 1);
+    if (!value.empty() && value.front() == ' ')
+        value.remove_prefix(1);
+    if (field == "event")
+        m_event.name = value;
+    if (field == "id")
+        m_event.id = value;
+    if (field != "data")
+        return;
+    if (m_hasData)
+        m_event.data += '\n';
+    m_event.data += value;
+    m_hasData = true;
+}
+
+} // namespace Daemon
--- /dev/null
+++ b/src/libs/wire/messagedecoder.cpp
@@ -0,0 +1,289 @@
+#include "wire/messagedecoder.h"
+
+#include "settings/changecodec.h"
+#include "wire/wireconstants.h"
+
+#include <variant>
+
+namespace Wire::Internal {
+
+namespace Proto = lagoonmast::wire;
+
+namespace {
+
+using Base::Milliseconds;
+using Base::Result;
+using Node::PeerMessage;
+
+boost::leaf::error_id fault(BatchFault which)
+{
+    return boost::leaf::new_error(MalformedBatch{which});
+}
+
+Result<Milliseconds> duration(std::int64_t milliseconds)
+{
+    const std::int64_t limit = largestDuration.count();
+    if (milliseconds > limit || milliseconds < -limit)
+        return fault(BatchFault::DurationTooLong);
+    return Milliseconds(milliseconds);
+}
+
+Result<Milliseconds> duration(std::uint64_t milliseconds)
+{
+    return duration(static_cast<std::int64_t>(milliseconds));
+}
+
+Result<Settings::ConfigurationChange> change(const Proto::Change &from)
+{
+    // The text's own error is replaced: whoever gets a batch learns one type of error.
+    return boost::leaf::try_handle_some(
+        [&]() -> Result<Settings::ConfigurationChange> {
+            return Settings::decodeChange(from.version(), from.text());
+        },
+        [](const Settings::MalformedChange &) -> Result<Settings::ConfigurationChange> {
+            return fault(BatchFault::MalformedChange);
+        });
+}
+
+} // namespace
+
+MessageDecoder::MessageDecoder(const Proto::Batch &batch, const Base::HostId &receiver)
+    : m_sender(batch.sender())
+    , m_senderIncarnation(batch.incarnation())
+    , m_receiver(receiver)
+    , m_receiverIncarnation(batch.receiver_incarnation())
+{}
+
+Result<PeerMessage> MessageDecoder::decode(const Proto::Message &from) const
+{
+    switch (from.body_case()) {
+    case Proto::Message::kHeartbeat:
+        return decode(from.heartbeat());
+    case Proto::Message::kPermitRequest: {
+        BOOST_LEAF_AUTO(wanted, request(from.permit_request()));
+        return PeerMessage(wanted);
+    }
+    case Proto::Message::kPermitGrant:
+        return decode(from.permit_grant());
+    case Proto::Message::kPermitRefusal:
+        return decode(from.permit_refusal());
+    case Proto::Message::kPermitCancel:
+        return decode(from.permit_cancel());
+    case Proto::Message::kPermitRelease:
+        return decode(from.permit_release());
+    case Proto::Message::kServiceCharge:
+        return decode(from.service_charge());
+    case Proto::Message::kPermitHeld:
+        return decode(from.permit_held());
+    case Proto::Message::kPermitQuery:
+        return decode(from.permit_query());
+    case Proto::Message::kPing:
+        return PeerMessage(Node::Ping{from.ping().number(), from.ping().reply()});
+    case Proto::Message::kLedgerDelta:
+        return decode(from.ledger_delta());
+    case Proto::Message::kConfigurationPush:
+        return decode(from.configuration_push());
+    case Proto::Message::kConfigurationSnapshot:
+        return decode(from.configuration_snapshot());
+    case Proto::Message::kConfigurationPull:
+        return PeerMessage(Node::ConfigurationPull{from.configuration_pull().version()});
+    case Proto::Message::kWorkHandover: {
+        BOOST_LEAF_AUTO(wanted, request(from.work_handover()));
+        return PeerMessage(Node::WorkHandover{wanted});
+    }
+    case Proto::Message::BODY_NOT_SET:
+        break;
+    }
+    return fault(BatchFault::EmptyMessage);
+}
+
+Result<Node::AttemptId> MessageDecoder::attempt(const Proto::Attempt &from) const
+{
+    Node::AttemptId to;
+    to.number = from.number();
+    to.request.serial = from.serial();
+    if (from.receivers()) {
+        to.request.entry = m_receiver;
+        to.request.incarnation = m_receiverIncarnation;
+        return to;
+    }
+    if (from.entry().empty()) {
+        to.request.entry = m_sender;
+        to.request.incarnation = m_senderIncarnation;
+        return to;
+    }
+    to.request.entry = Base::HostId(from.entry());
+    to.request.incarnation = from.incarnation();
+    return to;
+}
+
+Result<Node::PermitRequest> MessageDecoder::request(const Proto::PermitRequest &from) const
+{
+    if (!from.has_attempt())
+        return fault(BatchFault::MissingAttempt);
+    Node::PermitRequest to;
+    BOOST_LEAF_ASSIGN(to.attempt, attempt(from.attempt()));
+    to.pool = Base::PoolId(from.pool().name());
+    to.shard = from.pool().shard();
+    to.customer = Base::CustomerId(from.customer());
+    to.workClass = Base::ClassId(from.work_class());
+    BOOST_LEAF_ASSIGN(to.waited, duration(from.waited_ms()));
+    BOOST_LEAF_ASSIGN(to.startWithin, duration(std::int64_t(from.start_within_ms())));
+    if (from.has_deadline_within_ms()) {
+        BOOST_LEAF_ASSIGN(to.deadlineWithin, duration(std::int64_t(from.deadline_within_ms())));
+    }
+    to.expectedCost = from.expected_cost();
+    to.prefix = from.prefix();
+    return to;
+}
+
+Result<PeerMessage> MessageDecoder::decode(const Proto::PermitGrant &from) const
+{
+    if (!from.has_attempt())
+        return fault(BatchFault::MissingAttempt);
+    Node::PermitGrant to;
+    BOOST_LEAF_ASSIGN(to.attempt, attempt(from.attempt()));
+    to.pool = Base::PoolId(from.pool().name());
+    to.shard = from.pool().shard();
+    to.server = Base::ServerId(from.server());
+    return PeerMessage(to);
+}
+
+Result<PeerMessage> MessageDecoder::decode(const Proto::PermitRefusal &from) const
+{
+    if (!from.has_attempt())
+        return fault(BatchFault::MissingAttempt);
+    if (from.reason() > static_cast<std::uint32_t>(Scheduling::RefusalReason::NoServer))
+        return fault(BatchFault::UnknownEnumerator);
+    Node::PermitRefusal to;
+    BOOST_LEAF_ASSIGN(to.attempt, attempt(from.attempt()));
+    to.reason = static_cast<Scheduling::RefusalReason>(from.reason());
+    BOOST_LEAF_ASSIGN(to.retryAfter, duration(from.retry_after_ms()));
+    return PeerMessage(to);
+}
+
+Result<PeerMessage> MessageDecoder::decode(const Proto::PermitCancel &from) const
+{
+    if (!from.has_attempt())
+        return fault(BatchFault::MissingAttempt);
+    Node::PermitCancel to;
+    BOOST_LEAF_ASSIGN(to.attempt, attempt(from.attempt()));
+    to.pool = Base::PoolId(from.pool().name());
+    to.shard = from.pool().shard();
+    return PeerMessage(to);
+}
+
+Result<PeerMessage> MessageDecoder::decode(const Proto::PermitRelease &from) const
+{
+    if (!from.has_attempt())
+        return fault(BatchFault::MissingAttempt);
+    if (from.outcome() > static_cast<std::uint32_t>(Scheduling::PermitOutcome::Failed))
+        return fault(BatchFault::UnknownEnumerator);
+    Node::PermitRelease to;
+    BOOST_LEAF_ASSIGN(to.attempt, attempt(from.attempt()));
+    to.pool = Base::PoolId(from.pool().name());
+    to.shard = from.pool().shard();
+    to.server = Base::ServerId(from.server());
+    to.outcome = static_cast<Scheduling::PermitOutcome>(from.outcome());
+    if (from.has_first_token_ms()) {
+        BOOST_LEAF_ASSIGN(to.firstToken, duration(from.first_token_ms()));
+    }
+    BOOST_LEAF_ASSIGN(to.whole, duration(from.whole_ms()));
+    to.units = from.units();
+    return PeerMessage(to);
+}
+
+Result<PeerMessage> MessageDecoder::decode(const Proto::ServiceCharge &from) const
+{
+    if (!from.has_attempt())
+        return fault(BatchFault::MissingAttempt);
+    Node::ServiceCharge to;
+    BOOST_LEAF_ASSIGN(to.attempt, attempt(from.attempt()));
+    to.pool = Base::PoolId(from.pool().name());
+    to.shard = from.pool().shard();
+    to.units = from.units();
+    return PeerMessage(to);
+}
+
+Result<PeerMessage> MessageDecoder::decode(const Proto::PermitHeld &from) const
+{
+    if (!from.has_attempt())
+        return fault(BatchFault::MissingAttempt);
+    Node::PermitHeld to;
+    BOOST_LEAF_ASSIGN(to.attempt, attempt(from.attempt()));
+    to.pool = Base::PoolId(from.pool().name());
+    to.shard = from.pool().shard();
+    to.server = Base::ServerId(from.server());
+    to.customer = Base::CustomerId(from.customer());
+    to.workClass = Base::ClassId(from.work_class());
+    return PeerMessage(to);
+}
+
+Result<PeerMessage> MessageDecoder::decode(const Proto::PermitQuery &from) const
+{
+    Node::PermitQuery to;
+    for (const Proto::Attempt &asked : from.attempts()) {
+        BOOST_LEAF_AUTO(named, attempt(asked));
+        to.attempts.push_back(named);
+    }
+    to.pool = Base::PoolId(from.pool().name());
+    to.shard = from.pool().shard();
+    return PeerMessage(to);
+}
+
+PeerMessage MessageDecoder::decode(const Proto::Heartbeat &from) const
+{
+    Coordination::Heartbeat to;
+    to.host = m_sender;
+    to.incarnation = m_senderIncarnation;
+    to.sequence = from.sequence();
+    to.state =
+        from.leaving() ? Coordination::MemberState::Leaving : Coordination::MemberState::Live;
+    to.configurationVersion = from.configuration_version();
+    for (const Proto::LeavingMark &mark : from.leaving_marks())
+        to.leaving.push_back({mark.name(), mark.incarnation()});
+    for (const Proto::PoolSummary &pool : from.pools())
+        to.pools.push_back({Base::PoolId(pool.pool().name()), pool.pool().shard(), pool.waiting(),
+                            pool.free_permits(), pool.drain_rate()});
+    return to;
+}
+
+PeerMessage MessageDecoder::decode(const Proto::LedgerDelta &from) const
+{
+    Coordination::LedgerDelta to;
+    to.sender = m_sender;
+    to.incarnation = m_senderIncarnation;
+    to.pool = Base::PoolId(from.pool());
+    for (const Proto::LedgerEntry &entry : from.entries())
+        to.entries.push_back({Base::CustomerId(entry.customer()), entry.charged(), entry.lifted(),
+                              entry.forgiven()});
+    return to;
+}
+
+Result<PeerMessage> MessageDecoder::decode(const Proto::ConfigurationPush &from) const
+{
+    Node::ConfigurationPush to;
+    for (const Proto::Change &it : from.changes()) {
+        BOOST_LEAF_AUTO(decoded, change(it));
+        to.changes.push_back(decoded);
+    }
+    return PeerMessage(to);
+}
+
+Result<PeerMessage> MessageDecoder::decode(const Proto::ConfigurationSnapshot &from) const
+{
+    Node::ConfigurationSnapshot to;
+    to.configuration.setVersion(from.version());
+    for (const Proto::Change &it : from.entries()) {
+        BOOST_LEAF_AUTO(decoded, change(it));
+        if (const auto *target = std::get_if<Settings::ClassTarget>(&decoded.what))
+            to.configuration.insert(Settings::VersionedTarget{*target, decoded.version});
+        else if (const auto *customer = std::get_if<Settings::Customer>(&decoded.what))
+            to.configuration.insert(*customer);
+        else
+            return fault(BatchFault::MalformedChange);
+    }
+    return PeerMessage(to);
+}
+
+} // namespace Wire::Internal
--- /dev/null
+++ b/src/libs/wire/messageencoder.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "node/peermessage.h"
+#include "wire/peercodec.h"
+
+#include "peer.pb.h"
+
+namespace Wire::Internal {
+
+/// Fills one protobuf message from one node message; a visitor of Node::PeerMessage.
+class MessageEncoder
+{
+public:
+    MessageEncoder(lagoonmast::wire::Batch &batch, const BatchEnds &ends,
+                   lagoonmast::wire::Message &message);
+
+    void operator()(const Coordination::Heartbeat &from);
+    void operator()(const Node::PermitRequest &from);
+    void operator()(const Node::PermitGrant &from);
+    void operator()(const Node::PermitRefusal &from);
+    void operator()(const Node::PermitCancel &from);
+    void operator()(const Node::PermitRelease &from);
+    void operator()(const Node::ServiceCharge &from);
+    void operator()(const Node::PermitHeld &from);
+    void operator()(const Node::PermitQuery &from);
+    void operator()(const Node::Ping &from);
+    void operator()(const Coordination::LedgerDelta &from);
+    void operator()(const Node::ConfigurationPush &from);
+    void operator()(const Node::ConfigurationSnapshot &from);
+    void operator()(const Node::ConfigurationPull &from);
+    void operator()(const Node::WorkHandover &from);
+
+private:
+    void encodeAttempt(lagoonmast::wire::Attempt &to, const Node::AttemptId &from);
+    void encodeRequest(lagoonmast::wire::PermitRequest &to, const Node::PermitRequest &from);
+    bool isReceivers(const Base::RequestKey &request);
+
+    lagoonmast::wire::Batch *m_batch;
+    const BatchEnds *m_ends;
+    lagoonmast::wire::Message *m_message;
+};
+
+} // namespace Wire::Internal
