--- /dev/null
+++ b/tests/auto/wire/tst_peercodec.cpp
@@ -0,0 +1,134 @@
+#include "arbitrarymessages.h"
+
+#include "wire/peercodec.h"
+
+#include "peer.pb.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+namespace {
+
+using namespace Wire;
+namespace Proto = lagoonmast::wire;
+
+std::string serialized(const BatchEnds &ends, const std::vector<Node::PeerMessage> &messages)
+{
+    Proto::Batch batch;
+    startBatch(batch, ends);
+    for (const Node::PeerMessage &message : messages)
+        appendMessage(batch, ends, message);
+    return batch.SerializeAsString();
+}
+
+/// What decoding comes to: a batch, or a typed fault. Any other error fails the test.
+struct Decoded
+{
+    std::optional<PeerBatch> batch;
+    std::optional<BatchFault> fault;
+};
+
+Decoded decode(const std::string &bytes, const std::string &receiver)
+{
+    return boost::leaf::try_handle_all(
+        [&]() -> Base::Result<Decoded> {
+            BOOST_LEAF_AUTO(batch, decodeBatch(bytes, Base::HostId(receiver)));
+            return Decoded{batch, std::nullopt};
+        },
+        [](const MalformedBatch &it) {
+            return Decoded{std::nullopt, it.fault};
+        },
+        [] { return Decoded{}; });
+}
+
+Node::AttemptId attemptOf(const std::string &entry, Base::Incarnation incarnation)
+{
+    return {{Base::HostId(entry), incarnation, 7}, 1};
+}
+
+} // namespace
+
+TEST_CASE("Any messages come out as they went in")
+{
+    rc::prop("a batch is read as it was written", [] {
+        const BatchEnds ends{Arbitrary::host(), Arbitrary::incarnation(), Arbitrary::host()};
+        std::vector<Node::PeerMessage> messages;
+        const int n = *rc::gen::inRange(0, 6);
+        for (int i = 0; i < n; ++i)
+            messages.push_back(Arbitrary::message(ends.sender, ends.senderIncarnation));
+        const Decoded decoded = decode(serialized(ends, messages), ends.receiver.value());
+        RC_ASSERT(decoded.batch.has_value());
+        RC_ASSERT(decoded.batch->sender == ends.sender);
+        RC_ASSERT(decoded.batch->incarnation == ends.senderIncarnation);
+        RC_ASSERT(decoded.batch->messages == messages);
+    });
+}
+
+TEST_CASE("Any bytes are a batch or a typed fault")
+{
+    rc::prop("arbitrary bytes", [](const std::string &bytes) {
+        const Decoded decoded = decode(bytes, "r1");
+        RC_ASSERT(decoded.batch.has_value() != decoded.fault.has_value());
+    });
+    rc::prop("a real batch with damaged bytes", [] {
+        const BatchEnds ends{Arbitrary::host(), 1, Arbitrary::host()};
+        std::string bytes = serialized(
+            ends, {Arbitrary::message(ends.sender, 1), Arbitrary::message(ends.sender, 1)});
+        const int damages = *rc::gen::inRange(1, 4);
+        for (int i = 0; i < damages; ++i) {
+            const auto at = *rc::gen::inRange<std::size_t>(0, bytes.size());
+            bytes[at] = *rc::gen::arbitrary<char>();
+        }
+        const Decoded decoded = decode(bytes, "r1");
+        RC_ASSERT(decoded.batch.has_value() != decoded.fault.has_value());
+    });
+}
+
+// What a user would see: a request of the restarted router gets the grant of another one, and
+// runs twice. Order: r1 asks for request 7 and restarts, its new start has a request 7 too,
+// the home answers the old one. Cause: a grant that leaves out which start it is for.
+TEST_CASE("A grant for an earlier start of the receiver keeps that start")
+{
+    const BatchEnds ends{Base::HostId("r2"), 5, Base::HostId("r1")};
+    const Node::PermitGrant old{attemptOf("r1", 100), Base::PoolId("model/a"), 0,
+                                Base::ServerId("m1")};
+    const Node::PermitGrant present{attemptOf("r1", 200), Base::PoolId("model/a"), 0,
+                                    Base::ServerId("m2")};
+    const Decoded decoded = decode(serialized(ends, {old, present}), "r1");
+    REQUIRE(decoded.batch);
+    CHECK(decoded.batch->messages == std::vector<Node::PeerMessage>{old, present});
+}
+
+TEST_CASE("What both ends know is left out")
+{
+    const BatchEnds ends{Base::HostId("a-host-with-a-long-name"), 1796243984000000,
+                         Base::HostId("another-host-with-a-long-name")};
+    const auto bytesOf = [&](const std::string &entry, Base::Incarnation incarnation) {
+        const Node::PermitCancel cancel{attemptOf(entry, incarnation), Base::PoolId("p"), 0};
+        return serialized(ends, {cancel, cancel}).size();
+    };
+    const std::size_t foreign = bytesOf("a-third-host-with-a-long-name", 1796243984000000);
+    CHECK(bytesOf(ends.sender.value(), ends.senderIncarnation) + 2 * 35 < foreign);
+    CHECK(bytesOf(ends.receiver.value(), 1796243984000001) + 2 * 30 < foreign);
+}
+
+TEST_CASE("Each fault of a batch has its type")
+{
+    Proto::Batch batch;
+    const auto fault = [&batch] { return decode(batch.SerializeAsString(), "r1").fault; };
+    CHECK(decode("\x0a", "r1").fault == BatchFault::NotProtobuf);
+    CHECK(fault() == BatchFault::MissingSender);
+    batch.set_sender("r2");
+    Proto::Message &message = *batch.add_messages();
+    CHECK(fault() == BatchFault::EmptyMessage);
+    message.mutable_permit_grant()->set_server("m1");
+    CHECK(fault() == BatchFault::MissingAttempt);
+    message.mutable_permit_refusal()->mutable_attempt();
+    message.mutable_permit_refusal()->set_reason(99);
+    CHECK(fault() == BatchFault::UnknownEnumerator);
+    message.mutable_permit_refusal()->set_reason(0);
+    message.mutable_permit_refusal()->set_retry_after_ms(1ULL << 60);
+    CHECK(fault() == BatchFault::DurationTooLong);
+    message.mutable_configuration_push()->add_changes()->set_text("{");
+    CHECK(fault() == BatchFault::MalformedChange);
+}
