Guard the platform's table with a gateway

Cause: a call of the table could wait for ever, pile up in an outage, or be sent again although its first sending might still take effect.

Change: Platform::TableGateway, a TableService before another one. CallLane holds what waits, is out, is tried again and when it ends; CircuitBreaker and RateLimiter are its parts. Each call ends once; a write that left and was not answered is Unknown, never tried again and never NotDone.

Ruled out: trying a timed-out write again (it meets its own first sending as a conflict); writes as the first trial after an outage (a lost one costs its caller an Unknown): reads go first.

--- /dev/null
+++ b/src/libs/platform/circuitbreaker.cpp
@@ -0,0 +1,42 @@
+#include "platform/circuitbreaker.h"
+
+#include <algorithm>
+
+namespace Platform {
+
+CircuitBreaker::CircuitBreaker(const CircuitBreakerPolicy &policy, Base::RandomSource &random)
+    : m_policy(policy)
+    , m_random(&random)
+    , m_pause(policy.firstPause)
+{}
+
+void CircuitBreaker::recordSuccess()
+{
+    m_state = State::Closed;
+    m_failures = 0;
+    m_pause = m_policy.firstPause;
+}
+
+void CircuitBreaker::recordFailure(Base::TimePoint now)
+{
+    if (m_state == State::Open)
+        return;
+    if (m_state == State::HalfOpen) {
+        m_pause = std::min(2 * m_pause, m_policy.longestPause);
+        open(now);
+        return;
+    }
+    if (++m_failures >= m_policy.failuresToOpen)
+        open(now);
+}
+
+void CircuitBreaker::open(Base::TimePoint now)
+{
+    // Up to half as long again, so that the fleet does not come back in one instant.
+    const std::uint64_t spread = static_cast<std::uint64_t>((m_pause / 2).count()) + 1;
+    m_state = State::Open;
+    m_failures = 0;
+    m_trialAt = now + m_pause + Base::Duration(m_random->next() % spread);
+}
+
+} // namespace Platform
