Claim keys of work that must run at most once for good

Cause: the thin ClaimBook forgot a claim whose write may have been made, never renewed, never tried a completion again, searched all claims at each answer, and let any bytes of a row decide.

Change: one write claims a key, conditional on there being no row; a claimed row is never taken over. OpenClaim is driven to a goal (own, renew, complete, release) through lost answers by reading back and comparing the token; what a request left undone is brought to its end later. RowWriter batches rows and halves a batch after a conflict. New verdict CompletedUnstored (ran, answer too large to be kept or no UTF-8): one case added in entryrequests.cpp. Row keys carry the length of the customer's name, so that 'a/b'+'c' and 'a'+'b/c' differ.

Ruled out: takeover of lapsed claims, also with servers that refuse old fencing numbers.

--- /dev/null
+++ b/src/libs/claims/claimjudge.cpp
@@ -0,0 +1,41 @@
+#include "claims/claimjudge.h"
+
+namespace Claims {
+
+namespace {
+
+RowMeaning meaningOf(const ClaimRow &row, const ClaimRow &own, Base::WallTime wallNow,
+                     Base::Duration clockSkew)
+{
+    if (row.token == own.token)
+        return RowMeaning::Own;
+    if (row.state == ClaimState::Released)
+        return RowMeaning::Free;
+    if (row.contentHash != own.contentHash)
+        return RowMeaning::OtherContent;
+    if (row.state == ClaimState::Completed)
+        return row.isAnswerKept ? RowMeaning::Completed : RowMeaning::CompletedUnstored;
+    const auto margin = std::chrono::duration_cast<Base::WallTime::duration>(clockSkew);
+    return wallNow > row.leaseUntil + margin ? RowMeaning::Lapsed : RowMeaning::Live;
+}
+
+} // namespace
+
+JudgedRow judgeRows(const std::vector<Platform::TableRow> &rows, const ClaimRow &own,
+                    Base::WallTime wallNow, Base::Duration clockSkew)
+{
+    JudgedRow judged;
+    if (rows.empty())
+        return judged;
+    judged.version = rows.front().version;
+    Base::Result<ClaimRow> row = decodeClaim(rows.front().value);
+    if (!row) {
+        judged.meaning = RowMeaning::Malformed;
+        return judged;
+    }
+    judged.row = *row;
+    judged.meaning = meaningOf(judged.row, own, wallNow, clockSkew);
+    return judged;
+}
+
+} // namespace Claims
--- /dev/null
+++ b/src/libs/claims/rowwriter.cpp
@@ -0,0 +1,98 @@
+#include "claims/rowwriter.h"
+
+#include <algorithm>
+#include <set>
+#include <string>
+
+namespace Claims {
+
+using Platform::TableStatus;
+
+RowWriter::RowWriter(const RowWriterPolicy &policy, Platform::TableService &table,
+                     Platform::OperationIds &operations)
+    : m_policy(policy)
+    , m_table(&table)
+    , m_operations(&operations)
+{}
+
+void RowWriter::write(ClaimId claim, Platform::TableWrite write)
+{
+    m_queue.push_back({claim, std::move(write)});
+}
+
+void RowWriter::flush()
+{
+    while (m_inFlight.size() < m_policy.largestInFlight) {
+        Batch batch = nextBatch();
+        if (batch.empty())
+            return;
+        std::vector<Platform::TableWrite> writes;
+        for (const Item &it : batch)
+            writes.push_back(it.write);
+        const Platform::OperationId operation = m_operations->next();
+        m_inFlight[operation] = std::move(batch);
+        m_table->transact(operation, writes);
+    }
+}
+
+bool RowWriter::handle(const Platform::TableOutcome &outcome)
+{
+    const auto it = m_inFlight.find(outcome.operation);
+    if (it == m_inFlight.end())
+        return false;
+    const Batch batch = std::move(it->second);
+    m_inFlight.erase(it);
+    if (outcome.status == TableStatus::Conflict && batch.size() > 1)
+        split(batch);
+    else
+        finish(batch, outcome);
+    return true;
+}
+
+RowWriter::Batch RowWriter::nextBatch()
+{
+    Batch batch;
+    if (!m_halves.empty()) {
+        batch = std::move(m_halves.front());
+        m_halves.pop_front();
+        return batch;
+    }
+    std::set<std::string> keys;
+    std::size_t bytes = 0;
+    while (!m_queue.empty() && batch.size() < m_policy.largestBatch) {
+        Item &next = m_queue.front();
+        bytes += next.write.value ? next.write.value->size() : 0;
+        const bool isFull = !batch.empty() && bytes > m_policy.largestBatchBytes;
+        // Two callers with one key: in one transaction neither could win.
+        if (isFull || !keys.insert(next.write.key).second)
+            break;
+        batch.push_back(std::move(next));
+        m_queue.pop_front();
+    }
+    return batch;
+}
+
+void RowWriter::split(const Batch &batch)
+{
+    const auto middle = batch.begin() + static_cast<std::ptrdiff_t>(batch.size() / 2);
+    m_halves.emplace_back(batch.begin(), middle);
+    m_halves.emplace_back(middle, batch.end());
+}
+
+void RowWriter::finish(const Batch &batch, const Platform::TableOutcome &outcome)
+{
+    std::map<std::string, Platform::RowVersion> versions;
+    for (const Platform::TableRow &row : outcome.rows)
+        versions[row.key] = row.version;
+    for (const Item &it : batch) {
+        RowResult result{it.claim, outcome.status, 0};
+        const auto version = versions.find(it.write.key);
+        if (version != versions.end())
+            result.version = version->second;
+        else if (outcome.status == TableStatus::Done)
+            result.status = TableStatus::Unknown; // Read back: the table did not say enough.
+        m_results.push_back(result);
+    }
+}
+
+} // namespace Claims
--- /dev/null
+++ b/src/libs/claims/rowwriter.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "platform/operationids.h"
+#include "platform/tableservice.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <utility>
+#include <vector>
+
+namespace Claims {
+
+/// Names a claim within one ClaimBook.
+using ClaimId = std::uint64_t;
+
+struct RowWriterPolicy
+{
+    /// Rows in one transaction.
+    std::size_t largestBatch = 32;
+    /// Length of the values in one transaction.
+    std::size_t largestBatchBytes = 128 * 1024;
+    /// Transactions under way; what comes meanwhile fills the next one.
+    std::size_t largestInFlight = 2;
+};
+
+/// What came of one row's write.
+struct RowResult
+{
+    ClaimId claim = 0;
+    Platform::TableStatus status = Platform::TableStatus::Unknown;
+    /// With Done: the row's new version.
+    Platform::RowVersion version = 0;
+};
+
+/// Writes rows of several claims in one transaction.
+///
+/// Answers the load pattern of many claims at one time before a table that bears several
+/// hundred writes a second for the whole fleet. Without it each claim, renewal and completion
+/// is a write, and the fleet's work is bounded by them. A row leaves at once while the table
+/// keeps up; batches grow only when writes are waiting, so that light load pays no delay.
+///
+/// A transaction is written whole or not at all. After a conflict, which one row out of date is
+/// enough for, its halves are written apart, down to single rows: 2 log2(n) writes for one bad
+/// row among n, where single rows at once would cost n.
+class RowWriter
+{
+public:
+    RowWriter(const RowWriterPolicy &policy, Platform::TableService &table,
+              Platform::OperationIds &operations);
+
+    /// Each call is followed by one result. \a write has an expected version.
+    void write(ClaimId claim, Platform::TableWrite write);
+    /// Sends what may leave.
+    void flush();
+    bool handle(const Platform::TableOutcome &outcome);
+    std::vector<RowResult> takeResults() { return std::exchange(m_results, {}); }
+
+private:
+    struct Item
+    {
+        ClaimId claim = 0;
+        Platform::TableWrite write;
+    };
+    using Batch = std::vector<Item>;
+
+    Batch nextBatch();
+    void split(const Batch &batch);
+    void finish(const Batch &batch, const Platform::TableOutcome &outcome);
+
+    RowWriterPolicy m_policy;
+    Platform::TableService *m_table;
+    Platform::OperationIds *m_operations;
+    std::deque<Item> m_queue;
+    /// Halves of batches that met a conflict.
+    std::deque<Batch> m_halves;
+    std::map<Platform::OperationId, Batch> m_inFlight;
+    std::vector<RowResult> m_results;
+};
+
+} // namespace Claims
--- a/src/libs/node/entryrequests.cpp
+++ b/src/libs/node/entryrequests.cpp
@@ -188,6 +188,11 @@
     case ClaimVerdict::Completed:
         replay(open, outcome.answer, now);
         return;
+    case ClaimVerdict::CompletedUnstored:
+        failure = failureOf(FailureType::KeyInProgress,
+                            "a call with this key ran; its answer was too large to be kept");
+        failure.ran = Ran::Unknown;
+        break;
     case ClaimVerdict::InProgress:
         failure = failureOf(FailureType::KeyInProgress, "a call with this key is running");
         failure.ran = Ran::Unknown;
--- /dev/null
+++ b/tests/auto/claims/claimfleet.h
@@ -0,0 +1,221 @@
+#pragma once
+
+#include "claims/claimbook.h"
+#include "platform/tablegateway.h"
+#include "support/faultytable.h"
+
+#include <algorithm>
+#include <memory>
+#include <optional>
+#include <utility>
+#include <vector>
+
+/// Several routers with one table and one backend server, under a virtual clock.
+namespace ClaimFleet {
+
+using namespace std::chrono_literals;
+
+/// A call that reached the backend server.
+struct Sent
+{
+    std::string key;
+    Base::RequestKey request;
+    std::uint64_t fence = 0;
+    bool hasRun = true;
+};
+
+struct Verdict
+{
+    Claims::ClaimOutcome outcome;
+    Claims::ClaimSubject subject;
+};
+
+/// One router: its book, its gateway, and an entry that sends, completes, releases, abandons.
+class Router
+{
+public:
+    Router(Fakes::Table &table, const std::string &name, std::uint64_t seed,
+           const Claims::ClaimPolicy &policy = {})
+        : below(table, seed)
+        , random(seed)
+        , gateway(std::move(*Platform::TableGateway::create({}, below, random)))
+        , book(std::move(
+              *Claims::ClaimBook::create(policy, Base::HostId(name), seed, *gateway, ids, random)))
+        , m_name(name)
+    {}
+
+    Base::RequestKey claim(const std::string &key, std::uint64_t hash, Base::TimePoint now)
+    {
+        const Base::RequestKey request{Base::HostId(m_name), 1, ++m_serial};
+        const Claims::ClaimSubject subject{Base::CustomerId("c"), key, hash};
+        m_work[request] = {subject, {}, {}, 0};
+        book.claim(request, subject, now, wall(now));
+        return request;
+    }
+
+    /// The clocks of the routers differ by \a skew.
+    Base::WallTime wall(Base::TimePoint now) const
+    {
+        return Base::WallTime(std::chrono::hours(500000))
+               + std::chrono::duration_cast<Base::WallTime::duration>(now.time_since_epoch()
+                                                                      + skew);
+    }
+
+    void step(Base::TimePoint now, std::vector<Sent> &journal, std::vector<Verdict> &verdicts)
+    {
+        for (const Platform::TableOutcome &outcome : below.step(now))
+            m_inbox.push_back(outcome);
+        if (isCrashed || now < frozenUntil)
+            return;
+        for (const Platform::TableOutcome &outcome : std::exchange(m_inbox, {}))
+            gateway->handle(outcome, now);
+        book.advance(now);
+        for (int i = 0; i < 3; ++i) {
+            gateway->advance(now);
+            for (const Platform::TableOutcome &outcome : gateway->takeOutcomes())
+                book.handle(outcome, now);
+        }
+        for (const Claims::ClaimOutcome &outcome : book.takeOutcomes())
+            decided(outcome, now, verdicts);
+        for (auto it = m_work.begin(); it != m_work.end();)
+            it = work(it->first, it->second, now, journal) ? m_work.erase(it) : std::next(it);
+    }
+
+    bool isUndecided(const Base::RequestKey &request) const { return m_work.contains(request); }
+
+    Fakes::FaultyTable below;
+    Base::SeededRandom random;
+    Platform::OperationIds ids;
+    std::unique_ptr<Platform::TableGateway> gateway;
+    Claims::ClaimBook book;
+    Base::Duration skew{};
+    Base::TimePoint frozenUntil{};
+    bool isCrashed = false;
+    /// Longest wait for a permit, and longest run.
+    Base::Duration longestWait = 2s;
+    /// Keys whose claim was left standing on purpose.
+    std::vector<std::string> abandoned;
+
+private:
+    struct Work
+    {
+        Claims::ClaimSubject subject;
+        std::optional<Base::TimePoint> sendAt;
+        std::optional<Base::TimePoint> endAt;
+        std::uint64_t fence = 0;
+        bool hasRun = true;
+    };
+
+    Base::Duration someTime()
+    {
+        return Base::Duration(random.next() % static_cast<std::uint64_t>(longestWait.count()));
+    }
+
+    void decided(const Claims::ClaimOutcome &outcome, Base::TimePoint now,
+                 std::vector<Verdict> &verdicts)
+    {
+        Work &work = m_work.at(outcome.request);
+        verdicts.push_back({outcome, work.subject});
+        if (outcome.verdict == Claims::ClaimVerdict::Claimed) {
+            work.fence = outcome.fence;
+            work.sendAt = now + someTime();
+        } else {
+            m_work.erase(outcome.request);
+        }
+    }
+
+    /// Returns whether the request has ended.
+    bool work(const Base::RequestKey &request, Work &work, Base::TimePoint now,
+              std::vector<Sent> &journal)
+    {
+        if (work.endAt && now >= *work.endAt) {
+            end(request, work, now);
+            return true;
+        }
+        if (work.endAt || !work.sendAt || now < *work.sendAt)
+            return false;
+        if (!book.maySend(request, now)) {
+            book.release(request, now);
+            return true;
+        }
+        work.hasRun = random.next() % 4 != 0;
+        journal.push_back({work.subject.key, request, work.fence, work.hasRun});
+        work.endAt = now + someTime();
+        return false;
+    }
+
+    void end(const Base::RequestKey &request, const Work &work, Base::TimePoint now)
+    {
+        if (!work.hasRun) {
+            book.release(request, now); // The server said that it did not run.
+        } else if (random.next() % 4 == 0) {
+            abandoned.push_back(work.subject.key);
+            book.abandon(request);
+        } else {
+            book.complete(request, work.subject.key + std::to_string(work.subject.contentHash),
+                          now);
+        }
+    }
+
+    std::string m_name;
+    std::uint64_t m_serial = 0;
+    std::map<Base::RequestKey, Work> m_work;
+    std::vector<Platform::TableOutcome> m_inbox;
+};
+
+struct Fleet
+{
+    explicit Fleet(std::uint64_t seed, std::size_t routers = 3,
+                   const Claims::ClaimPolicy &policy = {})
+        : random(seed)
+    {
+        for (std::size_t i = 0; i < routers; ++i)
+            this->routers.push_back(
+                std::make_unique<Router>(table, "r" + std::to_string(i), random.next(), policy));
+    }
+
+    Router &router(std::size_t i) { return *routers.at(i); }
+
+    void run(Base::Duration duration, Base::Duration stride = 10ms)
+    {
+        for (const Base::TimePoint end = now + duration; now < end;) {
+            now += stride;
+            for (const auto &it : routers)
+                it->step(now, journal, verdicts);
+        }
+    }
+
+    std::optional<Claims::ClaimOutcome> outcome(const Base::RequestKey &request) const
+    {
+        std::optional<Claims::ClaimOutcome> found;
+        for (const Verdict &it : verdicts) {
+            if (it.outcome.request == request)
+                found = it.outcome;
+        }
+        return found;
+    }
+
+    /// Claims \a key at router \a i and waits for what it is told.
+    Claims::ClaimOutcome ask(std::size_t i, const std::string &key, std::uint64_t hash = 1)
+    {
+        const Base::RequestKey request = router(i).claim(key, hash, now);
+        run(100ms);
+        return outcome(request).value_or(Claims::ClaimOutcome{});
+    }
+
+    Claims::ClaimRow row(const std::string &key)
+    {
+        const auto it = table.rows.find(Claims::claimKey({Base::CustomerId("c"), key, 0}));
+        return it == table.rows.end() ? Claims::ClaimRow()
+                                      : Claims::decodeClaim(it->second.value).value();
+    }
+
+    Fakes::Table table;
+    Base::SeededRandom random;
+    std::vector<std::unique_ptr<Router>> routers;
+    Base::TimePoint now{};
+    std::vector<Sent> journal;
+    std::vector<Verdict> verdicts;
+};
+
+} // namespace ClaimFleet
--- a/tests/support/faultytable.h
+++ b/tests/support/faultytable.h
@@ -34,6 +34,7 @@
 
     void read(Platform::OperationId operation, const std::string &key) override
     {
+        ++readCalls;
         m_called.push_back({operation, Kind::Read, key, {}, 0, {}});
     }
     void scan(Platform::OperationId operation, const std::string &prefix, const std::string &after,
@@ -67,6 +68,7 @@
     }
 
     TableFaults faults;
+    std::size_t readCalls = 0;
     std::size_t writeCalls = 0;
     /// Values written, in order, each time they were.
     std::vector<std::string> written;
