--- /dev/null
+++ b/tests/auto/scheduling/poolmodel.h
@@ -0,0 +1,167 @@
+#pragma once
+
+#include "scheduling/fairqueue.h"
+
+#include <algorithm>
+#include <map>
+#include <random>
+#include <set>
+#include <vector>
+
+/// Counts service as the coordination library does, without other routers.
+class FakeService final : public Scheduling::ServiceView
+{
+public:
+    Base::ServiceUnits position(const Base::CustomerId &customer) const override
+    {
+        const auto it = received.find(customer);
+        const auto holding = held.find(customer);
+        return (it == received.end() ? 0 : it->second)
+               + (holding == held.end() ? 0 : holding->second);
+    }
+
+    std::map<Base::CustomerId, Base::ServiceUnits> received;
+    std::map<Base::CustomerId, Base::ServiceUnits> held;
+};
+
+class FakeClaims final : public Scheduling::ClassClaims
+{
+public:
+    bool isOverClaim(const Base::ClassId &workClass) const override
+    {
+        return over.count(workClass) > 0;
+    }
+
+    std::set<Base::ClassId> over;
+};
+
+inline Base::TimePoint at(std::int64_t milliseconds)
+{
+    return Base::TimePoint(Base::Milliseconds(milliseconds));
+}
+
+inline Base::CustomerId customerNamed(std::size_t n)
+{
+    return Base::CustomerId("customer-" + std::to_string(n));
+}
+
+inline Scheduling::WaitingWork workOf(std::uint64_t serial, const Base::CustomerId &customer,
+                                      std::int64_t startBy, const char *workClass = "normal")
+{
+    Scheduling::WaitingWork work;
+    work.request = {Base::HostId("entry"), 1, serial};
+    work.customer = customer;
+    work.workClass = Base::ClassId(workClass);
+    work.startBy = at(startBy);
+    return work;
+}
+
+/// A pool of slots that serve one unit a step each, fed from a fair queue in which every
+/// customer keeps a given backlog. A work's true cost is drawn when it starts and differs from
+/// the hold; one in ten is ten times longer.
+class PoolModel
+{
+public:
+    PoolModel(std::uint64_t seed, std::size_t slots, Base::ServiceUnits window)
+        : queue(*Scheduling::FairQueue::create({window}))
+        , m_random(seed)
+        , m_slots(slots)
+    {}
+
+    void addCustomer(const Base::CustomerId &customer, std::size_t backlog)
+    {
+        const std::optional<Base::CustomerId> least = queue.leastServed(service);
+        if (least)
+            service.received[customer] = service.position(*least);
+        for (std::size_t i = 0; i < backlog; ++i)
+            pushWork(customer);
+    }
+
+    /// One unit of service at every slot.
+    void step()
+    {
+        while (m_running.size() < m_slots)
+            start();
+        for (std::size_t i = 0; i < m_running.size();) {
+            Running &run = m_running[i];
+            ++service.received[run.customer];
+            Base::ServiceUnits &held = service.held[run.customer];
+            const Base::ServiceUnits freed = std::min<Base::ServiceUnits>(run.held, 1);
+            held -= freed;
+            run.held -= freed;
+            if (--run.left > 0) {
+                ++i;
+                continue;
+            }
+            held -= run.held;
+            queue.positionLowered(run.customer);
+            run = m_running.back();
+            m_running.pop_back();
+        }
+        ++m_now;
+    }
+
+    /// Largest service minus least, over all customers.
+    Base::ServiceUnits gap() const
+    {
+        Base::ServiceUnits least = ~Base::ServiceUnits(0);
+        Base::ServiceUnits most = 0;
+        for (const auto &[customer, units] : service.received) {
+            least = std::min(least, units);
+            most = std::max(most, units);
+        }
+        return most - least;
+    }
+
+    /// The bound of docs/design/queue-order.md: window + hold + slots * largest work.
+    Base::ServiceUnits bound(Base::ServiceUnits window) const
+    {
+        return window + expected + m_slots * largest;
+    }
+
+    static constexpr Base::ServiceUnits expected = 20;
+    static constexpr Base::ServiceUnits largest = 100;
+
+    Scheduling::FairQueue queue;
+    FakeService service;
+    FakeClaims claims;
+    std::uint64_t late = 0;
+    std::uint64_t started = 0;
+
+private:
+    struct Running
+    {
+        Base::CustomerId customer;
+        Base::ServiceUnits left = 0;
+        Base::ServiceUnits held = 0;
+    };
+
+    void pushWork(const Base::CustomerId &customer)
+    {
+        const bool isUrgent = m_random() % 4 == 0;
+        const std::int64_t target = isUrgent ? 60 : 2000;
+        Scheduling::WaitingWork work =
+            workOf(++m_serial, customer, m_now + target, isUrgent ? "urgent" : "batch");
+        work.expectedCost = expected;
+        queue.push(work);
+    }
+
+    void start()
+    {
+        const auto work = queue.takeNext(service, claims, at(m_now));
+        ++started;
+        if (work->startBy < at(m_now))
+            ++late;
+        const bool isLong = m_random() % 10 == 0;
+        const Base::ServiceUnits cost = 1 + m_random() % (isLong ? largest : largest / 10);
+        service.held[work->customer] += expected;
+        m_running.push_back({work->customer, cost, expected});
+        pushWork(work->customer);
+    }
+
+    std::mt19937_64 m_random;
+    std::size_t m_slots;
+    std::int64_t m_now = 0;
+    std::uint64_t m_serial = 0;
+    std::vector<Running> m_running;
+};
