Admit by predicted wait at the customer's fair share

Cause: only fixed bounds turned work away: ten flooding customers filled the pool's queue, deadlines that could not be met waited until they passed, and the rate of a quiet time passed for capacity. RefusalReason::TargetUnmeetable is new; src/libs/node: its message in entryrequests.cpp; poolhome uses DrainEstimator, FairQueue::leastServed(), backloggedCount() and positionLowered(). Signatures that stood are kept.

--- a/src/libs/node/entryrequests.cpp
+++ b/src/libs/node/entryrequests.cpp
@@ -68,6 +68,10 @@
         failure.type = FailureType::DeadlineUnmet;
         failure.message = "the deadline passed while the request waited";
         return failure;
+    case RefusalReason::TargetUnmeetable:
+        failure.type = FailureType::Overloaded;
+        failure.message = "the expected wait passes the class's start target by far";
+        return failure;
     case RefusalReason::NoServer:
         break;
     }
--- a/src/libs/node/poolhome.cpp
+++ b/src/libs/node/poolhome.cpp
@@ -7,11 +7,8 @@
 
 namespace {
 
-constexpr Base::Duration drainPeriod = std::chrono::milliseconds(500);
 /// A permit not heard of for this long is asked for. A lost release idles a slot that long.
 constexpr Base::Duration permitQueryInterval = std::chrono::seconds(3);
-/// Weight of the newest period in the smoothed drain rate: settles in about two seconds.
-constexpr double drainSmoothing = 0.3;
 
 } // namespace
 
@@ -103,8 +100,11 @@
         refuse(work, *refusal);
         return;
     }
-    if (m_queue.waitingOf(work.customer) == 0)
-        m_ledger->becomeBacklogged(work.customer, m_queue.backloggedCustomers());
+    if (m_queue.waitingOf(work.customer) == 0) {
+        const std::optional<Base::CustomerId> least = m_queue.leastServed(*m_ledger);
+        if (least)
+            m_ledger->becomeBacklogged(work.customer, {*least});
+    }
     m_queue.push(work);
     dispatch(now);
 }
@@ -136,8 +136,9 @@
         report.served = release.units;
         server->second.limiter.recordPermit(report, server->second.inUse, now);
     }
+    if (release.outcome != Scheduling::PermitOutcome::NotUsed)
+        m_drain.recordUse(release.whole);
     endPermit(it);
-    ++m_drained;
     dispatch(now);
 }
 
@@ -196,7 +197,6 @@
         refuse(work, m_admission.refuse(Scheduling::RefusalReason::DeadlinePassed,
                                         poolState(work.customer), *m_random));
     }
-    recordDrain(now);
     queryPermits(now);
     dispatch(now);
 }
@@ -207,7 +207,7 @@
     for (const Scheduling::ServerChoice &choice : freeServers())
         freePermits += choice.limit - choice.inUse;
     return {m_pool, m_shard, static_cast<std::uint32_t>(m_queue.size()),
-            static_cast<std::uint32_t>(freePermits), m_drainRate};
+            static_cast<std::uint32_t>(freePermits), m_drain.rate(permitLimit())};
 }
 
 std::size_t PoolHome::permitLimit() const
@@ -287,6 +287,7 @@
 {
     const Permit &permit = it->second;
     m_ledger->releaseHold(permit.customer, permit.held);
+    m_queue.positionLowered(permit.customer);
     const auto server = m_servers.find(permit.server);
     if (server != m_servers.end() && server->second.inUse > 0)
         --server->second.inUse;
@@ -300,7 +301,7 @@
     Scheduling::PoolState state;
     state.waiting = m_queue.size();
     state.waitingOfCustomer = m_queue.waitingOf(customer);
-    state.backloggedCustomers = m_queue.backloggedCustomers().size();
+    state.backloggedCustomers = m_queue.backloggedCount();
     if (state.waitingOfCustomer == 0)
         ++state.backloggedCustomers;
     for (const auto &[id, server] : m_servers) {
@@ -308,7 +309,7 @@
             ++state.usableServers;
     }
     state.freePermits = summary().freePermits;
-    state.drainRate = m_drainRate;
+    state.drainRate = m_drain.rate(permitLimit());
     return state;
 }
 
@@ -362,15 +363,4 @@
         m_outbox->post(entry, query);
 }
 
-void PoolHome::recordDrain(Base::TimePoint now)
-{
-    if (now - m_drainSince < drainPeriod)
-        return;
-    const double seconds = std::chrono::duration<double>(now - m_drainSince).count();
-    const double rate = static_cast<double>(m_drained) / seconds;
-    m_drainRate = m_drainRate == 0 ? rate : m_drainRate + drainSmoothing * (rate - m_drainRate);
-    m_drained = 0;
-    m_drainSince = now;
-}
-
 } // namespace Node
--- a/src/libs/node/poolhome.h
+++ b/src/libs/node/poolhome.h
@@ -13,6 +13,7 @@
 #include "node/waitingset.h"
 #include "scheduling/admissionpolicy.h"
 #include "scheduling/concurrencylimiter.h"
+#include "scheduling/drainestimator.h"
 #include "scheduling/fairqueue.h"
 #include "scheduling/serverselector.h"
 
@@ -92,7 +93,6 @@
     Scheduling::PoolState poolState(const Base::CustomerId &customer) const;
     void refuse(const Scheduling::WaitingWork &work, const Scheduling::AdmissionRefusal &refusal);
     void forgetWaiting(const Scheduling::WaitingWork &work);
-    void recordDrain(Base::TimePoint now);
     /// Asks entry hosts for permits long unheard of: their release may have been lost.
     void queryPermits(Base::TimePoint now);
 
@@ -111,9 +111,7 @@
     Base::TimePoint m_nextQuery{};
     std::map<Base::ClassId, double> m_claims;
     std::map<Base::ClassId, std::size_t> m_inUseByClass;
-    double m_drainRate = 0;
-    std::size_t m_drained = 0;
-    Base::TimePoint m_drainSince{};
+    Scheduling::DrainEstimator m_drain;
 };
 
 } // namespace Node
