--- a/src/libs/node/failures.cpp
+++ b/src/libs/node/failures.cpp
@@ -29,6 +29,9 @@
         return with(FailureType::DeadlineUnmet, "the expected wait passes the deadline");
     case RefusalReason::DeadlinePassed:
         return with(FailureType::DeadlineUnmet, "the deadline passed while the request waited");
+    case RefusalReason::TargetUnmeetable:
+        return with(FailureType::Overloaded,
+                    "the expected wait passes the class's start target by far");
     case RefusalReason::NoServer:
         break;
     }
