Fold dead starts in the service ledger without counting a charge twice

Change: counters of superseded or silent starts move into a settled sum; the list of folded starts goes with it, so two settled sums merge by maximum. A customer taken in by a router that did not know it opens a round at that router's floor; a larger round replaces the counters of a smaller one and keeps the larger position. A router whose own start was folded by others while cut off begins a new epoch. Debts beyond largestDebt are forgiven (clampDebts, called by PoolHome::advance).

Failed first: two routers that had folded each other refused each other for ever (endless loop in the test of the dropped customer); the list of folded starts is now taken from a refused sender too.

--- a/src/libs/node/node.cpp
+++ b/src/libs/node/node.cpp
@@ -319,10 +319,15 @@
         post(from, Ping{message.number, true});
 }
 
-void Node::receive(const Base::HostId &, const Coordination::LedgerDelta &message, Base::TimePoint)
+void Node::receive(const Base::HostId &from, const Coordination::LedgerDelta &message,
+                   Base::TimePoint)
 {
-    if (Coordination::ServiceLedger *pool = ledger(message.pool))
-        pool->merge(message);
+    Coordination::ServiceLedger *pool = ledger(message.pool);
+    if (!pool)
+        return;
+    const bool isFolded = pool->merge(message) == Coordination::MergeResult::SenderIsFolded;
+    if (isFolded || message.isAsking)
+        post(from, pool->snapshot());
 }
 
 void Node::receive(const Base::HostId &, const ConfigurationPush &message, Base::TimePoint)
@@ -416,6 +421,7 @@
         return;
     m_nextLedger = now + m_settings.ledgerInterval;
     for (auto &[pool, ledger] : m_ledgers) {
+        ledger->advance(now);
         const std::optional<Coordination::LedgerDelta> delta = ledger->takeDelta();
         if (!delta)
             continue;
--- a/src/libs/node/poolhome.cpp
+++ b/src/libs/node/poolhome.cpp
@@ -192,6 +192,7 @@
                                         poolState(work.customer), *m_random));
     }
     recordDrain(now);
+    m_ledger->clampDebts(m_queue.backloggedCustomers());
     dispatch(now);
 }
 
