Keep leaving marks sticky but bounded, heartbeats small, flapping members out

Cause: the thin membership sent every mark and every pool summary in each heartbeat, kept marks for ever, took any heartbeat for new life, and let a flapping link move pool shards each time.

A heartbeat is full on every eighth, after a member came back or restarted, and when leaving begins; else it carries young marks and moved summaries only (omitUnchanged). Losses within a minute put a growing hold on the return. A paused process gives its members the length of the pause. Members unknown to the list are learned from full heartbeats; unlisted and silent ones are forgotten. zonePoller() names the router that polls the table for a zone.

Node: sendHeartbeats calls omitUnchanged().

Without the full heartbeat after a member's restart no test fails: the full one after its return covers the tested cases.

--- /dev/null
+++ b/src/libs/coordination/leavingmarks.cpp
@@ -0,0 +1,75 @@
+#include "coordination/leavingmarks.h"
+
+#include <algorithm>
+
+namespace Coordination {
+
+LeavingMarks::LeavingMarks(const LeavingPolicy &policy)
+    : m_policy(policy)
+{}
+
+bool LeavingMarks::add(const std::string &name, Base::Incarnation incarnation, Base::TimePoint now)
+{
+    const auto [it, isNew] = m_marks.try_emplace(name);
+    if (!isNew && incarnation <= it->second.incarnation)
+        return false;
+    it->second = {incarnation, now, std::nullopt};
+    if (m_marks.size() > m_policy.largestCount)
+        dropOldest();
+    return true;
+}
+
+void LeavingMarks::reconcile(const Platform::HostListing &listing, Base::TimePoint now)
+{
+    std::map<std::string, Base::Incarnation> listed;
+    for (const Platform::ListedHost &host : listing.hosts)
+        listed[host.name] = host.incarnation;
+    for (auto &[name, mark] : m_marks) {
+        const auto it = listed.find(name);
+        const bool isNeeded = it != listed.end() && it->second <= mark.incarnation;
+        if (isNeeded)
+            mark.obsoleteSince.reset();
+        else if (!mark.obsoleteSince)
+            mark.obsoleteSince = now;
+    }
+}
+
+void LeavingMarks::advance(Base::TimePoint now)
+{
+    std::erase_if(m_marks, [&](const auto &entry) {
+        const Mark &mark = entry.second;
+        return mark.obsoleteSince && now - *mark.obsoleteSince >= m_policy.keepObsolete;
+    });
+}
+
+bool LeavingMarks::covers(const std::string &name, Base::Incarnation incarnation) const
+{
+    const auto it = m_marks.find(name);
+    return it != m_marks.end() && incarnation <= it->second.incarnation;
+}
+
+std::vector<LeavingMark> LeavingMarks::toTell(bool isFull, Base::TimePoint now) const
+{
+    std::vector<LeavingMark> marks;
+    for (const auto &[name, mark] : m_marks) {
+        const bool isYoung = now - mark.addedAt < m_policy.youngFor;
+        if (isYoung || (isFull && !mark.obsoleteSince))
+            marks.push_back({name, mark.incarnation});
+    }
+    return marks;
+}
+
+void LeavingMarks::dropOldest()
+{
+    auto oldest = m_marks.end();
+    for (auto it = m_marks.begin(); it != m_marks.end(); ++it) {
+        if (!it->second.obsoleteSince)
+            continue;
+        if (oldest == m_marks.end() || *it->second.obsoleteSince < *oldest->second.obsoleteSince)
+            oldest = it;
+    }
+    if (oldest != m_marks.end())
+        m_marks.erase(oldest);
+}
+
+} // namespace Coordination
--- a/src/libs/coordination/membership.h
+++ b/src/libs/coordination/membership.h
@@ -3,8 +3,10 @@
 #include "base/result.h"
 #include "base/time.h"
 #include "coordination/heartbeat.h"
+#include "coordination/leavingmarks.h"
 #include "platform/hostlist.h"
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -12,11 +14,30 @@
 
 namespace Coordination {
 
+/// A MembershipPolicy that cannot work.
+struct InvalidMembershipPolicy
+{};
+
 struct MembershipPolicy
 {
     Base::Duration heartbeatInterval = std::chrono::milliseconds(500);
-    /// A member not heard of for this long is not used; it stays known.
+    /// A member not heard of for this long is not used; it stays known. Three heartbeats and a
+    /// little for the way: two may be lost without anything moving. It grows with the
+    /// interval that the member announces.
     Base::Duration suspectAfter = std::chrono::milliseconds(1600);
+    /// How far a heartbeat may be stretched to save bytes. More would make the loss of a router
+    /// known only after four seconds.
+    double largestStretch = 2;
+    /// Every so many heartbeats one is full: what a lost one left out is mended in 4 s.
+    std::uint64_t fullEvery = 8;
+    /// From the second loss within flapWindow on, a member must be heard for flapHold times the
+    /// losses before it is used again, flapHoldLargest at most.
+    Base::Duration flapWindow = std::chrono::seconds(60);
+    Base::Duration flapHold = std::chrono::seconds(1);
+    Base::Duration flapHoldLargest = std::chrono::seconds(5);
+    /// A member that the list no longer has and that is silent for this long is forgotten.
+    Base::Duration forgetAfter = std::chrono::seconds(60);
+    LeavingPolicy leaving;
 };
 
 struct MembershipSelf
@@ -38,16 +59,30 @@
     std::string peerAddress;
     std::string callerAddress;
     bool isAlive = false;
+    /// Whether the platform's newest list has it.
+    bool isListed = false;
     Base::TimePoint heardAt;
+    Base::Duration interval{};
+    std::uint64_t sequence = 0;
     Settings::ConfigurationVersion configurationVersion = 0;
     std::vector<PoolSummary> pools;
+    /// Losses within the flap window, the last of them, and since when it is heard again.
+    std::uint32_t losses = 0;
+    Base::TimePoint lostAt;
+    Base::TimePoint steadySince;
 };
 
 /// Which routers are alive and which hosts are leaving, seeded from the platform's lagging
-/// list and kept by heartbeats. Thin version: all listed routers, leaving marks are sticky.
+/// list and kept by heartbeats.
+///
+/// The list says who might be there; only a heartbeat says who is. So a list that is old, or
+/// flaps, or is not there at all, neither makes a dead router a home nor takes a live one away.
+/// Without flap damping a router at the edge of its capacity would be lost and found every few
+/// seconds, and each time its pool shards would move twice.
 class Membership
 {
 public:
+    /// Fails with InvalidMembershipPolicy.
     static Base::Result<Membership> create(const MembershipPolicy &policy,
                                            const MembershipSelf &self);
 
@@ -58,11 +93,18 @@
     void advance(Base::TimePoint now);
     void beginLeaving();
 
-    /// The next heartbeat if one is due; the caller fills in versions and pools.
+    /// The next heartbeat if one is due; the caller fills in the version and all pools, then
+    /// calls omitUnchanged().
     std::optional<Heartbeat> dueHeartbeat(Base::TimePoint now);
+    /// Leaves out of a heartbeat that is not full the pools that have not moved since they were
+    /// last told: the summary steers where spare work goes, which a tenth does not change.
+    void omitUnchanged(Heartbeat &heartbeat);
+    /// Stretches the interval between heartbeats, within the policy.
+    void setStretch(double stretch);
     Base::TimePoint nextDue() const { return m_nextHeartbeat; }
 
     const MembershipSelf &self() const { return m_self; }
+    /// Asked to leave, or said to be leaving by the platform or a peer.
     bool isSelfLeaving() const { return m_isSelfLeaving; }
     /// All known routers but this one, by host.
     const std::map<Base::HostId, Member> &others() const { return m_others; }
@@ -71,20 +113,36 @@
     bool isLeaving(const std::string &name, Base::Incarnation incarnation) const;
     /// Routers that may be homes: alive and not leaving, this one included, sorted.
     std::vector<Base::HostId> usableRouters() const;
-    /// Changes whenever usableRouters() may have changed.
+    /// The live router that polls the table for this one's zone.
+    Base::HostId zonePoller() const;
+    /// Changes whenever usableRouters() or isLeaving() may have changed.
     std::uint64_t viewVersion() const { return m_viewVersion; }
+    std::size_t leavingMarks() const { return m_marks.size(); }
 
 private:
     Membership(const MembershipPolicy &policy, const MembershipSelf &self);
-    void markLeaving(const std::string &name, Base::Incarnation incarnation);
+    void markLeaving(const std::string &name, Base::Incarnation incarnation, Base::TimePoint now);
+    Member *learn(const Heartbeat &heartbeat);
+    void begin(Member &member, const Heartbeat &heartbeat);
+    void takePools(Member &member, const Heartbeat &heartbeat);
+    void takeLife(Member &member, Base::TimePoint now);
+    void lose(Member &member, Base::TimePoint now);
+    Base::Duration holdFor(const Member &member) const;
+    Base::Duration patience(const Member &member) const;
+    void seedRouter(const Platform::ListedHost &listed);
 
     MembershipPolicy m_policy;
     MembershipSelf m_self;
     std::map<Base::HostId, Member> m_others;
-    std::map<std::string, Base::Incarnation> m_leaving;
+    LeavingMarks m_marks;
+    std::vector<PoolSummary> m_toldPools;
     Base::TimePoint m_nextHeartbeat{};
+    Base::TimePoint m_lastAdvance{};
+    std::uint64_t m_listVersion = 0;
     std::uint64_t m_sequence = 0;
     std::uint64_t m_viewVersion = 1;
+    double m_stretch = 1;
+    bool m_isFullDue = true;
     bool m_isSelfLeaving = false;
 };
 
--- a/src/libs/node/node.cpp
+++ b/src/libs/node/node.cpp
@@ -409,6 +409,7 @@
     heartbeat->configurationVersion = m_configuration->configuration().version();
     for (const auto &[key, home] : m_homes)
         heartbeat->pools.push_back(home->summary());
+    m_membership->omitUnchanged(*heartbeat);
     for (const auto &[host, member] : m_membership->others())
         post(host, *heartbeat);
     for (auto &[key, home] : m_homes)
