--- a/src/libs/node/poolhome.cpp
+++ b/src/libs/node/poolhome.cpp
@@ -198,6 +198,7 @@
                                         poolState(work.customer), *m_random));
     }
     queryPermits(now);
+    m_ledger->clampDebts(m_queue.backloggedCustomers());
     dispatch(now);
 }
 
