--- a/src/libs/daemon/daemon.cpp
+++ b/src/libs/daemon/daemon.cpp
@@ -29,7 +29,7 @@
                                                      const DaemonReports &reports)
 {
     std::unique_ptr<Daemon> daemon(new Daemon(settings));
-    const Base::Result<void> started = daemon->start(reports);
+    Base::Result<void> started = daemon->start(reports);
     if (!started)
         return started.error();
     return daemon;
--- a/src/libs/daemon/httpfront.cpp
+++ b/src/libs/daemon/httpfront.cpp
@@ -25,15 +25,15 @@
     if (!connectionOfThread)
         return -1;
     const MHD_ConnectionInfo *info =
-        MHD_geconnectionOfThread_info(connectionOfThread, MHD_CONNECTION_INFO_CONNECTION_FD);
+        MHD_get_connection_info(connectionOfThread, MHD_CONNECTION_INFO_CONNECTION_FD);
     return info ? static_cast<int>(info->connect_fd) : -1;
 }
 
 void setIdleTimeout(std::chrono::seconds timeout)
 {
     if (connectionOfThread)
-        MHD_seconnectionOfThread_option(connectionOfThread, MHD_CONNECTION_OPTION_TIMEOUT,
-                                        static_cast<unsigned int>(timeout.count()));
+        MHD_set_connection_option(connectionOfThread, MHD_CONNECTION_OPTION_TIMEOUT,
+                                  static_cast<unsigned int>(timeout.count()));
 }
 
 std::string headerOf(const _u_request &request, const char *name)
@@ -123,7 +123,7 @@
                   const ProcessState &state, MetricsPage &metrics)
 {
     std::unique_ptr<HttpFront> front(new HttpFront(settings, sessions, ring, state, metrics));
-    const Base::Result<void> started = front->start();
+    Base::Result<void> started = front->start();
     if (!started)
         return started.error();
     return front;
