--- a/src/libs/daemon/daemon.cpp
+++ b/src/libs/daemon/daemon.cpp
@@ -29,7 +29,9 @@
                                                      const DaemonReports &reports)
 {
     std::unique_ptr<Daemon> daemon(new Daemon(settings));
-    BOOST_LEAF_CHECK(daemon->start(reports));
+    const Base::Result<void> started = daemon->start(reports);
+    if (!started)
+        return started.error();
     return daemon;
 }
 
--- a/src/libs/daemon/httpfront.cpp
+++ b/src/libs/daemon/httpfront.cpp
@@ -9,33 +9,31 @@
 #include <array>
 #include <utility>
 
-#include <ulfius.h>
-
 namespace Daemon {
 
 namespace {
 
 /// The connection that the calling thread serves. Each connection has a thread of its own, and
 /// the library names the connection only to the callback that sees the request line.
-thread_local MHD_Connection *t_connection = nullptr;
+thread_local MHD_Connection *connectionOfThread = nullptr;
 
 constexpr unsigned int mhdFlags =
     MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL;
 
 int currentSocket()
 {
-    if (!t_connection)
+    if (!connectionOfThread)
         return -1;
     const MHD_ConnectionInfo *info =
-        MHD_get_connection_info(t_connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+        MHD_geconnectionOfThread_info(connectionOfThread, MHD_CONNECTION_INFO_CONNECTION_FD);
     return info ? static_cast<int>(info->connect_fd) : -1;
 }
 
 void setIdleTimeout(std::chrono::seconds timeout)
 {
-    if (t_connection)
-        MHD_set_connection_option(t_connection, MHD_CONNECTION_OPTION_TIMEOUT,
-                                  static_cast<unsigned int>(timeout.count()));
+    if (connectionOfThread)
+        MHD_seconnectionOfThread_option(connectionOfThread, MHD_CONNECTION_OPTION_TIMEOUT,
+                                        static_cast<unsigned int>(timeout.count()));
 }
 
 std::string headerOf(const _u_request &request, const char *name)
@@ -98,7 +96,7 @@
 
     static void *seeRequestLine(void *closure, const char *uri, MHD_Connection *connection)
     {
-        t_connection = connection;
+        connectionOfThread = connection;
         setIdleTimeout(idleConnectionTimeout);
         return ulfius_uri_logger(closure, uri);
     }
@@ -125,7 +123,9 @@
                   const ProcessState &state, MetricsPage &metrics)
 {
     std::unique_ptr<HttpFront> front(new HttpFront(settings, sessions, ring, state, metrics));
-    BOOST_LEAF_CHECK(front->start());
+    const Base::Result<void> started = front->start();
+    if (!started)
+        return started.error();
     return front;
 }
 
--- a/src/libs/daemon/httpfront.h
+++ b/src/libs/daemon/httpfront.h
@@ -13,9 +13,7 @@
 #include <memory>
 #include <string>
 
-struct _u_instance;
-struct _u_request;
-struct _u_response;
+#include <ulfius.h>
 
 namespace Daemon {
 
--- a/src/libs/wire/messagedecoder.cpp
+++ b/src/libs/wire/messagedecoder.cpp
@@ -77,8 +77,10 @@
         return decode(from.permit_held());
     case Proto::Message::kPermitQuery:
         return decode(from.permit_query());
-    case Proto::Message::kPing:
-        return PeerMessage(Node::Ping{from.ping().number(), from.ping().reply()});
+    case Proto::Message::kWaitingDigest:
+        return decode(from.waiting_digest());
+    case Proto::Message::kWaitingReply:
+        return decode(from.waiting_reply());
     case Proto::Message::kLedgerDelta:
         return decode(from.ledger_delta());
     case Proto::Message::kConfigurationPush:
@@ -231,6 +233,26 @@
     return PeerMessage(to);
 }
 
+PeerMessage MessageDecoder::decode(const Proto::WaitingDigest &from) const
+{
+    return Node::WaitingDigest{Base::PoolId(from.pool().name()), from.pool().shard(), from.number(),
+                               from.count(), from.hash()};
+}
+
+Result<PeerMessage> MessageDecoder::decode(const Proto::WaitingReply &from) const
+{
+    Node::WaitingReply to;
+    to.pool = Base::PoolId(from.pool().name());
+    to.shard = from.pool().shard();
+    to.number = from.number();
+    to.isMatch = from.match();
+    for (const Proto::Attempt &waiting : from.attempts()) {
+        BOOST_LEAF_AUTO(named, attempt(waiting));
+        to.attempts.push_back(named);
+    }
+    return PeerMessage(to);
+}
+
 PeerMessage MessageDecoder::decode(const Proto::Heartbeat &from) const
 {
     Coordination::Heartbeat to;
--- a/src/libs/wire/messageencoder.cpp
+++ b/src/libs/wire/messageencoder.cpp
@@ -116,11 +116,23 @@
     encodePool(*to.mutable_pool(), from.pool, from.shard);
 }
 
-void MessageEncoder::operator()(const Node::Ping &from)
+void MessageEncoder::operator()(const Node::WaitingDigest &from)
 {
-    Proto::Ping &to = *m_message->mutable_ping();
+    Proto::WaitingDigest &to = *m_message->mutable_waiting_digest();
+    encodePool(*to.mutable_pool(), from.pool, from.shard);
+    to.set_number(from.number);
+    to.set_count(from.count);
+    to.set_hash(from.hash);
+}
+
+void MessageEncoder::operator()(const Node::WaitingReply &from)
+{
+    Proto::WaitingReply &to = *m_message->mutable_waiting_reply();
+    encodePool(*to.mutable_pool(), from.pool, from.shard);
     to.set_number(from.number);
-    to.set_reply(from.isReply);
+    to.set_match(from.isMatch);
+    for (const Node::AttemptId &attempt : from.attempts)
+        encodeAttempt(*to.add_attempts(), attempt);
 }
 
 void MessageEncoder::operator()(const Coordination::LedgerDelta &from)
--- a/src/libs/wire/messageencoder.h
+++ b/src/libs/wire/messageencoder.h
@@ -23,7 +23,8 @@
     void operator()(const Node::ServiceCharge &from);
     void operator()(const Node::PermitHeld &from);
     void operator()(const Node::PermitQuery &from);
-    void operator()(const Node::Ping &from);
+    void operator()(const Node::WaitingDigest &from);
+    void operator()(const Node::WaitingReply &from);
     void operator()(const Coordination::LedgerDelta &from);
     void operator()(const Node::ConfigurationPush &from);
     void operator()(const Node::ConfigurationSnapshot &from);
--- a/src/libs/wire/peercodec.h
+++ b/src/libs/wire/peercodec.h
@@ -4,15 +4,12 @@
 #include "base/result.h"
 #include "node/peermessage.h"
 
+#include "peer.pb.h"
+
 #include <cstddef>
 #include <string>
 #include <vector>
 
-namespace lagoonmast::wire {
-class Batch;
-class Message;
-} // namespace lagoonmast::wire
-
 namespace Wire {
 
 /// Why a batch from another router cannot be taken.
