--- a/src/libs/daemon/httpresponse.cpp
+++ b/src/libs/daemon/httpresponse.cpp
@@ -3,7 +3,6 @@
 #include "daemon/failuretext.h"
 
 #include <nlohmann/json.hpp>
-#include <ulfius.h>
 
 namespace Daemon {
 
--- a/src/libs/daemon/httpresponse.h
+++ b/src/libs/daemon/httpresponse.h
@@ -4,7 +4,7 @@
 
 #include <string>
 
-struct _u_response;
+#include <ulfius.h>
 
 namespace Daemon {
 
