Write targets through lost answers and races, learn configuration from peers

Cause: in the thin replica a lost answer ended as Unknown at once, any other change of the head was a lost race, every router polled, a peer with a gap was sent changes it could not apply, a cold start could serve part of an old configuration, and change rows grew for ever.

Change: TargetWriter reads the head, catches up, checks the class, then moves the head; on a conflict it tries again while the class is as the operator saw it. A lost answer is read back by the token in the row; an absent row is followed by the same transaction again. A cold start is ready with the table's newest or with the newest version that any peer heard of lately names. Configuration no longer forgets a key digest that another customer has taken over.

Left without a test: the head's version in the transaction, since the change's row demands its own absence as well (the head matters once rows are deleted).

--- /dev/null
+++ b/src/libs/coordination/configurationcompactor.cpp
@@ -0,0 +1,147 @@
+#include "coordination/configurationcompactor.h"
+
+#include "settings/changecodec.h"
+
+#include <charconv>
+#include <vector>
+
+namespace Coordination {
+
+namespace {
+
+using Platform::TableStatus;
+
+/// Snapshots before a name is used again: a put that comes late by less than eight snapshots
+/// (six hours at 62,000 changes a day) overwrites nothing.
+constexpr std::size_t snapshotNames = 8;
+constexpr std::size_t deletedAtOnce = 100;
+
+} // namespace
+
+std::string snapshotObject(Settings::ConfigurationVersion version, std::size_t compactEvery)
+{
+    return snapshotKey + '/' + std::to_string(version / compactEvery % snapshotNames);
+}
+
+Settings::ConfigurationVersion snapshotVersionOf(const Platform::TableOutcome &outcome)
+{
+    if (outcome.rows.empty())
+        return 0;
+    const std::string &text = outcome.rows.front().value;
+    Settings::ConfigurationVersion version = 0;
+    const char *end = text.data() + text.size();
+    const auto [ptr, ec] = std::from_chars(text.data(), end, version);
+    return ec == std::errc() && ptr == end ? version : 0;
+}
+
+ConfigurationCompactor::ConfigurationCompactor(const ConfigurationPolicy &policy,
+                                               Platform::TableService &table,
+                                               Platform::ObjectStore &objects,
+                                               Platform::OperationIds &operations)
+    : m_policy(policy)
+    , m_table(&table)
+    , m_objects(&objects)
+    , m_operations(&operations)
+{}
+
+void ConfigurationCompactor::advance(const Settings::Configuration &configuration,
+                                     Base::TimePoint now)
+{
+    if (now < m_nextRun || configuration.version() < m_snapshot + m_policy.compactEvery)
+        return;
+    m_nextRun = now + m_policy.compactInterval;
+    // A run that still waits for an answer is given up: its operation is no longer ours.
+    readPointer();
+}
+
+Platform::OperationId ConfigurationCompactor::begin(Stage stage)
+{
+    m_stage = stage;
+    m_operation = m_operations->next();
+    return m_operation;
+}
+
+void ConfigurationCompactor::readPointer()
+{
+    m_table->read(begin(Stage::ReadPointer), snapshotKey);
+}
+
+bool ConfigurationCompactor::handle(const Platform::TableOutcome &outcome,
+                                    const Settings::Configuration &configuration)
+{
+    if (m_stage == Stage::Idle || outcome.operation != m_operation)
+        return false;
+    const Stage stage = m_stage;
+    m_stage = Stage::Idle;
+    if (outcome.status != TableStatus::Done)
+        return true;
+    if (stage == Stage::ReadPointer)
+        tookPointer(outcome, configuration);
+    if (stage == Stage::WritePointer) {
+        m_snapshot = m_writing;
+        scan();
+    }
+    if (stage == Stage::Scan)
+        deleteRows(outcome);
+    if (stage == Stage::Delete)
+        scan();
+    return true;
+}
+
+bool ConfigurationCompactor::handle(const Platform::ObjectOutcome &outcome)
+{
+    if (m_stage != Stage::Put || outcome.operation != m_operation)
+        return false;
+    m_stage = Stage::Idle;
+    if (outcome.status == Platform::ObjectStatus::Done)
+        writePointer();
+    return true;
+}
+
+void ConfigurationCompactor::tookPointer(const Platform::TableOutcome &outcome,
+                                         const Settings::Configuration &configuration)
+{
+    m_snapshot = snapshotVersionOf(outcome);
+    m_pointerRow = outcome.rows.empty() ? Platform::absentRow : outcome.rows.front().version;
+    if (configuration.version() < m_snapshot + m_policy.compactEvery) {
+        // Another router was first; what it had no time to delete is deleted here.
+        scan();
+        return;
+    }
+    m_writing = configuration.version();
+    m_objects->put(begin(Stage::Put), snapshotObject(m_writing, m_policy.compactEvery),
+                   Settings::encodeConfiguration(configuration));
+}
+
+void ConfigurationCompactor::writePointer()
+{
+    m_table->transact(begin(Stage::WritePointer),
+                      {{snapshotKey, std::to_string(m_writing), m_pointerRow}});
+}
+
+Settings::ConfigurationVersion ConfigurationCompactor::lastDeletable() const
+{
+    return m_snapshot > m_policy.keptRows ? m_snapshot - m_policy.keptRows : 0;
+}
+
+void ConfigurationCompactor::scan()
+{
+    if (lastDeletable() == 0)
+        return;
+    m_table->scan(begin(Stage::Scan), Settings::changePrefix, Settings::changeKey(0),
+                  deletedAtOnce);
+}
+
+void ConfigurationCompactor::deleteRows(const Platform::TableOutcome &outcome)
+{
+    std::vector<Platform::TableWrite> writes;
+    for (const Platform::TableRow &row : outcome.rows) {
+        const Settings::ConfigurationVersion version = Settings::versionOfKey(row.key);
+        if (version != 0 && version <= lastDeletable())
+            writes.push_back({row.key, std::nullopt, std::nullopt});
+    }
+    if (!writes.empty())
+        m_table->transact(begin(Stage::Delete), writes);
+}
+
+} // namespace Coordination
--- a/src/libs/coordination/configurationreplica.h
+++ b/src/libs/coordination/configurationreplica.h
@@ -2,65 +2,74 @@
 
 #include "base/result.h"
 #include "base/time.h"
+#include "coordination/configurationcompactor.h"
+#include "coordination/configurationpolicy.h"
+#include "coordination/knownchanges.h"
+#include "coordination/targetwriter.h"
+#include "platform/objectstore.h"
 #include "platform/operationids.h"
 #include "platform/tableservice.h"
 #include "settings/configuration.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
 
 namespace Coordination {
 
-/// What a write of a target came to.
-enum class TargetWriteStatus {
-    Accepted,
-    LostRace,    ///< The class changed after the version that the operator had seen.
-    Unavailable, ///< Known not to be written.
-    Unknown,     ///< The answer was lost and could not be read back.
-};
-
-struct TargetWriteResult
-{
-    /// Handle that the caller of writeTarget() gave.
-    std::uint64_t handle = 0;
-    TargetWriteStatus status = TargetWriteStatus::Unavailable;
-    Settings::ConfigurationVersion version = 0;
-};
-
-struct ConfigurationPolicy
-{
-    Base::Duration pollInterval = std::chrono::milliseconds(1000);
-};
-
 /// This router's copy of the configuration: polled from the table, learned from peers, only
-/// ever upward. Thin version: every router polls.
+/// ever upward, change by change or by a whole snapshot.
+///
+/// Failures it stops: a table that is down, slow, answers out of order or loses answers; a peer
+/// or a table with an old state. They would show as a target that goes back to an older value.
+/// The guard holds because a change is applied only if its version is the next one, a snapshot
+/// only if it is newer, and a change's row, once written, is never written again.
 ///
 /// Rows: "config/head" holds the newest version in decimal; "config/change/NNNNNNNNNNNNNNNN"
-/// holds each change as JSON.
+/// holds each change as JSON; "config/snapshot" names the newest snapshot (see
+/// ConfigurationCompactor).
 class ConfigurationReplica
 {
 public:
+    /// \a writer distinguishes this start of this router among all writers there ever were.
     static Base::Result<ConfigurationReplica> create(const ConfigurationPolicy &policy,
                                                      Platform::TableService &table,
-                                                     Platform::OperationIds &operations);
+                                                     Platform::ObjectStore &objects,
+                                                     Platform::OperationIds &operations,
+                                                     const std::string &writer);
 
-    const Settings::Configuration &configuration() const { return m_configuration; }
-    /// False until the table or a peer has given a configuration; until then nothing is served.
+    const Settings::Configuration &configuration() const { return m_known.configuration(); }
+    /// False until the table or the peers have given the newest configuration that they know;
+    /// until then nothing is served. Never false again.
     bool isReady() const { return m_isReady; }
+    /// Whether this router polls for its zone. Others look rarely, in case the poller is blind.
+    void setPolling(bool isPolling) { m_isPolling = isPolling; }
 
     void advance(Base::TimePoint now);
     Base::TimePoint nextDue() const { return m_nextPoll; }
     /// Whether the outcome was an answer to this part's call.
     bool handle(const Platform::TableOutcome &outcome, Base::TimePoint now);
+    bool handle(const Platform::ObjectOutcome &outcome, Base::TimePoint now);
 
     /// Writes a target if the class has not changed after version \a seen.
     void writeTarget(std::uint64_t handle, const Settings::ClassTarget &target,
                      Settings::ConfigurationVersion seen, Base::TimePoint now);
-    std::vector<TargetWriteResult> takeWriteResults();
+    std::vector<TargetWriteResult> takeWriteResults() { return m_writer.takeResults(); }
 
-    /// Changes after \a version, for a peer that is behind; empty if it must take a snapshot.
+    /// Notes which version a peer's heartbeat named.
+    void notePeer(const Base::HostId &peer, Settings::ConfigurationVersion version,
+                  Base::TimePoint now);
+    /// The peer to ask for what is missing here, if it is time to ask.
+    std::optional<Base::HostId> duePull(Base::TimePoint now);
+    /// What to push to a peer at \a version without being asked. Only routers that have a
+    /// change at first hand push it at once; the rest only if the peer still lacks it a while
+    /// later. Otherwise each change would reach each router from all others.
+    std::vector<Settings::ConfigurationChange> changesToPush(Settings::ConfigurationVersion version,
+                                                             std::size_t limit,
+                                                             Base::TimePoint now) const;
+    /// Changes after \a version, for a peer that asks; empty if it must take a snapshot.
     std::vector<Settings::ConfigurationChange> changesAfter(Settings::ConfigurationVersion version,
                                                             std::size_t limit) const;
     /// Takes changes from a peer; those not next in order are left.
@@ -69,29 +78,37 @@
     void learnSnapshot(const Settings::Configuration &configuration);
 
 private:
-    struct PendingWrite
+    struct Peer
     {
-        std::uint64_t handle = 0;
-        Settings::ClassTarget target;
-        Platform::OperationId operation = 0;
         Settings::ConfigurationVersion version = 0;
+        Base::TimePoint heardAt;
     };
 
     ConfigurationReplica(const ConfigurationPolicy &policy, Platform::TableService &table,
-                         Platform::OperationIds &operations);
-    void applyRows(const std::vector<Platform::TableRow> &rows);
+                         Platform::ObjectStore &objects, Platform::OperationIds &operations,
+                         const std::string &writer);
+    void poll(Base::TimePoint now);
+    void takePoll(const Platform::TableOutcome &outcome, Base::TimePoint now);
+    void fetchSnapshot();
+    void becomeReadyFromPeers();
+    Settings::ConfigurationVersion newestOfPeers() const;
 
     ConfigurationPolicy m_policy;
     Platform::TableService *m_table;
+    Platform::ObjectStore *m_objects;
     Platform::OperationIds *m_operations;
-    Settings::Configuration m_configuration;
-    std::vector<Settings::ConfigurationChange> m_changes;
-    std::vector<PendingWrite> m_writes;
-    std::vector<TargetWriteResult> m_results;
-    std::optional<Platform::OperationId> m_poll;
-    std::optional<Platform::OperationId> m_headRead;
-    Platform::RowVersion m_headRow = 0;
+    KnownChanges m_known;
+    TargetWriter m_writer;
+    ConfigurationCompactor m_compactor;
+    std::map<Base::HostId, Peer> m_peers;
+    /// Polls without an answer yet, with the time they were sent.
+    std::map<Platform::OperationId, Base::TimePoint> m_polls;
+    std::optional<Platform::OperationId> m_pointerRead;
+    std::optional<Platform::OperationId> m_snapshotRead;
+    Base::TimePoint m_now{};
     Base::TimePoint m_nextPoll{};
+    Base::TimePoint m_nextPull{};
+    bool m_isPolling = true;
     bool m_isReady = false;
 };
 
--- /dev/null
+++ b/src/libs/coordination/targetwriter.cpp
@@ -0,0 +1,277 @@
+#include "coordination/targetwriter.h"
+
+#include "settings/changecodec.h"
+
+#include <charconv>
+#include <utility>
+
+namespace Coordination {
+
+namespace {
+
+using Platform::TableStatus;
+
+std::optional<Settings::ConfigurationVersion> headVersionOf(const Platform::TableOutcome &outcome)
+{
+    if (outcome.rows.empty())
+        return 0;
+    const std::string &text = outcome.rows.front().value;
+    Settings::ConfigurationVersion version = 0;
+    const char *end = text.data() + text.size();
+    const auto [ptr, ec] = std::from_chars(text.data(), end, version);
+    if (ec != std::errc() || ptr != end)
+        return std::nullopt;
+    return version;
+}
+
+} // namespace
+
+TargetWriter::TargetWriter(const ConfigurationPolicy &policy, Platform::TableService &table,
+                           Platform::OperationIds &operations, const std::string &writer)
+    : m_policy(policy)
+    , m_table(&table)
+    , m_operations(&operations)
+    , m_writer(writer)
+{}
+
+void TargetWriter::write(std::uint64_t handle, const Settings::ClassTarget &target,
+                         Settings::ConfigurationVersion seen, const KnownChanges &known,
+                         Base::TimePoint now)
+{
+    if (known.isChangedAfter(target.name, seen)) {
+        m_results.push_back({handle, TargetWriteStatus::LostRace, known.version()});
+        return;
+    }
+    Write write;
+    write.handle = handle;
+    write.target = target;
+    write.seen = seen;
+    write.token = m_writer + '-' + std::to_string(++m_lastToken);
+    write.deadline = now + m_policy.writeDeadline;
+    m_writes.push_back(write);
+    startNext();
+}
+
+void TargetWriter::startNext()
+{
+    if (!m_writes.empty() && m_writes.front().stage == Stage::Waiting)
+        readHead(m_writes.front());
+}
+
+void TargetWriter::advance(Base::TimePoint now)
+{
+    for (auto it = m_writes.begin(); it != m_writes.end();) {
+        if (now < it->deadline) {
+            ++it;
+            continue;
+        }
+        const bool isSent = it->isInDoubt || it->stage == Stage::Transact;
+        const auto status = isSent ? TargetWriteStatus::Unknown : TargetWriteStatus::Unavailable;
+        m_results.push_back({it->handle, status, 0});
+        it = m_writes.erase(it);
+    }
+    startNext();
+    if (m_writes.empty())
+        return;
+    Write &write = m_writes.front();
+    if (write.stage == Stage::Pause && now >= write.pausedUntil)
+        readBack(write);
+}
+
+bool TargetWriter::handle(const Platform::TableOutcome &outcome, KnownChanges &known,
+                          Base::TimePoint now)
+{
+    if (m_writes.empty() || m_writes.front().operation != outcome.operation)
+        return false;
+    Write &write = m_writes.front();
+    switch (write.stage) {
+    case Stage::ReadHead:
+        tookHead(write, outcome, known);
+        break;
+    case Stage::CatchUp:
+        tookChanges(write, outcome, known, now);
+        break;
+    case Stage::Transact:
+        tookTransaction(write, outcome, known, now);
+        break;
+    case Stage::ReadBack:
+        tookRow(write, outcome, known, now);
+        break;
+    case Stage::Waiting:
+    case Stage::Pause:
+        break;
+    }
+    return true;
+}
+
+std::vector<TargetWriteResult> TargetWriter::takeResults()
+{
+    return std::exchange(m_results, {});
+}
+
+void TargetWriter::readHead(Write &write)
+{
+    write.stage = Stage::ReadHead;
+    write.isHeadMoved = false;
+    write.operation = m_operations->next();
+    m_table->read(write.operation, Settings::headKey);
+}
+
+void TargetWriter::tookHead(Write &write, const Platform::TableOutcome &outcome,
+                            const KnownChanges &known)
+{
+    const std::optional<Settings::ConfigurationVersion> version = headVersionOf(outcome);
+    if (outcome.status != TableStatus::Done || !version) {
+        finishUnreached(write, known);
+        return;
+    }
+    write.headVersion = *version;
+    write.headRow = outcome.rows.empty() ? Platform::absentRow : outcome.rows.front().version;
+    catchUp(write, known);
+}
+
+void TargetWriter::catchUp(Write &write, const KnownChanges &known)
+{
+    if (write.headVersion <= known.version()) {
+        tryWrite(write, known);
+        return;
+    }
+    write.stage = Stage::CatchUp;
+    write.operation = m_operations->next();
+    m_table->scan(write.operation, Settings::changePrefix, Settings::changeKey(known.version()),
+                  m_policy.pollLimit);
+}
+
+void TargetWriter::tookChanges(Write &write, const Platform::TableOutcome &outcome,
+                               KnownChanges &known, Base::TimePoint now)
+{
+    const Settings::ConfigurationVersion before = known.version();
+    for (const Platform::TableRow &row : outcome.rows) {
+        auto change = Settings::decodeChange(Settings::versionOfKey(row.key), row.value);
+        if (change)
+            known.apply(*change, ChangeSource::Table, now);
+    }
+    const bool isStuck = known.version() == before && known.version() < write.headVersion;
+    if (outcome.status != TableStatus::Done || isStuck) {
+        finishUnreached(write, known);
+        return;
+    }
+    catchUp(write, known);
+}
+
+void TargetWriter::tryWrite(Write &write, const KnownChanges &known)
+{
+    if (known.isChangedAfter(write.target.name, write.seen) || write.seen > known.version()) {
+        finish(TargetWriteStatus::LostRace, known.version());
+        return;
+    }
+    if (write.headVersion < known.version()) {
+        // Changes came from peers while the head was read, or the table was set back. The
+        // first is over by the next reading; the second must not be written onto.
+        if (write.version == known.version() + 1) {
+            finishUnreached(write, known);
+            return;
+        }
+        write.version = known.version() + 1;
+        readHead(write);
+        return;
+    }
+    write.version = known.version() + 1;
+    transact(write);
+}
+
+void TargetWriter::transact(Write &write)
+{
+    write.stage = Stage::Transact;
+    write.operation = m_operations->next();
+    const Settings::ConfigurationChange change{write.version, write.target};
+    m_table->transact(write.operation,
+                      {{Settings::headKey, std::to_string(write.version), write.headRow},
+                       {Settings::changeKey(write.version),
+                        Settings::encodeChange(change, write.token), Platform::absentRow}});
+}
+
+void TargetWriter::tookTransaction(Write &write, const Platform::TableOutcome &outcome,
+                                   KnownChanges &known, Base::TimePoint now)
+{
+    switch (outcome.status) {
+    case TableStatus::Done:
+        accept(write, known, now);
+        return;
+    case TableStatus::Conflict:
+        // After a lost answer the head may have been moved by the lost transaction itself.
+        write.isHeadMoved = true;
+        if (write.isInDoubt)
+            readBack(write);
+        else
+            readHead(write);
+        return;
+    case TableStatus::NotDone:
+        if (write.isInDoubt)
+            pause(write, now);
+        else
+            finish(TargetWriteStatus::Unavailable, known.version());
+        return;
+    case TableStatus::Unknown:
+        write.isInDoubt = true;
+        pause(write, now);
+        return;
+    }
+}
+
+void TargetWriter::pause(Write &write, Base::TimePoint now)
+{
+    write.stage = Stage::Pause;
+    write.pausedUntil = now + m_policy.writeRetry;
+}
+
+void TargetWriter::readBack(Write &write)
+{
+    write.stage = Stage::ReadBack;
+    write.operation = m_operations->next();
+    m_table->read(write.operation, Settings::changeKey(write.version));
+}
+
+void TargetWriter::tookRow(Write &write, const Platform::TableOutcome &outcome, KnownChanges &known,
+                           Base::TimePoint now)
+{
+    const bool isMissing = outcome.rows.empty() && write.isHeadMoved;
+    if (outcome.status != TableStatus::Done || isMissing) {
+        pause(write, now);
+        return;
+    }
+    if (outcome.rows.empty()) {
+        transact(write);
+        return;
+    }
+    if (Settings::tokenOf(outcome.rows.front().value) == write.token) {
+        accept(write, known, now);
+        return;
+    }
+    // Another's change has this version: the head has moved, so the lost transaction can no
+    // longer take effect.
+    write.isInDoubt = false;
+    readHead(write);
+}
+
+void TargetWriter::accept(Write &write, KnownChanges &known, Base::TimePoint now)
+{
+    known.apply({write.version, write.target}, ChangeSource::Table, now);
+    finish(TargetWriteStatus::Accepted, write.version);
+}
+
+void TargetWriter::finishUnreached(const Write &write, const KnownChanges &known)
+{
+    const auto status =
+        write.isInDoubt ? TargetWriteStatus::Unknown : TargetWriteStatus::Unavailable;
+    finish(status, known.version());
+}
+
+void TargetWriter::finish(TargetWriteStatus status, Settings::ConfigurationVersion version)
+{
+    m_results.push_back({m_writes.front().handle, status, version});
+    m_writes.pop_front();
+    startNext();
+}
+
+} // namespace Coordination
--- a/src/libs/node/node.cpp
+++ b/src/libs/node/node.cpp
@@ -35,9 +35,11 @@
     BOOST_LEAF_AUTO(membership,
                     Coordination::Membership::create(m_settings.membership, m_settings.self));
     m_membership = std::make_unique<Coordination::Membership>(std::move(membership));
-    BOOST_LEAF_AUTO(configuration,
-                    Coordination::ConfigurationReplica::create(m_settings.configuration,
-                                                               m_environment.table, m_operations));
+    BOOST_LEAF_AUTO(
+        configuration,
+        Coordination::ConfigurationReplica::create(
+            m_settings.configuration, m_environment.table, m_environment.objects, m_operations,
+            m_settings.self.host.value() + '-' + std::to_string(m_settings.self.incarnation)));
     m_configuration =
         std::make_unique<Coordination::ConfigurationReplica>(std::move(configuration));
     BOOST_LEAF_AUTO(claims,
@@ -62,6 +64,8 @@
 {
     m_membership->advance(now);
     m_configuration->advance(now);
+    if (const std::optional<Base::HostId> peer = m_configuration->duePull(now))
+        post(*peer, ConfigurationPull{m_configuration->configuration().version()});
     m_claims->advance(now);
     sendHeartbeats(now);
     if (now >= m_nextAdvance) {
@@ -229,7 +233,10 @@
     m_claims->handle(event, now);
 }
 
-void Node::on(const Platform::ObjectOutcome &, Base::TimePoint) {}
+void Node::on(const Platform::ObjectOutcome &event, Base::TimePoint now)
+{
+    m_configuration->handle(event, now);
+}
 
 void Node::on(const HostListArrived &event, Base::TimePoint now)
 {
@@ -257,15 +264,11 @@
             home->forgetEntry(from, now);
     }
     m_membership->receive(message, now);
-    const Settings::ConfigurationVersion own = m_configuration->configuration().version();
-    if (message.configurationVersion < own) {
-        const auto changes =
-            m_configuration->changesAfter(message.configurationVersion, changesPerPush);
-        if (changes.empty())
-            post(from, ConfigurationSnapshot{m_configuration->configuration()});
-        else
-            post(from, ConfigurationPush{changes});
-    }
+    m_configuration->notePeer(from, message.configurationVersion, now);
+    const auto changes =
+        m_configuration->changesToPush(message.configurationVersion, changesPerPush, now);
+    if (!changes.empty())
+        post(from, ConfigurationPush{changes});
 }
 
 void Node::receive(const Base::HostId &from, const PermitRequest &message, Base::TimePoint now)
@@ -340,9 +343,13 @@
     m_configuration->learnSnapshot(message.configuration);
 }
 
-void Node::receive(const Base::HostId &from, const ConfigurationPull &, Base::TimePoint)
+void Node::receive(const Base::HostId &from, const ConfigurationPull &message, Base::TimePoint)
 {
-    post(from, ConfigurationSnapshot{m_configuration->configuration()});
+    const auto changes = m_configuration->changesAfter(message.version, changesPerPush);
+    if (changes.empty())
+        post(from, ConfigurationSnapshot{m_configuration->configuration()});
+    else
+        post(from, ConfigurationPush{changes});
 }
 
 void Node::receive(const Base::HostId &, const WorkHandover &message, Base::TimePoint now)
@@ -391,6 +398,7 @@
     m_appliedView = m_membership->viewVersion();
     m_isDirectoryChanged = false;
     m_directory.markLeaving(*m_membership);
+    m_configuration->setPolling(m_membership->zonePoller() == m_settings.self.host);
     refreshHomes();
     m_entry->rehome(now);
 }
--- a/src/libs/settings/changecodec.cpp
+++ b/src/libs/settings/changecodec.cpp
@@ -3,7 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include <charconv>
-#include <cstdio>
+#include <optional>
 
 namespace Settings {
 
@@ -44,17 +44,8 @@
     return it != json.end() && it->is_string() ? it->get<std::string>() : std::string();
 }
 
-} // namespace
-
-std::string encodeChange(const ConfigurationChange &change)
-{
-    return std::visit(ToJson(), change.what).dump();
-}
-
-Base::Result<ConfigurationChange> decodeChange(ConfigurationVersion version,
-                                               const std::string &text)
+Base::Result<ConfigurationChange> changeOf(ConfigurationVersion version, const Json &json)
 {
-    const Json json = Json::parse(text, nullptr, false);
     if (!json.is_object())
         return boost::leaf::new_error(MalformedChange{version});
     const std::string kind = textOf(json, "kind");
@@ -88,6 +79,73 @@
     return change;
 }
 
+Json withVersion(const ConfigurationChange &change)
+{
+    Json json = std::visit(ToJson(), change.what);
+    json["version"] = change.version;
+    return json;
+}
+
+std::optional<ConfigurationVersion> versionOf(const Json &json)
+{
+    if (!json.is_object())
+        return std::nullopt;
+    const auto it = json.find("version");
+    if (it == json.end() || !it->is_number_unsigned())
+        return std::nullopt;
+    return it->get<ConfigurationVersion>();
+}
+
+} // namespace
+
+std::string encodeChange(const ConfigurationChange &change, const std::string &token)
+{
+    Json json = std::visit(ToJson(), change.what);
+    if (!token.empty())
+        json["token"] = token;
+    return json.dump();
+}
+
+std::string tokenOf(const std::string &text)
+{
+    const Json json = Json::parse(text, nullptr, false);
+    return json.is_object() ? textOf(json, "token") : std::string();
+}
+
+Base::Result<ConfigurationChange> decodeChange(ConfigurationVersion version,
+                                               const std::string &text)
+{
+    return changeOf(version, Json::parse(text, nullptr, false));
+}
+
+std::string encodeConfiguration(const Configuration &configuration)
+{
+    Json entries = Json::array();
+    for (const auto &[name, target] : configuration.targets())
+        entries.push_back(withVersion({target.version, target.target}));
+    for (const auto &[id, customer] : configuration.customers())
+        entries.push_back(withVersion({configuration.version(), customer}));
+    return Json{{"version", configuration.version()}, {"entries", entries}}.dump();
+}
+
+Base::Result<Configuration> decodeConfiguration(const std::string &text)
+{
+    const Json json = Json::parse(text, nullptr, false);
+    const std::optional<ConfigurationVersion> version = versionOf(json);
+    if (!version || !json.contains("entries") || !json["entries"].is_array())
+        return boost::leaf::new_error(MalformedChange{});
+    Configuration configuration;
+    configuration.setVersion(*version);
+    for (const Json &entry : json["entries"]) {
+        BOOST_LEAF_AUTO(change, changeOf(versionOf(entry).value_or(0), entry));
+        if (const auto *target = std::get_if<ClassTarget>(&change.what))
+            configuration.insert(VersionedTarget{*target, change.version});
+        if (const auto *customer = std::get_if<Customer>(&change.what))
+            configuration.insert(*customer);
+    }
+    return configuration;
+}
+
 std::string changeKey(ConfigurationVersion version)
 {
     constexpr int digits = 16;
--- a/src/libs/settings/configuration.cpp
+++ b/src/libs/settings/configuration.cpp
@@ -23,9 +23,7 @@
 
 void Configuration::insert(const Customer &customer)
 {
-    const auto old = m_customers.find(customer.id);
-    if (old != m_customers.end())
-        m_customerByDigest.erase(old->second.keyDigest);
+    forgetDigest(customer.id);
     m_customers[customer.id] = customer;
     m_customerByDigest[customer.keyDigest] = customer.id;
 }
@@ -42,13 +40,21 @@
     if (const auto *removed = std::get_if<RemoveClass>(&change.what))
         m_targets.erase(removed->name);
     if (const auto *removed = std::get_if<RemoveCustomer>(&change.what)) {
-        const auto it = m_customers.find(removed->id);
-        if (it == m_customers.end())
-            return true;
-        m_customerByDigest.erase(it->second.keyDigest);
-        m_customers.erase(it);
+        forgetDigest(removed->id);
+        m_customers.erase(removed->id);
     }
     return true;
 }
 
+void Configuration::forgetDigest(const Base::CustomerId &id)
+{
+    const auto customer = m_customers.find(id);
+    if (customer == m_customers.end())
+        return;
+    // Another customer may have been given the same key since; it keeps it.
+    const auto digest = m_customerByDigest.find(customer->second.keyDigest);
+    if (digest != m_customerByDigest.end() && digest->second == id)
+        m_customerByDigest.erase(digest);
+}
+
 } // namespace Settings
--- a/src/libs/settings/configuration.h
+++ b/src/libs/settings/configuration.h
@@ -89,6 +89,8 @@
     bool operator==(const Configuration &) const = default;
 
 private:
+    void forgetDigest(const Base::CustomerId &id);
+
     ConfigurationVersion m_version = 0;
     std::map<Base::ClassId, VersionedTarget> m_targets;
     std::map<Base::CustomerId, Customer> m_customers;
