--- a/src/libs/node/entryrequests.h
+++ b/src/libs/node/entryrequests.h
@@ -7,9 +7,11 @@
 #include "coordination/configurationreplica.h"
 #include "coordination/membership.h"
 #include "node/environment.h"
+#include "node/homewatch.h"
 #include "node/nodesettings.h"
 #include "node/openrequest.h"
 #include "node/outbox.h"
+#include "node/requestrecorder.h"
 #include "node/serverdirectory.h"
 #include "scheduling/retrybudget.h"
 
@@ -45,7 +47,7 @@
     void open(const CallerRequest &asked, Base::TimePoint now);
     void callerGone(CallerId caller, Base::TimePoint now);
     void callerBlocked(CallerId caller);
-    void callerReady(CallerId caller);
+    void callerReady(CallerId caller, Base::TimePoint now);
 
     void claimDecided(const Claims::ClaimOutcome &outcome, Base::TimePoint now);
     void granted(const Base::HostId &home, const PermitGrant &grant, Base::TimePoint now);
@@ -57,6 +59,9 @@
     void backendFinished(const BackendFinished &finished, Base::TimePoint now);
     void backendFailed(const BackendFailed &failed, Base::TimePoint now);
 
+    /// Compares what waits at \a home with what it says, and mends the difference.
+    void reconcile(const Base::HostId &home, const WaitingReply &reply, Base::TimePoint now);
+    std::vector<Base::HostId> takeSilentHomes() { return m_watch.takeSilentHomes(); }
     /// The set of usable routers changed: asks new homes, tells them of permits in use.
     void rehome(Base::TimePoint now);
     void advance(Base::TimePoint now);
@@ -69,6 +74,11 @@
     OpenRequest *find(const AttemptId &attempt);
     Base::HostId homeOf(const Base::PoolId &pool, std::uint32_t shard) const;
     void askPermit(OpenRequest &open, Base::TimePoint now);
+    /// Posts the permit request to \a home and watches over it there.
+    void waitAt(OpenRequest &open, const Base::HostId &home, Base::TimePoint now);
+    /// The request no longer waits at its home.
+    void stopWaiting(const OpenRequest &open);
+    Base::Incarnation incarnationOf(const Base::HostId &host) const;
     PermitRequest permitRequest(const OpenRequest &open, Base::TimePoint now) const;
     void send(OpenRequest &open, const Server &server, Base::TimePoint now);
     void releasePermit(OpenRequest &open, Scheduling::PermitOutcome outcome, Base::TimePoint now);
@@ -76,17 +86,20 @@
     void retry(OpenRequest &open, Base::TimePoint now);
     void replay(OpenRequest &open, const std::string &stored, Base::TimePoint now);
     void failWith(OpenRequest &open, Failure failure, Base::TimePoint now);
+    void passDeadline(OpenRequest &open, Base::TimePoint now);
+    /// Takes the work back from its home or its backend server.
+    void dropWork(OpenRequest &open, Base::TimePoint now);
     void settleClaim(const OpenRequest &open, Base::TimePoint now);
     void close(const Base::RequestKey &key);
-    void recordHop(const OpenRequest &open, Hop hop, Base::TimePoint begin, Base::TimePoint end,
-                   const std::string &place, bool isFailed);
-    void recordEnd(const OpenRequest &open, const Failure *failure, Base::TimePoint now);
 
     EntryContext m_context;
     Scheduling::RetryBudget m_budget;
+    HomeWatch m_watch;
+    RequestRecorder m_recorder;
     std::map<Base::RequestKey, OpenRequest> m_open;
     std::map<CallerId, Base::RequestKey> m_byCaller;
     std::uint64_t m_lastSerial = 0;
+    Base::TimePoint m_nextCheck{};
 };
 
 } // namespace Node
--- a/src/libs/node/poolhome.cpp
+++ b/src/libs/node/poolhome.cpp
@@ -7,9 +7,8 @@
 
 namespace {
 
-constexpr Base::Duration drainPeriod = std::chrono::milliseconds(500);
-/// Weight of the newest period in the smoothed drain rate: settles in about two seconds.
-constexpr double drainSmoothing = 0.3;
+/// A permit not heard of for this long is asked for. A lost release idles a slot that long.
+constexpr Base::Duration permitQueryInterval = std::chrono::seconds(3);
 
 } // namespace
 
@@ -70,15 +69,21 @@
     }
 }
 
-void PoolHome::request(const Base::HostId &entry, const PermitRequest &request, Base::TimePoint now)
+void PoolHome::request(const PermitRequest &request, Base::TimePoint now)
 {
+    const Base::HostId &entry = request.attempt.request.entry;
     const auto permit = m_permits.find(request.attempt);
     if (permit != m_permits.end()) {
         // The grant was lost on its way: the entry would wait for ever, so it is sent again.
         m_outbox->post(entry, PermitGrant{request.attempt, m_pool, m_shard, permit->second.server});
         return;
     }
-    m_queue.remove(request.attempt.request);
+    if (m_waitingByEntry[entry].contains(request.attempt))
+        return;
+    // An older attempt whose cancel was lost makes room for this one.
+    if (const auto older = m_queue.remove(request.attempt.request))
+        forgetWaiting(*older);
+    m_waitingByEntry[entry].add(request.attempt);
     Scheduling::WaitingWork work;
     work.request = request.attempt.request;
     work.attempt = request.attempt.number;
@@ -90,22 +95,24 @@
         work.deadline = now + *request.deadlineWithin;
     work.expectedCost = request.expectedCost;
     work.prefix = request.prefix;
-    m_waitingEntry[work.request] = entry;
     const auto refusal = m_admission.refusalFor(work, poolState(work.customer), now, *m_random);
     if (refusal) {
         refuse(work, *refusal);
         return;
     }
-    if (m_queue.waitingOf(work.customer) == 0)
-        m_ledger->becomeBacklogged(work.customer, m_queue.backloggedCustomers());
+    if (m_queue.waitingOf(work.customer) == 0) {
+        const std::optional<Base::CustomerId> least = m_queue.leastServed(*m_ledger);
+        if (least)
+            m_ledger->becomeBacklogged(work.customer, {*least});
+    }
     m_queue.push(work);
     dispatch(now);
 }
 
 void PoolHome::cancel(const PermitCancel &cancel, Base::TimePoint now)
 {
-    m_queue.remove(cancel.attempt.request);
-    m_waitingEntry.erase(cancel.attempt.request);
+    if (m_waitingByEntry[cancel.attempt.request.entry].remove(cancel.attempt))
+        m_queue.remove(cancel.attempt.request);
     const auto it = m_permits.find(cancel.attempt);
     if (it == m_permits.end())
         return;
@@ -129,17 +136,19 @@
         report.served = release.units;
         server->second.limiter.recordPermit(report, server->second.inUse, now);
     }
+    if (release.outcome != Scheduling::PermitOutcome::NotUsed)
+        m_drain.recordUse(release.whole);
     endPermit(it);
-    ++m_drained;
     dispatch(now);
 }
 
-void PoolHome::charge(const ServiceCharge &charge)
+void PoolHome::charge(const ServiceCharge &charge, Base::TimePoint now)
 {
     const auto it = m_permits.find(charge.attempt);
     if (it == m_permits.end())
         return;
     Permit &permit = it->second;
+    permit.confirmedAt = now;
     m_ledger->charge(permit.customer, charge.units);
     const Base::ServiceUnits freed = std::min(permit.held, charge.units);
     m_ledger->releaseHold(permit.customer, freed);
@@ -166,14 +175,11 @@
 
 void PoolHome::forgetEntry(const Base::HostId &entry, Base::TimePoint now)
 {
-    std::vector<Base::RequestKey> waiting;
-    for (const auto &[request, host] : m_waitingEntry) {
-        if (host == entry)
-            waiting.push_back(request);
-    }
-    for (const Base::RequestKey &request : waiting) {
-        m_queue.remove(request);
-        m_waitingEntry.erase(request);
+    const auto waiting = m_waitingByEntry.find(entry);
+    if (waiting != m_waitingByEntry.end()) {
+        for (const AttemptId &attempt : waiting->second.attempts())
+            m_queue.remove(attempt.request);
+        m_waitingByEntry.erase(waiting);
     }
     for (auto it = m_permits.begin(); it != m_permits.end();) {
         const auto current = it++;
@@ -191,7 +197,7 @@
         refuse(work, m_admission.refuse(Scheduling::RefusalReason::DeadlinePassed,
                                         poolState(work.customer), *m_random));
     }
-    recordDrain(now);
+    queryPermits(now);
     m_ledger->clampDebts(m_queue.backloggedCustomers());
     dispatch(now);
 }
@@ -202,7 +208,7 @@
     for (const Scheduling::ServerChoice &choice : freeServers())
         freePermits += choice.limit - choice.inUse;
     return {m_pool, m_shard, static_cast<std::uint32_t>(m_queue.size()),
-            static_cast<std::uint32_t>(freePermits), m_drainRate};
+            static_cast<std::uint32_t>(freePermits), m_drain.rate(permitLimit())};
 }
 
 std::size_t PoolHome::permitLimit() const
@@ -267,24 +273,22 @@
                      Base::TimePoint now)
 {
     const AttemptId attempt{work.request, work.attempt};
-    const auto waiting = m_waitingEntry.find(work.request);
-    const Base::HostId entry =
-        waiting == m_waitingEntry.end() ? work.request.entry : waiting->second;
-    if (waiting != m_waitingEntry.end())
-        m_waitingEntry.erase(waiting);
-    m_permits[attempt] = {entry, server, work.customer, work.workClass, work.expectedCost, now};
+    forgetWaiting(work);
+    m_permits[attempt] = {work.request.entry, server, work.customer, work.workClass,
+                          work.expectedCost,  now};
     m_ledger->hold(work.customer, work.expectedCost);
     ++m_servers.at(server).inUse;
     ++m_inUseByClass[work.workClass];
     if (work.prefix != 0)
         m_selector.recordPrefix(work.prefix, server, now);
-    m_outbox->post(entry, PermitGrant{attempt, m_pool, m_shard, server});
+    m_outbox->post(work.request.entry, PermitGrant{attempt, m_pool, m_shard, server});
 }
 
 void PoolHome::endPermit(std::map<AttemptId, Permit>::iterator it)
 {
     const Permit &permit = it->second;
     m_ledger->releaseHold(permit.customer, permit.held);
+    m_queue.positionLowered(permit.customer);
     const auto server = m_servers.find(permit.server);
     if (server != m_servers.end() && server->second.inUse > 0)
         --server->second.inUse;
@@ -298,7 +302,7 @@
     Scheduling::PoolState state;
     state.waiting = m_queue.size();
     state.waitingOfCustomer = m_queue.waitingOf(customer);
-    state.backloggedCustomers = m_queue.backloggedCustomers().size();
+    state.backloggedCustomers = m_queue.backloggedCount();
     if (state.waitingOfCustomer == 0)
         ++state.backloggedCustomers;
     for (const auto &[id, server] : m_servers) {
@@ -306,31 +310,58 @@
             ++state.usableServers;
     }
     state.freePermits = summary().freePermits;
-    state.drainRate = m_drainRate;
+    state.drainRate = m_drain.rate(permitLimit());
     return state;
 }
 
 void PoolHome::refuse(const Scheduling::WaitingWork &work,
                       const Scheduling::AdmissionRefusal &refusal)
 {
-    const auto waiting = m_waitingEntry.find(work.request);
-    const Base::HostId entry =
-        waiting == m_waitingEntry.end() ? work.request.entry : waiting->second;
-    if (waiting != m_waitingEntry.end())
-        m_waitingEntry.erase(waiting);
-    m_outbox->post(entry,
+    forgetWaiting(work);
+    m_outbox->post(work.request.entry,
                    PermitRefusal{{work.request, work.attempt}, refusal.reason, refusal.retryAfter});
 }
 
-void PoolHome::recordDrain(Base::TimePoint now)
+void PoolHome::forgetWaiting(const Scheduling::WaitingWork &work)
+{
+    const auto it = m_waitingByEntry.find(work.request.entry);
+    if (it == m_waitingByEntry.end())
+        return;
+    it->second.remove({work.request, work.attempt});
+    if (it->second.count() == 0)
+        m_waitingByEntry.erase(it);
+}
+
+WaitingReply PoolHome::compare(const Base::HostId &entry, const WaitingDigest &digest) const
+{
+    WaitingReply reply{m_pool, m_shard, digest.number, false, {}};
+    const auto it = m_waitingByEntry.find(entry);
+    const std::size_t count = it == m_waitingByEntry.end() ? 0 : it->second.count();
+    const std::uint64_t hash = count == 0 ? 0 : it->second.hash();
+    reply.isMatch = count == digest.count && hash == digest.hash;
+    if (!reply.isMatch && count > 0)
+        reply.attempts.assign(it->second.attempts().begin(), it->second.attempts().end());
+    return reply;
+}
+
+void PoolHome::queryPermits(Base::TimePoint now)
 {
-    if (now - m_drainSince < drainPeriod)
+    if (now < m_nextQuery)
         return;
-    const double seconds = std::chrono::duration<double>(now - m_drainSince).count();
-    const double rate = static_cast<double>(m_drained) / seconds;
-    m_drainRate = m_drainRate == 0 ? rate : m_drainRate + drainSmoothing * (rate - m_drainRate);
-    m_drained = 0;
-    m_drainSince = now;
+    m_nextQuery = now + permitQueryInterval;
+    std::map<Base::HostId, PermitQuery> queries;
+    for (auto &[attempt, permit] : m_permits) {
+        if (now - permit.confirmedAt < permitQueryInterval)
+            continue;
+        // Not asked again before the next interval; the answer to a permit in use is silence.
+        permit.confirmedAt = now;
+        PermitQuery &query = queries[permit.entry];
+        query.pool = m_pool;
+        query.shard = m_shard;
+        query.attempts.push_back(attempt);
+    }
+    for (const auto &[entry, query] : queries)
+        m_outbox->post(entry, query);
 }
 
 } // namespace Node
--- a/tests/auto/coordination/tst_configurationreplica.cpp
+++ b/tests/auto/coordination/tst_configurationreplica.cpp
@@ -1,7 +1,7 @@
 #include "coordination/configurationreplica.h"
 
 #include "settings/changecodec.h"
-#include "support/faultytable.h"
+#include "support/manualtable.h"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
@@ -70,7 +70,7 @@
     }
 
     Platform::OperationIds operations;
-    Fakes::FaultyTable table;
+    Fakes::ManualTable table;
     Objects objects;
     ConfigurationReplica replica;
 };
--- a/tests/support/faultytable.h
+++ b/tests/support/faultytable.h
@@ -1,100 +1,135 @@
 #pragma once
 
+#include "base/random.h"
+#include "base/time.h"
+#include "platform/tableservice.h"
 #include "support/fakes.h"
 
-#include <functional>
+#include <map>
+#include <string>
+#include <utility>
 #include <vector>
 
 namespace Fakes {
 
-/// What happens to one call of the table.
-enum class Fate {
-    Answered,
-    Refused,           ///< NotDone.
-    LostBefore,        ///< Unknown; it never takes effect.
-    LostAfter,         ///< Unknown, though it took effect.
-    LostAndLate,       ///< Unknown, and it takes effect later (flushLate()).
-    AnsweredFromBefore ///< A read answers with what it saw when it was sent.
+/// Shares, in percent, of the calls that meet each fault, and the longest delay each way.
+struct TableFaults
+{
+    std::uint64_t refused = 0;
+    std::uint64_t requestLost = 0;
+    std::uint64_t answerLost = 0;
+    std::uint64_t doubled = 0;
+    Base::Duration longestDelay = std::chrono::milliseconds(5);
 };
 
-/// One node's connection to the shared table; the test decides order and fate of every call.
+/// One node's connection to the shared table over a bad network: requests and answers are
+/// delayed, lost and doubled. A write may take effect long after its caller gave up.
 class FaultyTable final : public Platform::TableService
 {
 public:
-    explicit FaultyTable(Table &table)
+    FaultyTable(Table &table, std::uint64_t seed)
         : m_table(&table)
+        , m_random(seed)
     {}
 
     void read(Platform::OperationId operation, const std::string &key) override
     {
-        add(operation, false, [this, operation, key] { return m_table->read(operation, key); });
+        ++readCalls;
+        m_called.push_back({operation, Kind::Read, key, {}, 0, {}});
     }
     void scan(Platform::OperationId operation, const std::string &prefix, const std::string &after,
               std::size_t limit) override
     {
-        add(operation, false, [this, operation, prefix, after, limit] {
-            return m_table->scan(operation, prefix, after, limit);
-        });
+        m_called.push_back({operation, Kind::Scan, prefix, after, limit, {}});
     }
     void transact(Platform::OperationId operation,
                   const std::vector<Platform::TableWrite> &writes) override
     {
-        add(operation, true,
-            [this, operation, writes] { return m_table->transact(operation, writes); });
+        ++writeCalls;
+        m_called.push_back({operation, Kind::Transact, {}, {}, 0, writes});
     }
 
-    std::size_t waiting() const { return m_calls.size(); }
-
-    /// Ends the call at position \a at and returns its outcome.
-    Platform::TableOutcome end(std::size_t at, Fate fate)
+    /// Lets time pass; returns the answers that arrive.
+    std::vector<Platform::TableOutcome> step(Base::TimePoint now)
     {
-        Call call = m_calls[at];
-        m_calls.erase(m_calls.begin() + static_cast<long>(at));
-        Platform::TableOutcome lost{call.operation, Platform::TableStatus::Unknown, {}};
-        switch (fate) {
-        case Fate::Answered:
-            return call.run();
-        case Fate::Refused:
-            return {call.operation, Platform::TableStatus::NotDone, {}};
-        case Fate::LostBefore:
-            return lost;
-        case Fate::LostAfter:
-            call.run();
-            return lost;
-        case Fate::LostAndLate:
-            m_late.push_back(call.run);
-            return lost;
-        case Fate::AnsweredFromBefore:
-            return call.isWrite ? call.run() : call.seenAtSending;
+        for (const Request &it : std::exchange(m_called, {}))
+            depart(it, now);
+        while (!m_underWay.empty() && m_underWay.begin()->first <= now) {
+            const Request request = m_underWay.begin()->second;
+            m_underWay.erase(m_underWay.begin());
+            answer(run(request), now);
         }
-        return lost;
+        std::vector<Platform::TableOutcome> arrived;
+        while (!m_answers.empty() && m_answers.begin()->first <= now) {
+            arrived.push_back(m_answers.begin()->second);
+            m_answers.erase(m_answers.begin());
+        }
+        return arrived;
     }
 
-    void flushLate()
-    {
-        for (const auto &run : m_late)
-            run();
-        m_late.clear();
-    }
+    TableFaults faults;
+    std::size_t readCalls = 0;
+    std::size_t writeCalls = 0;
+    /// Values written, in order, each time they were.
+    std::vector<std::string> written;
 
 private:
-    struct Call
+    enum class Kind { Read, Scan, Transact };
+    struct Request
     {
         Platform::OperationId operation = 0;
-        bool isWrite = false;
-        std::function<Platform::TableOutcome()> run;
-        Platform::TableOutcome seenAtSending;
+        Kind kind = Kind::Read;
+        std::string key;
+        std::string after;
+        std::size_t limit = 0;
+        std::vector<Platform::TableWrite> writes;
     };
 
-    void add(Platform::OperationId operation, bool isWrite,
-             const std::function<Platform::TableOutcome()> &run)
+    bool chance(std::uint64_t percent) { return m_random.next() % 100 < percent; }
+    Base::Duration delay()
+    {
+        const auto longest = static_cast<std::uint64_t>(faults.longestDelay.count());
+        return Base::Duration(m_random.next() % (longest + 1));
+    }
+
+    void depart(const Request &request, Base::TimePoint now)
+    {
+        if (chance(faults.refused)) {
+            answer({request.operation, Platform::TableStatus::NotDone, {}}, now);
+            return;
+        }
+        if (!chance(faults.requestLost))
+            m_underWay.emplace(now + delay(), request);
+        else if (chance(50))
+            answer({request.operation, Platform::TableStatus::Unknown, {}}, now);
+    }
+
+    Platform::TableOutcome run(const Request &request)
+    {
+        if (request.kind == Kind::Read)
+            return m_table->read(request.operation, request.key);
+        if (request.kind == Kind::Scan)
+            return m_table->scan(request.operation, request.key, request.after, request.limit);
+        Platform::TableOutcome outcome = m_table->transact(request.operation, request.writes);
+        for (const Platform::TableRow &row : outcome.rows)
+            written.push_back(row.value);
+        return outcome;
+    }
+
+    void answer(const Platform::TableOutcome &outcome, Base::TimePoint now)
     {
-        m_calls.push_back({operation, isWrite, run, isWrite ? Platform::TableOutcome() : run()});
+        if (chance(faults.answerLost))
+            return;
+        m_answers.emplace(now + delay(), outcome);
+        if (chance(faults.doubled))
+            m_answers.emplace(now + delay(), outcome);
     }
 
     Table *m_table;
-    std::vector<Call> m_calls;
-    std::vector<std::function<Platform::TableOutcome()>> m_late;
+    Base::SeededRandom m_random;
+    std::vector<Request> m_called;
+    std::multimap<Base::TimePoint, Request> m_underWay;
+    std::multimap<Base::TimePoint, Platform::TableOutcome> m_answers;
 };
 
 } // namespace Fakes
