--- a/src/libs/wire/messageencoder.cpp
+++ b/src/libs/wire/messageencoder.cpp
@@ -21,6 +21,28 @@
     to.set_text(Settings::encodeChange(change));
 }
 
+void encodeStart(Proto::LedgerStart &to, const Coordination::LedgerStart &from)
+{
+    to.set_host(from.host.value());
+    to.set_incarnation(from.incarnation);
+    to.set_epoch(from.epoch);
+}
+
+void encodeEntry(Proto::LedgerEntry &to, const Coordination::LedgerEntry &from)
+{
+    to.set_customer(from.customer.value());
+    to.set_charged(from.charged);
+    to.set_lifted(from.lifted);
+    to.set_forgiven(from.forgiven);
+    to.set_round(from.round);
+    to.set_settled(from.settled);
+    for (const Coordination::SeenCharge &seen : from.seen) {
+        Proto::SeenCharge &added = *to.add_seen();
+        added.set_start(seen.start);
+        added.set_charged(seen.charged);
+    }
+}
+
 } // namespace
 
 MessageEncoder::MessageEncoder(Proto::Batch &batch, const BatchEnds &ends, Proto::Message &message)
@@ -35,6 +57,11 @@
     to.set_sequence(from.sequence);
     to.set_leaving(from.state == Coordination::MemberState::Leaving);
     to.set_configuration_version(from.configurationVersion);
+    to.set_full(from.isFull);
+    to.set_interval_ms(static_cast<std::uint64_t>(from.interval.count()));
+    to.set_zone(from.zone.value());
+    to.set_peer_address(from.peerAddress);
+    to.set_caller_address(from.callerAddress);
     for (const Coordination::LeavingMark &mark : from.leaving) {
         Proto::LeavingMark &added = *to.add_leaving_marks();
         added.set_name(mark.name);
@@ -139,13 +166,20 @@
 {
     Proto::LedgerDelta &to = *m_message->mutable_ledger_delta();
     to.set_pool(from.pool.value());
-    for (const Coordination::LedgerEntry &entry : from.entries) {
-        Proto::LedgerEntry &added = *to.add_entries();
-        added.set_customer(entry.customer.value());
-        added.set_charged(entry.charged);
-        added.set_lifted(entry.lifted);
-        added.set_forgiven(entry.forgiven);
+    to.set_epoch(from.epoch);
+    to.set_floor(from.floor);
+    to.set_full(from.isFull);
+    to.set_snapshot(from.isSnapshot);
+    to.set_asking(from.isAsking);
+    for (const Coordination::LedgerEntry &entry : from.entries)
+        encodeEntry(*to.add_entries(), entry);
+    for (const Coordination::FoldedStart &folded : from.folded) {
+        Proto::FoldedStart &added = *to.add_folded();
+        encodeStart(*added.mutable_start(), folded.start);
+        added.set_age_seconds(static_cast<std::uint64_t>(folded.age.count()));
     }
+    for (const Coordination::LedgerStart &start : from.starts)
+        encodeStart(*to.add_starts(), start);
 }
 
 void MessageEncoder::operator()(const Node::ConfigurationPush &from)
