Learn each backend server's concurrency limit

Cause: the limit was fixed at 8: larger servers idled, smaller ones queued work in arrival order, and a frozen one was given each permit that freed.

--- a/src/libs/node/poolhome.cpp
+++ b/src/libs/node/poolhome.cpp
@@ -149,6 +149,9 @@
         return;
     Permit &permit = it->second;
     permit.confirmedAt = now;
+    const auto server = m_servers.find(permit.server);
+    if (server != m_servers.end())
+        server->second.limiter.recordProgress(now);
     m_ledger->charge(permit.customer, charge.units);
     const Base::ServiceUnits freed = std::min(permit.held, charge.units);
     m_ledger->releaseHold(permit.customer, freed);
@@ -168,9 +171,13 @@
 void PoolHome::recordLoad(const BackendLoad &load, Base::TimePoint now)
 {
     const auto it = m_servers.find(load.server);
-    if (it == m_servers.end() || !load.isReachable)
+    if (it == m_servers.end())
         return;
-    it->second.limiter.recordLoad(load.report, now);
+    if (load.isReachable)
+        it->second.limiter.recordLoad(load.report, now);
+    else
+        it->second.limiter.recordUnreachable(now);
+    dispatch(now);
 }
 
 void PoolHome::forgetEntry(const Base::HostId &entry, Base::TimePoint now)
@@ -191,8 +198,11 @@
 
 void PoolHome::advance(Base::TimePoint now)
 {
-    for (auto &[id, state] : m_servers)
-        state.limiter.advance(now);
+    const std::optional<Base::Duration> typical = typicalFirstToken();
+    for (auto &[id, state] : m_servers) {
+        state.limiter.setPeersFirstToken(typical);
+        state.limiter.advance(state.inUse, now);
+    }
     for (const Scheduling::WaitingWork &work : m_queue.takeExpired(now)) {
         refuse(work, m_admission.refuse(Scheduling::RefusalReason::DeadlinePassed,
                                         poolState(work.customer), *m_random));
@@ -238,6 +248,20 @@
     return used >= claim->second * static_cast<double>(permitLimit());
 }
 
+std::optional<Base::Duration> PoolHome::typicalFirstToken() const
+{
+    std::vector<Base::Duration> times;
+    for (const auto &[id, state] : m_servers) {
+        if (const auto quickest = state.limiter.quickestFirstToken())
+            times.push_back(*quickest);
+    }
+    if (times.size() < 2)
+        return std::nullopt;
+    const auto middle = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
+    std::nth_element(times.begin(), middle, times.end());
+    return *middle;
+}
+
 void PoolHome::dispatch(Base::TimePoint now)
 {
     while (!m_queue.isEmpty()) {
--- a/src/libs/node/poolhome.h
+++ b/src/libs/node/poolhome.h
@@ -85,6 +85,8 @@
              Scheduling::FairQueue queue, Scheduling::AdmissionPolicy admission);
 
     bool isOverClaim(const Base::ClassId &workClass) const override;
+    /// Median of the servers' quickest first tokens; empty with fewer than two servers.
+    std::optional<Base::Duration> typicalFirstToken() const;
     void dispatch(Base::TimePoint now);
     std::vector<Scheduling::ServerChoice> freeServers() const;
     void grant(const Scheduling::WaitingWork &work, const Base::ServerId &server,
--- a/tests/auto/scheduling/tst_admission.cpp
+++ b/tests/auto/scheduling/tst_admission.cpp
@@ -151,7 +151,7 @@
     const AdmissionPolicy policy = *AdmissionPolicy::create({});
     std::map<std::size_t, std::size_t> held;
     std::size_t waiting = 0;
-    for (std::size_t n = 0; n < 40 * 3000; ++n) {
+    for (std::size_t n = 0; n < 120000; ++n) {
         std::size_t &own = held[n % 40];
         if (own >= policy.customerBound(busyPool(waiting, own, 40, 0)))
             continue;
@@ -227,7 +227,9 @@
     limits.targetFactor = 0;
     const PolicyField field = boost::leaf::try_handle_all(
         [&]() -> Base::Result<PolicyField> {
-            BOOST_LEAF_CHECK(AdmissionPolicy::create(limits));
+            auto policy = AdmissionPolicy::create(limits);
+            if (!policy)
+                return policy.error();
             return PolicyField::AdmissionBounds;
         },
         [](const InvalidPolicy &error) { return error.field; },
