--- a/src/libs/scheduling/retrybudget.cpp
+++ b/src/libs/scheduling/retrybudget.cpp
@@ -1,11 +1,17 @@
 #include "scheduling/retrybudget.h"
 
+#include "scheduling/policyerror.h"
+
 #include <algorithm>
 
 namespace Scheduling {
 
 Base::Result<RetryBudget> RetryBudget::create(const RetryBudgetPolicy &policy)
 {
+    if (policy.share < 0 || policy.share > 1)
+        return boost::leaf::new_error(InvalidPolicy{PolicyField::RetryShare});
+    if (policy.burst < 1)
+        return boost::leaf::new_error(InvalidPolicy{PolicyField::RetryBurst});
     return RetryBudget(policy);
 }
 
--- a/src/libs/scheduling/retrybudget.h
+++ b/src/libs/scheduling/retrybudget.h
@@ -1,23 +1,28 @@
 #pragma once
 
 #include "base/result.h"
-#include "base/time.h"
 
 namespace Scheduling {
 
+/// Thresholds of the budget; docs/design/retry-budget.md has the measurements.
 struct RetryBudgetPolicy
 {
-    /// Retries allowed for each first attempt, in the long run.
+    /// Retries allowed for each first attempt, in the long run. A tenth carries the loss of one
+    /// server in ten at a time, and at worst makes a tenth more load.
     double share = 0.1;
-    /// Retries allowed at once after a quiet time.
+    /// Retries allowed at once after a quiet time: one server's streams of one router.
     double burst = 10;
 };
 
-/// Bounds the share of retries in all attempts, so that a dying backend server cannot turn
-/// into a retry storm.
+/// Bounds the share of retries in all attempts of one router.
+///
+/// Load pattern: a backend server dies under full load. Retried without bound, each request
+/// comes up to its largest number of attempts, and the servers that are left fail next. Each
+/// router keeps its own budget, so the share holds for the fleet without a message.
 class RetryBudget
 {
 public:
+    /// Fails with InvalidPolicy.
     static Base::Result<RetryBudget> create(const RetryBudgetPolicy &policy);
 
     void recordFirstAttempt();
