--- a/src/libs/node/node.cpp
+++ b/src/libs/node/node.cpp
@@ -145,9 +145,9 @@
     m_entry->callerBlocked(event.caller);
 }
 
-void Node::on(const CallerReady &event, Base::TimePoint)
+void Node::on(const CallerReady &event, Base::TimePoint now)
 {
-    m_entry->callerReady(event.caller);
+    m_entry->callerReady(event.caller, now);
 }
 
 void Node::on(const EntryHostsAsked &event, Base::TimePoint)
@@ -322,10 +322,15 @@
     m_entry->reconcile(from, message, now);
 }
 
-void Node::receive(const Base::HostId &, const Coordination::LedgerDelta &message, Base::TimePoint)
+void Node::receive(const Base::HostId &from, const Coordination::LedgerDelta &message,
+                   Base::TimePoint)
 {
-    if (Coordination::ServiceLedger *pool = ledger(message.pool))
-        pool->merge(message);
+    Coordination::ServiceLedger *pool = ledger(message.pool);
+    if (!pool)
+        return;
+    const bool isFolded = pool->merge(message) == Coordination::MergeResult::SenderIsFolded;
+    if (isFolded || message.isAsking)
+        post(from, pool->snapshot());
 }
 
 void Node::receive(const Base::HostId &, const ConfigurationPush &message, Base::TimePoint)
@@ -421,6 +426,7 @@
     heartbeat->configurationVersion = m_configuration->configuration().version();
     for (const auto &[key, home] : m_homes)
         heartbeat->pools.push_back(home->summary());
+    m_membership->omitUnchanged(*heartbeat);
     for (const auto &[host, member] : m_membership->others())
         post(host, *heartbeat);
     for (auto &[key, home] : m_homes)
@@ -433,6 +439,7 @@
         return;
     m_nextLedger = now + m_settings.ledgerInterval;
     for (auto &[pool, ledger] : m_ledgers) {
+        ledger->advance(now);
         const std::optional<Coordination::LedgerDelta> delta = ledger->takeDelta();
         if (!delta)
             continue;
