Choose servers and shards, hand work over, decide on retries

Cause: placement knew only the least used share, entries drew shards blindly, no home handed work to an idle one, and what follows a failed attempt was decided in the entry. Change: ServerSelector with prefix hints; ShardSelector; HandoverPlanner; RetryPolicy; policy errors. The models of pools and engines stand in tools/schedulingmodels, measured by measurescheduling.

--- a/tests/auto/scheduling/tst_fairqueue.cpp
+++ b/tests/auto/scheduling/tst_fairqueue.cpp
@@ -1,12 +1,10 @@
-#include "poolmodel.h"
 #include "scheduling/fairqueue.h"
+#include "schedulingmodels/backloggedpool.h"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
 
-#include <chrono>
-#include <iostream>
-
+using namespace SchedulingModels;
 using Scheduling::FairQueue;
 using Scheduling::WaitingWork;
 
@@ -95,7 +93,7 @@
         const auto seed = *rc::gen::arbitrary<std::uint64_t>();
         const auto slots = *rc::gen::inRange<std::size_t>(1, 13);
         const auto window = *rc::gen::inRange<Base::ServiceUnits>(0, 200);
-        PoolModel pool(seed, slots, window);
+        BackloggedPool pool(seed, slots, window);
         if (*rc::gen::arbitrary<bool>())
             pool.claims.over = {Base::ClassId("batch")};
         pool.addCustomer(customerNamed(0), 1);
@@ -150,44 +148,3 @@
     CHECK(queue.size() == 6);
     CHECK(queue.takeExpired(at(94)).empty());
 }
-
-TEST_CASE("measure: window against gap and start targets", "[.measure]")
-{
-    for (const Base::ServiceUnits window : {0, 5, 20, 50, 200, 1000}) {
-        PoolModel pool(20261, 12, window);
-        for (std::size_t i = 0; i < 16; ++i)
-            pool.addCustomer(customerNamed(i), i < 3 ? 60 : 6);
-        Base::ServiceUnits gap = 0;
-        for (int i = 0; i < 40000; ++i) {
-            pool.step();
-            gap = std::max(gap, pool.gap());
-        }
-        std::cout << "window " << window << " gap " << gap << " bound " << pool.bound(window)
-                  << " late " << pool.late << " of " << pool.started << '\n';
-    }
-}
-
-TEST_CASE("measure: time of a take with 9,400 customers and 20,000 waiting", "[.measure]")
-{
-    FairQueue queue = *FairQueue::create({2000});
-    FakeService service;
-    std::mt19937_64 random(20261);
-    std::uint64_t serial = 0;
-    for (std::size_t i = 0; i < 20000; ++i) {
-        service.received[customerNamed(i % 9400)] = random() % 4000;
-        queue.push(workOf(++serial, customerNamed(i % 9400), random() % 5000));
-    }
-    Base::Duration longest{0};
-    const auto begin = std::chrono::steady_clock::now();
-    constexpr int takes = 100000;
-    for (int i = 0; i < takes; ++i) {
-        const auto before = std::chrono::steady_clock::now();
-        const auto work = queue.takeNext(service, FakeClaims(), at(0));
-        longest = std::max(longest, std::chrono::steady_clock::now() - before);
-        service.received[work->customer] += 200 + random() % 3000;
-        queue.push(workOf(++serial, work->customer, i + random() % 5000));
-    }
-    const Base::Duration whole = std::chrono::steady_clock::now() - begin;
-    std::cout << "take and push " << whole / takes << " ns, longest take " << longest.count()
-              << " ns\n";
-}
--- a/tests/auto/scheduling/tst_placement.cpp
+++ b/tests/auto/scheduling/tst_placement.cpp
@@ -1,15 +1,13 @@
-#include "poolmodel.h"
 #include "scheduling/handoverplanner.h"
 #include "scheduling/serverselector.h"
 #include "scheduling/shardselector.h"
+#include "schedulingmodels/shardsmodel.h"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
 
-#include <cmath>
-#include <iostream>
-
 using namespace Scheduling;
+using namespace SchedulingModels;
 using Base::Milliseconds;
 
 namespace {
@@ -19,89 +17,6 @@
     return Base::ServerId("server-" + std::to_string(n));
 }
 
-struct ShardsSeen
-{
-    double busy = 0;
-    double longestWait = 0;
-};
-
-/// Shards of which each has twice the slots of the one before, and entries that choose among
-/// them by summaries a second old. Every work holds a slot for 500 ms; steps of 10 ms.
-class ShardsModel
-{
-public:
-    ShardsModel(std::size_t entries, const ShardSelectorPolicy &policy)
-        : m_entries(entries, ShardSelector(policy))
-        , m_waiting(m_slots.size())
-        , m_ends(m_slots.size())
-        , m_summaries(m_slots.size())
-        , m_planners(m_slots.size())
-    {}
-
-    ShardsSeen run(double load, bool hasHandover, std::int64_t milliseconds)
-    {
-        ShardsSeen seen;
-        double busy = 0;
-        double possible = 0;
-        for (std::int64_t now = 0; now < milliseconds; now += 10) {
-            if (now % 1000 == 0)
-                summarise(now);
-            for (m_due += load * 150 * 2 / 100; m_due >= 1; --m_due)
-                ++m_waiting[m_entries[m_random.next() % m_entries.size()].choose(m_summaries,
-                                                                               m_random)];
-            if (hasHandover && now % 50 == 0)
-                handOver(now);
-            for (std::size_t i = 0; i < m_slots.size(); ++i) {
-                std::erase_if(m_ends[i], [now](std::int64_t end) { return end <= now; });
-                for (; m_waiting[i] > 0 && m_ends[i].size() < m_slots[i]; --m_waiting[i])
-                    m_ends[i].push_back(now + 500);
-                const double wait = double(m_waiting[i]) / (2 * double(m_slots[i]));
-                if (now > 10000) {
-                    seen.longestWait = std::max(seen.longestWait, wait);
-                    busy += double(m_ends[i].size());
-                    possible += double(m_slots[i]);
-                }
-            }
-        }
-        seen.busy = busy / possible;
-        return seen;
-    }
-
-private:
-    ShardSummary summary(std::uint32_t i, std::int64_t now) const
-    {
-        return {i, m_waiting[i], m_slots[i] - std::min(m_slots[i], m_ends[i].size()),
-                2 * double(m_slots[i]), at(now)};
-    }
-
-    void summarise(std::int64_t now)
-    {
-        for (std::uint32_t i = 0; i < m_slots.size(); ++i)
-            m_summaries[i] = summary(i, now);
-    }
-
-    void handOver(std::int64_t now)
-    {
-        for (std::uint32_t i = 0; i < m_slots.size(); ++i) {
-            std::vector<ShardSummary> seen = m_summaries;
-            seen[i] = summary(i, now);
-            for (const Handover &handover : m_planners[i].plan(i, seen, at(now))) {
-                m_waiting[i] -= handover.count;
-                m_waiting[handover.shard] += handover.count;
-            }
-        }
-    }
-
-    std::vector<ShardSelector> m_entries;
-    std::vector<std::size_t> m_slots{10, 20, 40, 80};
-    std::vector<std::size_t> m_waiting;
-    std::vector<std::vector<std::int64_t>> m_ends;
-    std::vector<ShardSummary> m_summaries;
-    std::vector<HandoverPlanner> m_planners;
-    Base::SeededRandom m_random{20261};
-    double m_due = 0;
-};
-
 ShardSelectorPolicy undamped()
 {
     ShardSelectorPolicy policy;
@@ -176,6 +91,7 @@
     // Every second another home is crowded and the rest are quiet: all entries send where the
     // last heartbeat showed the shortest queue.
     const ShardsSeen damped = ShardsModel(8, {}).run(0.95, false, 120000);
+    CHECK(ShardsModel(8, undamped()).run(0.95, false, 120000).longestWait > 1.2);
     CHECK(damped.longestWait < 1.0);
     CHECK(ShardsModel(200, {}).run(0.95, false, 120000).longestWait < 1.0);
     CHECK(damped.busy > 0.94);
@@ -186,14 +102,45 @@
     // A university's requests wait at one home while the next has free permits, since its
     // callers all came in through one entry.
     HandoverPlanner planner;
-    const std::vector<ShardSummary> seen{
-        {0, 30, 0, 10, at(1000)}, {1, 0, 8, 10, at(1000)}, {2, 10, 0, 10, at(1000)},
-        {3, 0, 1, 10, at(1000)}, {4, 5, 5, 10, at(1000)}};
+    const std::vector<ShardSummary> seen{{0, 30, 0, 10, at(1000)},
+                                         {1, 0, 8, 10, at(1000)},
+                                         {2, 10, 0, 10, at(1000)},
+                                         {3, 0, 1, 10, at(1000)},
+                                         {4, 5, 5, 10, at(1000)}};
     CHECK(planner.plan(0, seen, at(1000)) == std::vector<Handover>{{1, 6}});
     CHECK(planner.plan(0, seen, at(1500)).empty());
     CHECK(HandoverPlanner().plan(2, seen, at(1000)) == std::vector<Handover>{{1, 2}, {3, 1}});
     CHECK(HandoverPlanner().plan(1, seen, at(1000)).empty());
-    CHECK(ShardsModel(8, undamped()).run(1.3, true, 60000).busy > 0.99);
+}
+
+TEST_CASE("hardly a slot idles while work waits at another home", "[scheduling]")
+{
+    // Finance staff queue at one home at quarter close while every other home has a free
+    // permit for a moment, each moment shorter than the time between two heartbeats.
+    CHECK(ShardsModel(8, {}).run(0.95, false, 60000).idleWhileWaiting > 0.03);
+    CHECK(ShardsModel(8, {}).run(0.95, true, 60000).idleWhileWaiting < 0.015);
+    CHECK(ShardsModel(8, {}).run(1.1, true, 60000).busy > 0.99);
+    CHECK(ShardsModel(8, {}).run(0.3, true, 60000).longestWait == 0);
+}
+
+TEST_CASE("an idle home asks once where work may wait", "[scheduling]")
+{
+    const std::vector<ShardSummary> seen{
+        {0, 0, 9, 10, at(1000)}, {1, 3, 0, 10, at(1000)}, {2, 7, 0, 10, at(1000)}};
+    HandoverPlanner idle;
+    HandoverPlanner crowded;
+    CHECK(idle.ask(0, 2, 20, seen, at(1000)) == Handover{2, 3});
+    CHECK(!idle.ask(0, 2, 20, seen, at(1050)));
+    CHECK(idle.ask(0, 2, 20, seen, at(1100)).has_value());
+    CHECK(crowded.answer(0, 3, 0, at(1100)) == 0);
+    idle.recordAnswer(2, 0, at(1101));
+    CHECK(idle.ask(0, 2, 20, seen, at(1101)) == Handover{1, 3});
+    idle.recordAnswer(1, 3, at(1102));
+    CHECK(crowded.planForAskers(2, at(1200)) == std::vector<Handover>{{0, 2}});
+    CHECK(crowded.planForAskers(2, at(1200)) == std::vector<Handover>{{0, 1}});
+    CHECK(crowded.planForAskers(2, at(1200)).empty());
+    const std::vector<ShardSummary> quiet{{0, 0, 9, 10, at(1000)}, {1, 0, 9, 10, at(1000)}};
+    CHECK(!HandoverPlanner().ask(0, 9, 10, quiet, at(1000)));
 }
 
 TEST_CASE("homes together hand over all that is free and no more", "[scheduling]")
@@ -227,19 +174,3 @@
         RC_ASSERT(waiting >= idle || handed + n * n >= waiting);
     });
 }
-
-TEST_CASE("measure: damping and handover", "[.measure]")
-{
-    for (const std::size_t entries : {8, 200}) {
-        for (const int damping : {0, 500, 1000, 2000, 4000}) {
-            ShardSelectorPolicy policy;
-            policy.damping = Milliseconds(damping) + std::chrono::microseconds(1);
-            for (const bool hasHandover : {false, true}) {
-                const ShardsSeen seen = ShardsModel(entries, policy).run(0.95, hasHandover, 120000);
-                std::cout << entries << " entries, damping " << damping << " ms, handover "
-                          << hasHandover << ": busy " << seen.busy << ", longest wait "
-                          << seen.longestWait << " s\n";
-            }
-        }
-    }
-}
--- a/tests/auto/scheduling/tst_retry.cpp
+++ b/tests/auto/scheduling/tst_retry.cpp
@@ -1,43 +1,20 @@
-#include "poolmodel.h"
 #include "scheduling/retrybudget.h"
 #include "scheduling/retrypolicy.h"
+#include "schedulingmodels/failingpool.h"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
 
-#include <iostream>
-
 using namespace Scheduling;
+using namespace SchedulingModels;
 using Base::Milliseconds;
 
-namespace {
-
-/// Attempts for each request when every attempt fails, in the second hundred of requests.
-double attemptsPerRequest(double share)
-{
-    RetryBudget budget = *RetryBudget::create({share, 10});
-    const RetryPolicy policy = *RetryPolicy::create({});
-    Base::SeededRandom random(20261);
-    std::size_t attempts = 0;
-    for (int i = 0; i < 1100; ++i) {
-        budget.recordFirstAttempt();
-        FailedAttempt failed;
-        failed.ran = AttemptRan::NeverSent;
-        while (policy.decide(failed, budget, random).step == RetryStep::Retry)
-            ++failed.attempts;
-        attempts += i >= 100 ? failed.attempts : 0;
-    }
-    return double(attempts) / 1000;
-}
-
-} // namespace
-
 TEST_CASE("nothing runs twice that must not, for any failed attempt", "[scheduling]")
 {
     rc::prop("the step follows from what is known", [] {
         FailedAttempt failed;
-        failed.ran = *rc::gen::element(AttemptRan::NeverSent, AttemptRan::Refused,
-                                       AttemptRan::MaybeRan);
+        failed.ran =
+            *rc::gen::element(AttemptRan::NeverSent, AttemptRan::Refused, AttemptRan::MaybeRan);
         failed.isRepeatable = *rc::gen::arbitrary<bool>();
         failed.isAnswerStarted = *rc::gen::arbitrary<bool>();
         failed.isStreamResumable = *rc::gen::arbitrary<bool>();
@@ -50,16 +27,14 @@
         const bool isSpent = *rc::gen::arbitrary<bool>() && budget.takeRetry();
         Base::SeededRandom random(*rc::gen::arbitrary<std::uint64_t>());
         const double before = budget.available();
-        const RetryDecision decision =
-            RetryPolicy::create({})->decide(failed, budget, random);
+        const RetryDecision decision = RetryPolicy::create({})->decide(failed, budget, random);
         const bool mayHaveRun = failed.ran == AttemptRan::MaybeRan;
         if (decision.step == RetryStep::GiveUp) {
             RC_ASSERT(budget.available() == before);
             const bool isHopeless = isSpent || failed.attempts >= 3 || failed.deadlineWithin;
-            const bool isAllowed = failed.isAnswerStarted
-                                       ? mayHaveRun && failed.isStreamResumable
-                                       : !mayHaveRun || failed.isStreamResumable
-                                             || failed.isRepeatable;
+            const bool isAllowed = failed.isAnswerStarted ? mayHaveRun && failed.isStreamResumable
+                                                          : !mayHaveRun || failed.isStreamResumable
+                                                                || failed.isRepeatable;
             RC_ASSERT(isHopeless || !isAllowed);
             return;
         }
@@ -100,9 +75,3 @@
     for (const auto &[tenth, n] : perTenth)
         CHECK(n < 150);
 }
-
-TEST_CASE("measure: attempts for each request when all fail", "[.measure]")
-{
-    for (const double share : {0.0, 0.1, 0.2, 1.0})
-        std::cout << "share " << share << ": " << attemptsPerRequest(share) << '\n';
-}
--- a/tests/auto/scheduling/poolmodel.h
+++ b/tools/schedulingmodels/backloggedpool.h
@@ -1,68 +1,21 @@
 #pragma once
 
-#include "scheduling/fairqueue.h"
+#include "schedulingmodels/fakes.h"
 
 #include <algorithm>
-#include <map>
+#include <optional>
 #include <random>
-#include <set>
 #include <vector>
 
-/// Counts service as the coordination library does, without other routers.
-class FakeService final : public Scheduling::ServiceView
-{
-public:
-    Base::ServiceUnits position(const Base::CustomerId &customer) const override
-    {
-        const auto it = received.find(customer);
-        const auto holding = held.find(customer);
-        return (it == received.end() ? 0 : it->second)
-               + (holding == held.end() ? 0 : holding->second);
-    }
-
-    std::map<Base::CustomerId, Base::ServiceUnits> received;
-    std::map<Base::CustomerId, Base::ServiceUnits> held;
-};
-
-class FakeClaims final : public Scheduling::ClassClaims
-{
-public:
-    bool isOverClaim(const Base::ClassId &workClass) const override
-    {
-        return over.count(workClass) > 0;
-    }
-
-    std::set<Base::ClassId> over;
-};
-
-inline Base::TimePoint at(std::int64_t milliseconds)
-{
-    return Base::TimePoint(Base::Milliseconds(milliseconds));
-}
-
-inline Base::CustomerId customerNamed(std::size_t n)
-{
-    return Base::CustomerId("customer-" + std::to_string(n));
-}
-
-inline Scheduling::WaitingWork workOf(std::uint64_t serial, const Base::CustomerId &customer,
-                                      std::int64_t startBy, const char *workClass = "normal")
-{
-    Scheduling::WaitingWork work;
-    work.request = {Base::HostId("entry"), 1, serial};
-    work.customer = customer;
-    work.workClass = Base::ClassId(workClass);
-    work.startBy = at(startBy);
-    return work;
-}
+namespace SchedulingModels {
 
 /// A pool of slots that serve one unit a step each, fed from a fair queue in which every
 /// customer keeps a given backlog. A work's true cost is drawn when it starts and differs from
 /// the hold; one in ten is ten times longer.
-class PoolModel
+class BackloggedPool
 {
 public:
-    PoolModel(std::uint64_t seed, std::size_t slots, Base::ServiceUnits window)
+    BackloggedPool(std::uint64_t seed, std::size_t slots, Base::ServiceUnits window)
         : queue(*Scheduling::FairQueue::create({window}))
         , m_random(seed)
         , m_slots(slots)
@@ -165,3 +118,5 @@
     std::uint64_t m_serial = 0;
     std::vector<Running> m_running;
 };
+
+} // namespace SchedulingModels
