--- /dev/null
+++ b/src/app/nodemetrics.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "base/result.h"
+#include "daemon/corethread.h"
+#include "metrics/registry.h"
+#include "node/nodeobserver.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace App {
+
+/// Turns what the node did, and how it stands, into metrics. docs/OPERATIONS.md lists them.
+/// Called on the core's thread.
+class NodeMetrics final : public Node::NodeObserver, public Daemon::NodeWatcher
+{
+public:
+    /// Registers its metrics in \a registry, which outlives it; fails as the registry does.
+    static Base::Result<std::unique_ptr<NodeMetrics>> create(Metrics::Registry &registry);
+
+    void hopFinished(const Node::HopRecord &record) override;
+    void requestFinished(const Node::RequestRecord &record) override;
+    void retried(const Base::RequestKey &request) override;
+    void nodeChanged(const Node::Node &node) override;
+
+private:
+    NodeMetrics() = default;
+    Base::Result<void> registerRequests(Metrics::Registry &registry);
+    Base::Result<void> registerState(Metrics::Registry &registry);
+    void showHomes(const Node::Node &node);
+
+    Metrics::Family<Metrics::Counter> *m_requests = nullptr;
+    Metrics::Family<Metrics::Counter> *m_units = nullptr;
+    Metrics::Family<Metrics::Counter> *m_failedHops = nullptr;
+    Metrics::Counter *m_retries = nullptr;
+    Metrics::Family<Metrics::Histogram> *m_queueWait = nullptr;
+    Metrics::Family<Metrics::Histogram> *m_firstPart = nullptr;
+    Metrics::Family<Metrics::Histogram> *m_whole = nullptr;
+    Metrics::Gauge *m_ready = nullptr;
+    Metrics::Gauge *m_leaving = nullptr;
+    Metrics::Gauge *m_version = nullptr;
+    Metrics::Gauge *m_liveRouters = nullptr;
+    Metrics::Gauge *m_openRequests = nullptr;
+    Metrics::Family<Metrics::Gauge> *m_waiting = nullptr;
+    Metrics::Family<Metrics::Gauge> *m_permitsInUse = nullptr;
+    Metrics::Family<Metrics::Gauge> *m_permitLimit = nullptr;
+    std::vector<std::vector<std::string>> m_shownHomes;
+};
+
+} // namespace App
--- /dev/null
+++ b/src/app/operatorclient.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "base/result.h"
+#include "commandline.h"
+
+#include <string>
+
+namespace App {
+
+/// A router's answer to an operator.
+struct OperatorAnswer
+{
+    int status = 0;
+    std::string body;
+
+    bool isGood() const { return status >= 200 && status < 300; }
+};
+
+/// No router answers there.
+struct NoAnswer
+{
+    std::string address;
+};
+
+/// Asks one router over HTTP. Each call waits for the answer, at most 10 s, and fails with
+/// NoAnswer.
+class OperatorClient
+{
+public:
+    /// \a address is "IP:PORT".
+    explicit OperatorClient(std::string address);
+
+    Base::Result<OperatorAnswer> targets() const;
+    Base::Result<OperatorAnswer> setTarget(const SetTargetCommand &command) const;
+    Base::Result<OperatorAnswer> status() const;
+
+private:
+    struct Call;
+    Base::Result<OperatorAnswer> send(const Call &call) const;
+
+    std::string m_address;
+};
+
+} // namespace App
--- /dev/null
+++ b/src/app/program.cpp
@@ -0,0 +1,112 @@
+#include "program.h"
+
+#include "operatorclient.h"
+#include "settingsfile.h"
+#include "version.h"
+
+#include <ostream>
+#include <utility>
+
+namespace App {
+
+namespace {
+
+constexpr char errorPrefix[] = "lagoonmast: ";
+
+/// Good answers go to \a out, refusals to \a err.
+ExitStatus show(const OperatorAnswer &answer, std::ostream &out, std::ostream &err)
+{
+    if (answer.isGood()) {
+        out << answer.body << '\n';
+        return ExitStatus::Good;
+    }
+    err << errorPrefix << "the router answered " << answer.status << ": " << answer.body << '\n';
+    return ExitStatus::Failed;
+}
+
+} // namespace
+
+Program::Program(std::ostream &out, std::ostream &err, Serve serve)
+    : m_out(&out)
+    , m_err(&err)
+    , m_serve(std::move(serve))
+{}
+
+int Program::run(const std::vector<std::string> &arguments)
+{
+    const ExitStatus status = boost::leaf::try_handle_all(
+        [&] { return runCommand(arguments); },
+        [this](const UsageError &error) {
+            *m_err << errorPrefix << toString(error) << "\n\n" << usageText();
+            return ExitStatus::Usage;
+        },
+        [this](const UnreadableFile &error) {
+            *m_err << errorPrefix << "cannot read " << error.file << '\n';
+            return ExitStatus::Failed;
+        },
+        [this](const Settings::SettingsFaults &found) {
+            for (const Settings::SettingsFault &fault : found.faults)
+                *m_err << toString(fault) << '\n';
+            return ExitStatus::Failed;
+        },
+        [this](const NoAnswer &error) {
+            *m_err << errorPrefix << "no answer from " << error.address << '\n';
+            return ExitStatus::Failed;
+        },
+        [this] {
+            *m_err << errorPrefix << "failed\n";
+            return ExitStatus::Failed;
+        });
+    return static_cast<int>(status);
+}
+
+Base::Result<ExitStatus> Program::runCommand(const std::vector<std::string> &arguments)
+{
+    BOOST_LEAF_AUTO(command, parseCommandLine(arguments));
+    return std::visit([this](const auto &it) { return execute(it); }, command);
+}
+
+Base::Result<ExitStatus> Program::execute(const ServeCommand &command)
+{
+    BOOST_LEAF_AUTO(settings, readSettingsFile(command.settingsFile));
+    return m_serve(daemonSettings(settings)) == 0 ? ExitStatus::Good : ExitStatus::Failed;
+}
+
+Base::Result<ExitStatus> Program::execute(const CheckCommand &command)
+{
+    BOOST_LEAF_AUTO(settings, readSettingsFile(command.settingsFile));
+    *m_out << command.settingsFile << ": good, host " << settings.host.value() << '\n';
+    return ExitStatus::Good;
+}
+
+Base::Result<ExitStatus> Program::execute(const GetTargetsCommand &command)
+{
+    BOOST_LEAF_AUTO(answer, OperatorClient(command.address).targets());
+    return show(answer, *m_out, *m_err);
+}
+
+Base::Result<ExitStatus> Program::execute(const SetTargetCommand &command)
+{
+    BOOST_LEAF_AUTO(answer, OperatorClient(command.address).setTarget(command));
+    return show(answer, *m_out, *m_err);
+}
+
+Base::Result<ExitStatus> Program::execute(const StatusCommand &command)
+{
+    BOOST_LEAF_AUTO(answer, OperatorClient(command.address).status());
+    return show(answer, *m_out, *m_err);
+}
+
+Base::Result<ExitStatus> Program::execute(const HelpCommand &)
+{
+    *m_out << usageText();
+    return ExitStatus::Good;
+}
+
+Base::Result<ExitStatus> Program::execute(const VersionCommand &)
+{
+    *m_out << "lagoonmast " << versionText << '\n';
+    return ExitStatus::Good;
+}
+
+} // namespace App
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -4,27 +4,25 @@
 #include "daemon/daemon.h"
 #include "daemon/daemonconstants.h"
 #include "daemon/requestlog.h"
+#include "reports.h"
+#include "tracing/linesink.h"
 
 #include <csignal>
 #include <cstdio>
 #include <memory>
+#include <random>
 
 #include <curl/curl.h>
 #include <log4cplus/initializer.h>
 
 namespace {
 
-class EmptyPage final : public Daemon::MetricsPage
+/// Ids of spans must differ between processes.
+std::uint64_t traceSeed()
 {
-public:
-    std::string text() override { return {}; }
-};
-
-class NoWatcher final : public Daemon::NodeWatcher
-{
-public:
-    void nodeChanged(const Node::Node &) override {}
-};
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32) | device();
+}
 
 /// Blocked in every thread, and taken by the thread that calls sigtimedwait().
 sigset_t blockedSignals()
@@ -60,12 +58,11 @@
     const log4cplus::Initializer logging;
     Daemon::startLogging(settings.logLevel);
     curl_global_init(CURL_GLOBAL_DEFAULT);
-    Daemon::RequestLog observer;
-    NoWatcher watcher;
-    EmptyPage metrics;
     return boost::leaf::try_handle_all(
         [&]() -> Base::Result<int> {
-            BOOST_LEAF_AUTO(daemon, Daemon::Daemon::create(settings, {observer, watcher, metrics}));
+            BOOST_LEAF_AUTO(reports, App::Reports::create(settings.traceFile, traceSeed()));
+            BOOST_LEAF_AUTO(daemon, Daemon::Daemon::create(settings, reports->daemonReports()));
+            BOOST_LEAF_CHECK(reports->watchTraffic(*daemon));
             runUntilFinished(*daemon, signals);
             return 0;
         },
@@ -73,6 +70,10 @@
             std::fprintf(stderr, "lagoonmast: cannot listen at %s\n", it.address.c_str());
             return 1;
         },
+        [](const Tracing::CannotOpenTraceFile &it) {
+            std::fprintf(stderr, "lagoonmast: cannot write traces to %s\n", it.file.c_str());
+            return 1;
+        },
         [](const Daemon::MalformedAddress &it) {
             std::fprintf(stderr, "lagoonmast: not an IP:PORT: %s\n", it.text.c_str());
             return 1;
