--- a/src/app/nodemetrics.cpp
+++ b/src/app/nodemetrics.cpp
@@ -151,7 +151,7 @@
         m_permitLimit->with(labels).set(0);
     }
     m_shownHomes.clear();
-    for (const auto &[key, home] : node.homes()) {
+    for (const auto &[key, home] : node.homes().all()) {
         const std::vector<std::string> labels{key.first.value(), std::to_string(key.second)};
         m_waiting->with(labels).set(static_cast<double>(home->waiting()));
         m_permitsInUse->with(labels).set(static_cast<double>(home->permitsInUse()));
--- a/src/libs/node/entryrequests.cpp
+++ b/src/libs/node/entryrequests.cpp
@@ -1,6 +1,5 @@
 #include "node/entryrequests.h"
 
-#include "coordination/homemap.h"
 #include "node/failures.h"
 #include "node/nodeconstants.h"
 #include "node/requesttraits.h"
@@ -12,13 +11,6 @@
 
 namespace {
 
-using Base::Milliseconds;
-
-Milliseconds toMilliseconds(Base::Duration duration)
-{
-    return std::chrono::duration_cast<Milliseconds>(duration);
-}
-
 /// Guards against a frozen backend server, whose connection stays open and says nothing: the
 /// caller would wait for ever. A slow caller's stream is silent because it is held back.
 bool isSilent(const OpenRequest &open, Base::TimePoint now)
@@ -31,14 +23,20 @@
 
 Base::Result<std::unique_ptr<EntryRequests>> EntryRequests::create(const EntryContext &context)
 {
-    BOOST_LEAF_AUTO(budget, Scheduling::RetryBudget::create(context.settings.retries));
-    return std::unique_ptr<EntryRequests>(new EntryRequests(context, std::move(budget)));
+    const NodeSettings &settings = context.settings;
+    BOOST_LEAF_AUTO(budget, Scheduling::RetryBudget::create(settings.retries));
+    BOOST_LEAF_AUTO(policy, Scheduling::RetryPolicy::create(settings.retryPolicy));
+    return std::unique_ptr<EntryRequests>(
+        new EntryRequests(context, std::move(budget), std::move(policy)));
 }
 
-EntryRequests::EntryRequests(const EntryContext &context, Scheduling::RetryBudget budget)
+EntryRequests::EntryRequests(const EntryContext &context, Scheduling::RetryBudget budget,
+                             Scheduling::RetryPolicy policy)
     : m_context(context)
     , m_budget(std::move(budget))
-    , m_watch(context.settings.homeWatch)
+    , m_retryPolicy(std::move(policy))
+    , m_permits({context.settings, context.environment, context.membership, context.directory,
+                 context.homes, context.outbox})
     , m_recorder(context.environment.observer, context.membership.self().host)
 {}
 
@@ -138,6 +136,7 @@
     Failure failure;
     switch (outcome.verdict) {
     case ClaimVerdict::Claimed:
+        open.fence = outcome.fence;
         askPermit(open, now);
         return;
     case ClaimVerdict::Completed:
@@ -171,28 +170,17 @@
 void EntryRequests::granted(const Base::HostId &home, const PermitGrant &grant, Base::TimePoint now)
 {
     OpenRequest *open = find(grant.attempt);
-    const Server *server = m_context.directory.server(grant.server);
-    const bool isWanted = open && open->state == RequestState::Waiting && server;
-    if (!isWanted) {
-        // A grant for work that is gone, or a second one: given back at once, so that the slot
-        // does not idle until the home asks.
-        const bool isSecond = open && open->state == RequestState::Sent
-                              && (open->home != home || open->server != grant.server);
-        if (!open || isSecond || !server)
-            m_context.outbox.post(home,
-                                  PermitRelease{grant.attempt, grant.pool, grant.shard,
-                                                grant.server, Scheduling::PermitOutcome::NotUsed,
-                                                std::nullopt, Milliseconds(0), 0});
+    const bool isKnown = m_context.directory.server(grant.server) != nullptr;
+    if (open && open->state == RequestState::Waiting && isKnown) {
+        m_permits.accept(*open, home, grant);
+        m_recorder.hop(*open, Hop::Queue, open->askedAt, now, home.value(), false);
+        send(*open, now);
         return;
     }
-    if (open->home != home)
-        m_context.outbox.post(open->home, PermitCancel{grant.attempt, open->pool, open->shard});
-    stopWaiting(*open);
-    open->home = home;
-    open->homeIncarnation = incarnationOf(home);
-    open->shard = grant.shard;
-    m_recorder.hop(*open, Hop::Queue, open->askedAt, now, home.value(), false);
-    send(*open, *server, now);
+    const bool isInUse = open && open->holdsPermit() && open->permit == grant.attempt
+                         && open->home == home && open->server == grant.server;
+    if (!isInUse)
+        m_permits.decline(home, grant);
 }
 
 void EntryRequests::refused(const PermitRefusal &refusal, Base::TimePoint now)
@@ -200,7 +188,7 @@
     OpenRequest *open = find(refusal.attempt);
     if (!open || open->state != RequestState::Waiting)
         return;
-    stopWaiting(*open);
+    m_permits.stopWatching(*open);
     m_recorder.hop(*open, Hop::Queue, open->askedAt, now, open->home.value(), true);
     failWith(*open, failureOf(refusal), now);
 }
@@ -208,17 +196,11 @@
 void EntryRequests::queried(const Base::HostId &home, const PermitQuery &query)
 {
     for (const AttemptId &attempt : query.attempts) {
-        const OpenRequest *open = find(attempt);
-        if (open && open->state == RequestState::Sent)
-            continue;
-        m_context.outbox.post(home, PermitRelease{attempt,
-                                                  query.pool,
-                                                  query.shard,
-                                                  {},
-                                                  Scheduling::PermitOutcome::NotUsed,
-                                                  std::nullopt,
-                                                  Milliseconds(0),
-                                                  0});
+        const auto it = m_open.find(attempt.request);
+        const bool isInUse =
+            it != m_open.end() && it->second.holdsPermit() && it->second.permit == attempt;
+        if (!isInUse)
+            m_permits.disown(attempt, home, query.pool, query.shard);
     }
 }
 
@@ -259,11 +241,8 @@
         open->firstPartAt = now;
     }
     open->uncharged += part.units;
-    if (open->uncharged >= m_context.settings.chargeStep) {
-        m_context.outbox.post(
-            open->home, ServiceCharge{open->attemptId(), open->pool, open->shard, open->uncharged});
-        open->charged += std::exchange(open->uncharged, 0);
-    }
+    if (open->uncharged >= m_context.settings.chargeStep)
+        m_permits.charge(*open);
     if (open->isClaimed())
         open->stored.parts.push_back(part.payload);
     if (!open->isCallerGone)
@@ -280,7 +259,7 @@
         return;
     }
     m_recorder.hop(*open, Hop::Backend, open->sentAt, now, open->server.value(), false);
-    releasePermit(*open, Scheduling::PermitOutcome::Completed, now);
+    m_permits.release(*open, Scheduling::PermitOutcome::Completed, now);
     if (open->isClaimed())
         m_context.claims.complete(open->key, encodeAnswer(open->stored), now);
     if (!open->isCallerGone)
@@ -297,9 +276,14 @@
     if (failed.sent == SendState::MaybeRan)
         open->mayHaveRun = true;
     m_recorder.hop(*open, Hop::Backend, open->sentAt, now, open->server.value(), true);
-    releasePermit(*open, Scheduling::PermitOutcome::Failed, now);
-    if (mayRetry(*open, failed)) {
-        retry(*open, now);
+    const Scheduling::RetryDecision decision = decide(*open, failed, now);
+    open->state = RequestState::Pausing;
+    open->nextStep = decision.step;
+    open->nextStepAt = now + decision.after;
+    if (decision.step != Scheduling::RetryStep::ResumeStream)
+        m_permits.release(*open, Scheduling::PermitOutcome::Failed, now);
+    if (decision.step != Scheduling::RetryStep::GiveUp) {
+        m_context.environment.observer.retried(open->key);
         return;
     }
     Failure failure = failureOf(FailureType::BackendFailed, "the backend server failed");
@@ -309,53 +293,37 @@
 
 void EntryRequests::rehome(Base::TimePoint now)
 {
-    for (auto &[key, open] : m_open) {
-        const Base::HostId home = homeOf(open.pool, open.shard);
-        const bool isSame = home == open.home && incarnationOf(home) == open.homeIncarnation;
-        if (isSame || open.state == RequestState::Claiming)
-            continue;
-        if (open.state == RequestState::Waiting) {
-            stopWaiting(open);
-            if (home != open.home)
-                m_context.outbox.post(open.home,
-                                      PermitCancel{open.attemptId(), open.pool, open.shard});
-            waitAt(open, home, now);
-            continue;
-        }
-        open.home = home;
-        open.homeIncarnation = incarnationOf(home);
-        m_context.outbox.post(home, PermitHeld{open.attemptId(), open.pool, open.shard, open.server,
-                                               open.customer, open.target.name});
-    }
+    for (auto &[key, open] : m_open)
+        m_permits.rehome(open, now);
 }
 
 void EntryRequests::reconcile(const Base::HostId &home, const WaitingReply &reply,
                               Base::TimePoint now)
 {
-    const HomeWatch::Difference difference = m_watch.compare(home, reply);
+    const HomeWatch::Difference difference = m_permits.compare(home, reply);
     for (const AttemptId &attempt : difference.missing) {
         const OpenRequest *open = find(attempt);
         if (open && open->state == RequestState::Waiting)
-            m_context.outbox.post(home, permitRequest(*open, now));
+            m_permits.repeat(*open, home, now);
     }
-    for (const AttemptId &attempt : difference.unwanted)
-        m_context.outbox.post(home, PermitCancel{attempt, reply.pool, reply.shard});
 }
 
 void EntryRequests::advance(Base::TimePoint now)
 {
-    for (const HomeWatch::Digest &digest : m_watch.takeDigests(now))
-        m_context.outbox.post(digest.home, digest.message);
+    m_permits.sendDigests(now);
     if (now < m_nextCheck)
         return;
     m_nextCheck = now + openCheckInterval;
     std::vector<Base::RequestKey> late;
     std::vector<AttemptId> silent;
+    std::vector<Base::RequestKey> rested;
     for (const auto &[key, open] : m_open) {
         if (open.asked.deadline && now - open.arrivedAt >= *open.asked.deadline)
             late.push_back(key);
         else if (isSilent(open, now))
             silent.push_back(open.attemptId());
+        else if (open.state == RequestState::Pausing && now >= open.nextStepAt)
+            rested.push_back(key);
     }
     for (const Base::RequestKey &key : late)
         passDeadline(m_open.at(key), now);
@@ -363,6 +331,18 @@
         m_context.environment.backends.cancel(attempt);
         backendFailed({attempt, SendState::MaybeRan, 0, std::nullopt}, now);
     }
+    for (const Base::RequestKey &key : rested)
+        takeNextStep(m_open.at(key), now);
+}
+
+void EntryRequests::takeNextStep(OpenRequest &open, Base::TimePoint now)
+{
+    if (open.nextStep == Scheduling::RetryStep::Retry) {
+        askPermit(open, now);
+        return;
+    }
+    ++open.attempt;
+    send(open, now);
 }
 
 void EntryRequests::passDeadline(OpenRequest &open, Base::TimePoint now)
@@ -388,14 +368,12 @@
 
 void EntryRequests::dropWork(OpenRequest &open, Base::TimePoint now)
 {
-    if (open.state == RequestState::Waiting) {
-        stopWaiting(open);
-        m_context.outbox.post(open.home, PermitCancel{open.attemptId(), open.pool, open.shard});
-    }
-    if (open.state == RequestState::Sent) {
+    if (open.state == RequestState::Waiting)
+        m_permits.withdraw(open);
+    if (open.state == RequestState::Sent)
         m_context.environment.backends.cancel(open.attemptId());
-        releasePermit(open, Scheduling::PermitOutcome::Cancelled, now);
-    }
+    if (open.holdsPermit())
+        m_permits.release(open, Scheduling::PermitOutcome::Cancelled, now);
 }
 
 OpenRequest *EntryRequests::find(const AttemptId &attempt)
@@ -406,74 +384,35 @@
     return &it->second;
 }
 
-Base::HostId EntryRequests::homeOf(const Base::PoolId &pool, std::uint32_t shard) const
-{
-    const std::vector<Base::HostId> order =
-        Coordination::homeOrder(pool, shard, m_context.membership.usableRouters());
-    return order.empty() ? m_context.membership.self().host : order.front();
-}
-
 void EntryRequests::askPermit(OpenRequest &open, Base::TimePoint now)
 {
     ++open.attempt;
     open.state = RequestState::Waiting;
-    open.askedAt = now;
-    open.shard = static_cast<std::uint32_t>(m_context.environment.random.next()
-                                            % m_context.directory.shards(open.pool));
-    waitAt(open, homeOf(open.pool, open.shard), now);
-}
-
-void EntryRequests::waitAt(OpenRequest &open, const Base::HostId &home, Base::TimePoint now)
-{
-    open.home = home;
-    open.homeIncarnation = incarnationOf(home);
-    m_watch.add({home, open.pool, open.shard}, open.attemptId(), now);
-    m_context.outbox.post(home, permitRequest(open, now));
+    m_permits.ask(open, now);
 }
 
-void EntryRequests::stopWaiting(const OpenRequest &open)
+void EntryRequests::send(OpenRequest &open, Base::TimePoint now)
 {
-    m_watch.remove({open.home, open.pool, open.shard}, open.attemptId());
-}
-
-Base::Incarnation EntryRequests::incarnationOf(const Base::HostId &host) const
-{
-    const auto it = m_context.membership.others().find(host);
-    return it == m_context.membership.others().end() ? 0 : it->second.incarnation;
-}
-
-PermitRequest EntryRequests::permitRequest(const OpenRequest &open, Base::TimePoint now) const
-{
-    PermitRequest request;
-    request.attempt = open.attemptId();
-    request.pool = open.pool;
-    request.shard = open.shard;
-    request.customer = open.customer;
-    request.workClass = open.target.name;
-    request.waited = toMilliseconds(now - open.arrivedAt);
-    request.startWithin = open.target.startWithin - request.waited;
-    if (open.asked.deadline)
-        request.deadlineWithin = *open.asked.deadline - request.waited;
-    request.expectedCost = expectedCost(open.asked);
-    request.prefix = open.asked.prefix;
-    return request;
-}
-
-void EntryRequests::send(OpenRequest &open, const Server &server, Base::TimePoint now)
-{
-    if (open.isClaimed() && !m_context.claims.maySend(open.key, now)) {
-        // A process frozen past its lease wakes here. Nothing has left yet, so it gives up.
-        releasePermit(open, Scheduling::PermitOutcome::NotUsed, now);
-        Failure failure = failureOf(FailureType::ClaimUnavailable, "the claim lapsed");
+    const Server *server = m_context.directory.server(open.server);
+    const bool isClaimLost = open.isClaimed() && !m_context.claims.maySend(open.key, now);
+    if (!server || isClaimLost) {
+        // A process frozen past its lease wakes here. Nothing more leaves, so it gives up.
+        m_permits.release(open, Scheduling::PermitOutcome::NotUsed, now);
+        Failure failure = isClaimLost
+                              ? failureOf(FailureType::ClaimUnavailable, "the claim lapsed")
+                              : failureOf(FailureType::NoCapacity, "the backend server is gone");
         failure.retryAfter = claimRetryAfter;
         failWith(open, failure, now);
         return;
     }
     open.state = RequestState::Sent;
-    open.server = server.id;
     open.sentAt = now;
     open.heardAt = now;
-    open.hasFirstPart = false;
+    m_context.environment.backends.send(backendRequest(open, *server));
+}
+
+BackendRequest EntryRequests::backendRequest(const OpenRequest &open, const Server &server) const
+{
     BackendRequest request;
     request.attempt = open.attemptId();
     request.server = server.id;
@@ -484,40 +423,34 @@
     request.body = open.asked.body;
     request.traceparent = open.asked.traceparent;
     request.idempotencyKey = open.asked.idempotencyKey;
-    request.resumeFrom = open.nextPart;
-    m_context.environment.backends.send(request);
-}
-
-void EntryRequests::releasePermit(OpenRequest &open, Scheduling::PermitOutcome outcome,
-                                  Base::TimePoint now)
-{
-    PermitRelease release;
-    release.attempt = open.attemptId();
-    release.pool = open.pool;
-    release.shard = open.shard;
-    release.server = open.server;
-    release.outcome = outcome;
-    if (open.hasFirstPart)
-        release.firstToken = toMilliseconds(open.firstPartAt - open.sentAt);
-    release.whole = toMilliseconds(now - open.sentAt);
-    release.units = std::exchange(open.uncharged, 0);
-    open.charged += release.units;
-    m_context.outbox.post(open.home, release);
-}
-
-bool EntryRequests::mayRetry(const OpenRequest &open, const BackendFailed &failed)
-{
-    if (open.attempt >= m_context.settings.largestAttempts || open.isCallerGone)
-        return false;
-    const bool isSafe =
-        failed.sent != SendState::MaybeRan || (open.asked.isRepeatable && !open.isAnswerStarted);
-    return isSafe && m_budget.takeRetry();
+    request.fence = open.fence;
+    if (open.nextPart > 0) {
+        request.resumeStream = open.streamName;
+        request.resumeFrom = open.nextPart;
+    }
+    return request;
 }
 
-void EntryRequests::retry(OpenRequest &open, Base::TimePoint now)
-{
-    m_context.environment.observer.retried(open.key);
-    askPermit(open, now);
+Scheduling::RetryDecision EntryRequests::decide(const OpenRequest &open,
+                                                const BackendFailed &failed, Base::TimePoint now)
+{
+    if (open.isCallerGone)
+        return {};
+    Scheduling::FailedAttempt attempt;
+    attempt.ran = static_cast<Scheduling::AttemptRan>(failed.sent);
+    attempt.isRepeatable = open.asked.isRepeatable;
+    // The status of a service's answer is part of it; a model's stream begins with its first
+    // part.
+    const bool isService = open.asked.kind == WorkKind::ServiceCall;
+    attempt.isAnswerStarted = open.nextPart > 0 || (isService && open.isAnswerStarted);
+    attempt.isStreamResumable =
+        open.nextPart > 0 && !open.streamName.empty() && failed.status != streamUnknownStatus;
+    attempt.attempts = open.attempt;
+    if (open.asked.deadline)
+        attempt.deadlineWithin = open.arrivedAt + *open.asked.deadline - now;
+    if (failed.retryAfter)
+        attempt.serverRetryAfter = *failed.retryAfter;
+    return m_retryPolicy.decide(attempt, m_budget, m_context.environment.random);
 }
 
 void EntryRequests::replay(OpenRequest &open, const std::string &stored, Base::TimePoint now)
--- a/src/libs/node/entryrequests.h
+++ b/src/libs/node/entryrequests.h
@@ -7,13 +7,15 @@
 #include "coordination/configurationreplica.h"
 #include "coordination/membership.h"
 #include "node/environment.h"
-#include "node/homewatch.h"
 #include "node/nodesettings.h"
 #include "node/openrequest.h"
 #include "node/outbox.h"
+#include "node/permitclient.h"
+#include "node/poolhomes.h"
 #include "node/requestrecorder.h"
 #include "node/serverdirectory.h"
 #include "scheduling/retrybudget.h"
+#include "scheduling/retrypolicy.h"
 
 #include <cstddef>
 #include <map>
@@ -31,6 +33,7 @@
     const Coordination::ConfigurationReplica &configuration;
     const ServerDirectory &directory;
     Claims::ClaimBook &claims;
+    const PoolHomes &homes;
     Outbox &outbox;
 };
 
@@ -61,7 +64,7 @@
 
     /// Compares what waits at \a home with what it says, and mends the difference.
     void reconcile(const Base::HostId &home, const WaitingReply &reply, Base::TimePoint now);
-    std::vector<Base::HostId> takeSilentHomes() { return m_watch.takeSilentHomes(); }
+    std::vector<Base::HostId> takeSilentHomes() { return m_permits.takeSilentHomes(); }
     /// The set of usable routers changed: asks new homes, tells them of permits in use.
     void rehome(Base::TimePoint now);
     void advance(Base::TimePoint now);
@@ -69,21 +72,16 @@
     std::size_t size() const { return m_open.size(); }
 
 private:
-    explicit EntryRequests(const EntryContext &context, Scheduling::RetryBudget budget);
+    EntryRequests(const EntryContext &context, Scheduling::RetryBudget budget,
+                  Scheduling::RetryPolicy policy);
 
     OpenRequest *find(const AttemptId &attempt);
-    Base::HostId homeOf(const Base::PoolId &pool, std::uint32_t shard) const;
     void askPermit(OpenRequest &open, Base::TimePoint now);
-    /// Posts the permit request to \a home and watches over it there.
-    void waitAt(OpenRequest &open, const Base::HostId &home, Base::TimePoint now);
-    /// The request no longer waits at its home.
-    void stopWaiting(const OpenRequest &open);
-    Base::Incarnation incarnationOf(const Base::HostId &host) const;
-    PermitRequest permitRequest(const OpenRequest &open, Base::TimePoint now) const;
-    void send(OpenRequest &open, const Server &server, Base::TimePoint now);
-    void releasePermit(OpenRequest &open, Scheduling::PermitOutcome outcome, Base::TimePoint now);
-    bool mayRetry(const OpenRequest &open, const BackendFailed &failed);
-    void retry(OpenRequest &open, Base::TimePoint now);
+    void send(OpenRequest &open, Base::TimePoint now);
+    BackendRequest backendRequest(const OpenRequest &open, const Server &server) const;
+    Scheduling::RetryDecision decide(const OpenRequest &open, const BackendFailed &failed,
+                                     Base::TimePoint now);
+    void takeNextStep(OpenRequest &open, Base::TimePoint now);
     void replay(OpenRequest &open, const std::string &stored, Base::TimePoint now);
     void failWith(OpenRequest &open, Failure failure, Base::TimePoint now);
     void passDeadline(OpenRequest &open, Base::TimePoint now);
@@ -94,7 +92,8 @@
 
     EntryContext m_context;
     Scheduling::RetryBudget m_budget;
-    HomeWatch m_watch;
+    Scheduling::RetryPolicy m_retryPolicy;
+    PermitClient m_permits;
     RequestRecorder m_recorder;
     std::map<Base::RequestKey, OpenRequest> m_open;
     std::map<CallerId, Base::RequestKey> m_byCaller;
--- a/src/libs/node/node.cpp
+++ b/src/libs/node/node.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-/// How often time-driven state (deadlines, limiters) is looked at.
-constexpr Base::Duration advanceInterval = std::chrono::milliseconds(50);
+/// How often the entry side looks for digests, deadlines and pauses that are due.
+constexpr Base::Duration entryAdvanceInterval = std::chrono::milliseconds(20);
 
 } // namespace
 
@@ -32,24 +32,28 @@
 
 Base::Result<void> Node::assemble()
 {
+    BOOST_LEAF_AUTO(table, Platform::TableGateway::create(m_settings.table, m_environment.table,
+                                                          m_environment.random));
+    m_table = std::move(table);
     BOOST_LEAF_AUTO(membership,
                     Coordination::Membership::create(m_settings.membership, m_settings.self));
     m_membership = std::make_unique<Coordination::Membership>(std::move(membership));
     BOOST_LEAF_AUTO(
         configuration,
         Coordination::ConfigurationReplica::create(
-            m_settings.configuration, m_environment.table, m_environment.objects, m_operations,
+            m_settings.configuration, *m_table, m_environment.objects, m_operations,
             m_settings.self.host.value() + '-' + std::to_string(m_settings.self.incarnation)));
     m_configuration =
         std::make_unique<Coordination::ConfigurationReplica>(std::move(configuration));
-    BOOST_LEAF_AUTO(claims,
-                    Claims::ClaimBook::create(m_settings.claims, m_settings.self.host,
-                                              m_settings.self.incarnation, m_environment.table,
-                                              m_operations, m_environment.random));
+    BOOST_LEAF_AUTO(claims, Claims::ClaimBook::create(m_settings.claims, m_settings.self.host,
+                                                      m_settings.self.incarnation, *m_table,
+                                                      m_operations, m_environment.random));
     m_claims = std::make_unique<Claims::ClaimBook>(std::move(claims));
-    BOOST_LEAF_AUTO(entry,
-                    EntryRequests::create({m_settings, m_environment, *m_membership,
-                                           *m_configuration, m_directory, *m_claims, *this}));
+    m_homes = std::make_unique<PoolHomes>(HomeContext{m_settings, m_environment, *m_membership,
+                                                      *m_configuration, m_directory, *this});
+    BOOST_LEAF_AUTO(
+        entry, EntryRequests::create({m_settings, m_environment, *m_membership, *m_configuration,
+                                      m_directory, *m_claims, *m_homes, *this}));
     m_entry = std::move(entry);
     return {};
 }
@@ -68,21 +72,18 @@
         post(*peer, ConfigurationPull{m_configuration->configuration().version()});
     m_claims->advance(now);
     sendHeartbeats(now);
-    if (now >= m_nextAdvance) {
-        m_nextAdvance = now + advanceInterval;
+    if (now >= m_nextEntryAdvance) {
+        m_nextEntryAdvance = now + entryAdvanceInterval;
         m_entry->advance(now);
-        for (auto &[key, home] : m_homes)
-            home->advance(now);
     }
-    pollLoads(now);
-    sendLedgers(now);
+    m_homes->advance(now);
     finishTurn(now);
 }
 
 Base::TimePoint Node::nextDue() const
 {
-    return std::min({m_membership->nextDue(), m_configuration->nextDue(), m_nextLoadPoll,
-                     m_nextLedger, m_nextAdvance});
+    return std::min({m_membership->nextDue(), m_configuration->nextDue(), m_claims->nextDue(),
+                     m_table->nextDue(), m_homes->nextDue(), m_nextEntryAdvance});
 }
 
 bool Node::isDrained() const
@@ -98,8 +99,7 @@
     status.version = m_configuration->configuration().version();
     status.liveRouters = m_membership->usableRouters().size();
     status.openRequests = m_entry->size();
-    for (const auto &[key, home] : m_homes)
-        status.waitingHere += home->waiting();
+    status.waitingHere = m_homes->waiting();
     return status;
 }
 
@@ -123,8 +123,18 @@
     }
 }
 
+void Node::deliverOutcomes(Base::TimePoint now)
+{
+    m_table->advance(now);
+    for (const Platform::TableOutcome &outcome : m_table->takeOutcomes()) {
+        if (!m_configuration->handle(outcome, now))
+            m_claims->handle(outcome, now);
+    }
+}
+
 void Node::finishTurn(Base::TimePoint now)
 {
+    deliverOutcomes(now);
     for (const Claims::ClaimOutcome &outcome : m_claims->takeOutcomes())
         m_entry->claimDecided(outcome, now);
     answerTargetWrites(now);
@@ -132,6 +142,10 @@
         m_membership->recordUnreachable(home, now);
     applyView(now);
     deliverLocally(now);
+    m_homes->balance(now);
+    deliverLocally(now);
+    // What this turn asked of the table leaves now.
+    m_table->advance(now);
 }
 
 void Node::on(const CallerRequest &event, Base::TimePoint now)
@@ -224,15 +238,12 @@
 
 void Node::on(const BackendLoad &event, Base::TimePoint now)
 {
-    for (auto &[key, home] : m_homes)
-        home->recordLoad(event, now);
+    m_homes->recordLoad(event, now);
 }
 
 void Node::on(const Platform::TableOutcome &event, Base::TimePoint now)
 {
-    if (m_configuration->handle(event, now))
-        return;
-    m_claims->handle(event, now);
+    m_table->handle(event, now);
 }
 
 void Node::on(const Platform::ObjectOutcome &event, Base::TimePoint now)
@@ -268,7 +279,7 @@
 
 void Node::receive(const Base::HostId &, const PermitRequest &message, Base::TimePoint now)
 {
-    if (PoolHome *pool = home(message.pool, message.shard))
+    if (PoolHome *pool = m_homes->home(message.pool, message.shard))
         pool->request(message, now);
 }
 
@@ -284,25 +295,25 @@
 
 void Node::receive(const Base::HostId &, const PermitCancel &message, Base::TimePoint now)
 {
-    if (PoolHome *pool = home(message.pool, message.shard))
+    if (PoolHome *pool = m_homes->home(message.pool, message.shard))
         pool->cancel(message, now);
 }
 
 void Node::receive(const Base::HostId &, const PermitRelease &message, Base::TimePoint now)
 {
-    if (PoolHome *pool = home(message.pool, message.shard))
+    if (PoolHome *pool = m_homes->home(message.pool, message.shard))
         pool->release(message, now);
 }
 
 void Node::receive(const Base::HostId &, const ServiceCharge &message, Base::TimePoint now)
 {
-    if (PoolHome *pool = home(message.pool, message.shard))
+    if (PoolHome *pool = m_homes->home(message.pool, message.shard))
         pool->charge(message, now);
 }
 
 void Node::receive(const Base::HostId &from, const PermitHeld &message, Base::TimePoint now)
 {
-    if (PoolHome *pool = home(message.pool, message.shard))
+    if (PoolHome *pool = m_homes->home(message.pool, message.shard))
         pool->adopt(from, message, now);
 }
 
@@ -313,11 +324,7 @@
 
 void Node::receive(const Base::HostId &from, const WaitingDigest &message, Base::TimePoint)
 {
-    // A home that does not know the pool yet answers too: it is not gone.
-    if (const PoolHome *pool = home(message.pool, message.shard))
-        post(from, pool->compare(from, message));
-    else
-        post(from, WaitingReply{message.pool, message.shard, message.number, false, {}});
+    m_homes->answerDigest(from, message);
 }
 
 void Node::receive(const Base::HostId &from, const WaitingReply &message, Base::TimePoint now)
@@ -328,12 +335,7 @@
 void Node::receive(const Base::HostId &from, const Coordination::LedgerDelta &message,
                    Base::TimePoint)
 {
-    Coordination::ServiceLedger *pool = ledger(message.pool);
-    if (!pool)
-        return;
-    const bool isFolded = pool->merge(message) == Coordination::MergeResult::SenderIsFolded;
-    if (isFolded || message.isAsking)
-        post(from, pool->snapshot());
+    m_homes->merge(from, message);
 }
 
 void Node::receive(const Base::HostId &, const ConfigurationPush &message, Base::TimePoint)
@@ -355,42 +357,14 @@
         post(from, ConfigurationPush{changes});
 }
 
-void Node::receive(const Base::HostId &, const WorkHandover &message, Base::TimePoint now)
+void Node::receive(const Base::HostId &from, const WorkAsk &message, Base::TimePoint now)
 {
-    if (PoolHome *pool = home(message.request.pool, message.request.shard))
-        pool->request(message.request, now);
+    m_homes->giveWork(from, message, now);
 }
 
-PoolHome *Node::home(const Base::PoolId &pool, std::uint32_t shard)
-{
-    const HomeKey key{pool, shard};
-    const auto it = m_homes.find(key);
-    if (it != m_homes.end())
-        return it->second.get();
-    Coordination::ServiceLedger *account = ledger(pool);
-    if (!account || !m_directory.hasPool(pool) || shard >= m_directory.shards(pool))
-        return nullptr;
-    auto created = PoolHome::create(m_settings, pool, shard, *account, *this, m_environment.random);
-    if (!created)
-        return nullptr;
-    PoolHome &added = *(m_homes[key] = std::move(*created));
-    added.setServers(m_directory.usable(pool, shard));
-    added.setClaims(m_configuration->configuration());
-    return &added;
-}
-
-Coordination::ServiceLedger *Node::ledger(const Base::PoolId &pool)
+void Node::receive(const Base::HostId &, const WorkHandover &message, Base::TimePoint now)
 {
-    const auto it = m_ledgers.find(pool);
-    if (it != m_ledgers.end())
-        return it->second.get();
-    auto created = Coordination::ServiceLedger::create(m_settings.ledger, m_settings.self.host,
-                                                       m_settings.self.incarnation, pool);
-    if (!created)
-        return nullptr;
-    auto &added = m_ledgers[pool];
-    added = std::make_unique<Coordination::ServiceLedger>(std::move(*created));
-    return added.get();
+    m_homes->takeWork(message, now);
 }
 
 void Node::applyView(Base::TimePoint now)
@@ -402,77 +376,22 @@
     m_isDirectoryChanged = false;
     m_directory.markLeaving(*m_membership);
     m_configuration->setPolling(m_membership->zonePoller() == m_settings.self.host);
-    refreshHomes();
-    forgetLostEntries(now);
+    m_table->setFleetSize(m_membership->usableRouters().size());
+    m_homes->refresh(now);
     m_entry->rehome(now);
 }
 
-void Node::forgetLostEntries(Base::TimePoint now)
-{
-    for (const auto &[host, member] : m_membership->others()) {
-        const Base::Incarnation served = m_entryIncarnations[host];
-        const bool isRestarted = served != 0 && member.incarnation != served;
-        m_entryIncarnations[host] = member.isAlive ? member.incarnation : 0;
-        if (member.isAlive && !isRestarted)
-            continue;
-        for (auto &[key, home] : m_homes)
-            home->forgetEntry(host, now);
-    }
-}
-
-void Node::refreshHomes()
-{
-    for (auto &[key, home] : m_homes)
-        home->setServers(m_directory.usable(key.first, key.second));
-}
-
 void Node::sendHeartbeats(Base::TimePoint now)
 {
     std::optional<Coordination::Heartbeat> heartbeat = m_membership->dueHeartbeat(now);
     if (!heartbeat)
         return;
     heartbeat->configurationVersion = m_configuration->configuration().version();
-    for (const auto &[key, home] : m_homes)
-        heartbeat->pools.push_back(home->summary());
+    heartbeat->pools = m_homes->summaries();
     m_membership->omitUnchanged(*heartbeat);
     for (const auto &[host, member] : m_membership->others())
         post(host, *heartbeat);
-    for (auto &[key, home] : m_homes)
-        home->setClaims(m_configuration->configuration());
-}
-
-void Node::sendLedgers(Base::TimePoint now)
-{
-    if (now < m_nextLedger)
-        return;
-    m_nextLedger = now + m_settings.ledgerInterval;
-    for (auto &[pool, ledger] : m_ledgers) {
-        ledger->advance(now);
-        const std::optional<Coordination::LedgerDelta> delta = ledger->takeDelta();
-        if (!delta)
-            continue;
-        const std::vector<Base::HostId> routers = m_membership->usableRouters();
-        for (std::uint32_t shard = 0; shard < m_directory.shards(pool); ++shard) {
-            const auto order = Coordination::homeOrder(pool, shard, routers);
-            for (std::size_t i = 0; i < std::min<std::size_t>(order.size(), 2); ++i) {
-                if (order[i] != m_settings.self.host)
-                    post(order[i], *delta);
-            }
-        }
-    }
-}
-
-void Node::pollLoads(Base::TimePoint now)
-{
-    if (now < m_nextLoadPoll)
-        return;
-    m_nextLoadPoll = now + m_settings.loadPollInterval;
-    for (const auto &[key, home] : m_homes) {
-        for (const Base::ServerId &id : home->servers()) {
-            if (const Server *server = m_directory.server(id))
-                m_environment.backends.pollLoad(id, server->address);
-        }
-    }
+    m_homes->refreshClaims();
 }
 
 void Node::answerTargetWrites(Base::TimePoint)
--- a/src/libs/node/node.h
+++ b/src/libs/node/node.h
@@ -12,9 +12,10 @@
 #include "node/event.h"
 #include "node/nodesettings.h"
 #include "node/outbox.h"
-#include "node/poolhome.h"
+#include "node/poolhomes.h"
 #include "node/serverdirectory.h"
 #include "platform/operationids.h"
+#include "platform/tablegateway.h"
 
 #include <deque>
 #include <map>
@@ -50,8 +51,7 @@
         return m_configuration->configuration();
     }
     const ServerDirectory &directory() const { return m_directory; }
-    using HomeKey = std::pair<Base::PoolId, std::uint32_t>;
-    const std::map<HomeKey, std::unique_ptr<PoolHome>> &homes() const { return m_homes; }
+    const PoolHomes &homes() const { return *m_homes; }
 
 private:
     Node(const NodeSettings &settings, const Environment &environment);
@@ -99,39 +99,31 @@
     void receive(const Base::HostId &from, const ConfigurationSnapshot &message,
                  Base::TimePoint now);
     void receive(const Base::HostId &from, const ConfigurationPull &message, Base::TimePoint now);
+    void receive(const Base::HostId &from, const WorkAsk &message, Base::TimePoint now);
     void receive(const Base::HostId &from, const WorkHandover &message, Base::TimePoint now);
 
-    PoolHome *home(const Base::PoolId &pool, std::uint32_t shard);
-    Coordination::ServiceLedger *ledger(const Base::PoolId &pool);
     /// Brings homes and entry requests in line with the routers and servers known now.
     void applyView(Base::TimePoint now);
-    void refreshHomes();
-    /// Frees what was held for routers that are gone or have started again.
-    void forgetLostEntries(Base::TimePoint now);
     void sendHeartbeats(Base::TimePoint now);
-    void sendLedgers(Base::TimePoint now);
-    void pollLoads(Base::TimePoint now);
+    /// Hands the table's outcomes to the parts that asked.
+    void deliverOutcomes(Base::TimePoint now);
     void answerTargetWrites(Base::TimePoint now);
 
     NodeSettings m_settings;
     Environment m_environment;
     Platform::OperationIds m_operations;
     ServerDirectory m_directory;
+    std::unique_ptr<Platform::TableGateway> m_table;
     std::unique_ptr<Coordination::Membership> m_membership;
     std::unique_ptr<Coordination::ConfigurationReplica> m_configuration;
     std::unique_ptr<Claims::ClaimBook> m_claims;
     std::unique_ptr<EntryRequests> m_entry;
-    std::map<Base::PoolId, std::unique_ptr<Coordination::ServiceLedger>> m_ledgers;
-    std::map<HomeKey, std::unique_ptr<PoolHome>> m_homes;
-    /// The start of each other router for which homes here hold work; 0 if it is gone.
-    std::map<Base::HostId, Base::Incarnation> m_entryIncarnations;
+    std::unique_ptr<PoolHomes> m_homes;
     std::deque<PeerMessage> m_local;
     std::uint64_t m_appliedView = 0;
     bool m_isDirectoryChanged = false;
     bool m_isLeaving = false;
-    Base::TimePoint m_nextLoadPoll{};
-    Base::TimePoint m_nextLedger{};
-    Base::TimePoint m_nextAdvance{};
+    Base::TimePoint m_nextEntryAdvance{};
 };
 
 } // namespace Node
--- a/src/libs/node/nodeconstants.h
+++ b/src/libs/node/nodeconstants.h
@@ -24,9 +24,14 @@
 /// A backend server that says nothing for this long has failed the request. Far above the wait
 /// in a server's own queue, which permits keep short.
 inline constexpr Base::Duration backendSilenceLimit = std::chrono::seconds(20);
+/// How often time-driven state of homes (deadlines, limiters) is looked at.
+inline constexpr Base::Duration homeAdvanceInterval = std::chrono::milliseconds(50);
 /// How often open requests are looked through for deadlines and silence.
 inline constexpr Base::Duration openCheckInterval = std::chrono::milliseconds(100);
 
+/// HTTP status of a model server that does not have the stream to be resumed.
+inline constexpr int streamUnknownStatus = 404;
+
 /// Largest number of configuration changes in one message to a peer.
 inline constexpr std::size_t changesPerPush = 200;
 
--- a/src/libs/node/nodesettings.h
+++ b/src/libs/node/nodesettings.h
@@ -6,10 +6,13 @@
 #include "coordination/serviceledger.h"
 #include "coordination/trafficmeter.h"
 #include "node/homewatch.h"
+#include "platform/tablegateway.h"
 #include "scheduling/admissionpolicy.h"
 #include "scheduling/concurrencylimiter.h"
 #include "scheduling/fairqueue.h"
 #include "scheduling/retrybudget.h"
+#include "scheduling/retrypolicy.h"
+#include "scheduling/shardselector.h"
 
 #include <chrono>
 #include <cstdint>
@@ -31,6 +34,9 @@
     Scheduling::RetryBudgetPolicy retries;
     Claims::ClaimPolicy claims;
     HomeWatchPolicy homeWatch;
+    Platform::TableGatewayPolicy table;
+    Scheduling::RetryPolicyLimits retryPolicy;
+    Scheduling::ShardSelectorPolicy shardSelector;
 
     /// How long callers may keep an entry list.
     std::chrono::seconds entryListMaxAge{10};
@@ -38,8 +44,6 @@
     Base::Duration ledgerInterval = std::chrono::milliseconds(500);
     /// Charged to the home while a stream runs, each time this much service is uncharged.
     Base::ServiceUnits chargeStep = 500;
-    /// Attempts at one request, the first included.
-    std::uint32_t largestAttempts = 3;
 };
 
 } // namespace Node
--- a/src/libs/node/openrequest.h
+++ b/src/libs/node/openrequest.h
@@ -4,6 +4,7 @@
 #include "base/time.h"
 #include "node/event.h"
 #include "node/storedanswer.h"
+#include "scheduling/retrypolicy.h"
 #include "settings/configuration.h"
 
 #include <cstdint>
@@ -15,6 +16,7 @@
     Claiming, ///< Waits for its claim in the table.
     Waiting,  ///< Waits for a permit.
     Sent,     ///< On its way to, or running at, a backend server.
+    Pausing,  ///< Failed, and waits before the next attempt.
 };
 
 /// A caller's request that has no final answer yet, at its entry host.
@@ -37,6 +39,13 @@
     Base::HostId home;
     Base::Incarnation homeIncarnation = 0;
     Base::ServerId server;
+    /// The attempt that the permit in hand was given for. A stream that is resumed keeps it.
+    AttemptId permit;
+    /// While Pausing: what comes next, and when.
+    Scheduling::RetryStep nextStep = Scheduling::RetryStep::GiveUp;
+    Base::TimePoint nextStepAt;
+    /// Fencing number of the claim; 0 if there is none.
+    std::uint64_t fence = 0;
 
     Base::TimePoint arrivedAt;
     Base::TimePoint askedAt;
@@ -58,6 +67,12 @@
 
     bool isClaimed() const { return !asked.isRepeatable; }
     AttemptId attemptId() const { return {key, attempt}; }
+    bool holdsPermit() const
+    {
+        const bool isResuming =
+            state == RequestState::Pausing && nextStep == Scheduling::RetryStep::ResumeStream;
+        return state == RequestState::Sent || isResuming;
+    }
 };
 
 } // namespace Node
--- a/src/libs/node/peermessage.h
+++ b/src/libs/node/peermessage.h
@@ -171,10 +171,28 @@
     bool operator==(const ConfigurationPull &) const = default;
 };
 
-/// Home to home: this request is yours to give a permit to; answer its entry directly.
+/// Home to home: permits are free at \a asker, a shard of the same pool; hand over work.
+struct WorkAsk
+{
+    Base::PoolId pool;
+    /// The shard that is asked.
+    std::uint32_t shard = 0;
+    std::uint32_t asker = 0;
+    std::uint32_t count = 0;
+
+    bool operator==(const WorkAsk &) const = default;
+};
+
+/// Home to home: these requests are yours to give permits to; answer their entries directly.
 struct WorkHandover
 {
-    PermitRequest request;
+    Base::PoolId pool;
+    /// The shard that takes the requests.
+    std::uint32_t shard = 0;
+    std::uint32_t from = 0;
+    /// Whether it answers a WorkAsk; then it comes even when there is nothing to hand over.
+    bool isAnswer = false;
+    std::vector<PermitRequest> requests;
 
     bool operator==(const WorkHandover &) const = default;
 };
@@ -183,7 +201,7 @@
     std::variant<Coordination::Heartbeat, PermitRequest, PermitGrant, PermitRefusal, PermitCancel,
                  PermitRelease, ServiceCharge, PermitHeld, PermitQuery, WaitingDigest, WaitingReply,
                  Coordination::LedgerDelta, ConfigurationPush, ConfigurationSnapshot,
-                 ConfigurationPull, WorkHandover>;
+                 ConfigurationPull, WorkAsk, WorkHandover>;
 
 /// Under which kind the bytes of a message are counted.
 Coordination::TrafficKind trafficKind(const PeerMessage &message);
--- /dev/null
+++ b/src/libs/node/permitclient.cpp
@@ -0,0 +1,191 @@
+#include "node/permitclient.h"
+
+#include "coordination/homemap.h"
+#include "node/requesttraits.h"
+
+#include <utility>
+
+namespace Node {
+
+namespace {
+
+using Base::Milliseconds;
+
+Milliseconds toMilliseconds(Base::Duration duration)
+{
+    return std::chrono::duration_cast<Milliseconds>(duration);
+}
+
+PermitRelease unused(const AttemptId &attempt, const Base::PoolId &pool, std::uint32_t shard,
+                     const Base::ServerId &server)
+{
+    PermitRelease release;
+    release.attempt = attempt;
+    release.pool = pool;
+    release.shard = shard;
+    release.server = server;
+    release.outcome = Scheduling::PermitOutcome::NotUsed;
+    return release;
+}
+
+} // namespace
+
+PermitClient::PermitClient(const PermitContext &context)
+    : m_context(context)
+    , m_watch(context.settings.homeWatch)
+{}
+
+void PermitClient::ask(OpenRequest &open, Base::TimePoint now)
+{
+    open.askedAt = now;
+    open.shard = chooseShard(open.pool, now);
+    waitAt(open, homeOf(open.pool, open.shard), now);
+}
+
+void PermitClient::withdraw(const OpenRequest &open)
+{
+    stopWatching(open);
+    m_context.outbox.post(open.home, PermitCancel{open.attemptId(), open.pool, open.shard});
+}
+
+void PermitClient::stopWatching(const OpenRequest &open)
+{
+    m_watch.remove({open.home, open.pool, open.shard}, open.attemptId());
+}
+
+void PermitClient::accept(OpenRequest &open, const Base::HostId &home, const PermitGrant &grant)
+{
+    if (open.home == home)
+        stopWatching(open);
+    else
+        withdraw(open);
+    open.home = home;
+    open.homeIncarnation = incarnationOf(home);
+    open.shard = grant.shard;
+    open.server = grant.server;
+    open.permit = grant.attempt;
+}
+
+void PermitClient::decline(const Base::HostId &home, const PermitGrant &grant)
+{
+    m_context.outbox.post(home, unused(grant.attempt, grant.pool, grant.shard, grant.server));
+}
+
+void PermitClient::charge(OpenRequest &open)
+{
+    m_context.outbox.post(open.home,
+                          ServiceCharge{open.permit, open.pool, open.shard, open.uncharged});
+    open.charged += std::exchange(open.uncharged, 0);
+}
+
+void PermitClient::release(OpenRequest &open, Scheduling::PermitOutcome outcome,
+                           Base::TimePoint now)
+{
+    PermitRelease release;
+    release.attempt = open.permit;
+    release.pool = open.pool;
+    release.shard = open.shard;
+    release.server = open.server;
+    release.outcome = outcome;
+    if (open.hasFirstPart)
+        release.firstToken = toMilliseconds(open.firstPartAt - open.sentAt);
+    release.whole = toMilliseconds(now - open.sentAt);
+    release.units = std::exchange(open.uncharged, 0);
+    open.charged += release.units;
+    m_context.outbox.post(open.home, release);
+}
+
+void PermitClient::rehome(OpenRequest &open, Base::TimePoint now)
+{
+    const Base::HostId home = homeOf(open.pool, open.shard);
+    const bool isSame = home == open.home && incarnationOf(home) == open.homeIncarnation;
+    if (isSame)
+        return;
+    if (open.state == RequestState::Waiting) {
+        if (home == open.home)
+            stopWatching(open);
+        else
+            withdraw(open);
+        waitAt(open, home, now);
+        return;
+    }
+    if (!open.holdsPermit())
+        return;
+    open.home = home;
+    open.homeIncarnation = incarnationOf(home);
+    m_context.outbox.post(home, PermitHeld{open.permit, open.pool, open.shard, open.server,
+                                           open.customer, open.target.name});
+}
+
+HomeWatch::Difference PermitClient::compare(const Base::HostId &home, const WaitingReply &reply)
+{
+    const HomeWatch::Difference difference = m_watch.compare(home, reply);
+    for (const AttemptId &attempt : difference.unwanted)
+        m_context.outbox.post(home, PermitCancel{attempt, reply.pool, reply.shard});
+    return difference;
+}
+
+void PermitClient::repeat(const OpenRequest &open, const Base::HostId &home, Base::TimePoint now)
+{
+    m_context.outbox.post(home, permitRequest(open, now));
+}
+
+void PermitClient::disown(const AttemptId &attempt, const Base::HostId &home,
+                          const Base::PoolId &pool, std::uint32_t shard)
+{
+    m_context.outbox.post(home, unused(attempt, pool, shard, {}));
+}
+
+void PermitClient::sendDigests(Base::TimePoint now)
+{
+    for (const HomeWatch::Digest &digest : m_watch.takeDigests(now))
+        m_context.outbox.post(digest.home, digest.message);
+}
+
+Base::HostId PermitClient::homeOf(const Base::PoolId &pool, std::uint32_t shard) const
+{
+    const std::vector<Base::HostId> order =
+        Coordination::homeOrder(pool, shard, m_context.membership.usableRouters());
+    return order.empty() ? m_context.membership.self().host : order.front();
+}
+
+Base::Incarnation PermitClient::incarnationOf(const Base::HostId &host) const
+{
+    const auto it = m_context.membership.others().find(host);
+    return it == m_context.membership.others().end() ? 0 : it->second.incarnation;
+}
+
+std::uint32_t PermitClient::chooseShard(const Base::PoolId &pool, Base::TimePoint now)
+{
+    if (m_context.directory.shards(pool) == 1)
+        return 0;
+    const auto it = m_selectors.try_emplace(pool, m_context.settings.shardSelector).first;
+    return it->second.choose(m_context.homes.shards(pool, now), m_context.environment.random);
+}
+
+void PermitClient::waitAt(OpenRequest &open, const Base::HostId &home, Base::TimePoint now)
+{
+    open.home = home;
+    open.homeIncarnation = incarnationOf(home);
+    m_watch.add({home, open.pool, open.shard}, open.attemptId(), now);
+    m_context.outbox.post(home, permitRequest(open, now));
+}
+
+PermitRequest PermitClient::permitRequest(const OpenRequest &open, Base::TimePoint now) const
+{
+    PermitRequest request;
+    request.attempt = open.attemptId();
+    request.pool = open.pool;
+    request.shard = open.shard;
+    request.customer = open.customer;
+    request.workClass = open.target.name;
+    request.waited = toMilliseconds(now - open.arrivedAt);
+    request.startWithin = open.target.startWithin - request.waited;
+    if (open.asked.deadline)
+        request.deadlineWithin = *open.asked.deadline - request.waited;
+    request.expectedCost = expectedCost(open.asked);
+    request.prefix = open.asked.prefix;
+    return request;
+}
+
+} // namespace Node
--- a/src/libs/node/poolhome.cpp
+++ b/src/libs/node/poolhome.cpp
@@ -10,6 +10,45 @@
 /// A permit not heard of for this long is asked for. A lost release idles a slot that long.
 constexpr Base::Duration permitQueryInterval = std::chrono::seconds(3);
 
+Base::Milliseconds toMilliseconds(Base::Duration duration)
+{
+    return std::chrono::duration_cast<Base::Milliseconds>(duration);
+}
+
+Scheduling::WaitingWork toWork(const PermitRequest &request, Base::TimePoint now)
+{
+    Scheduling::WaitingWork work;
+    work.request = request.attempt.request;
+    work.attempt = request.attempt.number;
+    work.customer = request.customer;
+    work.workClass = request.workClass;
+    work.arrivedAt = now - request.waited;
+    work.startBy = now + request.startWithin;
+    if (request.deadlineWithin)
+        work.deadline = now + *request.deadlineWithin;
+    work.expectedCost = request.expectedCost;
+    work.prefix = request.prefix;
+    return work;
+}
+
+PermitRequest toRequest(const Scheduling::WaitingWork &work, const Base::PoolId &pool,
+                        std::uint32_t shard, Base::TimePoint now)
+{
+    PermitRequest request;
+    request.attempt = {work.request, work.attempt};
+    request.pool = pool;
+    request.shard = shard;
+    request.customer = work.customer;
+    request.workClass = work.workClass;
+    request.waited = toMilliseconds(now - work.arrivedAt);
+    request.startWithin = toMilliseconds(work.startBy - now);
+    if (work.deadline)
+        request.deadlineWithin = toMilliseconds(*work.deadline - now);
+    request.expectedCost = work.expectedCost;
+    request.prefix = work.prefix;
+    return request;
+}
+
 } // namespace
 
 Base::Result<std::unique_ptr<PoolHome>>
@@ -84,17 +123,7 @@
     if (const auto older = m_queue.remove(request.attempt.request))
         forgetWaiting(*older);
     m_waitingByEntry[entry].add(request.attempt);
-    Scheduling::WaitingWork work;
-    work.request = request.attempt.request;
-    work.attempt = request.attempt.number;
-    work.customer = request.customer;
-    work.workClass = request.workClass;
-    work.arrivedAt = now - request.waited;
-    work.startBy = now + request.startWithin;
-    if (request.deadlineWithin)
-        work.deadline = now + *request.deadlineWithin;
-    work.expectedCost = request.expectedCost;
-    work.prefix = request.prefix;
+    const Scheduling::WaitingWork work = toWork(request, now);
     const auto refusal = m_admission.refusalFor(work, poolState(work.customer), now, *m_random);
     if (refusal) {
         refuse(work, *refusal);
@@ -212,6 +241,20 @@
     dispatch(now);
 }
 
+std::vector<PermitRequest> PoolHome::takeForHandover(std::size_t count, std::uint32_t to,
+                                                     Base::TimePoint now)
+{
+    std::vector<PermitRequest> requests;
+    while (requests.size() < count) {
+        const std::optional<Scheduling::WaitingWork> work = m_queue.takeNext(*m_ledger, *this, now);
+        if (!work)
+            break;
+        forgetWaiting(*work);
+        requests.push_back(toRequest(*work, m_pool, to, now));
+    }
+    return requests;
+}
+
 Coordination::PoolSummary PoolHome::summary() const
 {
     std::size_t freePermits = 0;
--- a/src/libs/node/poolhome.h
+++ b/src/libs/node/poolhome.h
@@ -42,6 +42,9 @@
     /// Share of the pool that each class may claim while others wait.
     void setClaims(const Settings::Configuration &configuration);
 
+    const Base::PoolId &pool() const { return m_pool; }
+    std::uint32_t shard() const { return m_shard; }
+
     void request(const PermitRequest &request, Base::TimePoint now);
     void cancel(const PermitCancel &cancel, Base::TimePoint now);
     void release(const PermitRelease &release, Base::TimePoint now);
@@ -53,6 +56,9 @@
     /// \a entry is gone, and with it all that waited for it or ran under it.
     void forgetEntry(const Base::HostId &entry, Base::TimePoint now);
     void advance(Base::TimePoint now);
+    /// Takes at most \a count of the work next in order, as requests to shard \a to.
+    std::vector<PermitRequest> takeForHandover(std::size_t count, std::uint32_t to,
+                                               Base::TimePoint now);
 
     Coordination::PoolSummary summary() const;
     std::size_t waiting() const { return m_queue.size(); }
--- /dev/null
+++ b/src/libs/node/poolhomes.cpp
@@ -0,0 +1,296 @@
+#include "node/poolhomes.h"
+
+#include "coordination/homemap.h"
+#include "node/nodeconstants.h"
+
+#include <algorithm>
+#include <iterator>
+#include <set>
+
+namespace Node {
+
+PoolHomes::PoolHomes(const HomeContext &context)
+    : m_context(context)
+{}
+
+PoolHome *PoolHomes::home(const Base::PoolId &pool, std::uint32_t shard)
+{
+    const Key key{pool, shard};
+    const auto it = m_homes.find(key);
+    if (it != m_homes.end())
+        return it->second.get();
+    const ServerDirectory &directory = m_context.directory;
+    if (!directory.hasPool(pool) || shard >= directory.shards(pool))
+        return nullptr;
+    Coordination::ServiceLedger *account = ledger(pool);
+    if (!account)
+        return nullptr;
+    auto created = PoolHome::create(m_context.settings, pool, shard, *account, m_context.outbox,
+                                    m_context.environment.random);
+    if (!created)
+        return nullptr;
+    PoolHome &added = *(m_homes[key] = std::move(*created));
+    added.setServers(directory.usable(pool, shard));
+    added.setClaims(m_context.configuration.configuration());
+    return &added;
+}
+
+void PoolHomes::merge(const Base::HostId &from, const Coordination::LedgerDelta &delta)
+{
+    Coordination::ServiceLedger *account = ledger(delta.pool);
+    if (!account)
+        return;
+    const bool isFolded = account->merge(delta) == Coordination::MergeResult::SenderIsFolded;
+    if (isFolded || delta.isAsking)
+        m_context.outbox.post(from, account->snapshot());
+}
+
+void PoolHomes::answerDigest(const Base::HostId &from, const WaitingDigest &digest)
+{
+    // A home that does not know the pool yet answers too: it is not gone.
+    const PoolHome *at = home(digest.pool, digest.shard);
+    const WaitingReply unknown{digest.pool, digest.shard, digest.number, false, {}};
+    m_context.outbox.post(from, at ? at->compare(from, digest) : unknown);
+}
+
+void PoolHomes::giveWork(const Base::HostId &, const WorkAsk &ask, Base::TimePoint now)
+{
+    PoolHome *crowded = home(ask.pool, ask.shard);
+    if (!crowded)
+        return;
+    Scheduling::HandoverPlanner &planner = m_planners[{ask.pool, ask.shard}];
+    const std::size_t count = planner.answer(ask.asker, ask.count, crowded->waiting(), now);
+    handOver(*crowded, {ask.asker, count}, true, now);
+}
+
+void PoolHomes::takeWork(const WorkHandover &handover, Base::TimePoint now)
+{
+    PoolHome *idle = home(handover.pool, handover.shard);
+    if (!idle)
+        return;
+    if (handover.isAnswer)
+        m_planners[{handover.pool, handover.shard}].recordAnswer(handover.from,
+                                                                 handover.requests.size(), now);
+    for (const PermitRequest &request : handover.requests)
+        idle->request(request, now);
+}
+
+void PoolHomes::recordLoad(const BackendLoad &load, Base::TimePoint now)
+{
+    for (auto &[key, home] : m_homes)
+        home->recordLoad(load, now);
+}
+
+void PoolHomes::refresh(Base::TimePoint now)
+{
+    for (auto &[key, home] : m_homes)
+        home->setServers(m_context.directory.usable(key.first, key.second));
+    forgetLostEntries(now);
+    dropUnused();
+}
+
+void PoolHomes::refreshClaims()
+{
+    for (auto &[key, home] : m_homes)
+        home->setClaims(m_context.configuration.configuration());
+}
+
+void PoolHomes::balance(Base::TimePoint now)
+{
+    for (auto &[key, home] : m_homes) {
+        if (m_context.directory.shards(key.first) > 1)
+            balanceShard(key, *home, now);
+    }
+}
+
+void PoolHomes::balanceShard(const Key &key, PoolHome &home, Base::TimePoint now)
+{
+    const Coordination::PoolSummary own = home.summary();
+    const bool isIdle = own.waiting == 0 && own.freePermits > 0;
+    const bool isCrowded = own.waiting > 0 && own.freePermits == 0;
+    if (!isIdle && !isCrowded)
+        return;
+    Scheduling::HandoverPlanner &planner = m_planners[key];
+    if (isIdle) {
+        const auto ask =
+            planner.ask(key.second, own.freePermits, own.drainRate, shards(key.first, now), now);
+        const auto order = ask ? homeOrder(key.first, ask->shard) : std::vector<Base::HostId>();
+        if (!order.empty())
+            m_context.outbox.post(order.front(), WorkAsk{key.first, ask->shard, key.second,
+                                                         static_cast<std::uint32_t>(ask->count)});
+        return;
+    }
+    for (const Scheduling::Handover &handover : planner.planForAskers(home.waiting(), now))
+        handOver(home, handover, false, now);
+    for (const Scheduling::Handover &handover :
+         planner.plan(key.second, shards(key.first, now), now))
+        handOver(home, handover, false, now);
+}
+
+void PoolHomes::handOver(PoolHome &home, const Scheduling::Handover &handover, bool isAnswer,
+                         Base::TimePoint now)
+{
+    WorkHandover message;
+    message.pool = home.pool();
+    message.shard = handover.shard;
+    message.from = home.shard();
+    message.isAnswer = isAnswer;
+    message.requests = home.takeForHandover(handover.count, handover.shard, now);
+    if (message.requests.empty() && !isAnswer)
+        return;
+    const std::vector<Base::HostId> order = homeOrder(message.pool, message.shard);
+    if (!order.empty())
+        m_context.outbox.post(order.front(), message);
+}
+
+void PoolHomes::advance(Base::TimePoint now)
+{
+    if (now >= m_nextAdvance) {
+        m_nextAdvance = now + homeAdvanceInterval;
+        for (auto &[key, home] : m_homes)
+            home->advance(now);
+    }
+    pollLoads(now);
+    sendLedgers(now);
+}
+
+Base::TimePoint PoolHomes::nextDue() const
+{
+    return std::min({m_nextLoadPoll, m_nextLedger, m_nextAdvance});
+}
+
+std::vector<Coordination::PoolSummary> PoolHomes::summaries() const
+{
+    std::vector<Coordination::PoolSummary> summaries;
+    for (const auto &[key, home] : m_homes)
+        summaries.push_back(home->summary());
+    return summaries;
+}
+
+std::vector<Scheduling::ShardSummary> PoolHomes::shards(const Base::PoolId &pool,
+                                                        Base::TimePoint now) const
+{
+    std::vector<Scheduling::ShardSummary> summaries;
+    for (std::uint32_t shard = 0; shard < m_context.directory.shards(pool); ++shard) {
+        Scheduling::ShardSummary summary;
+        summary.shard = shard;
+        summary.receivedAt = now;
+        const auto own = m_homes.find({pool, shard});
+        const std::vector<Base::HostId> order = homeOrder(pool, shard);
+        const Base::HostId at = order.empty() ? Base::HostId() : order.front();
+        const auto member = m_context.membership.others().find(at);
+        if (at == m_context.settings.self.host && own != m_homes.end()) {
+            const Coordination::PoolSummary told = own->second->summary();
+            summary = {shard, told.waiting, told.freePermits, told.drainRate, now};
+        } else if (member != m_context.membership.others().end()) {
+            summary.receivedAt = member->second.heardAt;
+            for (const Coordination::PoolSummary &told : member->second.pools) {
+                if (told.pool != pool || told.shard != shard)
+                    continue;
+                summary = {shard, told.waiting, told.freePermits, told.drainRate,
+                           member->second.heardAt};
+            }
+        }
+        summaries.push_back(summary);
+    }
+    return summaries;
+}
+
+std::size_t PoolHomes::waiting() const
+{
+    std::size_t waiting = 0;
+    for (const auto &[key, home] : m_homes)
+        waiting += home->waiting();
+    return waiting;
+}
+
+Coordination::ServiceLedger *PoolHomes::ledger(const Base::PoolId &pool)
+{
+    const auto it = m_ledgers.find(pool);
+    if (it != m_ledgers.end())
+        return it->second.get();
+    const Coordination::MembershipSelf &self = m_context.settings.self;
+    auto created = Coordination::ServiceLedger::create(m_context.settings.ledger, self.host,
+                                                       self.incarnation, pool);
+    if (!created)
+        return nullptr;
+    auto &added = m_ledgers[pool];
+    added = std::make_unique<Coordination::ServiceLedger>(std::move(*created));
+    return added.get();
+}
+
+std::vector<Base::HostId> PoolHomes::homeOrder(const Base::PoolId &pool, std::uint32_t shard) const
+{
+    return Coordination::homeOrder(pool, shard, m_context.membership.usableRouters());
+}
+
+void PoolHomes::forgetLostEntries(Base::TimePoint now)
+{
+    for (const auto &[host, member] : m_context.membership.others()) {
+        const Base::Incarnation served = m_entryIncarnations[host];
+        const bool isRestarted = served != 0 && member.incarnation != served;
+        m_entryIncarnations[host] = member.isAlive ? member.incarnation : 0;
+        if (member.isAlive && !isRestarted)
+            continue;
+        for (auto &[key, home] : m_homes)
+            home->forgetEntry(host, now);
+    }
+}
+
+void PoolHomes::dropUnused()
+{
+    // A home that has moved on is kept until the last permit that it gave is back.
+    std::erase_if(m_homes, [&](const auto &entry) {
+        const auto &[key, home] = entry;
+        const std::vector<Base::HostId> order = homeOrder(key.first, key.second);
+        const bool isHome = !order.empty() && order.front() == m_context.settings.self.host;
+        const bool isUnused = !isHome && home->waiting() == 0 && home->permitsInUse() == 0;
+        if (isUnused)
+            m_planners.erase(key);
+        return isUnused;
+    });
+}
+
+void PoolHomes::sendLedgers(Base::TimePoint now)
+{
+    if (now < m_nextLedger)
+        return;
+    m_nextLedger = now + m_context.settings.ledgerInterval;
+    for (auto &[pool, account] : m_ledgers)
+        sendLedger(pool, *account, now);
+}
+
+void PoolHomes::sendLedger(const Base::PoolId &pool, Coordination::ServiceLedger &ledger,
+                           Base::TimePoint now)
+{
+    ledger.advance(now);
+    const std::optional<Coordination::LedgerDelta> delta = ledger.takeDelta();
+    if (!delta)
+        return;
+    // To the homes of the pool, which order by it, and to their standbys, which would have to.
+    constexpr std::ptrdiff_t homeAndStandby = 2;
+    std::set<Base::HostId> receivers;
+    for (std::uint32_t shard = 0; shard < m_context.directory.shards(pool); ++shard) {
+        const std::vector<Base::HostId> order = homeOrder(pool, shard);
+        const auto count = std::min<std::ptrdiff_t>(std::ssize(order), homeAndStandby);
+        receivers.insert(order.begin(), order.begin() + count);
+    }
+    receivers.erase(m_context.settings.self.host);
+    for (const Base::HostId &receiver : receivers)
+        m_context.outbox.post(receiver, *delta);
+}
+
+void PoolHomes::pollLoads(Base::TimePoint now)
+{
+    if (now < m_nextLoadPoll)
+        return;
+    m_nextLoadPoll = now + m_context.settings.loadPollInterval;
+    for (const auto &[key, home] : m_homes) {
+        for (const Base::ServerId &id : home->servers()) {
+            if (const Server *server = m_context.directory.server(id))
+                m_context.environment.backends.pollLoad(id, server->address);
+        }
+    }
+}
+
+} // namespace Node
--- a/src/libs/wire/messagedecoder.cpp
+++ b/src/libs/wire/messagedecoder.cpp
@@ -112,10 +112,13 @@
         return decode(from.configuration_snapshot());
     case Proto::Message::kConfigurationPull:
         return PeerMessage(Node::ConfigurationPull{from.configuration_pull().version()});
-    case Proto::Message::kWorkHandover: {
-        BOOST_LEAF_AUTO(wanted, request(from.work_handover()));
-        return PeerMessage(Node::WorkHandover{wanted});
+    case Proto::Message::kWorkAsk: {
+        const Proto::WorkAsk &ask = from.work_ask();
+        return PeerMessage(Node::WorkAsk{Base::PoolId(ask.pool().name()), ask.pool().shard(),
+                                         ask.asker(), ask.count()});
     }
+    case Proto::Message::kWorkHandover:
+        return decode(from.work_handover());
     case Proto::Message::BODY_NOT_SET:
         break;
     }
@@ -270,6 +273,20 @@
     return PeerMessage(to);
 }
 
+Result<PeerMessage> MessageDecoder::decode(const Proto::WorkHandover &from) const
+{
+    Node::WorkHandover to;
+    to.pool = Base::PoolId(from.pool().name());
+    to.shard = from.pool().shard();
+    to.from = from.from();
+    to.isAnswer = from.answer();
+    for (const Proto::PermitRequest &handed : from.requests()) {
+        BOOST_LEAF_AUTO(wanted, request(handed));
+        to.requests.push_back(wanted);
+    }
+    return PeerMessage(to);
+}
+
 Result<PeerMessage> MessageDecoder::decode(const Proto::Heartbeat &from) const
 {
     Coordination::Heartbeat to;
--- a/src/libs/wire/messagedecoder.h
+++ b/src/libs/wire/messagedecoder.h
@@ -28,6 +28,7 @@
     Base::Result<Node::PeerMessage> decode(const lagoonmast::wire::PermitHeld &from) const;
     Base::Result<Node::PeerMessage> decode(const lagoonmast::wire::PermitQuery &from) const;
     Base::Result<Node::PeerMessage> decode(const lagoonmast::wire::WaitingReply &from) const;
+    Base::Result<Node::PeerMessage> decode(const lagoonmast::wire::WorkHandover &from) const;
     Base::Result<Node::PeerMessage> decode(const lagoonmast::wire::Heartbeat &from) const;
     Base::Result<Node::PeerMessage> decode(const lagoonmast::wire::LedgerDelta &from) const;
     Base::Result<Node::PeerMessage> decode(const lagoonmast::wire::ConfigurationPush &from) const;
--- a/src/libs/wire/messageencoder.cpp
+++ b/src/libs/wire/messageencoder.cpp
@@ -204,9 +204,22 @@
     m_message->mutable_configuration_pull()->set_version(from.version);
 }
 
+void MessageEncoder::operator()(const Node::WorkAsk &from)
+{
+    Proto::WorkAsk &to = *m_message->mutable_work_ask();
+    encodePool(*to.mutable_pool(), from.pool, from.shard);
+    to.set_asker(from.asker);
+    to.set_count(from.count);
+}
+
 void MessageEncoder::operator()(const Node::WorkHandover &from)
 {
-    encodeRequest(*m_message->mutable_work_handover(), from.request);
+    Proto::WorkHandover &to = *m_message->mutable_work_handover();
+    encodePool(*to.mutable_pool(), from.pool, from.shard);
+    to.set_from(from.from);
+    to.set_answer(from.isAnswer);
+    for (const Node::PermitRequest &request : from.requests)
+        encodeRequest(*to.add_requests(), request);
 }
 
 void MessageEncoder::encodeAttempt(Proto::Attempt &to, const Node::AttemptId &from)
--- a/src/libs/wire/messageencoder.h
+++ b/src/libs/wire/messageencoder.h
@@ -29,6 +29,7 @@
     void operator()(const Node::ConfigurationPush &from);
     void operator()(const Node::ConfigurationSnapshot &from);
     void operator()(const Node::ConfigurationPull &from);
+    void operator()(const Node::WorkAsk &from);
     void operator()(const Node::WorkHandover &from);
 
 private:
--- a/tests/auto/node/tst_faults.cpp
+++ b/tests/auto/node/tst_faults.cpp
@@ -32,12 +32,13 @@
     KillServer,
     FreezeServer,
     SlowServer,
+    CutStreams,
     LoseMessages,
     DoubleMessages,
     TableDown,
     TableLosesAnswers,
 };
-constexpr int faultKinds = 10;
+constexpr int faultKinds = 11;
 
 /// A fault that begins, lasts and is mended.
 struct FaultPlan
@@ -132,6 +133,9 @@
         case Fault::SlowServer:
             server->second->setSlowness(isBegin ? 20 : 1);
             break;
+        case Fault::CutStreams:
+            fleet.cutStreams(server->first);
+            break;
         case Fault::LoseMessages:
             fleet.setLossShare(isBegin ? 0.3 : 0);
             break;
--- a/tests/auto/wire/arbitrarymessages.h
+++ b/tests/auto/wire/arbitrarymessages.h
@@ -232,7 +232,7 @@
 {
     const auto pool = id<Base::PoolId>();
     const auto shard = number<std::uint32_t>();
-    switch (*rc::gen::inRange(0, 16)) {
+    switch (*rc::gen::inRange(0, 17)) {
     case 0:
         return heartbeat(sender, start);
     case 1:
@@ -267,8 +267,14 @@
     case 14:
         return Node::WaitingReply{pool, shard, number<std::uint64_t>(), number<bool>(),
                                   permitQuery().attempts};
+    case 15:
+        return Node::WorkAsk{pool, shard, number<std::uint32_t>(), number<std::uint32_t>()};
     default:
-        return Node::WorkHandover{permitRequest()};
+        return Node::WorkHandover{pool,
+                                  shard,
+                                  number<std::uint32_t>(),
+                                  number<bool>(),
+                                  {permitRequest(), permitRequest()}};
     }
 }
 
--- a/tools/measure/baseline.cpp
+++ b/tools/measure/baseline.cpp
@@ -134,7 +134,7 @@
     m_exchanges[raw] = std::move(exchange);
     VirtualFleet::ModelServer *server = pool.views[view].server;
     const VirtualFleet::Work work = VirtualFleet::decodeWork(request.body);
-    m_queue->after(m_latency, [server, work, raw] { server->submit(work, raw, 0); });
+    m_queue->after(m_latency, [server, work, raw] { server->submit(work, raw); });
 }
 
 void Baseline::dispatchFair(std::size_t router, Pool &pool)
--- a/tools/measure/main.cpp
+++ b/tools/measure/main.cpp
@@ -2,7 +2,9 @@
 #include "measure/meter.h"
 #include "measure/scenario.h"
 #include "measure/workload.h"
+#include "peer.pb.h"
 #include "virtualfleet/fleet.h"
+#include "wire/peercodec.h"
 
 #include <getopt.h>
 
@@ -90,10 +92,19 @@
         [&workload](const VirtualFleet::Work &work) { workload.begunAtServer(work.serial); });
 }
 
+/// Bytes that a message adds to the batches between routers.
+std::size_t wireSize(const Node::PeerMessage &message)
+{
+    lagoonmast::wire::Batch batch;
+    const Wire::BatchEnds ends{Base::HostId("r0"), 1, Base::HostId("r1")};
+    return Wire::appendMessage(batch, ends, message);
+}
+
 Row runProduct(const Scenario &scenario, std::chrono::seconds length)
 {
     VirtualFleet::Fleet fleet(scenario.fleet);
     fleet.runFor(std::chrono::seconds(3));
+    fleet.setMessageSize(wireSize);
     FleetSubmitter submitter(fleet);
     Workload workload(scenario.workload, fleet.queue(), submitter);
     fleet.setListener(&workload);
@@ -115,6 +126,11 @@
     for (std::size_t i = 0; i < fleet.routers(); ++i)
         after += fleet.router(i)->bytesSent();
     Row row = rowOf("lagoonmast", meter, workload);
+    // The fleet outlives the workload, and its end still stops work at the servers.
+    for (const auto &[id, server] : fleet.servers()) {
+        server->onService({});
+        server->onStart({});
+    }
     row.bytesPerSecond = static_cast<double>(after - before)
                          / static_cast<double>(length.count() * static_cast<long>(fleet.routers()));
     return row;
--- a/tools/virtualfleet/fleet.h
+++ b/tools/virtualfleet/fleet.h
@@ -52,6 +52,8 @@
     ModelServer *server(const Base::ServerId &id);
     /// A dead server refuses connections; what it ran is lost.
     void setServerDead(const Base::ServerId &id, bool isDead);
+    /// Cuts the connections to a server that keeps its streams.
+    void cutStreams(const Base::ServerId &id);
     bool isServerDead(const Base::ServerId &id) const { return m_dead.count(id) > 0; }
     /// Share of messages between routers that are lost from now on.
     void setLossShare(double share) { m_shape.lossShare = share; }
@@ -71,6 +73,7 @@
     void runFor(Base::Duration length) { m_queue.runUntil(m_queue.now() + length); }
 
 private:
+    void cutTransfers(const Base::ServerId &id, bool isWorkLost);
     void seedTable();
     void publishHosts();
     Platform::HostListing listing() const;
--- a/tools/virtualfleet/modelserver.cpp
+++ b/tools/virtualfleet/modelserver.cpp
@@ -12,19 +12,36 @@
     , m_shape(shape)
 {}
 
-ModelServer::Token ModelServer::submit(const Work &work, AnswerSink *sink, std::uint64_t fromPart)
+ModelServer::Token ModelServer::submit(const Work &work, AnswerSink *sink)
 {
     const Token token = ++m_last;
     Job job;
     job.work = work;
     job.sink = sink;
-    job.fromPart = fromPart;
     m_jobs[token] = job;
     m_waiting.push_back(token);
     startWaiting();
     return token;
 }
 
+bool ModelServer::resume(Token token, AnswerSink *sink, std::uint64_t fromPart)
+{
+    const auto it = m_jobs.find(token);
+    if (it == m_jobs.end() || fromPart > it->second.parts)
+        return false;
+    Job &job = it->second;
+    job.sink = sink;
+    sink->begun();
+    for (std::uint64_t index = fromPart; index < job.parts; ++index)
+        sink->part(index, payload(job, index), 0);
+    return true;
+}
+
+std::string ModelServer::payload(const Job &job, std::uint64_t index)
+{
+    return std::to_string(job.work.serial) + ':' + std::to_string(index);
+}
+
 void ModelServer::cancel(Token token)
 {
     const auto it = m_jobs.find(token);
@@ -101,11 +118,11 @@
     const std::uint64_t index = job.parts++;
     if (m_listener)
         m_listener(job.work, units);
-    AnswerSink *const sink = index < job.fromPart ? nullptr : job.sink;
+    AnswerSink *const sink = job.sink;
     if (sink && isFirst)
         sink->begun();
     if (sink)
-        sink->part(index, std::to_string(job.work.serial) + ':' + std::to_string(index), units);
+        sink->part(index, payload(job, index), units);
     if (job.generated < job.work.generatedTokens) {
         const std::uint32_t next =
             std::min(job.work.generatedTokens - job.generated, m_shape.tokensPerPart);
--- a/tools/virtualfleet/modelserver.h
+++ b/tools/virtualfleet/modelserver.h
@@ -53,7 +53,9 @@
     using StartListener = std::function<void(const Work &)>;
     void onStart(StartListener listener) { m_startListener = std::move(listener); }
 
-    Token submit(const Work &work, AnswerSink *sink, std::uint64_t fromPart);
+    Token submit(const Work &work, AnswerSink *sink);
+    /// Sends a stream that still exists to another sink, from one of its parts on.
+    bool resume(Token token, AnswerSink *sink, std::uint64_t fromPart);
     void cancel(Token token);
     /// The sink is gone: nothing more is told, the work goes on unless cancelled.
     void detach(Token token);
@@ -74,12 +76,12 @@
         AnswerSink *sink = nullptr;
         std::uint32_t generated = 0;
         std::uint64_t parts = 0;
-        std::uint64_t fromPart = 0;
         bool isRunning = false;
     };
 
     void startWaiting();
     void stepAfter(Token token, Base::Duration delay);
+    static std::string payload(const Job &job, std::uint64_t index);
     void step(Token token);
     Base::Duration slowed(Base::Duration duration) const;
 
--- a/tools/virtualfleet/virtualrouter.cpp
+++ b/tools/virtualfleet/virtualrouter.cpp
@@ -30,10 +30,10 @@
         m_isOver = true;
         tell(Node::BackendFinished{m_attempt, parts});
     }
-    void failed(Node::SendState sent)
+    void failed(Node::SendState sent, int status)
     {
         m_isOver = true;
-        tell(Node::BackendFailed{m_attempt, sent, 0, std::nullopt});
+        tell(Node::BackendFailed{m_attempt, sent, status, std::nullopt});
     }
     void setToken(ModelServer::Token token) { m_token = token; }
     ModelServer::Token token() const { return m_token; }
@@ -133,14 +133,17 @@
         handle(event);
 }
 
-void VirtualRouter::cutTransfers(const Base::ServerId &id)
+void VirtualRouter::cutTransfers(const Base::ServerId &id, bool isWorkLost)
 {
     ModelServer *server = m_fleet->server(id);
     for (const auto &[attempt, transfer] : m_transfers) {
         if (transfer->isOver() || transfer->server() != id || transfer->token() == 0)
             continue;
-        server->cancel(transfer->token());
-        transfer->failed(Node::SendState::MaybeRan);
+        if (isWorkLost)
+            server->cancel(transfer->token());
+        else
+            server->detach(transfer->token());
+        transfer->failed(Node::SendState::MaybeRan, 0);
     }
 }
 
@@ -216,18 +219,32 @@
     const auto transfer = std::make_shared<Transfer>(*this, request);
     m_transfers[request.attempt] = transfer;
     if (m_fleet->isServerDead(request.server)) {
-        transfer->failed(Node::SendState::NeverSent);
+        transfer->failed(Node::SendState::NeverSent, 0);
         return;
     }
     later(m_fleet->shape().latency, [this, transfer, request] {
         ModelServer *server = m_fleet->server(request.server);
         if (!server || m_transfers.count(request.attempt) == 0)
             return;
-        transfer->setToken(
-            server->submit(decodeWork(request.body), transfer.get(), request.resumeFrom));
+        submitTo(*server, transfer, request);
     });
 }
 
+void VirtualRouter::submitTo(ModelServer &server, const std::shared_ptr<Transfer> &transfer,
+                             const Node::BackendRequest &request)
+{
+    if (request.resumeStream.empty()) {
+        transfer->setToken(server.submit(decodeWork(request.body), transfer.get()));
+        return;
+    }
+    constexpr int unknownStream = 404;
+    const ModelServer::Token token = std::stoull(request.resumeStream);
+    if (server.resume(token, transfer.get(), request.resumeFrom))
+        transfer->setToken(token);
+    else
+        transfer->failed(Node::SendState::MaybeRan, unknownStream);
+}
+
 void VirtualRouter::cancel(const Node::AttemptId &attempt)
 {
     const auto it = m_transfers.find(attempt);
--- a/tools/virtualfleet/virtualrouter.h
+++ b/tools/virtualfleet/virtualrouter.h
@@ -40,8 +40,9 @@
     void handle(const Node::Event &event);
     void setFrozen(bool isFrozen);
     bool isFrozen() const { return m_isFrozen; }
-    /// Every exchange with \a server is cut in the middle.
-    void cutTransfers(const Base::ServerId &server);
+    /// Every exchange with \a server is cut in the middle. The server drops the work, or keeps
+    /// the stream for whoever resumes it.
+    void cutTransfers(const Base::ServerId &server, bool isWorkLost);
     /// Starts the node's timer.
     void start();
 
@@ -80,6 +81,8 @@
 
     Base::WallTime now() const override;
 
+    void submitTo(ModelServer &server, const std::shared_ptr<Transfer> &transfer,
+                  const Node::BackendRequest &request);
     void tick();
     /// Runs \a action after \a delay unless this start of the router has ended by then.
     void later(Base::Duration delay, std::function<void()> action);
