Gather claims until the table's rate lets a write leave

Cause: batches were closed when they were handed to the gateway, two at a time, and then waited there for the router's share of the rate. At 420 routers a write leaves every 1.4 s, so claims waited for two or three writes, and the gateway refused what waited 2 s.

Change: TableService::nextWriteAt() (default: now) says when a write would leave at once; TableGateway answers from its rate; RowWriter closes a batch no sooner and has one write under way instead of two.

Ruled out for now: rows of several routers in one write (see docs/design/claims.md); it needs messages between routers.

--- a/src/libs/claims/claimrows.cpp
+++ b/src/libs/claims/claimrows.cpp
@@ -47,7 +47,7 @@
     claim.writtenAt = now;
     write(id, claim, now);
     setTimer(id, claim, now + m_policy.decideWithin);
-    m_writer.flush();
+    m_writer.flush(now);
     return id;
 }
 
@@ -102,7 +102,7 @@
         read(id, claim);
     else
         m_claims.erase(id);
-    m_writer.flush();
+    m_writer.flush(now);
 }
 
 void ClaimRows::advance(Base::TimePoint now)
@@ -119,14 +119,15 @@
         else if (claim->timerAt == at)
             timerDue(id, *claim, now);
     }
-    m_writer.flush();
+    m_writer.flush(now);
 }
 
 Base::TimePoint ClaimRows::nextDue() const
 {
     if (!m_decisions.empty())
         return Base::TimePoint::min();
-    return m_timers.empty() ? Base::TimePoint::max() : m_timers.begin()->first;
+    const Base::TimePoint due = m_writer.nextDue();
+    return m_timers.empty() ? due : std::min(due, m_timers.begin()->first);
 }
 
 bool ClaimRows::handle(const Platform::TableOutcome &outcome, Base::TimePoint now)
@@ -144,7 +145,7 @@
         if (OpenClaim *claim = find(result.claim))
             rowWritten(result.claim, *claim, result, now);
     }
-    m_writer.flush();
+    m_writer.flush(now);
     return true;
 }
 
--- a/src/libs/claims/rowwriter.cpp
+++ b/src/libs/claims/rowwriter.cpp
@@ -20,9 +20,9 @@
     m_queue.push_back({claim, std::move(write)});
 }
 
-void RowWriter::flush()
+void RowWriter::flush(Base::TimePoint now)
 {
-    while (m_inFlight.size() < m_policy.largestInFlight) {
+    while (m_inFlight.size() < m_policy.largestInFlight && now >= m_table->nextWriteAt()) {
         Batch batch = nextBatch();
         if (batch.empty())
             return;
@@ -35,6 +35,14 @@
     }
 }
 
+Base::TimePoint RowWriter::nextDue() const
+{
+    const bool isEmpty = m_queue.empty() && m_halves.empty();
+    if (isEmpty || m_inFlight.size() >= m_policy.largestInFlight)
+        return Base::TimePoint::max();
+    return m_table->nextWriteAt();
+}
+
 bool RowWriter::handle(const Platform::TableOutcome &outcome)
 {
     const auto it = m_inFlight.find(outcome.operation);
--- a/src/libs/claims/rowwriter.h
+++ b/src/libs/claims/rowwriter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/time.h"
 #include "platform/operationids.h"
 #include "platform/tableservice.h"
 
@@ -21,8 +22,9 @@
     std::size_t largestBatch = 32;
     /// Length of the values in one transaction.
     std::size_t largestBatchBytes = std::size_t{128} * 1024;
-    /// Transactions under way; what comes meanwhile fills the next one.
-    std::size_t largestInFlight = 2;
+    /// Transactions under way; what comes meanwhile fills the next one. A second one splits the
+    /// rows over two writes where writes are scarce.
+    std::size_t largestInFlight = 1;
 };
 
 /// What came of one row's write.
@@ -39,7 +41,8 @@
 /// Answers the load pattern of many claims at one time before a table that bears several
 /// hundred writes a second for the whole fleet. Without it each claim, renewal and completion
 /// is a write, and the fleet's work is bounded by them. A row leaves at once while the table
-/// keeps up; batches grow only when writes are waiting, so that light load pays no delay.
+/// keeps up; batches grow only while a write is under way or the table's rate is used up, and
+/// are closed no sooner than they can leave, so that light load pays no delay.
 ///
 /// A transaction is written whole or not at all. After a conflict, which one row out of date is
 /// enough for, its halves are written apart, down to single rows: 2 log2(n) writes for one bad
@@ -53,7 +56,9 @@
     /// Each call is followed by one result. \a write has an expected version.
     void write(ClaimId claim, Platform::TableWrite write);
     /// Sends what may leave.
-    void flush();
+    void flush(Base::TimePoint now);
+    /// When flush() has something to send.
+    Base::TimePoint nextDue() const;
     bool handle(const Platform::TableOutcome &outcome);
     std::vector<RowResult> takeResults() { return std::exchange(m_results, {}); }
 
--- a/src/libs/platform/calllane.cpp
+++ b/src/libs/platform/calllane.cpp
@@ -71,6 +71,13 @@
     return due;
 }
 
+Base::TimePoint CallLane::readyAt() const
+{
+    if (!m_breaker.isClosed())
+        return Base::TimePoint::min();
+    return m_waiting.empty() ? m_rate.nextAt() : m_waiting.rbegin()->second.deadline;
+}
+
 void CallLane::takeArrived(Base::TimePoint now)
 {
     for (const OperationId id : std::exchange(m_arrived, {})) {
--- a/src/libs/platform/calllane.h
+++ b/src/libs/platform/calllane.h
@@ -86,6 +86,8 @@
     std::vector<Attempt> takeAttempts() { return std::exchange(m_attempts, {}); }
     std::vector<End> takeEnds() { return std::exchange(m_ends, {}); }
     Base::TimePoint nextDue() const;
+    /// When a call added then would leave at once. With the breaker open: now, to be refused.
+    Base::TimePoint readyAt() const;
 
     bool isClosed() const { return m_breaker.isClosed(); }
     /// The breaker wants a trial and no call is there to be one.
--- a/src/libs/platform/tablegateway.h
+++ b/src/libs/platform/tablegateway.h
@@ -47,6 +47,7 @@
     void scan(OperationId operation, const std::string &prefix, const std::string &after,
               std::size_t limit) override;
     void transact(OperationId operation, const std::vector<TableWrite> &writes) override;
+    Base::TimePoint nextWriteAt() const override { return m_writes.readyAt(); }
 
     /// Number of live routers that share the table's rate, this one included.
     void setFleetSize(std::size_t routers);
--- a/src/libs/platform/tableservice.h
+++ b/src/libs/platform/tableservice.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "base/time.h"
+
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -61,6 +63,8 @@
     virtual void scan(OperationId operation, const std::string &prefix, const std::string &after,
                       std::size_t limit) = 0;
     virtual void transact(OperationId operation, const std::vector<TableWrite> &writes) = 0;
+    /// Before it, a write would only wait here: a caller that gathers rows goes on gathering.
+    virtual Base::TimePoint nextWriteAt() const { return Base::TimePoint::min(); }
 };
 
 } // namespace Platform
