--- a/src/libs/wire/wireconstants.h
+++ b/src/libs/wire/wireconstants.h
@@ -8,4 +8,7 @@
 /// added to a time.
 inline constexpr Base::Milliseconds largestDuration = std::chrono::hours(24 * 366);
 
+/// Longest age of a folded start taken from a peer; older ones are long forgotten.
+inline constexpr std::chrono::seconds largestFoldedAge = std::chrono::hours(24 * 366);
+
 } // namespace Wire
