Release the claim of work that certainly did not run

Cause: EntryRequests::settleClaim() abandoned a claim whenever the work had been sent, also when the last server had said that it did not run it. The caller was told 'ran: no', and its next try with the key 'may have run', for 24 h.

Change, in src/libs/node/entryrequests.cpp (one line): abandon only if some attempt may have run. All ways there with a sent claim set mayHaveRun, but for NeverSent and Refused; looked through backendFailed, passDeadline, callerGone.

--- a/src/libs/node/entryrequests.cpp
+++ b/src/libs/node/entryrequests.cpp
@@ -555,7 +555,7 @@
 {
     if (!open.isClaimed())
         return;
-    if (open.mayHaveRun || open.state == RequestState::Sent)
+    if (open.mayHaveRun)
         m_context.claims.abandon(open.key);
     else
         m_context.claims.release(open.key, now);
--- a/tests/auto/node/tst_wholepath.cpp
+++ b/tests/auto/node/tst_wholepath.cpp
@@ -177,3 +177,32 @@
     REQUIRE(router.callers.logs[2].failure);
     CHECK(router.callers.logs[2].failure->type == Node::FailureType::UnknownClass);
 }
+
+// A buyer's deposit is refused by the server, who says that it did not run; the buyer is told so
+// and asks again, and hears for a day that it may have run. The cause: the claim was left
+// standing because the work had been sent, though it is known that it did not run.
+TEST_CASE("a key whose work certainly did not run is free again", "[node]")
+{
+    Pair pair;
+    Pair::Router &router = pair.router(0);
+    Node::CallerRequest request = chatRequest(1);
+    request.isRepeatable = false;
+    request.idempotencyKey = "deposit";
+    router.node->handle(request, pair.now());
+    pair.settle();
+    while (!router.backends.sent.empty()) {
+        const Node::AttemptId attempt = router.backends.sent.front().attempt;
+        router.backends.sent.pop_front();
+        router.node->handle(Node::BackendFailed{attempt, Node::SendState::Refused, 0, std::nullopt},
+                            pair.now());
+        pair.settle();
+        pair.run(2s);
+    }
+    REQUIRE(router.callers.logs[1].failure);
+    CHECK(router.callers.logs[1].failure->ran == Node::Ran::No);
+    request.caller = 2;
+    pair.router(1).node->handle(request, pair.now());
+    pair.settle();
+    pair.run(2s);
+    CHECK(pair.router(1).backends.sent.size() == 1);
+}
