--- a/src/libs/platform/calllane.cpp
+++ b/src/libs/platform/calllane.cpp
@@ -10,6 +10,13 @@
 
 } // namespace
 
+bool isUsable(const LanePolicy &policy)
+{
+    return policy.largestAttempts > 0 && policy.largestInFlight > 0 && policy.largestWaiting > 0
+           && policy.callTimeout > Base::Duration::zero()
+           && policy.longestWait > Base::Duration::zero();
+}
+
 CallLane::CallLane(CallKind kind, const LanePolicy &policy, OperationIds &attempts,
                    Base::RandomSource &random)
     : m_kind(kind)
--- a/src/libs/platform/calllane.h
+++ b/src/libs/platform/calllane.h
@@ -34,6 +34,9 @@
     CircuitBreakerPolicy breaker;
 };
 
+/// Whether a call can pass under \a policy.
+bool isUsable(const LanePolicy &policy);
+
 enum class CallKind {
     Read, ///< Changes nothing: may be tried again after a lost answer.
     Write,
--- a/src/libs/platform/tablegateway.cpp
+++ b/src/libs/platform/tablegateway.cpp
@@ -10,13 +10,6 @@
 constexpr OperationId probeCall = 0;
 constexpr const char *probeKey = "probe";
 
-bool isUsable(const LanePolicy &policy)
-{
-    return policy.largestAttempts > 0 && policy.largestInFlight > 0 && policy.largestWaiting > 0
-           && policy.callTimeout > Base::Duration::zero()
-           && policy.longestWait > Base::Duration::zero();
-}
-
 AttemptEnd attemptEnd(TableStatus status)
 {
     if (status == TableStatus::NotDone)
