--- a/src/libs/platform/calllane.cpp
+++ b/src/libs/platform/calllane.cpp
@@ -10,6 +10,13 @@
 
 } // namespace
 
+bool isUsable(const LanePolicy &policy)
+{
+    return policy.largestAttempts > 0 && policy.largestInFlight > 0 && policy.largestWaiting > 0
+           && policy.callTimeout > Base::Duration::zero()
+           && policy.longestWait > Base::Duration::zero();
+}
+
 CallLane::CallLane(CallKind kind, const LanePolicy &policy, OperationIds &attempts,
                    Base::RandomSource &random)
     : m_kind(kind)
@@ -29,8 +36,11 @@
         return;
     }
     if (mayTry && m_breaker.isTrialDue(now) && !m_waiting.empty()) {
-        m_breaker.beginTrial();
-        send(now, m_inFlight.size() + 1);
+        // The rate may hold it back: then there is no trial to wait for.
+        const std::size_t before = m_inFlight.size();
+        send(now, before + 1);
+        if (m_inFlight.size() > before)
+            m_breaker.beginTrial();
     }
     refuseWaiting();
 }
@@ -71,6 +81,13 @@
     return due;
 }
 
+Base::TimePoint CallLane::readyAt() const
+{
+    if (!m_breaker.isClosed())
+        return Base::TimePoint::min();
+    return m_waiting.empty() ? m_rate.nextAt() : m_waiting.rbegin()->second.deadline;
+}
+
 void CallLane::takeArrived(Base::TimePoint now)
 {
     for (const OperationId id : std::exchange(m_arrived, {})) {
