--- /dev/null
+++ b/tests/auto/coordination/tst_trafficmeter.cpp
@@ -0,0 +1,103 @@
+#include "coordination/trafficmeter.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <deque>
+
+namespace {
+
+using namespace std::chrono_literals;
+using namespace Coordination;
+
+struct Sender
+{
+    TrafficKind kind = TrafficKind::Ledger;
+    Base::Duration interval{};
+    std::size_t largest = 0;
+    Base::TimePoint lastSent{};
+};
+
+} // namespace
+
+// A busy hour: deltas grow from a few customers to hundreds at once, several exchanges run, and
+// permits take a part. The daemon would pass what its host allows for control.
+TEST_CASE("deferrable exchanges that obey stretch stay under the budget", "[traffic]")
+{
+    rc::prop("no window of two seconds has more than the budget", [] {
+        TrafficMeter meter = *TrafficMeter::create({});
+        std::vector<Sender> senders;
+        const int count = *rc::gen::inRange(1, 6);
+        for (int i = 0; i < count; ++i)
+            senders.push_back({*rc::gen::element(TrafficKind::Ledger, TrafficKind::Heartbeats,
+                                                 TrafficKind::Configuration),
+                               std::chrono::milliseconds(*rc::gen::inRange(20, 1000)),
+                               *rc::gen::inRange<std::size_t>(10, 5500),
+                               {}});
+        const auto permits = *rc::gen::inRange<std::size_t>(0, 60);
+        const auto seed = *rc::gen::arbitrary<std::uint32_t>();
+        std::deque<std::pair<Base::TimePoint, std::size_t>> sent;
+        std::size_t inWindow = 0;
+        Base::TimePoint now{10s};
+        for (std::uint32_t tick = 0; tick < 2000; ++tick, now += 10ms) {
+            const auto record = [&](TrafficKind kind, std::size_t bytes) {
+                meter.record(kind, bytes, now);
+                sent.emplace_back(now, bytes);
+                inWindow += bytes;
+            };
+            record(TrafficKind::Permits, permits);
+            for (Sender &sender : senders) {
+                const std::chrono::duration<double> wait = sender.interval * meter.stretch(now);
+                // The budget holds after the first window, when the meter knows the permits.
+                if (tick < 200 || now - sender.lastSent < wait)
+                    continue;
+                sender.lastSent = now;
+                // Quiet spells and sudden bursts.
+                const bool isBurst = ((tick + seed) / 300) % 2 == 0;
+                record(sender.kind, isBurst ? sender.largest : sender.largest / 50 + 1);
+            }
+            while (sent.front().first <= now - TrafficMeter::window) {
+                inWindow -= sent.front().second;
+                sent.pop_front();
+            }
+            RC_ASSERT(inWindow <= 30000);
+        }
+    });
+}
+
+TEST_CASE("light traffic is not stretched, and a stretch ends with its cause", "[traffic]")
+{
+    TrafficMeter meter = *TrafficMeter::create({});
+    Base::TimePoint now{10s};
+    for (int i = 0; i < 100; ++i) {
+        meter.record(TrafficKind::Heartbeats, 400, now += 100ms);
+        CHECK(meter.stretch(now) == 1);
+    }
+    for (int i = 0; i < 20; ++i)
+        meter.record(TrafficKind::Ledger, 2000, now += 100ms);
+    CHECK(meter.stretch(now) > 1);
+    CHECK(meter.stretch(now + 2200ms) == 1);
+    CHECK(meter.total(TrafficKind::Ledger) == 40000);
+}
+
+TEST_CASE("when permits alone fill the budget, exchanges keep a little and charges coarsen",
+          "[traffic]")
+{
+    TrafficMeter meter = *TrafficMeter::create({});
+    Base::TimePoint now{10s};
+    Base::TimePoint lastSent{};
+    std::size_t sent = 0;
+    for (int i = 0; i < 1000; ++i) {
+        now += 10ms;
+        meter.record(TrafficKind::Permits, 200, now);
+        const std::chrono::duration<double> wait = 500ms * meter.stretch(now);
+        if (now - lastSent < wait)
+            continue;
+        lastSent = now;
+        meter.record(TrafficKind::Heartbeats, 600, now);
+        ++sent;
+    }
+    CHECK(sent >= 10);
+    CHECK(meter.chargeStretch(now) > 2);
+    CHECK(meter.chargeStretch(now + 5s) == 1);
+}
