--- a/tests/support/manualtable.h
+++ b/tests/support/manualtable.h
@@ -70,6 +70,13 @@
         return lost;
     }
 
+    /// Lets the call take effect now; its answer still waits.
+    void land(std::size_t at)
+    {
+        const Platform::TableOutcome outcome = m_calls[at].run();
+        m_calls[at].run = [outcome] { return outcome; };
+    }
+
     void flushLate()
     {
         for (const auto &run : m_late)
