--- a/tests/auto/coordination/tst_orderbook.cpp
+++ b/tests/auto/coordination/tst_orderbook.cpp
@@ -152,6 +152,28 @@
     });
 }
 
+// The lease was written, and its holder paused before it read the answer: long enough for
+// another router to take over.
+TEST_CASE("a lease counts from before its write, not from the answer", "[orders]")
+{
+    Placement placement(1);
+    placement.want(1);
+    Router &router = *placement.routers[0];
+    Base::TimePoint now{1s};
+    for (int i = 0; i < 2; ++i) {
+        router.book.advance(now += 1s);
+        router.book.handle(router.table.end(0, Fakes::Fate::Answered), now);
+    }
+    router.book.advance(now += 1s);
+    REQUIRE(router.table.waiting() == 1);
+    router.table.land(0);
+    REQUIRE(placement.fenceInTable() == 1);
+    now += 20s;
+    router.book.handle(router.table.end(0, Fakes::Fate::Answered), now);
+    router.book.advance(now);
+    CHECK(router.orders.sent.empty());
+}
+
 TEST_CASE("an order that was carried out is not sent again by the next holder", "[orders]")
 {
     Placement placement(1);
--- a/tests/support/manualtable.h
+++ b/tests/support/manualtable.h
@@ -73,8 +73,7 @@
     /// Lets the call take effect now; its answer still waits.
     void land(std::size_t at)
     {
-        const Platform::TableOutcome outcome = m_calls[at].run();
-        m_calls[at].run = [outcome] { return outcome; };
+        m_calls[at].run = [outcome = m_calls[at].run()]() mutable { return outcome; };
     }
 
     void flushLate()
