--- a/src/libs/daemon/backendtransfer.cpp
+++ b/src/libs/daemon/backendtransfer.cpp
@@ -125,13 +125,7 @@
 bool BackendTransfer::receiveEvents(std::string_view bytes)
 {
     std::vector<SseEvent> events;
-    const bool isReadable = boost::leaf::try_handle_all(
-        [&]() -> Base::Result<bool> {
-            BOOST_LEAF_CHECK(m_parser.feed(bytes, events));
-            return true;
-        },
-        [] { return false; });
-    if (!isReadable)
+    if (!m_parser.feed(bytes, events))
         return false;
     for (const SseEvent &event : events) {
         if (!receiveEvent(event))
