--- a/src/libs/coordination/leavingmarks.cpp
+++ b/src/libs/coordination/leavingmarks.cpp
@@ -8,12 +8,12 @@
     : m_policy(policy)
 {}
 
-bool LeavingMarks::add(const std::string &name, Base::Incarnation incarnation, Base::TimePoint now)
+bool LeavingMarks::add(const std::string &name, Base::Incarnation incarnation)
 {
     const auto [it, isNew] = m_marks.try_emplace(name);
     if (!isNew && incarnation <= it->second.incarnation)
         return false;
-    it->second = {incarnation, now, std::nullopt};
+    it->second = {incarnation, 0, std::nullopt};
     if (m_marks.size() > m_policy.largestCount)
         dropOldest();
     return true;
@@ -48,13 +48,22 @@
     return it != m_marks.end() && incarnation <= it->second.incarnation;
 }
 
-std::vector<LeavingMark> LeavingMarks::toTell(bool isFull, Base::TimePoint now) const
+std::vector<LeavingMark> LeavingMarks::takeTold(bool isFull)
 {
+    std::vector<std::map<std::string, Mark>::iterator> told;
+    for (auto it = m_marks.begin(); it != m_marks.end(); ++it) {
+        const bool isYoung = it->second.told < m_policy.youngTells;
+        if (isYoung || (isFull && !it->second.obsoleteSince))
+            told.push_back(it);
+    }
+    std::stable_sort(told.begin(), told.end(),
+                     [](const auto &a, const auto &b) { return a->second.told < b->second.told; });
+    if (!isFull && told.size() > m_policy.largestTold)
+        told.resize(m_policy.largestTold);
     std::vector<LeavingMark> marks;
-    for (const auto &[name, mark] : m_marks) {
-        const bool isYoung = now - mark.addedAt < m_policy.youngFor;
-        if (isYoung || (isFull && !mark.obsoleteSince))
-            marks.push_back({name, mark.incarnation});
+    for (const auto &it : told) {
+        ++it->second.told;
+        marks.push_back({it->first, it->second.incarnation});
     }
     return marks;
 }
--- a/src/libs/coordination/leavingmarks.h
+++ b/src/libs/coordination/leavingmarks.h
@@ -6,6 +6,7 @@
 #include "platform/hostlist.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -15,9 +16,12 @@
 
 struct LeavingPolicy
 {
-    /// A mark is sent in every heartbeat for this long, then only in full ones: three
-    /// heartbeats, of which two may be lost.
-    Base::Duration youngFor = std::chrono::milliseconds(1600);
+    /// A mark is young until it was told in this many heartbeats, of which two in a row may be
+    /// lost; then it is told in full ones only.
+    std::uint32_t youngTells = 5;
+    /// Young marks in one heartbeat, the least told first. A rack of thirty that leaves at once
+    /// would else take 68 KB a second.
+    std::size_t largestTold = 4;
     /// How long a mark is kept once the platform's list has moved past it. Longer than any
     /// partition after which a stale list could come back.
     Base::Duration keepObsolete = std::chrono::hours(24);
@@ -38,21 +42,21 @@
     explicit LeavingMarks(const LeavingPolicy &policy = {});
 
     /// Returns whether this was new.
-    bool add(const std::string &name, Base::Incarnation incarnation, Base::TimePoint now);
+    bool add(const std::string &name, Base::Incarnation incarnation);
     /// Notes which marks the platform's newest list still needs.
     void reconcile(const Platform::HostListing &listing, Base::TimePoint now);
     void advance(Base::TimePoint now);
 
     bool covers(const std::string &name, Base::Incarnation incarnation) const;
-    /// Marks to tell others: all that are in force, or only the young ones.
-    std::vector<LeavingMark> toTell(bool isFull, Base::TimePoint now) const;
+    /// Marks to tell others in the next heartbeat: all that are in force, or a few young ones.
+    std::vector<LeavingMark> takeTold(bool isFull);
     std::size_t size() const { return m_marks.size(); }
 
 private:
     struct Mark
     {
         Base::Incarnation incarnation = 0;
-        Base::TimePoint addedAt;
+        std::uint32_t told = 0;
         /// Since when the list has had no start that the mark covers.
         std::optional<Base::TimePoint> obsoleteSince;
     };
--- a/src/libs/coordination/membership.cpp
+++ b/src/libs/coordination/membership.cpp
@@ -3,8 +3,6 @@
 #include "coordination/homemap.h"
 
 #include <algorithm>
-#include <cstdlib>
-#include <set>
 
 namespace Coordination {
 
@@ -12,27 +10,21 @@
 
 const Base::PoolId pollerDuty("duty/configuration");
 
-bool isNear(std::uint32_t a, std::uint32_t b)
+bool isSpare(const PoolSummary &pool)
 {
-    const std::uint32_t larger = std::max(a, b);
-    const std::uint32_t smaller = std::min(a, b);
-    if (smaller == 0)
-        return larger == 0;
-    return larger - smaller <= larger / 10;
+    return pool.freePermits > 0 && pool.waiting == 0;
 }
 
-bool isNear(const PoolSummary &a, const PoolSummary &b)
+/// Whether neither is more than twice the other, nor only one of them zero.
+bool isNear(double a, double b)
 {
-    return isNear(a.waiting, b.waiting) && isNear(a.freePermits, b.freePermits)
-           && std::abs(a.drainRate - b.drainRate) <= std::max(a.drainRate, b.drainRate) / 5;
+    return std::max(a, b) <= 2 * std::min(a, b);
 }
 
-const PoolSummary *find(const std::vector<PoolSummary> &pools, const PoolSummary &like)
+bool isNear(const PoolSummary &a, const PoolSummary &b)
 {
-    const auto it = std::find_if(pools.begin(), pools.end(), [&](const PoolSummary &pool) {
-        return pool.pool == like.pool && pool.shard == like.shard;
-    });
-    return it == pools.end() ? nullptr : &*it;
+    return isNear(a.waiting, b.waiting) && isNear(a.freePermits, b.freePermits)
+           && isNear(a.drainRate, b.drainRate);
 }
 
 void put(std::vector<PoolSummary> &pools, const PoolSummary &summary)
@@ -67,7 +59,7 @@
     // Leaving holds for good, so it is taken from an old list as well.
     for (const Platform::ListedHost &listed : listing.hosts) {
         if (listed.state == Platform::HostState::Leaving)
-            markLeaving(listed.name, listed.incarnation, now);
+            markLeaving(listed.name, listed.incarnation);
     }
     if (listing.version < m_listVersion)
         return;
@@ -99,9 +91,9 @@
     if (heartbeat.host == m_self.host)
         return;
     for (const LeavingMark &mark : heartbeat.leaving)
-        markLeaving(mark.name, mark.incarnation, now);
+        markLeaving(mark.name, mark.incarnation);
     if (heartbeat.state == MemberState::Leaving)
-        markLeaving(heartbeat.host.value(), heartbeat.incarnation, now);
+        markLeaving(heartbeat.host.value(), heartbeat.incarnation);
     Member *member = learn(heartbeat);
     if (!member)
         return;
@@ -244,13 +236,14 @@
     const auto interval =
         std::chrono::duration_cast<Base::Milliseconds>(m_policy.heartbeatInterval * m_stretch);
     m_nextHeartbeat = now + interval;
+    m_sentAt = now;
     Heartbeat heartbeat;
     heartbeat.host = m_self.host;
     heartbeat.incarnation = m_self.incarnation;
     heartbeat.sequence = ++m_sequence;
     heartbeat.state = m_isSelfLeaving ? MemberState::Leaving : MemberState::Live;
     heartbeat.isFull = m_isFullDue || m_sequence % m_policy.fullEvery == 0;
-    heartbeat.leaving = m_marks.toTell(heartbeat.isFull, now);
+    heartbeat.leaving = m_marks.takeTold(heartbeat.isFull);
     heartbeat.interval = interval;
     m_isFullDue = false;
     if (!heartbeat.isFull)
@@ -263,16 +256,23 @@
 
 void Membership::omitUnchanged(Heartbeat &heartbeat)
 {
-    if (heartbeat.isFull) {
-        m_toldPools = heartbeat.pools;
-        return;
+    if (!heartbeat.isFull) {
+        std::erase_if(heartbeat.pools,
+                      [this](const PoolSummary &summary) { return !isNews(summary); });
     }
-    std::erase_if(heartbeat.pools, [this](const PoolSummary &summary) {
-        const PoolSummary *told = find(m_toldPools, summary);
-        return told && isNear(*told, summary);
-    });
     for (const PoolSummary &summary : heartbeat.pools)
-        put(m_toldPools, summary);
+        m_toldPools[{summary.pool, summary.shard}] = {summary, m_sentAt};
+}
+
+bool Membership::isNews(const PoolSummary &summary) const
+{
+    const auto told = m_toldPools.find({summary.pool, summary.shard});
+    if (told == m_toldPools.end())
+        return true;
+    if (isSpare(summary) && !isSpare(told->second.summary))
+        return true;
+    return m_sentAt - told->second.at >= m_policy.poolInterval
+           && !isNear(told->second.summary, summary);
 }
 
 void Membership::setStretch(double stretch)
@@ -318,10 +318,9 @@
     return inZone.empty() ? m_self.host : homeOrder(pollerDuty, 0, inZone).front();
 }
 
-void Membership::markLeaving(const std::string &name, Base::Incarnation incarnation,
-                             Base::TimePoint now)
+void Membership::markLeaving(const std::string &name, Base::Incarnation incarnation)
 {
-    if (!m_marks.add(name, incarnation, now))
+    if (!m_marks.add(name, incarnation))
         return;
     ++m_viewVersion;
     if (name == m_self.host.value() && m_self.incarnation <= incarnation) {
--- a/src/libs/coordination/membership.h
+++ b/src/libs/coordination/membership.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Coordination {
@@ -28,8 +29,11 @@
     /// How far a heartbeat may be stretched to save bytes. More would make the loss of a router
     /// known only after four seconds.
     double largestStretch = 2;
-    /// Every so many heartbeats one is full: what a lost one left out is mended in 4 s.
-    std::uint64_t fullEvery = 8;
+    /// Every so many heartbeats one is full: what lost ones left out is mended in 15 s. Thirty
+    /// leaving marks in each eighth took 8 KB a second.
+    std::uint64_t fullEvery = 30;
+    /// A pool whose numbers move is told again no sooner than this, but for new spare permits.
+    Base::Duration poolInterval = std::chrono::seconds(1);
     /// From the second loss within flapWindow on, a member must be heard for flapHold times the
     /// losses before it is used again, flapHoldLargest at most.
     Base::Duration flapWindow = std::chrono::seconds(60);
@@ -96,8 +100,9 @@
     /// The next heartbeat if one is due; the caller fills in the version and all pools, then
     /// calls omitUnchanged().
     std::optional<Heartbeat> dueHeartbeat(Base::TimePoint now);
-    /// Leaves out of a heartbeat that is not full the pools that have not moved since they were
-    /// last told: the summary steers where spare work goes, which a tenth does not change.
+    /// Leaves out of a heartbeat that is not full the pools that were told a moment ago or
+    /// have moved by less than a half since: the summary steers where spare work goes, and
+    /// only spare permits where none were are news that cannot wait.
     void omitUnchanged(Heartbeat &heartbeat);
     /// Stretches the interval between heartbeats, within the policy.
     void setStretch(double stretch);
@@ -120,10 +125,17 @@
     std::size_t leavingMarks() const { return m_marks.size(); }
 
 private:
+    struct ToldPool
+    {
+        PoolSummary summary;
+        Base::TimePoint at;
+    };
+
     Membership(const MembershipPolicy &policy, const MembershipSelf &self);
-    void markLeaving(const std::string &name, Base::Incarnation incarnation, Base::TimePoint now);
+    void markLeaving(const std::string &name, Base::Incarnation incarnation);
     Member *learn(const Heartbeat &heartbeat);
     void begin(Member &member, const Heartbeat &heartbeat);
+    bool isNews(const PoolSummary &summary) const;
     void takePools(Member &member, const Heartbeat &heartbeat);
     void takeLife(Member &member, Base::TimePoint now);
     void lose(Member &member, Base::TimePoint now);
@@ -135,8 +147,9 @@
     MembershipSelf m_self;
     std::map<Base::HostId, Member> m_others;
     LeavingMarks m_marks;
-    std::vector<PoolSummary> m_toldPools;
+    std::map<std::pair<Base::PoolId, std::uint32_t>, ToldPool> m_toldPools;
     Base::TimePoint m_nextHeartbeat{};
+    Base::TimePoint m_sentAt{};
     Base::TimePoint m_lastAdvance{};
     std::uint64_t m_listVersion = 0;
     std::uint64_t m_sequence = 0;
--- /dev/null
+++ b/tests/auto/coordination/tst_measure.cpp
@@ -0,0 +1,191 @@
+// Slopes for the pages of docs/design/; run with: tst_coordination "[measure]"
+
+#include "base/random.h"
+#include "coordination/configurationreplica.h"
+#include "coordination/membership.h"
+#include "coordination/serviceledger.h"
+#include "settings/changecodec.h"
+#include "support/manualtable.h"
+#include "wire/peercodec.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <cstdio>
+#include <memory>
+
+namespace {
+
+using namespace std::chrono_literals;
+using namespace Coordination;
+using Stopwatch = std::chrono::steady_clock;
+
+const Base::PoolId pool("model/general-7b");
+
+std::size_t bytesOf(const Node::PeerMessage &message)
+{
+    const Wire::BatchEnds ends{Base::HostId("router-17"), 1764700000000, Base::HostId("router-4")};
+    lagoonmast::wire::Batch batch;
+    Wire::startBatch(batch, ends);
+    return Wire::appendMessage(batch, ends, message);
+}
+
+std::unique_ptr<ServiceLedger> makeLedger(const std::string &host)
+{
+    return std::make_unique<ServiceLedger>(
+        *ServiceLedger::create({}, Base::HostId(host), 1764700000000, pool));
+}
+
+double microseconds(Stopwatch::time_point since, std::size_t count)
+{
+    const std::chrono::duration<double, std::micro> passed = Stopwatch::now() - since;
+    return passed.count() / static_cast<double>(count);
+}
+
+void measureLedger(std::size_t customers)
+{
+    auto home = makeLedger("router-17");
+    auto peer = makeLedger("router-4");
+    for (std::size_t i = 0; i < customers; ++i)
+        home->charge(Base::CustomerId("customer-" + std::to_string(i)), 1000 + i);
+    auto since = Stopwatch::now();
+    const LedgerDelta delta = *home->takeDelta();
+    const double take = microseconds(since, customers);
+    since = Stopwatch::now();
+    peer->merge(delta);
+    const double merge = microseconds(since, customers);
+    std::size_t sum = 0;
+    since = Stopwatch::now();
+    for (const LedgerEntry &entry : delta.entries)
+        sum += peer->position(entry.customer);
+    const double position = microseconds(since, customers);
+    std::printf("ledger customers=%zu delta_bytes=%zu bytes_per_entry=%.1f take_us=%.3f "
+                "merge_us=%.3f position_us=%.3f snapshot_bytes=%zu (%zu)\n",
+                customers, bytesOf(delta), double(bytesOf(delta)) / double(customers), take, merge,
+                position, bytesOf(peer->snapshot()), sum % 10);
+}
+
+void measureHeartbeat(std::size_t pools, std::size_t marks)
+{
+    Membership membership =
+        *Membership::create({}, {Base::HostId("router-17"), 1764700000000, Base::ZoneId("langley"),
+                                 "10.20.3.17:7400", "10.20.3.17:8080"});
+    Platform::HostListing listing;
+    for (std::size_t i = 0; i < marks; ++i) {
+        Platform::ListedHost host;
+        host.name = "model-server-" + std::to_string(i);
+        host.role = Platform::HostRole::ModelServer;
+        host.state = Platform::HostState::Leaving;
+        host.incarnation = 1764700000000;
+        listing.hosts.push_back(host);
+    }
+    Base::TimePoint now{1s};
+    membership.seed(listing, now);
+    Base::SeededRandom random(20261);
+    std::size_t bytes = 0;
+    std::size_t largest = 0;
+    constexpr int count = 240;
+    for (int i = 0; i < count; ++i) {
+        Heartbeat heartbeat = *membership.dueHeartbeat(now += 500ms);
+        for (std::size_t at = 0; at < pools; ++at)
+            heartbeat.pools.push_back({pool, std::uint32_t(at), std::uint32_t(random.next() % 40),
+                                       std::uint32_t(random.next() % 3), 30.0});
+        membership.omitUnchanged(heartbeat);
+        bytes += bytesOf(heartbeat);
+        largest = std::max(largest, bytesOf(heartbeat));
+    }
+    const double mean = double(bytes) / count;
+    std::printf("heartbeat pools=%zu marks=%zu mean_bytes=%.1f largest_bytes=%zu "
+                "bytes_per_s_to_38_peers=%.0f\n",
+                pools, marks, mean, largest, mean * 2 * 38);
+}
+
+/// Routers of one region, their heartbeats every 500 ms, one poller for each of four zones.
+void measureSpread(std::size_t count)
+{
+    Fakes::Table truth;
+    struct Router
+    {
+        Router(Fakes::Table &table, const std::string &name)
+            : connection(table)
+            , replica(*ConfigurationReplica::create({}, connection, objects, operations, name))
+        {}
+        Platform::OperationIds operations;
+        Fakes::ManualTable connection;
+        Fakes::Objects objects;
+        ConfigurationReplica replica;
+        std::int64_t phase = 0;
+    };
+    Base::SeededRandom random(20261);
+    std::vector<std::unique_ptr<Router>> routers;
+    for (std::size_t i = 0; i < count; ++i) {
+        routers.push_back(std::make_unique<Router>(truth, "r" + std::to_string(i)));
+        routers.back()->replica.setPolling(i < 4);
+        routers.back()->phase = std::int64_t(random.next() % 50);
+    }
+    std::vector<Base::Duration> times;
+    std::size_t pushes = 0;
+    std::size_t bytes = 0;
+    Base::TimePoint now{1s};
+    const auto step = [&](std::int64_t tick) {
+        now += 10ms;
+        for (auto &router : routers) {
+            router->replica.advance(now);
+            while (router->connection.waiting() > 0)
+                router->replica.handle(router->connection.end(0, Fakes::Fate::Answered), now);
+        }
+        for (std::size_t from = 0; from < count; ++from) {
+            if (tick % 50 != routers[from]->phase)
+                continue;
+            const auto version = routers[from]->replica.configuration().version();
+            for (std::size_t to = 0; to < count; ++to) {
+                const auto changes = routers[to]->replica.changesToPush(version, 200, now);
+                if (to == from || changes.empty())
+                    continue;
+                ++pushes;
+                bytes += bytesOf(Node::ConfigurationPush{changes});
+                routers[from]->replica.learn(changes);
+            }
+        }
+    };
+    constexpr int changes = 100;
+    std::int64_t tick = 0;
+    for (int i = 1; i <= changes; ++i) {
+        const std::size_t at = random.next() % count;
+        routers[at]->replica.writeTarget(
+            1, {Base::ClassId("class-" + std::to_string(i % 20)), Base::Milliseconds(i), 0.5},
+            std::uint64_t(i - 1), now);
+        const Base::TimePoint since = now;
+        const auto isEverywhere = [&] {
+            return std::all_of(routers.begin(), routers.end(), [&](const auto &router) {
+                return router->replica.configuration().version() == std::uint64_t(i);
+            });
+        };
+        while (!isEverywhere())
+            step(++tick);
+        times.push_back(now - since);
+        for (std::uint64_t pause = random.next() % 150; pause > 0; --pause)
+            step(++tick);
+    }
+    std::sort(times.begin(), times.end());
+    const auto seconds = [](Base::Duration time) {
+        return std::chrono::duration<double>(time).count();
+    };
+    std::printf("configuration routers=%zu changes=%d to_last_router_median_s=%.2f largest_s=%.2f "
+                "pushes_per_router_and_change=%.2f push_bytes_per_router_and_change=%.0f\n",
+                count, changes, seconds(times[times.size() / 2]), seconds(times.back()),
+                double(pushes) / double(changes * count), double(bytes) / double(changes * count));
+}
+
+} // namespace
+
+TEST_CASE("slopes of the coordination parts", "[.measure]")
+{
+    for (const std::size_t customers : {16, 94, 940, 9400})
+        measureLedger(customers);
+    measureHeartbeat(0, 0);
+    measureHeartbeat(3, 0);
+    measureHeartbeat(3, 30);
+    for (const std::size_t routers : {8, 39, 128})
+        measureSpread(routers);
+}
