--- a/src/libs/coordination/serviceledger.cpp
+++ b/src/libs/coordination/serviceledger.cpp
@@ -8,6 +8,8 @@
 
 /// Idle customers and silent starts are looked for this often.
 constexpr Base::Duration sweepInterval = std::chrono::seconds(10);
+/// Shards call clampDebts() every 50 ms while work waits.
+constexpr Base::Duration floorShownFor = std::chrono::seconds(1);
 
 } // namespace
 
@@ -75,23 +77,27 @@
     }
     const bool isAlone =
         backlogged.empty() || (backlogged.size() == 1 && backlogged.front() == customer);
-    m_floorNow = isAlone ? account.position() : floor;
-    m_lastFloor = std::max(m_lastFloor, m_floorNow);
+    noteFloor(isAlone ? account.position() : floor);
     if (!isAlone)
         forgive(customer, floor);
 }
 
 void ServiceLedger::clampDebts(const std::vector<Base::CustomerId> &backlogged)
 {
-    m_floorNow = 0;
     if (backlogged.empty())
         return;
-    m_floorNow = floorAmong(backlogged, Base::CustomerId());
-    m_lastFloor = std::max(m_lastFloor, m_floorNow);
+    noteFloor(floorAmong(backlogged, Base::CustomerId()));
     for (const Base::CustomerId &customer : backlogged)
         forgive(customer, m_floorNow);
 }
 
+void ServiceLedger::noteFloor(Base::ServiceUnits floor)
+{
+    m_floorNow = floor;
+    m_floorAt = m_now;
+    m_lastFloor = std::max(m_lastFloor, floor);
+}
+
 void ServiceLedger::forgive(const Base::CustomerId &customer, Base::ServiceUnits floor)
 {
     const auto it = m_accounts.find(customer);
@@ -232,7 +238,8 @@
     delta.incarnation = m_self.incarnation;
     delta.epoch = m_self.epoch;
     delta.pool = m_pool;
-    delta.floor = m_floorNow;
+    if (m_now - m_floorAt < floorShownFor)
+        delta.floor = m_floorNow;
     return delta;
 }
 
--- a/src/libs/coordination/serviceledger.h
+++ b/src/libs/coordination/serviceledger.h
@@ -137,6 +137,7 @@
     Account &use(const Base::CustomerId &customer, Base::ServiceUnits level);
     Base::ServiceUnits floorAmong(const std::vector<Base::CustomerId> &backlogged,
                                   const Base::CustomerId &except) const;
+    void noteFloor(Base::ServiceUnits floor);
     void forgive(const Base::CustomerId &customer, Base::ServiceUnits floor);
     void mergeEntry(const LedgerDelta &delta, const LedgerEntry &entry, const LedgerStart &sender);
     /// The account in the entry's round; null if the entry's round is over.
@@ -175,8 +176,10 @@
     std::uint64_t m_droppedRound = 0;
     /// Largest floor seen here, where customers come in while nobody waits.
     Base::ServiceUnits m_lastFloor = 0;
-    /// Least position that waits here now; 0 if none waits.
+    /// Least position that waited in a shard here, and when. The shards of a pool call in turn,
+    /// so one whose queue is empty must not wipe out what another has just found.
     Base::ServiceUnits m_floorNow = 0;
+    Base::TimePoint m_floorAt{};
     bool m_isCold = true;
     Base::TimePoint m_now{};
     std::optional<Base::TimePoint> m_startedAt;
--- a/tests/auto/coordination/tst_measure.cpp
+++ b/tests/auto/coordination/tst_measure.cpp
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <malloc.h>
 #include <memory>
 
 namespace {
@@ -46,8 +47,10 @@
 {
     auto home = makeLedger("router-17");
     auto peer = makeLedger("router-4");
+    const std::size_t before = mallinfo2().uordblks;
     for (std::size_t i = 0; i < customers; ++i)
         home->charge(Base::CustomerId("customer-" + std::to_string(i)), 1000 + i);
+    const std::size_t memory = (mallinfo2().uordblks - before) / customers;
     auto since = Stopwatch::now();
     const LedgerDelta delta = *home->takeDelta();
     const double take = microseconds(since, customers);
@@ -60,9 +63,9 @@
         sum += peer->position(entry.customer);
     const double position = microseconds(since, customers);
     std::printf("ledger customers=%zu delta_bytes=%zu bytes_per_entry=%.1f take_us=%.3f "
-                "merge_us=%.3f position_us=%.3f snapshot_bytes=%zu (%zu)\n",
+                "merge_us=%.3f position_us=%.3f snapshot_bytes=%zu memory_per_customer=%zu (%zu)\n",
                 customers, bytesOf(delta), double(bytesOf(delta)) / double(customers), take, merge,
-                position, bytesOf(peer->snapshot()), sum % 10);
+                position, bytesOf(peer->snapshot()), memory, sum % 10);
 }
 
 void measureHeartbeat(std::size_t pools, std::size_t marks)
--- a/tests/auto/coordination/tst_serviceledger.cpp
+++ b/tests/auto/coordination/tst_serviceledger.cpp
@@ -261,6 +261,24 @@
     }
 }
 
+// A takeover with an empty queue must know where the others' customers are by now.
+TEST_CASE("a newcomer at a home where nobody waits starts at the floor of the others", "[ledger]")
+{
+    Fleet fleet(2);
+    ServiceLedger &crowded = *fleet.ledgers[0];
+    crowded.charge(customer(0), 90000);
+    crowded.charge(customer(1), 80000);
+    crowded.clampDebts({customer(0), customer(1)});
+    crowded.clampDebts({});
+    fleet.send(0);
+    fleet.deliver(0);
+    fleet.ledgers[1]->becomeBacklogged(customer(2), {});
+    CHECK(fleet.ledgers[1]->position(customer(2)) == 80000);
+    fleet.pass(2s);
+    crowded.charge(customer(0), 1);
+    CHECK(crowded.takeDelta()->floor == 0);
+}
+
 // A home takes a shard over just after its start and would see all customers at zero.
 TEST_CASE("a cold ledger asks and takes a peer's books, then later deltas of third routers",
           "[ledger]")
