Pace deferrable exchanges by the stretch of the moment

Cause: an exchange that fixes its next sending by the stretch at its last one is held for a thousand intervals when it meets a full window.

Change: StretchedInterval asks for the stretch at each look. Not used by Node yet.

--- a/tests/auto/coordination/tst_trafficmeter.cpp
+++ b/tests/auto/coordination/tst_trafficmeter.cpp
@@ -1,3 +1,4 @@
+#include "coordination/stretchedinterval.h"
 #include "coordination/trafficmeter.h"
 
 #include <catch2/catch.hpp>
@@ -13,9 +14,8 @@
 struct Sender
 {
     TrafficKind kind = TrafficKind::Ledger;
-    Base::Duration interval{};
+    StretchedInterval interval;
     std::size_t largest = 0;
-    Base::TimePoint lastSent{};
 };
 
 } // namespace
@@ -29,11 +29,11 @@
         std::vector<Sender> senders;
         const int count = *rc::gen::inRange(1, 6);
         for (int i = 0; i < count; ++i)
-            senders.push_back({*rc::gen::element(TrafficKind::Ledger, TrafficKind::Heartbeats,
-                                                 TrafficKind::Configuration),
-                               std::chrono::milliseconds(*rc::gen::inRange(20, 1000)),
-                               *rc::gen::inRange<std::size_t>(10, 5500),
-                               {}});
+            senders.push_back(
+                {*rc::gen::element(TrafficKind::Ledger, TrafficKind::Heartbeats,
+                                   TrafficKind::Configuration),
+                 StretchedInterval(std::chrono::milliseconds(*rc::gen::inRange(20, 1000))),
+                 *rc::gen::inRange<std::size_t>(10, 5500)});
         const auto permits = *rc::gen::inRange<std::size_t>(0, 60);
         const auto seed = *rc::gen::arbitrary<std::uint32_t>();
         std::deque<std::pair<Base::TimePoint, std::size_t>> sent;
@@ -47,11 +47,9 @@
             };
             record(TrafficKind::Permits, permits);
             for (Sender &sender : senders) {
-                const std::chrono::duration<double> wait = sender.interval * meter.stretch(now);
                 // The budget holds after the first window, when the meter knows the permits.
-                if (tick < 200 || now - sender.lastSent < wait)
+                if (tick < 200 || !sender.interval.take(now, meter.stretch(now)))
                     continue;
-                sender.lastSent = now;
                 // Quiet spells and sudden bursts.
                 const bool isBurst = ((tick + seed) / 300) % 2 == 0;
                 record(sender.kind, isBurst ? sender.largest : sender.largest / 50 + 1);
@@ -85,15 +83,13 @@
 {
     TrafficMeter meter = *TrafficMeter::create({});
     Base::TimePoint now{10s};
-    Base::TimePoint lastSent{};
+    StretchedInterval interval(500ms);
     std::size_t sent = 0;
     for (int i = 0; i < 1000; ++i) {
         now += 10ms;
         meter.record(TrafficKind::Permits, 200, now);
-        const std::chrono::duration<double> wait = 500ms * meter.stretch(now);
-        if (now - lastSent < wait)
+        if (!interval.take(now, meter.stretch(now)))
             continue;
-        lastSent = now;
         meter.record(TrafficKind::Heartbeats, 600, now);
         ++sent;
     }
@@ -101,3 +97,16 @@
     CHECK(meter.chargeStretch(now) > 2);
     CHECK(meter.chargeStretch(now + 5s) == 1);
 }
+
+TEST_CASE("an interval is kept when nothing stretches it, and a stop ends with its cause",
+          "[traffic]")
+{
+    StretchedInterval interval(500ms);
+    const Base::TimePoint start{10s};
+    CHECK(interval.take(start, 1));
+    CHECK_FALSE(interval.take(start + 499ms, 1));
+    CHECK(interval.take(start + 500ms, 1));
+    CHECK_FALSE(interval.take(start + 1000ms, 1000));
+    CHECK(interval.nextDue() == start + 1050ms);
+    CHECK(interval.take(start + 1050ms, 1));
+}
