Write names that are not UTF-8 without a crash

Cause: the JSON library throws on such a name, and a class name comes from an operator's URL. Change: replacement characters, in changes, configurations and order rows. Failed first: 'a name that is not UTF-8' ended with the library's exception.

--- a/src/libs/coordination/orderrows.cpp
+++ b/src/libs/coordination/orderrows.cpp
@@ -32,7 +32,7 @@
                 {"order", kind},
                 {"model", row.order.model},
                 {"role", row.order.role}}
-        .dump();
+        .dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
 std::optional<DesiredRow> decodeDesired(const std::string &text)
@@ -58,7 +58,7 @@
                 {"number", row.number},
                 {"renewal", row.renewal},
                 {"done", row.isDone}}
-        .dump();
+        .dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
 std::optional<OrderLeaseRow> decodeOrderLease(const std::string &text)
--- a/src/libs/settings/changecodec.cpp
+++ b/src/libs/settings/changecodec.cpp
@@ -44,6 +44,12 @@
     return it != json.end() && it->is_string() ? it->get<std::string>() : std::string();
 }
 
+/// A name that is not UTF-8 would throw here; it is written with replacement characters.
+std::string dump(const Json &json)
+{
+    return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
 Base::Result<ConfigurationChange> changeOf(ConfigurationVersion version, const Json &json)
 {
     if (!json.is_object())
@@ -103,7 +109,7 @@
     Json json = std::visit(ToJson(), change.what);
     if (!token.empty())
         json["token"] = token;
-    return json.dump();
+    return dump(json);
 }
 
 std::string tokenOf(const std::string &text)
@@ -125,7 +131,7 @@
         entries.push_back(withVersion({target.version, target.target}));
     for (const auto &[id, customer] : configuration.customers())
         entries.push_back(withVersion({configuration.version(), customer}));
-    return Json{{"version", configuration.version()}, {"entries", entries}}.dump();
+    return dump({{"version", configuration.version()}, {"entries", entries}});
 }
 
 Base::Result<Configuration> decodeConfiguration(const std::string &text)
--- /dev/null
+++ b/tests/auto/settings/tst_configuration.cpp
@@ -0,0 +1,115 @@
+#include "settings/changecodec.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <string>
+
+namespace {
+
+using namespace Settings;
+
+std::string arbitraryName()
+{
+    return "n" + std::to_string(*rc::gen::inRange(0, 5));
+}
+
+ConfigurationChange arbitraryChange(ConfigurationVersion version)
+{
+    switch (*rc::gen::inRange(0, 5)) {
+    case 0:
+        return {version, RemoveClass{Base::ClassId(arbitraryName())}};
+    case 1:
+        return {version, RemoveCustomer{Base::CustomerId(arbitraryName())}};
+    case 2:
+        return {version, Customer{Base::CustomerId(arbitraryName()),
+                                  "d" + std::to_string(*rc::gen::inRange(0, 3))}};
+    case 3:
+        return {version,
+                ClassTarget{Base::ClassId(arbitraryName()),
+                            Base::Milliseconds(*rc::gen::inRange(1, 90000)), std::nullopt}};
+    default:
+        return {version, ClassTarget{Base::ClassId(arbitraryName()), Base::Milliseconds(1000),
+                                     *rc::gen::inRange(1, 100) / 100.0}};
+    }
+}
+
+} // namespace
+
+TEST_CASE("changes and whole configurations come back from their text", "[configuration]")
+{
+    rc::prop("round trip", [] {
+        Configuration configuration;
+        const auto count = *rc::gen::inRange<ConfigurationVersion>(0, 40);
+        for (ConfigurationVersion version = 1; version <= count; ++version) {
+            const ConfigurationChange change = arbitraryChange(version);
+            const std::string text = encodeChange(change, "r1-7-3");
+            RC_ASSERT(*decodeChange(version, text) == change);
+            RC_ASSERT(tokenOf(text) == "r1-7-3");
+            RC_ASSERT(tokenOf(encodeChange(change)).empty());
+            RC_ASSERT(configuration.apply(change));
+            RC_ASSERT(!configuration.apply(change));
+        }
+        const Configuration back = *decodeConfiguration(encodeConfiguration(configuration));
+        RC_ASSERT(back.version() == configuration.version());
+        RC_ASSERT(back.targets() == configuration.targets());
+        RC_ASSERT(back.customers() == configuration.customers());
+    });
+}
+
+TEST_CASE("any bytes in a row or an object are safe", "[configuration]")
+{
+    rc::prop("broken text is a typed error or a change", [] {
+        std::string text = *rc::gen::element<std::string>(
+            encodeChange(arbitraryChange(1), "token"),
+            R"({"version":3,"entries":[{"version":2,"kind":"target"}]})",
+            R"({"version":-1,"entries":[7]})", R"({"entries":{}})");
+        const int changes = *rc::gen::inRange(0, 4);
+        for (int i = 0; i < changes && !text.empty(); ++i)
+            text[*rc::gen::inRange<std::size_t>(0, text.size())] = *rc::gen::arbitrary<char>();
+        text.resize(*rc::gen::inRange<std::size_t>(0, text.size() + 1));
+        const auto change = decodeChange(1, text);
+        if (change)
+            RC_ASSERT(change->version == 1u);
+        const auto configuration = decodeConfiguration(text);
+        if (configuration)
+            RC_ASSERT(configuration->version() <= 9u);
+        tokenOf(text);
+    });
+}
+
+TEST_CASE("a name that is not UTF-8 is written with a replacement and does no harm",
+          "[configuration]")
+{
+    const ConfigurationChange change{1, ClassTarget{Base::ClassId("a\xff"), {}, std::nullopt}};
+    const auto back = decodeChange(1, encodeChange(change));
+    REQUIRE(back);
+    CHECK(std::get<ClassTarget>(back->what).name == Base::ClassId("a\xEF\xBF\xBD"));
+}
+
+// Two customers are given one key by mistake, and the first is then removed. The second must
+// still be let in.
+TEST_CASE("a key digest that another customer has taken over stays with it", "[configuration]")
+{
+    Configuration configuration;
+    configuration.apply({1, Customer{Base::CustomerId("a"), "d"}});
+    configuration.apply({2, Customer{Base::CustomerId("b"), "d"}});
+    configuration.apply({3, RemoveCustomer{Base::CustomerId("a")}});
+    REQUIRE(configuration.customerByKeyDigest("d"));
+    CHECK(configuration.customerByKeyDigest("d")->id == Base::CustomerId("b"));
+    configuration.apply({4, Customer{Base::CustomerId("b"), "e"}});
+    CHECK_FALSE(configuration.customerByKeyDigest("d"));
+    CHECK(configuration.customerByKeyDigest("e"));
+}
+
+TEST_CASE("change keys sort like versions and are read back", "[configuration]")
+{
+    rc::prop("keys", [] {
+        const auto a = *rc::gen::inRange<ConfigurationVersion>(1, 1ull << 50);
+        const auto b = *rc::gen::inRange<ConfigurationVersion>(1, 1ull << 50);
+        RC_ASSERT((changeKey(a) < changeKey(b)) == (a < b));
+        RC_ASSERT(versionOfKey(changeKey(a)) == a);
+    });
+    CHECK(versionOfKey("config/change/12x") == 0);
+    CHECK(versionOfKey("config/head") == 0);
+}
