--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -3,6 +3,7 @@
 #include "daemon/address.h"
 #include "daemon/daemon.h"
 #include "daemon/daemonconstants.h"
+#include "daemon/reports.h"
 #include "daemon/requestlog.h"
 
 #include <csignal>
@@ -14,18 +15,6 @@
 
 namespace {
 
-class EmptyPage final : public Daemon::MetricsPage
-{
-public:
-    std::string text() override { return {}; }
-};
-
-class NoWatcher final : public Daemon::NodeWatcher
-{
-public:
-    void nodeChanged(const Node::Node &) override {}
-};
-
 /// Blocked in every thread, and taken by the thread that calls sigtimedwait().
 sigset_t blockedSignals()
 {
@@ -60,12 +49,13 @@
     const log4cplus::Initializer logging;
     Daemon::startLogging(settings.logLevel);
     curl_global_init(CURL_GLOBAL_DEFAULT);
-    Daemon::RequestLog observer;
-    NoWatcher watcher;
-    EmptyPage metrics;
     return boost::leaf::try_handle_all(
         [&]() -> Base::Result<int> {
-            BOOST_LEAF_AUTO(daemon, Daemon::Daemon::create(settings, {observer, watcher, metrics}));
+            BOOST_LEAF_AUTO(reports, Daemon::Reports::create(settings));
+            BOOST_LEAF_AUTO(daemon, Daemon::Daemon::create(settings, reports->forDaemon()));
+            Base::Result<void> counted = reports->countTraffic(*daemon);
+            if (!counted)
+                return counted.error();
             runUntilFinished(*daemon, signals);
             return 0;
         },
