Test the daemon's edges: HTTP front, backend client, platform client, peers

Ports are the kernel's, verdicts rest on what arrived. What the tests found: the HTTP library gives the port that it was started with and not the one that it bound (port() asks the socket now). libcurl connects anew when a kept connection dies early, but the guard before sending stops the request from leaving twice.

--- a/src/libs/daemon/httpfront.cpp
+++ b/src/libs/daemon/httpfront.cpp
@@ -9,6 +9,8 @@
 #include <array>
 #include <utility>
 
+#include <sys/socket.h>
+
 namespace Daemon {
 
 namespace {
@@ -185,9 +187,14 @@
 
 std::uint16_t HttpFront::port() const
 {
+    // Asked for its port, the library gives the one that it was started with.
     const MHD_DaemonInfo *info =
-        MHD_get_daemon_info(m_instance->mhd_daemon, MHD_DAEMON_INFO_BIND_PORT);
-    return info ? info->port : 0;
+        MHD_get_daemon_info(m_instance->mhd_daemon, MHD_DAEMON_INFO_LISTEN_FD);
+    sockaddr_in address{};
+    socklen_t size = sizeof address;
+    if (!info || getsockname(info->listen_fd, reinterpret_cast<sockaddr *>(&address), &size) != 0)
+        return 0;
+    return ntohs(address.sin_port);
 }
 
 void HttpFront::serve(const _u_request &request, _u_response &response)
--- /dev/null
+++ b/tests/auto/daemon/tst_backendclient.cpp
@@ -0,0 +1,317 @@
+#include "scriptedserver.h"
+
+#include "daemon/httpbackendclient.h"
+
+#include <catch2/catch.hpp>
+
+namespace {
+
+using namespace Daemon;
+using Node::SendState;
+
+const std::string chatHead = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                             "X-Stream-Name: s1\r\nConnection: close\r\n\r\n";
+const std::string emptyAnswer = "HTTP/1.1 204 No Content\r\n\r\n";
+
+std::string event(int index, const std::string &content)
+{
+    return "id: " + std::to_string(index) + "\ndata: {\"choices\":[{\"delta\":{\"content\":\""
+           + content + "\"}}]}\n\n";
+}
+
+std::string fixedAnswer(const std::string &head, const std::string &body)
+{
+    return head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+Node::BackendRequest requestTo(const std::string &address)
+{
+    Node::BackendRequest request;
+    request.attempt = {{Base::HostId("r1"), 7, 3}, 1};
+    request.server = Base::ServerId("m1");
+    request.address = address;
+    request.path = "/v1/chat/completions";
+    request.contentType = "application/json";
+    request.body = R"({"model":"m"})";
+    return request;
+}
+
+/// A client and what it tells the node.
+class Bench
+{
+public:
+    Bench()
+        : m_ring(64)
+    {
+        auto created = HttpBackendClient::create(m_ring);
+        REQUIRE(created);
+        m_client = std::move(*created);
+    }
+
+    HttpBackendClient &client() { return *m_client; }
+    EventRing &ring() { return m_ring; }
+
+    /// The next event; the limit only ends a test that would hang.
+    Node::Event next()
+    {
+        const auto event = m_ring.popFor(std::chrono::seconds(20));
+        REQUIRE(event);
+        return *event;
+    }
+
+    template <typename Event>
+    Event expect()
+    {
+        const Node::Event event = next();
+        REQUIRE(std::holds_alternative<Event>(event));
+        return std::get<Event>(event);
+    }
+
+private:
+    EventRing m_ring;
+    std::unique_ptr<HttpBackendClient> m_client;
+};
+
+Node::BackendFailed failureAt(const std::string &address)
+{
+    Bench bench;
+    bench.client().send(requestTo(address));
+    return bench.expect<Node::BackendFailed>();
+}
+
+Node::BackendFailed failureWith(const ScriptedServer::Script &script)
+{
+    const ScriptedServer server(script);
+    return failureAt(server.address());
+}
+
+Node::BackendFailed failureAnswered(const std::string &answer)
+{
+    return failureWith([&](ScriptedConnection &it) {
+        it.readRequest();
+        it.write(answer);
+        it.waitForClose();
+    });
+}
+
+} // namespace
+
+TEST_CASE("A stream arrives part by part, with its units, and ends whole")
+{
+    std::string seen;
+    const ScriptedServer server([&](ScriptedConnection &it) {
+        seen = it.readRequest();
+        it.write(chatHead + event(0, "a") + event(1, "b")
+                 + "id: 2\ndata: {\"lagoonmast_tokens\":5,\"usage\":{\"prompt_tokens\":9}}\n\n"
+                   "data: [DONE]\n\n");
+    });
+    Bench bench;
+    Node::BackendRequest request = requestTo(server.address());
+    request.idempotencyKey = "key";
+    request.fence = 4;
+    request.resumeStream = "old";
+    request.resumeFrom = 0;
+    bench.client().send(request);
+    CHECK(bench.expect<Node::BackendHead>().streamName == "s1");
+    CHECK(bench.expect<Node::BackendPart>().units == 4);
+    CHECK(bench.expect<Node::BackendPart>().index == 1);
+    CHECK(bench.expect<Node::BackendPart>().units == 5 * 4 + 9);
+    CHECK(bench.expect<Node::BackendFinished>().parts == 3);
+    for (const char *header : {"X-Request-Id: r1-7-3#1", "Idempotency-Key: key", "X-Fence: 4",
+                               "X-Resume-Stream: old", "X-Resume-From: 0"})
+        CHECK(seen.find(header) != std::string::npos);
+}
+
+// What a user would see: "not run" of work that ran, or a retry of work that was never sent
+// given up as unknown. Order: the connection fails before, while or after the request leaves.
+// Cause: one kind of failure taken for another.
+TEST_CASE("Only what never left this process is told as never sent")
+{
+    CHECK(failureAt(deadAddress()).sent == SendState::NeverSent);
+    CHECK(failureAt("not an address").sent == SendState::NeverSent);
+    CHECK(failureWith([](ScriptedConnection &it) { it.readRequest(); }).sent
+          == SendState::MaybeRan);
+    CHECK(failureWith([](ScriptedConnection &it) {
+              it.readRequest();
+              it.reset();
+          }).sent
+          == SendState::MaybeRan);
+    CHECK(failureWith([](ScriptedConnection &it) {
+              it.readRequest();
+              it.write("HTTP/1.1 200 OK\r\nContent-");
+          }).sent
+          == SendState::MaybeRan);
+}
+
+TEST_CASE("An error status says what it can say")
+{
+    const Node::BackendFailed refused = failureAnswered(
+        fixedAnswer("HTTP/1.1 409 Conflict\r\nX-Not-Run: yes\r\nRetry-After: 3\r\n", "{}"));
+    CHECK(refused.sent == SendState::Refused);
+    CHECK(refused.status == 409);
+    CHECK(refused.retryAfter == Base::Milliseconds(3000));
+    const Node::BackendFailed broken =
+        failureAnswered(fixedAnswer("HTTP/1.1 500 Broken\r\nRetry-After: soon\r\n", "x"));
+    CHECK(broken.sent == SendState::MaybeRan);
+    CHECK_FALSE(broken.retryAfter);
+}
+
+// What a user would see: half an answer taken for the whole. Order: some parts come, then the
+// server dies or tells an error. Cause: the end of the connection taken for the end of the
+// answer.
+TEST_CASE("A stream cut before its end has failed")
+{
+    const auto failsAfterOne = [](const std::string &rest) {
+        const ScriptedServer server([&](ScriptedConnection &it) {
+            it.readRequest();
+            it.write(chatHead + event(0, "a") + rest);
+        });
+        Bench bench;
+        bench.client().send(requestTo(server.address()));
+        bench.expect<Node::BackendHead>();
+        bench.expect<Node::BackendPart>();
+        return bench.expect<Node::BackendFailed>().sent == SendState::MaybeRan;
+    };
+    CHECK(failsAfterOne(""));
+    CHECK(failsAfterOne("id: 1\ndata: {\"cho"));
+    CHECK(failsAfterOne("event: error\ndata: {}\n\n"));
+    CHECK(failsAfterOne("data: " + std::string(2000000, 'x')));
+}
+
+// What a user would see: a deposit held twice. Order: a call goes out on a kept connection, the
+// server takes it and dies before it answers, and the client library sends the call again on a
+// new connection by itself. Cause: the library takes a kept connection that dies early for one
+// that was dead already.
+TEST_CASE("A request is never sent a second time by the library")
+{
+    std::atomic<int> calls = 0;
+    const ScriptedServer server([&](ScriptedConnection &it) {
+        while (true) {
+            const std::string request = it.readRequest();
+            if (request.empty())
+                return;
+            if (request.rfind("GET /load", 0) == 0) {
+                it.write(fixedAnswer("HTTP/1.1 200 OK\r\n", "{\"running\":1}"));
+                continue;
+            }
+            ++calls;
+            return;
+        }
+    });
+    Bench bench;
+    bench.client().pollLoad(Base::ServerId("m1"), server.address());
+    CHECK(bench.expect<Node::BackendLoad>().report.running == 1);
+    bench.client().send(requestTo(server.address()));
+    CHECK(bench.expect<Node::BackendFailed>().sent == SendState::MaybeRan);
+    CHECK(calls == 1);
+}
+
+TEST_CASE("Work that is not repeatable gets a connection of its own")
+{
+    const ScriptedServer server([&](ScriptedConnection &it) {
+        while (!it.readRequest().empty())
+            it.write(fixedAnswer("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n", "ok"));
+    });
+    Bench bench;
+    bench.client().pollLoad(Base::ServerId("m1"), server.address());
+    bench.expect<Node::BackendLoad>();
+    Node::BackendRequest request = requestTo(server.address());
+    request.kind = Node::WorkKind::ServiceCall;
+    request.idempotencyKey = "key";
+    bench.client().send(request);
+    CHECK(bench.expect<Node::BackendHead>().contentType == "text/plain");
+    CHECK(bench.expect<Node::BackendPart>().payload == "ok");
+    CHECK(bench.expect<Node::BackendFinished>().parts == 1);
+    CHECK(server.connections() == 2);
+}
+
+TEST_CASE("A service's error is its answer, unless it says that it did not run")
+{
+    Bench bench;
+    const auto callAt = [&](const ScriptedServer &server) {
+        Node::BackendRequest request = requestTo(server.address());
+        request.kind = Node::WorkKind::ServiceCall;
+        bench.client().send(request);
+    };
+    const ScriptedServer failing([](ScriptedConnection &it) {
+        it.readRequest();
+        it.write(fixedAnswer("HTTP/1.1 422 No\r\n", "why"));
+    });
+    callAt(failing);
+    CHECK(bench.expect<Node::BackendHead>().status == 422);
+    CHECK(bench.expect<Node::BackendPart>().payload == "why");
+    bench.expect<Node::BackendFinished>();
+    const ScriptedServer refusing([](ScriptedConnection &it) {
+        it.readRequest();
+        it.write(fixedAnswer("HTTP/1.1 409 No\r\nX-Not-Run: yes\r\n", "old fence"));
+    });
+    callAt(refusing);
+    CHECK(bench.expect<Node::BackendFailed>().sent == SendState::Refused);
+}
+
+TEST_CASE("A cancelled stream is closed, ordered to stop, and not heard of again")
+{
+    Base::BoundedRing<std::string> orders(4);
+    const ScriptedServer server([&](ScriptedConnection &it) {
+        const std::string request = it.readRequest();
+        if (request.rfind("DELETE", 0) == 0) {
+            orders.push(request.substr(0, request.find("\r\n")));
+            it.write(emptyAnswer);
+            return;
+        }
+        it.write(chatHead + event(0, "a"));
+        it.waitForClose();
+        orders.push("closed");
+    });
+    Bench bench;
+    const Node::BackendRequest request = requestTo(server.address());
+    bench.client().send(request);
+    bench.expect<Node::BackendHead>();
+    bench.expect<Node::BackendPart>();
+    bench.client().cancel(request.attempt);
+    std::set<std::string> seen;
+    for (int i = 0; i < 2; ++i)
+        seen.insert(orders.popFor(std::chrono::seconds(20)).value_or("none"));
+    CHECK(seen == std::set<std::string>{"DELETE /v1/streams/s1 HTTP/1.1", "closed"});
+    CHECK(bench.ring().size() == 0);
+}
+
+// What a user would see: the process of everybody grows until it dies. Order: a caller stops
+// reading, its server goes on. Cause: an answer that nobody reads is read from its server.
+TEST_CASE("A paused stream is not read, and goes on where it was")
+{
+    constexpr int events = 4000;
+    const std::string filler(8000, 'x');
+    const ScriptedServer server([&](ScriptedConnection &it) {
+        it.readRequest();
+        it.write(chatHead);
+        for (int i = 0; i < events; ++i)
+            it.write(event(i, filler));
+        it.write("data: [DONE]\n\n");
+    });
+    Bench bench;
+    const Node::BackendRequest request = requestTo(server.address());
+    bench.client().send(request);
+    bench.expect<Node::BackendHead>();
+    bench.expect<Node::BackendPart>();
+    bench.client().pause(request.attempt);
+    // The loop runs its tasks in order: once the poll is answered, the stream is paused. Parts
+    // that were on their way come before the answer.
+    bench.client().pollLoad(Base::ServerId("m2"), deadAddress());
+    int parts = 1;
+    while (std::holds_alternative<Node::BackendPart>(bench.next()))
+        ++parts;
+    CHECK(parts < events);
+    CHECK(bench.ring().size() == 0);
+    bench.client().resume(request.attempt);
+    for (; parts < events; ++parts)
+        CHECK(bench.expect<Node::BackendPart>().index == static_cast<std::uint64_t>(parts));
+    CHECK(bench.expect<Node::BackendFinished>().parts == events);
+}
+
+TEST_CASE("A server that cannot be reached is told so")
+{
+    Bench bench;
+    bench.client().pollLoad(Base::ServerId("m1"), deadAddress());
+    CHECK_FALSE(bench.expect<Node::BackendLoad>().isReachable);
+}
--- /dev/null
+++ b/tests/auto/daemon/tst_platformclient.cpp
@@ -0,0 +1,89 @@
+#include "scriptedserver.h"
+
+#include "daemon/platformclient.h"
+#include "daemon/platformcodec.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+namespace {
+
+using namespace Daemon;
+using Platform::TableStatus;
+
+std::string answerOf(const std::string &status, const std::string &body)
+{
+    return "HTTP/1.1 " + status + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n"
+           + body;
+}
+
+/// What a write comes to at a server that does \a script.
+TableStatus writeAt(const std::string &address)
+{
+    EventRing ring(16);
+    auto client = PlatformClient::create(address, ring);
+    REQUIRE(client);
+    (*client)->transact(5, {{"k", "v", Platform::absentRow}});
+    const auto event = ring.popFor(std::chrono::seconds(20));
+    REQUIRE(event);
+    const auto outcome = std::get<Platform::TableOutcome>(*event);
+    CHECK(outcome.operation == 5);
+    return outcome.status;
+}
+
+TableStatus writeWith(const ScriptedServer::Script &script)
+{
+    const ScriptedServer server(script);
+    return writeAt(server.address());
+}
+
+TableStatus writeAnswered(const std::string &status, const std::string &body)
+{
+    return writeWith([&](ScriptedConnection &it) {
+        it.readRequest();
+        it.write(answerOf(status, body));
+        it.waitForClose();
+    });
+}
+
+} // namespace
+
+// What a user would see: "not run" of work that ran. Order: a claim is written, the table
+// commits it, its answer is cut, and the router takes that for a write that was not done.
+// Cause: no answer and not sent are told as the same.
+TEST_CASE("A write whose answer is lost is unknown, one that never left is not done")
+{
+    CHECK(writeAt(deadAddress()) == TableStatus::NotDone);
+    CHECK(writeWith([](ScriptedConnection &it) { it.readRequest(); }) == TableStatus::Unknown);
+    CHECK(writeWith([](ScriptedConnection &it) {
+              it.readRequest();
+              it.write("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n{\"rows\"");
+          })
+          == TableStatus::Unknown);
+    CHECK(writeAnswered("200 OK", R"({"rows":[{"key":"k","value":"v","version":3}]})")
+          == TableStatus::Done);
+    CHECK(writeAnswered("200 OK", "not json") == TableStatus::Unknown);
+    CHECK(writeAnswered("409 Conflict", "{}") == TableStatus::Conflict);
+    CHECK(writeAnswered("429 Too Many", "{}") == TableStatus::NotDone);
+    CHECK(writeAnswered("503 Down", "{}") == TableStatus::NotDone);
+    CHECK(writeAnswered("500 Broken", "{}") == TableStatus::Unknown);
+}
+
+TEST_CASE("Any answer of the platform is read or refused")
+{
+    rc::prop("arbitrary bytes", [](const std::string &bytes) {
+        boost::leaf::try_handle_all(
+            [&]() -> Base::Result<void> {
+                BOOST_LEAF_AUTO(rows, decodeRows(bytes));
+                (void)rows;
+                BOOST_LEAF_AUTO(listing, decodeListing(bytes));
+                (void)listing;
+                return {};
+            },
+            [](const MalformedPlatformAnswer &) {}, [] { RC_FAIL("another error"); });
+    });
+    for (const char *text : {R"({"rows":1})", R"({"rows":[1]})", R"({"rows":[{}]})"})
+        CHECK_FALSE(decodeRows(text));
+    CHECK_FALSE(decodeListing(R"({"hosts":[3]})"));
+    CHECK(decodeListing(R"({"version":"x","hosts":[{"role":"router","name":1,"pools":{}}]})"));
+}
--- a/tests/auto/wire/tst_peercodec.cpp
+++ b/tests/auto/wire/tst_peercodec.cpp
@@ -108,8 +108,8 @@
         return serialized(ends, {cancel, cancel}).size();
     };
     const std::size_t foreign = bytesOf("a-third-host-with-a-long-name", 1796243984000000);
-    CHECK(bytesOf(ends.sender.value(), ends.senderIncarnation) + 2 * 35 < foreign);
-    CHECK(bytesOf(ends.receiver.value(), 1796243984000001) + 2 * 30 < foreign);
+    CHECK(bytesOf(ends.sender.value(), ends.senderIncarnation) + 70 < foreign);
+    CHECK(bytesOf(ends.receiver.value(), 1796243984000001) + 60 < foreign);
 }
 
 TEST_CASE("Each fault of a batch has its type")
