--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -3,18 +3,27 @@
 #include "daemon/address.h"
 #include "daemon/daemon.h"
 #include "daemon/daemonconstants.h"
-#include "daemon/reports.h"
 #include "daemon/requestlog.h"
+#include "reports.h"
+#include "tracing/linesink.h"
 
 #include <csignal>
 #include <cstdio>
 #include <memory>
+#include <random>
 
 #include <curl/curl.h>
 #include <log4cplus/initializer.h>
 
 namespace {
 
+/// Ids of spans must differ between processes.
+std::uint64_t traceSeed()
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32) | device();
+}
+
 /// Blocked in every thread, and taken by the thread that calls sigtimedwait().
 sigset_t blockedSignals()
 {
@@ -51,11 +60,9 @@
     curl_global_init(CURL_GLOBAL_DEFAULT);
     return boost::leaf::try_handle_all(
         [&]() -> Base::Result<int> {
-            BOOST_LEAF_AUTO(reports, Daemon::Reports::create(settings));
-            BOOST_LEAF_AUTO(daemon, Daemon::Daemon::create(settings, reports->forDaemon()));
-            Base::Result<void> counted = reports->countTraffic(*daemon);
-            if (!counted)
-                return counted.error();
+            BOOST_LEAF_AUTO(reports, App::Reports::create(settings.traceFile, traceSeed()));
+            BOOST_LEAF_AUTO(daemon, Daemon::Daemon::create(settings, reports->daemonReports()));
+            BOOST_LEAF_CHECK(reports->watchTraffic(*daemon));
             runUntilFinished(*daemon, signals);
             return 0;
         },
@@ -63,6 +70,10 @@
             std::fprintf(stderr, "lagoonmast: cannot listen at %s\n", it.address.c_str());
             return 1;
         },
+        [](const Tracing::CannotOpenTraceFile &it) {
+            std::fprintf(stderr, "lagoonmast: cannot write traces to %s\n", it.file.c_str());
+            return 1;
+        },
         [](const Daemon::MalformedAddress &it) {
             std::fprintf(stderr, "lagoonmast: not an IP:PORT: %s\n", it.text.c_str());
             return 1;
--- a/src/libs/daemon/grpcpeertransport.cpp
+++ b/src/libs/daemon/grpcpeertransport.cpp
@@ -33,6 +33,20 @@
 
 } // namespace
 
+/// One batch on its way.
+struct GrpcPeerTransport::Call
+{
+    grpc::ClientContext context;
+    Proto::Batch batch;
+    Proto::Receipt receipt;
+    /// The stub outlives the call, also when the peer's address changes.
+    std::shared_ptr<Proto::Peer::Stub> stub;
+};
+
+/// Guards against the last reference to a channel going on one of the library's own threads,
+/// which then waits for itself and frees what its fellows still use: the process aborts while
+/// it ends. So a call belongs to its peer and not to its callback, and the last ones are freed
+/// by whoever frees the transport.
 struct GrpcPeerTransport::Peer
 {
     explicit Peer(const Base::HostId &name)
@@ -43,18 +57,9 @@
     std::string address;
     std::shared_ptr<Proto::Peer::Stub> stub;
     PeerQueue queue{peerQueueCapacity};
-    /// Of the call that is out, if any.
-    grpc::ClientContext *context = nullptr;
-};
-
-/// One batch on its way; lives until its callback has run.
-struct GrpcPeerTransport::Call
-{
-    grpc::ClientContext context;
-    Proto::Batch batch;
-    Proto::Receipt receipt;
-    /// The stub outlives the call, also when the peer's address changes.
-    std::shared_ptr<Proto::Peer::Stub> stub;
+    /// The last call; kept when it has ended.
+    std::unique_ptr<Call> call;
+    bool isCallOut = false;
 };
 
 Base::Result<std::unique_ptr<GrpcPeerTransport>>
@@ -78,8 +83,8 @@
     std::unique_lock lock(m_mutex);
     m_isStopped = true;
     for (const auto &[host, peer] : m_peers) {
-        if (peer->context)
-            peer->context->TryCancel();
+        if (peer->isCallOut)
+            peer->call->context.TryCancel();
     }
     m_callEnded.wait(lock, [this] { return m_callsOut == 0; });
 }
@@ -90,7 +95,7 @@
     const std::lock_guard lock(m_mutex);
     Peer &peer = peerFor(to, address);
     peer.queue.push(message);
-    if (!peer.context)
+    if (!peer.isCallOut)
         startCall(peer);
 }
 
@@ -118,15 +123,16 @@
 
 void GrpcPeerTransport::startCall(Peer &peer)
 {
-    auto call = std::make_shared<Call>();
-    fill(*call, peer);
-    call->stub = peer.stub;
-    call->context.set_deadline(std::chrono::system_clock::now() + peerCallTimeout);
-    peer.context = &call->context;
+    peer.call = std::make_unique<Call>();
+    Call &call = *peer.call;
+    fill(call, peer);
+    call.stub = peer.stub;
+    call.context.set_deadline(std::chrono::system_clock::now() + peerCallTimeout);
+    peer.isCallOut = true;
     ++m_callsOut;
-    call->stub->async()->Deliver(
-        &call->context, &call->batch, &call->receipt,
-        [this, &peer, call](const grpc::Status &status) { finishCall(peer, status.ok()); });
+    call.stub->async()->Deliver(
+        &call.context, &call.batch, &call.receipt,
+        [this, &peer](const grpc::Status &status) { finishCall(peer, status.ok()); });
 }
 
 void GrpcPeerTransport::fill(Call &call, Peer &peer)
@@ -148,7 +154,7 @@
     if (!isDelivered)
         m_ring.push(Node::PeerUnreachable{peer.host});
     const std::lock_guard lock(m_mutex);
-    peer.context = nullptr;
+    peer.isCallOut = false;
     if (!m_isStopped && !peer.queue.isEmpty())
         startCall(peer);
     --m_callsOut;
--- a/src/libs/wire/messagedecoder.cpp
+++ b/src/libs/wire/messagedecoder.cpp
@@ -45,6 +45,25 @@
         });
 }
 
+Coordination::LedgerStart ledgerStart(const Proto::LedgerStart &from)
+{
+    return {Base::HostId(from.host()), from.incarnation(), from.epoch()};
+}
+
+Coordination::LedgerEntry ledgerEntry(const Proto::LedgerEntry &from)
+{
+    Coordination::LedgerEntry to;
+    to.customer = Base::CustomerId(from.customer());
+    to.charged = from.charged();
+    to.lifted = from.lifted();
+    to.forgiven = from.forgiven();
+    to.round = from.round();
+    to.settled = from.settled();
+    for (const Proto::SeenCharge &seen : from.seen())
+        to.seen.push_back({seen.start(), seen.charged()});
+    return to;
+}
+
 } // namespace
 
 MessageDecoder::MessageDecoder(const Proto::Batch &batch, const Base::HostId &receiver)
@@ -77,8 +96,12 @@
         return decode(from.permit_held());
     case Proto::Message::kPermitQuery:
         return decode(from.permit_query());
-    case Proto::Message::kWaitingDigest:
-        return decode(from.waiting_digest());
+    case Proto::Message::kWaitingDigest: {
+        const Proto::WaitingDigest &digest = from.waiting_digest();
+        return PeerMessage(Node::WaitingDigest{Base::PoolId(digest.pool().name()),
+                                               digest.pool().shard(), digest.number(),
+                                               digest.count(), digest.hash()});
+    }
     case Proto::Message::kWaitingReply:
         return decode(from.waiting_reply());
     case Proto::Message::kLedgerDelta:
@@ -233,12 +256,6 @@
     return PeerMessage(to);
 }
 
-PeerMessage MessageDecoder::decode(const Proto::WaitingDigest &from) const
-{
-    return Node::WaitingDigest{Base::PoolId(from.pool().name()), from.pool().shard(), from.number(),
-                               from.count(), from.hash()};
-}
-
 Result<PeerMessage> MessageDecoder::decode(const Proto::WaitingReply &from) const
 {
     Node::WaitingReply to;
@@ -253,7 +270,7 @@
     return PeerMessage(to);
 }
 
-PeerMessage MessageDecoder::decode(const Proto::Heartbeat &from) const
+Result<PeerMessage> MessageDecoder::decode(const Proto::Heartbeat &from) const
 {
     Coordination::Heartbeat to;
     to.host = m_sender;
@@ -262,24 +279,41 @@
     to.state =
         from.leaving() ? Coordination::MemberState::Leaving : Coordination::MemberState::Live;
     to.configurationVersion = from.configuration_version();
+    to.isFull = from.full();
+    BOOST_LEAF_ASSIGN(to.interval, duration(from.interval_ms()));
+    to.zone = Base::ZoneId(from.zone());
+    to.peerAddress = from.peer_address();
+    to.callerAddress = from.caller_address();
     for (const Proto::LeavingMark &mark : from.leaving_marks())
         to.leaving.push_back({mark.name(), mark.incarnation()});
     for (const Proto::PoolSummary &pool : from.pools())
         to.pools.push_back({Base::PoolId(pool.pool().name()), pool.pool().shard(), pool.waiting(),
                             pool.free_permits(), pool.drain_rate()});
-    return to;
+    return PeerMessage(to);
 }
 
-PeerMessage MessageDecoder::decode(const Proto::LedgerDelta &from) const
+Result<PeerMessage> MessageDecoder::decode(const Proto::LedgerDelta &from) const
 {
     Coordination::LedgerDelta to;
     to.sender = m_sender;
     to.incarnation = m_senderIncarnation;
     to.pool = Base::PoolId(from.pool());
+    to.epoch = from.epoch();
+    to.floor = from.floor();
+    to.isFull = from.full();
+    to.isSnapshot = from.snapshot();
+    to.isAsking = from.asking();
     for (const Proto::LedgerEntry &entry : from.entries())
-        to.entries.push_back({Base::CustomerId(entry.customer()), entry.charged(), entry.lifted(),
-                              entry.forgiven()});
-    return to;
+        to.entries.push_back(ledgerEntry(entry));
+    for (const Proto::FoldedStart &folded : from.folded()) {
+        if (folded.age_seconds() > static_cast<std::uint64_t>(largestFoldedAge.count()))
+            return fault(BatchFault::DurationTooLong);
+        to.folded.push_back(
+            {ledgerStart(folded.start()), std::chrono::seconds(folded.age_seconds())});
+    }
+    for (const Proto::LedgerStart &start : from.starts())
+        to.starts.push_back(ledgerStart(start));
+    return PeerMessage(to);
 }
 
 Result<PeerMessage> MessageDecoder::decode(const Proto::ConfigurationPush &from) const
