Don't take a server for frozen at its first use

With real daemons every server's limit fell to 0, then to 1, within a second of the first request: a home is made and a permit used in one step, and the time without progress was counted from the steady clock's start. Virtual time starts near 0, so no test saw it. Ruled out: load polls that fail (the stand-in answered within 10 ms).

24 streams over four servers of 8 slots: 8 further requests waited 18 to 24 s before.

--- a/src/libs/scheduling/concurrencylimiter.cpp
+++ b/src/libs/scheduling/concurrencylimiter.cpp
@@ -136,7 +136,8 @@
 {
     if (inUse >= m_limit)
         m_isBinding = true;
-    if (inUse == 0)
+    // The first use may come with the first call: the time before it is no standstill.
+    if (inUse == 0 || m_progressAt == Base::TimePoint{})
         m_progressAt = now;
 }
 
--- a/tests/auto/scheduling/tst_concurrencylimiter.cpp
+++ b/tests/auto/scheduling/tst_concurrencylimiter.cpp
@@ -150,3 +150,18 @@
     server.run(20000);
     CHECK(server.utilisation() >= 0.98);
 }
+
+TEST_CASE("a server used at once is not taken for frozen", "[scheduling]")
+{
+    // Callers wait half a minute beside idle servers: the first request makes a home and uses a
+    // permit in the same step, and the time without progress is counted from the clock's start,
+    // which is when the host was booted.
+    auto created = ConcurrencyLimiter::create(ConcurrencyLimits());
+    REQUIRE(created);
+    const Base::TimePoint longAfterBoot = Base::TimePoint{} + std::chrono::hours(100);
+    created->advance(1, longAfterBoot);
+    CHECK(created->isHealthy());
+    CHECK(created->limit() == ConcurrencyLimits().initial);
+    created->advance(1, longAfterBoot + ConcurrencyLimits().stallAfter);
+    CHECK_FALSE(created->isHealthy());
+}
