--- a/src/app/nodemetrics.h
+++ b/src/app/nodemetrics.h
@@ -2,6 +2,7 @@
 
 #include "base/result.h"
 #include "daemon/corethread.h"
+#include "daemon/homemetrics.h"
 #include "metrics/registry.h"
 #include "node/nodeobserver.h"
 
@@ -47,6 +48,7 @@
     Metrics::Family<Metrics::Gauge> *m_permitsInUse = nullptr;
     Metrics::Family<Metrics::Gauge> *m_permitLimit = nullptr;
     std::vector<std::vector<std::string>> m_shownHomes;
+    std::unique_ptr<Daemon::HomeMetrics> m_homes;
 };
 
 } // namespace App
--- a/src/libs/node/poolhome.cpp
+++ b/src/libs/node/poolhome.cpp
@@ -287,6 +287,27 @@
     return ids;
 }
 
+std::vector<ServerUse> PoolHome::serverUse() const
+{
+    std::vector<ServerUse> uses;
+    for (const auto &[id, state] : m_servers) {
+        if (state.isUsable)
+            uses.push_back({id, state.inUse, state.limiter.limit()});
+    }
+    return uses;
+}
+
+Base::ServiceUnits PoolHome::fairnessGap() const
+{
+    std::vector<Base::ServiceUnits> positions;
+    for (const Base::CustomerId &customer : m_queue.backloggedCustomers())
+        positions.push_back(m_ledger->position(customer));
+    if (positions.empty())
+        return 0;
+    const auto [least, most] = std::minmax_element(positions.begin(), positions.end());
+    return *most - *least;
+}
+
 bool PoolHome::isOverClaim(const Base::ClassId &workClass) const
 {
     const auto claim = m_claims.find(workClass);
--- a/src/libs/node/poolhome.h
+++ b/src/libs/node/poolhome.h
@@ -25,6 +25,14 @@
 
 namespace Node {
 
+/// How much of one backend server is in use, as its home sees it.
+struct ServerUse
+{
+    Base::ServerId server;
+    std::size_t inUse = 0;
+    std::size_t limit = 0;
+};
+
 /// One shard of a pool at its home router: the queue of work that waits for a permit, the
 /// concurrency of each backend server, and the permits given.
 ///
@@ -66,6 +74,9 @@
     std::size_t permitsInUse() const { return m_permits.size(); }
     std::size_t permitLimit() const;
     std::vector<Base::ServerId> servers() const;
+    std::vector<ServerUse> serverUse() const;
+    /// Between the most and the least served customer with waiting work; 0 without two.
+    Base::ServiceUnits fairnessGap() const;
 
 private:
     struct ServerState
