--- a/src/libs/node/poolhome.h
+++ b/src/libs/node/poolhome.h
@@ -13,6 +13,7 @@
 #include "node/waitingset.h"
 #include "scheduling/admissionpolicy.h"
 #include "scheduling/concurrencylimiter.h"
+#include "scheduling/drainestimator.h"
 #include "scheduling/fairqueue.h"
 #include "scheduling/serverselector.h"
 
@@ -23,6 +24,14 @@
 
 namespace Node {
 
+/// How much of one backend server is in use, as its home sees it.
+struct ServerUse
+{
+    Base::ServerId server;
+    std::size_t inUse = 0;
+    std::size_t limit = 0;
+};
+
 /// One shard of a pool at its home router: the queue of work that waits for a permit, the
 /// concurrency of each backend server, and the permits given.
 ///
@@ -58,6 +67,9 @@
     std::size_t permitsInUse() const { return m_permits.size(); }
     std::size_t permitLimit() const;
     std::vector<Base::ServerId> servers() const;
+    std::vector<ServerUse> serverUse() const;
+    /// Between the most and the least served customer with waiting work; 0 without two.
+    Base::ServiceUnits fairnessGap() const;
 
 private:
     struct ServerState
@@ -92,7 +104,6 @@
     Scheduling::PoolState poolState(const Base::CustomerId &customer) const;
     void refuse(const Scheduling::WaitingWork &work, const Scheduling::AdmissionRefusal &refusal);
     void forgetWaiting(const Scheduling::WaitingWork &work);
-    void recordDrain(Base::TimePoint now);
     /// Asks entry hosts for permits long unheard of: their release may have been lost.
     void queryPermits(Base::TimePoint now);
 
@@ -111,9 +122,7 @@
     Base::TimePoint m_nextQuery{};
     std::map<Base::ClassId, double> m_claims;
     std::map<Base::ClassId, std::size_t> m_inUseByClass;
-    double m_drainRate = 0;
-    std::size_t m_drained = 0;
-    Base::TimePoint m_drainSince{};
+    Scheduling::DrainEstimator m_drain;
 };
 
 } // namespace Node
