--- a/src/libs/wire/messagedecoder.h
+++ b/src/libs/wire/messagedecoder.h
@@ -27,10 +27,9 @@
     Base::Result<Node::PeerMessage> decode(const lagoonmast::wire::ServiceCharge &from) const;
     Base::Result<Node::PeerMessage> decode(const lagoonmast::wire::PermitHeld &from) const;
     Base::Result<Node::PeerMessage> decode(const lagoonmast::wire::PermitQuery &from) const;
-    Node::PeerMessage decode(const lagoonmast::wire::WaitingDigest &from) const;
     Base::Result<Node::PeerMessage> decode(const lagoonmast::wire::WaitingReply &from) const;
-    Node::PeerMessage decode(const lagoonmast::wire::Heartbeat &from) const;
-    Node::PeerMessage decode(const lagoonmast::wire::LedgerDelta &from) const;
+    Base::Result<Node::PeerMessage> decode(const lagoonmast::wire::Heartbeat &from) const;
+    Base::Result<Node::PeerMessage> decode(const lagoonmast::wire::LedgerDelta &from) const;
     Base::Result<Node::PeerMessage> decode(const lagoonmast::wire::ConfigurationPush &from) const;
     Base::Result<Node::PeerMessage>
     decode(const lagoonmast::wire::ConfigurationSnapshot &from) const;
