Play a refusing server and an outage of the platform in the golden session

A request that both model servers refuse once is sent again and answered whole.

Left out: a stream that is cut in the middle.

--- a/tests/golden/session.sh
+++ b/tests/golden/session.sh
@@ -127,5 +127,36 @@
 step "How entry-1 stands"
 operator status --address "$FLEET_IP:18711"
 
+# fault PORT JSON: makes a stand-in fail.
+fault() {
+    curl -s -o "$FLEET_DIR/fault" "http://$FLEET_IP:$1/faults" -d "$2"
+}
+
+step "Each model server refuses one request: it is sent again and answered whole"
+for port in 18731 18732; do
+    fault "$port" '{"mode":"refuse","count":1}'
+done
+call 2 /v1/chat/completions "${replies[@]}" "${json[@]}" -d '{"model":"condition-writer",
+    "stream":true,"max_tokens":2,"messages":[{"role":"user","content":"Is car 6 sold?"}]}'
+for port in 18731 18732; do
+    fault "$port" '{"mode":"none"}'
+done
+
+step "The platform is down: work that may be repeated goes on"
+fault 18700 '{"mode":"down"}'
+call 1 /v1/services/deposits/price/10 "${replies[@]}" "${json[@]}" -d '{"car":10}'
+
+step "The platform is down: a new hold is refused"
+call 1 /v1/services/deposits/hold/10 "${replies[@]}" -H 'X-Lagoonmast-Repeatable: no' \
+    -H 'Idempotency-Key: deposit-10' "${json[@]}" -d '{"car":10}'
+
+step "The platform is down: a change of a target is refused"
+operator targets set --address "$FLEET_IP:18711" --class buyer-replies --start-within-ms 900 \
+    --if-match 7
+fault 18700 '{"mode":"none"}'
+
+step "What the application server ran in the end"
+curl -s "http://$FLEET_IP:18741/journal" | jq -r '.requests[] | .path + " " + .state'
+
 step "Shutdown"
 fleet_stop && echo "every process exited with 0"
