Show dropped spans, and a claim that finds the stored answer as good

A repeat of a call that ran is answered from its claim, so its claim hop has not failed. Spans that the recorder dropped were counted and shown nowhere.

--- a/src/libs/daemon/reports.cpp
+++ b/src/libs/daemon/reports.cpp
@@ -53,6 +53,25 @@
     GrpcPeerTransport::Totals m_shown{};
 };
 
+/// Brings the counter of spans that were lost up to date.
+class SpanCollector final : public Metrics::Collector
+{
+public:
+    SpanCollector(Metrics::Counter &dropped, const Tracing::SpanRecorder &spans)
+        : m_dropped(&dropped)
+        , m_spans(&spans)
+    {}
+
+    void collect() override
+    {
+        m_dropped->increment(static_cast<double>(m_spans->dropped()) - m_dropped->value());
+    }
+
+private:
+    Metrics::Counter *m_dropped;
+    const Tracing::SpanRecorder *m_spans;
+};
+
 } // namespace
 
 Base::Result<std::unique_ptr<Reports>> Reports::create(const DaemonSettings &settings)
@@ -93,6 +112,10 @@
     m_tracer = std::make_unique<Tracing::RecordingTracer>(*m_spans, m_traceRandom);
     m_trace = std::make_unique<HopTrace>(*m_tracer);
     m_observers.add(*m_trace);
+    BOOST_LEAF_AUTO(dropped, m_registry.counters({"lagoonmast_spans_dropped_total",
+                                                  "Spans lost because the trace file was too slow.",
+                                                  {}}));
+    m_registry.addCollector(std::make_unique<SpanCollector>(dropped->with({}), *m_spans));
     return {};
 }
 
--- a/src/libs/node/entryrequests.cpp
+++ b/src/libs/node/entryrequests.cpp
@@ -134,7 +134,8 @@
     OpenRequest &open = it->second;
     using Claims::ClaimVerdict;
     m_recorder.hop(open, Hop::Claim, open.arrivedAt, now, "table",
-                   outcome.verdict != ClaimVerdict::Claimed);
+                   outcome.verdict != ClaimVerdict::Claimed
+                       && outcome.verdict != ClaimVerdict::Completed);
     Failure failure;
     switch (outcome.verdict) {
     case ClaimVerdict::Claimed:
