Look at the exit status of every process when a fleet stops

wait with several ids gives the last one's status, so a router that failed could go unseen. Each is now waited for; with a router killed first, stopping gives 1. A failed run shows the ends of the logs before they are removed.

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -7,9 +7,11 @@
 # A loopback address of this run's own, so that two runs at once don't meet.
 FLEET_IP=127.$((1 + ($$ >> 16) % 254)).$((($$ >> 8) & 255)).$(($$ & 255))
 FLEET_PIDS=()
+FLEET_STANDINS=0
 
 fleet_fail() {
     echo "failed: $*" >&2
+    tail -n 20 "$FLEET_DIR"/*.log >&2 || true
     exit 1
 }
 
@@ -65,6 +67,7 @@
     fleet_standin model-1 modelserverstandin 18731 --check-fences true
     fleet_standin model-2 modelserverstandin 18732 --check-fences true
     fleet_standin app-1 appserverstandin 18741 --name app-1 --check-fences true
+    FLEET_STANDINS=${#FLEET_PIDS[@]}
     for i in 1 2 3; do
         fleet_start "entry-$i" "$FLEET_BUILD/src/app/lagoonmast" serve \
             --settings "$FLEET_DIR/entry-$i.json"
@@ -84,16 +87,23 @@
         | join(" > ")'
 }
 
-# fleet_stop: SIGTERM to every router, then to the stand-ins; fails if one did not exit with 0.
-fleet_stop() {
-    local pid status=0 i
-    for ((i = ${#FLEET_PIDS[@]} - 1; i >= 0; i--)); do
-        pid=${FLEET_PIDS[$i]}
+# fleet_end PID...: SIGTERM to each, and waits for all; fails if one did not exit with 0.
+fleet_end() {
+    local pid status=0
+    for pid in "$@"; do
         kill "$pid" || status=1
-        # The stand-ins were started first; they stay until the routers have ended.
-        [ "$i" -ne 4 ] || wait "${FLEET_PIDS[@]:4}" || status=1
     done
-    wait "${FLEET_PIDS[@]}" || status=1
+    for pid in "$@"; do
+        wait "$pid" || status=1
+    done
+    return $status
+}
+
+# fleet_stop: ends the routers and then the stand-ins, which were started first.
+fleet_stop() {
+    local status=0
+    fleet_end "${FLEET_PIDS[@]:FLEET_STANDINS}" || status=1
+    fleet_end "${FLEET_PIDS[@]:0:FLEET_STANDINS}" || status=1
     FLEET_PIDS=()
     return $status
 }
