--- /dev/null
+++ b/tests/golden/session.sh
@@ -0,0 +1,162 @@
+#!/usr/bin/env bash
+# Starts the fleet of examples/quickstart and goes through one whole session with it. Prints what
+# callers and operators got, with the volatile fields (addresses, request ids, the server chosen)
+# made the same on every run; tests/golden/session.txt is what it has to be.
+# usage: session.sh BUILD_FOLDER
+set -euo pipefail
+cd "$(dirname "$0")/../.."
+FLEET_BUILD=$1
+. scripts/fleet.sh
+trap fleet_clean EXIT
+
+normalise() {
+    tr -d '\r' | sed -E "s/${FLEET_IP//./\\.}/127.0.0.1/g" | sed -E '
+        /^(Date|Content-Length|Connection|Transfer-Encoding):/d
+        s/entry-([0-9])-[0-9]{6,}-(x?[0-9]+)/<request of entry-\1>/g
+        s/(backend@)model-[0-9]/\1<model server>/g
+        s/^Retry-After: [0-9]+/Retry-After: N/
+        s/"retryAfterMs":[0-9]+/"retryAfterMs":N/'
+}
+
+step() {
+    echo
+    echo "## $*"
+}
+
+# call ENTRY PATH CURL_ARGUMENT...: one HTTP call; leaves its request id in $request_id.
+call() {
+    local entry=$1 path=$2
+    shift 2
+    curl -s -i --max-time 20 "http://$FLEET_IP:1871$entry$path" "$@" >"$FLEET_DIR/answer" \
+        || echo "curl ended with $?"
+    request_id=$(tr -d '\r' <"$FLEET_DIR/answer" | sed -n 's/^X-Request-Id: //p')
+    normalise <"$FLEET_DIR/answer"
+    # A body may end without a line feed.
+    [ "$(tail -c 1 "$FLEET_DIR/answer" | od -An -tx1 | tr -d ' ')" = 0a ] || echo
+}
+
+# way: the spans of the last call, once its entry span is written.
+way() {
+    fleet_until "the spans of $request_id" grep -q "\"entry\".*\"$request_id\"" \
+        "$FLEET_DIR"/entry-1.out "$FLEET_DIR"/entry-2.out "$FLEET_DIR"/entry-3.out
+    echo "way: $(fleet_path "$request_id" | normalise)"
+}
+
+dealer=(-H 'Authorization: Bearer example-key-dealer')
+replies=("${dealer[@]}" -H 'X-Lagoonmast-Class: buyer-replies')
+json=(-H 'Content-Type: application/json')
+question='{"model":"condition-writer","messages":[{"role":"user","content":"Is car 5 sold?"}]}'
+held=(-H 'X-Lagoonmast-Repeatable: no' -H 'Idempotency-Key: deposit-8')
+
+operator() {
+    local status=0
+    "$FLEET_BUILD/src/app/lagoonmast" "$@" >"$FLEET_DIR/operator" 2>&1 || status=$?
+    normalise <"$FLEET_DIR/operator"
+    echo "exit status $status"
+}
+
+fleet_up
+
+step "Which hosts to use, asked from the zone mission"
+call 1 '/v1/entry-hosts?zone=mission'
+
+for entry in 1 2 3; do
+    step "A streamed answer, by entry-$entry"
+    call "$entry" /v1/chat/completions "${replies[@]}" "${json[@]}" -d '{"model":"condition-writer",
+        "stream":true,"max_tokens":3,"messages":[{"role":"user","content":"Is car '"$entry"' sold?"}]}'
+    way
+done
+
+step "A whole answer at once"
+call 2 /v1/chat/completions "${replies[@]}" "${json[@]}" -d '{"model":"condition-writer",
+    "max_tokens":2,"messages":[{"role":"user","content":"Is car 4 sold?"}]}'
+
+step "Refused: a key that nobody has"
+call 1 /v1/chat/completions -H 'Authorization: Bearer no-such-key' \
+    -H 'X-Lagoonmast-Class: buyer-replies' "${json[@]}" -d "$question"
+
+step "Refused: a class that nobody created"
+call 1 /v1/chat/completions "${dealer[@]}" -H 'X-Lagoonmast-Class: gold' "${json[@]}" \
+    -d "$question"
+
+step "Refused: every server of the model is leaving"
+call 3 /v1/chat/completions "${replies[@]}" "${json[@]}" -d "${question/condition-writer/retired}"
+way
+
+step "Refused: not repeatable without a key"
+call 1 /v1/services/deposits/hold/8 "${replies[@]}" -H 'X-Lagoonmast-Repeatable: no' \
+    "${json[@]}" -d '{"car":8}'
+
+step "A plain service call"
+call 2 /v1/services/deposits/price/7 "${replies[@]}" "${json[@]}" -d '{"car":7}'
+way
+
+step "A deposit hold, which may not be repeated"
+call 1 /v1/services/deposits/hold/8 "${replies[@]}" "${held[@]}" "${json[@]}" -d '{"car":8}'
+way
+
+step "The same hold sent again, to another router"
+call 2 /v1/services/deposits/hold/8 "${replies[@]}" "${held[@]}" "${json[@]}" -d '{"car":8}'
+
+step "The same key for another car"
+call 3 /v1/services/deposits/hold/9 "${replies[@]}" "${held[@]}" "${json[@]}" -d '{"car":9}'
+
+step "What the application server ran"
+curl -s "http://$FLEET_IP:18741/journal" | jq -r '.requests[] | .path + " " + .state'
+
+step "An operator reads the targets"
+operator targets get --address "$FLEET_IP:18711"
+
+step "The operator changes one, by entry-2"
+operator targets set --address "$FLEET_IP:18712" --class buyer-replies --start-within-ms 700 \
+    --claim 0.6 --if-match 6
+has_change() {
+    [ "$(curl -s "http://$FLEET_IP:1871$1/v1/targets" | jq .version)" = 7 ]
+}
+fleet_until "the change at entry-1" has_change 1
+fleet_until "the change at entry-3" has_change 3
+
+step "Another operator, who saw the list before, loses the race at entry-3"
+operator targets set --address "$FLEET_IP:18713" --class buyer-replies --start-within-ms 400 \
+    --if-match 6
+operator targets get --address "$FLEET_IP:18713"
+
+step "A target that makes no sense"
+call 1 /v1/targets/buyer-replies -X PUT -H 'If-Match: 7' -d '{"startWithinMs":0}'
+
+step "How entry-1 stands"
+operator status --address "$FLEET_IP:18711"
+
+# fault PORT JSON: makes a stand-in fail.
+fault() {
+    curl -s -o "$FLEET_DIR/fault" "http://$FLEET_IP:$1/faults" -d "$2"
+}
+
+step "Each model server refuses one request: it is sent again and answered whole"
+for port in 18731 18732; do
+    fault "$port" '{"mode":"refuse","count":1}'
+done
+call 2 /v1/chat/completions "${replies[@]}" "${json[@]}" -d '{"model":"condition-writer",
+    "stream":true,"max_tokens":2,"messages":[{"role":"user","content":"Is car 6 sold?"}]}'
+for port in 18731 18732; do
+    fault "$port" '{"mode":"none"}'
+done
+
+step "The platform is down: work that may be repeated goes on"
+fault 18700 '{"mode":"down"}'
+call 1 /v1/services/deposits/price/10 "${replies[@]}" "${json[@]}" -d '{"car":10}'
+
+step "The platform is down: a new hold is refused"
+call 1 /v1/services/deposits/hold/10 "${replies[@]}" -H 'X-Lagoonmast-Repeatable: no' \
+    -H 'Idempotency-Key: deposit-10' "${json[@]}" -d '{"car":10}'
+
+step "The platform is down: a change of a target is refused"
+operator targets set --address "$FLEET_IP:18711" --class buyer-replies --start-within-ms 900 \
+    --if-match 7
+fault 18700 '{"mode":"none"}'
+
+step "What the application server ran in the end"
+curl -s "http://$FLEET_IP:18741/journal" | jq -r '.requests[] | .path + " " + .state'
+
+step "Shutdown"
+fleet_stop && echo "every process exited with 0"
