Give work that can still start in time its turn before work that is late

Cause: among candidates the earliest start target went first, and the standing backlog of large customers is always the latest; a small customer's fresh request waited behind it. The measurement also let a refused caller come back with other work, which shifted the mix, and had no customers that ask for little. Change: in-time work of candidates goes before late work, both by start target; the measurement has light customers that ask at a rate, and a refused caller comes back with the same work.

--- a/src/libs/scheduling/fairqueue.cpp
+++ b/src/libs/scheduling/fairqueue.cpp
@@ -1,6 +1,7 @@
 #include "scheduling/fairqueue.h"
 
 #include <algorithm>
+#include <array>
 #include <tuple>
 
 namespace Scheduling {
@@ -50,14 +51,14 @@
 }
 
 std::optional<WaitingWork> FairQueue::takeNext(const ServiceView &service,
-                                               const ClassClaims &claims, Base::TimePoint)
+                                               const ClassClaims &claims, Base::TimePoint now)
 {
     if (isEmpty())
         return std::nullopt;
     refreshInRotation(service);
     const Base::ServiceUnits ceiling = validLeast(service)->position + m_policy.window;
     admitCandidates(service, ceiling);
-    const Item *next = firstHead(service, claims, ceiling);
+    const Item *next = firstHead(service, claims, ceiling, now);
     return remove(Base::RequestKey(next->work.request));
 }
 
@@ -232,35 +233,43 @@
     }
 }
 
-/// The first of \a heads whose customer is still a candidate; the others met are taken out.
+/// The first of \a heads whose customer is still a candidate and that must not start before
+/// \a from; the others met are taken out.
 const FairQueue::Item *FairQueue::validHead(const ItemsByStart &heads, const ServiceView &service,
-                                            Base::ServiceUnits ceiling)
+                                            Base::ServiceUnits ceiling, Base::TimePoint from)
 {
-    while (!heads.empty()) {
-        const Item *head = *heads.begin();
+    Item probe;
+    probe.work.startBy = from;
+    while (true) {
+        const auto it = heads.lower_bound(&probe);
+        if (it == heads.end())
+            return nullptr;
+        const Item *head = *it;
         refresh(*head->customer, service);
         if (head->customer->position <= ceiling)
             return head;
         setCandidate(*head->customer, false);
     }
-    return nullptr;
 }
 
-/// There always is one: the least-served customer is a candidate and has work.
 const FairQueue::Item *FairQueue::firstHead(const ServiceView &service, const ClassClaims &claims,
-                                            Base::ServiceUnits ceiling)
+                                            Base::ServiceUnits ceiling, Base::TimePoint now)
 {
-    const Item *first = nullptr;
-    const Item *firstOverClaim = nullptr;
+    // In this order: can still start in time, is late, and the same of classes over their claim.
+    enum Rank { InTime, Late, InTimeOverClaim, LateOverClaim, ranks };
+    std::array<const Item *, ranks> first{};
+    const auto offer = [&](Rank rank, const Item *head) {
+        if (head && (!first[rank] || EarlierStart()(head, first[rank])))
+            first[rank] = head;
+    };
     for (const auto &[workClass, heads] : m_heads) {
-        const Item *head = validHead(heads, service, ceiling);
-        if (!head)
-            continue;
-        const Item *&best = claims.isOverClaim(workClass) ? firstOverClaim : first;
-        if (!best || EarlierStart()(head, best))
-            best = head;
+        const bool isOverClaim = claims.isOverClaim(workClass);
+        offer(isOverClaim ? InTimeOverClaim : InTime, validHead(heads, service, ceiling, now));
+        offer(isOverClaim ? LateOverClaim : Late,
+              validHead(heads, service, ceiling, Base::TimePoint::min()));
     }
-    return first ? first : firstOverClaim;
+    // There always is one: the least-served customer is a candidate and has work.
+    return *std::find_if(first.begin(), first.end(), [](const Item *head) { return head; });
 }
 
 } // namespace Scheduling
--- a/src/libs/scheduling/fairqueue.h
+++ b/src/libs/scheduling/fairqueue.h
@@ -41,8 +41,10 @@
 /// known only at the end, and long work stands among short. Served by arrival, the largest
 /// customer would take the pool; served strictly by least service, start targets would mean
 /// nothing. So the customers within FairQueuePolicy::window of the least-served backlogged one
-/// are candidates, and of their work that which must start first goes first. Work of a class
-/// over its claim is passed over while other work of a candidate waits. It is not passed over
+/// are candidates, and of their work that which must start first goes first, work that can
+/// still start in time before work that is late anyway: otherwise the standing backlog of large
+/// customers, always the latest, would go before every fresh request of a small one. Work of a
+/// class over its claim is passed over while other work of a candidate waits. It is not passed over
 /// in favour of customers outside the window: the bound on the gap holds before a claim does.
 /// Ties go by arrival. docs/design/queue-order.md derives the bound.
 ///
@@ -136,9 +138,9 @@
     Customer *validLeast(const ServiceView &service);
     void admitCandidates(const ServiceView &service, Base::ServiceUnits ceiling);
     const Item *validHead(const ItemsByStart &heads, const ServiceView &service,
-                          Base::ServiceUnits ceiling);
+                          Base::ServiceUnits ceiling, Base::TimePoint from);
     const Item *firstHead(const ServiceView &service, const ClassClaims &claims,
-                          Base::ServiceUnits ceiling);
+                          Base::ServiceUnits ceiling, Base::TimePoint now);
 
     FairQueuePolicy m_policy;
     std::uint64_t m_lastSerial = 0;
--- a/tools/measure/scenario.cpp
+++ b/tools/measure/scenario.cpp
@@ -8,6 +8,10 @@
 
 using Base::Milliseconds;
 
+/// Requests a second for each slot of a customer's fair share: about a fifth of what the share
+/// could run with the mix of both users.
+constexpr double lightRateForShare = 0.05;
+
 const std::string modelName = "writer";
 
 /// How the callers of the customers are spread over the routers.
@@ -75,7 +79,13 @@
         // A large customer alone could fill the pool; a small one keeps twice its fair share
         // of the slots asked for, so that it too stays backlogged.
         const std::size_t share = std::max<std::size_t>(allSlots / customers, 1);
+        // The last quarter asks for far less than its share: for it the targets are meant.
+        const bool isLight = i >= customers - customers / 4;
         customer.openRequests = i < large ? allSlots : 2 * share + 4;
+        if (isLight) {
+            customer.openRequests = 0;
+            customer.requestsPerSecond = static_cast<double>(share) * lightRateForShare;
+        }
         scenario.workload.customers.push_back(customer);
         scenario.fleet.customers.push_back(customer.customer);
     }
--- a/tools/measure/workload.h
+++ b/tools/measure/workload.h
@@ -31,6 +31,8 @@
     Base::CustomerId customer;
     /// Requests that the customer keeps open; it asks anew as soon as one ends.
     std::size_t openRequests = 0;
+    /// Instead: asks at random times, so many a second in the mean, whatever is open.
+    double requestsPerSecond = 0;
     /// Routers that its callers are connected to.
     std::vector<std::size_t> routers;
     /// Pools by target name; chosen evenly.
@@ -57,8 +59,8 @@
     bool hasStarted = false;
 };
 
-/// Callers in a closed loop: each customer keeps a number of requests open. A refused request
-/// comes back when the refusal says so.
+/// Callers: backlogged customers keep a number of requests open, light ones ask at a rate. A
+/// refused request comes back when the refusal says so.
 class Workload final : public VirtualFleet::CallerListener
 {
 public:
@@ -71,7 +73,7 @@
     std::size_t totalWaiting() const { return m_totalWaiting; }
     std::size_t customers() const { return m_shape.customers.size(); }
     const WorkloadShape &shape() const { return m_shape; }
-    /// First-part times by kind, in milliseconds, of requests asked after the warm-up.
+    /// First-part times by kind, in milliseconds, of the customers that ask at a rate.
     const std::vector<std::vector<double>> &firstParts() const { return m_firstParts; }
     void startMeasuring() { m_isMeasuring = true; }
     std::uint64_t finishedRequests() const { return m_finished; }
@@ -87,6 +89,10 @@
 
 private:
     void ask(std::size_t customer);
+    void askAtRate(std::size_t customer);
+    /// A caller that was refused comes back with the same work.
+    void askAgain(CallerView view);
+    void send(const CallerView &view);
     std::size_t drawKind();
     std::uint32_t drawTokens(std::uint32_t mean);
     void stopWaiting(CallerView &view);
