--- a/tests/auto/coordination/tst_measure.cpp
+++ b/tools/coordinationmeasure/main.cpp
@@ -1,4 +1,4 @@
-// Slopes for the pages of docs/design/; run with: tst_coordination "[measure]"
+// Prints the slopes of the coordination parts for the pages of docs/design/.
 
 #include "base/random.h"
 #include "coordination/configurationreplica.h"
@@ -8,8 +8,6 @@
 #include "support/manualtable.h"
 #include "wire/peercodec.h"
 
-#include <catch2/catch.hpp>
-
 #include <algorithm>
 #include <cstdio>
 #include <malloc.h>
@@ -182,7 +180,7 @@
 
 } // namespace
 
-TEST_CASE("slopes of the coordination parts", "[.measure]")
+int main()
 {
     for (const std::size_t customers : {16, 94, 940, 9400})
         measureLedger(customers);
