Let ledger deltas and heartbeats follow the traffic meter's stretch

Cause: TrafficMeter told a stretch that nobody followed.

Charges do not follow chargeStretch() yet.

All 11 test programs pass; the bytes of a loaded daemon were not measured with it.

--- a/src/libs/daemon/grpcpeertransport.cpp
+++ b/src/libs/daemon/grpcpeertransport.cpp
@@ -103,6 +103,12 @@
     return totals;
 }
 
+double GrpcPeerTransport::stretch(Base::TimePoint now) const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_meter.stretch(now);
+}
+
 GrpcPeerTransport::Peer &GrpcPeerTransport::peerFor(const Base::HostId &to,
                                                     const std::string &address)
 {
--- a/src/libs/daemon/grpcpeertransport.h
+++ b/src/libs/daemon/grpcpeertransport.h
@@ -31,6 +31,7 @@
     void send(const Base::HostId &to, const std::string &address,
               const Node::PeerMessage &message) override;
     Totals totals() const;
+    double stretch(Base::TimePoint now) const override;
 
 private:
     struct Peer;
--- a/src/libs/node/node.cpp
+++ b/src/libs/node/node.cpp
@@ -383,6 +383,7 @@
 
 void Node::sendHeartbeats(Base::TimePoint now)
 {
+    m_membership->setStretch(m_environment.peers.stretch(now));
     std::optional<Coordination::Heartbeat> heartbeat = m_membership->dueHeartbeat(now);
     if (!heartbeat)
         return;
--- a/src/libs/node/nodeconstants.h
+++ b/src/libs/node/nodeconstants.h
@@ -32,6 +32,9 @@
 /// HTTP status of a model server that does not have the stream to be resumed.
 inline constexpr int streamUnknownStatus = 404;
 
+/// Customers in one ledger delta, those with the largest unsent charge first: about 2 KB, so
+/// that a delta to five receivers fits into what the traffic budget leaves for one burst.
+inline constexpr std::size_t ledgerEntriesPerDelta = 100;
 /// Largest number of configuration changes in one message to a peer.
 inline constexpr std::size_t changesPerPush = 200;
 
--- a/src/libs/node/poolhomes.cpp
+++ b/src/libs/node/poolhomes.cpp
@@ -11,6 +11,7 @@
 
 PoolHomes::PoolHomes(const HomeContext &context)
     : m_context(context)
+    , m_ledgerInterval(context.settings.ledgerInterval)
 {}
 
 PoolHome *PoolHomes::home(const Base::PoolId &pool, std::uint32_t shard)
@@ -156,7 +157,7 @@
 
 Base::TimePoint PoolHomes::nextDue() const
 {
-    return std::min({m_nextLoadPoll, m_nextLedger, m_nextAdvance});
+    return std::min({m_nextLoadPoll, m_ledgerInterval.nextDue(), m_nextAdvance});
 }
 
 std::vector<Coordination::PoolSummary> PoolHomes::summaries() const
@@ -253,9 +254,8 @@
 
 void PoolHomes::sendLedgers(Base::TimePoint now)
 {
-    if (now < m_nextLedger)
+    if (!m_ledgerInterval.take(now, m_context.environment.peers.stretch(now)))
         return;
-    m_nextLedger = now + m_context.settings.ledgerInterval;
     for (auto &[pool, account] : m_ledgers)
         sendLedger(pool, *account, now);
 }
@@ -264,7 +264,7 @@
                            Base::TimePoint now)
 {
     ledger.advance(now);
-    const std::optional<Coordination::LedgerDelta> delta = ledger.takeDelta();
+    const std::optional<Coordination::LedgerDelta> delta = ledger.takeDelta(ledgerEntriesPerDelta);
     if (!delta)
         return;
     // To the homes of the pool, which order by it, and to their standbys, which would have to.
--- a/src/libs/node/poolhomes.h
+++ b/src/libs/node/poolhomes.h
@@ -5,6 +5,7 @@
 #include "coordination/heartbeat.h"
 #include "coordination/membership.h"
 #include "coordination/serviceledger.h"
+#include "coordination/stretchedinterval.h"
 #include "node/environment.h"
 #include "node/nodesettings.h"
 #include "node/outbox.h"
@@ -87,7 +88,7 @@
     /// The start of each other router for which homes here hold work; 0 if it is gone.
     std::map<Base::HostId, Base::Incarnation> m_entryIncarnations;
     Base::TimePoint m_nextLoadPoll{};
-    Base::TimePoint m_nextLedger{};
+    Coordination::StretchedInterval m_ledgerInterval;
     Base::TimePoint m_nextAdvance{};
 };
 
