--- a/src/app/nodemetrics.cpp
+++ b/src/app/nodemetrics.cpp
@@ -103,6 +103,7 @@
                                                        "Permits given by this home", home}));
     BOOST_LEAF_ASSIGN(m_permitLimit, registry.gauges({"lagoonmast_permit_limit",
                                                       "Permits that this home may give", home}));
+    BOOST_LEAF_ASSIGN(m_homes, Daemon::HomeMetrics::create(registry));
     return {};
 }
 
@@ -140,6 +141,7 @@
     m_liveRouters->set(static_cast<double>(status.liveRouters));
     m_openRequests->set(static_cast<double>(status.openRequests));
     showHomes(node);
+    m_homes->nodeChanged(node);
 }
 
 void NodeMetrics::showHomes(const Node::Node &node)
--- a/src/libs/node/poolhome.h
+++ b/src/libs/node/poolhome.h
@@ -15,6 +15,7 @@
 #include "scheduling/concurrencylimiter.h"
 #include "scheduling/drainestimator.h"
 #include "scheduling/fairqueue.h"
+#include "scheduling/holdestimator.h"
 #include "scheduling/serverselector.h"
 
 #include <map>
@@ -24,6 +25,14 @@
 
 namespace Node {
 
+/// How much of one backend server is in use, as its home sees it.
+struct ServerUse
+{
+    Base::ServerId server;
+    std::size_t inUse = 0;
+    std::size_t limit = 0;
+};
+
 /// One shard of a pool at its home router: the queue of work that waits for a permit, the
 /// concurrency of each backend server, and the permits given.
 ///
@@ -65,6 +74,9 @@
     std::size_t permitsInUse() const { return m_permits.size(); }
     std::size_t permitLimit() const;
     std::vector<Base::ServerId> servers() const;
+    std::vector<ServerUse> serverUse() const;
+    /// Between the most and the least served customer with waiting work; 0 without two.
+    Base::ServiceUnits fairnessGap() const;
 
 private:
     struct ServerState
@@ -82,6 +94,9 @@
         Base::CustomerId customer;
         Base::ClassId workClass;
         Base::ServiceUnits held = 0;
+        /// The caller's hint; 0 when it is not known here.
+        Base::ServiceUnits expected = 0;
+        Base::ServiceUnits served = 0;
         /// When it was last known to be in use.
         Base::TimePoint confirmedAt;
     };
@@ -120,6 +135,7 @@
     std::map<Base::ClassId, double> m_claims;
     std::map<Base::ClassId, std::size_t> m_inUseByClass;
     Scheduling::DrainEstimator m_drain;
+    Scheduling::HoldEstimator m_holds;
 };
 
 } // namespace Node
