--- a/src/libs/daemon/homemetrics.cpp
+++ b/src/libs/daemon/homemetrics.cpp
@@ -31,7 +31,7 @@
 {
     // A shard whose home moved away must not keep its last figures.
     clearShown();
-    for (const auto &[key, home] : node.homes()) {
+    for (const auto &[key, home] : node.homes().all()) {
         const Labels labels{key.first.value(), std::to_string(key.second)};
         m_fairnessGap->with(labels).set(static_cast<double>(home->fairnessGap()));
         m_shownHomes.push_back(labels);
--- a/tests/auto/daemon/scriptedserver.cpp
+++ b/tests/auto/daemon/scriptedserver.cpp
@@ -24,7 +24,8 @@
 {
     sockaddr_in address = loopback(0);
     socklen_t size = sizeof address;
-    ::bind(socket, reinterpret_cast<sockaddr *>(&address), size);
+    if (::bind(socket, reinterpret_cast<sockaddr *>(&address), size) != 0)
+        return 0;
     ::getsockname(socket, reinterpret_cast<sockaddr *>(&address), &size);
     return ntohs(address.sin_port);
 }
@@ -65,7 +66,7 @@
         if (!readMore(m_socket, m_pending))
             return {};
     }
-    const std::string request = m_pending.substr(0, size);
+    std::string request = m_pending.substr(0, size);
     m_pending.erase(0, size);
     return request;
 }
@@ -183,7 +184,7 @@
 {
     const int socket = connectTo(port);
     writeTo(socket, request);
-    const std::string answer = readFrom(socket, until);
+    std::string answer = readFrom(socket, until);
     ::close(socket);
     return answer;
 }
