--- a/tests/golden/compare.sh
+++ b/tests/golden/compare.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
-# Runs session.sh and compares what it prints with session.txt.
-# usage: compare.sh BUILD_FOLDER
+# Runs a script of this folder and compares what it prints with its golden file.
+# usage: compare.sh NAME BUILD_FOLDER
 set -euo pipefail
 here=$(cd "$(dirname "$0")" && pwd)
-printed=$("$here/session.sh" "$1")
-diff -u "$here/session.txt" <(printf '%s\n' "$printed")
+printed=$("$here/$1.sh" "$2")
+diff -u "$here/$1.txt" <(printf '%s\n' "$printed")
