--- a/src/libs/daemon/corethread.cpp
+++ b/src/libs/daemon/corethread.cpp
@@ -48,7 +48,7 @@
     m_node->handle(event, Base::Clock::now());
     handleOwnEvents();
     m_state.isReady = m_node->isReady();
-    m_isDrained = m_node->isDrained();
+    m_isDrained = m_node->isDrained(Base::Clock::now());
 }
 
 void CoreThread::handleOwnEvents()
@@ -64,7 +64,7 @@
 void CoreThread::publish(Base::TimePoint now)
 {
     m_state.isReady = m_node->isReady();
-    m_isDrained = m_node->isDrained();
+    m_isDrained = m_node->isDrained(Base::Clock::now());
     if (now < m_nextPublish)
         return;
     m_nextPublish = now + publishInterval;
--- a/src/libs/node/node.cpp
+++ b/src/libs/node/node.cpp
@@ -49,6 +49,9 @@
                                                       m_settings.self.incarnation, *m_table,
                                                       m_operations, m_environment.random));
     m_claims = std::make_unique<Claims::ClaimBook>(std::move(claims));
+    BOOST_LEAF_AUTO(sweeper,
+                    Claims::ClaimSweeper::create(m_settings.sweep, *m_table, m_operations));
+    m_sweeper = std::make_unique<Claims::ClaimSweeper>(std::move(sweeper));
     m_homes = std::make_unique<PoolHomes>(HomeContext{m_settings, m_environment, *m_membership,
                                                       *m_configuration, m_directory, *this});
     BOOST_LEAF_AUTO(
@@ -71,6 +74,8 @@
     if (const std::optional<Base::HostId> peer = m_configuration->duePull(now))
         post(*peer, ConfigurationPull{m_configuration->configuration().version()});
     m_claims->advance(now);
+    if (now >= m_sweeper->nextDue())
+        m_sweeper->advance(now, m_environment.wallClock.now(), isSweeper());
     sendHeartbeats(now);
     if (now >= m_nextEntryAdvance) {
         m_nextEntryAdvance = now + entryAdvanceInterval;
@@ -83,12 +88,24 @@
 Base::TimePoint Node::nextDue() const
 {
     return std::min({m_membership->nextDue(), m_configuration->nextDue(), m_claims->nextDue(),
-                     m_table->nextDue(), m_homes->nextDue(), m_nextEntryAdvance});
+                     m_sweeper->nextDue(), m_table->nextDue(), m_homes->nextDue(),
+                     m_nextEntryAdvance});
 }
 
-bool Node::isDrained() const
+bool Node::isDrained(Base::TimePoint now) const
 {
-    return m_isLeaving && m_entry->size() == 0;
+    if (!m_isLeaving || m_entry->size() > 0 || !m_idleSince)
+        return false;
+    // A table that is down must not hold the exit for ever; what is not written then reads as
+    // "may have run", which is safe.
+    return m_claims->unsettled() == 0 || now - *m_idleSince >= claimSettleLimit;
+}
+
+bool Node::isSweeper() const
+{
+    const Base::PoolId sweep("claims/sweep");
+    const auto order = Coordination::homeOrder(sweep, 0, m_membership->usableRouters());
+    return !order.empty() && order.front() == m_settings.self.host;
 }
 
 NodeStatus Node::status() const
@@ -127,8 +144,10 @@
 {
     m_table->advance(now);
     for (const Platform::TableOutcome &outcome : m_table->takeOutcomes()) {
-        if (!m_configuration->handle(outcome, now))
-            m_claims->handle(outcome, now);
+        const bool isTaken =
+            m_configuration->handle(outcome, now) || m_claims->handle(outcome, now);
+        if (!isTaken)
+            m_sweeper->handle(outcome, now);
     }
 }
 
@@ -144,6 +163,10 @@
     deliverLocally(now);
     m_homes->balance(now);
     deliverLocally(now);
+    if (m_isLeaving && m_entry->size() == 0 && !m_idleSince)
+        m_idleSince = now;
+    if (m_entry->size() > 0)
+        m_idleSince.reset();
     // What this turn asked of the table leaves now.
     m_table->advance(now);
 }
--- a/src/libs/node/node.h
+++ b/src/libs/node/node.h
@@ -4,6 +4,7 @@
 #include "base/result.h"
 #include "base/time.h"
 #include "claims/claimbook.h"
+#include "claims/claimsweeper.h"
 #include "coordination/configurationreplica.h"
 #include "coordination/membership.h"
 #include "coordination/serviceledger.h"
@@ -41,8 +42,9 @@
     Base::TimePoint nextDue() const;
 
     bool isReady() const { return m_configuration->isReady(); }
-    /// Asked to leave, and every request has its final answer.
-    bool isDrained() const;
+    /// Asked to leave, every request has its final answer, and the claims of finished work are
+    /// written, or have had their time to be.
+    bool isDrained(Base::TimePoint now) const;
     NodeStatus status() const;
 
     const Coordination::Membership &membership() const { return *m_membership; }
@@ -102,6 +104,8 @@
     void receive(const Base::HostId &from, const WorkAsk &message, Base::TimePoint now);
     void receive(const Base::HostId &from, const WorkHandover &message, Base::TimePoint now);
 
+    /// Whether this router is the one that deletes old claims.
+    bool isSweeper() const;
     /// Brings homes and entry requests in line with the routers and servers known now.
     void applyView(Base::TimePoint now);
     void sendHeartbeats(Base::TimePoint now);
@@ -117,12 +121,15 @@
     std::unique_ptr<Coordination::Membership> m_membership;
     std::unique_ptr<Coordination::ConfigurationReplica> m_configuration;
     std::unique_ptr<Claims::ClaimBook> m_claims;
+    std::unique_ptr<Claims::ClaimSweeper> m_sweeper;
     std::unique_ptr<EntryRequests> m_entry;
     std::unique_ptr<PoolHomes> m_homes;
     std::deque<PeerMessage> m_local;
     std::uint64_t m_appliedView = 0;
     bool m_isDirectoryChanged = false;
     bool m_isLeaving = false;
+    /// When the last request ended after the process was asked to leave.
+    std::optional<Base::TimePoint> m_idleSince;
     Base::TimePoint m_nextEntryAdvance{};
 };
 
--- a/src/libs/node/nodeconstants.h
+++ b/src/libs/node/nodeconstants.h
@@ -24,6 +24,8 @@
 /// A backend server that says nothing for this long has failed the request. Far above the wait
 /// in a server's own queue, which permits keep short.
 inline constexpr Base::Duration backendSilenceLimit = std::chrono::seconds(20);
+/// How long a leaving process waits for the table to take the ends of its claims.
+inline constexpr Base::Duration claimSettleLimit = std::chrono::seconds(10);
 /// How often time-driven state of homes (deadlines, limiters) is looked at.
 inline constexpr Base::Duration homeAdvanceInterval = std::chrono::milliseconds(50);
 /// How often open requests are looked through for deadlines and silence.
--- a/src/libs/node/nodesettings.h
+++ b/src/libs/node/nodesettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "claims/claimbook.h"
+#include "claims/claimsweeper.h"
 #include "coordination/configurationreplica.h"
 #include "coordination/membership.h"
 #include "coordination/serviceledger.h"
@@ -33,6 +34,7 @@
     Scheduling::ConcurrencyLimits concurrency;
     Scheduling::RetryBudgetPolicy retries;
     Claims::ClaimPolicy claims;
+    Claims::SweepPolicy sweep;
     HomeWatchPolicy homeWatch;
     Platform::TableGatewayPolicy table;
     Scheduling::RetryPolicyLimits retryPolicy;
