--- a/cmake/lagoonmast.cmake
+++ b/cmake/lagoonmast.cmake
@@ -17,15 +17,23 @@
     endif()
 endfunction()
 
-# lagoonmast_test(LIB [LINK target...]): one test program for the library LIB,
-# from every tst_*.cpp in this folder.
+# lagoonmast_test(LIB [LINK target...] [LONG tag...]): one test program for the library LIB,
+# from every tst_*.cpp in this folder. Cases with a LONG tag simulate minutes each; they run as
+# a test of their own, with fewer cases.
 function(lagoonmast_test lib)
-    cmake_parse_arguments(ARG "" "" "LINK" ${ARGN})
+    cmake_parse_arguments(ARG "" "" "LINK;LONG" ${ARGN})
     file(GLOB sources CONFIGURE_DEPENDS *.cpp)
     add_executable(tst_${lib} ${sources})
     target_include_directories(tst_${lib} PRIVATE ${PROJECT_SOURCE_DIR}/tests)
     target_link_libraries(tst_${lib} PRIVATE lagoonmast_warnings testmain ${lib} ${ARG_LINK})
-    add_test(NAME tst_${lib} COMMAND tst_${lib})
+    set(without_long "~[.]")
+    foreach(tag ${ARG_LONG})
+        string(APPEND without_long "~[${tag}]")
+        add_test(NAME tst_${lib}_${tag} COMMAND tst_${lib} "[${tag}]")
+        set_tests_properties(tst_${lib}_${tag} PROPERTIES
+            ENVIRONMENT "RC_PARAMS=seed=20261 max_success=40" TIMEOUT 240)
+    endforeach()
+    add_test(NAME tst_${lib} COMMAND tst_${lib} "${without_long}")
     # A fixed seed gives the same verdict on every run.
     set_tests_properties(tst_${lib} PROPERTIES
         ENVIRONMENT "RC_PARAMS=seed=20261 max_success=200" TIMEOUT 240)
--- a/src/libs/node/entryrequests.cpp
+++ b/src/libs/node/entryrequests.cpp
@@ -52,8 +52,10 @@
     OpenRequest &added = m_open[key] = open;
     m_byCaller[asked.caller] = key;
 
-    if (!m_context.configuration.isReady()) {
-        Failure failure = failureOf(FailureType::NotReady, "no configuration yet");
+    // A process that has just started must not answer that a model does not exist.
+    if (!m_context.configuration.isReady() || !m_context.directory.isKnown()) {
+        Failure failure =
+            failureOf(FailureType::NotReady, "no configuration or list of hosts yet");
         failure.retryAfter = notReadyRetryAfter;
         failWith(added, failure, now);
         return;
--- a/src/libs/node/node.h
+++ b/src/libs/node/node.h
@@ -41,7 +41,8 @@
     void advance(Base::TimePoint now);
     Base::TimePoint nextDue() const;
 
-    bool isReady() const { return m_configuration->isReady(); }
+    /// Knows its configuration and the backend servers: requests can be served.
+    bool isReady() const { return m_configuration->isReady() && m_directory.isKnown(); }
     /// Asked to leave, every request has its final answer, and the claims of finished work are
     /// written, or have had their time to be.
     bool isDrained(Base::TimePoint now) const;
--- a/src/libs/node/serverdirectory.h
+++ b/src/libs/node/serverdirectory.h
@@ -33,6 +33,8 @@
     /// Marks servers that \a membership knows to be leaving.
     void markLeaving(const Coordination::Membership &membership);
 
+    /// Whether a listing has come since the start.
+    bool isKnown() const { return m_version > 0; }
     const Server *server(const Base::ServerId &id) const;
     const std::map<Base::PoolId, std::vector<Base::ServerId>> &pools() const { return m_pools; }
     bool hasPool(const Base::PoolId &pool) const { return m_pools.count(pool) > 0; }
