--- /dev/null
+++ b/src/libs/daemon/homemetrics.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "base/result.h"
+#include "daemon/corethread.h"
+#include "metrics/registry.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Daemon {
+
+/// Shows what this router sees as a home: the fairness gap of each pool shard, and for each
+/// backend server how much of it is in use.
+class HomeMetrics final : public NodeWatcher
+{
+public:
+    /// Fails as Metrics::Registry does.
+    static Base::Result<std::unique_ptr<HomeMetrics>> create(Metrics::Registry &registry);
+
+    void nodeChanged(const Node::Node &node) override;
+
+private:
+    using Gauges = Metrics::Family<Metrics::Gauge>;
+    using Labels = std::vector<std::string>;
+
+    HomeMetrics(Gauges &fairnessGap, Gauges &inUse, Gauges &limit, Gauges &utilisation);
+    void clearShown();
+    void showServer(const Base::PoolId &pool, const Node::ServerUse &use);
+
+    Gauges *m_fairnessGap;
+    Gauges *m_inUse;
+    Gauges *m_limit;
+    Gauges *m_utilisation;
+    std::vector<Labels> m_shownHomes;
+    std::vector<Labels> m_shownServers;
+};
+
+} // namespace Daemon
--- a/src/libs/node/poolhome.cpp
+++ b/src/libs/node/poolhome.cpp
@@ -10,6 +10,45 @@
 /// A permit not heard of for this long is asked for. A lost release idles a slot that long.
 constexpr Base::Duration permitQueryInterval = std::chrono::seconds(3);
 
+Base::Milliseconds toMilliseconds(Base::Duration duration)
+{
+    return std::chrono::duration_cast<Base::Milliseconds>(duration);
+}
+
+Scheduling::WaitingWork toWork(const PermitRequest &request, Base::TimePoint now)
+{
+    Scheduling::WaitingWork work;
+    work.request = request.attempt.request;
+    work.attempt = request.attempt.number;
+    work.customer = request.customer;
+    work.workClass = request.workClass;
+    work.arrivedAt = now - request.waited;
+    work.startBy = now + request.startWithin;
+    if (request.deadlineWithin)
+        work.deadline = now + *request.deadlineWithin;
+    work.expectedCost = request.expectedCost;
+    work.prefix = request.prefix;
+    return work;
+}
+
+PermitRequest toRequest(const Scheduling::WaitingWork &work, const Base::PoolId &pool,
+                        std::uint32_t shard, Base::TimePoint now)
+{
+    PermitRequest request;
+    request.attempt = {work.request, work.attempt};
+    request.pool = pool;
+    request.shard = shard;
+    request.customer = work.customer;
+    request.workClass = work.workClass;
+    request.waited = toMilliseconds(now - work.arrivedAt);
+    request.startWithin = toMilliseconds(work.startBy - now);
+    if (work.deadline)
+        request.deadlineWithin = toMilliseconds(*work.deadline - now);
+    request.expectedCost = work.expectedCost;
+    request.prefix = work.prefix;
+    return request;
+}
+
 } // namespace
 
 Base::Result<std::unique_ptr<PoolHome>>
@@ -84,17 +123,7 @@
     if (const auto older = m_queue.remove(request.attempt.request))
         forgetWaiting(*older);
     m_waitingByEntry[entry].add(request.attempt);
-    Scheduling::WaitingWork work;
-    work.request = request.attempt.request;
-    work.attempt = request.attempt.number;
-    work.customer = request.customer;
-    work.workClass = request.workClass;
-    work.arrivedAt = now - request.waited;
-    work.startBy = now + request.startWithin;
-    if (request.deadlineWithin)
-        work.deadline = now + *request.deadlineWithin;
-    work.expectedCost = request.expectedCost;
-    work.prefix = request.prefix;
+    const Scheduling::WaitingWork work = toWork(request, now);
     const auto refusal = m_admission.refusalFor(work, poolState(work.customer), now, *m_random);
     if (refusal) {
         refuse(work, *refusal);
@@ -138,6 +167,10 @@
     }
     if (release.outcome != Scheduling::PermitOutcome::NotUsed)
         m_drain.recordUse(release.whole);
+    if (release.outcome == Scheduling::PermitOutcome::Completed) {
+        m_holds.recordCost(it->second.workClass, it->second.expected,
+                           it->second.served + release.units);
+    }
     endPermit(it);
     dispatch(now);
 }
@@ -156,6 +189,7 @@
     const Base::ServiceUnits freed = std::min(permit.held, charge.units);
     m_ledger->releaseHold(permit.customer, freed);
     permit.held -= freed;
+    permit.served += charge.units;
 }
 
 void PoolHome::adopt(const Base::HostId &entry, const PermitHeld &held, Base::TimePoint now)
@@ -163,7 +197,7 @@
     const auto server = m_servers.find(held.server);
     if (server == m_servers.end() || m_permits.count(held.attempt) > 0)
         return;
-    m_permits[held.attempt] = {entry, held.server, held.customer, held.workClass, 0, now};
+    m_permits[held.attempt] = {entry, held.server, held.customer, held.workClass, 0, 0, 0, now};
     ++server->second.inUse;
     ++m_inUseByClass[held.workClass];
 }
@@ -212,6 +246,20 @@
     dispatch(now);
 }
 
+std::vector<PermitRequest> PoolHome::takeForHandover(std::size_t count, std::uint32_t to,
+                                                     Base::TimePoint now)
+{
+    std::vector<PermitRequest> requests;
+    while (requests.size() < count) {
+        const std::optional<Scheduling::WaitingWork> work = m_queue.takeNext(*m_ledger, *this, now);
+        if (!work)
+            break;
+        forgetWaiting(*work);
+        requests.push_back(toRequest(*work, m_pool, to, now));
+    }
+    return requests;
+}
+
 Coordination::PoolSummary PoolHome::summary() const
 {
     std::size_t freePermits = 0;
@@ -319,9 +367,10 @@
 {
     const AttemptId attempt{work.request, work.attempt};
     forgetWaiting(work);
-    m_permits[attempt] = {work.request.entry, server, work.customer, work.workClass,
-                          work.expectedCost,  now};
-    m_ledger->hold(work.customer, work.expectedCost);
+    const Base::ServiceUnits held = m_holds.hold(work.workClass, work.expectedCost);
+    m_permits[attempt] = {
+        work.request.entry, server, work.customer, work.workClass, held, work.expectedCost, 0, now};
+    m_ledger->hold(work.customer, held);
     ++m_servers.at(server).inUse;
     ++m_inUseByClass[work.workClass];
     if (work.prefix != 0)
--- a/src/libs/node/poolhome.h
+++ b/src/libs/node/poolhome.h
@@ -15,6 +15,7 @@
 #include "scheduling/concurrencylimiter.h"
 #include "scheduling/drainestimator.h"
 #include "scheduling/fairqueue.h"
+#include "scheduling/holdestimator.h"
 #include "scheduling/serverselector.h"
 
 #include <map>
@@ -50,6 +51,9 @@
     /// Share of the pool that each class may claim while others wait.
     void setClaims(const Settings::Configuration &configuration);
 
+    const Base::PoolId &pool() const { return m_pool; }
+    std::uint32_t shard() const { return m_shard; }
+
     void request(const PermitRequest &request, Base::TimePoint now);
     void cancel(const PermitCancel &cancel, Base::TimePoint now);
     void release(const PermitRelease &release, Base::TimePoint now);
@@ -61,6 +65,9 @@
     /// \a entry is gone, and with it all that waited for it or ran under it.
     void forgetEntry(const Base::HostId &entry, Base::TimePoint now);
     void advance(Base::TimePoint now);
+    /// Takes at most \a count of the work next in order, as requests to shard \a to.
+    std::vector<PermitRequest> takeForHandover(std::size_t count, std::uint32_t to,
+                                               Base::TimePoint now);
 
     Coordination::PoolSummary summary() const;
     std::size_t waiting() const { return m_queue.size(); }
@@ -87,6 +94,9 @@
         Base::CustomerId customer;
         Base::ClassId workClass;
         Base::ServiceUnits held = 0;
+        /// The caller's hint; 0 when it is not known here.
+        Base::ServiceUnits expected = 0;
+        Base::ServiceUnits served = 0;
         /// When it was last known to be in use.
         Base::TimePoint confirmedAt;
     };
@@ -125,6 +135,7 @@
     std::map<Base::ClassId, double> m_claims;
     std::map<Base::ClassId, std::size_t> m_inUseByClass;
     Scheduling::DrainEstimator m_drain;
+    Scheduling::HoldEstimator m_holds;
 };
 
 } // namespace Node
--- a/src/libs/platform/tablegateway.h
+++ b/src/libs/platform/tablegateway.h
@@ -5,6 +5,7 @@
 #include "platform/tableservice.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
@@ -47,6 +48,7 @@
     void scan(OperationId operation, const std::string &prefix, const std::string &after,
               std::size_t limit) override;
     void transact(OperationId operation, const std::vector<TableWrite> &writes) override;
+    Base::TimePoint nextWriteAt() const override { return m_writes.readyAt(); }
 
     /// Number of live routers that share the table's rate, this one included.
     void setFleetSize(std::size_t routers);
@@ -81,6 +83,7 @@
     TableService *m_below;
     /// Ids of attempts; apart from those of the callers.
     OperationIds m_attempts;
+    std::uint64_t m_probes = 0;
     CallLane m_reads;
     CallLane m_writes;
     std::map<OperationId, Call> m_calls;
--- a/tests/auto/app/tst_reports.cpp
+++ b/tests/auto/app/tst_reports.cpp
@@ -1,6 +1,6 @@
-#include "daemon/hoptrace.h"
-#include "daemon/requestmetrics.h"
 #include "metrics/textregistry.h"
+#include "nodemetrics.h"
+#include "nodetraces.h"
 #include "tracing/recordingtracer.h"
 
 #include <catch2/catch.hpp>
@@ -71,16 +71,19 @@
     {
         Tracing::SpanRecorder recorder(std::make_unique<LineList>(lines));
         const Tracing::RecordingTracer tracer(recorder, random);
-        Daemon::HopTrace traces(tracer);
+        App::NodeTraces traces(tracer);
         playRetriedRequest(traces);
+        // Nothing of a finished request is kept.
+        traces.requestFinished({key, {}, {}, false, {}, {}, {}, {}, 0, 0});
     }
     REQUIRE(lines.size() == 5);
-    const Json &entry = lines.back();
+    const Json &entry = lines.front();
     CHECK(entry["name"] == "entry");
     CHECK(entry["parent"] == "b7ad6b7169203331");
     CHECK(entry["durationUs"] == 90000);
+    CHECK(entry["tags"]["outcome"] == "answered");
     std::vector<std::string> places;
-    for (std::size_t i = 0; i + 1 < lines.size(); ++i) {
+    for (std::size_t i = 1; i < lines.size(); ++i) {
         CHECK(lines[i]["trace"] == "0af7651916cd43dd8448eb211c80319c");
         CHECK(lines[i]["parent"] == entry["span"]);
         places.push_back(lines[i]["name"].get<std::string>() + "@"
@@ -89,14 +92,14 @@
     CHECK(places
           == std::vector<std::string>{"queue@entry-2", "backend@model-1", "queue@entry-2",
                                       "backend@model-2"});
-    CHECK(lines[1]["tags"]["failed"] == true);
-    CHECK(lines[3]["tags"]["failed"] == false);
+    CHECK(lines[2]["tags"]["failed"] == true);
+    CHECK_FALSE(lines[4]["tags"].contains("failed"));
 }
 
 TEST_CASE("A request shows in the metrics by class, outcome and customer")
 {
     Metrics::TextRegistry registry;
-    auto metrics = Daemon::RequestMetrics::create(registry);
+    auto metrics = App::NodeMetrics::create(registry);
     REQUIRE(metrics);
     playRetriedRequest(**metrics);
     Node::RequestRecord refused;
@@ -105,12 +108,13 @@
     (*metrics)->requestFinished(refused);
     const std::string text = registry.text();
     for (const std::string line :
-         {"lagoonmast_requests_answered_total{class=\"chat\"} 1\n",
-          "lagoonmast_requests_failed_total{class=\"\",reason=\"overloaded\"} 1\n",
+         {"lagoonmast_requests_total{class=\"chat\",outcome=\"answered\"} 1\n",
+          "lagoonmast_requests_total{class=\"\",outcome=\"overloaded\"} 1\n",
           "lagoonmast_retries_total 1\n",
           "lagoonmast_service_units_total{customer=\"dealer\"} 14\n",
-          "lagoonmast_first_token_seconds_count{class=\"chat\"} 1\n",
-          "lagoonmast_queue_wait_seconds_bucket{class=\"chat\",le=\"0.025\"} 0\n",
-          "lagoonmast_queue_wait_seconds_bucket{class=\"chat\",le=\"0.05\"} 1\n"})
+          "lagoonmast_failed_hops_total{hop=\"backend\",place=\"model-1\"} 1\n",
+          "lagoonmast_first_part_seconds_count{class=\"chat\"} 1\n",
+          "lagoonmast_queue_wait_seconds_bucket{class=\"chat\",le=\"0.05\"} 1\n",
+          "lagoonmast_request_seconds_bucket{class=\"chat\",le=\"0.05\"} 0\n"})
         CHECK_THAT(text, Catch::Contains(line));
 }
--- a/tests/support/manualtable.h
+++ b/tests/support/manualtable.h
@@ -70,6 +70,12 @@
         return lost;
     }
 
+    /// Lets the call take effect now; its answer still waits.
+    void land(std::size_t at)
+    {
+        m_calls[at].run = [outcome = m_calls[at].run()]() mutable { return outcome; };
+    }
+
     void flushLate()
     {
         for (const auto &run : m_late)
