--- a/tests/golden/session.sh
+++ b/tests/golden/session.sh
@@ -142,6 +142,16 @@
     fault "$port" '{"mode":"none"}'
 done
 
+step "Each model server cuts one stream after two events: it is resumed and comes whole"
+for port in 18731 18732; do
+    fault "$port" '{"mode":"cut","afterEvents":2,"count":1}'
+done
+call 2 /v1/chat/completions "${replies[@]}" "${json[@]}" -d '{"model":"condition-writer",
+    "stream":true,"max_tokens":4,"messages":[{"role":"user","content":"Is car 7 sold?"}]}'
+for port in 18731 18732; do
+    fault "$port" '{"mode":"none"}'
+done
+
 step "The platform is down: work that may be repeated goes on"
 fault 18700 '{"mode":"down"}'
 call 1 /v1/services/deposits/price/10 "${replies[@]}" "${json[@]}" -d '{"car":10}'
