Test graceful shutdown with real processes

Cause: that a shutdown cuts nothing off was tested in virtual time only. Checked: every stream whole in order with [DONE], late streams and holds served and run once, /readyz 503, gone from the other's list, exit status 0. The dropping from the list and the 503 were not tried with the mechanism off.

--- /dev/null
+++ b/tests/processes/common.sh
@@ -0,0 +1,87 @@
+# Sourced by the scenario scripts of this folder, after FLEET_BUILD is set: calls to a fleet of
+# scripts/fleet.sh and checks of what came back. Nothing here judges how long anything took.
+. scripts/fleet.sh
+
+CALLERS=()
+dealer=(-H 'Authorization: Bearer example-key-dealer' -H 'X-Lagoonmast-Class: buyer-replies'
+    -H 'Content-Type: application/json')
+
+processes_clean() {
+    local pid
+    for pid in "${CALLERS[@]}"; do
+        kill "$pid" 2>/dev/null || true
+    done
+    fleet_clean
+}
+trap processes_clean EXIT
+
+# router_pid ENTRY: the process id of entry-ENTRY, after fleet_up.
+router_pid() {
+    echo "${FLEET_PIDS[FLEET_STANDINS + $1 - 1]}"
+}
+
+# fault PORT JSON: makes a stand-in fail.
+fault() {
+    curl -sf -o "$FLEET_DIR/fault" "http://$FLEET_IP:$1/faults" -d "$2" || fleet_fail "fault $*"
+}
+
+# stream_begin NAME ENTRY TOKENS: a streamed answer in the background, into NAME.sse.
+stream_begin() {
+    curl -sN --max-time 90 -o "$FLEET_DIR/$1.sse" "http://$FLEET_IP:1871$2/v1/chat/completions" \
+        "${dealer[@]}" -d '{"model":"condition-writer","stream":true,"max_tokens":'"$3"',
+            "messages":[{"role":"user","content":"Is car '"$1"' sold?"}]}' &
+    CALLERS+=($!)
+}
+
+# stream_tokens NAME: how many tokens have come so far.
+stream_tokens() {
+    { sed -n 's/^data: //p' "$FLEET_DIR/$1.sse" 2>/dev/null || true; } \
+        | { grep -c '"content":"w' || true; }
+}
+
+has_begun() {
+    [ "$(stream_tokens "$1")" -gt 0 ]
+}
+
+has_done() {
+    grep -qx 'data: \[DONE\]' <(tr -d '\r' <"$FLEET_DIR/$1.sse")
+}
+
+# stream_whole NAME TOKENS: every token once, in order, of one answer, and [DONE] last.
+stream_whole() {
+    local text
+    has_done "$1" || fleet_fail "stream $1 ended after $(stream_tokens "$1") tokens without [DONE]"
+    text=$(tr -d '\r' <"$FLEET_DIR/$1.sse" | sed -n 's/^data: //p' | grep -vx '\[DONE\]' \
+        | jq -rs '[.[].choices[0].delta.content // ""] | join("")')
+    awk -v count="$2" '{ n = NF; split($1, first, "-")
+        for (i = 1; i <= NF; ++i) if ($i != "w" (i - 1) "-" first[2]) n = -1 }
+        END { exit n == count ? 0 : 1 }' <<<"$text" || fleet_fail "stream $1 is not whole: $text"
+}
+
+# lists_no_entry ROUTER ENTRY: whether ROUTER's list of entry hosts is there, without ENTRY.
+lists_no_entry() {
+    curl -sf "http://$FLEET_IP:1871$1/v1/entry-hosts" \
+        | jq -e --arg it "$FLEET_IP:1871$2" 'all(.hosts[]; .address != $it)' >/dev/null
+}
+
+# status_of ENTRY PATH: the status code of a GET.
+status_of() {
+    curl -s -o "$FLEET_DIR/status" -w '%{http_code}' "http://$FLEET_IP:1871$1$2"
+}
+
+is_unready() {
+    [ "$(status_of "$1" /readyz)" = 503 ]
+}
+
+# hold ENTRY KEY: a call that may not be repeated; prints its status, body in KEY.answer.
+hold() {
+    curl -s --max-time 20 -o "$FLEET_DIR/$2.answer" -w '%{http_code}' "${dealer[@]}" \
+        -H 'X-Lagoonmast-Repeatable: no' -H "Idempotency-Key: $2" \
+        "http://$FLEET_IP:1871$1/v1/services/deposits/hold/$2" -d '{"car":"'"$2"'"}' || true
+}
+
+# runs_of KEY: how often the application server began to run it.
+runs_of() {
+    curl -sf "http://$FLEET_IP:18741/journal" \
+        | jq --arg key "$1" '[.requests[] | select(.idempotencyKey == $key)] | length'
+}
