Let the floor of a pool rise, over all its shards

Cause: with 32 routers (4 shards) the gap was 453,168 after 60 s, and most of the service went to the large customers. Positions printed at one home showed small customers lifted to the large ones' level: (1) a customer that had nothing waiting at one shard was lifted to the floor there, although it was behind and waiting at others; (2) with peers' floors taken in, a router told the least known floor as its own and was told it back, so it never rose, and the clamp on debts (200,000 over it) made all positions equal: 1,520,040; (3) customers that ask for little come and go at the floor and held it down. Ruled out: a larger clamp (2,000,000: 122,048 after 60 s, but it only puts the fault off); forgiving a customer that had no permit for long (1,540,508: legally late customers were put below all others); standing customers alone (1,301,579). Change: the floor is the least position of customers that waited for two seconds, over all shards; peers are told only the floor of those that wait here. The gap over shards still grows slowly with time and is not bounded as one shard's is; the cause is open.

--- a/src/libs/coordination/serviceledger.cpp
+++ b/src/libs/coordination/serviceledger.cpp
@@ -77,7 +77,6 @@
     }
     const bool isAlone =
         backlogged.empty() || (backlogged.size() == 1 && backlogged.front() == customer);
-    noteFloor(isAlone ? account.position() : floor);
     if (!isAlone)
         forgive(customer, floor);
 }
@@ -86,9 +85,13 @@
 {
     if (backlogged.empty())
         return;
-    noteFloor(floorAmong(backlogged, Base::CustomerId()));
+    // Peers are told the floor of those that wait here. Told the least that is known anywhere,
+    // they would tell it back, and a floor once low would never rise again.
+    if (const auto here = floorHere(backlogged, Base::CustomerId()))
+        noteFloor(*here);
+    const Base::ServiceUnits floor = floorAmong(backlogged, Base::CustomerId());
     for (const Base::CustomerId &customer : backlogged)
-        forgive(customer, m_floorNow);
+        forgive(customer, floor);
 }
 
 void ServiceLedger::noteFloor(Base::ServiceUnits floor)
@@ -110,8 +113,9 @@
     m_changed.insert(customer);
 }
 
-Base::ServiceUnits ServiceLedger::floorAmong(const std::vector<Base::CustomerId> &backlogged,
-                                             const Base::CustomerId &except) const
+std::optional<Base::ServiceUnits>
+ServiceLedger::floorHere(const std::vector<Base::CustomerId> &backlogged,
+                         const Base::CustomerId &except) const
 {
     std::optional<Base::ServiceUnits> floor;
     for (const Base::CustomerId &customer : backlogged) {
@@ -120,8 +124,15 @@
         const Base::ServiceUnits at = position(customer);
         floor = floor ? std::min(*floor, at) : at;
     }
-    if (floor)
-        return *floor;
+    return floor;
+}
+
+Base::ServiceUnits ServiceLedger::floorAmong(const std::vector<Base::CustomerId> &backlogged,
+                                             const Base::CustomerId &except) const
+{
+    std::optional<Base::ServiceUnits> floor = floorHere(backlogged, except);
+    // A customer that waits at another shard only has not left the pool: lifted to the floor
+    // here, it would lose what it is behind there.
     for (const auto &[start, source] : m_sources) {
         if (source.floor == 0 || m_now - source.heardAt > m_policy.floorLife)
             continue;
--- a/src/libs/coordination/serviceledger.h
+++ b/src/libs/coordination/serviceledger.h
@@ -135,6 +135,9 @@
 
     /// The account, made at \a level if the customer is unknown.
     Account &use(const Base::CustomerId &customer, Base::ServiceUnits level);
+    /// Least position of those that wait here.
+    std::optional<Base::ServiceUnits> floorHere(const std::vector<Base::CustomerId> &backlogged,
+                                                const Base::CustomerId &except) const;
     Base::ServiceUnits floorAmong(const std::vector<Base::CustomerId> &backlogged,
                                   const Base::CustomerId &except) const;
     void noteFloor(Base::ServiceUnits floor);
--- a/src/libs/node/entryrequests.cpp
+++ b/src/libs/node/entryrequests.cpp
@@ -54,8 +54,7 @@
 
     // A process that has just started must not answer that a model does not exist.
     if (!m_context.configuration.isReady() || !m_context.directory.isKnown()) {
-        Failure failure =
-            failureOf(FailureType::NotReady, "no configuration or list of hosts yet");
+        Failure failure = failureOf(FailureType::NotReady, "no configuration or list of hosts yet");
         failure.retryAfter = notReadyRetryAfter;
         failWith(added, failure, now);
         return;
--- a/src/libs/node/poolhome.cpp
+++ b/src/libs/node/poolhome.cpp
@@ -10,6 +10,12 @@
 /// A permit not heard of for this long is asked for. A lost release idles a slot that long.
 constexpr Base::Duration permitQueryInterval = std::chrono::seconds(3);
 
+/// A customer sets the floor once it has waited this long. Customers that ask for little come
+/// and go at the floor; if they set it, it would stand still while all others move on, and the
+/// clamp on debts would make those equal.
+constexpr Base::Duration standingAfter = std::chrono::seconds(2);
+constexpr Base::Duration standingCheckInterval = std::chrono::milliseconds(250);
+
 Base::Milliseconds toMilliseconds(Base::Duration duration)
 {
     return std::chrono::duration_cast<Base::Milliseconds>(duration);
@@ -131,8 +137,11 @@
     }
     if (m_queue.waitingOf(work.customer) == 0) {
         const std::optional<Base::CustomerId> least = m_queue.leastServed(*m_ledger);
-        if (least)
-            m_ledger->becomeBacklogged(work.customer, {*least});
+        std::vector<Base::CustomerId> others = m_standing;
+        if (others.empty() && least)
+            others.push_back(*least);
+        m_ledger->becomeBacklogged(work.customer, others);
+        m_backloggedSince[work.customer] = now;
     }
     m_queue.push(work);
     dispatch(now);
@@ -242,7 +251,7 @@
                                         poolState(work.customer), *m_random));
     }
     queryPermits(now);
-    m_ledger->clampDebts(m_queue.backloggedCustomers());
+    noteStanding(now);
     dispatch(now);
 }
 
@@ -426,6 +435,21 @@
         m_waitingByEntry.erase(it);
 }
 
+void PoolHome::noteStanding(Base::TimePoint now)
+{
+    if (now < m_nextStanding)
+        return;
+    m_nextStanding = now + standingCheckInterval;
+    std::erase_if(m_backloggedSince,
+                  [&](const auto &entry) { return m_queue.waitingOf(entry.first) == 0; });
+    m_standing.clear();
+    for (const auto &[customer, since] : m_backloggedSince) {
+        if (now - since >= standingAfter)
+            m_standing.push_back(customer);
+    }
+    m_ledger->clampDebts(m_standing);
+}
+
 WaitingReply PoolHome::compare(const Base::HostId &entry, const WaitingDigest &digest) const
 {
     WaitingReply reply{m_pool, m_shard, digest.number, false, {}};
--- a/src/libs/node/poolhome.h
+++ b/src/libs/node/poolhome.h
@@ -116,6 +116,8 @@
     Scheduling::PoolState poolState(const Base::CustomerId &customer) const;
     void refuse(const Scheduling::WaitingWork &work, const Scheduling::AdmissionRefusal &refusal);
     void forgetWaiting(const Scheduling::WaitingWork &work);
+    /// Finds the customers that set the floor, and clamps debts against it.
+    void noteStanding(Base::TimePoint now);
     /// Asks entry hosts for permits long unheard of: their release may have been lost.
     void queryPermits(Base::TimePoint now);
 
@@ -132,6 +134,11 @@
     std::map<AttemptId, Permit> m_permits;
     std::map<Base::HostId, WaitingSet> m_waitingByEntry;
     Base::TimePoint m_nextQuery{};
+    /// Since when each customer has had work waiting.
+    std::map<Base::CustomerId, Base::TimePoint> m_backloggedSince;
+    /// The customers that have had work waiting for a while.
+    std::vector<Base::CustomerId> m_standing;
+    Base::TimePoint m_nextStanding{};
     std::map<Base::ClassId, double> m_claims;
     std::map<Base::ClassId, std::size_t> m_inUseByClass;
     Scheduling::DrainEstimator m_drain;
