--- a/tools/virtualfleet/eventqueue.h
+++ b/tools/virtualfleet/eventqueue.h
@@ -31,7 +31,7 @@
     };
 
     std::priority_queue<Entry, std::vector<Entry>, Later> m_entries;
-    Base::TimePoint m_now{std::chrono::seconds(1)};
+    Base::TimePoint m_now{std::chrono::hours(1000)};
     std::uint64_t m_serial = 0;
 };
 
