Charge totals, so that a lost charge or release is made good

Ruled out: confirming every charge, a message more for each. Change: a charge, a release and a permit held carry the total under the permit; the home counts what is new. A release that was lost is sent again when the home asks for the permit.

--- a/src/libs/node/entryrequests.cpp
+++ b/src/libs/node/entryrequests.cpp
@@ -242,8 +242,8 @@
         open->hasFirstPart = true;
         open->firstPartAt = now;
     }
-    open->uncharged += part.units;
-    if (open->uncharged >= m_context.settings.chargeStep)
+    open->received += part.units;
+    if (open->received - open->charged >= m_context.settings.chargeStep)
         m_permits.charge(*open);
     if (open->isClaimed())
         open->stored.parts.push_back(part.payload);
--- a/src/libs/node/openrequest.h
+++ b/src/libs/node/openrequest.h
@@ -60,8 +60,11 @@
 
     std::uint64_t nextPart = 0;
     std::string streamName;
-    Base::ServiceUnits uncharged = 0;
+    /// Received under the permit in hand: in all, and as far as its home was told.
+    Base::ServiceUnits received = 0;
     Base::ServiceUnits charged = 0;
+    /// Received under earlier permits.
+    Base::ServiceUnits receivedBefore = 0;
     /// Of work that is not repeatable: kept for a repeat of the call.
     StoredAnswer stored;
 
--- a/src/libs/node/peermessage.h
+++ b/src/libs/node/peermessage.h
@@ -79,7 +79,8 @@
     Scheduling::PermitOutcome outcome = Scheduling::PermitOutcome::Completed;
     std::optional<Base::Milliseconds> firstToken;
     Base::Milliseconds whole{0};
-    /// Service received and not charged before.
+    /// All service received under the permit. A total, so that a lost charge is made good by the
+    /// next.
     Base::ServiceUnits units = 0;
 
     bool operator==(const PermitRelease &) const = default;
@@ -91,6 +92,7 @@
     AttemptId attempt;
     Base::PoolId pool;
     std::uint32_t shard = 0;
+    /// All service received under the permit so far.
     Base::ServiceUnits units = 0;
 
     bool operator==(const ServiceCharge &) const = default;
@@ -105,6 +107,8 @@
     Base::ServerId server;
     Base::CustomerId customer;
     Base::ClassId workClass;
+    /// What was charged to the earlier home.
+    Base::ServiceUnits units = 0;
 
     bool operator==(const PermitHeld &) const = default;
 };
--- a/src/libs/node/permitclient.cpp
+++ b/src/libs/node/permitclient.cpp
@@ -3,6 +3,7 @@
 #include "coordination/homemap.h"
 #include "node/requesttraits.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace Node {
@@ -16,6 +17,10 @@
     return std::chrono::duration_cast<Milliseconds>(duration);
 }
 
+/// Of a busy entry host's last seconds: a home asks for a permit three seconds after it heard
+/// of it last.
+constexpr std::size_t rememberedReleases = 1000;
+
 PermitRelease unused(const AttemptId &attempt, const Base::PoolId &pool, std::uint32_t shard,
                      const Base::ServerId &server)
 {
@@ -74,8 +79,8 @@
 void PermitClient::charge(OpenRequest &open)
 {
     m_context.outbox.post(open.home,
-                          ServiceCharge{open.permit, open.pool, open.shard, open.uncharged});
-    open.charged += std::exchange(open.uncharged, 0);
+                          ServiceCharge{open.permit, open.pool, open.shard, open.received});
+    open.charged = open.received;
 }
 
 void PermitClient::release(OpenRequest &open, Scheduling::PermitOutcome outcome,
@@ -90,9 +95,11 @@
     if (open.hasFirstPart)
         release.firstToken = toMilliseconds(open.firstPartAt - open.sentAt);
     release.whole = toMilliseconds(now - open.sentAt);
-    release.units = std::exchange(open.uncharged, 0);
-    open.charged += release.units;
+    release.units = open.received;
+    open.receivedBefore += std::exchange(open.received, 0);
+    open.charged = 0;
     m_context.outbox.post(open.home, release);
+    remember(release);
 }
 
 void PermitClient::rehome(OpenRequest &open, Base::TimePoint now)
@@ -114,12 +121,12 @@
     open.home = home;
     open.homeIncarnation = incarnationOf(home);
     m_context.outbox.post(home, PermitHeld{open.permit, open.pool, open.shard, open.server,
-                                           open.customer, open.target.name});
+                                           open.customer, open.target.name, open.charged});
 }
 
 HomeWatch::Difference PermitClient::compare(const Base::HostId &home, const WaitingReply &reply)
 {
-    const HomeWatch::Difference difference = m_watch.compare(home, reply);
+    HomeWatch::Difference difference = m_watch.compare(home, reply);
     for (const AttemptId &attempt : difference.unwanted)
         m_context.outbox.post(home, PermitCancel{attempt, reply.pool, reply.shard});
     return difference;
@@ -133,7 +140,20 @@
 void PermitClient::disown(const AttemptId &attempt, const Base::HostId &home,
                           const Base::PoolId &pool, std::uint32_t shard)
 {
-    m_context.outbox.post(home, unused(attempt, pool, shard, {}));
+    // The release was lost: the same again, so that its service is counted.
+    const auto it = std::find_if(m_released.begin(), m_released.end(),
+                                 [&](const PermitRelease &it) { return it.attempt == attempt; });
+    if (it == m_released.end())
+        m_context.outbox.post(home, unused(attempt, pool, shard, {}));
+    else
+        m_context.outbox.post(home, *it);
+}
+
+void PermitClient::remember(const PermitRelease &release)
+{
+    m_released.push_back(release);
+    if (m_released.size() > rememberedReleases)
+        m_released.pop_front();
 }
 
 void PermitClient::sendDigests(Base::TimePoint now)
--- a/src/libs/node/permitclient.h
+++ b/src/libs/node/permitclient.h
@@ -12,6 +12,7 @@
 #include "node/serverdirectory.h"
 #include "scheduling/shardselector.h"
 
+#include <deque>
 #include <map>
 #include <vector>
 
@@ -67,9 +68,12 @@
     std::uint32_t chooseShard(const Base::PoolId &pool, Base::TimePoint now);
     void waitAt(OpenRequest &open, const Base::HostId &home, Base::TimePoint now);
     PermitRequest permitRequest(const OpenRequest &open, Base::TimePoint now) const;
+    void remember(const PermitRelease &release);
 
     PermitContext m_context;
     HomeWatch m_watch;
+    /// The last releases, in case one was lost.
+    std::deque<PermitRelease> m_released;
     std::map<Base::PoolId, Scheduling::ShardSelector> m_selectors;
 };
 
--- a/src/libs/node/poolhome.cpp
+++ b/src/libs/node/poolhome.cpp
@@ -163,7 +163,7 @@
     const auto it = m_permits.find(release.attempt);
     if (it == m_permits.end())
         return;
-    m_ledger->charge(it->second.customer, release.units);
+    countService(it->second, release.units);
     const auto server = m_servers.find(it->second.server);
     if (server != m_servers.end()) {
         Scheduling::PermitReport report;
@@ -171,14 +171,13 @@
         if (release.firstToken)
             report.firstToken = *release.firstToken;
         report.whole = release.whole;
-        report.served = release.units;
+        report.served = it->second.served;
         server->second.limiter.recordPermit(report, server->second.inUse, now);
     }
     if (release.outcome != Scheduling::PermitOutcome::NotUsed)
         m_drain.recordUse(release.whole);
     if (release.outcome == Scheduling::PermitOutcome::Completed) {
-        m_holds.recordCost(it->second.workClass, it->second.expected,
-                           it->second.served + release.units);
+        m_holds.recordCost(it->second.workClass, it->second.expected, it->second.served);
     }
     endPermit(it);
     dispatch(now);
@@ -194,11 +193,20 @@
     const auto server = m_servers.find(permit.server);
     if (server != m_servers.end())
         server->second.limiter.recordProgress(now);
-    m_ledger->charge(permit.customer, charge.units);
-    const Base::ServiceUnits freed = std::min(permit.held, charge.units);
+    countService(permit, charge.units);
+}
+
+void PoolHome::countService(Permit &permit, Base::ServiceUnits total)
+{
+    // A total that is not larger comes from a message that was overtaken or doubled.
+    if (total <= permit.served)
+        return;
+    const Base::ServiceUnits units = total - permit.served;
+    permit.served = total;
+    m_ledger->charge(permit.customer, units);
+    const Base::ServiceUnits freed = std::min(permit.held, units);
     m_ledger->releaseHold(permit.customer, freed);
     permit.held -= freed;
-    permit.served += charge.units;
 }
 
 void PoolHome::adopt(const Base::HostId &entry, const PermitHeld &held, Base::TimePoint now)
@@ -206,7 +214,8 @@
     const auto server = m_servers.find(held.server);
     if (server == m_servers.end() || m_permits.count(held.attempt) > 0)
         return;
-    m_permits[held.attempt] = {entry, held.server, held.customer, held.workClass, 0, 0, 0, now};
+    m_permits[held.attempt] = {entry, held.server, held.customer, held.workClass,
+                               0,     0,           held.units,    now};
     ++server->second.inUse;
     ++m_inUseByClass[held.workClass];
 }
--- a/src/libs/node/poolhome.h
+++ b/src/libs/node/poolhome.h
@@ -116,6 +116,8 @@
     Scheduling::PoolState poolState(const Base::CustomerId &customer) const;
     void refuse(const Scheduling::WaitingWork &work, const Scheduling::AdmissionRefusal &refusal);
     void forgetWaiting(const Scheduling::WaitingWork &work);
+    /// Charges what \a total, all service under the permit, adds to what is known.
+    void countService(Permit &permit, Base::ServiceUnits total);
     /// Finds the customers that set the floor, and clamps debts against it.
     void noteStanding(Base::TimePoint now);
     /// Asks entry hosts for permits long unheard of: their release may have been lost.
--- a/src/libs/node/requestrecorder.cpp
+++ b/src/libs/node/requestrecorder.cpp
@@ -28,7 +28,7 @@
     if (open.hasFirstPart)
         record.firstPart = open.firstPartAt - open.arrivedAt;
     record.whole = now - open.arrivedAt;
-    record.units = open.charged;
+    record.units = open.receivedBefore + open.received;
     record.attempts = open.attempt;
     m_observer->requestFinished(record);
 }
--- a/src/libs/scheduling/fairqueue.cpp
+++ b/src/libs/scheduling/fairqueue.cpp
@@ -256,8 +256,8 @@
                                             Base::ServiceUnits ceiling, Base::TimePoint now)
 {
     // In this order: can still start in time, is late, and the same of classes over their claim.
-    enum Rank { InTime, Late, InTimeOverClaim, LateOverClaim, ranks };
-    std::array<const Item *, ranks> first{};
+    enum Rank { InTime, Late, InTimeOverClaim, LateOverClaim, RankCount };
+    std::array<const Item *, RankCount> first{};
     const auto offer = [&](Rank rank, const Item *head) {
         if (head && (!first[rank] || EarlierStart()(head, first[rank])))
             first[rank] = head;
--- a/src/libs/wire/messagedecoder.cpp
+++ b/src/libs/wire/messagedecoder.cpp
@@ -244,6 +244,7 @@
     to.server = Base::ServerId(from.server());
     to.customer = Base::CustomerId(from.customer());
     to.workClass = Base::ClassId(from.work_class());
+    to.units = from.units();
     return PeerMessage(to);
 }
 
--- a/src/libs/wire/messageencoder.cpp
+++ b/src/libs/wire/messageencoder.cpp
@@ -132,6 +132,7 @@
     encodePool(*to.mutable_pool(), from.pool, from.shard);
     to.set_server(from.server.value());
     to.set_customer(from.customer.value());
+    to.set_units(from.units);
     to.set_work_class(from.workClass.value());
 }
 
--- a/tests/auto/wire/arbitrarymessages.h
+++ b/tests/auto/wire/arbitrarymessages.h
@@ -248,9 +248,13 @@
     case 6:
         return Node::ServiceCharge{attempt(), pool, shard, number<std::uint64_t>()};
     case 7:
-        return Node::PermitHeld{
-            attempt(),          pool, shard, id<Base::ServerId>(), id<Base::CustomerId>(),
-            id<Base::ClassId>()};
+        return Node::PermitHeld{attempt(),
+                                pool,
+                                shard,
+                                id<Base::ServerId>(),
+                                id<Base::CustomerId>(),
+                                id<Base::ClassId>(),
+                                number<std::uint64_t>()};
     case 8:
         return permitQuery();
     case 9:
