--- a/tests/auto/daemon/tst_backendclient.cpp
+++ b/tests/auto/daemon/tst_backendclient.cpp
@@ -290,7 +290,7 @@
         it.write("data: [DONE]\n\n");
     });
     // Nothing but the pause holds the client back.
-    Bench bench(4 * events);
+    Bench bench(std::size_t{4} * static_cast<std::size_t>(events));
     const Node::BackendRequest request = requestTo(server.address());
     bench.client().send(request);
     bench.expect<Node::BackendHead>();
--- a/tests/auto/node/tst_fairness.cpp
+++ b/tests/auto/node/tst_fairness.cpp
@@ -1,6 +1,4 @@
-#include "measure/meter.h"
-#include "measure/workload.h"
-#include "virtualfleet/fleet.h"
+#include "support/loadedfleet.h"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
@@ -59,72 +57,6 @@
     return shape;
 }
 
-class FleetSubmitter final : public Measure::Submitter
-{
-public:
-    explicit FleetSubmitter(VirtualFleet::Fleet &fleet)
-        : m_fleet(&fleet)
-    {}
-    void submit(std::size_t router, const Node::CallerRequest &request) override
-    {
-        // Callers of a router that is down connect to the next one.
-        while (!m_fleet->router(router))
-            router = (router + 1) % m_fleet->routers();
-        m_fleet->submit(router, request);
-    }
-
-private:
-    VirtualFleet::Fleet *m_fleet;
-};
-
-class LoadedFleet
-{
-public:
-    explicit LoadedFleet(std::uint64_t seed)
-        : fleet(shapeOf(seed))
-        , m_submitter(fleet)
-        , workload(workloadOf(seed), fleet.queue(), m_submitter)
-        , meter(fleet.queue(), workload, serversOf(fleet))
-    {
-        fleet.runFor(3s);
-        fleet.setListener(&workload);
-        for (auto &[id, server] : fleet.servers()) {
-            server->onService([this](const VirtualFleet::Work &work, Base::ServiceUnits units) {
-                meter.served(work, units);
-            });
-            server->onStart(
-                [this](const VirtualFleet::Work &work) { workload.begunAtServer(work.serial); });
-        }
-        workload.start();
-        fleet.runFor(2s);
-        meter.start();
-    }
-    ~LoadedFleet()
-    {
-        for (auto &[id, server] : fleet.servers()) {
-            server->onService({});
-            server->onStart({});
-        }
-    }
-
-    VirtualFleet::Fleet fleet;
-
-private:
-    static std::vector<const VirtualFleet::ModelServer *> serversOf(VirtualFleet::Fleet &fleet)
-    {
-        std::vector<const VirtualFleet::ModelServer *> list;
-        for (const auto &[id, server] : fleet.servers())
-            list.push_back(server.get());
-        return list;
-    }
-
-    FleetSubmitter m_submitter;
-
-public:
-    Measure::Workload workload;
-    Measure::Meter meter;
-};
-
 } // namespace
 
 // A university sees its answers stop while a dealer's batch runs: the dealer's callers crowd two
@@ -137,7 +69,7 @@
     rc::prop("with lost messages", [] {
         const auto seed = *rc::gen::inRange<std::uint64_t>(1, 1000000);
         const auto lossPercent = *rc::gen::inRange(0, 10);
-        LoadedFleet loaded(seed);
+        Fakes::LoadedFleet loaded(shapeOf(seed), workloadOf(seed));
         loaded.fleet.setLossShare(lossPercent / 100.0);
         loaded.fleet.runFor(60s);
         RC_ASSERT(loaded.meter.gap().largest <= bound(0));
@@ -152,7 +84,7 @@
         const auto seed = *rc::gen::inRange<std::uint64_t>(1, 1000000);
         const auto first = *rc::gen::inRange<std::size_t>(0, 4);
         const auto second = *rc::gen::inRange<std::size_t>(0, 4);
-        LoadedFleet loaded(seed);
+        Fakes::LoadedFleet loaded(shapeOf(seed), workloadOf(seed));
         for (const std::size_t router : {first, second}) {
             loaded.fleet.runFor(12s);
             loaded.fleet.kill(router);
@@ -170,7 +102,7 @@
 {
     rc::prop("beside a flood", [] {
         const auto seed = *rc::gen::inRange<std::uint64_t>(1, 1000000);
-        LoadedFleet loaded(seed);
+        Fakes::LoadedFleet loaded(shapeOf(seed), workloadOf(seed));
         std::vector<Base::ServiceUnits> before = loaded.meter.service();
         // In this time the pool serves each of four customers the bound and a largest cost.
         const auto longest = std::chrono::duration_cast<Base::Duration>(
