--- a/src/libs/node/entryrequests.cpp
+++ b/src/libs/node/entryrequests.cpp
@@ -36,14 +36,13 @@
     , m_budget(std::move(budget))
     , m_retryPolicy(std::move(policy))
     , m_permits({context.settings, context.environment, context.membership, context.directory,
-                 context.homes, context.outbox})
+                 context.homes, context.orders, context.outbox})
     , m_recorder(context.environment.observer, context.membership.self().host)
 {}
 
 void EntryRequests::open(const CallerRequest &asked, Base::TimePoint now)
 {
-    const Coordination::MembershipSelf &self = m_context.membership.self();
-    const Base::RequestKey key{self.host, self.incarnation, ++m_lastSerial};
+    const Base::RequestKey key = newKey();
     OpenRequest open;
     open.key = key;
     open.asked = asked;
@@ -378,6 +377,12 @@
         m_permits.release(open, Scheduling::PermitOutcome::Cancelled, now);
 }
 
+Base::RequestKey EntryRequests::newKey()
+{
+    const Coordination::MembershipSelf &self = m_context.membership.self();
+    return {self.host, self.incarnation, ++m_lastSerial};
+}
+
 OpenRequest *EntryRequests::find(const AttemptId &attempt)
 {
     const auto it = m_open.find(attempt.request);
--- a/src/libs/node/entryrequests.h
+++ b/src/libs/node/entryrequests.h
@@ -34,6 +34,7 @@
     const ServerDirectory &directory;
     Claims::ClaimBook &claims;
     const PoolHomes &homes;
+    const HomeOrders &orders;
     Outbox &outbox;
 };
 
@@ -69,12 +70,16 @@
     void rehome(Base::TimePoint now);
     void advance(Base::TimePoint now);
 
+    /// Text for an answer to a request that does not go to a backend server.
+    std::string newRequestId() { return Base::toString(newKey()); }
+
     std::size_t size() const { return m_open.size(); }
 
 private:
     EntryRequests(const EntryContext &context, Scheduling::RetryBudget budget,
                   Scheduling::RetryPolicy policy);
 
+    Base::RequestKey newKey();
     OpenRequest *find(const AttemptId &attempt);
     void askPermit(OpenRequest &open, Base::TimePoint now);
     void send(OpenRequest &open, Base::TimePoint now);
--- a/src/libs/node/node.cpp
+++ b/src/libs/node/node.cpp
@@ -1,6 +1,5 @@
 #include "node/node.h"
 
-#include "coordination/homemap.h"
 #include "node/nodeconstants.h"
 
 #include <algorithm>
@@ -52,11 +51,12 @@
     BOOST_LEAF_AUTO(sweeper,
                     Claims::ClaimSweeper::create(m_settings.sweep, *m_table, m_operations));
     m_sweeper = std::make_unique<Claims::ClaimSweeper>(std::move(sweeper));
-    m_homes = std::make_unique<PoolHomes>(HomeContext{m_settings, m_environment, *m_membership,
-                                                      *m_configuration, m_directory, *this});
+    m_orders = std::make_unique<HomeOrders>(*m_membership);
+    m_homes = std::make_unique<PoolHomes>(HomeContext{
+        m_settings, m_environment, *m_membership, *m_configuration, m_directory, *m_orders, *this});
     BOOST_LEAF_AUTO(
         entry, EntryRequests::create({m_settings, m_environment, *m_membership, *m_configuration,
-                                      m_directory, *m_claims, *m_homes, *this}));
+                                      m_directory, *m_claims, *m_homes, *m_orders, *this}));
     m_entry = std::move(entry);
     return {};
 }
@@ -103,9 +103,8 @@
 
 bool Node::isSweeper() const
 {
-    const Base::PoolId sweep("claims/sweep");
-    const auto order = Coordination::homeOrder(sweep, 0, m_membership->usableRouters());
-    return !order.empty() && order.front() == m_settings.self.host;
+    static const Base::PoolId s_sweep("claims/sweep");
+    return !m_isLeaving && m_orders->home(s_sweep, 0) == m_settings.self.host;
 }
 
 NodeStatus Node::status() const
@@ -437,6 +436,7 @@
             failure.ran = Ran::Unknown;
         if (failure.type == FailureType::PlatformDown)
             failure.retryAfter = claimRetryAfter;
+        failure.requestId = m_entry->newRequestId();
         m_environment.callers.fail(result.handle, failure);
     }
 }
--- a/src/libs/node/node.h
+++ b/src/libs/node/node.h
@@ -11,6 +11,7 @@
 #include "node/entryrequests.h"
 #include "node/environment.h"
 #include "node/event.h"
+#include "node/homeorders.h"
 #include "node/nodesettings.h"
 #include "node/outbox.h"
 #include "node/poolhomes.h"
@@ -124,6 +125,7 @@
     std::unique_ptr<Claims::ClaimBook> m_claims;
     std::unique_ptr<Claims::ClaimSweeper> m_sweeper;
     std::unique_ptr<EntryRequests> m_entry;
+    std::unique_ptr<HomeOrders> m_orders;
     std::unique_ptr<PoolHomes> m_homes;
     std::deque<PeerMessage> m_local;
     std::uint64_t m_appliedView = 0;
--- a/src/libs/node/permitclient.cpp
+++ b/src/libs/node/permitclient.cpp
@@ -1,6 +1,5 @@
 #include "node/permitclient.h"
 
-#include "coordination/homemap.h"
 #include "node/requesttraits.h"
 
 #include <algorithm>
@@ -44,7 +43,7 @@
 {
     open.askedAt = now;
     open.shard = chooseShard(open.pool, now);
-    waitAt(open, homeOf(open.pool, open.shard), now);
+    waitAt(open, m_context.orders.home(open.pool, open.shard), now);
 }
 
 void PermitClient::withdraw(const OpenRequest &open)
@@ -104,7 +103,7 @@
 
 void PermitClient::rehome(OpenRequest &open, Base::TimePoint now)
 {
-    const Base::HostId home = homeOf(open.pool, open.shard);
+    const Base::HostId home = m_context.orders.home(open.pool, open.shard);
     const bool isSame = home == open.home && incarnationOf(home) == open.homeIncarnation;
     if (isSame)
         return;
@@ -162,13 +161,6 @@
         m_context.outbox.post(digest.home, digest.message);
 }
 
-Base::HostId PermitClient::homeOf(const Base::PoolId &pool, std::uint32_t shard) const
-{
-    const std::vector<Base::HostId> order =
-        Coordination::homeOrder(pool, shard, m_context.membership.usableRouters());
-    return order.empty() ? m_context.membership.self().host : order.front();
-}
-
 Base::Incarnation PermitClient::incarnationOf(const Base::HostId &host) const
 {
     const auto it = m_context.membership.others().find(host);
--- a/src/libs/node/permitclient.h
+++ b/src/libs/node/permitclient.h
@@ -4,6 +4,7 @@
 #include "base/time.h"
 #include "coordination/membership.h"
 #include "node/environment.h"
+#include "node/homeorders.h"
 #include "node/homewatch.h"
 #include "node/nodesettings.h"
 #include "node/openrequest.h"
@@ -26,6 +27,7 @@
     const Coordination::Membership &membership;
     const ServerDirectory &directory;
     const PoolHomes &homes;
+    const HomeOrders &orders;
     Outbox &outbox;
 };
 
@@ -63,7 +65,6 @@
     std::vector<Base::HostId> takeSilentHomes() { return m_watch.takeSilentHomes(); }
 
 private:
-    Base::HostId homeOf(const Base::PoolId &pool, std::uint32_t shard) const;
     Base::Incarnation incarnationOf(const Base::HostId &host) const;
     std::uint32_t chooseShard(const Base::PoolId &pool, Base::TimePoint now);
     void waitAt(OpenRequest &open, const Base::HostId &home, Base::TimePoint now);
--- a/src/libs/node/poolhomes.cpp
+++ b/src/libs/node/poolhomes.cpp
@@ -1,6 +1,5 @@
 #include "node/poolhomes.h"
 
-#include "coordination/homemap.h"
 #include "node/nodeconstants.h"
 
 #include <algorithm>
@@ -139,7 +138,7 @@
     message.requests = home.takeForHandover(handover.count, handover.shard, now);
     if (message.requests.empty() && !isAnswer)
         return;
-    const std::vector<Base::HostId> order = homeOrder(message.pool, message.shard);
+    const std::vector<Base::HostId> &order = homeOrder(message.pool, message.shard);
     if (!order.empty())
         m_context.outbox.post(order.front(), message);
 }
@@ -177,7 +176,7 @@
         summary.shard = shard;
         summary.receivedAt = now;
         const auto own = m_homes.find({pool, shard});
-        const std::vector<Base::HostId> order = homeOrder(pool, shard);
+        const std::vector<Base::HostId> &order = homeOrder(pool, shard);
         const Base::HostId at = order.empty() ? Base::HostId() : order.front();
         const auto member = m_context.membership.others().find(at);
         if (at == m_context.settings.self.host && own != m_homes.end()) {
@@ -220,9 +219,10 @@
     return added.get();
 }
 
-std::vector<Base::HostId> PoolHomes::homeOrder(const Base::PoolId &pool, std::uint32_t shard) const
+const std::vector<Base::HostId> &PoolHomes::homeOrder(const Base::PoolId &pool,
+                                                      std::uint32_t shard) const
 {
-    return Coordination::homeOrder(pool, shard, m_context.membership.usableRouters());
+    return m_context.orders.order(pool, shard);
 }
 
 void PoolHomes::forgetLostEntries(Base::TimePoint now)
@@ -243,7 +243,7 @@
     // A home that has moved on is kept until the last permit that it gave is back.
     std::erase_if(m_homes, [&](const auto &entry) {
         const auto &[key, home] = entry;
-        const std::vector<Base::HostId> order = homeOrder(key.first, key.second);
+        const std::vector<Base::HostId> &order = homeOrder(key.first, key.second);
         const bool isHome = !order.empty() && order.front() == m_context.settings.self.host;
         const bool isUnused = !isHome && home->waiting() == 0 && home->permitsInUse() == 0;
         if (isUnused)
@@ -271,7 +271,7 @@
     constexpr std::ptrdiff_t homeAndStandby = 2;
     std::set<Base::HostId> receivers;
     for (std::uint32_t shard = 0; shard < m_context.directory.shards(pool); ++shard) {
-        const std::vector<Base::HostId> order = homeOrder(pool, shard);
+        const std::vector<Base::HostId> &order = homeOrder(pool, shard);
         const auto count = std::min<std::ptrdiff_t>(std::ssize(order), homeAndStandby);
         receivers.insert(order.begin(), order.begin() + count);
     }
--- a/src/libs/node/poolhomes.h
+++ b/src/libs/node/poolhomes.h
@@ -7,6 +7,7 @@
 #include "coordination/serviceledger.h"
 #include "coordination/stretchedinterval.h"
 #include "node/environment.h"
+#include "node/homeorders.h"
 #include "node/nodesettings.h"
 #include "node/outbox.h"
 #include "node/poolhome.h"
@@ -32,6 +33,7 @@
     const Coordination::Membership &membership;
     const Coordination::ConfigurationReplica &configuration;
     const ServerDirectory &directory;
+    const HomeOrders &orders;
     Outbox &outbox;
 };
 
@@ -70,7 +72,7 @@
 
 private:
     Coordination::ServiceLedger *ledger(const Base::PoolId &pool);
-    std::vector<Base::HostId> homeOrder(const Base::PoolId &pool, std::uint32_t shard) const;
+    const std::vector<Base::HostId> &homeOrder(const Base::PoolId &pool, std::uint32_t shard) const;
     void forgetLostEntries(Base::TimePoint now);
     void dropUnused();
     void sendLedgers(Base::TimePoint now);
