--- a/src/libs/node/entryrequests.cpp
+++ b/src/libs/node/entryrequests.cpp
@@ -1,5 +1,6 @@
 #include "node/entryrequests.h"
 
+#include "node/attempt.h"
 #include "node/failures.h"
 #include "node/nodeconstants.h"
 #include "node/requesttraits.h"
@@ -418,46 +419,13 @@
     m_context.environment.backends.send(backendRequest(open, *server));
 }
 
-BackendRequest EntryRequests::backendRequest(const OpenRequest &open, const Server &server) const
-{
-    BackendRequest request;
-    request.attempt = open.attemptId();
-    request.server = server.id;
-    request.address = server.address;
-    request.kind = open.asked.kind;
-    request.path = open.asked.path;
-    request.contentType = open.asked.contentType;
-    request.body = open.asked.body;
-    request.traceparent = open.asked.traceparent;
-    request.idempotencyKey = open.asked.idempotencyKey;
-    request.fence = open.fence;
-    if (open.nextPart > 0) {
-        request.resumeStream = open.streamName;
-        request.resumeFrom = open.nextPart;
-    }
-    return request;
-}
-
 Scheduling::RetryDecision EntryRequests::decide(const OpenRequest &open,
                                                 const BackendFailed &failed, Base::TimePoint now)
 {
     if (open.isCallerGone)
         return {};
-    Scheduling::FailedAttempt attempt;
-    attempt.ran = static_cast<Scheduling::AttemptRan>(failed.sent);
-    attempt.isRepeatable = open.asked.isRepeatable;
-    // The status of a service's answer is part of it; a model's stream begins with its first
-    // part.
-    const bool isService = open.asked.kind == WorkKind::ServiceCall;
-    attempt.isAnswerStarted = open.nextPart > 0 || (isService && open.isAnswerStarted);
-    attempt.isStreamResumable =
-        open.nextPart > 0 && !open.streamName.empty() && failed.status != streamUnknownStatus;
-    attempt.attempts = open.attempt;
-    if (open.asked.deadline)
-        attempt.deadlineWithin = open.arrivedAt + *open.asked.deadline - now;
-    if (failed.retryAfter)
-        attempt.serverRetryAfter = *failed.retryAfter;
-    return m_retryPolicy.decide(attempt, m_budget, m_context.environment.random);
+    return m_retryPolicy.decide(failedAttempt(open, failed, now), m_budget,
+                                m_context.environment.random);
 }
 
 void EntryRequests::replay(OpenRequest &open, const std::string &stored, Base::TimePoint now)
--- a/src/libs/node/entryrequests.h
+++ b/src/libs/node/entryrequests.h
@@ -83,7 +83,6 @@
     OpenRequest *find(const AttemptId &attempt);
     void askPermit(OpenRequest &open, Base::TimePoint now);
     void send(OpenRequest &open, Base::TimePoint now);
-    BackendRequest backendRequest(const OpenRequest &open, const Server &server) const;
     Scheduling::RetryDecision decide(const OpenRequest &open, const BackendFailed &failed,
                                      Base::TimePoint now);
     void takeNextStep(OpenRequest &open, Base::TimePoint now);
--- a/src/libs/node/node.cpp
+++ b/src/libs/node/node.cpp
@@ -103,8 +103,7 @@
 
 bool Node::isSweeper() const
 {
-    static const Base::PoolId s_sweep("claims/sweep");
-    return !m_isLeaving && m_orders->home(s_sweep, 0) == m_settings.self.host;
+    return !m_isLeaving && m_orders->home(Base::PoolId(sweepPool), 0) == m_settings.self.host;
 }
 
 NodeStatus Node::status() const
--- a/src/libs/node/nodeconstants.h
+++ b/src/libs/node/nodeconstants.h
@@ -9,6 +9,8 @@
 
 inline constexpr const char *modelPoolPrefix = "model/";
 inline constexpr const char *servicePoolPrefix = "service/";
+/// Not a pool of servers: its home is the router that deletes old claims.
+inline constexpr const char *sweepPool = "claims/sweep";
 
 /// A generated token costs an engine about this many prompt tokens: a prompt is computed in
 /// large batches, generation a token at a time.
