--- a/examples/embedding/main.cpp
+++ b/examples/embedding/main.cpp
@@ -20,8 +20,8 @@
 class Outside final : public Node::CallerPort,
                       public Node::PeerTransport,
                       public Node::BackendClient,
-                      public Platform::TableService,
-                      public Platform::ObjectStore,
+                      public Storage::TableService,
+                      public Storage::ObjectStore,
                       public Node::NodeObserver,
                       public Node::WallClock
 {
@@ -55,31 +55,30 @@
     void resume(const Node::AttemptId &) override {}
     void pollLoad(const Base::ServerId &, const std::string &) override {}
 
-    void read(Platform::OperationId operation, const std::string &key) override
+    void read(Storage::OperationId operation, const std::string &key) override
     {
-        const std::map<std::string, Platform::TableRow>::const_iterator it = rows.find(key);
-        Platform::TableOutcome outcome{operation, Platform::TableStatus::Done, {}};
+        const std::map<std::string, Storage::TableRow>::const_iterator it = rows.find(key);
+        Storage::TableOutcome outcome{operation, Storage::TableStatus::Done, {}};
         if (it != rows.end())
             outcome.rows.push_back(it->second);
         outcomes.push_back(outcome);
     }
-    void scan(Platform::OperationId operation, const std::string &prefix, const std::string &after,
+    void scan(Storage::OperationId operation, const std::string &prefix, const std::string &after,
               std::size_t) override
     {
-        Platform::TableOutcome outcome{operation, Platform::TableStatus::Done, {}};
+        Storage::TableOutcome outcome{operation, Storage::TableStatus::Done, {}};
         for (const auto &[key, row] : rows) {
             if (key.rfind(prefix, 0) == 0 && key > after)
                 outcome.rows.push_back(row);
         }
         outcomes.push_back(outcome);
     }
-    void transact(Platform::OperationId operation,
-                  const std::vector<Platform::TableWrite> &) override
+    void transact(Storage::OperationId operation, const std::vector<Storage::TableWrite> &) override
     {
-        outcomes.push_back({operation, Platform::TableStatus::NotDone, {}});
+        outcomes.push_back({operation, Storage::TableStatus::NotDone, {}});
     }
-    void put(Platform::OperationId, const std::string &, const std::string &) override {}
-    void get(Platform::OperationId, const std::string &) override {}
+    void put(Storage::OperationId, const std::string &, const std::string &) override {}
+    void get(Storage::OperationId, const std::string &) override {}
 
     void hopFinished(const Node::HopRecord &) override {}
     void requestFinished(const Node::RequestRecord &) override {}
@@ -88,8 +87,8 @@
 
     std::vector<std::pair<Base::HostId, Node::PeerMessage>> messages;
     std::vector<Node::BackendRequest> requests;
-    std::vector<Platform::TableOutcome> outcomes;
-    std::map<std::string, Platform::TableRow> rows;
+    std::vector<Storage::TableOutcome> outcomes;
+    std::map<std::string, Storage::TableRow> rows;
 };
 
 struct Router
@@ -101,9 +100,9 @@
 };
 
 /// The rows that an operator's configuration is kept in.
-std::map<std::string, Platform::TableRow> configurationRows()
+std::map<std::string, Storage::TableRow> configurationRows()
 {
-    std::map<std::string, Platform::TableRow> rows;
+    std::map<std::string, Storage::TableRow> rows;
     const auto add = [&](const std::string &key, const std::string &value) {
         rows[key] = {key, value, rows.size() + 1};
     };
@@ -115,20 +114,20 @@
     return rows;
 }
 
-Platform::HostListing listing()
+Storage::HostListing listing()
 {
-    Platform::HostListing hosts;
+    Storage::HostListing hosts;
     hosts.version = 1;
     for (const char *name : {"r1", "r2"}) {
-        Platform::ListedHost router;
+        Storage::ListedHost router;
         router.name = name;
         router.address = name;
         router.incarnation = 1;
         hosts.hosts.push_back(router);
     }
-    Platform::ListedHost server;
+    Storage::ListedHost server;
     server.name = "m1";
-    server.role = Platform::HostRole::ModelServer;
+    server.role = Storage::HostRole::ModelServer;
     server.pools = {Base::PoolId("model/writer")};
     server.incarnation = 1;
     hosts.hosts.push_back(server);
@@ -148,8 +147,7 @@
                 }
                 isBusy = true;
             }
-            for (const Platform::TableOutcome &outcome :
-                 std::exchange(from->outside.outcomes, {})) {
+            for (const Storage::TableOutcome &outcome : std::exchange(from->outside.outcomes, {})) {
                 from->node->handle(outcome, now);
                 isBusy = true;
             }
--- a/src/libs/claims/claimbook.cpp
+++ b/src/libs/claims/claimbook.cpp
@@ -4,8 +4,8 @@
 
 Base::Result<ClaimBook> ClaimBook::create(const ClaimPolicy &policy, const Base::HostId &self,
                                           Base::Incarnation incarnation,
-                                          Platform::TableService &table,
-                                          Platform::OperationIds &operations,
+                                          Storage::TableService &table,
+                                          Storage::OperationIds &operations,
                                           Base::RandomSource &random)
 {
     const bool isTimed = policy.lease > policy.decideWithin && policy.retention >= policy.lease
@@ -17,8 +17,8 @@
 }
 
 ClaimBook::ClaimBook(const ClaimPolicy &policy, const Base::HostId &self,
-                     Base::Incarnation incarnation, Platform::TableService &table,
-                     Platform::OperationIds &operations, Base::RandomSource &random)
+                     Base::Incarnation incarnation, Storage::TableService &table,
+                     Storage::OperationIds &operations, Base::RandomSource &random)
     : m_policy(policy)
     , m_rows(policy, self, incarnation, table, operations, random)
 {}
@@ -82,7 +82,7 @@
     collect();
 }
 
-bool ClaimBook::handle(const Platform::TableOutcome &outcome, Base::TimePoint now)
+bool ClaimBook::handle(const Storage::TableOutcome &outcome, Base::TimePoint now)
 {
     const bool isOwn = m_rows.handle(outcome, now);
     collect();
--- a/src/libs/claims/claimbook.h
+++ b/src/libs/claims/claimbook.h
@@ -7,8 +7,8 @@
 #include "claims/claimpolicy.h"
 #include "claims/claimrow.h"
 #include "claims/claimrows.h"
-#include "platform/operationids.h"
-#include "platform/tableservice.h"
+#include "storage/operationids.h"
+#include "storage/tableservice.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -52,8 +52,8 @@
     /// Fails with UnusableClaimPolicy. The references outlive the object.
     static Base::Result<ClaimBook> create(const ClaimPolicy &policy, const Base::HostId &self,
                                           Base::Incarnation incarnation,
-                                          Platform::TableService &table,
-                                          Platform::OperationIds &operations,
+                                          Storage::TableService &table,
+                                          Storage::OperationIds &operations,
                                           Base::RandomSource &random);
 
     /// One ClaimOutcome follows, within decideWithin, unless the request is released before.
@@ -76,7 +76,7 @@
         return m_outcomes.empty() ? m_rows.nextDue() : Base::TimePoint::min();
     }
     /// Returns whether \a outcome is of a call that this object made.
-    bool handle(const Platform::TableOutcome &outcome, Base::TimePoint now);
+    bool handle(const Storage::TableOutcome &outcome, Base::TimePoint now);
     std::vector<ClaimOutcome> takeOutcomes() { return std::exchange(m_outcomes, {}); }
 
     /// Claims that wait for their verdict.
@@ -93,7 +93,7 @@
     };
 
     ClaimBook(const ClaimPolicy &policy, const Base::HostId &self, Base::Incarnation incarnation,
-              Platform::TableService &table, Platform::OperationIds &operations,
+              Storage::TableService &table, Storage::OperationIds &operations,
               Base::RandomSource &random);
     /// Parts a request from its claim; empty if it has none.
     std::optional<ClaimId> unlink(const Base::RequestKey &request);
--- a/src/libs/claims/claimjudge.cpp
+++ b/src/libs/claims/claimjudge.cpp
@@ -21,7 +21,7 @@
 
 } // namespace
 
-JudgedRow judgeRows(const std::vector<Platform::TableRow> &rows, const ClaimRow &own,
+JudgedRow judgeRows(const std::vector<Storage::TableRow> &rows, const ClaimRow &own,
                     Base::WallTime wallNow, Base::Duration clockSkew)
 {
     JudgedRow judged;
--- a/src/libs/claims/claimjudge.h
+++ b/src/libs/claims/claimjudge.h
@@ -3,7 +3,7 @@
 #include "base/time.h"
 #include "claims/claimpolicy.h"
 #include "claims/claimrow.h"
-#include "platform/tableservice.h"
+#include "storage/tableservice.h"
 
 #include <optional>
 #include <vector>
@@ -27,7 +27,7 @@
 {
     RowMeaning meaning = RowMeaning::Absent;
     ClaimRow row;
-    Platform::RowVersion version = 0;
+    Storage::RowVersion version = 0;
 };
 
 /// Judges the rows of a read of one key. \a own is the claimer's row as it wrote it.
@@ -36,7 +36,7 @@
 /// A lease of another host is judged by calendar time with \a clockSkew as margin. A wrong
 /// judgement only changes between "running" and "may have run" what a caller is told, since no
 /// lapsed claim is taken over.
-JudgedRow judgeRows(const std::vector<Platform::TableRow> &rows, const ClaimRow &own,
+JudgedRow judgeRows(const std::vector<Storage::TableRow> &rows, const ClaimRow &own,
                     Base::WallTime wallNow, Base::Duration clockSkew);
 
 /// What the claimer's caller is told of another's row.
--- a/src/libs/claims/claimrows.cpp
+++ b/src/libs/claims/claimrows.cpp
@@ -4,7 +4,7 @@
 
 namespace Claims {
 
-using Platform::TableStatus;
+using Storage::TableStatus;
 
 namespace {
 
@@ -19,8 +19,8 @@
 } // namespace
 
 ClaimRows::ClaimRows(const ClaimPolicy &policy, const Base::HostId &self,
-                     Base::Incarnation incarnation, Platform::TableService &table,
-                     Platform::OperationIds &operations, Base::RandomSource &random)
+                     Base::Incarnation incarnation, Storage::TableService &table,
+                     Storage::OperationIds &operations, Base::RandomSource &random)
     : m_policy(policy)
     , m_self(self)
     , m_incarnation(incarnation)
@@ -133,7 +133,7 @@
     return m_timers.empty() ? due : std::min(due, m_timers.begin()->first);
 }
 
-bool ClaimRows::handle(const Platform::TableOutcome &outcome, Base::TimePoint now)
+bool ClaimRows::handle(const Storage::TableOutcome &outcome, Base::TimePoint now)
 {
     if (const std::optional<ClaimId> id = m_reader.handle(outcome)) {
         if (OpenClaim *claim = find(*id))
@@ -285,7 +285,7 @@
         pause(id, claim, false, now);
 }
 
-void ClaimRows::rowRead(ClaimId id, OpenClaim &claim, const Platform::TableOutcome &outcome,
+void ClaimRows::rowRead(ClaimId id, OpenClaim &claim, const Storage::TableOutcome &outcome,
                         Base::TimePoint now)
 {
     claim.step = ClaimStep::Idle;
@@ -323,7 +323,7 @@
     }
     // A write that timed out may arrive yet. Written again with the same token, whichever comes
     // first makes the row and the other fails; a released row keeps it out in the same way.
-    claim.expected = Platform::absentRow;
+    claim.expected = Storage::absentRow;
     if (claim.goal == ClaimGoal::Release && !claim.mayBeWritten)
         m_claims.erase(id);
     else
--- a/src/libs/claims/claimrows.h
+++ b/src/libs/claims/claimrows.h
@@ -9,8 +9,8 @@
 #include "claims/openclaim.h"
 #include "claims/rowreader.h"
 #include "claims/rowwriter.h"
-#include "platform/operationids.h"
-#include "platform/tableservice.h"
+#include "storage/operationids.h"
+#include "storage/tableservice.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -40,7 +40,7 @@
 {
 public:
     ClaimRows(const ClaimPolicy &policy, const Base::HostId &self, Base::Incarnation incarnation,
-              Platform::TableService &table, Platform::OperationIds &operations,
+              Storage::TableService &table, Storage::OperationIds &operations,
               Base::RandomSource &random);
 
     /// One decision follows, unless the claim is ended before.
@@ -54,7 +54,7 @@
 
     void advance(Base::TimePoint now);
     Base::TimePoint nextDue() const;
-    bool handle(const Platform::TableOutcome &outcome, Base::TimePoint now);
+    bool handle(const Storage::TableOutcome &outcome, Base::TimePoint now);
     std::vector<ClaimDecision> takeDecisions() { return std::exchange(m_decisions, {}); }
     std::size_t size() const { return m_claims.size(); }
 
@@ -72,7 +72,7 @@
     void rowWritten(ClaimId id, OpenClaim &claim, const RowResult &result, Base::TimePoint now);
     void writeDone(ClaimId id, OpenClaim &claim, Base::TimePoint now);
     void writeNotDone(ClaimId id, OpenClaim &claim, Base::TimePoint now);
-    void rowRead(ClaimId id, OpenClaim &claim, const Platform::TableOutcome &outcome,
+    void rowRead(ClaimId id, OpenClaim &claim, const Storage::TableOutcome &outcome,
                  Base::TimePoint now);
     void judgeAbsent(ClaimId id, OpenClaim &claim, Base::TimePoint now);
     void judgeOwn(ClaimId id, OpenClaim &claim, const JudgedRow &judged, Base::TimePoint now);
--- a/src/libs/claims/claimsweeper.cpp
+++ b/src/libs/claims/claimsweeper.cpp
@@ -5,16 +5,16 @@
 namespace Claims {
 
 Base::Result<ClaimSweeper> ClaimSweeper::create(const SweepPolicy &policy,
-                                                Platform::TableService &table,
-                                                Platform::OperationIds &operations)
+                                                Storage::TableService &table,
+                                                Storage::OperationIds &operations)
 {
     if (policy.limit == 0 || policy.stepInterval <= Base::Duration::zero())
         return boost::leaf::new_error(UnusableSweepPolicy{});
     return ClaimSweeper(policy, table, operations);
 }
 
-ClaimSweeper::ClaimSweeper(const SweepPolicy &policy, Platform::TableService &table,
-                           Platform::OperationIds &operations)
+ClaimSweeper::ClaimSweeper(const SweepPolicy &policy, Storage::TableService &table,
+                           Storage::OperationIds &operations)
     : m_policy(policy)
     , m_table(&table)
     , m_operations(&operations)
@@ -34,7 +34,7 @@
     m_table->scan(*m_scan, claimPrefix, m_after, m_policy.limit);
 }
 
-bool ClaimSweeper::handle(const Platform::TableOutcome &outcome, Base::TimePoint now)
+bool ClaimSweeper::handle(const Storage::TableOutcome &outcome, Base::TimePoint now)
 {
     if (m_deletion == outcome.operation) {
         m_deletion.reset();
@@ -43,19 +43,19 @@
     if (m_scan != outcome.operation)
         return false;
     m_scan.reset();
-    if (outcome.status != Platform::TableStatus::Done)
+    if (outcome.status != Storage::TableStatus::Done)
         return true; // The same step again.
     sweep(outcome.rows);
     endStep(outcome.rows, now);
     return true;
 }
 
-void ClaimSweeper::sweep(const std::vector<Platform::TableRow> &rows)
+void ClaimSweeper::sweep(const std::vector<Storage::TableRow> &rows)
 {
     const auto margin = std::chrono::duration_cast<Base::WallTime::duration>(m_policy.clockSkew);
-    std::vector<Platform::TableWrite> deletions;
+    std::vector<Storage::TableWrite> deletions;
     m_counts.read += rows.size();
-    for (const Platform::TableRow &it : rows) {
+    for (const Storage::TableRow &it : rows) {
         const Base::Result<ClaimRow> row = decodeClaim(it.value);
         if (!row) {
             ++m_counts.unreadable;
@@ -71,7 +71,7 @@
     m_table->transact(*m_deletion, deletions);
 }
 
-void ClaimSweeper::endStep(const std::vector<Platform::TableRow> &rows, Base::TimePoint now)
+void ClaimSweeper::endStep(const std::vector<Storage::TableRow> &rows, Base::TimePoint now)
 {
     if (rows.size() >= m_policy.limit) {
         m_after = rows.back().key;
--- a/src/libs/claims/claimsweeper.h
+++ b/src/libs/claims/claimsweeper.h
@@ -2,8 +2,8 @@
 
 #include "base/result.h"
 #include "base/time.h"
-#include "platform/operationids.h"
-#include "platform/tableservice.h"
+#include "storage/operationids.h"
+#include "storage/tableservice.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -49,8 +49,8 @@
 public:
     /// Fails with UnusableSweepPolicy. The references outlive the object.
     static Base::Result<ClaimSweeper> create(const SweepPolicy &policy,
-                                             Platform::TableService &table,
-                                             Platform::OperationIds &operations);
+                                             Storage::TableService &table,
+                                             Storage::OperationIds &operations);
 
     /// \a isElected: this router is the one that sweeps now.
     void advance(Base::TimePoint now, Base::WallTime wallNow, bool isElected);
@@ -59,20 +59,20 @@
         return m_scan || m_deletion ? Base::TimePoint::max() : m_nextStep;
     }
     /// Returns whether \a outcome is of a call that this object made.
-    bool handle(const Platform::TableOutcome &outcome, Base::TimePoint now);
+    bool handle(const Storage::TableOutcome &outcome, Base::TimePoint now);
     const SweepCounts &counts() const { return m_counts; }
 
 private:
-    ClaimSweeper(const SweepPolicy &policy, Platform::TableService &table,
-                 Platform::OperationIds &operations);
-    void sweep(const std::vector<Platform::TableRow> &rows);
-    void endStep(const std::vector<Platform::TableRow> &rows, Base::TimePoint now);
+    ClaimSweeper(const SweepPolicy &policy, Storage::TableService &table,
+                 Storage::OperationIds &operations);
+    void sweep(const std::vector<Storage::TableRow> &rows);
+    void endStep(const std::vector<Storage::TableRow> &rows, Base::TimePoint now);
 
     SweepPolicy m_policy;
-    Platform::TableService *m_table;
-    Platform::OperationIds *m_operations;
-    std::optional<Platform::OperationId> m_scan;
-    std::optional<Platform::OperationId> m_deletion;
+    Storage::TableService *m_table;
+    Storage::OperationIds *m_operations;
+    std::optional<Storage::OperationId> m_scan;
+    std::optional<Storage::OperationId> m_deletion;
     /// Last key read in this pass.
     std::string m_after;
     Base::TimePoint m_nextStep{};
--- a/src/libs/claims/openclaim.h
+++ b/src/libs/claims/openclaim.h
@@ -3,7 +3,7 @@
 #include "base/ids.h"
 #include "base/time.h"
 #include "claims/claimrow.h"
-#include "platform/tableservice.h"
+#include "storage/tableservice.h"
 
 #include <cstdint>
 #include <string>
@@ -29,7 +29,7 @@
     /// As this process wrote it last, or will write it.
     ClaimRow row;
     /// Version that the next write demands.
-    Platform::RowVersion expected = Platform::absentRow;
+    Storage::RowVersion expected = Storage::absentRow;
     ClaimGoal goal = ClaimGoal::Own;
     /// Goal of the write under way.
     ClaimGoal written = ClaimGoal::Own;
--- a/src/libs/claims/rowreader.cpp
+++ b/src/libs/claims/rowreader.cpp
@@ -2,8 +2,8 @@
 
 namespace Claims {
 
-RowReader::RowReader(std::size_t largestInFlight, Platform::TableService &table,
-                     Platform::OperationIds &operations)
+RowReader::RowReader(std::size_t largestInFlight, Storage::TableService &table,
+                     Storage::OperationIds &operations)
     : m_largestInFlight(largestInFlight)
     , m_table(&table)
     , m_operations(&operations)
@@ -15,7 +15,7 @@
     flush();
 }
 
-std::optional<ClaimId> RowReader::handle(const Platform::TableOutcome &outcome)
+std::optional<ClaimId> RowReader::handle(const Storage::TableOutcome &outcome)
 {
     const auto it = m_inFlight.find(outcome.operation);
     if (it == m_inFlight.end())
@@ -37,7 +37,7 @@
         turn->second.pop_front();
         if (turn->second.empty())
             m_waiting.erase(turn);
-        const Platform::OperationId operation = m_operations->next();
+        const Storage::OperationId operation = m_operations->next();
         m_inFlight[operation] = item.claim;
         m_table->read(operation, item.key);
     }
--- a/src/libs/claims/rowreader.h
+++ b/src/libs/claims/rowreader.h
@@ -2,8 +2,8 @@
 
 #include "base/ids.h"
 #include "claims/rowwriter.h"
-#include "platform/operationids.h"
-#include "platform/tableservice.h"
+#include "storage/operationids.h"
+#include "storage/tableservice.h"
 
 #include <cstddef>
 #include <deque>
@@ -21,12 +21,12 @@
 class RowReader
 {
 public:
-    RowReader(std::size_t largestInFlight, Platform::TableService &table,
-              Platform::OperationIds &operations);
+    RowReader(std::size_t largestInFlight, Storage::TableService &table,
+              Storage::OperationIds &operations);
 
     void read(ClaimId claim, const Base::CustomerId &customer, const std::string &key);
     /// The claim whose read \a outcome answers.
-    std::optional<ClaimId> handle(const Platform::TableOutcome &outcome);
+    std::optional<ClaimId> handle(const Storage::TableOutcome &outcome);
 
 private:
     struct Item
@@ -38,12 +38,12 @@
     void flush();
 
     std::size_t m_largestInFlight = 0;
-    Platform::TableService *m_table;
-    Platform::OperationIds *m_operations;
+    Storage::TableService *m_table;
+    Storage::OperationIds *m_operations;
     std::map<Base::CustomerId, std::deque<Item>> m_waiting;
     /// Whose turn was last.
     Base::CustomerId m_last;
-    std::map<Platform::OperationId, ClaimId> m_inFlight;
+    std::map<Storage::OperationId, ClaimId> m_inFlight;
 };
 
 } // namespace Claims
--- a/src/libs/claims/rowwriter.cpp
+++ b/src/libs/claims/rowwriter.cpp
@@ -6,16 +6,16 @@
 
 namespace Claims {
 
-using Platform::TableStatus;
+using Storage::TableStatus;
 
-RowWriter::RowWriter(const RowWriterPolicy &policy, Platform::TableService &table,
-                     Platform::OperationIds &operations)
+RowWriter::RowWriter(const RowWriterPolicy &policy, Storage::TableService &table,
+                     Storage::OperationIds &operations)
     : m_policy(policy)
     , m_table(&table)
     , m_operations(&operations)
 {}
 
-void RowWriter::write(ClaimId claim, Platform::TableWrite write)
+void RowWriter::write(ClaimId claim, Storage::TableWrite write)
 {
     m_queue.push_back({claim, std::move(write)});
 }
@@ -26,10 +26,10 @@
         Batch batch = nextBatch();
         if (batch.empty())
             return;
-        std::vector<Platform::TableWrite> writes;
+        std::vector<Storage::TableWrite> writes;
         for (const Item &it : batch)
             writes.push_back(it.write);
-        const Platform::OperationId operation = m_operations->next();
+        const Storage::OperationId operation = m_operations->next();
         m_inFlight[operation] = std::move(batch);
         m_table->transact(operation, writes);
     }
@@ -42,7 +42,7 @@
     return m_table->nextWriteAt();
 }
 
-bool RowWriter::handle(const Platform::TableOutcome &outcome)
+bool RowWriter::handle(const Storage::TableOutcome &outcome)
 {
     const auto it = m_inFlight.find(outcome.operation);
     if (it == m_inFlight.end())
@@ -71,10 +71,10 @@
     return batch;
 }
 
-void RowWriter::finish(const Batch &batch, const Platform::TableOutcome &outcome)
+void RowWriter::finish(const Batch &batch, const Storage::TableOutcome &outcome)
 {
-    std::map<std::string, Platform::RowVersion> versions;
-    for (const Platform::TableRow &row : outcome.rows)
+    std::map<std::string, Storage::RowVersion> versions;
+    for (const Storage::TableRow &row : outcome.rows)
         versions[row.key] = row.version;
     for (const Item &it : batch) {
         RowResult result{it.claim, outcome.status, 0};
--- a/src/libs/claims/rowwriter.h
+++ b/src/libs/claims/rowwriter.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "base/time.h"
-#include "platform/operationids.h"
-#include "platform/tableservice.h"
+#include "storage/operationids.h"
+#include "storage/tableservice.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -31,9 +31,9 @@
 struct RowResult
 {
     ClaimId claim = 0;
-    Platform::TableStatus status = Platform::TableStatus::Unknown;
+    Storage::TableStatus status = Storage::TableStatus::Unknown;
     /// With Done: the row's new version.
-    Platform::RowVersion version = 0;
+    Storage::RowVersion version = 0;
 };
 
 /// Writes rows of several claims in one transaction.
@@ -51,34 +51,34 @@
 class RowWriter
 {
 public:
-    RowWriter(const RowWriterPolicy &policy, Platform::TableService &table,
-              Platform::OperationIds &operations);
+    RowWriter(const RowWriterPolicy &policy, Storage::TableService &table,
+              Storage::OperationIds &operations);
 
     /// Each call is followed by one result. \a write has an expected version.
-    void write(ClaimId claim, Platform::TableWrite write);
+    void write(ClaimId claim, Storage::TableWrite write);
     /// Sends what may leave.
     void flush(Base::TimePoint now);
     /// When flush() has something to send.
     Base::TimePoint nextDue() const;
-    bool handle(const Platform::TableOutcome &outcome);
+    bool handle(const Storage::TableOutcome &outcome);
     std::vector<RowResult> takeResults() { return std::exchange(m_results, {}); }
 
 private:
     struct Item
     {
         ClaimId claim = 0;
-        Platform::TableWrite write;
+        Storage::TableWrite write;
     };
     using Batch = std::vector<Item>;
 
     Batch nextBatch();
-    void finish(const Batch &batch, const Platform::TableOutcome &outcome);
+    void finish(const Batch &batch, const Storage::TableOutcome &outcome);
 
     RowWriterPolicy m_policy;
-    Platform::TableService *m_table;
-    Platform::OperationIds *m_operations;
+    Storage::TableService *m_table;
+    Storage::OperationIds *m_operations;
     std::deque<Item> m_queue;
-    std::map<Platform::OperationId, Batch> m_inFlight;
+    std::map<Storage::OperationId, Batch> m_inFlight;
     std::vector<RowResult> m_results;
 };
 
--- a/src/libs/coordination/configurationcompactor.cpp
+++ b/src/libs/coordination/configurationcompactor.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-using Platform::TableStatus;
+using Storage::TableStatus;
 
 /// Snapshots before a name is used again: a put that comes late by less than eight snapshots
 /// (six hours at 62,000 changes a day) overwrites nothing.
@@ -23,7 +23,7 @@
     return snapshotKey + '/' + std::to_string(version / compactEvery % snapshotNames);
 }
 
-Settings::ConfigurationVersion snapshotVersionOf(const Platform::TableOutcome &outcome)
+Settings::ConfigurationVersion snapshotVersionOf(const Storage::TableOutcome &outcome)
 {
     if (outcome.rows.empty())
         return 0;
@@ -35,9 +35,9 @@
 }
 
 ConfigurationCompactor::ConfigurationCompactor(const ConfigurationPolicy &policy,
-                                               Platform::TableService &table,
-                                               Platform::ObjectStore &objects,
-                                               Platform::OperationIds &operations)
+                                               Storage::TableService &table,
+                                               Storage::ObjectStore &objects,
+                                               Storage::OperationIds &operations)
     : m_policy(policy)
     , m_table(&table)
     , m_objects(&objects)
@@ -54,7 +54,7 @@
     readPointer();
 }
 
-Platform::OperationId ConfigurationCompactor::begin(Stage stage)
+Storage::OperationId ConfigurationCompactor::begin(Stage stage)
 {
     m_stage = stage;
     m_operation = m_operations->next();
@@ -66,7 +66,7 @@
     m_table->read(begin(Stage::ReadPointer), snapshotKey);
 }
 
-bool ConfigurationCompactor::handle(const Platform::TableOutcome &outcome,
+bool ConfigurationCompactor::handle(const Storage::TableOutcome &outcome,
                                     const Settings::Configuration &configuration)
 {
     if (m_stage == Stage::Idle || outcome.operation != m_operation)
@@ -88,21 +88,21 @@
     return true;
 }
 
-bool ConfigurationCompactor::handle(const Platform::ObjectOutcome &outcome)
+bool ConfigurationCompactor::handle(const Storage::ObjectOutcome &outcome)
 {
     if (m_stage != Stage::Put || outcome.operation != m_operation)
         return false;
     m_stage = Stage::Idle;
-    if (outcome.status == Platform::ObjectStatus::Done)
+    if (outcome.status == Storage::ObjectStatus::Done)
         writePointer();
     return true;
 }
 
-void ConfigurationCompactor::tookPointer(const Platform::TableOutcome &outcome,
+void ConfigurationCompactor::tookPointer(const Storage::TableOutcome &outcome,
                                          const Settings::Configuration &configuration)
 {
     m_snapshot = snapshotVersionOf(outcome);
-    m_pointerRow = outcome.rows.empty() ? Platform::absentRow : outcome.rows.front().version;
+    m_pointerRow = outcome.rows.empty() ? Storage::absentRow : outcome.rows.front().version;
     if (configuration.version() < m_snapshot + m_policy.compactEvery) {
         // Another router was first; what it had no time to delete is deleted here.
         scan();
@@ -132,10 +132,10 @@
                   deletedAtOnce);
 }
 
-void ConfigurationCompactor::deleteRows(const Platform::TableOutcome &outcome)
+void ConfigurationCompactor::deleteRows(const Storage::TableOutcome &outcome)
 {
-    std::vector<Platform::TableWrite> writes;
-    for (const Platform::TableRow &row : outcome.rows) {
+    std::vector<Storage::TableWrite> writes;
+    for (const Storage::TableRow &row : outcome.rows) {
         const Settings::ConfigurationVersion version = Settings::versionOfKey(row.key);
         if (version != 0 && version <= lastDeletable())
             writes.push_back({row.key, std::nullopt, std::nullopt});
--- a/src/libs/coordination/configurationcompactor.h
+++ b/src/libs/coordination/configurationcompactor.h
@@ -2,10 +2,10 @@
 
 #include "base/time.h"
 #include "coordination/configurationpolicy.h"
-#include "platform/objectstore.h"
-#include "platform/operationids.h"
-#include "platform/tableservice.h"
 #include "settings/configuration.h"
+#include "storage/objectstore.h"
+#include "storage/operationids.h"
+#include "storage/tableservice.h"
 
 #include <optional>
 #include <string>
@@ -19,7 +19,7 @@
 /// cannot be deleted; the object tells its own version.
 std::string snapshotObject(Settings::ConfigurationVersion version, std::size_t compactEvery);
 /// Version that the row at snapshotKey names; 0 if it names none.
-Settings::ConfigurationVersion snapshotVersionOf(const Platform::TableOutcome &outcome);
+Settings::ConfigurationVersion snapshotVersionOf(const Storage::TableOutcome &outcome);
 
 /// Writes a snapshot of the configuration to the object store every few thousand changes and
 /// deletes the change rows well below it.
@@ -31,37 +31,36 @@
 class ConfigurationCompactor
 {
 public:
-    ConfigurationCompactor(const ConfigurationPolicy &policy, Platform::TableService &table,
-                           Platform::ObjectStore &objects, Platform::OperationIds &operations);
+    ConfigurationCompactor(const ConfigurationPolicy &policy, Storage::TableService &table,
+                           Storage::ObjectStore &objects, Storage::OperationIds &operations);
 
     /// Starts a run if one is due; call it at a router that has caught up with the table.
     void advance(const Settings::Configuration &configuration, Base::TimePoint now);
-    bool handle(const Platform::TableOutcome &outcome,
-                const Settings::Configuration &configuration);
-    bool handle(const Platform::ObjectOutcome &outcome);
+    bool handle(const Storage::TableOutcome &outcome, const Settings::Configuration &configuration);
+    bool handle(const Storage::ObjectOutcome &outcome);
 
 private:
     enum class Stage { Idle, ReadPointer, Put, WritePointer, Scan, Delete };
 
     void readPointer();
-    void tookPointer(const Platform::TableOutcome &outcome,
+    void tookPointer(const Storage::TableOutcome &outcome,
                      const Settings::Configuration &configuration);
     void writePointer();
     void scan();
-    void deleteRows(const Platform::TableOutcome &outcome);
+    void deleteRows(const Storage::TableOutcome &outcome);
     Settings::ConfigurationVersion lastDeletable() const;
-    Platform::OperationId begin(Stage stage);
+    Storage::OperationId begin(Stage stage);
 
     ConfigurationPolicy m_policy;
-    Platform::TableService *m_table;
-    Platform::ObjectStore *m_objects;
-    Platform::OperationIds *m_operations;
+    Storage::TableService *m_table;
+    Storage::ObjectStore *m_objects;
+    Storage::OperationIds *m_operations;
     Stage m_stage = Stage::Idle;
-    Platform::OperationId m_operation = 0;
+    Storage::OperationId m_operation = 0;
     /// Newest snapshot known to be in place.
     Settings::ConfigurationVersion m_snapshot = 0;
     Settings::ConfigurationVersion m_writing = 0;
-    Platform::RowVersion m_pointerRow = Platform::absentRow;
+    Storage::RowVersion m_pointerRow = Storage::absentRow;
     Base::TimePoint m_nextRun{};
 };
 
--- a/src/libs/coordination/configurationreplica.cpp
+++ b/src/libs/coordination/configurationreplica.cpp
@@ -6,12 +6,12 @@
 
 namespace Coordination {
 
-using Platform::TableStatus;
+using Storage::TableStatus;
 
 Base::Result<ConfigurationReplica> ConfigurationReplica::create(const ConfigurationPolicy &policy,
-                                                                Platform::TableService &table,
-                                                                Platform::ObjectStore &objects,
-                                                                Platform::OperationIds &operations,
+                                                                Storage::TableService &table,
+                                                                Storage::ObjectStore &objects,
+                                                                Storage::OperationIds &operations,
                                                                 const std::string &writer)
 {
     const bool isValid = policy.pollInterval > Base::Duration::zero() && policy.pollLimit > 0
@@ -22,9 +22,9 @@
 }
 
 ConfigurationReplica::ConfigurationReplica(const ConfigurationPolicy &policy,
-                                           Platform::TableService &table,
-                                           Platform::ObjectStore &objects,
-                                           Platform::OperationIds &operations,
+                                           Storage::TableService &table,
+                                           Storage::ObjectStore &objects,
+                                           Storage::OperationIds &operations,
                                            const std::string &writer)
     : m_policy(policy)
     , m_table(&table)
@@ -52,13 +52,13 @@
 {
     const bool isOften = m_isPolling || !m_isReady;
     m_nextPoll = now + (isOften ? m_policy.pollInterval : m_policy.idlePollInterval);
-    const Platform::OperationId operation = m_operations->next();
+    const Storage::OperationId operation = m_operations->next();
     m_polls[operation] = now;
     m_table->scan(operation, Settings::changePrefix, Settings::changeKey(m_known.version()),
                   m_policy.pollLimit);
 }
 
-bool ConfigurationReplica::handle(const Platform::TableOutcome &outcome, Base::TimePoint now)
+bool ConfigurationReplica::handle(const Storage::TableOutcome &outcome, Base::TimePoint now)
 {
     m_now = now;
     if (m_polls.erase(outcome.operation) > 0) {
@@ -79,9 +79,9 @@
            || m_compactor.handle(outcome, m_known.configuration());
 }
 
-void ConfigurationReplica::takePoll(const Platform::TableOutcome &outcome, Base::TimePoint now)
+void ConfigurationReplica::takePoll(const Storage::TableOutcome &outcome, Base::TimePoint now)
 {
-    for (const Platform::TableRow &row : outcome.rows) {
+    for (const Storage::TableRow &row : outcome.rows) {
         const Settings::ConfigurationVersion version = Settings::versionOfKey(row.key);
         if (version > m_known.version() + 1) {
             // The rows between were deleted: they are in a snapshot.
@@ -110,13 +110,13 @@
     m_table->read(*m_pointerRead, snapshotKey);
 }
 
-bool ConfigurationReplica::handle(const Platform::ObjectOutcome &outcome, Base::TimePoint now)
+bool ConfigurationReplica::handle(const Storage::ObjectOutcome &outcome, Base::TimePoint now)
 {
     m_now = now;
     if (outcome.operation != m_snapshotRead)
         return m_compactor.handle(outcome);
     m_snapshotRead.reset();
-    if (outcome.status != Platform::ObjectStatus::Done)
+    if (outcome.status != Storage::ObjectStatus::Done)
         return true;
     const auto configuration = Settings::decodeConfiguration(outcome.value);
     if (configuration && m_known.replace(*configuration))
--- a/src/libs/coordination/configurationreplica.h
+++ b/src/libs/coordination/configurationreplica.h
@@ -6,10 +6,10 @@
 #include "coordination/configurationpolicy.h"
 #include "coordination/knownchanges.h"
 #include "coordination/targetwriter.h"
-#include "platform/objectstore.h"
-#include "platform/operationids.h"
-#include "platform/tableservice.h"
 #include "settings/configuration.h"
+#include "storage/objectstore.h"
+#include "storage/operationids.h"
+#include "storage/tableservice.h"
 
 #include <cstdint>
 #include <map>
@@ -35,9 +35,9 @@
 public:
     /// \a writer distinguishes this start of this router among all writers there ever were.
     static Base::Result<ConfigurationReplica> create(const ConfigurationPolicy &policy,
-                                                     Platform::TableService &table,
-                                                     Platform::ObjectStore &objects,
-                                                     Platform::OperationIds &operations,
+                                                     Storage::TableService &table,
+                                                     Storage::ObjectStore &objects,
+                                                     Storage::OperationIds &operations,
                                                      const std::string &writer);
 
     const Settings::Configuration &configuration() const { return m_known.configuration(); }
@@ -50,8 +50,8 @@
     void advance(Base::TimePoint now);
     Base::TimePoint nextDue() const { return m_nextPoll; }
     /// Whether the outcome was an answer to this part's call.
-    bool handle(const Platform::TableOutcome &outcome, Base::TimePoint now);
-    bool handle(const Platform::ObjectOutcome &outcome, Base::TimePoint now);
+    bool handle(const Storage::TableOutcome &outcome, Base::TimePoint now);
+    bool handle(const Storage::ObjectOutcome &outcome, Base::TimePoint now);
 
     /// Writes a target if the class has not changed after version \a seen.
     void writeTarget(std::uint64_t handle, const Settings::ClassTarget &target,
@@ -84,27 +84,27 @@
         Base::TimePoint heardAt;
     };
 
-    ConfigurationReplica(const ConfigurationPolicy &policy, Platform::TableService &table,
-                         Platform::ObjectStore &objects, Platform::OperationIds &operations,
+    ConfigurationReplica(const ConfigurationPolicy &policy, Storage::TableService &table,
+                         Storage::ObjectStore &objects, Storage::OperationIds &operations,
                          const std::string &writer);
     void poll(Base::TimePoint now);
-    void takePoll(const Platform::TableOutcome &outcome, Base::TimePoint now);
+    void takePoll(const Storage::TableOutcome &outcome, Base::TimePoint now);
     void fetchSnapshot();
     void becomeReadyFromPeers();
     Settings::ConfigurationVersion newestOfPeers() const;
 
     ConfigurationPolicy m_policy;
-    Platform::TableService *m_table;
-    Platform::ObjectStore *m_objects;
-    Platform::OperationIds *m_operations;
+    Storage::TableService *m_table;
+    Storage::ObjectStore *m_objects;
+    Storage::OperationIds *m_operations;
     KnownChanges m_known;
     TargetWriter m_writer;
     ConfigurationCompactor m_compactor;
     std::map<Base::HostId, Peer> m_peers;
     /// Polls without an answer yet, with the time they were sent.
-    std::map<Platform::OperationId, Base::TimePoint> m_polls;
-    std::optional<Platform::OperationId> m_pointerRead;
-    std::optional<Platform::OperationId> m_snapshotRead;
+    std::map<Storage::OperationId, Base::TimePoint> m_polls;
+    std::optional<Storage::OperationId> m_pointerRead;
+    std::optional<Storage::OperationId> m_snapshotRead;
     Base::TimePoint m_now{};
     Base::TimePoint m_nextPoll{};
     Base::TimePoint m_nextPull{};
--- a/src/libs/coordination/leavingmarks.cpp
+++ b/src/libs/coordination/leavingmarks.cpp
@@ -19,10 +19,10 @@
     return true;
 }
 
-void LeavingMarks::reconcile(const Platform::HostListing &listing, Base::TimePoint now)
+void LeavingMarks::reconcile(const Storage::HostListing &listing, Base::TimePoint now)
 {
     std::map<std::string, Base::Incarnation> listed;
-    for (const Platform::ListedHost &host : listing.hosts)
+    for (const Storage::ListedHost &host : listing.hosts)
         listed[host.name] = host.incarnation;
     for (auto &[name, mark] : m_marks) {
         const auto it = listed.find(name);
--- a/src/libs/coordination/leavingmarks.h
+++ b/src/libs/coordination/leavingmarks.h
@@ -3,7 +3,7 @@
 #include "base/ids.h"
 #include "base/time.h"
 #include "coordination/heartbeat.h"
-#include "platform/hostlist.h"
+#include "storage/hostlist.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -44,7 +44,7 @@
     /// Returns whether this was new.
     bool add(const std::string &name, Base::Incarnation incarnation);
     /// Notes which marks the platform's newest list still needs.
-    void reconcile(const Platform::HostListing &listing, Base::TimePoint now);
+    void reconcile(const Storage::HostListing &listing, Base::TimePoint now);
     void advance(Base::TimePoint now);
 
     bool covers(const std::string &name, Base::Incarnation incarnation) const;
--- a/src/libs/coordination/membership.cpp
+++ b/src/libs/coordination/membership.cpp
@@ -54,11 +54,11 @@
     , m_marks(policy.leaving)
 {}
 
-void Membership::seed(const Platform::HostListing &listing, Base::TimePoint now)
+void Membership::seed(const Storage::HostListing &listing, Base::TimePoint now)
 {
     // Leaving holds for good, so it is taken from an old list as well.
-    for (const Platform::ListedHost &listed : listing.hosts) {
-        if (listed.state == Platform::HostState::Leaving)
+    for (const Storage::ListedHost &listed : listing.hosts) {
+        if (listed.state == Storage::HostState::Leaving)
             markLeaving(listed.name, listed.incarnation);
     }
     if (listing.version < m_listVersion)
@@ -66,14 +66,14 @@
     m_listVersion = listing.version;
     for (auto &[host, member] : m_others)
         member.isListed = false;
-    for (const Platform::ListedHost &listed : listing.hosts) {
-        if (listed.role == Platform::HostRole::Router && listed.name != m_self.host.value())
+    for (const Storage::ListedHost &listed : listing.hosts) {
+        if (listed.role == Storage::HostRole::Router && listed.name != m_self.host.value())
             seedRouter(listed);
     }
     m_marks.reconcile(listing, now);
 }
 
-void Membership::seedRouter(const Platform::ListedHost &listed)
+void Membership::seedRouter(const Storage::ListedHost &listed)
 {
     Member &member = m_others[Base::HostId(listed.name)];
     member.isListed = true;
--- a/src/libs/coordination/membership.h
+++ b/src/libs/coordination/membership.h
@@ -4,7 +4,7 @@
 #include "base/time.h"
 #include "coordination/heartbeat.h"
 #include "coordination/leavingmarks.h"
-#include "platform/hostlist.h"
+#include "storage/hostlist.h"
 
 #include <cstdint>
 #include <map>
@@ -90,7 +90,7 @@
     static Base::Result<Membership> create(const MembershipPolicy &policy,
                                            const MembershipSelf &self);
 
-    void seed(const Platform::HostListing &listing, Base::TimePoint now);
+    void seed(const Storage::HostListing &listing, Base::TimePoint now);
     void receive(const Heartbeat &heartbeat, Base::TimePoint now);
     /// A connection to \a host was refused or cut.
     void recordUnreachable(const Base::HostId &host, Base::TimePoint now);
@@ -141,7 +141,7 @@
     void lose(Member &member, Base::TimePoint now);
     Base::Duration holdFor(const Member &member) const;
     Base::Duration patience(const Member &member) const;
-    void seedRouter(const Platform::ListedHost &listed);
+    void seedRouter(const Storage::ListedHost &listed);
 
     MembershipPolicy m_policy;
     MembershipSelf m_self;
--- a/src/libs/coordination/orderbook.cpp
+++ b/src/libs/coordination/orderbook.cpp
@@ -10,9 +10,9 @@
 
 } // namespace
 
-Base::Result<OrderBook> OrderBook::create(const OrderPolicy &policy, Platform::TableService &table,
+Base::Result<OrderBook> OrderBook::create(const OrderPolicy &policy, Storage::TableService &table,
                                           ModelServerOrders &orders,
-                                          Platform::OperationIds &operations,
+                                          Storage::OperationIds &operations,
                                           const std::string &holder)
 {
     if (holder.empty() || policy.leaseLength / 2 <= policy.orderTimeout)
@@ -20,8 +20,8 @@
     return OrderBook(policy, table, orders, operations, holder);
 }
 
-OrderBook::OrderBook(const OrderPolicy &policy, Platform::TableService &table,
-                     ModelServerOrders &orders, Platform::OperationIds &operations,
+OrderBook::OrderBook(const OrderPolicy &policy, Storage::TableService &table,
+                     ModelServerOrders &orders, Storage::OperationIds &operations,
                      const std::string &holder)
     : m_policy(policy)
     , m_table(&table)
@@ -73,7 +73,7 @@
     m_table->read(*duty.desiredRead, desiredPrefix + server.value());
 }
 
-bool OrderBook::handle(const Platform::TableOutcome &outcome, Base::TimePoint now)
+bool OrderBook::handle(const Storage::TableOutcome &outcome, Base::TimePoint now)
 {
     for (auto &[server, duty] : m_duties) {
         if (duty.desiredRead == outcome.operation) {
@@ -87,11 +87,11 @@
     return false;
 }
 
-void OrderBook::tookDesired(Duty &duty, const Platform::TableOutcome &outcome)
+void OrderBook::tookDesired(Duty &duty, const Storage::TableOutcome &outcome)
 {
-    if (outcome.status != Platform::TableStatus::Done || outcome.rows.empty())
+    if (outcome.status != Storage::TableStatus::Done || outcome.rows.empty())
         return;
-    const Platform::TableRow &row = outcome.rows.front();
+    const Storage::TableRow &row = outcome.rows.front();
     const std::optional<DesiredRow> desired = decodeDesired(row.value);
     if (!desired || row.version <= duty.desiredVersion)
         return;
--- a/src/libs/coordination/orderbook.h
+++ b/src/libs/coordination/orderbook.h
@@ -4,8 +4,8 @@
 #include "base/time.h"
 #include "coordination/modelserverorders.h"
 #include "coordination/orderlease.h"
-#include "platform/operationids.h"
-#include "platform/tableservice.h"
+#include "storage/operationids.h"
+#include "storage/tableservice.h"
 
 #include <cstddef>
 #include <map>
@@ -33,9 +33,9 @@
 {
 public:
     /// \a holder distinguishes this start of this router. Fails with InvalidOrderPolicy.
-    static Base::Result<OrderBook> create(const OrderPolicy &policy, Platform::TableService &table,
+    static Base::Result<OrderBook> create(const OrderPolicy &policy, Storage::TableService &table,
                                           ModelServerOrders &orders,
-                                          Platform::OperationIds &operations,
+                                          Storage::OperationIds &operations,
                                           const std::string &holder);
 
     /// Servers that this router orders now, and among how many routers the pace is shared.
@@ -43,7 +43,7 @@
     void advance(Base::TimePoint now);
     Base::TimePoint nextDue() const { return m_nextDue; }
     /// Whether the outcome was an answer to this part's call.
-    bool handle(const Platform::TableOutcome &outcome, Base::TimePoint now);
+    bool handle(const Storage::TableOutcome &outcome, Base::TimePoint now);
     void handle(const OrderOutcome &outcome, Base::TimePoint now);
 
     /// Orders that are not carried out yet, of this router's servers.
@@ -54,24 +54,24 @@
     {
         OrderLease lease;
         std::optional<DesiredRow> desired;
-        Platform::RowVersion desiredVersion = Platform::absentRow;
-        std::optional<Platform::OperationId> desiredRead;
+        Storage::RowVersion desiredVersion = Storage::absentRow;
+        std::optional<Storage::OperationId> desiredRead;
         Base::TimePoint nextRead;
         /// Fence of the order that is under way, and until when it may be.
         std::uint64_t sentFence = 0;
         Base::TimePoint sentUntil;
     };
 
-    OrderBook(const OrderPolicy &policy, Platform::TableService &table, ModelServerOrders &orders,
-              Platform::OperationIds &operations, const std::string &holder);
+    OrderBook(const OrderPolicy &policy, Storage::TableService &table, ModelServerOrders &orders,
+              Storage::OperationIds &operations, const std::string &holder);
     void readDesired(const Base::ServerId &server, Duty &duty, Base::TimePoint now);
-    void tookDesired(Duty &duty, const Platform::TableOutcome &outcome);
+    void tookDesired(Duty &duty, const Storage::TableOutcome &outcome);
     void order(const Base::ServerId &server, Duty &duty, Base::TimePoint now);
 
     OrderPolicy m_policy;
-    Platform::TableService *m_table;
+    Storage::TableService *m_table;
     ModelServerOrders *m_orders;
-    Platform::OperationIds *m_operations;
+    Storage::OperationIds *m_operations;
     std::string m_holder;
     std::map<Base::ServerId, Duty> m_duties;
     std::size_t m_routers = 1;
--- a/src/libs/coordination/orderlease.cpp
+++ b/src/libs/coordination/orderlease.cpp
@@ -2,10 +2,10 @@
 
 namespace Coordination {
 
-using Platform::TableStatus;
+using Storage::TableStatus;
 
-OrderLease::OrderLease(const OrderPolicy &policy, Platform::TableService &table,
-                       Platform::OperationIds &operations, const std::string &holder,
+OrderLease::OrderLease(const OrderPolicy &policy, Storage::TableService &table,
+                       Storage::OperationIds &operations, const std::string &holder,
                        const Base::ServerId &server)
     : m_policy(policy)
     , m_table(&table)
@@ -45,7 +45,7 @@
 
 bool OrderLease::isFree(Base::TimePoint now) const
 {
-    if (m_rowVersion == Platform::absentRow || m_row.isDone || m_row.holder == m_holder)
+    if (m_rowVersion == Storage::absentRow || m_row.isDone || m_row.holder == m_holder)
         return true;
     return now - m_seenAt >= m_policy.leaseLength + m_policy.leaseMargin;
 }
@@ -68,7 +68,7 @@
     m_table->transact(m_operation, {{m_key, encodeOrderLease(row), m_rowVersion}});
 }
 
-bool OrderLease::handle(const Platform::TableOutcome &outcome, Base::TimePoint now)
+bool OrderLease::handle(const Storage::TableOutcome &outcome, Base::TimePoint now)
 {
     if (m_stage == Stage::Idle || outcome.operation != m_operation)
         return false;
@@ -81,14 +81,14 @@
     return true;
 }
 
-void OrderLease::tookRead(const Platform::TableOutcome &outcome, Base::TimePoint now)
+void OrderLease::tookRead(const Storage::TableOutcome &outcome, Base::TimePoint now)
 {
     if (outcome.status != TableStatus::Done) {
         m_nextTry = now + m_policy.retryInterval;
         return;
     }
-    const Platform::RowVersion version =
-        outcome.rows.empty() ? Platform::absentRow : outcome.rows.front().version;
+    const Storage::RowVersion version =
+        outcome.rows.empty() ? Storage::absentRow : outcome.rows.front().version;
     // An answer that was long under way shows an older row: it says nothing of the newer one.
     if (m_isKnown && version <= m_rowVersion)
         return;
@@ -105,7 +105,7 @@
         hold(m_pendingAt);
 }
 
-void OrderLease::tookWrite(const Platform::TableOutcome &outcome, Base::TimePoint now)
+void OrderLease::tookWrite(const Storage::TableOutcome &outcome, Base::TimePoint now)
 {
     if (outcome.status == TableStatus::Done && !outcome.rows.empty()) {
         m_row = *m_pending;
--- a/src/libs/coordination/orderlease.h
+++ b/src/libs/coordination/orderlease.h
@@ -3,8 +3,8 @@
 #include "base/ids.h"
 #include "base/time.h"
 #include "coordination/orderrows.h"
-#include "platform/operationids.h"
-#include "platform/tableservice.h"
+#include "storage/operationids.h"
+#include "storage/tableservice.h"
 
 #include <cstdint>
 #include <optional>
@@ -41,13 +41,13 @@
 class OrderLease
 {
 public:
-    OrderLease(const OrderPolicy &policy, Platform::TableService &table,
-               Platform::OperationIds &operations, const std::string &holder,
+    OrderLease(const OrderPolicy &policy, Storage::TableService &table,
+               Storage::OperationIds &operations, const std::string &holder,
                const Base::ServerId &server);
 
     /// Takes, renews or watches the lease, so that it comes to be held for \a number.
     void advance(std::uint64_t number, Base::TimePoint now);
-    bool handle(const Platform::TableOutcome &outcome, Base::TimePoint now);
+    bool handle(const Storage::TableOutcome &outcome, Base::TimePoint now);
 
     /// The fence under which an order with this number may be sent now; empty if none may.
     std::optional<std::uint64_t> fenceFor(std::uint64_t number, Base::TimePoint now) const;
@@ -63,23 +63,23 @@
 
     void read(Base::TimePoint now);
     void write(const OrderLeaseRow &row, Base::TimePoint now);
-    void tookRead(const Platform::TableOutcome &outcome, Base::TimePoint now);
-    void tookWrite(const Platform::TableOutcome &outcome, Base::TimePoint now);
+    void tookRead(const Storage::TableOutcome &outcome, Base::TimePoint now);
+    void tookWrite(const Storage::TableOutcome &outcome, Base::TimePoint now);
     void hold(Base::TimePoint writtenAt);
     bool isFree(Base::TimePoint now) const;
 
     OrderPolicy m_policy;
-    Platform::TableService *m_table;
-    Platform::OperationIds *m_operations;
+    Storage::TableService *m_table;
+    Storage::OperationIds *m_operations;
     std::string m_holder;
     std::string m_key;
     Stage m_stage = Stage::Idle;
-    Platform::OperationId m_operation = 0;
+    Storage::OperationId m_operation = 0;
     Base::TimePoint m_calledAt{};
     Base::TimePoint m_nextTry{};
     bool m_isKnown = false;
     OrderLeaseRow m_row;
-    Platform::RowVersion m_rowVersion = Platform::absentRow;
+    Storage::RowVersion m_rowVersion = Storage::absentRow;
     Base::TimePoint m_seenAt{};
     /// Written, and not known whether it took effect.
     std::optional<OrderLeaseRow> m_pending;
--- a/src/libs/coordination/targetwriter.cpp
+++ b/src/libs/coordination/targetwriter.cpp
@@ -9,9 +9,9 @@
 
 namespace {
 
-using Platform::TableStatus;
+using Storage::TableStatus;
 
-std::optional<Settings::ConfigurationVersion> headVersionOf(const Platform::TableOutcome &outcome)
+std::optional<Settings::ConfigurationVersion> headVersionOf(const Storage::TableOutcome &outcome)
 {
     if (outcome.rows.empty())
         return 0;
@@ -26,8 +26,8 @@
 
 } // namespace
 
-TargetWriter::TargetWriter(const ConfigurationPolicy &policy, Platform::TableService &table,
-                           Platform::OperationIds &operations, const std::string &writer)
+TargetWriter::TargetWriter(const ConfigurationPolicy &policy, Storage::TableService &table,
+                           Storage::OperationIds &operations, const std::string &writer)
     : m_policy(policy)
     , m_table(&table)
     , m_operations(&operations)
@@ -78,7 +78,7 @@
         readBack(write);
 }
 
-bool TargetWriter::handle(const Platform::TableOutcome &outcome, KnownChanges &known,
+bool TargetWriter::handle(const Storage::TableOutcome &outcome, KnownChanges &known,
                           Base::TimePoint now)
 {
     if (m_writes.empty() || m_writes.front().operation != outcome.operation)
@@ -117,7 +117,7 @@
     m_table->read(write.operation, Settings::headKey);
 }
 
-void TargetWriter::tookHead(Write &write, const Platform::TableOutcome &outcome,
+void TargetWriter::tookHead(Write &write, const Storage::TableOutcome &outcome,
                             const KnownChanges &known)
 {
     const std::optional<Settings::ConfigurationVersion> version = headVersionOf(outcome);
@@ -126,7 +126,7 @@
         return;
     }
     write.headVersion = *version;
-    write.headRow = outcome.rows.empty() ? Platform::absentRow : outcome.rows.front().version;
+    write.headRow = outcome.rows.empty() ? Storage::absentRow : outcome.rows.front().version;
     catchUp(write, known);
 }
 
@@ -142,11 +142,11 @@
                   m_policy.pollLimit);
 }
 
-void TargetWriter::tookChanges(Write &write, const Platform::TableOutcome &outcome,
+void TargetWriter::tookChanges(Write &write, const Storage::TableOutcome &outcome,
                                KnownChanges &known, Base::TimePoint now)
 {
     const Settings::ConfigurationVersion before = known.version();
-    for (const Platform::TableRow &row : outcome.rows) {
+    for (const Storage::TableRow &row : outcome.rows) {
         auto change = Settings::decodeChange(Settings::versionOfKey(row.key), row.value);
         if (change)
             known.apply(*change, ChangeSource::Table, now);
@@ -188,10 +188,10 @@
     m_table->transact(write.operation,
                       {{Settings::headKey, std::to_string(write.version), write.headRow},
                        {Settings::changeKey(write.version),
-                        Settings::encodeChange(change, write.token), Platform::absentRow}});
+                        Settings::encodeChange(change, write.token), Storage::absentRow}});
 }
 
-void TargetWriter::tookTransaction(Write &write, const Platform::TableOutcome &outcome,
+void TargetWriter::tookTransaction(Write &write, const Storage::TableOutcome &outcome,
                                    KnownChanges &known, Base::TimePoint now)
 {
     switch (outcome.status) {
@@ -232,7 +232,7 @@
     m_table->read(write.operation, Settings::changeKey(write.version));
 }
 
-void TargetWriter::tookRow(Write &write, const Platform::TableOutcome &outcome, KnownChanges &known,
+void TargetWriter::tookRow(Write &write, const Storage::TableOutcome &outcome, KnownChanges &known,
                            Base::TimePoint now)
 {
     const bool isMissing = outcome.rows.empty() && write.isHeadMoved;
--- a/src/libs/coordination/targetwriter.h
+++ b/src/libs/coordination/targetwriter.h
@@ -3,9 +3,9 @@
 #include "base/time.h"
 #include "coordination/configurationpolicy.h"
 #include "coordination/knownchanges.h"
-#include "platform/operationids.h"
-#include "platform/tableservice.h"
 #include "settings/configuration.h"
+#include "storage/operationids.h"
+#include "storage/tableservice.h"
 
 #include <cstdint>
 #include <deque>
@@ -44,14 +44,14 @@
 class TargetWriter
 {
 public:
-    TargetWriter(const ConfigurationPolicy &policy, Platform::TableService &table,
-                 Platform::OperationIds &operations, const std::string &writer);
+    TargetWriter(const ConfigurationPolicy &policy, Storage::TableService &table,
+                 Storage::OperationIds &operations, const std::string &writer);
 
     void write(std::uint64_t handle, const Settings::ClassTarget &target,
                Settings::ConfigurationVersion seen, const KnownChanges &known, Base::TimePoint now);
     void advance(Base::TimePoint now);
     /// Whether the outcome was an answer to this part's call.
-    bool handle(const Platform::TableOutcome &outcome, KnownChanges &known, Base::TimePoint now);
+    bool handle(const Storage::TableOutcome &outcome, KnownChanges &known, Base::TimePoint now);
     std::vector<TargetWriteResult> takeResults();
 
 private:
@@ -65,10 +65,10 @@
         std::string token;
         Base::TimePoint deadline;
         Stage stage = Stage::Waiting;
-        Platform::OperationId operation = 0;
+        Storage::OperationId operation = 0;
         /// Version and head row of the transaction sent last.
         Settings::ConfigurationVersion version = 0;
-        Platform::RowVersion headRow = Platform::absentRow;
+        Storage::RowVersion headRow = Storage::absentRow;
         Settings::ConfigurationVersion headVersion = 0;
         /// A transaction was sent whose outcome is not known.
         bool isInDoubt = false;
@@ -84,20 +84,20 @@
     void readBack(Write &write);
     void pause(Write &write, Base::TimePoint now);
     void tryWrite(Write &write, const KnownChanges &known);
-    void tookHead(Write &write, const Platform::TableOutcome &outcome, const KnownChanges &known);
-    void tookChanges(Write &write, const Platform::TableOutcome &outcome, KnownChanges &known,
+    void tookHead(Write &write, const Storage::TableOutcome &outcome, const KnownChanges &known);
+    void tookChanges(Write &write, const Storage::TableOutcome &outcome, KnownChanges &known,
                      Base::TimePoint now);
-    void tookTransaction(Write &write, const Platform::TableOutcome &outcome, KnownChanges &known,
+    void tookTransaction(Write &write, const Storage::TableOutcome &outcome, KnownChanges &known,
                          Base::TimePoint now);
-    void tookRow(Write &write, const Platform::TableOutcome &outcome, KnownChanges &known,
+    void tookRow(Write &write, const Storage::TableOutcome &outcome, KnownChanges &known,
                  Base::TimePoint now);
     void accept(Write &write, KnownChanges &known, Base::TimePoint now);
     void finish(TargetWriteStatus status, Settings::ConfigurationVersion version);
     void finishUnreached(const Write &write, const KnownChanges &known);
 
     ConfigurationPolicy m_policy;
-    Platform::TableService *m_table;
-    Platform::OperationIds *m_operations;
+    Storage::TableService *m_table;
+    Storage::OperationIds *m_operations;
     std::string m_writer;
     std::uint64_t m_lastToken = 0;
     /// The first is under way.
--- a/src/libs/daemon/daemon.cpp
+++ b/src/libs/daemon/daemon.cpp
@@ -115,9 +115,9 @@
 void Daemon::seedPeers()
 {
     // Version 0 is older than any list of the platform.
-    Platform::HostListing listing;
+    Storage::HostListing listing;
     for (const SeedRouter &seed : m_settings.seeds) {
-        Platform::ListedHost host;
+        Storage::ListedHost host;
         host.name = seed.host.value();
         host.address = seed.peerAddress;
         listing.hosts.push_back(host);
--- a/src/libs/daemon/platformclient.cpp
+++ b/src/libs/daemon/platformclient.cpp
@@ -10,36 +10,36 @@
 
 namespace {
 
-Platform::TableStatus tableStatus(PlatformVerdict verdict)
+Storage::TableStatus tableStatus(PlatformVerdict verdict)
 {
     switch (verdict) {
     case PlatformVerdict::Answered:
-        return Platform::TableStatus::Done;
+        return Storage::TableStatus::Done;
     case PlatformVerdict::Conflict:
-        return Platform::TableStatus::Conflict;
+        return Storage::TableStatus::Conflict;
     case PlatformVerdict::NotDone:
-        return Platform::TableStatus::NotDone;
+        return Storage::TableStatus::NotDone;
     case PlatformVerdict::Missing:
     case PlatformVerdict::Unknown:
         break;
     }
-    return Platform::TableStatus::Unknown;
+    return Storage::TableStatus::Unknown;
 }
 
-Platform::ObjectStatus objectStatus(PlatformVerdict verdict)
+Storage::ObjectStatus objectStatus(PlatformVerdict verdict)
 {
     switch (verdict) {
     case PlatformVerdict::Answered:
-        return Platform::ObjectStatus::Done;
+        return Storage::ObjectStatus::Done;
     case PlatformVerdict::Missing:
-        return Platform::ObjectStatus::Missing;
+        return Storage::ObjectStatus::Missing;
     case PlatformVerdict::NotDone:
-        return Platform::ObjectStatus::NotDone;
+        return Storage::ObjectStatus::NotDone;
     case PlatformVerdict::Conflict:
     case PlatformVerdict::Unknown:
         break;
     }
-    return Platform::ObjectStatus::Unknown;
+    return Storage::ObjectStatus::Unknown;
 }
 
 } // namespace
@@ -78,20 +78,20 @@
     , m_ring(ring)
 {}
 
-void PlatformClient::read(Platform::OperationId operation, const std::string &key)
+void PlatformClient::read(Storage::OperationId operation, const std::string &key)
 {
     startTable(operation, requestFor("/table/row?key=" + percentEncoded(key)));
 }
 
-void PlatformClient::scan(Platform::OperationId operation, const std::string &prefix,
+void PlatformClient::scan(Storage::OperationId operation, const std::string &prefix,
                           const std::string &after, std::size_t limit)
 {
     startTable(operation, requestFor("/table/rows?prefix=" + percentEncoded(prefix) + "&after="
                                      + percentEncoded(after) + "&limit=" + std::to_string(limit)));
 }
 
-void PlatformClient::transact(Platform::OperationId operation,
-                              const std::vector<Platform::TableWrite> &writes)
+void PlatformClient::transact(Storage::OperationId operation,
+                              const std::vector<Storage::TableWrite> &writes)
 {
     TransferRequest request = requestFor("/table/transact");
     request.method = "POST";
@@ -100,7 +100,7 @@
     startTable(operation, request);
 }
 
-void PlatformClient::put(Platform::OperationId operation, const std::string &key,
+void PlatformClient::put(Storage::OperationId operation, const std::string &key,
                          const std::string &value)
 {
     TransferRequest request = requestFor("/objects/" + percentEncoded(key));
@@ -110,7 +110,7 @@
     start(request, [this, operation](const BufferedAnswer &it) { takeObject(operation, it); });
 }
 
-void PlatformClient::get(Platform::OperationId operation, const std::string &key)
+void PlatformClient::get(Storage::OperationId operation, const std::string &key)
 {
     start(requestFor("/objects/" + percentEncoded(key)),
           [this, operation](const BufferedAnswer &it) { takeObject(operation, it); });
@@ -136,17 +136,17 @@
     });
 }
 
-void PlatformClient::startTable(Platform::OperationId operation, const TransferRequest &request)
+void PlatformClient::startTable(Storage::OperationId operation, const TransferRequest &request)
 {
     start(request, [this, operation](const BufferedAnswer &it) { takeRows(operation, it); });
 }
 
-void PlatformClient::takeRows(Platform::OperationId operation, const BufferedAnswer &answer)
+void PlatformClient::takeRows(Storage::OperationId operation, const BufferedAnswer &answer)
 {
-    Platform::TableOutcome outcome;
+    Storage::TableOutcome outcome;
     outcome.operation = operation;
     outcome.status = tableStatus(verdictOf(answer));
-    if (outcome.status == Platform::TableStatus::Done) {
+    if (outcome.status == Storage::TableStatus::Done) {
         const bool isRead = boost::leaf::try_handle_all(
             [&]() -> Base::Result<bool> {
                 BOOST_LEAF_ASSIGN(outcome.rows, decodeRows(answer.body));
@@ -154,16 +154,16 @@
             },
             [] { return false; });
         if (!isRead)
-            outcome.status = Platform::TableStatus::Unknown;
+            outcome.status = Storage::TableStatus::Unknown;
     }
     m_ring.push(outcome);
 }
 
-void PlatformClient::takeObject(Platform::OperationId operation, const BufferedAnswer &answer)
+void PlatformClient::takeObject(Storage::OperationId operation, const BufferedAnswer &answer)
 {
-    const Platform::ObjectStatus status = objectStatus(verdictOf(answer));
-    const bool hasValue = status == Platform::ObjectStatus::Done;
-    m_ring.push(Platform::ObjectOutcome{operation, status, hasValue ? answer.body : std::string()});
+    const Storage::ObjectStatus status = objectStatus(verdictOf(answer));
+    const bool hasValue = status == Storage::ObjectStatus::Done;
+    m_ring.push(Storage::ObjectOutcome{operation, status, hasValue ? answer.body : std::string()});
 }
 
 void PlatformClient::takeListing(const BufferedAnswer &answer)
--- a/src/libs/daemon/platformclient.h
+++ b/src/libs/daemon/platformclient.h
@@ -4,8 +4,8 @@
 #include "daemon/bufferedtransfer.h"
 #include "daemon/eventring.h"
 #include "daemon/transferloop.h"
-#include "platform/objectstore.h"
-#include "platform/tableservice.h"
+#include "storage/objectstore.h"
+#include "storage/tableservice.h"
 
 #include <memory>
 #include <string>
@@ -27,21 +27,21 @@
 ///
 /// An answer that is lost is Unknown and never NotDone, unless not a byte was sent: a write
 /// may have taken effect before its answer was lost.
-class PlatformClient final : public Platform::TableService, public Platform::ObjectStore
+class PlatformClient final : public Storage::TableService, public Storage::ObjectStore
 {
 public:
     /// \a address is "IP:PORT". Begins to poll the host list. Fails with ClientUnavailable.
     static Base::Result<std::unique_ptr<PlatformClient>> create(const std::string &address,
                                                                 EventRing &ring);
 
-    void read(Platform::OperationId operation, const std::string &key) override;
-    void scan(Platform::OperationId operation, const std::string &prefix, const std::string &after,
+    void read(Storage::OperationId operation, const std::string &key) override;
+    void scan(Storage::OperationId operation, const std::string &prefix, const std::string &after,
               std::size_t limit) override;
-    void transact(Platform::OperationId operation,
-                  const std::vector<Platform::TableWrite> &writes) override;
-    void put(Platform::OperationId operation, const std::string &key,
+    void transact(Storage::OperationId operation,
+                  const std::vector<Storage::TableWrite> &writes) override;
+    void put(Storage::OperationId operation, const std::string &key,
              const std::string &value) override;
-    void get(Platform::OperationId operation, const std::string &key) override;
+    void get(Storage::OperationId operation, const std::string &key) override;
 
     /// Asks for the host list now; the answer comes as HostListArrived. The daemon calls it
     /// each hostListInterval.
@@ -52,9 +52,9 @@
 
     TransferRequest requestFor(const std::string &path) const;
     void start(const TransferRequest &request, BufferedTransfer::Done done);
-    void startTable(Platform::OperationId operation, const TransferRequest &request);
-    void takeRows(Platform::OperationId operation, const BufferedAnswer &answer);
-    void takeObject(Platform::OperationId operation, const BufferedAnswer &answer);
+    void startTable(Storage::OperationId operation, const TransferRequest &request);
+    void takeRows(Storage::OperationId operation, const BufferedAnswer &answer);
+    void takeObject(Storage::OperationId operation, const BufferedAnswer &answer);
     void takeListing(const BufferedAnswer &answer);
 
     std::string m_address;
--- a/src/libs/daemon/platformcodec.cpp
+++ b/src/libs/daemon/platformcodec.cpp
@@ -28,24 +28,24 @@
     return it != json.end() && it->is_number_unsigned() ? it->get<std::uint64_t>() : 0;
 }
 
-std::optional<Platform::HostRole> roleOf(const std::string &text)
+std::optional<Storage::HostRole> roleOf(const std::string &text)
 {
     if (text == "router")
-        return Platform::HostRole::Router;
+        return Storage::HostRole::Router;
     if (text == "model-server")
-        return Platform::HostRole::ModelServer;
+        return Storage::HostRole::ModelServer;
     if (text == "application-server")
-        return Platform::HostRole::ApplicationServer;
+        return Storage::HostRole::ApplicationServer;
     return std::nullopt;
 }
 
-Platform::ListedHost hostOf(const Json &json, Platform::HostRole role)
+Storage::ListedHost hostOf(const Json &json, Storage::HostRole role)
 {
-    Platform::ListedHost host;
+    Storage::ListedHost host;
     host.name = textOf(json, "name");
     host.role = role;
-    host.state = textOf(json, "state") == "leaving" ? Platform::HostState::Leaving
-                                                    : Platform::HostState::Live;
+    host.state =
+        textOf(json, "state") == "leaving" ? Storage::HostState::Leaving : Storage::HostState::Live;
     host.zone = Base::ZoneId(textOf(json, "zone"));
     host.address = textOf(json, "address");
     host.callerAddress = textOf(json, "callerAddress");
@@ -65,10 +65,10 @@
 
 } // namespace
 
-std::string encodeWrites(const std::vector<Platform::TableWrite> &writes)
+std::string encodeWrites(const std::vector<Storage::TableWrite> &writes)
 {
     Json list = Json::array();
-    for (const Platform::TableWrite &write : writes) {
+    for (const Storage::TableWrite &write : writes) {
         Json json{{"key", write.key}};
         json["value"] = write.value ? Json(*write.value) : Json();
         json["expected"] = write.expected ? Json(*write.expected) : Json();
@@ -77,12 +77,12 @@
     return Json{{"writes", list}}.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
-Result<std::vector<Platform::TableRow>> decodeRows(const std::string &text)
+Result<std::vector<Storage::TableRow>> decodeRows(const std::string &text)
 {
     const Json json = Json::parse(text, nullptr, false);
     if (!json.is_object() || !json.contains("rows") || !json["rows"].is_array())
         return malformed();
-    std::vector<Platform::TableRow> rows;
+    std::vector<Storage::TableRow> rows;
     for (const Json &row : json["rows"]) {
         if (!row.is_object() || !row.contains("key"))
             return malformed();
@@ -91,17 +91,17 @@
     return rows;
 }
 
-Result<Platform::HostListing> decodeListing(const std::string &text)
+Result<Storage::HostListing> decodeListing(const std::string &text)
 {
     const Json json = Json::parse(text, nullptr, false);
     if (!json.is_object() || !json.contains("hosts") || !json["hosts"].is_array())
         return malformed();
-    Platform::HostListing listing;
+    Storage::HostListing listing;
     listing.version = numberOf(json, "version");
     for (const Json &host : json["hosts"]) {
         if (!host.is_object())
             return malformed();
-        const std::optional<Platform::HostRole> role = roleOf(textOf(host, "role"));
+        const std::optional<Storage::HostRole> role = roleOf(textOf(host, "role"));
         if (role && !textOf(host, "name").empty())
             listing.hosts.push_back(hostOf(host, *role));
     }
--- a/src/libs/daemon/platformcodec.h
+++ b/src/libs/daemon/platformcodec.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "base/result.h"
-#include "platform/hostlist.h"
-#include "platform/tableservice.h"
+#include "storage/hostlist.h"
+#include "storage/tableservice.h"
 
 #include <string>
 #include <vector>
@@ -13,10 +13,10 @@
 struct MalformedPlatformAnswer
 {};
 
-std::string encodeWrites(const std::vector<Platform::TableWrite> &writes);
+std::string encodeWrites(const std::vector<Storage::TableWrite> &writes);
 /// Fails with MalformedPlatformAnswer; any bytes are safe.
-Base::Result<std::vector<Platform::TableRow>> decodeRows(const std::string &text);
+Base::Result<std::vector<Storage::TableRow>> decodeRows(const std::string &text);
 /// Fails with MalformedPlatformAnswer; any bytes are safe. Hosts of unknown roles are left out.
-Base::Result<Platform::HostListing> decodeListing(const std::string &text);
+Base::Result<Storage::HostListing> decodeListing(const std::string &text);
 
 } // namespace Daemon
--- a/src/libs/node/backendclient.h
+++ b/src/libs/node/backendclient.h
@@ -2,8 +2,8 @@
 
 #include "base/ids.h"
 #include "base/time.h"
-#include "platform/hostlist.h"
 #include "scheduling/concurrencylimiter.h"
+#include "storage/hostlist.h"
 
 #include <cstdint>
 #include <optional>
--- a/src/libs/node/environment.h
+++ b/src/libs/node/environment.h
@@ -6,8 +6,8 @@
 #include "node/callerport.h"
 #include "node/nodeobserver.h"
 #include "node/peertransport.h"
-#include "platform/objectstore.h"
-#include "platform/tableservice.h"
+#include "storage/objectstore.h"
+#include "storage/tableservice.h"
 
 namespace Node {
 
@@ -25,8 +25,8 @@
     CallerPort &callers;
     PeerTransport &peers;
     BackendClient &backends;
-    Platform::TableService &table;
-    Platform::ObjectStore &objects;
+    Storage::TableService &table;
+    Storage::ObjectStore &objects;
     NodeObserver &observer;
     Base::RandomSource &random;
     const WallClock &wallClock;
--- a/src/libs/node/event.h
+++ b/src/libs/node/event.h
@@ -5,10 +5,10 @@
 #include "node/backendclient.h"
 #include "node/callerport.h"
 #include "node/peermessage.h"
-#include "platform/hostlist.h"
-#include "platform/objectstore.h"
-#include "platform/tableservice.h"
 #include "settings/configuration.h"
+#include "storage/hostlist.h"
+#include "storage/objectstore.h"
+#include "storage/tableservice.h"
 
 #include <cstdint>
 #include <optional>
@@ -102,7 +102,7 @@
 
 struct HostListArrived
 {
-    Platform::HostListing listing;
+    Storage::HostListing listing;
 };
 
 /// The platform's agent told this process to leave: finish everything, take nothing new.
@@ -113,6 +113,6 @@
     std::variant<CallerRequest, CallerGone, CallerBlocked, CallerReady, EntryHostsAsked,
                  TargetsAsked, TargetWriteAsked, StatusAsked, PeerMessageArrived, PeerUnreachable,
                  BackendHead, BackendPart, BackendFinished, BackendFailed, BackendLoad,
-                 Platform::TableOutcome, Platform::ObjectOutcome, HostListArrived, ShutdownAsked>;
+                 Storage::TableOutcome, Storage::ObjectOutcome, HostListArrived, ShutdownAsked>;
 
 } // namespace Node
--- a/src/libs/node/node.cpp
+++ b/src/libs/node/node.cpp
@@ -31,8 +31,8 @@
 
 Base::Result<void> Node::assemble()
 {
-    BOOST_LEAF_AUTO(table, Platform::TableGateway::create(m_settings.table, m_environment.table,
-                                                          m_environment.random));
+    BOOST_LEAF_AUTO(table, Storage::TableGateway::create(m_settings.table, m_environment.table,
+                                                         m_environment.random));
     m_table = std::move(table);
     BOOST_LEAF_AUTO(membership,
                     Coordination::Membership::create(m_settings.membership, m_settings.self));
@@ -141,7 +141,7 @@
 void Node::deliverOutcomes(Base::TimePoint now)
 {
     m_table->advance(now);
-    for (const Platform::TableOutcome &outcome : m_table->takeOutcomes()) {
+    for (const Storage::TableOutcome &outcome : m_table->takeOutcomes()) {
         const bool isTaken =
             m_configuration->handle(outcome, now) || m_claims->handle(outcome, now);
         if (!isTaken)
@@ -262,12 +262,12 @@
     m_homes->recordLoad(event, now);
 }
 
-void Node::on(const Platform::TableOutcome &event, Base::TimePoint now)
+void Node::on(const Storage::TableOutcome &event, Base::TimePoint now)
 {
     m_table->handle(event, now);
 }
 
-void Node::on(const Platform::ObjectOutcome &event, Base::TimePoint now)
+void Node::on(const Storage::ObjectOutcome &event, Base::TimePoint now)
 {
     m_configuration->handle(event, now);
 }
--- a/src/libs/node/node.h
+++ b/src/libs/node/node.h
@@ -16,8 +16,8 @@
 #include "node/outbox.h"
 #include "node/poolhomes.h"
 #include "node/serverdirectory.h"
-#include "platform/operationids.h"
-#include "platform/tablegateway.h"
+#include "storage/operationids.h"
+#include "storage/tablegateway.h"
 
 #include <deque>
 #include <map>
@@ -80,8 +80,8 @@
     void on(const BackendFinished &event, Base::TimePoint now);
     void on(const BackendFailed &event, Base::TimePoint now);
     void on(const BackendLoad &event, Base::TimePoint now);
-    void on(const Platform::TableOutcome &event, Base::TimePoint now);
-    void on(const Platform::ObjectOutcome &event, Base::TimePoint now);
+    void on(const Storage::TableOutcome &event, Base::TimePoint now);
+    void on(const Storage::ObjectOutcome &event, Base::TimePoint now);
     void on(const HostListArrived &event, Base::TimePoint now);
     void on(const ShutdownAsked &event, Base::TimePoint now);
 
@@ -117,9 +117,9 @@
 
     NodeSettings m_settings;
     Environment m_environment;
-    Platform::OperationIds m_operations;
+    Storage::OperationIds m_operations;
     ServerDirectory m_directory;
-    std::unique_ptr<Platform::TableGateway> m_table;
+    std::unique_ptr<Storage::TableGateway> m_table;
     std::unique_ptr<Coordination::Membership> m_membership;
     std::unique_ptr<Coordination::ConfigurationReplica> m_configuration;
     std::unique_ptr<Claims::ClaimBook> m_claims;
--- a/src/libs/node/nodesettings.h
+++ b/src/libs/node/nodesettings.h
@@ -7,13 +7,13 @@
 #include "coordination/serviceledger.h"
 #include "coordination/trafficmeter.h"
 #include "node/homewatch.h"
-#include "platform/tablegateway.h"
 #include "scheduling/admissionpolicy.h"
 #include "scheduling/concurrencylimiter.h"
 #include "scheduling/fairqueue.h"
 #include "scheduling/retrybudget.h"
 #include "scheduling/retrypolicy.h"
 #include "scheduling/shardselector.h"
+#include "storage/tablegateway.h"
 
 #include <chrono>
 #include <cstdint>
@@ -36,7 +36,7 @@
     Claims::ClaimPolicy claims;
     Claims::SweepPolicy sweep;
     HomeWatchPolicy homeWatch;
-    Platform::TableGatewayPolicy table;
+    Storage::TableGatewayPolicy table;
     Scheduling::RetryPolicyLimits retryPolicy;
     Scheduling::ShardSelectorPolicy shardSelector;
 
--- a/src/libs/node/serverdirectory.cpp
+++ b/src/libs/node/serverdirectory.cpp
@@ -4,15 +4,15 @@
 
 namespace Node {
 
-bool ServerDirectory::update(const Platform::HostListing &listing)
+bool ServerDirectory::update(const Storage::HostListing &listing)
 {
     if (listing.version < m_version)
         return false;
     m_version = listing.version;
     m_servers.clear();
     m_pools.clear();
-    for (const Platform::ListedHost &host : listing.hosts) {
-        if (host.role == Platform::HostRole::Router)
+    for (const Storage::ListedHost &host : listing.hosts) {
+        if (host.role == Storage::HostRole::Router)
             continue;
         Server server;
         server.id = Base::ServerId(host.name);
@@ -21,7 +21,7 @@
         server.incarnation = host.incarnation;
         server.role = host.role;
         server.isCheckingFences = host.isCheckingFences;
-        server.isLeaving = host.state == Platform::HostState::Leaving;
+        server.isLeaving = host.state == Storage::HostState::Leaving;
         server.pools = host.pools;
         for (const Base::PoolId &pool : host.pools)
             m_pools[pool].push_back(server.id);
--- a/src/libs/node/serverdirectory.h
+++ b/src/libs/node/serverdirectory.h
@@ -2,7 +2,7 @@
 
 #include "base/ids.h"
 #include "coordination/membership.h"
-#include "platform/hostlist.h"
+#include "storage/hostlist.h"
 
 #include <map>
 #include <optional>
@@ -18,7 +18,7 @@
     std::string address;
     Base::ZoneId zone;
     Base::Incarnation incarnation = 0;
-    Platform::HostRole role = Platform::HostRole::ModelServer;
+    Storage::HostRole role = Storage::HostRole::ModelServer;
     bool isCheckingFences = false;
     bool isLeaving = false;
     std::vector<Base::PoolId> pools;
@@ -29,7 +29,7 @@
 {
 public:
     /// Takes a newer listing; an older one is left. Returns whether it was taken.
-    bool update(const Platform::HostListing &listing);
+    bool update(const Storage::HostListing &listing);
     /// Marks servers that \a membership knows to be leaving.
     void markLeaving(const Coordination::Membership &membership);
 
--- a/src/libs/platform/calllane.cpp
+++ b/src/libs/storage/calllane.cpp
@@ -1,8 +1,8 @@
-#include "platform/calllane.h"
+#include "storage/calllane.h"
 
 #include <algorithm>
 
-namespace Platform {
+namespace Storage {
 
 namespace {
 
@@ -157,4 +157,4 @@
     m_delayed.emplace(retryAt, call);
 }
 
-} // namespace Platform
+} // namespace Storage
--- a/src/libs/platform/calllane.h
+++ b/src/libs/storage/calllane.h
@@ -2,10 +2,10 @@
 
 #include "base/random.h"
 #include "base/time.h"
-#include "platform/circuitbreaker.h"
-#include "platform/operationids.h"
-#include "platform/ratelimiter.h"
-#include "platform/tableservice.h"
+#include "storage/circuitbreaker.h"
+#include "storage/operationids.h"
+#include "storage/ratelimiter.h"
+#include "storage/tableservice.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -14,7 +14,7 @@
 #include <utility>
 #include <vector>
 
-namespace Platform {
+namespace Storage {
 
 /// Bounds of one kind of call. docs/design/platform-clients.md gives the reasons.
 struct LanePolicy
@@ -140,4 +140,4 @@
     std::vector<End> m_ends;
 };
 
-} // namespace Platform
+} // namespace Storage
--- a/src/libs/platform/circuitbreaker.cpp
+++ b/src/libs/storage/circuitbreaker.cpp
@@ -1,8 +1,8 @@
-#include "platform/circuitbreaker.h"
+#include "storage/circuitbreaker.h"
 
 #include <algorithm>
 
-namespace Platform {
+namespace Storage {
 
 CircuitBreaker::CircuitBreaker(const CircuitBreakerPolicy &policy, Base::RandomSource &random)
     : m_policy(policy)
@@ -39,4 +39,4 @@
     m_trialAt = now + m_pause + Base::Duration(m_random->next() % spread);
 }
 
-} // namespace Platform
+} // namespace Storage
--- a/src/libs/platform/circuitbreaker.h
+++ b/src/libs/storage/circuitbreaker.h
@@ -5,7 +5,7 @@
 
 #include <cstdint>
 
-namespace Platform {
+namespace Storage {
 
 struct CircuitBreakerPolicy
 {
@@ -53,4 +53,4 @@
     Base::TimePoint m_trialAt{};
 };
 
-} // namespace Platform
+} // namespace Storage
--- a/src/libs/platform/hostlist.h
+++ b/src/libs/storage/hostlist.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-namespace Platform {
+namespace Storage {
 
 enum class HostRole { Router, ModelServer, ApplicationServer };
 enum class HostState { Live, Leaving };
@@ -37,4 +37,4 @@
     std::vector<ListedHost> hosts;
 };
 
-} // namespace Platform
+} // namespace Storage
--- a/src/libs/platform/objectgateway.cpp
+++ b/src/libs/storage/objectgateway.cpp
@@ -1,8 +1,8 @@
-#include "platform/objectgateway.h"
+#include "storage/objectgateway.h"
 
 #include <algorithm>
 
-namespace Platform {
+namespace Storage {
 
 namespace {
 
@@ -101,4 +101,4 @@
     }
 }
 
-} // namespace Platform
+} // namespace Storage
--- a/src/libs/platform/objectgateway.h
+++ b/src/libs/storage/objectgateway.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "base/result.h"
-#include "platform/calllane.h"
-#include "platform/objectstore.h"
+#include "storage/calllane.h"
+#include "storage/objectstore.h"
 
 #include <cstddef>
 #include <map>
@@ -11,7 +11,7 @@
 #include <utility>
 #include <vector>
 
-namespace Platform {
+namespace Storage {
 
 struct ObjectGatewayPolicy
 {
@@ -72,4 +72,4 @@
     std::vector<ObjectOutcome> m_outcomes;
 };
 
-} // namespace Platform
+} // namespace Storage
--- a/src/libs/platform/objectstore.h
+++ b/src/libs/storage/objectstore.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "platform/tableservice.h"
+#include "storage/tableservice.h"
 
 #include <string>
 
-namespace Platform {
+namespace Storage {
 
 enum class ObjectStatus {
     Done,
@@ -29,4 +29,4 @@
     virtual void get(OperationId operation, const std::string &key) = 0;
 };
 
-} // namespace Platform
+} // namespace Storage
--- a/src/libs/platform/operationids.h
+++ b/src/libs/storage/operationids.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "platform/tableservice.h"
+#include "storage/tableservice.h"
 
-namespace Platform {
+namespace Storage {
 
 /// Gives out operation ids to all parts of one node that call the platform.
 class OperationIds
@@ -14,4 +14,4 @@
     OperationId m_last = 0;
 };
 
-} // namespace Platform
+} // namespace Storage
--- a/src/libs/platform/ratelimiter.h
+++ b/src/libs/storage/ratelimiter.h
@@ -4,7 +4,7 @@
 
 #include <algorithm>
 
-namespace Platform {
+namespace Storage {
 
 /// Spaces calls to a rate and lets a burst through (generic cell rate algorithm).
 ///
@@ -49,4 +49,4 @@
     Base::TimePoint m_fullAt{};
 };
 
-} // namespace Platform
+} // namespace Storage
--- a/src/libs/platform/tablegateway.cpp
+++ b/src/libs/storage/tablegateway.cpp
@@ -1,8 +1,8 @@
-#include "platform/tablegateway.h"
+#include "storage/tablegateway.h"
 
 #include <algorithm>
 
-namespace Platform {
+namespace Storage {
 
 namespace {
 
@@ -132,4 +132,4 @@
         m_below->transact(it.attempt, m_calls.at(it.call).writes);
 }
 
-} // namespace Platform
+} // namespace Storage
--- a/src/libs/platform/tablegateway.h
+++ b/src/libs/storage/tablegateway.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "base/result.h"
-#include "platform/calllane.h"
-#include "platform/tableservice.h"
+#include "storage/calllane.h"
+#include "storage/tableservice.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -12,7 +12,7 @@
 #include <utility>
 #include <vector>
 
-namespace Platform {
+namespace Storage {
 
 struct TableGatewayPolicy
 {
@@ -90,4 +90,4 @@
     std::vector<TableOutcome> m_outcomes;
 };
 
-} // namespace Platform
+} // namespace Storage
--- a/src/libs/platform/tableservice.h
+++ b/src/libs/storage/tableservice.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-namespace Platform {
+namespace Storage {
 
 /// Names one call of the platform in flight; unique within one start of a process.
 using OperationId = std::uint64_t;
@@ -67,4 +67,4 @@
     virtual Base::TimePoint nextWriteAt() const { return Base::TimePoint::min(); }
 };
 
-} // namespace Platform
+} // namespace Storage
--- a/tests/auto/claims/claimfleet.h
+++ b/tests/auto/claims/claimfleet.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "claims/claimbook.h"
-#include "platform/tablegateway.h"
+#include "storage/tablegateway.h"
 #include "support/faultytable.h"
 
 #include <algorithm>
@@ -38,7 +38,7 @@
            const Claims::ClaimPolicy &policy = {})
         : below(table, seed)
         , random(seed)
-        , gateway(std::move(*Platform::TableGateway::create({}, below, random)))
+        , gateway(std::move(*Storage::TableGateway::create({}, below, random)))
         , book(std::move(
               *Claims::ClaimBook::create(policy, Base::HostId(name), seed, *gateway, ids, random)))
         , m_name(name)
@@ -64,16 +64,16 @@
 
     void step(Base::TimePoint now, std::vector<Sent> &journal, std::vector<Verdict> &verdicts)
     {
-        for (const Platform::TableOutcome &outcome : below.step(now))
+        for (const Storage::TableOutcome &outcome : below.step(now))
             m_inbox.push_back(outcome);
         if (isCrashed || now < frozenUntil)
             return;
-        for (const Platform::TableOutcome &outcome : std::exchange(m_inbox, {}))
+        for (const Storage::TableOutcome &outcome : std::exchange(m_inbox, {}))
             gateway->handle(outcome, now);
         book.advance(now);
         for (int i = 0; i < 3; ++i) {
             gateway->advance(now);
-            for (const Platform::TableOutcome &outcome : gateway->takeOutcomes())
+            for (const Storage::TableOutcome &outcome : gateway->takeOutcomes())
                 handle(outcome, now);
         }
         for (const Claims::ClaimOutcome &outcome : book.takeOutcomes())
@@ -86,8 +86,8 @@
 
     Fakes::FaultyTable below;
     Base::SeededRandom random;
-    Platform::OperationIds ids;
-    std::unique_ptr<Platform::TableGateway> gateway;
+    Storage::OperationIds ids;
+    std::unique_ptr<Storage::TableGateway> gateway;
     Claims::ClaimBook book;
     Base::Duration skew{};
     Base::TimePoint frozenUntil{};
@@ -112,9 +112,9 @@
         bool hasRun = true;
     };
 
-    void handle(const Platform::TableOutcome &outcome, Base::TimePoint now)
+    void handle(const Storage::TableOutcome &outcome, Base::TimePoint now)
     {
-        const bool isDone = outcome.status == Platform::TableStatus::Done;
+        const bool isDone = outcome.status == Storage::TableStatus::Done;
         if (!book.handle(outcome, now) && isDone)
             ++foreignDone;
     }
@@ -179,7 +179,7 @@
     std::string m_name;
     std::uint64_t m_serial = 0;
     std::map<Base::RequestKey, Work> m_work;
-    std::vector<Platform::TableOutcome> m_inbox;
+    std::vector<Storage::TableOutcome> m_inbox;
 };
 
 struct Fleet
--- a/tests/auto/claims/tst_claimsweeper.cpp
+++ b/tests/auto/claims/tst_claimsweeper.cpp
@@ -27,13 +27,13 @@
     fleet.table.rows["other"] = {"other", "x", 1};
 
     Fakes::FaultyTable below(fleet.table, 1);
-    Platform::OperationIds ids;
+    Storage::OperationIds ids;
     ClaimSweeper sweeper = *ClaimSweeper::create({}, below, ids);
     const auto run = [&](Base::Duration duration, bool isElected) {
         for (const Base::TimePoint end = fleet.now + duration; fleet.now < end;) {
             fleet.now += 10ms;
             sweeper.advance(fleet.now, wall, isElected);
-            for (const Platform::TableOutcome &outcome : below.step(fleet.now))
+            for (const Storage::TableOutcome &outcome : below.step(fleet.now))
                 sweeper.handle(outcome, fleet.now);
         }
     };
@@ -54,7 +54,7 @@
     below.faults.longestDelay = 0ms;
     ClaimSweeper second = *ClaimSweeper::create({}, below, ids);
     second.advance(fleet.now, wall, true);
-    for (const Platform::TableOutcome &outcome : below.step(fleet.now))
+    for (const Storage::TableOutcome &outcome : below.step(fleet.now))
         second.handle(outcome, fleet.now);
     REQUIRE(second.counts().expired == 1);
     fleet.table.rows["claim/1"].version = 6;
--- a/tests/auto/coordination/tst_configurationreplica.cpp
+++ b/tests/auto/coordination/tst_configurationreplica.cpp
@@ -16,27 +16,27 @@
 using Settings::ConfigurationVersion;
 
 /// The object store as one copy of the truth, with answers that wait.
-class Objects final : public Platform::ObjectStore
+class Objects final : public Storage::ObjectStore
 {
 public:
     explicit Objects(std::map<std::string, std::string> &values)
         : m_values(&values)
     {}
-    void put(Platform::OperationId operation, const std::string &key,
+    void put(Storage::OperationId operation, const std::string &key,
              const std::string &value) override
     {
         (*m_values)[key] = value;
-        answers.push_back({operation, Platform::ObjectStatus::Done, {}});
+        answers.push_back({operation, Storage::ObjectStatus::Done, {}});
     }
-    void get(Platform::OperationId operation, const std::string &key) override
+    void get(Storage::OperationId operation, const std::string &key) override
     {
         const bool isThere = m_values->count(key) > 0;
         answers.push_back({operation,
-                           isThere ? Platform::ObjectStatus::Done : Platform::ObjectStatus::Missing,
+                           isThere ? Storage::ObjectStatus::Done : Storage::ObjectStatus::Missing,
                            isThere ? m_values->at(key) : std::string()});
     }
 
-    std::deque<Platform::ObjectOutcome> answers;
+    std::deque<Storage::ObjectOutcome> answers;
 
 private:
     std::map<std::string, std::string> *m_values;
@@ -69,7 +69,7 @@
         }
     }
 
-    Platform::OperationIds operations;
+    Storage::OperationIds operations;
     Fakes::ManualTable table;
     Objects objects;
     ConfigurationReplica replica;
--- a/tests/auto/coordination/tst_membership.cpp
+++ b/tests/auto/coordination/tst_membership.cpp
@@ -16,10 +16,10 @@
 const Base::HostId r1("r1");
 const Base::HostId r2("r2");
 
-Platform::ListedHost listedRouter(const std::string &name, Base::Incarnation incarnation,
-                                  Platform::HostState state)
+Storage::ListedHost listedRouter(const std::string &name, Base::Incarnation incarnation,
+                                 Storage::HostState state)
 {
-    Platform::ListedHost host;
+    Storage::ListedHost host;
     host.name = name;
     host.state = state;
     host.zone = Base::ZoneId("z");
@@ -46,12 +46,12 @@
         routers[host] = std::make_unique<Membership>(*Membership::create({}, self));
     }
 
-    void list(const Base::HostId &at, std::uint64_t version, Platform::HostState stateOfR2)
+    void list(const Base::HostId &at, std::uint64_t version, Storage::HostState stateOfR2)
     {
-        Platform::HostListing listing;
+        Storage::HostListing listing;
         listing.version = version;
         for (const Base::HostId &host : {r0, r1})
-            listing.hosts.push_back(listedRouter(host.value(), 1, Platform::HostState::Live));
+            listing.hosts.push_back(listedRouter(host.value(), 1, Storage::HostState::Live));
         listing.hosts.push_back(listedRouter("r2", 1, stateOfR2));
         routers[at]->seed(listing, now);
     }
@@ -83,8 +83,8 @@
     Base::TimePoint now{1s};
 };
 
-constexpr auto live = Platform::HostState::Live;
-constexpr auto leaving = Platform::HostState::Leaving;
+constexpr auto live = Storage::HostState::Live;
+constexpr auto leaving = Storage::HostState::Leaving;
 
 } // namespace
 
@@ -169,7 +169,7 @@
     // The list reaches the two some hours apart, so that each drops its mark while the other
     // still has it.
     for (const Base::HostId &at : {r0, r1}) {
-        Platform::HostListing listing;
+        Storage::HostListing listing;
         listing.version = 2;
         region.routers[at]->seed(listing, region.now);
         region.now += 5h;
--- a/tests/auto/coordination/tst_orderbook.cpp
+++ b/tests/auto/coordination/tst_orderbook.cpp
@@ -39,7 +39,7 @@
     {
         book.setDuties({server}, 1);
     }
-    Platform::OperationIds operations;
+    Storage::OperationIds operations;
     Fakes::ManualTable table;
     Orders orders;
     Base::Duration offset;
--- a/tests/auto/daemon/tst_platformclient.cpp
+++ b/tests/auto/daemon/tst_platformclient.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 using namespace Daemon;
-using Platform::TableStatus;
+using Storage::TableStatus;
 
 std::string answerOf(const std::string &status, const std::string &body)
 {
@@ -23,10 +23,10 @@
     EventRing ring(16);
     auto client = PlatformClient::create(address, ring);
     REQUIRE(client);
-    (*client)->transact(5, {{"k", "v", Platform::absentRow}});
+    (*client)->transact(5, {{"k", "v", Storage::absentRow}});
     const auto event = ring.popFor(std::chrono::seconds(20));
     REQUIRE(event);
-    const auto outcome = std::get<Platform::TableOutcome>(*event);
+    const auto outcome = std::get<Storage::TableOutcome>(*event);
     CHECK(outcome.operation == 5);
     return outcome.status;
 }
--- a/tests/auto/node/tst_wholepath.cpp
+++ b/tests/auto/node/tst_wholepath.cpp
@@ -26,12 +26,12 @@
                              {Settings::changeKey(2), Settings::encodeChange(customer), 0}});
         for (const char *name : {"r1", "r2"})
             m_routers.push_back(std::make_unique<Router>(name, m_table));
-        Platform::HostListing listing;
+        Storage::HostListing listing;
         listing.version = 1;
         for (const char *name : {"r1", "r2"})
             listing.hosts.push_back({name,
-                                     Platform::HostRole::Router,
-                                     Platform::HostState::Live,
+                                     Storage::HostRole::Router,
+                                     Storage::HostState::Live,
                                      Base::ZoneId("z"),
                                      name,
                                      name,
@@ -39,8 +39,8 @@
                                      false,
                                      1});
         listing.hosts.push_back({"s1",
-                                 Platform::HostRole::ModelServer,
-                                 Platform::HostState::Live,
+                                 Storage::HostRole::ModelServer,
+                                 Storage::HostState::Live,
                                  Base::ZoneId("z"),
                                  "s1",
                                  "",
@@ -112,7 +112,7 @@
             isBusy = true;
         }
         while (!from.connection.answers.empty()) {
-            const Platform::TableOutcome outcome = from.connection.answers.front();
+            const Storage::TableOutcome outcome = from.connection.answers.front();
             from.connection.answers.pop_front();
             from.node->handle(outcome, m_now);
             isBusy = true;
--- a/tests/auto/platform/tst_objectgateway.cpp
+++ b/tests/auto/storage/tst_objectgateway.cpp
@@ -1,4 +1,4 @@
-#include "platform/objectgateway.h"
+#include "storage/objectgateway.h"
 
 #include "base/random.h"
 
@@ -8,7 +8,7 @@
 #include <map>
 #include <set>
 
-using namespace Platform;
+using namespace Storage;
 using namespace std::chrono_literals;
 
 namespace {
--- a/tests/auto/platform/tst_tablegateway.cpp
+++ b/tests/auto/storage/tst_tablegateway.cpp
@@ -1,4 +1,4 @@
-#include "platform/tablegateway.h"
+#include "storage/tablegateway.h"
 
 #include "support/faultytable.h"
 
@@ -7,7 +7,7 @@
 
 #include <algorithm>
 
-using namespace Platform;
+using namespace Storage;
 using namespace std::chrono_literals;
 
 namespace {
--- a/tests/standins/platformstandin/platformservice.cpp
+++ b/tests/standins/platformstandin/platformservice.cpp
@@ -23,19 +23,19 @@
     return request.method != "GET";
 }
 
-HttpResponse rowsResponse(const std::vector<Platform::TableRow> &rows)
+HttpResponse rowsResponse(const std::vector<Storage::TableRow> &rows)
 {
     Json list = Json::array();
-    for (const Platform::TableRow &row : rows)
+    for (const Storage::TableRow &row : rows)
         list.push_back({{"key", row.key}, {"value", row.value}, {"version", row.version}});
     return jsonResponse(200, {{"rows", list}});
 }
 
-std::optional<Platform::TableWrite> writeOf(const Json &json)
+std::optional<Storage::TableWrite> writeOf(const Json &json)
 {
     if (!json.is_object() || textOf(json, "key").empty() || !json.contains("value"))
         return std::nullopt;
-    Platform::TableWrite write;
+    Storage::TableWrite write;
     write.key = textOf(json, "key");
     if (json["value"].is_string())
         write.value = json["value"].get<std::string>();
@@ -114,8 +114,8 @@
 HttpResponse PlatformService::table(const HttpRequest &request)
 {
     if (request.path == "/table/row") {
-        const std::optional<Platform::TableRow> row = m_table.row(request.query("key"));
-        return rowsResponse(row ? std::vector{*row} : std::vector<Platform::TableRow>());
+        const std::optional<Storage::TableRow> row = m_table.row(request.query("key"));
+        return rowsResponse(row ? std::vector{*row} : std::vector<Storage::TableRow>());
     }
     if (request.path != "/table/rows")
         return errorResponse(404, "no such call");
@@ -131,9 +131,9 @@
     const Json json = Json::parse(request.body, nullptr, false);
     if (!json.is_object() || !json.contains("writes") || !json["writes"].is_array())
         return errorResponse(400, "no writes");
-    std::vector<Platform::TableWrite> writes;
+    std::vector<Storage::TableWrite> writes;
     for (const Json &item : json["writes"]) {
-        const std::optional<Platform::TableWrite> write = writeOf(item);
+        const std::optional<Storage::TableWrite> write = writeOf(item);
         if (!write)
             return errorResponse(400, "malformed write");
         writes.push_back(*write);
--- a/tests/standins/platformstandin/seed.cpp
+++ b/tests/standins/platformstandin/seed.cpp
@@ -64,13 +64,13 @@
     if (!seed.is_object())
         return boost::leaf::new_error(WrongSeed{file + ": no JSON object"});
     const std::vector<Settings::ConfigurationChange> changes = changesOf(seed);
-    std::vector<Platform::TableWrite> writes;
+    std::vector<Storage::TableWrite> writes;
     for (const Settings::ConfigurationChange &change : changes)
         writes.push_back({Settings::changeKey(change.version), Settings::encodeChange(change),
-                          Platform::absentRow});
+                          Storage::absentRow});
     if (!changes.empty())
         writes.push_back(
-            {Settings::headKey, std::to_string(changes.back().version), Platform::absentRow});
+            {Settings::headKey, std::to_string(changes.back().version), Storage::absentRow});
     table.transact(writes);
     hosts.set(arrayOf(seed, "hosts"));
     return {};
--- a/tests/standins/platformstandin/table.cpp
+++ b/tests/standins/platformstandin/table.cpp
@@ -4,8 +4,8 @@
 
 namespace StandIn {
 
-using Platform::TableRow;
-using Platform::TableWrite;
+using Storage::TableRow;
+using Storage::TableWrite;
 
 std::optional<TableRow> Table::row(const std::string &key) const
 {
@@ -56,8 +56,8 @@
     if (!write.expected)
         return true;
     const auto it = m_rows.find(write.key);
-    const Platform::RowVersion version =
-        it == m_rows.end() ? Platform::absentRow : it->second.version;
+    const Storage::RowVersion version =
+        it == m_rows.end() ? Storage::absentRow : it->second.version;
     return version == *write.expected;
 }
 
--- a/tests/standins/platformstandin/table.h
+++ b/tests/standins/platformstandin/table.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/tableservice.h"
+#include "storage/tableservice.h"
 
 #include <cstdint>
 #include <map>
@@ -15,19 +15,19 @@
 class Table
 {
 public:
-    std::optional<Platform::TableRow> row(const std::string &key) const;
-    std::vector<Platform::TableRow> rows(const std::string &prefix, const std::string &after,
-                                         std::size_t limit) const;
+    std::optional<Storage::TableRow> row(const std::string &key) const;
+    std::vector<Storage::TableRow> rows(const std::string &prefix, const std::string &after,
+                                        std::size_t limit) const;
     /// The rows written; nothing when a version did not match.
-    std::optional<std::vector<Platform::TableRow>>
-    transact(const std::vector<Platform::TableWrite> &writes);
+    std::optional<std::vector<Storage::TableRow>>
+    transact(const std::vector<Storage::TableWrite> &writes);
 
 private:
-    bool isMatching(const Platform::TableWrite &write) const;
+    bool isMatching(const Storage::TableWrite &write) const;
 
     mutable std::mutex m_mutex;
-    std::map<std::string, Platform::TableRow> m_rows;
-    Platform::RowVersion m_lastVersion = 0;
+    std::map<std::string, Storage::TableRow> m_rows;
+    Storage::RowVersion m_lastVersion = 0;
 };
 
 } // namespace StandIn
--- a/tests/support/fakes.h
+++ b/tests/support/fakes.h
@@ -95,19 +95,19 @@
 class Table
 {
 public:
-    Platform::TableOutcome read(Platform::OperationId operation, const std::string &key)
+    Storage::TableOutcome read(Storage::OperationId operation, const std::string &key)
     {
-        Platform::TableOutcome outcome{operation, Platform::TableStatus::Done, {}};
+        Storage::TableOutcome outcome{operation, Storage::TableStatus::Done, {}};
         const auto it = rows.find(key);
         if (it != rows.end())
             outcome.rows.push_back(it->second);
         return outcome;
     }
 
-    Platform::TableOutcome scan(Platform::OperationId operation, const std::string &prefix,
-                                const std::string &after, std::size_t limit)
+    Storage::TableOutcome scan(Storage::OperationId operation, const std::string &prefix,
+                               const std::string &after, std::size_t limit)
     {
-        Platform::TableOutcome outcome{operation, Platform::TableStatus::Done, {}};
+        Storage::TableOutcome outcome{operation, Storage::TableStatus::Done, {}};
         for (auto it = rows.upper_bound(std::max(prefix, after)); it != rows.end(); ++it) {
             if (it->first.rfind(prefix, 0) != 0 || outcome.rows.size() == limit)
                 break;
@@ -116,17 +116,17 @@
         return outcome;
     }
 
-    Platform::TableOutcome transact(Platform::OperationId operation,
-                                    const std::vector<Platform::TableWrite> &writes)
+    Storage::TableOutcome transact(Storage::OperationId operation,
+                                   const std::vector<Storage::TableWrite> &writes)
     {
-        Platform::TableOutcome outcome{operation, Platform::TableStatus::Done, {}};
-        for (const Platform::TableWrite &write : writes) {
+        Storage::TableOutcome outcome{operation, Storage::TableStatus::Done, {}};
+        for (const Storage::TableWrite &write : writes) {
             const auto it = rows.find(write.key);
-            const Platform::RowVersion version = it == rows.end() ? 0 : it->second.version;
+            const Storage::RowVersion version = it == rows.end() ? 0 : it->second.version;
             if (write.expected && *write.expected != version)
-                return {operation, Platform::TableStatus::Conflict, {}};
+                return {operation, Storage::TableStatus::Conflict, {}};
         }
-        for (const Platform::TableWrite &write : writes) {
+        for (const Storage::TableWrite &write : writes) {
             if (!write.value) {
                 rows.erase(write.key);
                 continue;
@@ -137,44 +137,44 @@
         return outcome;
     }
 
-    std::map<std::string, Platform::TableRow> rows;
-    Platform::RowVersion lastVersion = 0;
+    std::map<std::string, Storage::TableRow> rows;
+    Storage::RowVersion lastVersion = 0;
 };
 
 /// One node's connection to the shared table.
-class TableConnection final : public Platform::TableService
+class TableConnection final : public Storage::TableService
 {
 public:
     explicit TableConnection(Table &table)
         : m_table(&table)
     {}
 
-    void read(Platform::OperationId operation, const std::string &key) override
+    void read(Storage::OperationId operation, const std::string &key) override
     {
         answers.push_back(m_table->read(operation, key));
     }
-    void scan(Platform::OperationId operation, const std::string &prefix, const std::string &after,
+    void scan(Storage::OperationId operation, const std::string &prefix, const std::string &after,
               std::size_t limit) override
     {
         answers.push_back(m_table->scan(operation, prefix, after, limit));
     }
-    void transact(Platform::OperationId operation,
-                  const std::vector<Platform::TableWrite> &writes) override
+    void transact(Storage::OperationId operation,
+                  const std::vector<Storage::TableWrite> &writes) override
     {
         answers.push_back(m_table->transact(operation, writes));
     }
 
-    std::deque<Platform::TableOutcome> answers;
+    std::deque<Storage::TableOutcome> answers;
 
 private:
     Table *m_table;
 };
 
-class Objects final : public Platform::ObjectStore
+class Objects final : public Storage::ObjectStore
 {
 public:
-    void put(Platform::OperationId, const std::string &, const std::string &) override {}
-    void get(Platform::OperationId, const std::string &) override {}
+    void put(Storage::OperationId, const std::string &, const std::string &) override {}
+    void get(Storage::OperationId, const std::string &) override {}
 };
 
 class Observer final : public Node::NodeObserver
--- a/tests/support/faultytable.h
+++ b/tests/support/faultytable.h
@@ -2,7 +2,7 @@
 
 #include "base/random.h"
 #include "base/time.h"
-#include "platform/tableservice.h"
+#include "storage/tableservice.h"
 #include "support/fakes.h"
 
 #include <map>
@@ -24,7 +24,7 @@
 
 /// One node's connection to the shared table over a bad network: requests and answers are
 /// delayed, lost and doubled. A write may take effect long after its caller gave up.
-class FaultyTable final : public Platform::TableService
+class FaultyTable final : public Storage::TableService
 {
 public:
     FaultyTable(Table &table, std::uint64_t seed)
@@ -32,26 +32,26 @@
         , m_random(seed)
     {}
 
-    void read(Platform::OperationId operation, const std::string &key) override
+    void read(Storage::OperationId operation, const std::string &key) override
     {
         ++readCalls;
         m_called.push_back({operation, Kind::Read, key, {}, 0, {}});
     }
-    void scan(Platform::OperationId operation, const std::string &prefix, const std::string &after,
+    void scan(Storage::OperationId operation, const std::string &prefix, const std::string &after,
               std::size_t limit) override
     {
         ++readCalls;
         m_called.push_back({operation, Kind::Scan, prefix, after, limit, {}});
     }
-    void transact(Platform::OperationId operation,
-                  const std::vector<Platform::TableWrite> &writes) override
+    void transact(Storage::OperationId operation,
+                  const std::vector<Storage::TableWrite> &writes) override
     {
         ++writeCalls;
         m_called.push_back({operation, Kind::Transact, {}, {}, 0, writes});
     }
 
     /// Lets time pass; returns the answers that arrive.
-    std::vector<Platform::TableOutcome> step(Base::TimePoint now)
+    std::vector<Storage::TableOutcome> step(Base::TimePoint now)
     {
         for (const Request &it : std::exchange(m_called, {}))
             depart(it, now);
@@ -60,7 +60,7 @@
             m_underWay.erase(m_underWay.begin());
             answer(run(request), now);
         }
-        std::vector<Platform::TableOutcome> arrived;
+        std::vector<Storage::TableOutcome> arrived;
         while (!m_answers.empty() && m_answers.begin()->first <= now) {
             arrived.push_back(m_answers.begin()->second);
             m_answers.erase(m_answers.begin());
@@ -78,12 +78,12 @@
     enum class Kind { Read, Scan, Transact };
     struct Request
     {
-        Platform::OperationId operation = 0;
+        Storage::OperationId operation = 0;
         Kind kind = Kind::Read;
         std::string key;
         std::string after;
         std::size_t limit = 0;
-        std::vector<Platform::TableWrite> writes;
+        std::vector<Storage::TableWrite> writes;
     };
 
     bool chance(std::uint64_t percent) { return m_random.next() % 100 < percent; }
@@ -96,28 +96,28 @@
     void depart(const Request &request, Base::TimePoint now)
     {
         if (chance(faults.refused)) {
-            answer({request.operation, Platform::TableStatus::NotDone, {}}, now);
+            answer({request.operation, Storage::TableStatus::NotDone, {}}, now);
             return;
         }
         if (!chance(faults.requestLost))
             m_underWay.emplace(now + delay(), request);
         else if (chance(50))
-            answer({request.operation, Platform::TableStatus::Unknown, {}}, now);
+            answer({request.operation, Storage::TableStatus::Unknown, {}}, now);
     }
 
-    Platform::TableOutcome run(const Request &request)
+    Storage::TableOutcome run(const Request &request)
     {
         if (request.kind == Kind::Read)
             return m_table->read(request.operation, request.key);
         if (request.kind == Kind::Scan)
             return m_table->scan(request.operation, request.key, request.after, request.limit);
-        Platform::TableOutcome outcome = m_table->transact(request.operation, request.writes);
-        for (const Platform::TableRow &row : outcome.rows)
+        Storage::TableOutcome outcome = m_table->transact(request.operation, request.writes);
+        for (const Storage::TableRow &row : outcome.rows)
             written.push_back(row.value);
         return outcome;
     }
 
-    void answer(const Platform::TableOutcome &outcome, Base::TimePoint now)
+    void answer(const Storage::TableOutcome &outcome, Base::TimePoint now)
     {
         if (chance(faults.answerLost))
             return;
@@ -130,7 +130,7 @@
     Base::SeededRandom m_random;
     std::vector<Request> m_called;
     std::multimap<Base::TimePoint, Request> m_underWay;
-    std::multimap<Base::TimePoint, Platform::TableOutcome> m_answers;
+    std::multimap<Base::TimePoint, Storage::TableOutcome> m_answers;
 };
 
 } // namespace Fakes
--- a/tests/support/manualtable.h
+++ b/tests/support/manualtable.h
@@ -18,26 +18,26 @@
 };
 
 /// One node's connection to the shared table; the test decides order and fate of every call.
-class ManualTable final : public Platform::TableService
+class ManualTable final : public Storage::TableService
 {
 public:
     explicit ManualTable(Table &table)
         : m_table(&table)
     {}
 
-    void read(Platform::OperationId operation, const std::string &key) override
+    void read(Storage::OperationId operation, const std::string &key) override
     {
         add(operation, false, [this, operation, key] { return m_table->read(operation, key); });
     }
-    void scan(Platform::OperationId operation, const std::string &prefix, const std::string &after,
+    void scan(Storage::OperationId operation, const std::string &prefix, const std::string &after,
               std::size_t limit) override
     {
         add(operation, false, [this, operation, prefix, after, limit] {
             return m_table->scan(operation, prefix, after, limit);
         });
     }
-    void transact(Platform::OperationId operation,
-                  const std::vector<Platform::TableWrite> &writes) override
+    void transact(Storage::OperationId operation,
+                  const std::vector<Storage::TableWrite> &writes) override
     {
         add(operation, true,
             [this, operation, writes] { return m_table->transact(operation, writes); });
@@ -46,16 +46,16 @@
     std::size_t waiting() const { return m_calls.size(); }
 
     /// Ends the call at position \a at and returns its outcome.
-    Platform::TableOutcome end(std::size_t at, Fate fate)
+    Storage::TableOutcome end(std::size_t at, Fate fate)
     {
         Call call = m_calls[at];
         m_calls.erase(m_calls.begin() + static_cast<long>(at));
-        Platform::TableOutcome lost{call.operation, Platform::TableStatus::Unknown, {}};
+        Storage::TableOutcome lost{call.operation, Storage::TableStatus::Unknown, {}};
         switch (fate) {
         case Fate::Answered:
             return call.run();
         case Fate::Refused:
-            return {call.operation, Platform::TableStatus::NotDone, {}};
+            return {call.operation, Storage::TableStatus::NotDone, {}};
         case Fate::LostBefore:
             return lost;
         case Fate::LostAfter:
@@ -86,21 +86,21 @@
 private:
     struct Call
     {
-        Platform::OperationId operation = 0;
+        Storage::OperationId operation = 0;
         bool isWrite = false;
-        std::function<Platform::TableOutcome()> run;
-        Platform::TableOutcome seenAtSending;
+        std::function<Storage::TableOutcome()> run;
+        Storage::TableOutcome seenAtSending;
     };
 
-    void add(Platform::OperationId operation, bool isWrite,
-             const std::function<Platform::TableOutcome()> &run)
+    void add(Storage::OperationId operation, bool isWrite,
+             const std::function<Storage::TableOutcome()> &run)
     {
-        m_calls.push_back({operation, isWrite, run, isWrite ? Platform::TableOutcome() : run()});
+        m_calls.push_back({operation, isWrite, run, isWrite ? Storage::TableOutcome() : run()});
     }
 
     Table *m_table;
     std::vector<Call> m_calls;
-    std::vector<std::function<Platform::TableOutcome()>> m_late;
+    std::vector<std::function<Storage::TableOutcome()>> m_late;
 };
 
 } // namespace Fakes
--- a/tools/coordinationmeasure/main.cpp
+++ b/tools/coordinationmeasure/main.cpp
@@ -71,12 +71,12 @@
     Membership membership =
         *Membership::create({}, {Base::HostId("router-17"), 1764700000000, Base::ZoneId("langley"),
                                  "10.20.3.17:7400", "10.20.3.17:8080"});
-    Platform::HostListing listing;
+    Storage::HostListing listing;
     for (std::size_t i = 0; i < marks; ++i) {
-        Platform::ListedHost host;
+        Storage::ListedHost host;
         host.name = "model-server-" + std::to_string(i);
-        host.role = Platform::HostRole::ModelServer;
-        host.state = Platform::HostState::Leaving;
+        host.role = Storage::HostRole::ModelServer;
+        host.state = Storage::HostState::Leaving;
         host.incarnation = 1764700000000;
         listing.hosts.push_back(host);
     }
@@ -111,7 +111,7 @@
             : connection(table)
             , replica(*ConfigurationReplica::create({}, connection, objects, operations, name))
         {}
-        Platform::OperationIds operations;
+        Storage::OperationIds operations;
         Fakes::ManualTable connection;
         Fakes::Objects objects;
         ConfigurationReplica replica;
--- a/tools/slopes/coordinationslopes.cpp
+++ b/tools/slopes/coordinationslopes.cpp
@@ -30,10 +30,10 @@
 {
     Coordination::MembershipPolicy policy;
     policy.fullEvery = fullEvery;
-    Platform::HostListing listing;
+    Storage::HostListing listing;
     listing.version = 1;
     for (std::size_t i = 0; i < members; ++i) {
-        Platform::ListedHost host;
+        Storage::ListedHost host;
         host.name = hostName(i).value();
         host.zone = Base::ZoneId("zone-" + std::to_string(i % 4));
         host.address = "10.20.3.17:7400";
--- a/tools/virtualfleet/fleet.cpp
+++ b/tools/virtualfleet/fleet.cpp
@@ -132,7 +132,7 @@
 
 void Fleet::seedTable()
 {
-    std::vector<Platform::TableWrite> writes;
+    std::vector<Storage::TableWrite> writes;
     Settings::ConfigurationVersion version = 0;
     const auto add = [&](const auto &what) {
         const Settings::ConfigurationChange change{++version, what};
@@ -148,7 +148,7 @@
 
 void Fleet::publishHosts()
 {
-    const Platform::HostListing current = listing();
+    const Storage::HostListing current = listing();
     for (const std::unique_ptr<VirtualRouter> &router : m_routers) {
         if (router)
             router->handle(Node::HostListArrived{current});
@@ -156,10 +156,10 @@
     m_queue.after(m_shape.hostListInterval, [this] { publishHosts(); });
 }
 
-Platform::HostListing Fleet::listing() const
+Storage::HostListing Fleet::listing() const
 {
-    using Platform::HostState;
-    Platform::HostListing listing;
+    using Storage::HostState;
+    Storage::HostListing listing;
     listing.version = m_listingVersion;
     const auto stateOf = [&](const std::string &name) {
         return m_leaving.count(name) > 0 ? HostState::Leaving : HostState::Live;
@@ -168,7 +168,7 @@
         const std::string name = routerName(i).value();
         const Base::ZoneId zone("z" + std::to_string(i % m_shape.zones));
         listing.hosts.push_back({name,
-                                 Platform::HostRole::Router,
+                                 Storage::HostRole::Router,
                                  stateOf(name),
                                  zone,
                                  name,
@@ -181,7 +181,7 @@
     for (const auto &[id, pool] : m_poolOfServer) {
         const Base::ZoneId zone("z" + std::to_string(n++ % m_shape.zones));
         listing.hosts.push_back({id.value(),
-                                 Platform::HostRole::ModelServer,
+                                 Storage::HostRole::ModelServer,
                                  stateOf(id.value()),
                                  zone,
                                  id.value(),
--- a/tools/virtualfleet/fleet.h
+++ b/tools/virtualfleet/fleet.h
@@ -76,7 +76,7 @@
     void cutTransfers(const Base::ServerId &id, bool isWorkLost);
     void seedTable();
     void publishHosts();
-    Platform::HostListing listing() const;
+    Storage::HostListing listing() const;
 
     FleetShape m_shape;
     EventQueue m_queue;
--- a/tools/virtualfleet/virtualrouter.cpp
+++ b/tools/virtualfleet/virtualrouter.cpp
@@ -64,7 +64,7 @@
     , m_incarnation(incarnation)
     , m_random(fleet.shape().seed * 1000003 + index * 101 + incarnation)
     , m_table(fleet.queue(), fleet.table(), fleet.shape().tableLatency,
-              [this, alive = m_isAlive](const Platform::TableOutcome &outcome) {
+              [this, alive = m_isAlive](const Storage::TableOutcome &outcome) {
                   if (*alive)
                       handle(outcome);
               })
@@ -270,17 +270,17 @@
     later(m_fleet->shape().loadReportLag, [this, load] { handle(load); });
 }
 
-void VirtualRouter::put(Platform::OperationId operation, const std::string &, const std::string &)
+void VirtualRouter::put(Storage::OperationId operation, const std::string &, const std::string &)
 {
     later(m_fleet->shape().tableLatency, [this, operation] {
-        handle(Platform::ObjectOutcome{operation, Platform::ObjectStatus::NotDone, {}});
+        handle(Storage::ObjectOutcome{operation, Storage::ObjectStatus::NotDone, {}});
     });
 }
 
-void VirtualRouter::get(Platform::OperationId operation, const std::string &)
+void VirtualRouter::get(Storage::OperationId operation, const std::string &)
 {
     later(m_fleet->shape().tableLatency, [this, operation] {
-        handle(Platform::ObjectOutcome{operation, Platform::ObjectStatus::Missing, {}});
+        handle(Storage::ObjectOutcome{operation, Storage::ObjectStatus::Missing, {}});
     });
 }
 
--- a/tools/virtualfleet/virtualrouter.h
+++ b/tools/virtualfleet/virtualrouter.h
@@ -23,7 +23,7 @@
 class VirtualRouter final : private Node::CallerPort,
                             private Node::PeerTransport,
                             private Node::BackendClient,
-                            private Platform::ObjectStore,
+                            private Storage::ObjectStore,
                             private Node::NodeObserver,
                             private Node::WallClock
 {
@@ -71,9 +71,9 @@
     void resume(const Node::AttemptId &attempt) override;
     void pollLoad(const Base::ServerId &server, const std::string &address) override;
 
-    void put(Platform::OperationId operation, const std::string &key,
+    void put(Storage::OperationId operation, const std::string &key,
              const std::string &value) override;
-    void get(Platform::OperationId operation, const std::string &key) override;
+    void get(Storage::OperationId operation, const std::string &key) override;
 
     void hopFinished(const Node::HopRecord &record) override;
     void requestFinished(const Node::RequestRecord &record) override;
--- a/tools/virtualfleet/virtualtable.cpp
+++ b/tools/virtualfleet/virtualtable.cpp
@@ -5,10 +5,10 @@
 
 namespace VirtualFleet {
 
-using Platform::TableOutcome;
-using Platform::TableStatus;
+using Storage::TableOutcome;
+using Storage::TableStatus;
 
-TableOutcome VirtualTable::read(Platform::OperationId operation, const std::string &key)
+TableOutcome VirtualTable::read(Storage::OperationId operation, const std::string &key)
 {
     if (m_mode == Mode::Down)
         return {operation, TableStatus::NotDone, {}};
@@ -20,7 +20,7 @@
     return answer(outcome);
 }
 
-TableOutcome VirtualTable::scan(Platform::OperationId operation, const std::string &prefix,
+TableOutcome VirtualTable::scan(Storage::OperationId operation, const std::string &prefix,
                                 const std::string &after, std::size_t limit)
 {
     if (m_mode == Mode::Down)
@@ -35,8 +35,8 @@
     return answer(outcome);
 }
 
-TableOutcome VirtualTable::transact(Platform::OperationId operation,
-                                    const std::vector<Platform::TableWrite> &writes)
+TableOutcome VirtualTable::transact(Storage::OperationId operation,
+                                    const std::vector<Storage::TableWrite> &writes)
 {
     if (m_mode == Mode::Down)
         return {operation, TableStatus::NotDone, {}};
@@ -44,23 +44,23 @@
     if (!matches(writes))
         return answer({operation, TableStatus::Conflict, {}});
     TableOutcome outcome{operation, TableStatus::Done, {}};
-    for (const Platform::TableWrite &write : writes) {
+    for (const Storage::TableWrite &write : writes) {
         if (!write.value) {
             m_rows.erase(write.key);
             continue;
         }
-        const Platform::TableRow row{write.key, *write.value, ++m_last};
+        const Storage::TableRow row{write.key, *write.value, ++m_last};
         m_rows[write.key] = row;
         outcome.rows.push_back(row);
     }
     return answer(outcome);
 }
 
-bool VirtualTable::matches(const std::vector<Platform::TableWrite> &writes) const
+bool VirtualTable::matches(const std::vector<Storage::TableWrite> &writes) const
 {
-    return std::all_of(writes.begin(), writes.end(), [&](const Platform::TableWrite &write) {
+    return std::all_of(writes.begin(), writes.end(), [&](const Storage::TableWrite &write) {
         const auto it = m_rows.find(write.key);
-        const Platform::RowVersion version = it == m_rows.end() ? 0 : it->second.version;
+        const Storage::RowVersion version = it == m_rows.end() ? 0 : it->second.version;
         return !write.expected || *write.expected == version;
     });
 }
@@ -93,19 +93,19 @@
     });
 }
 
-void TableLink::read(Platform::OperationId operation, const std::string &key)
+void TableLink::read(Storage::OperationId operation, const std::string &key)
 {
     run([operation, key](VirtualTable &table) { return table.read(operation, key); });
 }
 
-void TableLink::scan(Platform::OperationId operation, const std::string &prefix,
+void TableLink::scan(Storage::OperationId operation, const std::string &prefix,
                      const std::string &after, std::size_t limit)
 {
     run([=](VirtualTable &table) { return table.scan(operation, prefix, after, limit); });
 }
 
-void TableLink::transact(Platform::OperationId operation,
-                         const std::vector<Platform::TableWrite> &writes)
+void TableLink::transact(Storage::OperationId operation,
+                         const std::vector<Storage::TableWrite> &writes)
 {
     run([=](VirtualTable &table) { return table.transact(operation, writes); });
 }
--- a/tools/virtualfleet/virtualtable.h
+++ b/tools/virtualfleet/virtualtable.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "base/time.h"
-#include "platform/tableservice.h"
+#include "storage/tableservice.h"
 #include "virtualfleet/eventqueue.h"
 
 #include <cstdint>
@@ -25,39 +25,39 @@
     void setMode(Mode mode) { m_mode = mode; }
     Mode mode() const { return m_mode; }
 
-    Platform::TableOutcome read(Platform::OperationId operation, const std::string &key);
-    Platform::TableOutcome scan(Platform::OperationId operation, const std::string &prefix,
-                                const std::string &after, std::size_t limit);
-    Platform::TableOutcome transact(Platform::OperationId operation,
-                                    const std::vector<Platform::TableWrite> &writes);
+    Storage::TableOutcome read(Storage::OperationId operation, const std::string &key);
+    Storage::TableOutcome scan(Storage::OperationId operation, const std::string &prefix,
+                               const std::string &after, std::size_t limit);
+    Storage::TableOutcome transact(Storage::OperationId operation,
+                                   const std::vector<Storage::TableWrite> &writes);
 
     std::uint64_t reads() const { return m_reads; }
     std::uint64_t writes() const { return m_writes; }
 
 private:
-    bool matches(const std::vector<Platform::TableWrite> &writes) const;
-    Platform::TableOutcome answer(Platform::TableOutcome outcome) const;
+    bool matches(const std::vector<Storage::TableWrite> &writes) const;
+    Storage::TableOutcome answer(Storage::TableOutcome outcome) const;
 
-    std::map<std::string, Platform::TableRow> m_rows;
-    Platform::RowVersion m_last = 0;
+    std::map<std::string, Storage::TableRow> m_rows;
+    Storage::RowVersion m_last = 0;
     std::uint64_t m_reads = 0;
     std::uint64_t m_writes = 0;
     Mode m_mode = Mode::Working;
 };
 
 /// One router's way to the table.
-class TableLink final : public Platform::TableService
+class TableLink final : public Storage::TableService
 {
 public:
-    using Deliver = std::function<void(const Platform::TableOutcome &)>;
+    using Deliver = std::function<void(const Storage::TableOutcome &)>;
 
     TableLink(EventQueue &queue, VirtualTable &table, Base::Duration latency, Deliver deliver);
 
-    void read(Platform::OperationId operation, const std::string &key) override;
-    void scan(Platform::OperationId operation, const std::string &prefix, const std::string &after,
+    void read(Storage::OperationId operation, const std::string &key) override;
+    void scan(Storage::OperationId operation, const std::string &prefix, const std::string &after,
               std::size_t limit) override;
-    void transact(Platform::OperationId operation,
-                  const std::vector<Platform::TableWrite> &writes) override;
+    void transact(Storage::OperationId operation,
+                  const std::vector<Storage::TableWrite> &writes) override;
 
 private:
     template <typename Call>
