Place prompts where their beginning is kept, by what all hosts sent

Ruled out: eviction (few first events were late enough for a read of what was kept). Change: reports carry the parts sent where; work waits for the server that serves it soonest instead of taking any with room; log lines have the inputs.

--- a/src/libs/gateway/exchange.cpp
+++ b/src/libs/gateway/exchange.cpp
@@ -59,13 +59,14 @@
     m_port->submitWork(m_accepted.service, std::move(work));
 }
 
-void Exchange::placed(const Base::ServerId &server)
+void Exchange::placed(const Routing::Placement &placement)
 {
     if (m_state != State::Waiting)
         return;
     m_isPlaced = true;
-    m_server = server;
-    const Routing::RegisteredServer *target = m_port->server(server);
+    m_server = placement.server;
+    m_inputs = placement.inputs;
+    const Routing::RegisteredServer *target = m_port->server(m_server);
     if (!target) {
         ++m_sends;
         endAttempt(AttemptOutcome::Withdrawn);
@@ -406,6 +407,11 @@
         .add("runs", m_runs)
         .add("events", m_eventCount)
         .add("waitedMs", m_sends > 0 ? m_sentAt - m_accepted.request.readAt : Base::Duration(0))
+        .add("unreadTokens", m_inputs.unreadTokens)
+        .add("tokensAhead", m_inputs.tokensAhead)
+        .add("running", m_inputs.running)
+        .add("slowness", m_inputs.slowness)
+        .add("failureShare", m_inputs.failureShare)
         .add("expectedMs", m_expectedStart)
         .add("firstMs",
              m_eventCount > 0 ? m_firstEventAt - m_accepted.request.readAt : Base::Duration(0))
--- a/src/libs/gateway/exchange.h
+++ b/src/libs/gateway/exchange.h
@@ -71,7 +71,7 @@
     Exchange(ExchangePort &host, AcceptedRequest accepted, AnswerSink &sink);
 
     void start();
-    void placed(const Base::ServerId &server);
+    void placed(const Routing::Placement &placement);
     void turnedAway(const Routing::TurnedAway &why);
     /// Looks at the request's time limits.
     void checkTime(Base::TimePoint now);
@@ -113,6 +113,7 @@
     State m_state = State::Waiting;
     std::shared_ptr<BackendConnection> m_connection;
     Base::ServerId m_server;
+    Routing::PlacementInputs m_inputs;
     std::vector<Base::ServerId> m_tried;
     ResponseHead m_head;
     std::string m_body;
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -37,7 +37,7 @@
 constexpr std::size_t leastConnections = 4;
 /// One server's reading speed over its part of the whole throughput. The throughput counts what
 /// is generated twice; a server that only reads is about this much faster.
-constexpr double readingFactor = 1.4;
+constexpr double readingFactor = 1.15;
 /// Callers may wait this long when they do not say.
 constexpr milliseconds defaultDeadline{30000};
 constexpr milliseconds notReadyRetryAfter{400};
@@ -95,10 +95,9 @@
     const HostRow self{m_settings.host, toString(m_settings.peerAddress)};
     m_store = std::make_unique<StoreClient>(m_io, m_settings.storeAddress, m_adapter.store, self,
                                             *this, m_log);
-    BOOST_LEAF_ASSIGN(
-        m_reports, ReportSocket::create(m_io, m_settings.peerAddress, [this](const HostReport &it) {
-            m_fleet.receive(it, bootTimeNow());
-        }));
+    BOOST_LEAF_ASSIGN(m_reports,
+                      ReportSocket::create(m_io, m_settings.peerAddress,
+                                           [this](const HostReport &it) { reportReceived(it); }));
     m_directoryHandler = m_adapter.directoryHandler(*this);
     const ConnectionContext directory{*m_directoryHandler, m_directoryLimits, m_readBuffer};
     BOOST_LEAF_ASSIGN(m_readiness,
@@ -204,7 +203,7 @@
     report.callerAddress = toString(m_settings.callerAddress);
     report.isLeaving = m_leavingSince.has_value();
     report.isServing = isReady() && m_lease.isHeld(time);
-    for (const auto &[name, state] : m_services)
+    for (auto &[name, state] : m_services)
         state.dispatcher.report(report.load, time);
     m_reports->send(report, receivers);
     m_fleet.sumUp(time);
@@ -218,6 +217,14 @@
     }
 }
 
+void Gateway::reportReceived(const HostReport &report)
+{
+    const Base::TimePoint time = now();
+    m_fleet.receive(report, time);
+    for (auto &[name, state] : m_services)
+        state.dispatcher.learnPartUses(report.load.partUses, time);
+}
+
 std::shared_ptr<ActiveRequest> Gateway::handle(CallerRequest request, AnswerSink &sink)
 {
     AcceptedRequest accepted;
@@ -358,7 +365,7 @@
         for (const Routing::Placement &it : next.placements) {
             const auto exchange = m_exchanges.find(it.work);
             if (exchange != m_exchanges.end())
-                std::shared_ptr<Exchange>(exchange->second)->placed(it.server);
+                std::shared_ptr<Exchange>(exchange->second)->placed(it);
         }
         for (const Routing::TurnedAway &it : next.turnedAway) {
             const auto exchange = m_exchanges.find(it.work);
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -105,6 +105,7 @@
     void tick();
     void onTick();
     void report(Base::TimePoint now);
+    void reportReceived(const HostReport &report);
 
     /// The failure that a request is answered with at once; empty if it was accepted.
     std::optional<Failure> examine(AcceptedRequest &accepted);
--- a/src/libs/gateway/hostreport.cpp
+++ b/src/libs/gateway/hostreport.cpp
@@ -25,10 +25,12 @@
     ServersPlace,
     AskedPlace,
     ReceivedPlace,
+    PartUsesPlace,
     PlaceCount,
 };
 constexpr std::size_t serverFields = 3;
 constexpr std::size_t amountFields = 2;
+constexpr std::size_t partUseFields = 3;
 
 bool isReport(const Json &json)
 {
@@ -37,7 +39,8 @@
            && json[SequencePlace].is_number_unsigned() && json[PeerAddressPlace].is_string()
            && json[CallerAddressPlace].is_string() && json[LeavingPlace].is_boolean()
            && json[ServingPlace].is_boolean() && json[ServersPlace].is_array()
-           && json[AskedPlace].is_array() && json[ReceivedPlace].is_array();
+           && json[AskedPlace].is_array() && json[ReceivedPlace].is_array()
+           && json[PartUsesPlace].is_array();
 }
 
 bool readServer(const Json &json, Routing::HostLoad &load)
@@ -62,6 +65,24 @@
     return true;
 }
 
+bool readPartUse(const Json &json, std::vector<Routing::PartUse> &uses)
+{
+    if (!json.is_array() || json.size() != partUseFields || !json[0].is_string()
+        || !json[1].is_number_unsigned() || !json[2].is_number_unsigned())
+        return false;
+    uses.push_back({Base::ServerId(json[0].get<std::string>()), json[1].get<std::uint64_t>(),
+                    json[2].get<std::uint32_t>()});
+    return true;
+}
+
+Json partUsesJson(const std::vector<Routing::PartUse> &uses)
+{
+    Json json = Json::array();
+    for (const Routing::PartUse &use : uses)
+        json.push_back({use.server.value(), use.hash, use.tokens});
+    return json;
+}
+
 Json amountsJson(const Amounts &amounts)
 {
     Json json = Json::array();
@@ -87,7 +108,8 @@
                        report.isServing,
                        std::move(servers),
                        amountsJson(report.load.asked),
-                       amountsJson(report.load.received)};
+                       amountsJson(report.load.received),
+                       partUsesJson(report.load.partUses)};
     std::string bytes;
     Json::to_cbor(json, bytes);
     return bytes;
@@ -118,6 +140,10 @@
         if (!readAmount(it, report.load.received))
             return boost::leaf::new_error(MalformedReport());
     }
+    for (const Json &it : json[PartUsesPlace]) {
+        if (!readPartUse(it, report.load.partUses))
+            return boost::leaf::new_error(MalformedReport());
+    }
     return report;
 }
 
--- a/src/libs/routing/dispatcher.cpp
+++ b/src/libs/routing/dispatcher.cpp
@@ -18,7 +18,7 @@
 constexpr double defaultReadTokensPerMs = 40;
 /// Time that each running request adds to the first event of another: a step of the engine for
 /// each chunk of the prompt, which grows with what runs.
-constexpr double millisecondsPerRunning = 4;
+constexpr double millisecondsPerRunning = 1;
 /// Work of a plain application takes about this long, so a place in its queue costs this much.
 constexpr double plainWorkMilliseconds = 30;
 /// Another availability zone costs two ways of about half a millisecond, and its bytes are paid
@@ -34,16 +34,12 @@
 /// A plain application is given this many times its slots: a queue of its own of about two
 /// places each, so that it is not idle while an answer is on its way.
 constexpr double plainSlotsUsed = 2.5;
-/// Part of a server's memory that is believed to keep prompt parts.
-constexpr double memoryForParts = 0.7;
-/// Servers that a prompt beginning has by hashing. Two even out what one server for each would
-/// load unevenly, and the loss of one loses no beginning.
-constexpr std::size_t homeServers = 2;
-/// Part of a beginning that its servers are believed to keep while this host has not sent it
-/// there itself: other hosts have.
-constexpr double keptByOthers = 0.9;
-/// A beginning shorter than this is not worth a server of its own.
-constexpr std::uint32_t leastSharedTokens = 1000;
+/// Head start of the server that a prompt beginning which nobody keeps has by hashing. Hosts that
+/// meet it at the same moment choose the same one, unless that is busy.
+constexpr double hashedMilliseconds = 60;
+/// A server that keeps more prompt parts will get more work: weighed when a beginning gets its
+/// first server, so that the servers have beginnings of the same weight. Per 1,000 tokens.
+constexpr double millisecondsPerKept = 0.25;
 /// Work may wait here until this part of its start target is used up; later it would start late
 /// at a server as well, and the caller is better served by another host or a later time.
 constexpr double waitShare = 0.5;
@@ -51,6 +47,8 @@
 constexpr std::size_t mostWaiting = 400;
 /// A generated token costs an engine about as much as two read ones.
 constexpr double generatedWeight = 2;
+/// Callers allow about four times as many tokens as are generated.
+constexpr double generatedShare = 0.25;
 /// Room that is spare: reading ahead and running requests of a server that delays nobody's work.
 constexpr double spareMilliseconds = 90;
 constexpr double spareSlots = 0.6;
@@ -58,22 +56,15 @@
 constexpr Base::Duration shareInterval = milliseconds(100);
 /// Tokens of a shared beginning that a server has to read although others keep it cost this many
 /// times their time: they also push out what others need, and delay what runs there.
-constexpr double rereadFactor = 2.5;
+constexpr double rereadFactor = 2;
+/// Work whose server has no room that is passed over in search of work whose server has some.
+constexpr std::size_t mostPassedOver = 24;
 constexpr milliseconds leastRetryAfter{200};
 constexpr milliseconds mostRetryAfter{2000};
 
 double tokensOf(const Work &work)
 {
-    return 1 + work.promptTokens + generatedWeight * work.outputTokens;
-}
-
-/// Part of a prompt that other requests may share: all but its last part.
-const ChainLink *sharedEnd(const std::vector<ChainLink> &chain)
-{
-    if (chain.size() < 2)
-        return nullptr;
-    const ChainLink *end = &chain[chain.size() - 2];
-    return end->tokensSoFar < leastSharedTokens ? nullptr : end;
+    return 1 + work.promptTokens + generatedWeight * generatedShare * work.outputTokens;
 }
 
 bool wasTried(const Work &work, const Base::ServerId &server)
@@ -105,17 +96,6 @@
         next[server.id].server = server;
     }
     m_servers = std::move(next);
-    updateCaches();
-}
-
-void Dispatcher::updateCaches()
-{
-    // Other hosts' work takes its part of each server's memory.
-    const double hosts =
-        m_others ? static_cast<double>(std::max<std::size_t>(m_others->hosts, 1)) : 1;
-    const double kept = static_cast<double>(m_traits.memoryTokens) * memoryForParts / hosts;
-    for (auto &[id, state] : m_servers)
-        state.cache.setCapacity(static_cast<std::uint64_t>(kept));
 }
 
 Decisions Dispatcher::submit(Work work, Base::TimePoint now)
@@ -128,11 +108,10 @@
         return decisions;
     }
     const Room room = roomFor(work.customer, now);
-    if (m_waiting.isEmpty() || room == Room::Spare) {
-        if (const std::optional<Choice> choice = choose(work, now, room)) {
-            place(std::move(work), *choice, now, decisions);
-            return decisions;
-        }
+    // Work that waits is mostly for servers without room, so new work may pass it by.
+    if (const std::optional<Choice> choice = choose(work, now, room, room == Room::Spare)) {
+        place(std::move(work), *choice, now, decisions);
+        return decisions;
     }
     if (room == Room::Spare) {
         decisions.turnedAway.push_back({work.id, TurnedAwayReason::BeyondShare, retryAfter()});
@@ -198,7 +177,8 @@
 Decisions Dispatcher::advance(Base::TimePoint now)
 {
     Decisions decisions;
-    updateCaches();
+    for (auto &[id, state] : m_servers)
+        state.cache.forgetOld(now);
     drain(now, decisions);
     turnAwayLate(now, decisions);
     return decisions;
@@ -210,7 +190,7 @@
     return it == m_placed.end() ? Base::Duration::zero() : it->second.expected;
 }
 
-void Dispatcher::report(HostLoad &load, Base::TimePoint now) const
+void Dispatcher::report(HostLoad &load, Base::TimePoint now)
 {
     for (const auto &[id, state] : m_servers) {
         if (state.own.running > 0)
@@ -218,42 +198,77 @@
     }
     m_asked.addTo(load.asked, now);
     m_received.addTo(load.received, now);
+    load.partUses.insert(load.partUses.end(), m_partUses.begin(), m_partUses.end());
+    m_partUses.clear();
 }
 
-std::optional<Dispatcher::Choice> Dispatcher::choose(const Work &work, Base::TimePoint now,
-                                                     Room room)
+void Dispatcher::learnPartUses(const std::vector<PartUse> &uses, Base::TimePoint now)
 {
-    const std::vector<ChainLink> chain = chainOf(work.parts);
-    const ChainLink *shared = sharedEnd(chain);
-    std::vector<std::pair<std::uint64_t, ServerState *>> ranked;
-    ranked.reserve(m_servers.size());
-    for (auto &[id, state] : m_servers) {
-        const std::uint64_t order = shared ? Base::stableHash(id.value(), shared->hash) : 0;
-        ranked.emplace_back(order, &state);
+    for (const PartUse &use : uses) {
+        const auto server = m_servers.find(use.server);
+        if (server != m_servers.end())
+            server->second.cache.use(use.hash, use.tokens, now);
     }
-    if (shared)
-        std::sort(ranked.begin(), ranked.end());
+}
+
+std::optional<Dispatcher::Choice> Dispatcher::choose(const Work &work, Base::TimePoint now,
+                                                     Room room, bool takesAny)
+{
+    const std::vector<ChainLink> chain = sharedChainOf(work.parts);
+    std::uint32_t mostKept = 0;
+    for (const auto &[id, state] : m_servers)
+        mostKept = std::max(mostKept, state.cache.keptTokens(chain, now));
+    const bool isNew = !chain.empty() && mostKept < chain.back().tokensSoFar;
+    const ServerState *hashed = isNew ? hashedServer(chain.back().hash) : nullptr;
     std::optional<Choice> best;
-    for (std::size_t rank = 0; rank < ranked.size(); ++rank) {
-        ServerState &state = *ranked[rank].second;
-        if (!hasRoom(state, room, now))
+    for (auto &[id, state] : m_servers) {
+        const bool isRoom = hasRoom(state, room, now);
+        if (!isRoom && (takesAny || !state.health.isUsable(now)))
             continue;
-        const std::uint32_t kept = keptTokens(state, work, chain, rank);
+        const std::uint32_t kept =
+            m_traits.isEngine ? state.cache.keptTokens(chain, now) : work.promptTokens;
         const std::uint32_t unread = work.promptTokens - std::min(kept, work.promptTokens);
         double cost = startMilliseconds(state, unread, now);
-        if (shared && kept < shared->tokensSoFar)
-            cost += (shared->tokensSoFar - kept) * rereadFactor / m_traits.readTokensPerMs;
+        cost += rereadMilliseconds(mostKept - std::min(kept, mostKept));
         cost += state.health.failureShare(now) * failureMilliseconds;
+        if (isNew) {
+            cost += static_cast<double>(state.cache.tokens()) / 1000 * millisecondsPerKept;
+            if (&state != hashed)
+                cost += hashedMilliseconds;
+        }
         if (state.server.zone != m_ownZone)
             cost += otherZoneMilliseconds;
         if (wasTried(work, state.server.id))
             cost += 10 * failureMilliseconds;
         if (!best || cost < best->milliseconds)
-            best = Choice{&state, cost, unread};
+            best = Choice{&state, cost, unread, isRoom};
     }
+    if (best && !best->hasRoom)
+        return std::nullopt;
     return best;
 }
 
+const Dispatcher::ServerState *Dispatcher::hashedServer(std::uint64_t beginning) const
+{
+    const ServerState *first = nullptr;
+    std::uint64_t least = 0;
+    for (const auto &[id, state] : m_servers) {
+        const std::uint64_t order = Base::stableHash(id.value(), beginning);
+        if (first && order >= least)
+            continue;
+        first = &state;
+        least = order;
+    }
+    return first;
+}
+
+double Dispatcher::rereadMilliseconds(std::uint32_t rereadTokens) const
+{
+    if (!m_traits.isEngine)
+        return 0;
+    return rereadTokens * rereadFactor / m_traits.readTokensPerMs;
+}
+
 double Dispatcher::startMilliseconds(const ServerState &state, std::uint32_t unreadTokens,
                                      Base::TimePoint now) const
 {
@@ -271,18 +286,6 @@
     return (reading + sharing + full * plainWorkMilliseconds) * state.health.slowness(now);
 }
 
-std::uint32_t Dispatcher::keptTokens(const ServerState &state, const Work &work,
-                                     const std::vector<ChainLink> &chain, std::size_t rank) const
-{
-    if (!m_traits.isEngine)
-        return work.promptTokens;
-    const std::uint32_t kept = state.cache.keptTokens(chain);
-    const ChainLink *shared = sharedEnd(chain);
-    if (!shared || rank >= homeServers)
-        return kept;
-    return std::max(kept, static_cast<std::uint32_t>(shared->tokensSoFar * keptByOthers));
-}
-
 ServerLoad Dispatcher::loadOf(const ServerState &state) const
 {
     ServerLoad load = state.own;
@@ -319,38 +322,50 @@
     placed.unreadTokens = choice.unreadTokens;
     placed.at = now;
     const double expected = startMilliseconds(state, choice.unreadTokens, now);
+    const ServerLoad load = loadOf(state);
+    const PlacementInputs inputs{choice.unreadTokens, load.unreadTokens, load.running,
+                                 state.health.slowness(now), state.health.failureShare(now)};
     placed.expected = std::chrono::duration_cast<Base::Duration>(
         std::chrono::duration<double, std::milli>(expected));
     ++state.own.running;
     state.own.unreadTokens += choice.unreadTokens;
     if (m_traits.isEngine)
-        state.cache.use(chainOf(work.parts));
+        notePartUses(state, work, now);
     m_received.add(work.customer, tokensOf(work), now);
-    decisions.placements.push_back({work.id, state.server.id});
+    decisions.placements.push_back({work.id, state.server.id, inputs});
     const WorkId id = work.id;
     placed.work = std::move(work);
     m_placed[id] = std::move(placed);
 }
 
+void Dispatcher::notePartUses(ServerState &state, const Work &work, Base::TimePoint now)
+{
+    for (const ChainLink &link : sharedChainOf(work.parts)) {
+        state.cache.use(link.hash, link.tokens, now);
+        m_partUses.push_back({state.server.id, link.hash, link.tokens});
+    }
+}
+
 void Dispatcher::drain(Base::TimePoint now, Decisions &decisions)
 {
-    while (!m_waiting.isEmpty()) {
+    std::vector<Work> passedOver;
+    while (!m_waiting.isEmpty() && passedOver.size() < mostPassedOver) {
         const bool isRoom = std::any_of(m_servers.begin(), m_servers.end(), [&](const auto &it) {
             return hasRoom(it.second, Room::Owed, now);
         });
         if (!isRoom)
-            return;
+            break;
         std::optional<Work> work = m_waiting.takeNext(
             [&](const Base::CustomerId &customer) { return received(customer, now); });
         if (!work)
-            return;
-        const std::optional<Choice> choice = choose(*work, now, roomFor(work->customer, now));
-        if (!choice) {
-            m_waiting.push(std::move(*work));
-            return;
-        }
-        place(std::move(*work), *choice, now, decisions);
+            break;
+        if (const std::optional<Choice> choice = choose(*work, now, roomFor(work->customer, now)))
+            place(std::move(*work), *choice, now, decisions);
+        else
+            passedOver.push_back(std::move(*work));
     }
+    for (Work &work : passedOver)
+        m_waiting.push(std::move(work));
 }
 
 void Dispatcher::turnAwayLate(Base::TimePoint now, Decisions &decisions)
@@ -358,8 +373,14 @@
     const std::vector<Work> late = m_waiting.takeIf([&](const Work &work) {
         return now - work.arrivedAt > (work.startBy - work.arrivedAt) * waitShare;
     });
-    for (const Work &work : late)
-        decisions.turnedAway.push_back({work.id, TurnedAwayReason::TooLate, retryAfter()});
+    for (const Work &work : late) {
+        // Any server is better than none, now that the best one will not be free in time.
+        const Room room = roomFor(work.customer, now);
+        if (const std::optional<Choice> choice = choose(work, now, room, true))
+            place(work, *choice, now, decisions);
+        else
+            decisions.turnedAway.push_back({work.id, TurnedAwayReason::TooLate, retryAfter()});
+    }
 }
 
 Base::Duration Dispatcher::waitBehind(const Base::CustomerId &customer) const
--- a/src/libs/routing/dispatcher.h
+++ b/src/libs/routing/dispatcher.h
@@ -46,9 +46,10 @@
 ///
 /// Placement weighs, in milliseconds to the first event: prompt tokens given to the server and not
 /// read yet, by this host and the others; tokens of this prompt that it does not keep; requests
-/// that run there; how slow it was of late, and how often it failed. Each prompt beginning has
-/// servers of its own, the same ones at every host by hashing: so all hosts send it where it is
-/// kept without telling each other.
+/// that run there; how slow it was of late, and how often it failed. A prompt beginning goes where
+/// it is kept, also if that server is free only a little later than others; further servers read
+/// it when the ones that keep it are crowded. The hosts tell each other what they sent where, and a
+/// beginning that nobody keeps begins at the same server at all of them, by hashing.
 class Dispatcher
 {
 public:
@@ -74,7 +75,9 @@
     /// When the first event of placed work is expected, from when it was placed.
     Base::Duration expectedStart(WorkId id) const;
     /// Adds this host's load to \a load.
-    void report(HostLoad &load, Base::TimePoint now) const;
+    void report(HostLoad &load, Base::TimePoint now);
+    /// What another host sent to the servers.
+    void learnPartUses(const std::vector<PartUse> &uses, Base::TimePoint now);
     std::size_t waiting() const { return m_waiting.size(); }
 
 private:
@@ -100,6 +103,7 @@
         ServerState *state = nullptr;
         double milliseconds = 0;
         std::uint32_t unreadTokens = 0;
+        bool hasRoom = false;
     };
     /// How full a server may be to get more work.
     enum class Room {
@@ -107,11 +111,18 @@
         Spare, ///< For work beyond it.
     };
 
-    std::optional<Choice> choose(const Work &work, Base::TimePoint now, Room room);
+    /// The server that serves the work soonest; empty if that one has no room: the work waits for
+    /// it, since it would be served later elsewhere. With \a takesAny only servers with room count.
+    std::optional<Choice> choose(const Work &work, Base::TimePoint now, Room room,
+                                 bool takesAny = false);
     double startMilliseconds(const ServerState &state, std::uint32_t unreadTokens,
                              Base::TimePoint now) const;
-    std::uint32_t keptTokens(const ServerState &state, const Work &work,
-                             const std::vector<ChainLink> &chain, std::size_t rank) const;
+    /// The server that a prompt beginning has by hashing; null if there are none.
+    const ServerState *hashedServer(std::uint64_t beginning) const;
+    void notePartUses(ServerState &state, const Work &work, Base::TimePoint now);
+    /// Milliseconds of the engines' time that are lost if \a state gets a prompt of which it has to
+    /// read \a rereadTokens although other servers keep them.
+    double rereadMilliseconds(std::uint32_t rereadTokens) const;
     ServerLoad loadOf(const ServerState &state) const;
     bool hasRoom(const ServerState &state, Room room, Base::TimePoint now) const;
     void place(Work work, const Choice &choice, Base::TimePoint now, Decisions &decisions);
@@ -125,7 +136,6 @@
     /// more than they get.
     double shareLevel(Base::TimePoint now);
     Room roomFor(const Base::CustomerId &customer, Base::TimePoint now);
-    void updateCaches();
 
     ServiceTraits m_traits;
     Base::ZoneId m_ownZone;
@@ -133,6 +143,7 @@
     std::map<Base::ServerId, ServerState> m_servers;
     std::unordered_map<WorkId, Placed> m_placed;
     FairWaiting m_waiting;
+    std::vector<PartUse> m_partUses;
     FadingMeter m_asked;
     FadingMeter m_received;
     double m_shareLevel = 0;
--- a/src/libs/routing/fleetload.h
+++ b/src/libs/routing/fleetload.h
@@ -5,7 +5,7 @@
 
 #include <cstdint>
 #include <map>
-#include <string>
+#include <vector>
 
 namespace Routing {
 
@@ -19,6 +19,17 @@
     bool operator==(const ServerLoad &) const = default;
 };
 
+/// A shared prompt part that was sent to a server.
+struct PartUse
+{
+    Base::ServerId server;
+    /// Of the chain up to the part (ChainLink).
+    std::uint64_t hash = 0;
+    std::uint32_t tokens = 0;
+
+    bool operator==(const PartUse &) const = default;
+};
+
 /// What one host tells the others of its work. A newer one replaces an older one whole.
 struct HostLoad
 {
@@ -27,6 +38,8 @@
     /// (FadingMeter).
     std::map<Base::CustomerId, double> asked;
     std::map<Base::CustomerId, double> received;
+    /// Since the report before. If a report is lost, the others believe in fewer copies.
+    std::vector<PartUse> partUses;
 
     bool operator==(const HostLoad &) const = default;
 };
--- a/src/libs/routing/promptcache.cpp
+++ b/src/libs/routing/promptcache.cpp
@@ -4,9 +4,17 @@
 
 namespace Routing {
 
+namespace {
+
+/// How long a part counts as kept after its last use.
+constexpr Base::Duration keptFor = std::chrono::seconds(12);
+
+} // namespace
+
 std::vector<ChainLink> chainOf(const std::vector<PromptPart> &parts)
 {
     std::vector<ChainLink> chain;
+    chain.reserve(parts.size());
     std::uint64_t hash = 0;
     std::uint32_t sum = 0;
     for (const PromptPart &part : parts) {
@@ -19,52 +27,50 @@
     return chain;
 }
 
-std::uint32_t PromptCache::keptTokens(const std::vector<ChainLink> &chain) const
+std::vector<ChainLink> sharedChainOf(const std::vector<PromptPart> &parts)
+{
+    std::vector<ChainLink> chain = chainOf(parts);
+    if (!chain.empty())
+        chain.pop_back();
+    return chain;
+}
+
+std::uint32_t PromptCache::keptTokens(const std::vector<ChainLink> &chain,
+                                      Base::TimePoint now) const
 {
     std::uint32_t kept = 0;
     for (const ChainLink &link : chain) {
-        if (m_byHash.count(link.hash) == 0)
+        const auto it = m_entries.find(link.hash);
+        if (it == m_entries.end() || now - it->second.usedAt >= keptFor)
             return kept;
         kept = link.tokensSoFar;
     }
     return kept;
 }
 
-void PromptCache::use(const std::vector<ChainLink> &chain)
-{
-    for (const ChainLink &link : chain) {
-        const auto it = m_byHash.find(link.hash);
-        if (it != m_byHash.end()) {
-            m_order.splice(m_order.begin(), m_order, it->second);
-            continue;
-        }
-        m_order.push_front({link.hash, link.tokens});
-        m_byHash.emplace(link.hash, m_order.begin());
-        m_size += link.tokens;
-    }
-    evict();
-}
-
-void PromptCache::setCapacity(std::uint64_t tokens)
+void PromptCache::use(std::uint64_t hash, std::uint32_t tokens, Base::TimePoint now)
 {
-    m_capacity = tokens;
-    evict();
+    const auto [it, isNew] = m_entries.insert_or_assign(hash, Entry{tokens, now});
+    if (isNew)
+        m_tokens += tokens;
 }
 
-void PromptCache::evict()
+void PromptCache::forgetOld(Base::TimePoint now)
 {
-    while (m_size > m_capacity && !m_order.empty()) {
-        m_size -= m_order.back().tokens;
-        m_byHash.erase(m_order.back().hash);
-        m_order.pop_back();
+    for (auto it = m_entries.begin(); it != m_entries.end();) {
+        if (now - it->second.usedAt < keptFor) {
+            ++it;
+            continue;
+        }
+        m_tokens -= it->second.tokens;
+        it = m_entries.erase(it);
     }
 }
 
 void PromptCache::clear()
 {
-    m_order.clear();
-    m_byHash.clear();
-    m_size = 0;
+    m_entries.clear();
+    m_tokens = 0;
 }
 
 } // namespace Routing
--- a/src/libs/routing/promptcache.h
+++ b/src/libs/routing/promptcache.h
@@ -4,7 +4,6 @@
 #include "routing/work.h"
 
 #include <cstdint>
-#include <list>
 #include <unordered_map>
 #include <vector>
 
@@ -20,39 +19,35 @@
     std::uint32_t tokens = 0;
 };
 std::vector<ChainLink> chainOf(const std::vector<PromptPart> &parts);
+/// The links that other requests may share: all but the last, which is the request's own.
+std::vector<ChainLink> sharedChainOf(const std::vector<PromptPart> &parts);
 
-/// What one model server is believed to keep of prompts, from what was sent to it.
+/// What one model server is believed to keep of shared prompt parts, from what all hosts sent to
+/// it.
 ///
-/// The server drops what was used least recently when its memory runs out, and so does this, at
-/// a smaller size: the rest of the memory is taken by requests that run and by other hosts' work.
+/// The server drops what was used least recently when its memory runs out. How soon that is
+/// depends on work that is not seen from here, so a part counts as kept for a fixed time after its
+/// last use: requests of their own fill a busy server's memory in ten seconds and more.
 class PromptCache
 {
 public:
-    explicit PromptCache(std::uint64_t capacityTokens = 0)
-        : m_capacity(capacityTokens)
-    {}
-
     /// Tokens of \a chain that need not be read again.
-    std::uint32_t keptTokens(const std::vector<ChainLink> &chain) const;
-    /// The server reads the parts of \a chain.
-    void use(const std::vector<ChainLink> &chain);
+    std::uint32_t keptTokens(const std::vector<ChainLink> &chain, Base::TimePoint now) const;
+    void use(std::uint64_t hash, std::uint32_t tokens, Base::TimePoint now);
+    void forgetOld(Base::TimePoint now);
     void clear();
-    void setCapacity(std::uint64_t tokens);
+    /// Tokens of all parts that are believed to be kept.
+    std::uint64_t tokens() const { return m_tokens; }
 
 private:
-    void evict();
-
     struct Entry
     {
-        std::uint64_t hash = 0;
         std::uint32_t tokens = 0;
+        Base::TimePoint usedAt;
     };
 
-    std::uint64_t m_capacity;
-    std::uint64_t m_size = 0;
-    /// Most recently used first.
-    std::list<Entry> m_order;
-    std::unordered_map<std::uint64_t, std::list<Entry>::iterator> m_byHash;
+    std::unordered_map<std::uint64_t, Entry> m_entries;
+    std::uint64_t m_tokens = 0;
 };
 
 } // namespace Routing
--- a/src/libs/routing/work.h
+++ b/src/libs/routing/work.h
@@ -42,11 +42,26 @@
     std::vector<Base::ServerId> tried;
 };
 
+/// What decided for a server, for the log.
+struct PlacementInputs
+{
+    /// Prompt tokens that the server has to read for this work, as reckoned.
+    std::uint32_t unreadTokens = 0;
+    /// Prompt tokens that it was given before and has not read, by all hosts.
+    std::uint32_t tokensAhead = 0;
+    /// Requests that run there, of all hosts.
+    std::uint32_t running = 0;
+    /// How many times longer than reckoned it took of late.
+    double slowness = 1;
+    double failureShare = 0;
+};
+
 /// Work goes to this server now.
 struct Placement
 {
     WorkId work = 0;
     Base::ServerId server;
+    PlacementInputs inputs;
 };
 
 enum class TurnedAwayReason {
