Give spare room only to customers near the one that has least

Ruled out: the order of waiting work (hardly any waited), late reports (shares were near each other). Change: beyond the max-min share, room goes only to customers that have received at most 1.25 times what the least served of those that ask for more has, over the fleet. Log lines of turned-away requests carry the inputs.

--- a/src/libs/gateway/exchange.cpp
+++ b/src/libs/gateway/exchange.cpp
@@ -137,6 +137,7 @@
 {
     if (m_state != State::Waiting)
         return;
+    m_turnedAway = why;
     const FailureType type = why.reason == Routing::TurnedAwayReason::NoServer
                                  ? FailureType::NoServer
                                  : FailureType::TurnedAway;
@@ -416,6 +417,12 @@
         .add("firstMs",
              m_eventCount > 0 ? m_firstEventAt - m_accepted.request.readAt : Base::Duration(0))
         .add("wholeMs", now - m_accepted.request.readAt);
+    if (m_turnedAway) {
+        line.add("why", Routing::nameOf(m_turnedAway->reason))
+            .add("received", m_turnedAway->received)
+            .add("shareLevel", m_turnedAway->shareLevel)
+            .add("retryAfterMs", Base::Duration(m_turnedAway->retryAfter));
+    }
     const bool isFailure = m_status >= 500 || (m_status == 0 && !m_isCallerGone);
     m_port->log().writeRequest(line, isFailure, now);
 }
--- a/src/libs/gateway/exchange.h
+++ b/src/libs/gateway/exchange.h
@@ -114,6 +114,7 @@
     std::shared_ptr<BackendConnection> m_connection;
     Base::ServerId m_server;
     Routing::PlacementInputs m_inputs;
+    std::optional<Routing::TurnedAway> m_turnedAway;
     std::vector<Base::ServerId> m_tried;
     ResponseHead m_head;
     std::string m_body;
--- a/src/libs/routing/dispatcher.cpp
+++ b/src/libs/routing/dispatcher.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <utility>
 
 namespace Routing {
@@ -52,6 +53,14 @@
 /// Room that is spare: reading ahead and running requests of a server that delays nobody's work.
 constexpr double spareMilliseconds = 90;
 constexpr double spareSlots = 0.6;
+/// A customer asks for more than it gets if this many tokens, and this part of what it asked, are
+/// missing: about two large requests, so that one that was turned away by chance does not count.
+constexpr double hungryTokens = 40000;
+constexpr double hungryPart = 0.15;
+/// Spare room is for customers that have received at most this many times what the customer with
+/// least has. Twice as much is felt as unfair; less than this would leave room unused while the
+/// reports of other hosts are on their way.
+constexpr double evenRatio = 1.25;
 /// The share level is reckoned anew this often; reports of other hosts come as often.
 constexpr Base::Duration shareInterval = milliseconds(100);
 /// Tokens of a shared beginning that a server has to read although others keep it cost this many
@@ -104,7 +113,7 @@
     if (work.tried.empty())
         m_asked.add(work.customer, tokensOf(work), now);
     if (m_servers.empty()) {
-        decisions.turnedAway.push_back({work.id, TurnedAwayReason::NoServer, retryAfter()});
+        decisions.turnedAway.push_back(turnAway(work, TurnedAwayReason::NoServer, now));
         return decisions;
     }
     const Room room = roomFor(work.customer, now);
@@ -113,18 +122,18 @@
         place(std::move(work), *choice, now, decisions);
         return decisions;
     }
-    if (room == Room::Spare) {
-        decisions.turnedAway.push_back({work.id, TurnedAwayReason::BeyondShare, retryAfter()});
+    if (room != Room::Owed) {
+        decisions.turnedAway.push_back(turnAway(work, TurnedAwayReason::BeyondShare, now));
         return decisions;
     }
     if (m_waiting.size() >= mostWaiting) {
-        decisions.turnedAway.push_back({work.id, TurnedAwayReason::Crowded, retryAfter()});
+        decisions.turnedAway.push_back(turnAway(work, TurnedAwayReason::Crowded, now));
         return decisions;
     }
     const Base::Duration mayWait =
         std::chrono::duration_cast<Base::Duration>((work.startBy - work.arrivedAt) * waitShare);
     if (now + waitBehind(work.customer) > work.arrivedAt + mayWait) {
-        decisions.turnedAway.push_back({work.id, TurnedAwayReason::TooLate, retryAfter()});
+        decisions.turnedAway.push_back(turnAway(work, TurnedAwayReason::TooLate, now));
         return decisions;
     }
     m_waiting.push(std::move(work));
@@ -301,7 +310,7 @@
 
 bool Dispatcher::hasRoom(const ServerState &state, Room room, Base::TimePoint now) const
 {
-    if (!state.health.isUsable(now))
+    if (room == Room::None || !state.health.isUsable(now))
         return false;
     const bool isOwed = room == Room::Owed;
     const ServerLoad load = loadOf(state);
@@ -379,7 +388,7 @@
         if (const std::optional<Choice> choice = choose(work, now, room, true))
             place(work, *choice, now, decisions);
         else
-            decisions.turnedAway.push_back({work.id, TurnedAwayReason::TooLate, retryAfter()});
+            decisions.turnedAway.push_back(turnAway(work, TurnedAwayReason::TooLate, now));
     }
 }
 
@@ -420,22 +429,44 @@
 
 double Dispatcher::shareLevel(Base::TimePoint now)
 {
-    if (m_shareLevelAt != Base::TimePoint::min() && now - m_shareLevelAt < shareInterval)
-        return m_shareLevel;
+    if (m_shareLevelAt == Base::TimePoint::min() || now - m_shareLevelAt >= shareInterval)
+        updateLevels(now);
+    return m_shareLevel;
+}
+
+void Dispatcher::updateLevels(Base::TimePoint now)
+{
     m_shareLevelAt = now;
     std::map<Base::CustomerId, double> asked;
     if (m_others)
         asked = m_others->asked;
     m_asked.addTo(asked, now);
     m_shareLevel = fairLevel(asked, m_traits.sharedTokensPerSecond * FadingMeter::meanSeconds());
-    return m_shareLevel;
+    m_hungryLevel = std::numeric_limits<double>::infinity();
+    for (const auto &[customer, amount] : asked) {
+        const double has = received(customer, now);
+        if (amount - has > std::max(hungryTokens, amount * hungryPart))
+            m_hungryLevel = std::min(m_hungryLevel, has);
+    }
 }
 
 Dispatcher::Room Dispatcher::roomFor(const Base::CustomerId &customer, Base::TimePoint now)
 {
     if (!m_traits.isEngine || m_traits.sharedTokensPerSecond <= 0)
         return Room::Owed;
-    return received(customer, now) < shareLevel(now) ? Room::Owed : Room::Spare;
+    if (received(customer, now) < shareLevel(now))
+        return Room::Owed;
+    return mayTakeSpare(customer, now) ? Room::Spare : Room::None;
+}
+
+bool Dispatcher::mayTakeSpare(const Base::CustomerId &customer, Base::TimePoint now)
+{
+    return received(customer, now) < m_hungryLevel * evenRatio + hungryTokens;
+}
+
+TurnedAway Dispatcher::turnAway(const Work &work, TurnedAwayReason reason, Base::TimePoint now)
+{
+    return {work.id, reason, retryAfter(), received(work.customer, now), shareLevel(now)};
 }
 
 } // namespace Routing
--- a/src/libs/routing/dispatcher.h
+++ b/src/libs/routing/dispatcher.h
@@ -109,6 +109,7 @@
     enum class Room {
         Owed,  ///< For work within its customer's share.
         Spare, ///< For work beyond it.
+        None,  ///< Others have received much less and ask for more.
     };
 
     /// The server that serves the work soonest; empty if that one has no room: the work waits for
@@ -127,6 +128,7 @@
     bool hasRoom(const ServerState &state, Room room, Base::TimePoint now) const;
     void place(Work work, const Choice &choice, Base::TimePoint now, Decisions &decisions);
     void drain(Base::TimePoint now, Decisions &decisions);
+    TurnedAway turnAway(const Work &work, TurnedAwayReason reason, Base::TimePoint now);
     void turnAwayLate(Base::TimePoint now, Decisions &decisions);
     Base::Duration waitBehind(const Base::CustomerId &customer) const;
     double drainTokensPerMs() const;
@@ -136,6 +138,9 @@
     /// more than they get.
     double shareLevel(Base::TimePoint now);
     Room roomFor(const Base::CustomerId &customer, Base::TimePoint now);
+    /// Whether the customer may have spare room: none that is still hungry has received much less.
+    bool mayTakeSpare(const Base::CustomerId &customer, Base::TimePoint now);
+    void updateLevels(Base::TimePoint now);
 
     ServiceTraits m_traits;
     Base::ZoneId m_ownZone;
@@ -147,6 +152,8 @@
     FadingMeter m_asked;
     FadingMeter m_received;
     double m_shareLevel = 0;
+    /// What the customer that has least, of those that ask for more, has received.
+    double m_hungryLevel = 0;
     Base::TimePoint m_shareLevelAt = Base::TimePoint::min();
 };
 
--- a/src/libs/routing/work.h
+++ b/src/libs/routing/work.h
@@ -78,8 +78,13 @@
     TurnedAwayReason reason = TurnedAwayReason::TooLate;
     /// When room for it is expected.
     Base::Milliseconds retryAfter{0};
+    /// For the log: what its customer received of late, and the share level, in tokens.
+    double received = 0;
+    double shareLevel = 0;
 };
 
+const char *nameOf(TurnedAwayReason reason);
+
 struct Decisions
 {
     std::vector<Placement> placements;
