Count work that waits for a server; take any server before a refusal

Cause: 40 requests for one beginning at one moment: one was placed and 39 were turned away or waited beside three idle servers, since each saw only its own cost at the server that keeps the beginning. Change: waiting work counts at the server it waits for; work that would be too late there goes to any server with room before it is turned away.

--- a/src/libs/routing/dispatcher.cpp
+++ b/src/libs/routing/dispatcher.cpp
@@ -118,7 +118,8 @@
     }
     const Room room = roomFor(work.customer, now);
     // Work that waits is mostly for servers without room, so new work may pass it by.
-    if (const std::optional<Choice> choice = choose(work, now, room, room == Room::Spare)) {
+    const std::optional<Choice> choice = choose(work, now, room, room == Room::Spare);
+    if (choice && choice->hasRoom) {
         place(std::move(work), *choice, now, decisions);
         return decisions;
     }
@@ -133,11 +134,17 @@
     const Base::Duration mayWait =
         std::chrono::duration_cast<Base::Duration>((work.startBy - work.arrivedAt) * waitShare);
     if (now + waitBehind(work.customer) > work.arrivedAt + mayWait) {
+        // A server that has to read more is better than none.
+        if (const std::optional<Choice> any = choose(work, now, room, true)) {
+            place(std::move(work), *any, now, decisions);
+            return decisions;
+        }
         decisions.turnedAway.push_back(turnAway(work, TurnedAwayReason::TooLate, now));
         return decisions;
     }
+    if (choice)
+        choice->state->awaitedTokens += choice->unreadTokens;
     m_waiting.push(std::move(work));
-    drain(now, decisions);
     return decisions;
 }
 
@@ -238,6 +245,10 @@
             m_traits.isEngine ? state.cache.keptTokens(chain, now) : work.promptTokens;
         const std::uint32_t unread = work.promptTokens - std::min(kept, work.promptTokens);
         double cost = startMilliseconds(state, unread, now);
+        // What waits for the server is served first: without it a hundred requests for one
+        // beginning would all wait for the server that keeps it, beside idle ones.
+        if (m_traits.isEngine)
+            cost += static_cast<double>(state.awaitedTokens) / m_traits.readTokensPerMs;
         cost += rereadMilliseconds(mostKept - std::min(kept, mostKept));
         cost += state.health.failureShare(now) * failureMilliseconds;
         if (isNew) {
@@ -252,8 +263,6 @@
         if (!best || cost < best->milliseconds)
             best = Choice{&state, cost, unread, isRoom};
     }
-    if (best && !best->hasRoom)
-        return std::nullopt;
     return best;
 }
 
@@ -358,6 +367,8 @@
 void Dispatcher::drain(Base::TimePoint now, Decisions &decisions)
 {
     std::vector<Work> passedOver;
+    for (auto &[id, state] : m_servers)
+        state.awaitedTokens = 0;
     while (!m_waiting.isEmpty() && passedOver.size() < mostPassedOver) {
         const bool isRoom = std::any_of(m_servers.begin(), m_servers.end(), [&](const auto &it) {
             return hasRoom(it.second, Room::Owed, now);
@@ -368,10 +379,14 @@
             [&](const Base::CustomerId &customer) { return received(customer, now); });
         if (!work)
             break;
-        if (const std::optional<Choice> choice = choose(*work, now, roomFor(work->customer, now)))
+        const std::optional<Choice> choice = choose(*work, now, roomFor(work->customer, now));
+        if (choice && choice->hasRoom) {
             place(std::move(*work), *choice, now, decisions);
-        else
-            passedOver.push_back(std::move(*work));
+            continue;
+        }
+        if (choice)
+            choice->state->awaitedTokens += choice->unreadTokens;
+        passedOver.push_back(std::move(*work));
     }
     for (Work &work : passedOver)
         m_waiting.push(std::move(work));
--- a/src/libs/routing/dispatcher.h
+++ b/src/libs/routing/dispatcher.h
@@ -87,6 +87,9 @@
         ServerLoad own;
         ServerHealth health;
         PromptCache cache;
+        /// Prompt tokens of work that waits here for this server and would not be served sooner by
+        /// another one.
+        std::uint64_t awaitedTokens = 0;
         Base::TimePoint coldUntil = Base::TimePoint::min();
     };
     struct Placed
@@ -112,7 +115,7 @@
         None,  ///< Others have received much less and ask for more.
     };
 
-    /// The server that serves the work soonest; empty if that one has no room: the work waits for
+    /// The server that serves the work soonest. If that one has no room, the work is to wait for
     /// it, since it would be served later elsewhere. With \a takesAny only servers with room count.
     std::optional<Choice> choose(const Work &work, Base::TimePoint now, Room room,
                                  bool takesAny = false);
--- /dev/null
+++ b/tests/auto/routing/tst_fairness.cpp
@@ -0,0 +1,231 @@
+#include "routing/dispatcher.h"
+#include "routing/fairlevel.h"
+#include "routing/fairwaiting.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <algorithm>
+#include <memory>
+#include <numeric>
+
+using namespace Routing;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr Base::TimePoint start{seconds(1000)};
+
+Work work(WorkId id, const std::string &customer, Base::TimePoint now)
+{
+    Work it;
+    it.id = id;
+    it.customer = Base::CustomerId(customer);
+    it.arrivedAt = now;
+    it.startBy = now + milliseconds(1000);
+    it.giveUpAt = now + seconds(8);
+    it.promptTokens = 4000;
+    it.outputTokens = 400;
+    return it;
+}
+
+/// Hosts before a few engines, with the reports between them. Engines read a fixed number of
+/// tokens in a millisecond, one request after the other.
+class Fleet
+{
+public:
+    Fleet(std::size_t hosts, std::size_t engines)
+        : m_others(hosts)
+    {
+        ServiceTraits traits{true, 500000, tokensPerMs, capacity(engines)};
+        for (std::size_t i = 0; i < engines; ++i) {
+            RegisteredServer server;
+            server.id = Base::ServerId("s" + std::to_string(i));
+            server.slots = 64;
+            m_servers.push_back(server);
+            m_free[server.id] = start;
+        }
+        for (std::size_t i = 0; i < hosts; ++i) {
+            m_hosts.push_back(std::make_unique<Dispatcher>(traits, Base::ZoneId("z")));
+            m_hosts.back()->setTraits(traits);
+            m_hosts.back()->setServers(m_servers);
+            m_hosts.back()->setOthers(m_others[i]);
+        }
+    }
+
+    static double capacity(std::size_t engines)
+    {
+        return static_cast<double>(engines) * tokensPerMs * 1000 * 0.6;
+    }
+
+    void submit(std::size_t host, const std::string &customer, Base::TimePoint now)
+    {
+        const WorkId id = ++m_lastId;
+        m_customers[id] = customer;
+        take(host, m_hosts[host]->submit(work(id, customer, now), now), now);
+    }
+
+    void advance(Base::TimePoint now)
+    {
+        for (auto it = m_running.begin(); it != m_running.end();) {
+            if (it->endsAt > now) {
+                ++it;
+                continue;
+            }
+            const Running ended = *it;
+            it = m_running.erase(it);
+            m_hosts[ended.host]->started(ended.id, now);
+            take(ended.host, m_hosts[ended.host]->finished(ended.id, AttemptOutcome::Served, now),
+                 now);
+        }
+        for (std::size_t i = 0; i < m_hosts.size(); ++i)
+            take(i, m_hosts[i]->advance(now), now);
+        if (now - m_reportedAt >= milliseconds(200))
+            report(now);
+    }
+
+    double served(const std::string &customer) const
+    {
+        const auto it = m_served.find(customer);
+        return it == m_served.end() ? 0 : it->second;
+    }
+    double servedInAll() const
+    {
+        return std::accumulate(m_served.begin(), m_served.end(), 0.0,
+                               [](double sum, const auto &it) { return sum + it.second; });
+    }
+
+private:
+    struct Running
+    {
+        std::size_t host = 0;
+        WorkId id = 0;
+        Base::TimePoint endsAt;
+    };
+
+    static constexpr double tokensPerMs = 40;
+
+    void take(std::size_t host, const Decisions &decisions, Base::TimePoint now)
+    {
+        for (const Placement &it : decisions.placements) {
+            Base::TimePoint &free = m_free[it.server];
+            free = std::max(free, now) + milliseconds(static_cast<int>(4000 / tokensPerMs));
+            m_running.push_back({host, it.work, free});
+            ++m_served[m_customers[it.work]];
+        }
+    }
+
+    void report(Base::TimePoint now)
+    {
+        m_reportedAt = now;
+        std::vector<HostLoad> loads(m_hosts.size());
+        for (std::size_t i = 0; i < m_hosts.size(); ++i)
+            m_hosts[i]->report(loads[i], now);
+        for (std::size_t i = 0; i < m_hosts.size(); ++i) {
+            OthersLoad sum;
+            sum.hosts = m_hosts.size();
+            for (std::size_t j = 0; j < m_hosts.size(); ++j) {
+                if (j == i)
+                    continue;
+                for (const auto &[server, load] : loads[j].servers) {
+                    sum.servers[server].running += load.running;
+                    sum.servers[server].unreadTokens += load.unreadTokens;
+                }
+                for (const auto &[customer, amount] : loads[j].asked)
+                    sum.asked[customer] += amount;
+                for (const auto &[customer, amount] : loads[j].received)
+                    sum.received[customer] += amount;
+            }
+            m_others[i] = sum;
+        }
+    }
+
+    std::vector<OthersLoad> m_others;
+    std::vector<RegisteredServer> m_servers;
+    std::vector<std::unique_ptr<Dispatcher>> m_hosts;
+    std::map<Base::ServerId, Base::TimePoint> m_free;
+    std::vector<Running> m_running;
+    std::map<WorkId, std::string> m_customers;
+    std::map<std::string, double> m_served;
+    Base::TimePoint m_reportedAt = start;
+    WorkId m_lastId = 0;
+};
+
+} // namespace
+
+TEST_CASE("the level shares a capacity out evenly among those who ask for more", "[routing]")
+{
+    rc::prop("nobody gets more than it asks, and nothing is left while somebody asks", [] {
+        const auto amounts = *rc::gen::container<std::vector<double>>(
+            12, rc::gen::map(rc::gen::inRange(0, 1000), [](int n) { return double(n); }));
+        std::map<Base::CustomerId, double> asked;
+        for (std::size_t i = 0; i < amounts.size(); ++i)
+            asked[Base::CustomerId(std::to_string(i))] = amounts[i];
+        const double capacity = *rc::gen::inRange(1, 8000);
+        const double level = fairLevel(asked, capacity);
+        double given = 0;
+        double sum = 0;
+        for (const auto &[customer, amount] : asked) {
+            given += std::min(amount, level);
+            sum += amount;
+        }
+        RC_ASSERT(std::abs(given - std::min(sum, capacity)) < 1e-6);
+    });
+}
+
+TEST_CASE("a customer at one host gets as much as one at all hosts", "[routing]")
+{
+    // Two dealers each ask for far more than the pool has. The callers of one are all connected to
+    // one host, those of the other to all eight. The second gets six times as much: each host
+    // gives away the spare room that it sees by itself, and the second has eight tries at it.
+    Fleet fleet(8, 9);
+    for (int ms = 0; ms < 20000; ms += 5) {
+        const Base::TimePoint now = start + milliseconds(ms);
+        fleet.submit(0, "at one host", now);
+        fleet.submit(static_cast<std::size_t>(ms / 5) % 8, "at all hosts", now);
+        if (ms % 200 == 0)
+            fleet.submit(3, "asks for little", now);
+        fleet.advance(now);
+    }
+    CHECK(fleet.served("at one host") > 0.7 * fleet.served("at all hosts"));
+    CHECK(fleet.served("at all hosts") > 0.7 * fleet.served("at one host"));
+    CHECK(fleet.served("asks for little") >= 98);
+}
+
+TEST_CASE("a flood does not leave the pool idle", "[routing]")
+{
+    // One customer asks for everything and nobody else asks: it gets what the pool can do, which
+    // is more than the throughput that is shared out.
+    Fleet fleet(4, 6);
+    for (int ms = 0; ms < 10000; ms += 2) {
+        const Base::TimePoint now = start + milliseconds(ms);
+        fleet.submit(static_cast<std::size_t>(ms / 2) % 4, "flood", now);
+        fleet.advance(now);
+    }
+    const double most = 6 * 40 * 10000 / 4000.0;
+    CHECK(fleet.servedInAll() > 0.9 * most);
+}
+
+TEST_CASE("who has received least is next, and within a customer the more urgent", "[routing]")
+{
+    FairWaiting waiting;
+    Work urgent = work(3, "large", start);
+    urgent.priority = 0;
+    Work later = work(2, "large", start);
+    later.priority = 1;
+    waiting.push(later);
+    waiting.push(urgent);
+    waiting.push(work(1, "small", start));
+    const auto received = [](const Base::CustomerId &customer) {
+        return customer.value() == "large" ? 100.0 : 1.0;
+    };
+    CHECK(waiting.takeNext(received)->id == 1);
+    CHECK(waiting.takeNext(received)->id == 3);
+    CHECK(waiting.tokens() == 4000);
+    CHECK(waiting.remove(2));
+    CHECK_FALSE(waiting.remove(2));
+    CHECK(waiting.isEmpty());
+    CHECK(waiting.tokens() == 0);
+    CHECK_FALSE(waiting.takeNext(received));
+}
--- /dev/null
+++ b/tests/auto/routing/tst_placement.cpp
@@ -0,0 +1,233 @@
+#include "routing/dispatcher.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <set>
+
+using namespace Routing;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr Base::TimePoint start{seconds(1000)};
+constexpr std::uint32_t sharedTokens = 13000;
+constexpr std::uint32_t ownTokens = 3000;
+
+std::vector<RegisteredServer> servers(std::size_t count, std::uint32_t slots = 64)
+{
+    std::vector<RegisteredServer> all;
+    for (std::size_t i = 0; i < count; ++i) {
+        RegisteredServer server;
+        server.id = Base::ServerId("s" + std::to_string(i));
+        server.slots = slots;
+        server.zone = Base::ZoneId(i % 2 == 0 ? "near" : "far");
+        all.push_back(server);
+    }
+    return all;
+}
+
+Dispatcher engineDispatcher(std::size_t count)
+{
+    const ServiceTraits traits{true, 500000, 40, 0};
+    Dispatcher dispatcher(traits, Base::ZoneId("near"));
+    dispatcher.setTraits(traits);
+    dispatcher.setServers(servers(count));
+    return dispatcher;
+}
+
+Work prompt(WorkId id, std::uint64_t beginning, Base::TimePoint now)
+{
+    Work work;
+    work.id = id;
+    work.customer = Base::CustomerId("c");
+    work.arrivedAt = now;
+    work.startBy = now + milliseconds(800);
+    work.giveUpAt = now + seconds(8);
+    work.promptTokens = sharedTokens + ownTokens;
+    work.outputTokens = 100;
+    work.parts = {{beginning, sharedTokens}, {id * 7919, ownTokens}};
+    return work;
+}
+
+Base::ServerId onlyPlacement(const Decisions &decisions)
+{
+    return decisions.placements.size() == 1 ? decisions.placements.front().server
+                                            : Base::ServerId();
+}
+
+} // namespace
+
+TEST_CASE("a prompt goes where its beginning is kept", "[routing]")
+{
+    Dispatcher dispatcher = engineDispatcher(18);
+    const Base::ServerId first = onlyPlacement(dispatcher.submit(prompt(1, 42, start), start));
+    REQUIRE_FALSE(first.isEmpty());
+    dispatcher.started(1, start + milliseconds(400));
+    dispatcher.finished(1, AttemptOutcome::Served, start + milliseconds(500));
+    for (WorkId id = 2; id < 20; ++id) {
+        const Base::TimePoint now = start + milliseconds(400) * id;
+        CHECK(onlyPlacement(dispatcher.submit(prompt(id, 42, now), now)) == first);
+        dispatcher.started(id, now + milliseconds(100));
+        dispatcher.finished(id, AttemptOutcome::Served, now + milliseconds(300));
+    }
+}
+
+TEST_CASE("hosts that meet a beginning at the same moment choose the same server", "[routing]")
+{
+    // The same long beginning is read by four to six servers of a calm pool, a third of a second
+    // of each one's time, since no host knows what the others sent.
+    for (std::uint64_t beginning = 1; beginning < 30; ++beginning) {
+        Dispatcher one = engineDispatcher(18);
+        Dispatcher other = engineDispatcher(18);
+        CHECK(onlyPlacement(one.submit(prompt(1, beginning, start), start))
+              == onlyPlacement(other.submit(prompt(2, beginning, start), start)));
+    }
+}
+
+TEST_CASE("what another host sent is known from its report", "[routing]")
+{
+    Dispatcher one = engineDispatcher(18);
+    Dispatcher other = engineDispatcher(18);
+    std::set<Base::ServerId> used;
+    // The first host is made to spread the beginning: its usual server is crowded.
+    for (WorkId id = 1; id <= 12; ++id) {
+        const Base::ServerId server = onlyPlacement(one.submit(prompt(id, 42, start), start));
+        if (!server.isEmpty())
+            used.insert(server);
+    }
+    HostLoad load;
+    one.report(load, start);
+    REQUIRE(load.partUses.size() >= used.size());
+    other.learnPartUses(load.partUses, start);
+    const Base::TimePoint now = start + milliseconds(200);
+    for (WorkId id = 100; id < 104; ++id)
+        CHECK(used.count(onlyPlacement(other.submit(prompt(id, 42, now), now))) == 1);
+    HostLoad second;
+    one.report(second, start);
+    CHECK(second.partUses.empty());
+}
+
+TEST_CASE("a crowded server's beginning is read elsewhere only when that is sooner", "[routing]")
+{
+    Dispatcher dispatcher = engineDispatcher(4);
+    std::set<Base::ServerId> used;
+    std::size_t placed = 0;
+    std::size_t turnedAway = 0;
+    for (WorkId id = 1; id <= 40; ++id) {
+        const Decisions decisions = dispatcher.submit(prompt(id, 42, start), start);
+        for (const Placement &it : decisions.placements)
+            used.insert(it.server);
+        placed += decisions.placements.size();
+        turnedAway += decisions.turnedAway.size();
+    }
+    // Each of four servers takes what it can begin in time; nothing is held that cannot be.
+    CHECK(used.size() == 4);
+    CHECK(placed >= 4);
+    CHECK(placed + turnedAway + dispatcher.waiting() == 40);
+    CHECK(turnedAway > 0);
+}
+
+TEST_CASE("work that could not start in time is turned away at once, with a time to come back",
+          "[routing]")
+{
+    // A burst of long prompts meets a full pool. Without the check all of them wait until their
+    // callers have given up, and the pool works for nobody.
+    Dispatcher dispatcher = engineDispatcher(1);
+    std::size_t turnedAway = 0;
+    for (WorkId id = 1; id <= 60; ++id) {
+        for (const TurnedAway &it : dispatcher.submit(prompt(id, id, start), start).turnedAway) {
+            CHECK(it.reason == TurnedAwayReason::TooLate);
+            CHECK(it.retryAfter >= milliseconds(200));
+            CHECK(it.retryAfter <= milliseconds(2000));
+            ++turnedAway;
+        }
+    }
+    CHECK(turnedAway > 40);
+    // And what does wait is decided before half of its time to start has passed.
+    const Base::TimePoint late = start + milliseconds(425);
+    const std::size_t waiting = dispatcher.waiting();
+    const Decisions decisions = dispatcher.advance(late);
+    CHECK(decisions.turnedAway.size() + decisions.placements.size() == waiting);
+    CHECK(dispatcher.waiting() == 0);
+}
+
+TEST_CASE("a server that cannot be reached is left alone, and tried again", "[routing]")
+{
+    Dispatcher dispatcher = engineDispatcher(2);
+    Work work = prompt(1, 42, start);
+    const Base::ServerId first = onlyPlacement(dispatcher.submit(work, start));
+    dispatcher.finished(1, AttemptOutcome::Unreachable, start);
+    work.tried = {first};
+    CHECK(onlyPlacement(dispatcher.submit(work, start)) != first);
+    Base::TimePoint now = start;
+    std::set<Base::ServerId> used;
+    for (WorkId id = 2; id < 40; ++id) {
+        now += milliseconds(200);
+        used.insert(onlyPlacement(dispatcher.submit(prompt(id, id, now), now)));
+        dispatcher.started(id, now);
+        dispatcher.finished(id, AttemptOutcome::Served, now);
+    }
+    CHECK(used.count(first) == 1);
+}
+
+TEST_CASE("a server that fails part of its requests gets little work", "[routing]")
+{
+    // Its health check is good and it answers fast, so it looks like the freest server of all and
+    // attracts the work that it then fails.
+    const ServiceTraits traits;
+    Dispatcher dispatcher(traits, Base::ZoneId("near"));
+    dispatcher.setTraits(traits);
+    dispatcher.setServers(servers(4, 6));
+    std::map<Base::ServerId, int> counts;
+    Base::TimePoint now = start;
+    for (WorkId id = 1; id <= 2000; ++id) {
+        now += milliseconds(10);
+        Work work = prompt(id, 0, now);
+        work.parts.clear();
+        const Base::ServerId server = onlyPlacement(dispatcher.submit(work, now));
+        ++counts[server];
+        const bool fails = server.value() == "s2" && id % 2 == 0;
+        dispatcher.finished(id, fails ? AttemptOutcome::ServerError : AttemptOutcome::Served, now);
+    }
+    CHECK(counts[Base::ServerId("s2")] < 100);
+}
+
+TEST_CASE("no decision is lost or made twice, whatever happens", "[routing]")
+{
+    rc::prop("each piece of work is placed, turned away or waits", [] {
+        Dispatcher dispatcher = engineDispatcher(static_cast<std::size_t>(*rc::gen::inRange(0, 4)));
+        std::set<WorkId> open;
+        std::vector<WorkId> running;
+        Base::TimePoint now = start;
+        WorkId last = 0;
+        const auto take = [&](const Decisions &decisions) {
+            for (const Placement &it : decisions.placements) {
+                RC_ASSERT(open.erase(it.work) == 1);
+                running.push_back(it.work);
+            }
+            for (const TurnedAway &it : decisions.turnedAway)
+                RC_ASSERT(open.erase(it.work) == 1);
+        };
+        const int steps = *rc::gen::inRange(1, 150);
+        for (int i = 0; i < steps; ++i) {
+            now += milliseconds(*rc::gen::inRange(0, 60));
+            const int what = *rc::gen::inRange(0, 6);
+            if (what < 3) {
+                open.insert(++last);
+                take(dispatcher.submit(prompt(last, *rc::gen::inRange(0U, 3U), now), now));
+            } else if (what < 5 && !running.empty()) {
+                const auto outcome = *rc::gen::element(
+                    AttemptOutcome::Served, AttemptOutcome::Broken, AttemptOutcome::NoRoom,
+                    AttemptOutcome::Unreachable, AttemptOutcome::Withdrawn);
+                const WorkId id = running.back();
+                running.pop_back();
+                take(dispatcher.finished(id, outcome, now));
+            } else {
+                take(dispatcher.advance(now));
+            }
+            RC_ASSERT(dispatcher.waiting() == open.size());
+        }
+    });
+}
--- /dev/null
+++ b/tests/auto/routing/tst_serverset.cpp
@@ -0,0 +1,112 @@
+#include "routing/configurationlease.h"
+#include "routing/serverset.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <set>
+
+using namespace Routing;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr Base::TimePoint start{seconds(1000)};
+
+RegisteredServer server(const std::string &id, bool isLeaving = false)
+{
+    RegisteredServer it;
+    it.id = Base::ServerId(id);
+    it.service = "app";
+    it.address = "127.0.0.1:1";
+    it.isLeaving = isLeaving;
+    return it;
+}
+
+} // namespace
+
+TEST_CASE("a server that was seen leaving gets no work again", "[routing]")
+{
+    // A caller's request fails at a server that has just exited. The server said that it leaves,
+    // then a reading of an older state of the store still shows it as ready, and the host takes
+    // it back. Cause: the newest reading was believed about a state that is final.
+    ServerSet set(seconds(2));
+    set.apply({server("a"), server("b")}, start);
+    const ServerChanges changes = set.apply({server("a", true), server("b")}, start + seconds(1));
+    CHECK(changes.leaving == std::vector{Base::ServerId("a")});
+    set.apply({server("a"), server("b")}, start + seconds(2));
+    CHECK(set.usable(Base::ServerId("a")) == nullptr);
+    CHECK(set.usable(Base::ServerId("b")) != nullptr);
+}
+
+TEST_CASE("entries that lapse while the store is away are kept until two seconds after its return",
+          "[routing]")
+{
+    // All requests are turned away for seconds after an outage of the store. The servers ran all
+    // the while, but their entries lapsed, and the first reading shows an empty list. Cause: a
+    // missing entry was taken for a server that is gone.
+    ServerSet set(seconds(2));
+    set.apply({server("a"), server("b")}, start);
+    set.storeFailed(start + seconds(1));
+    CHECK(set.apply({}, start + seconds(5)).isEmpty());
+    CHECK(set.usable(Base::ServerId("a")) != nullptr);
+    set.apply({server("b")}, start + seconds(6));
+    CHECK(set.usable(Base::ServerId("a")) != nullptr);
+    // Still missing after that: it is gone, and the other one is not.
+    const ServerChanges changes = set.apply({server("b")}, start + seconds(7) + milliseconds(1));
+    CHECK(changes.gone == std::vector{Base::ServerId("a")});
+    CHECK(set.usable(Base::ServerId("b")) != nullptr);
+}
+
+TEST_CASE("a missing entry means gone at once while the store is well", "[routing]")
+{
+    ServerSet set(seconds(2));
+    set.apply({server("a"), server("b")}, start);
+    CHECK(set.apply({server("b")}, start + seconds(1)).gone.size() == 1);
+    // A server whose heartbeats were held up registers itself again under the same id.
+    CHECK(set.apply({server("a"), server("b")}, start + seconds(2)).found.size() == 1);
+}
+
+TEST_CASE("no reading brings a leaving server back, in any order of readings", "[routing]")
+{
+    rc::prop("once seen leaving, never usable", [] {
+        ServerSet set(seconds(2));
+        std::set<std::string> left;
+        Base::TimePoint now = start;
+        const int readings = *rc::gen::inRange(1, 30);
+        for (int i = 0; i < readings; ++i) {
+            now += milliseconds(*rc::gen::inRange(1, 3000));
+            if (*rc::gen::weightedElement<bool>({{1, true}, {4, false}}))
+                set.storeFailed(now);
+            std::vector<RegisteredServer> listed;
+            for (const std::string id : {"a", "b", "c"}) {
+                const int what = *rc::gen::inRange(0, 3);
+                if (what == 0)
+                    continue;
+                listed.push_back(server(id, what == 1));
+                if (what == 1)
+                    left.insert(id);
+            }
+            set.apply(listed, now);
+            for (const std::string &id : left)
+                RC_ASSERT(!set.usable(Base::ServerId(id)));
+        }
+    });
+}
+
+TEST_CASE("keys are used only for a time after the last proof", "[routing]")
+{
+    // A key is taken away while a host is cut off from the store; seconds later the host still
+    // serves requests with it. Cause: it took its configuration for current until told otherwise.
+    ConfigurationLease lease(milliseconds(3500));
+    CHECK_FALSE(lease.isHeld(start));
+    lease.confirm(start);
+    CHECK(lease.isHeld(start + milliseconds(3499)));
+    CHECK_FALSE(lease.isHeld(start + milliseconds(3500)));
+    // An answer counts from when its question was sent, and a late older one changes nothing.
+    lease.confirm(start + seconds(2));
+    lease.confirm(start + seconds(1));
+    CHECK(lease.isHeld(start + seconds(5)));
+    CHECK_FALSE(lease.isHeld(start + milliseconds(5500)));
+}
