Log each failed attempt, serve metrics, explain a request from its log

One line for each attempt that fails, with what was known of it; counters and histograms on the metrics address; "lagoonmast explain" prints one request's way from the log files of several hosts.

--- a/src/app/commandline.cpp
+++ b/src/app/commandline.cpp
@@ -188,6 +188,15 @@
     return GetTargetsCommand{address};
 }
 
+Base::Result<Command> parseExplain(const Parsed &parsed)
+{
+    BOOST_LEAF_CHECK(allowOnly(parsed, {}));
+    if (parsed.words.size() < 3)
+        return boost::leaf::new_error(UsageError{UsageFault::MissingArgument,
+                                                 parsed.words.size() < 2 ? "REQUEST-ID" : "FILE"});
+    return ExplainCommand{parsed.words[1], {parsed.words.begin() + 2, parsed.words.end()}};
+}
+
 } // namespace
 
 std::string toString(const UsageError &error)
@@ -226,6 +235,8 @@
            "                             change a class's target, unless it was changed after\n"
            "                             VERSION, the one that \"targets get\" printed\n"
            "  status --address IP:PORT   print how a router stands\n"
+           "  explain REQUEST-ID FILE...\n"
+           "                             print one request's way, from gateways' log files\n"
            "  --help, --version\n"
            "\n"
            "exit status: 0 good, 1 failed, 2 wrong usage\n";
@@ -247,6 +258,8 @@
         return parseCheck(parsed);
     if (name == "targets")
         return parseTargets(parsed);
+    if (name == "explain")
+        return parseExplain(parsed);
     if (name == "status")
         return parseStatus(parsed);
     return boost::leaf::new_error(UsageError{UsageFault::UnknownCommand, name});
--- a/src/app/commandline.h
+++ b/src/app/commandline.h
@@ -43,6 +43,13 @@
     std::string address;
 };
 
+/// What log files say of one request.
+struct ExplainCommand
+{
+    std::string request;
+    std::vector<std::string> files;
+};
+
 struct HelpCommand
 {};
 
@@ -50,7 +57,7 @@
 {};
 
 using Command = std::variant<ServeCommand, CheckCommand, GetTargetsCommand, SetTargetCommand,
-                             StatusCommand, HelpCommand, VersionCommand>;
+                             StatusCommand, ExplainCommand, HelpCommand, VersionCommand>;
 
 enum class UsageFault {
     MissingCommand,
--- a/src/app/program.cpp
+++ b/src/app/program.cpp
@@ -1,5 +1,6 @@
 #include "program.h"
 
+#include "explain.h"
 #include "gateway/gatewaysettings.h"
 #include "operatorclient.h"
 #include "settingsfile.h"
@@ -112,6 +113,18 @@
     return show(answer, *m_out, *m_err);
 }
 
+Base::Result<ExitStatus> Program::execute(const ExplainCommand &command)
+{
+    BOOST_LEAF_AUTO(way, explainRequest(command.request, command.files));
+    if (way.empty()) {
+        *m_err << errorPrefix << "no line of " << command.request << '\n';
+        return ExitStatus::Failed;
+    }
+    for (const std::string &line : way)
+        *m_out << line << '\n';
+    return ExitStatus::Good;
+}
+
 Base::Result<ExitStatus> Program::execute(const HelpCommand &)
 {
     *m_out << usageText();
--- a/src/app/program.h
+++ b/src/app/program.h
@@ -40,6 +40,7 @@
     Base::Result<ExitStatus> execute(const GetTargetsCommand &command);
     Base::Result<ExitStatus> execute(const SetTargetCommand &command);
     Base::Result<ExitStatus> execute(const StatusCommand &command);
+    Base::Result<ExitStatus> execute(const ExplainCommand &command);
     Base::Result<ExitStatus> execute(const HelpCommand &command);
     Base::Result<ExitStatus> execute(const VersionCommand &command);
 
--- a/src/libs/gateway/exchange.cpp
+++ b/src/libs/gateway/exchange.cpp
@@ -1,6 +1,7 @@
 #include "gateway/exchange.h"
 
 #include "gateway/eventlog.h"
+#include "gateway/gatewaymetrics.h"
 
 #include <algorithm>
 #include <utility>
@@ -157,6 +158,7 @@
     }
     if (!isSilent(now) || !mayRepeat(AttemptOutcome::Silent, true))
         return;
+    logFailedAttempt(AttemptOutcome::Silent, true, true);
     m_mayHaveRun = true;
     ++m_runs;
     dropAttempt(AttemptOutcome::Silent);
@@ -275,6 +277,7 @@
     if (status >= 500) {
         endAttempt(AttemptOutcome::ServerError);
         if (!m_isStreamStarted && mayRepeat(AttemptOutcome::ServerError, true)) {
+            logFailedAttempt(AttemptOutcome::ServerError, true, true);
             m_mayHaveRun = true;
             ++m_runs;
             submit();
@@ -318,6 +321,7 @@
 void Exchange::afterFailure(AttemptOutcome outcome, bool maybeRan)
 {
     const bool repeats = mayRepeat(outcome, maybeRan);
+    logFailedAttempt(outcome, maybeRan, repeats);
     if (maybeRan) {
         m_mayHaveRun = true;
         ++m_runs;
@@ -393,9 +397,33 @@
     m_port->exchangeOver(m_accepted.id);
 }
 
+void Exchange::logFailedAttempt(AttemptOutcome outcome, bool maybeRan, bool repeats)
+{
+    m_port->attemptFailed(outcome);
+    const Base::TimePoint now = m_port->now();
+    LogLine line("request.attempt_failed");
+    line.add("request", m_accepted.requestId)
+        .add("route", route().name)
+        .add("server", m_server.value())
+        .add("outcome", Routing::nameOf(outcome))
+        .add("maybeRan", maybeRan)
+        .add("repeats", repeats)
+        .add("sends", m_sends)
+        .add("events", m_eventCount)
+        .add("afterMs", now - m_sentAt);
+    m_port->log().writeRequest(line, true, now);
+}
+
 void Exchange::logEnd(const char *outcome)
 {
     const Base::TimePoint now = m_port->now();
+    EndedRequest ended{route().name, m_accepted.customer.value(), outcome, std::nullopt,
+                       now - m_accepted.request.readAt};
+    if (m_eventCount > 0)
+        ended.first = m_firstEventAt - m_accepted.request.readAt;
+    else if (m_status != 0 && m_status < 500)
+        ended.first = ended.whole;
+    m_port->requestEnded(ended);
     LogLine line("request.end");
     line.add("request", m_accepted.requestId)
         .add("route", route().name)
--- a/src/libs/gateway/exchange.h
+++ b/src/libs/gateway/exchange.h
@@ -16,6 +16,7 @@
 namespace Gateway {
 
 class EventLog;
+struct EndedRequest;
 
 /// What an exchange asks of the gateway that it belongs to.
 class ExchangePort
@@ -39,6 +40,8 @@
     virtual const HeaderNames &names() = 0;
     virtual EventLog &log() = 0;
     virtual Base::TimePoint now() = 0;
+    virtual void attemptFailed(Routing::AttemptOutcome outcome) = 0;
+    virtual void requestEnded(const EndedRequest &request) = 0;
     virtual void exchangeOver(Routing::WorkId id) = 0;
 };
 
@@ -106,6 +109,7 @@
     void fail(Failure failure);
     void finish(const char *outcome);
     void logEnd(const char *outcome);
+    void logFailedAttempt(Routing::AttemptOutcome outcome, bool maybeRan, bool repeats);
 
     ExchangePort *m_port;
     AcceptedRequest m_accepted;
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -77,13 +77,37 @@
     return value.starts_with(scheme) ? std::string(value.substr(scheme.size())) : std::string();
 }
 
+/// Answers scrapes.
+class MetricsHandler final : public RequestHandler
+{
+public:
+    explicit MetricsHandler(std::function<std::string()> text)
+        : m_text(std::move(text))
+    {}
+
+    std::shared_ptr<ActiveRequest> handle(CallerRequest request, AnswerSink &sink) override
+    {
+        ResponseHead head;
+        const bool isKnown = request.message.target() == "/metrics";
+        head.result(isKnown ? Http::status::ok : Http::status::not_found);
+        head.set(Http::field::content_type, "text/plain; version=0.0.4");
+        sink.sendAnswer(head, isKnown ? m_text() : std::string());
+        return nullptr;
+    }
+
+private:
+    std::function<std::string()> m_text;
+};
+
 } // namespace
 
 Base::Result<std::unique_ptr<Gateway>> Gateway::create(const GatewaySettings &settings,
                                                        const DeploymentAdapter &adapter)
 {
     std::unique_ptr<Gateway> gateway(new Gateway(settings, adapter));
+    BOOST_LEAF_ASSIGN(gateway->m_metrics, GatewayMetrics::create());
     BOOST_LEAF_CHECK(gateway->listen());
+    BOOST_LEAF_CHECK(gateway->listenForMetrics());
     return gateway;
 }
 
@@ -124,6 +148,37 @@
     return {};
 }
 
+Base::Result<void> Gateway::listenForMetrics()
+{
+    if (!m_settings.metricsAddress)
+        return {};
+    m_metricsHandler = std::make_unique<MetricsHandler>([this] {
+        m_metrics->show(state());
+        return m_metrics->text();
+    });
+    BOOST_LEAF_ASSIGN(m_metricsListener,
+                      HttpListener::create(m_io, *m_settings.metricsAddress,
+                                           {*m_metricsHandler, m_directoryLimits, m_readBuffer}));
+    return {};
+}
+
+GatewayState Gateway::state() const
+{
+    const Base::TimePoint time = bootTimeNow();
+    GatewayState state;
+    state.openRequests = m_exchanges.size();
+    for (const auto &[name, service] : m_services)
+        state.waitingWork += service.dispatcher.waiting();
+    state.liveHosts = m_fleet.liveHosts(time);
+    state.servers = m_servers.servers().size();
+    state.configurationVersion = m_table ? m_table->version() : 0;
+    state.proofAge = m_lease.age(time);
+    state.isReady = isReady();
+    state.isStoreReader = m_fleet.isLeader(time);
+    state.droppedLogLines = m_log.dropped();
+    return state;
+}
+
 void Gateway::run()
 {
     m_log.write(LogLine("process.start")
@@ -188,6 +243,8 @@
         m_callers->checkTime(time);
         m_readiness->checkTime(time);
         m_discovery->checkTime(time);
+        if (m_metricsListener)
+            m_metricsListener->checkTime(time);
         m_fleet.advance(time);
     }
     const bool isLeaseHeld = m_lease.isHeld(time);
@@ -306,6 +363,9 @@
                                .add("status", failureStatus(*failure))
                                .add("configuration", m_table ? m_table->version() : 0),
                            true, now());
+        m_metrics->requestEnded({accepted.route ? accepted.route->name : std::string(),
+                                 accepted.customer.value(), failureName(failure->type),
+                                 std::nullopt, now() - accepted.request.readAt});
         sink.sendAnswer(failureHead(*failure), failureBody(*failure, accepted.requestId));
         return nullptr;
     }
@@ -472,7 +532,9 @@
 
 bool Gateway::takeRepeat(const std::string &service)
 {
-    return serviceState(service).retries.take(m_fleet.others().hosts, now());
+    const bool isGranted = serviceState(service).retries.take(m_fleet.others().hosts, now());
+    m_metrics->repeatAsked(isGranted);
+    return isGranted;
 }
 
 const Routing::RegisteredServer *Gateway::server(const Base::ServerId &id)
@@ -490,6 +552,21 @@
     return bootTimeNow();
 }
 
+void Gateway::attemptFailed(Routing::AttemptOutcome outcome)
+{
+    m_metrics->attemptFailed(Routing::nameOf(outcome));
+}
+
+void Gateway::requestEnded(const EndedRequest &request)
+{
+    m_metrics->requestEnded(request);
+}
+
+void Gateway::storeAnswered(const char *call, bool isGood)
+{
+    m_metrics->storeAnswered(call, isGood);
+}
+
 void Gateway::exchangeOver(Routing::WorkId id)
 {
     m_exchanges.erase(id);
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -6,6 +6,7 @@
 #include "gateway/eventlog.h"
 #include "gateway/exchange.h"
 #include "gateway/fleetview.h"
+#include "gateway/gatewaymetrics.h"
 #include "gateway/gatewaysettings.h"
 #include "gateway/httplistener.h"
 #include "gateway/reportsocket.h"
@@ -80,6 +81,8 @@
     const HeaderNames &names() override { return m_adapter.names; }
     EventLog &log() override { return m_log; }
     Base::TimePoint now() override;
+    void attemptFailed(Routing::AttemptOutcome outcome) override;
+    void requestEnded(const EndedRequest &request) override;
     void exchangeOver(Routing::WorkId id) override;
 
     void configurationRead(std::shared_ptr<const Routing::RouteTable> table) override;
@@ -87,6 +90,7 @@
     void serversRead(const std::vector<Routing::RegisteredServer> &servers,
                      Base::TimePoint askedAt) override;
     void serversUnread() override;
+    void storeAnswered(const char *call, bool isGood) override;
     void hostsRead(const std::vector<HostRow> &hosts) override;
 
     std::vector<std::string> entryAddresses() const override;
@@ -122,6 +126,8 @@
     void applyServers();
     void apply(const Routing::Decisions &decisions);
 
+    Base::Result<void> listenForMetrics();
+    GatewayState state() const;
     void beginShutdown();
     void checkShutdown(Base::TimePoint now);
 
@@ -139,6 +145,9 @@
     std::unique_ptr<StoreClient> m_store;
     std::unique_ptr<ReportSocket> m_reports;
     std::unique_ptr<RequestHandler> m_directoryHandler;
+    std::unique_ptr<GatewayMetrics> m_metrics;
+    std::unique_ptr<RequestHandler> m_metricsHandler;
+    std::unique_ptr<HttpListener> m_metricsListener;
     std::unique_ptr<HttpListener> m_callers;
     std::unique_ptr<HttpListener> m_readiness;
     std::unique_ptr<HttpListener> m_discovery;
--- a/src/libs/gateway/gatewaysettings.cpp
+++ b/src/libs/gateway/gatewaysettings.cpp
@@ -79,6 +79,8 @@
     settings.discoveryAddress = reader.address("discoveryAddress");
     settings.peerAddress = reader.address("peerAddress");
     settings.storeAddress = reader.address(storeAddressKey);
+    if (reader.optional("metricsAddress"))
+        settings.metricsAddress = reader.address("metricsAddress");
     readSeeds(reader, settings.seeds);
     if (const Json *bounds = reader.optional("bounds")) {
         ObjectReader inner(*bounds, reader.pointerTo("bounds"), faults);
--- a/src/libs/gateway/gatewaysettings.h
+++ b/src/libs/gateway/gatewaysettings.h
@@ -7,6 +7,7 @@
 #include "settings/address.h"
 #include "settings/settingsfault.h"
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -25,6 +26,8 @@
     /// UDP, for load reports between hosts.
     Settings::Address peerAddress;
     Settings::Address storeAddress;
+    /// Where metrics are served, at /metrics; none if empty.
+    std::optional<Settings::Address> metricsAddress;
     /// Hosts that may run as well; only their IP numbers count.
     std::vector<std::string> seeds;
     /// How long callers may keep an entry list.
--- a/src/libs/gateway/storeclient.cpp
+++ b/src/libs/gateway/storeclient.cpp
@@ -111,6 +111,7 @@
 void StoreClient::takeConfiguration(const ConfigurationReading &reading, Base::TimePoint askedAt,
                                     bool isWatch)
 {
+    m_listener->storeAnswered("configuration", true);
     noteLane(m_isWatchGood, true, "configuration", "");
     // An older state than one already seen proves nothing and must not come into force.
     if (reading.storeVersion < m_newestVersion)
@@ -139,6 +140,7 @@
 
 void StoreClient::configurationFailed(const char *why)
 {
+    m_listener->storeAnswered("configuration", false);
     noteLane(m_isWatchGood, false, "configuration", why);
     m_nextWatch = bootTimeNow() + retryPause;
 }
@@ -162,6 +164,7 @@
         [&]() -> Base::Result<void> {
             BOOST_LEAF_AUTO(reading, m_protocol->servers(*answer));
             m_nextServers = askedAt + serverInterval;
+            m_listener->storeAnswered("servers", true);
             noteLane(m_isReadGood, true, "servers", "");
             if (reading.storeVersion < m_serversVersion) {
                 m_continueFrom.clear();
@@ -185,6 +188,7 @@
 
 void StoreClient::serversFailed(const char *why)
 {
+    m_listener->storeAnswered("servers", false);
     noteLane(m_isReadGood, false, "servers", why);
     m_continueFrom.clear();
     m_nextServers = bootTimeNow() + retryPause;
@@ -225,6 +229,7 @@
 
 void StoreClient::hostsAnswered(const std::optional<StoreAnswer> &answer)
 {
+    m_listener->storeAnswered("hosts", answer.has_value());
     if (!answer) {
         m_nextHostRead = bootTimeNow() + retryPause;
         return;
--- a/src/libs/gateway/storeclient.h
+++ b/src/libs/gateway/storeclient.h
@@ -25,6 +25,7 @@
     virtual void serversRead(const std::vector<Routing::RegisteredServer> &servers,
                              Base::TimePoint askedAt) = 0;
     virtual void serversUnread() = 0;
+    virtual void storeAnswered(const char *call, bool isGood) = 0;
     virtual void hostsRead(const std::vector<HostRow> &hosts) = 0;
 };
 
--- a/src/libs/routing/work.cpp
+++ b/src/libs/routing/work.cpp
@@ -17,4 +17,27 @@
     return "too_late";
 }
 
+const char *nameOf(AttemptOutcome outcome)
+{
+    switch (outcome) {
+    case AttemptOutcome::Served:
+        return "served";
+    case AttemptOutcome::ServerError:
+        return "server_error";
+    case AttemptOutcome::NoRoom:
+        return "no_room";
+    case AttemptOutcome::WrongServer:
+        return "wrong_server";
+    case AttemptOutcome::Unreachable:
+        return "unreachable";
+    case AttemptOutcome::Broken:
+        return "broken";
+    case AttemptOutcome::Silent:
+        return "silent";
+    case AttemptOutcome::Withdrawn:
+        return "withdrawn";
+    }
+    return "broken";
+}
+
 } // namespace Routing
--- a/src/libs/routing/work.h
+++ b/src/libs/routing/work.h
@@ -110,4 +110,6 @@
     Withdrawn,
 };
 
+const char *nameOf(AttemptOutcome outcome);
+
 } // namespace Routing
--- a/tests/golden/deployment.sh
+++ b/tests/golden/deployment.sh
@@ -23,7 +23,8 @@
 
 # What the gateway wrote of a request, without times.
 logged() {
-    fleet_until "the line of $1" grep -q "\"request\":\"$1\"" "$FLEET_DIR/gateway-1.out"
+    fleet_until "the last line of $1" grep -Eq \
+        "\"event\":\"request\.(end|refused)\",\"request\":\"$1\"" "$FLEET_DIR/gateway-1.out"
     echo "log: $(grep "\"request\":\"$1\"" "$FLEET_DIR/gateway-1.out" | jq -c '
         {event, request, route, customer, configuration, outcome, why, status, sends, runs, events}
         | with_entries(select(.value != null))')"
--- /dev/null
+++ b/tests/processes/gatewayexplain.sh
@@ -0,0 +1,65 @@
+#!/usr/bin/env bash
+# Three requests fail, and each failure is explained by "lagoonmast explain" from the gateways' logs
+# alone: refused without room, broken off in the middle, not repeatable with unknown outcome. The
+# metrics address counts them.
+# usage: gatewayexplain.sh BUILD_FOLDER
+set -euo pipefail
+cd "$(dirname "$0")/../.."
+FLEET_BUILD=$1
+. tests/processes/deployment.sh
+deployment_up
+
+# request ID PATH CURL_ARGUMENT...
+request() {
+    local id=$1 path=$2
+    shift 2
+    curl -s --max-time 15 -o "$FLEET_DIR/body" "http://$FLEET_IP:19721$path" \
+        -H 'Host: cars.example' -H 'Deadline-Ms: 3000' -H "Attempt-Id: $id" \
+        -H 'Authorization: Bearer key-1' "$@" || true
+}
+
+explain() {
+    "$FLEET_BUILD/src/app/lagoonmast" explain "$1" "$FLEET_DIR"/gateway-*.out >"$FLEET_DIR/way"
+}
+
+# explained ID PATTERN...: the way of the request has a line with each pattern.
+explained() {
+    local id=$1
+    shift
+    fleet_until "the end of $id in the log" eval "explain $id && grep -q request.end $FLEET_DIR/way"
+    for pattern in "$@"; do
+        grep -Eq "$pattern" "$FLEET_DIR/way" \
+            || fleet_fail "$id is not explained by $pattern: $(cat "$FLEET_DIR/way")"
+    done
+}
+
+fault 19713 '{"mode":"refuse"}'
+request refused /once/a -d x
+explained refused 'gateway-1 request.attempt_failed .*server=i-3 outcome=no_room maybeRan=false' \
+    'request.end .*outcome=overloaded status=503 .*runs=0'
+fault 19713 '{"mode":"none"}'
+
+for port in 19711 19712; do
+    fault $port '{"mode":"cut","afterEvents":2}'
+done
+request broken /stream/b "${prompt[@]}"
+explained broken 'request.attempt_failed .*outcome=broken maybeRan=true repeats=true' \
+    'request.attempt_failed .*outcome=broken maybeRan=true repeats=false' \
+    'request.end .*outcome=(backend_failed|streamed) .*runs='
+for port in 19711 19712; do
+    fault $port '{"mode":"none"}'
+done
+
+fault 19713 '{"mode":"cut","count":1}'
+request unknown /once/c -d x
+explained unknown 'request.attempt_failed .*server=i-3 outcome=broken maybeRan=true repeats=false' \
+    'request.end .*outcome=backend_failed status=502 .*runs=1'
+
+curl -sf "http://$FLEET_IP:19761/metrics" >"$FLEET_DIR/metrics" || fleet_fail "no metrics"
+for pattern in 'requests_total\{route="once",outcome="overloaded"\} 1' \
+    'failed_attempts_total\{outcome="no_room"\}' 'live_hosts 2' 'gateway_ready 1' \
+    'store_calls_total\{call="configuration",result="good"\}' 'first_seconds_bucket'; do
+    grep -Eq "lagoonmast_gateway_$pattern|$pattern" "$FLEET_DIR/metrics" \
+        || fleet_fail "no $pattern: $(cat "$FLEET_DIR/metrics")"
+done
+fleet_stop || fleet_fail "a process did not end well"
