Test two guards of the router's core that no test held

An older attempt's late answer and a claim that lapsed during a suspension: each test turned red with its guard taken out (3 and 2 checks), and is green with it.

--- /dev/null
+++ b/tests/auto/node/tst_guards.cpp
@@ -0,0 +1,66 @@
+#include "support/routerpair.h"
+
+#include <catch2/catch.hpp>
+
+using namespace std::chrono_literals;
+using RouterPair::chatRequest;
+using RouterPair::Pair;
+
+TEST_CASE("parts of an older attempt are not taken for the new one's", "[node]")
+{
+    // A caller sees the first words of one server's answer and the rest of another's. The first
+    // attempt was given up and sent again; then its answer came after all, late. Cause: the answer
+    // was matched by the request alone, and not by the number of the attempt.
+    Pair pair;
+    Pair::Router &router = pair.router(0);
+    router.node->handle(chatRequest(7), pair.now());
+    pair.settle();
+    REQUIRE(router.backends.sent.size() == 1);
+    const Node::AttemptId first = router.backends.sent.front().attempt;
+    router.node->handle(Node::BackendFailed{first, Node::SendState::NeverSent, 0, std::nullopt},
+                        pair.now());
+    pair.settle();
+    pair.run(2s);
+    REQUIRE(router.backends.sent.size() == 2);
+    const Node::AttemptId second = router.backends.sent.back().attempt;
+    REQUIRE(second.request == first.request);
+
+    router.node->handle(Node::BackendHead{first, 200, "text/plain", ""}, pair.now());
+    router.node->handle(Node::BackendPart{first, 0, "late", 4}, pair.now());
+    router.node->handle(Node::BackendFinished{first, 1}, pair.now());
+    CHECK(router.callers.logs[7].parts.empty());
+    CHECK_FALSE(router.callers.logs[7].isFinished);
+    router.node->handle(Node::BackendHead{second, 200, "text/event-stream", "st"}, pair.now());
+    router.node->handle(Node::BackendPart{second, 0, "own", 4}, pair.now());
+    router.node->handle(Node::BackendFinished{second, 1}, pair.now());
+    CHECK(router.callers.logs[7].parts == std::vector<std::string>{"own"});
+    CHECK(router.callers.logs[7].isFinished);
+}
+
+TEST_CASE("a router that wakes after its claim has lapsed sends nothing", "[node]")
+{
+    // A deposit is placed twice. The router that had claimed it was suspended before it sent it;
+    // the claim lapsed, another router took it over and ran it. Then the first one woke, got its
+    // permit, and sent it as well. Cause: the claim was looked at when it was taken, not when
+    // the work was sent.
+    for (const std::size_t entry : {0, 1}) {
+        Pair pair;
+        Pair::Router &router = pair.router(entry);
+        pair.holdMessages(true);
+        Node::CallerRequest request = chatRequest(7);
+        request.isRepeatable = false;
+        request.idempotencyKey = "deposit";
+        router.node->handle(request, pair.now());
+        pair.settle();
+        // The router that is the pool's home itself has sent it before it was suspended.
+        if (!router.backends.sent.empty())
+            continue;
+        pair.suspend(120s);
+        pair.holdMessages(false);
+        pair.settle();
+        CHECK(router.backends.sent.empty());
+        REQUIRE(router.callers.logs[7].failure);
+        CHECK(router.callers.logs[7].failure->type == Node::FailureType::ClaimUnavailable);
+        CHECK(router.callers.logs[7].failure->ran == Node::Ran::No);
+    }
+}
