--- a/tests/standins/deployedserverstandin/deployedservice.cpp
+++ b/tests/standins/deployedserverstandin/deployedservice.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cstdio>
 #include <thread>
 #include <utility>
 
@@ -56,7 +57,8 @@
 {
     return {{"id", "i-1", "id of this start of the server"},
             {"work-ms", "5", "time of one plain call, and before each event"},
-            {"events", "8", "events of a stream"}};
+            {"events", "8", "events of a stream"},
+            {"print-runs", "false", "print a line for each request that begins to run"}};
 }
 
 Base::Result<std::unique_ptr<Service>> DeployedService::create(const Options &options)
@@ -68,6 +70,7 @@
     : m_id(options.text("id"))
     , m_workTime(options.milliseconds("work-ms"))
     , m_events(static_cast<std::uint64_t>(options.number("events")))
+    , m_isPrinting(options.isSet("print-runs"))
 {}
 
 HttpResponse DeployedService::handle(const HttpRequest &request)
@@ -86,6 +89,15 @@
     return request.header("Token-Count").empty() ? plain(request, fault) : stream(request, fault);
 }
 
+std::size_t DeployedService::begin(const HttpRequest &request)
+{
+    if (m_isPrinting) {
+        std::printf("run %s %s\n", request.header("Attempt-Id").c_str(), m_id.c_str());
+        std::fflush(stdout);
+    }
+    return m_journal.begin(request);
+}
+
 HttpResponse DeployedService::notRun(const HttpRequest &request, int status) const
 {
     HttpResponse response = errorResponse(status, "not run");
@@ -96,7 +108,7 @@
 
 HttpResponse DeployedService::plain(const HttpRequest &request, const FaultPlan &fault)
 {
-    const std::size_t entry = m_journal.begin(request);
+    const std::size_t entry = begin(request);
     std::this_thread::sleep_for(m_workTime + fault.delay);
     m_journal.end(entry, "finished");
     HttpResponse response =
@@ -116,7 +128,7 @@
 
 HttpResponse DeployedService::stream(const HttpRequest &request, const FaultPlan &fault)
 {
-    m_journal.end(m_journal.begin(request), "finished");
+    m_journal.end(begin(request), "finished");
     std::optional<std::uint64_t> cutAfter;
     if (fault.mode == "cut")
         cutAfter = fault.afterEvents;
--- a/tests/standins/deployedserverstandin/deployedservice.h
+++ b/tests/standins/deployedserverstandin/deployedservice.h
@@ -24,6 +24,8 @@
 
 private:
     explicit DeployedService(const Options &options);
+    /// Writes down that the request runs.
+    std::size_t begin(const HttpRequest &request);
     HttpResponse notRun(const HttpRequest &request, int status) const;
     HttpResponse plain(const HttpRequest &request, const FaultPlan &fault);
     HttpResponse stream(const HttpRequest &request, const FaultPlan &fault);
@@ -32,6 +34,7 @@
     std::string m_id;
     std::chrono::milliseconds m_workTime;
     std::uint64_t m_events;
+    bool m_isPrinting;
     Faults m_faults;
     Journal m_journal;
 };
