Take changed settings while a gateway runs; bound the log's lines by a setting

Seen at SIGHUP or within half a second without it; a file with faults changes nothing and is told. Lint: names of static constants, strings of the soak's callers.

--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -3,7 +3,7 @@
 # With --fix it formats in place. Needs a configured build/ for the compile commands.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-mapfile -t files < <(find src tests tools -name '*.cpp' -o -name '*.h' | grep -v /generated/ | sort)
+mapfile -t files < <(find src tests tools platform -name '*.cpp' -o -name '*.h' | grep -v /generated/ | sort)
 if [ "${1:-}" = --fix ]; then
     clang-format -i "${files[@]}"
     exit 0
--- a/scripts/measuregateway.sh
+++ b/scripts/measuregateway.sh
@@ -7,6 +7,8 @@
 FLEET_BUILD=$1
 ulimit -n 8192 2>/dev/null || true
 . tests/processes/deployment.sh
+# Lines of requests in the log, a second: 0 measures without them.
+LOG_LINES=${LOG_LINES:-150}
 load() {
     echo "== $1"
     shift
--- a/src/app/program.cpp
+++ b/src/app/program.cpp
@@ -74,6 +74,7 @@
     BOOST_LEAF_AUTO(text, readFile(command.settingsFile));
     if (Gateway::GatewaySettings::isGatewayText(text)) {
         BOOST_LEAF_AUTO(gateway, Gateway::GatewaySettings::parse(text));
+        gateway.file = command.settingsFile;
         return m_serveGateway(gateway) == 0 ? ExitStatus::Good : ExitStatus::Failed;
     }
     BOOST_LEAF_AUTO(settings, Settings::ProcessSettings::parse(text));
--- a/src/libs/gateway/eventlog.cpp
+++ b/src/libs/gateway/eventlog.cpp
@@ -12,11 +12,9 @@
 
 /// Lines that wait for a reader; about a thousand.
 constexpr std::size_t mostBuffered = 256U << 10;
-/// Requests that get a line each second. A host of a quarter core serves about fifty a second
-/// on an ordinary day; ten times that would take more time to write than to serve.
-constexpr unsigned requestLinesPerSecond = 150;
-/// Failures have a further allowance: they are what somebody will ask about.
-constexpr unsigned failureLinesPerSecond = 300;
+/// Failures have an allowance of this many times as many lines besides: they are what somebody will
+/// ask about.
+constexpr unsigned failureFactor = 2;
 
 void appendEscaped(std::string &text, std::string_view value)
 {
@@ -84,8 +82,9 @@
     return *this;
 }
 
-EventLog::EventLog(int descriptor)
+EventLog::EventLog(int descriptor, unsigned requestLinesPerSecond)
     : m_descriptor(descriptor)
+    , m_requestLinesPerSecond(requestLinesPerSecond)
 {
     const int flags = fcntl(descriptor, F_GETFL);
     if (flags >= 0)
@@ -103,8 +102,7 @@
         m_second = now;
         m_linesThisSecond = 0;
     }
-    const unsigned limit =
-        isFailure ? requestLinesPerSecond + failureLinesPerSecond : requestLinesPerSecond;
+    const unsigned limit = m_requestLinesPerSecond * (isFailure ? 1 + failureFactor : 1);
     if (m_linesThisSecond >= limit) {
         ++m_dropped;
         return;
--- a/src/libs/gateway/eventlog.h
+++ b/src/libs/gateway/eventlog.h
@@ -47,8 +47,11 @@
 class EventLog
 {
 public:
-    explicit EventLog(int descriptor);
+    /// \a requestLinesPerSecond of requests, and twice as many of failures besides. A host of a
+    /// quarter core serves about fifty requests a second on an ordinary day.
+    EventLog(int descriptor, unsigned requestLinesPerSecond);
 
+    void setRequestLines(unsigned perSecond) { m_requestLinesPerSecond = perSecond; }
     /// Always kept while the buffer has room: what changes what the process believes.
     void write(const LogLine &line, Base::TimePoint now);
     /// The one line of a request; \a isFailure is kept longer under load.
@@ -63,6 +66,7 @@
     void noteDropped();
 
     int m_descriptor;
+    unsigned m_requestLinesPerSecond;
     std::string m_buffer;
     std::uint64_t m_dropped = 0;
     std::uint64_t m_droppedTold = 0;
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -9,6 +9,8 @@
 #include <algorithm>
 #include <chrono>
 #include <csignal>
+#include <fstream>
+#include <iterator>
 #include <random>
 #include <utility>
 
@@ -114,7 +116,7 @@
 Gateway::Gateway(const GatewaySettings &settings, const DeploymentAdapter &adapter)
     : m_settings(settings)
     , m_adapter(adapter)
-    , m_log(STDOUT_FILENO)
+    , m_log(STDOUT_FILENO, settings.requestLinesPerSecond)
     , m_readBuffer(readBufferBytes, '\0')
     , m_pool(m_io, adapter.names, m_readBuffer)
     , m_fleet(settings.host, settings.zone)
@@ -203,13 +205,57 @@
         if (ec)
             return;
         if (signal == SIGHUP)
-            m_log.write(LogLine("process.reload").add("changed", false), now());
+            reloadIfChanged();
         else
             beginShutdown();
         watchSignals();
     });
 }
 
+void Gateway::reloadIfChanged()
+{
+    std::error_code ec;
+    const auto writtenAt = std::filesystem::last_write_time(m_settings.file, ec);
+    if (m_settings.file.empty() || ec || writtenAt == m_settingsWrittenAt)
+        return;
+    const bool isFirst = m_settingsWrittenAt == std::filesystem::file_time_type{};
+    m_settingsWrittenAt = writtenAt;
+    if (isFirst)
+        return;
+    std::ifstream in(m_settings.file);
+    const std::string text{std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
+    boost::leaf::try_handle_all(
+        [&]() -> Base::Result<void> {
+            BOOST_LEAF_AUTO(settings, GatewaySettings::parse(text));
+            takeSettings(settings);
+            m_log.write(LogLine("process.reload").add("changed", true), now());
+            return {};
+        },
+        // The settings in force are better than none; the next change is tried again.
+        [&](const Settings::SettingsFaults &it) {
+            m_log.write(
+                LogLine("process.reload")
+                    .add("changed", false)
+                    .add("faults", it.faults.size())
+                    .add("first", it.faults.empty() ? std::string() : toString(it.faults.front())),
+                now());
+        },
+        [&] { m_log.write(LogLine("process.reload").add("changed", false), now()); });
+}
+
+void Gateway::takeSettings(const GatewaySettings &settings)
+{
+    m_settings.entryListMaxAge = settings.entryListMaxAge;
+    m_settings.shutdownGrace = settings.shutdownGrace;
+    m_settings.keyRevocation = settings.keyRevocation;
+    m_settings.retries = settings.retries;
+    m_settings.requestLinesPerSecond = settings.requestLinesPerSecond;
+    m_lease.setLength(part(settings.keyRevocation, leaseShare));
+    m_log.setRequestLines(settings.requestLinesPerSecond);
+    for (auto &[name, state] : m_services)
+        state.retries.setAllowance(settings.retries);
+}
+
 void Gateway::tick()
 {
     m_timer.expires_after(tickInterval);
@@ -246,6 +292,7 @@
         if (m_metricsListener)
             m_metricsListener->checkTime(time);
         m_fleet.advance(time);
+        reloadIfChanged();
     }
     const bool isLeaseHeld = m_lease.isHeld(time);
     if (isLeaseHeld != std::exchange(m_wasLeaseHeld, isLeaseHeld)) {
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -21,6 +21,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <deque>
+#include <filesystem>
 #include <map>
 #include <memory>
 #include <string>
@@ -107,6 +108,9 @@
     Gateway(const GatewaySettings &settings, const DeploymentAdapter &adapter);
     Base::Result<void> listen();
     void watchSignals();
+    /// Takes what may change while the process runs from the settings file, if that has changed.
+    void reloadIfChanged();
+    void takeSettings(const GatewaySettings &settings);
     void tick();
     void onTick();
     void report(Base::TimePoint now);
@@ -166,6 +170,7 @@
     Routing::WorkId m_lastWork = 0;
     Base::TimePoint m_nextReport{};
     Base::TimePoint m_nextSlowCheck{};
+    std::filesystem::file_time_type m_settingsWrittenAt{};
     std::optional<Base::TimePoint> m_leavingSince;
     bool m_isApplying = false;
     bool m_wasLeaseHeld = false;
--- a/src/libs/gateway/gatewaysettings.cpp
+++ b/src/libs/gateway/gatewaysettings.cpp
@@ -18,6 +18,7 @@
 constexpr double longestMilliseconds = 3600.0 * 1000;
 constexpr double largestRatio = 1;
 constexpr double largestSlack = 1e6;
+constexpr std::int64_t mostRequestLines = 100'000;
 
 Base::Milliseconds millisecondsOf(double value)
 {
@@ -87,6 +88,12 @@
         readBounds(inner, settings);
         inner.finish();
     }
+    if (const Json *log = reader.optional("log")) {
+        ObjectReader inner(*log, reader.pointerTo("log"), faults);
+        settings.requestLinesPerSecond = static_cast<unsigned>(inner.integer(
+            "requestLinesPerSecond", 0, mostRequestLines, settings.requestLinesPerSecond));
+        inner.finish();
+    }
     reader.finish();
     if (!faults.faults.empty())
         return boost::leaf::new_error(faults);
--- a/src/libs/gateway/gatewaysettings.h
+++ b/src/libs/gateway/gatewaysettings.h
@@ -37,6 +37,11 @@
     /// A key that was taken away is not used later than this.
     Base::Milliseconds keyRevocation{5000};
     Routing::RetryAllowance retries;
+    /// Lines of requests in the log, a second; failures have twice as many besides. 0 for none.
+    unsigned requestLinesPerSecond = 150;
+
+    /// Where these settings stand; empty if they may not change while the process runs.
+    std::string file;
 
     /// Reads a settings file's \a text. Fails with Settings::SettingsFaults, which has every fault
     /// of the text. Any bytes are safe.
--- a/src/libs/routing/configurationlease.h
+++ b/src/libs/routing/configurationlease.h
@@ -27,6 +27,7 @@
             m_confirmed = askedAt;
     }
     bool isHeld(Base::TimePoint now) const { return m_confirmed && now - *m_confirmed < m_length; }
+    void setLength(Base::Duration length) { m_length = length; }
     std::optional<Base::Duration> age(Base::TimePoint now) const
     {
         if (!m_confirmed)
--- a/src/libs/routing/retryshare.h
+++ b/src/libs/routing/retryshare.h
@@ -31,6 +31,7 @@
         : m_allowance(allowance)
     {}
 
+    void setAllowance(const RetryAllowance &allowance) { m_allowance = allowance; }
     void recordRequest(Base::TimePoint now);
     /// Takes one repeat out of the share if it has one; \a hosts is the number of live hosts.
     bool take(std::size_t hosts, Base::TimePoint now);
--- a/src/libs/routing/routetable.cpp
+++ b/src/libs/routing/routetable.cpp
@@ -68,12 +68,12 @@
 
 const std::string &RouteTable::chooseService(const Route &route, std::uint64_t draw)
 {
-    static const std::string s_none;
+    static const std::string none;
     std::uint64_t sum = 0;
     for (const WeightedService &it : route.services)
         sum += it.weight;
     if (sum == 0)
-        return route.services.empty() ? s_none : route.services.front().service;
+        return route.services.empty() ? none : route.services.front().service;
     std::uint64_t left = draw % sum;
     for (const WeightedService &it : route.services) {
         if (left < it.weight)
--- a/tests/auto/gateway/tst_eventlog.cpp
+++ b/tests/auto/gateway/tst_eventlog.cpp
@@ -62,7 +62,7 @@
     // The log collector hangs. All callers of the host hang too, since the process waits for its
     // standard output. Cause: writing a line waited for the reader.
     Pipe pipe;
-    EventLog log(pipe.writeEnd());
+    EventLog log(pipe.writeEnd(), 150);
     const std::string text(200, 'x');
     for (int i = 0; i < 20000; ++i) {
         log.write(LogLine("server.found").add("text", text), start);
@@ -90,7 +90,7 @@
 TEST_CASE("under load failures are kept longer than answered requests", "[gateway]")
 {
     Pipe pipe;
-    EventLog log(pipe.writeEnd());
+    EventLog log(pipe.writeEnd(), 150);
     for (int i = 0; i < 1000; ++i)
         log.writeRequest(LogLine("answered"), false, start);
     for (int i = 0; i < 1000; ++i)
--- a/tests/auto/platformadapter/tst_storecodec.cpp
+++ b/tests/auto/platformadapter/tst_storecodec.cpp
@@ -7,7 +7,6 @@
 #include <rapidcheck/catch.h>
 
 using namespace Platform;
-using Gateway::StoreAnswer;
 
 namespace {
 
@@ -142,8 +141,7 @@
 TEST_CASE("rows of hosts are known by the store's own clock", "[platform]")
 {
     const StoreCodec codec;
-    const Gateway::StoreCall write =
-        codec.writeHost(
+    const Gateway::StoreCall write = codec.writeHost(
         {Base::HostId("edge-1"), Base::ZoneId("z"), "10.1.0.1:7400"}, Base::Milliseconds(50000));
     const Json sent = Json::parse(write.body);
     CHECK(write.target == "/-/rows-tx");
--- a/tests/processes/deployment.sh
+++ b/tests/processes/deployment.sh
@@ -46,7 +46,8 @@
     cat >"$FLEET_DIR/gateway-$1.json" <<EOF
 {"host":"gateway-$1","zone":"z","region":"r","callerAddress":"$FLEET_IP:1972$1",
  "readinessAddress":"$FLEET_IP:1973$1","discoveryAddress":"$FLEET_IP:1974$1",
- "peerAddress":"$FLEET_IP:1975$1","metricsAddress":"$FLEET_IP:1976$1","storeAddress":"$FLEET_IP:$STORE",
+ "peerAddress":"$FLEET_IP:1975$1","metricsAddress":"$FLEET_IP:1976$1",
+ "log":{"requestLinesPerSecond":${LOG_LINES:-150}},"storeAddress":"$FLEET_IP:$STORE",
  "bounds":{"shutdownGraceS":8,"keyRevocationMs":3000,"retryRatio":0.2,"retrySlack":50,
            "retryWindowS":10}}
 EOF
--- a/tests/soak/faultproxy.cpp
+++ b/tests/soak/faultproxy.cpp
@@ -185,11 +185,11 @@
 
     void obey(const std::string &text)
     {
-        static const std::map<std::string, Mode> s_modes = {{"pass", Mode::Pass},
-                                                            {"delay", Mode::Delay},
-                                                            {"silent", Mode::Silent},
-                                                            {"oneway", Mode::OneWay},
-                                                            {"refuse", Mode::Refuse}};
+        static const std::map<std::string, Mode> modes = {{"pass", Mode::Pass},
+                                                          {"delay", Mode::Delay},
+                                                          {"silent", Mode::Silent},
+                                                          {"oneway", Mode::OneWay},
+                                                          {"refuse", Mode::Refuse}};
         std::istringstream in(text);
         int port = 0;
         std::string mode;
@@ -200,8 +200,8 @@
             return;
         if (mode == "reset")
             link->second->resetAll();
-        const auto known = s_modes.find(mode);
-        if (known != s_modes.end())
+        const auto known = modes.find(mode);
+        if (known != modes.end())
             link->second->set({known->second, std::chrono::milliseconds(delay)});
     }
 
--- a/tests/soak/soakcaller.cpp
+++ b/tests/soak/soakcaller.cpp
@@ -13,6 +13,7 @@
 #include <cstdlib>
 #include <mutex>
 #include <random>
+#include <sstream>
 #include <string>
 #include <thread>
 #include <vector>
@@ -86,7 +87,9 @@
     std::string expected;
     for (int i = 1; i <= eventsOfStream; ++i) {
         const std::string id = std::to_string(i);
-        expected += "id: " + id + "\ndata: " + path + " " + id + "\n\n";
+        for (const std::string &part : {std::string("id: "), id, std::string("\ndata: "), path,
+                                        std::string(" "), id, std::string("\n\n")})
+            expected += part;
     }
     if (isWhole)
         return text == expected;
@@ -146,20 +149,24 @@
     for (int serial = 0; !isStopped; ++serial) {
         const Kind &kind = kinds[random() % kinds.size()];
         const std::string id = "c" + std::to_string(caller) + "-" + std::to_string(serial);
-        const std::string path = std::string("/") + kind.name + "/" + id;
+        std::string path = "/";
+        path.append(kind.name).append("/").append(id);
         const std::string key = random() % 3 == 0 ? "key-2" : "key-1";
         const auto port = static_cast<std::uint16_t>(firstPort + random() % gateways);
-        std::string request = std::string(kind.method) + " " + path + " HTTP/1.1\r\n"
-                              + "Host: cars.example\r\nConnection: close\r\nDeadline-Ms: 8000\r\n"
-                              + "Attempt-Id: " + id + "\r\nAuthorization: Bearer " + key + "\r\n";
+        std::string request = kind.method;
+        request.append(" ").append(path).append(" HTTP/1.1\r\nHost: cars.example\r\n");
+        request.append("Connection: close\r\nDeadline-Ms: 8000\r\nAttempt-Id: ").append(id);
+        request.append("\r\nAuthorization: Bearer ").append(key).append("\r\n");
         if (kind.isStream)
             request += "Model: m\r\nToken-Count: 700,40\r\nPrefix-Hash: ab:500,cd:200\r\n";
         request += "Content-Length: 1\r\n\r\nx";
         const std::int64_t sentAt = nowMs();
         const std::string answer = exchange(io, port, ip, request);
         const std::string status = answer.size() > 12 ? answer.substr(9, 3) : "000";
-        record.write(id + " " + kind.name + " " + key + " " + std::to_string(sentAt) + " " + status
-                     + " " + (answer.empty() ? "unconnected" : judge(answer, kind, id, path)));
+        std::ostringstream line;
+        line << id << ' ' << kind.name << ' ' << key << ' ' << sentAt << ' ' << status << ' '
+             << (answer.empty() ? "unconnected" : judge(answer, kind, id, path));
+        record.write(line.str());
         std::this_thread::sleep_for(std::chrono::milliseconds(random() % 30));
     }
 }
