--- a/tests/auto/routing/tst_fairness.cpp
+++ b/tests/auto/routing/tst_fairness.cpp
@@ -90,6 +90,11 @@
         const auto it = m_served.find(customer);
         return it == m_served.end() ? 0 : it->second;
     }
+    /// Mean time from a request's arrival at a server until that has read its prompt.
+    Base::Duration readAfter(const std::string &customer) const
+    {
+        return m_waited.at(customer) / static_cast<int>(served(customer));
+    }
     double servedInAll() const
     {
         return std::accumulate(m_served.begin(), m_served.end(), 0.0,
@@ -112,7 +117,9 @@
             Base::TimePoint &free = m_free[it.server];
             free = std::max(free, now) + milliseconds(static_cast<int>(4000 / tokensPerMs));
             m_running.push_back({host, it.work, free});
-            ++m_served[m_customers[it.work]];
+            const std::string &customer = m_customers[it.work];
+            ++m_served[customer];
+            m_waited[customer] += free - now;
         }
     }
 
@@ -148,6 +155,7 @@
     std::vector<Running> m_running;
     std::map<WorkId, std::string> m_customers;
     std::map<std::string, double> m_served;
+    std::map<std::string, Base::Duration> m_waited;
     Base::TimePoint m_reportedAt = start;
     WorkId m_lastId = 0;
 };
@@ -193,6 +201,23 @@
     CHECK(fleet.served("asks for little") >= 98);
 }
 
+TEST_CASE("a flood does not delay customers within their share", "[routing]")
+{
+    // One customer sends hundreds of times its usual. Everybody's first tokens come a third of a
+    // second late, since its work fills each server's reading queue to the brim.
+    Fleet fleet(4, 6);
+    for (int ms = 0; ms < 10000; ms += 2) {
+        const Base::TimePoint now = start + milliseconds(ms);
+        fleet.submit(static_cast<std::size_t>(ms / 2) % 4, "flood", now);
+        if (ms % 100 == 0)
+            fleet.submit(static_cast<std::size_t>(ms / 100) % 4, "small", now);
+        fleet.advance(now);
+    }
+    // Without the share it is 47 served, read after 385 ms.
+    CHECK(fleet.served("small") >= 85);
+    CHECK(fleet.readAfter("small") < milliseconds(260));
+}
+
 TEST_CASE("a flood does not leave the pool idle", "[routing]")
 {
     // One customer asks for everything and nobody else asks: it gets what the pool can do, which
--- a/tests/auto/routing/tst_placement.cpp
+++ b/tests/auto/routing/tst_placement.cpp
@@ -129,6 +129,22 @@
     CHECK(turnedAway > 0);
 }
 
+TEST_CASE("work that waits for a server counts there", "[routing]")
+{
+    // A hundred requests for one beginning come at once. All wait for the server that keeps it,
+    // although three others are idle, since each reckons with that server's work alone.
+    Dispatcher dispatcher = engineDispatcher(4);
+    std::set<Base::ServerId> used;
+    for (WorkId id = 1; id <= 30; ++id) {
+        Work work = prompt(id, 42, start);
+        work.startBy = start + seconds(20);
+        work.giveUpAt = start + seconds(40);
+        for (const Placement &it : dispatcher.submit(work, start).placements)
+            used.insert(it.server);
+    }
+    CHECK(used.size() == 4);
+}
+
 TEST_CASE("work that could not start in time is turned away at once, with a time to come back",
           "[routing]")
 {
