Keep the room of work that comes back from a failed server

Change: work that comes back is let in like work within its share, at any server with room. Test failed first.

--- a/src/libs/routing/dispatcher.cpp
+++ b/src/libs/routing/dispatcher.cpp
@@ -120,9 +120,13 @@
         decisions.turnedAway.push_back(turnAway(work, TurnedAwayReason::NoServer, now));
         return decisions;
     }
-    const Room room = roomFor(work.customer, now);
+    // Work that comes back was let in before, and a server may have spent time on it: turned away
+    // now, its caller could not even be told that it has not run.
+    const bool isBack = !work.tried.empty();
+    const Room room = isBack ? Room::Owed : roomFor(work.customer, now);
+    const bool takesAny = isBack || room == Room::Spare;
     // Work that waits is mostly for servers without room, so new work may pass it by.
-    const std::optional<Choice> choice = choose(work, now, room, room == Room::Spare);
+    const std::optional<Choice> choice = choose(work, now, room, takesAny);
     if (choice && choice->hasRoom) {
         place(std::move(work), *choice, now, decisions);
         return decisions;
--- a/tests/auto/routing/tst_fairness.cpp
+++ b/tests/auto/routing/tst_fairness.cpp
@@ -232,6 +232,37 @@
     CHECK(fleet.servedInAll() > 0.9 * most);
 }
 
+TEST_CASE("work that comes back from a failed server is not turned away for its customer's share",
+          "[routing]")
+{
+    // A stream's server crashes, and its caller gets a failure although other servers have room:
+    // its customer had received more than its share meanwhile, so the second attempt was refused.
+    const ServiceTraits traits{true, 500000, 40, 1000};
+    Dispatcher dispatcher(traits, Base::ZoneId("z"));
+    std::vector<RegisteredServer> servers(2);
+    for (std::size_t i = 0; i < servers.size(); ++i) {
+        servers[i].id = Base::ServerId("s" + std::to_string(i));
+        servers[i].slots = 64;
+    }
+    dispatcher.setServers(servers);
+    Work first = work(1, "large", start);
+    first.promptTokens = 80000;
+    const Decisions placed = dispatcher.submit(first, start);
+    REQUIRE(placed.placements.size() == 1);
+    // Others ask for more than there is, and the large customer is far beyond its share by now.
+    for (WorkId id = 2; id < 40; ++id)
+        dispatcher.submit(work(id, "small", start), start);
+    for (WorkId id = 2; id < 40; ++id) {
+        dispatcher.withdraw(id);
+        dispatcher.finished(id, AttemptOutcome::Withdrawn, start);
+    }
+    dispatcher.finished(1, AttemptOutcome::Broken, start);
+    first.tried = {placed.placements.front().server};
+    const Decisions again = dispatcher.submit(first, start + milliseconds(200));
+    CHECK(again.turnedAway.empty());
+    CHECK(again.placements.size() == 1);
+}
+
 TEST_CASE("who has received least is next, and within a customer the more urgent", "[routing]")
 {
     FairWaiting waiting;
