--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -1,16 +1,13 @@
 #include "gateway/gateway.h"
 
-#include "base/hash.h"
 #include "gateway/boottime.h"
-#include "gateway/promptfields.h"
+#include "gateway/metricshandler.h"
 
 #include <unistd.h>
 
 #include <algorithm>
 #include <chrono>
 #include <csignal>
-#include <fstream>
-#include <iterator>
 #include <random>
 #include <utility>
 
@@ -42,10 +39,6 @@
 /// One server's reading speed over its part of the whole throughput. The throughput counts what
 /// is generated twice; a server that only reads is about this much faster.
 constexpr double readingFactor = 1.15;
-/// Callers may wait this long when they do not say.
-constexpr milliseconds defaultDeadline{30000};
-constexpr milliseconds notReadyRetryAfter{400};
-constexpr milliseconds leavingRetryAfter{50};
 /// Within the grace: requests that come later than this after SIGTERM and may take long are sent
 /// elsewhere, and the process ends this long before it would be killed.
 constexpr double longWorkShare = 0.35;
@@ -72,35 +65,6 @@
     return (static_cast<std::uint64_t>(device()) << 28) + device();
 }
 
-std::string keyOf(const Request &message)
-{
-    constexpr std::string_view scheme = "Bearer ";
-    const std::string_view value = field(message, "Authorization");
-    return value.starts_with(scheme) ? std::string(value.substr(scheme.size())) : std::string();
-}
-
-/// Answers scrapes.
-class MetricsHandler final : public RequestHandler
-{
-public:
-    explicit MetricsHandler(std::function<std::string()> text)
-        : m_text(std::move(text))
-    {}
-
-    std::shared_ptr<ActiveRequest> handle(CallerRequest request, AnswerSink &sink) override
-    {
-        ResponseHead head;
-        const bool isKnown = request.message.target() == "/metrics";
-        head.result(isKnown ? Http::status::ok : Http::status::not_found);
-        head.set(Http::field::content_type, "text/plain; version=0.0.4");
-        sink.sendAnswer(head, isKnown ? m_text() : std::string());
-        return nullptr;
-    }
-
-private:
-    std::function<std::string()> m_text;
-};
-
 } // namespace
 
 Base::Result<std::unique_ptr<Gateway>> Gateway::create(const GatewaySettings &settings,
@@ -116,6 +80,8 @@
 Gateway::Gateway(const GatewaySettings &settings, const DeploymentAdapter &adapter)
     : m_settings(settings)
     , m_adapter(adapter)
+    , m_examiner(adapter.names)
+    , m_settingsWatcher(settings.file)
     , m_log(STDOUT_FILENO, settings.requestLinesPerSecond)
     , m_readBuffer(readBufferBytes, '\0')
     , m_pool(m_io, adapter.names, m_readBuffer)
@@ -214,20 +180,12 @@
 
 void Gateway::reloadIfChanged()
 {
-    std::error_code ec;
-    const auto writtenAt = std::filesystem::last_write_time(m_settings.file, ec);
-    if (m_settings.file.empty() || ec || writtenAt == m_settingsWrittenAt)
-        return;
-    const bool isFirst = m_settingsWrittenAt == std::filesystem::file_time_type{};
-    m_settingsWrittenAt = writtenAt;
-    if (isFirst)
-        return;
-    std::ifstream in(m_settings.file);
-    const std::string text{std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
     boost::leaf::try_handle_all(
         [&]() -> Base::Result<void> {
-            BOOST_LEAF_AUTO(settings, GatewaySettings::parse(text));
-            takeSettings(settings);
+            BOOST_LEAF_AUTO(settings, m_settingsWatcher.changed());
+            if (!settings)
+                return {};
+            takeSettings(*settings);
             m_log.write(LogLine("process.reload").add("changed", true), now());
             return {};
         },
@@ -364,10 +322,10 @@
     for (auto &[name, state] : m_services)
         state.dispatcher.learnPartUses(report.load.partUses, time);
     if (report.store.proofAge && report.self.zone == m_settings.zone)
-        takeStoreKnowledge(report, time);
+        takeStoreKnowledge(report);
 }
 
-void Gateway::takeStoreKnowledge(const HostReport &report, Base::TimePoint time)
+void Gateway::takeStoreKnowledge(const HostReport &report)
 {
     const StoreKnowledge &store = report.store;
     const bool isOlder = !m_table || m_table->version() < store.configurationVersion;
@@ -404,7 +362,10 @@
     accepted.id = ++m_lastWork;
     accepted.request = std::move(request);
     accepted.requestId = std::string(field(accepted.request.message, m_adapter.names.requestId));
-    if (const std::optional<Failure> failure = examine(accepted)) {
+    ExaminedWith known{m_table, m_servers.isKnown(), mayUseKeys(), false};
+    known.refusesLongWork =
+        m_leavingSince && now() - *m_leavingSince >= part(m_settings.shutdownGrace, longWorkShare);
+    if (const std::optional<Failure> failure = m_examiner.examine(accepted, known)) {
         logRefusal(accepted, *failure);
         m_metrics->requestEnded({accepted.route ? accepted.route->name : std::string(),
                                  accepted.customer.value(), failureName(failure->type),
@@ -433,69 +394,6 @@
                 time);
 }
 
-std::optional<Failure> Gateway::examine(AcceptedRequest &accepted)
-{
-    // A process that has just started must not deny what it does not know of.
-    if (!m_table || !m_servers.isKnown())
-        return Failure{FailureType::NotReady, false, notReadyRetryAfter};
-    const Request &message = accepted.request.message;
-    accepted.table = m_table;
-    accepted.route =
-        m_table->find(field(message, "Host"), {message.target().data(), message.target().size()});
-    if (!accepted.route) {
-        // Out of touch with the store, the route may have been added meanwhile.
-        if (!m_lease.isHeld(now()))
-            return Failure{FailureType::NotReady, false, notReadyRetryAfter};
-        return Failure{FailureType::NoRoute, false, std::nullopt};
-    }
-    if (std::optional<Failure> failure = identifyCustomer(accepted))
-        return failure;
-    if (m_leavingSince && accepted.route->isStream()
-        && now() - *m_leavingSince >= part(m_settings.shutdownGrace, longWorkShare))
-        return Failure{FailureType::ShuttingDown, false, leavingRetryAfter};
-    accepted.service =
-        Routing::RouteTable::chooseService(*accepted.route, Base::stableHash(accepted.requestId));
-    describeWork(accepted);
-    return std::nullopt;
-}
-
-std::optional<Failure> Gateway::identifyCustomer(AcceptedRequest &accepted)
-{
-    if (!m_table->needsKey(*accepted.route))
-        return std::nullopt;
-    // A key may have been taken away since the configuration was last known to be current.
-    if (!mayUseKeys())
-        return Failure{FailureType::NotReady, false, notReadyRetryAfter};
-    const Routing::RoutedCustomer *customer =
-        m_table->customerByKey(keyOf(accepted.request.message));
-    if (!customer)
-        return Failure{FailureType::UnknownKey, false, std::nullopt};
-    accepted.customer = customer->id;
-    return std::nullopt;
-}
-
-void Gateway::describeWork(AcceptedRequest &accepted) const
-{
-    const Request &message = accepted.request.message;
-    const HeaderNames &names = m_adapter.names;
-    const Base::TimePoint readAt = accepted.request.readAt;
-    const auto deadline = parseNumber(field(message, names.timeLeft));
-    accepted.deadline =
-        readAt
-        + (deadline ? milliseconds(std::min<std::uint64_t>(*deadline, 1U << 30)) : defaultDeadline);
-    Routing::Work &work = accepted.work;
-    work.id = accepted.id;
-    work.customer = accepted.customer;
-    work.priority = accepted.route->priority;
-    work.arrivedAt = readAt;
-    work.startBy = readAt + accepted.route->startTarget;
-    work.giveUpAt = std::min(accepted.deadline, readAt + accepted.route->timeout);
-    const TokenCounts counts = parseTokenCounts(field(message, names.tokenCounts));
-    work.promptTokens = counts.prompt;
-    work.outputTokens = counts.output;
-    work.parts = parsePromptParts(field(message, names.promptParts));
-}
-
 Gateway::ServiceState &Gateway::serviceState(const std::string &service)
 {
     const auto it = m_services.find(service);
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -10,6 +10,8 @@
 #include "gateway/gatewaysettings.h"
 #include "gateway/httplistener.h"
 #include "gateway/reportsocket.h"
+#include "gateway/requestexaminer.h"
+#include "gateway/settingswatcher.h"
 #include "gateway/storeclient.h"
 #include "routing/configurationlease.h"
 #include "routing/dispatcher.h"
@@ -21,7 +23,6 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <deque>
-#include <filesystem>
 #include <map>
 #include <memory>
 #include <string>
@@ -118,16 +119,12 @@
     void report(Base::TimePoint now);
     HostReport reportOfThisHost(Base::TimePoint now) const;
     /// Takes what another host that reads the store knows of it.
-    void takeStoreKnowledge(const HostReport &report, Base::TimePoint now);
+    void takeStoreKnowledge(const HostReport &report);
     /// Whether this host has to read the store itself.
     bool mustRead(Base::TimePoint now) const;
     void reportReceived(const HostReport &report);
 
-    /// The failure that a request is answered with at once; empty if it was accepted.
-    std::optional<Failure> examine(AcceptedRequest &accepted);
     void logRefusal(const AcceptedRequest &accepted, const Failure &failure);
-    std::optional<Failure> identifyCustomer(AcceptedRequest &accepted);
-    void describeWork(AcceptedRequest &accepted) const;
     ServiceState &serviceState(const std::string &service);
     Routing::ServiceTraits traitsOf(const std::string &service) const;
     void applyServers();
@@ -140,6 +137,8 @@
 
     GatewaySettings m_settings;
     DeploymentAdapter m_adapter;
+    RequestExaminer m_examiner;
+    SettingsWatcher m_settingsWatcher;
     boost::asio::io_context m_io{BOOST_ASIO_CONCURRENCY_HINT_UNSAFE};
     boost::asio::steady_timer m_timer{m_io};
     boost::asio::signal_set m_signals{m_io};
@@ -174,7 +173,6 @@
     Routing::WorkId m_lastWork = 0;
     Base::TimePoint m_nextReport{};
     Base::TimePoint m_nextSlowCheck{};
-    std::filesystem::file_time_type m_settingsWrittenAt{};
     std::optional<Base::TimePoint> m_leavingSince;
     bool m_isApplying = false;
     bool m_wasLeaseHeld = false;
