Tell each use of a prompt part once on a large fleet

Cause: a leader passed on to the other leaders what it had heard from them, so uses of prompt parts went round for ever, three times as many each time, until the 400 a report holds were full of old ones. News found no room, and parts that servers had dropped were taken for kept. Ruled out: eviction at the servers (memory holds 14 s of what they read), too few hosts told (every report reached all zones). Change: a leader tells other leaders only of its own zone's hosts.

--- a/src/libs/gateway/fleetview.cpp
+++ b/src/libs/gateway/fleetview.cpp
@@ -20,6 +20,13 @@
 /// Uses of prompt parts that a leader keeps for its next report: some ten kilobytes.
 constexpr std::size_t mostPassedOn = 400;
 
+void appendUses(std::vector<Routing::PartUse> &to, const std::vector<Routing::PartUse> &uses)
+{
+    const std::size_t room = mostPassedOn - std::min(mostPassedOn, to.size());
+    const auto end = uses.begin() + static_cast<std::ptrdiff_t>(std::min(room, uses.size()));
+    to.insert(to.end(), uses.begin(), end);
+}
+
 void addLoad(Routing::HostLoad &sum, const Routing::HostLoad &load)
 {
     for (const auto &[server, it] : load.servers) {
@@ -86,11 +93,12 @@
         if (member.host != m_self)
             m_receivers[member.peerAddress] = {member.zone, now + reportFor};
     }
-    if (isLeader(now) && report.scope != ReportScope::Fleet) {
-        const std::vector<Routing::PartUse> &uses = report.load.partUses;
-        const std::size_t room = mostPassedOn - std::min(mostPassedOn, m_passedOn.size());
-        const auto end = uses.begin() + static_cast<std::ptrdiff_t>(std::min(room, uses.size()));
-        m_passedOn.insert(m_passedOn.end(), uses.begin(), end);
+    if (isLarge() && isLeader(now) && report.scope != ReportScope::Fleet) {
+        appendUses(m_usesForZone, report.load.partUses);
+        // What another leader told, it told all leaders. Told once more, uses would go round for
+        // ever and grow in number each time.
+        if (report.scope == ReportScope::Host && from.zone == m_zone)
+            appendUses(m_usesForLeaders, report.load.partUses);
     }
     m_hosts[from.host] = {report, now};
     return true;
@@ -285,9 +293,14 @@
     m_others.hosts = liveHosts(now);
 }
 
-std::vector<Routing::PartUse> FleetView::takePartUses()
+void FleetView::addPassedOn(HostReport &report)
 {
-    return std::exchange(m_passedOn, {});
+    if (report.scope == ReportScope::Host)
+        return;
+    std::vector<Routing::PartUse> &uses =
+        report.scope == ReportScope::Zone ? m_usesForLeaders : m_usesForZone;
+    report.load.partUses.insert(report.load.partUses.end(), uses.begin(), uses.end());
+    uses.clear();
 }
 
 } // namespace Gateway
--- a/src/libs/gateway/fleetview.h
+++ b/src/libs/gateway/fleetview.h
@@ -66,8 +66,8 @@
     const Routing::OthersLoad &others() const { return m_others; }
     /// Sums up the loads of the hosts that are alive.
     void sumUp(Base::TimePoint now);
-    /// Uses of prompt parts that the leader passes on, since the last call.
-    std::vector<Routing::PartUse> takePartUses();
+    /// Adds the uses of prompt parts that a leader passes on with a report of this scope, once.
+    void addPassedOn(HostReport &report);
 
 private:
     struct Heard
@@ -108,7 +108,10 @@
     std::map<Base::HostId, Heard> m_hosts;
     std::map<std::string, Receiver> m_receivers;
     std::deque<Sent> m_sent;
-    std::vector<Routing::PartUse> m_passedOn;
+    /// Heard from hosts of this zone; other leaders are still to be told.
+    std::vector<Routing::PartUse> m_usesForLeaders;
+    /// Heard from anybody; the hosts of this zone are still to be told.
+    std::vector<Routing::PartUse> m_usesForZone;
     Routing::OthersLoad m_others;
 };
 
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -286,17 +286,14 @@
     HostReport own = reportOfThisHost(time);
     for (auto &[name, state] : m_services)
         state.dispatcher.report(own.load, time);
-    const std::vector<Routing::PartUse> passedOn = m_fleet.takePartUses();
     for (const ReportOrder &order : m_fleet.dueReports(time)) {
         HostReport report = own;
         report.scope = order.scope;
         report.sequence = ++m_reportSequence;
         m_fleet.addOthers(report, time);
+        m_fleet.addPassedOn(report);
         if (order.scope == ReportScope::Host)
             m_fleet.reported(report.sequence, own.load, time);
-        else
-            report.load.partUses.insert(report.load.partUses.end(), passedOn.begin(),
-                                        passedOn.end());
         m_reports->send(report, order.receivers);
     }
     m_fleet.sumUp(time);
--- a/tests/auto/gateway/tst_fleetview.cpp
+++ b/tests/auto/gateway/tst_fleetview.cpp
@@ -6,6 +6,7 @@
 #include <deque>
 #include <memory>
 #include <set>
+#include <utility>
 
 using namespace Gateway;
 using std::chrono::milliseconds;
@@ -48,7 +49,7 @@
         for (int zone = 0; zone < zones; ++zone) {
             for (int i = 0; i < hostsOfZone; ++i) {
                 const std::string name = std::to_string(zone) + "-" + std::to_string(i + 10);
-                m_hosts.push_back({member(name, std::to_string(zone)), {}, 100, false});
+                m_hosts.push_back({member(name, std::to_string(zone)), {}, 100, false, {}, 0});
                 rows.push_back({m_hosts.back().self.host, m_hosts.back().self.zone,
                                 m_hosts.back().self.peerAddress});
             }
@@ -62,12 +63,14 @@
     void step(Base::TimePoint now)
     {
         m_datagrams = 0;
+        m_toldUses = 0;
         for (Host &host : m_hosts) {
             if (host.isDown)
                 continue;
             Routing::HostLoad own;
             own.servers[Base::ServerId("s")] = {1, 10};
             own.received[Base::CustomerId("c")] = 5;
+            own.partUses = std::exchange(host.newUses, {});
             for (const ReportOrder &order : host.view->dueReports(now)) {
                 HostReport it;
                 it.self = host.self;
@@ -76,8 +79,10 @@
                 it.scope = order.scope;
                 it.load = own;
                 host.view->addOthers(it, now);
+                host.view->addPassedOn(it);
                 if (order.scope == ReportScope::Host)
                     host.view->reported(it.sequence, own, now);
+                m_toldUses += it.load.partUses.size() * order.receivers.size();
                 for (const std::string &address : order.receivers)
                     deliver(address, it, now);
             }
@@ -92,11 +97,23 @@
     {
         ++m_datagrams;
         for (Host &host : m_hosts) {
-            if (host.self.peerAddress == address && !host.isDown)
-                host.view->receive(it, now);
+            if (host.self.peerAddress != address || host.isDown)
+                continue;
+            if (host.view->receive(it, now))
+                host.heardUses += it.load.partUses.size();
         }
     }
 
+    /// Host \a i sent \a count new prompt parts to servers.
+    void use(std::size_t i, std::uint64_t count)
+    {
+        for (std::uint64_t part = 0; part < count; ++part)
+            m_hosts[i].newUses.push_back({Base::ServerId("s"), part, 500});
+    }
+    std::size_t heardUses(std::size_t i) const { return m_hosts[i].heardUses; }
+    /// Uses told in the last step, by all hosts to all.
+    std::size_t toldUses() const { return m_toldUses; }
+
     FleetView &view(std::size_t i) { return *m_hosts[i].view; }
     void setDown(std::size_t i, bool isDown) { m_hosts[i].isDown = isDown; }
     std::size_t datagrams() const { return m_datagrams; }
@@ -109,10 +126,13 @@
         std::unique_ptr<FleetView> view;
         std::uint64_t sequence = 0;
         bool isDown = false;
+        std::vector<Routing::PartUse> newUses;
+        std::size_t heardUses = 0;
     };
 
     std::vector<Host> m_hosts;
     std::size_t m_datagrams = 0;
+    std::size_t m_toldUses = 0;
 };
 
 } // namespace
@@ -250,3 +270,25 @@
     CHECK_FALSE(hosts.view(1).isLeader(now));
     CHECK(hosts.view(40).liveHosts(now) == 64);
 }
+
+TEST_CASE("a use of a prompt part is told to each host of a large fleet once", "[gateway]")
+{
+    // Callers of a large fleet wait long, since servers read prompt parts that others keep. Minutes
+    // before, hosts sent some parts to servers and told so. Cause: each leader told the other
+    // leaders what it had heard from them; the uses went round, three times as many each time,
+    // until they filled the reports, kept dropped parts from being forgotten, and left no room for
+    // news.
+    Hosts hosts(4, 16);
+    Base::TimePoint now = start;
+    for (int i = 0; i < 20; ++i)
+        hosts.step(now += milliseconds(200));
+    const std::size_t user = 20;
+    hosts.use(user, 3);
+    for (int i = 0; i < 10; ++i)
+        hosts.step(now += milliseconds(200));
+    CHECK(hosts.toldUses() == 0);
+    for (std::size_t i = 0; i < hosts.size(); ++i) {
+        // Its own come back to it with the sum for its zone.
+        CHECK(hosts.heardUses(i) == 3);
+    }
+}
