Name the strong hosts to callers, as many as the load needs

Cause: all 66 hosts of the grown site were named alike. Ruled out: callers choosing by themselves (they take any address of the list at random). Change: EntrySelection names two hosts of each zone and eight in all, the strongest first, and more when the load of forwarding needs it; strength is the processor share of the settings. Tests: tst_routing, entry selection (load grows and falls, strong hosts lost, any fleet).

--- a/src/libs/gateway/exchange.cpp
+++ b/src/libs/gateway/exchange.cpp
@@ -258,6 +258,7 @@
     if (m_eventCount == 0)
         m_firstEventAt = m_heardAt;
     m_eventCount += whole.count;
+    m_port->eventsForwarded(whole.count);
     const std::shared_ptr<Exchange> self = shared_from_this();
     if (!m_isStreamStarted) {
         m_isStreamStarted = true;
--- a/src/libs/gateway/exchange.h
+++ b/src/libs/gateway/exchange.h
@@ -45,6 +45,8 @@
     virtual void heardFrom(const Base::ServerId &server) = 0;
     /// When that was last; empty if it never has.
     virtual std::optional<Base::TimePoint> lastHeardFrom(const Base::ServerId &server) = 0;
+    /// Events of a stream went to their caller.
+    virtual void eventsForwarded(std::size_t count) = 0;
     virtual void requestEnded(const EndedRequest &request) = 0;
     virtual void exchangeOver(Routing::WorkId id) = 0;
 };
--- a/src/libs/gateway/fleetview.cpp
+++ b/src/libs/gateway/fleetview.cpp
@@ -238,16 +238,16 @@
     return std::nullopt;
 }
 
-std::vector<std::string> FleetView::servingAddresses(Base::TimePoint now) const
+std::vector<MemberState> FleetView::servingMembers(Base::TimePoint now) const
 {
-    std::vector<std::string> serving;
-    std::vector<std::string> alive;
+    std::vector<MemberState> serving;
+    std::vector<MemberState> alive;
     for (const auto &[host, member] : liveMembers(now)) {
         if (member.isLeaving)
             continue;
-        alive.push_back(member.callerAddress);
+        alive.push_back(member);
         if (member.isServing)
-            serving.push_back(member.callerAddress);
+            serving.push_back(member);
     }
     return serving.empty() ? alive : serving;
 }
--- a/src/libs/gateway/fleetview.h
+++ b/src/libs/gateway/fleetview.h
@@ -59,9 +59,9 @@
     /// When the report that \a report echoes was sent; empty if it echoes none that is remembered.
     std::optional<Base::TimePoint> echoedAt(const HostReport &report) const;
 
-    /// Callers' addresses of the other hosts that are alive, serve, and do not leave; of all
-    /// that are alive and do not leave if none of them serves.
-    std::vector<std::string> servingAddresses(Base::TimePoint now) const;
+    /// The other hosts that are alive, serve, and do not leave; all that are alive and do not
+    /// leave if none of them serves.
+    std::vector<MemberState> servingMembers(Base::TimePoint now) const;
     std::size_t liveHosts(Base::TimePoint now) const;
     const Routing::OthersLoad &others() const { return m_others; }
     /// Sums up the loads of the hosts that are alive.
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -32,6 +32,8 @@
 /// that is busy takes fewer.
 constexpr double connectionShare = 0.8;
 constexpr std::size_t leastConnections = 4;
+/// What a host that callers are not told of uses of them: old lists still bring it some callers.
+constexpr double standbyConnections = 2;
 /// One server's reading speed over its part of the whole throughput. The throughput counts what
 /// is generated twice; a server that only reads is about this much faster.
 constexpr double readingFactor = 1.15;
@@ -260,15 +262,24 @@
     m_log.flush();
 }
 
+MemberState Gateway::memberOfThisHost(Base::TimePoint time) const
+{
+    MemberState self;
+    self.host = m_settings.host;
+    self.zone = m_settings.zone;
+    self.peerAddress = toString(m_settings.peerAddress);
+    self.callerAddress = toString(m_settings.callerAddress);
+    self.isLeaving = m_leavingSince.has_value();
+    self.isServing = isReady() && m_lease.isHeld(time);
+    self.capacity = m_settings.processor;
+    self.load = m_forwarding.load(time);
+    return self;
+}
+
 HostReport Gateway::reportOfThisHost(Base::TimePoint time) const
 {
     HostReport report;
-    report.self.host = m_settings.host;
-    report.self.zone = m_settings.zone;
-    report.self.peerAddress = toString(m_settings.peerAddress);
-    report.self.callerAddress = toString(m_settings.callerAddress);
-    report.self.isLeaving = m_leavingSince.has_value();
-    report.self.isServing = isReady() && m_lease.isHeld(time);
+    report.self = memberOfThisHost(time);
     report.incarnation = m_incarnation;
     report.store.configurationVersion = m_table ? m_table->version() : 0;
     report.store.serversFingerprint = m_servers.fingerprint();
@@ -297,14 +308,39 @@
         m_reports->send(report, order.receivers);
     }
     m_fleet.sumUp(time);
+    updateEntries(time);
+    limitConnections();
+}
+
+void Gateway::updateEntries(Base::TimePoint time)
+{
+    std::vector<MemberState> members = m_fleet.servingMembers(time);
+    const MemberState self = memberOfThisHost(time);
+    if (self.isServing || (members.empty() && !self.isLeaving))
+        members.push_back(self);
+    std::vector<Routing::EntryHost> hosts;
+    hosts.reserve(members.size());
+    for (const MemberState &it : members)
+        hosts.push_back({it.host, it.zone, it.callerAddress, it.capacity, it.load});
+    m_entries.update(std::move(hosts), time);
+}
+
+void Gateway::limitConnections()
+{
     if (!m_table)
         return;
     std::size_t connections = leastConnections;
     for (const Routing::Service &it : m_table->configuration().services)
         connections = std::max<std::size_t>(connections, it.maxConnections);
-    const double part = static_cast<double>(connections) * connectionShare
-                        / static_cast<double>(m_fleet.liveHosts(time));
-    m_pool.setLimit(std::max(leastConnections, static_cast<std::size_t>(part)));
+    if (!m_entries.isChosen(m_settings.host)) {
+        m_pool.setLimit(leastConnections);
+        return;
+    }
+    const double hosts = static_cast<double>(m_fleet.others().hosts);
+    const double entries = static_cast<double>(std::max<std::size_t>(m_entries.chosen().size(), 1));
+    const double standby = std::max(0.0, hosts - entries) * standbyConnections;
+    const double part = (static_cast<double>(connections) * connectionShare - standby) / entries;
+    m_pool.setLimit(static_cast<std::size_t>(std::max<double>(leastConnections, part)));
 }
 
 void Gateway::reportReceived(const HostReport &report)
@@ -366,6 +402,7 @@
         return nullptr;
     }
     serviceState(accepted.service).retries.recordRequest(now());
+    m_forwarding.addRequest(now());
     const Routing::WorkId id = accepted.id;
     auto exchange = std::make_shared<Exchange>(*this, std::move(accepted), sink);
     m_exchanges[id] = exchange;
@@ -516,6 +553,11 @@
     return it->second;
 }
 
+void Gateway::eventsForwarded(std::size_t count)
+{
+    m_forwarding.addEvents(count, now());
+}
+
 void Gateway::requestEnded(const EndedRequest &request)
 {
     m_metrics->requestEnded(request);
@@ -591,11 +633,9 @@
 
 std::vector<std::string> Gateway::entryAddresses() const
 {
-    const Base::TimePoint time = bootTimeNow();
-    std::vector<std::string> addresses = m_fleet.servingAddresses(time);
-    const bool isServing = isReady() && m_lease.isHeld(time);
-    if (isServing || (addresses.empty() && !m_leavingSince))
-        addresses.push_back(toString(m_settings.callerAddress));
+    std::vector<std::string> addresses;
+    for (const Routing::EntryHost &it : m_entries.chosen())
+        addresses.push_back(it.address);
     return addresses;
 }
 
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -15,6 +15,8 @@
 #include "gateway/storeclient.h"
 #include "routing/configurationlease.h"
 #include "routing/dispatcher.h"
+#include "routing/entryselection.h"
+#include "routing/forwardingmeter.h"
 #include "routing/retryshare.h"
 #include "routing/serverset.h"
 
@@ -98,6 +100,7 @@
     void hostsRead(const std::vector<HostRow> &hosts) override;
 
     std::vector<std::string> entryAddresses() const override;
+    void eventsForwarded(std::size_t count) override;
     std::chrono::seconds entryListMaxAge() const override { return m_settings.entryListMaxAge; }
     bool isReady() const override;
 
@@ -117,6 +120,11 @@
     void tick();
     void onTick();
     void report(Base::TimePoint now);
+    /// Chooses anew which hosts callers are told of.
+    void updateEntries(Base::TimePoint now);
+    /// Shares out the connections that each server takes.
+    void limitConnections();
+    MemberState memberOfThisHost(Base::TimePoint now) const;
     HostReport reportOfThisHost(Base::TimePoint now) const;
     /// Takes what another host that reads the store knows of it.
     void takeStoreKnowledge(const HostReport &report);
@@ -160,6 +168,8 @@
     std::shared_ptr<const Routing::RouteTable> m_table;
     Routing::ConfigurationLease m_lease;
     Routing::ServerSet m_servers;
+    Routing::EntrySelection m_entries;
+    Routing::ForwardingMeter m_forwarding;
     std::map<std::string, ServiceState> m_services;
     std::unordered_map<Routing::WorkId, std::shared_ptr<Exchange>> m_exchanges;
     std::unordered_map<Base::ServerId, Base::TimePoint> m_heardFrom;
--- a/src/libs/gateway/gatewaysettings.cpp
+++ b/src/libs/gateway/gatewaysettings.cpp
@@ -17,6 +17,7 @@
 constexpr double longestSeconds = 3600;
 constexpr double longestMilliseconds = 3600.0 * 1000;
 constexpr double largestRatio = 1;
+constexpr double mostCores = 1024;
 constexpr double largestSlack = 1e6;
 constexpr std::int64_t mostRequestLines = 100'000;
 
@@ -82,6 +83,9 @@
     settings.storeAddress = reader.address(storeAddressKey);
     if (reader.optional("metricsAddress"))
         settings.metricsAddress = reader.address("metricsAddress");
+    const double cores = reader.number("processorCores", 0, mostCores, 1);
+    const double share = reader.number("processorShare", 0, 1, 1);
+    settings.processor = static_cast<Routing::MilliCores>(std::llround(1000 * cores * share));
     readSeeds(reader, settings.seeds);
     if (const Json *bounds = reader.optional("bounds")) {
         ObjectReader inner(*bounds, reader.pointerTo("bounds"), faults);
--- a/src/libs/gateway/gatewaysettings.h
+++ b/src/libs/gateway/gatewaysettings.h
@@ -3,6 +3,7 @@
 #include "base/ids.h"
 #include "base/result.h"
 #include "base/time.h"
+#include "routing/entryselection.h"
 #include "routing/retryshare.h"
 #include "settings/address.h"
 #include "settings/settingsfault.h"
@@ -28,6 +29,8 @@
     Settings::Address storeAddress;
     /// Where metrics are served, at /metrics; none if empty.
     std::optional<Settings::Address> metricsAddress;
+    /// What this process may use of the host's processor.
+    Routing::MilliCores processor = 1000;
     /// Hosts that may run as well; only their IP numbers count.
     std::vector<std::string> seeds;
     /// How long callers may keep an entry list.
--- a/src/libs/gateway/hostreport.cpp
+++ b/src/libs/gateway/hostreport.cpp
@@ -11,7 +11,7 @@
 using Json = nlohmann::json;
 
 /// First element of a report; another number is another form, which is not read.
-constexpr std::uint64_t form = 2;
+constexpr std::uint64_t form = 3;
 constexpr std::uint64_t largestScope = static_cast<std::uint64_t>(ReportScope::Fleet);
 
 /// Reads the elements of an array one after the other. After the first that is missing or of
@@ -75,7 +75,8 @@
 Json memberJson(const MemberState &member)
 {
     return {member.host.value(),  member.zone.value(), member.peerAddress,
-            member.callerAddress, member.isLeaving,    member.isServing};
+            member.callerAddress, member.isLeaving,    member.isServing,
+            member.capacity,      member.load};
 }
 
 MemberState readMember(ArrayReader &reader)
@@ -87,6 +88,8 @@
     member.callerAddress = reader.text();
     member.isLeaving = reader.flag();
     member.isServing = reader.flag();
+    member.capacity = static_cast<Routing::MilliCores>(reader.number());
+    member.load = static_cast<Routing::MilliCores>(reader.number());
     return member;
 }
 
--- a/src/libs/gateway/hostreport.h
+++ b/src/libs/gateway/hostreport.h
@@ -3,6 +3,7 @@
 #include "base/ids.h"
 #include "base/result.h"
 #include "base/time.h"
+#include "routing/entryselection.h"
 #include "routing/fleetload.h"
 
 #include <cstdint>
@@ -31,6 +32,9 @@
     bool isLeaving = false;
     /// Can serve requests now: knows a configuration that is proved current.
     bool isServing = false;
+    /// Of its processor, and what its forwarding takes of it.
+    Routing::MilliCores capacity = 1000;
+    Routing::MilliCores load = 0;
 
     bool operator==(const MemberState &) const = default;
 };
--- a/tests/auto/gateway/tst_fleetview.cpp
+++ b/tests/auto/gateway/tst_fleetview.cpp
@@ -18,7 +18,7 @@
 
 MemberState member(const std::string &host, const std::string &zone = "z")
 {
-    return {Base::HostId(host), Base::ZoneId(zone), host + ":7000", host + ":8000", false, true};
+    return {Base::HostId(host), Base::ZoneId(zone), host + ":7000", host + ":8000", false, true, 250, 30};
 }
 
 HostReport report(const std::string &host, std::uint64_t sequence)
@@ -34,6 +34,15 @@
     return it;
 }
 
+/// Callers' addresses of the other hosts that may be named.
+std::vector<std::string> servingAddresses(const FleetView &view, Base::TimePoint now)
+{
+    std::vector<std::string> addresses;
+    for (const MemberState &it : view.servingMembers(now))
+        addresses.push_back(it.callerAddress);
+    return addresses;
+}
+
 FleetView viewOf(const std::string &host, const std::string &zone = "z")
 {
     return {Base::HostId(host), Base::ZoneId(zone)};
@@ -161,12 +170,12 @@
     view.receive(report("a", 1), start);
     view.receive(report("b", 1), start + seconds(1));
     view.sumUp(start + seconds(1));
-    CHECK(view.servingAddresses(start + seconds(1)).size() == 2);
+    CHECK(servingAddresses(view, start + seconds(1)).size() == 2);
     CHECK(view.others().servers.at(Base::ServerId("s")).running == 6);
     CHECK(view.others().hosts == 3);
     const Base::TimePoint later = start + milliseconds(1500);
     view.sumUp(later);
-    CHECK(view.servingAddresses(later) == std::vector<std::string>{"b:8000"});
+    CHECK(servingAddresses(view, later) == std::vector<std::string>{"b:8000"});
     CHECK(view.others().servers.at(Base::ServerId("s")).running == 3);
     CHECK(view.others().received.at(Base::CustomerId("c")) == 40);
     // Both ends of a cut link keep trying for a while.
@@ -184,9 +193,9 @@
     blind.self.isServing = false;
     view.receive(leaving, start);
     view.receive(blind, start);
-    CHECK(view.servingAddresses(start) == std::vector<std::string>{"b:8000"});
+    CHECK(servingAddresses(view, start) == std::vector<std::string>{"b:8000"});
     view.receive(report("c", 1), start);
-    CHECK(view.servingAddresses(start) == std::vector<std::string>{"c:8000"});
+    CHECK(servingAddresses(view, start) == std::vector<std::string>{"c:8000"});
 }
 
 TEST_CASE("a late report of an older start or sequence changes nothing", "[gateway]")
@@ -196,12 +205,12 @@
     HostReport old = report("a", 6);
     old.self.isLeaving = true;
     CHECK_FALSE(view.receive(old, start));
-    CHECK(view.servingAddresses(start).size() == 1);
+    CHECK(servingAddresses(view, start).size() == 1);
     HostReport restarted = report("a", 1);
     restarted.incarnation = 6;
     restarted.self.isLeaving = true;
     CHECK(view.receive(restarted, start));
-    CHECK(view.servingAddresses(start).empty());
+    CHECK(servingAddresses(view, start).empty());
     // Its own report, sent back by a wrong address, is no other host.
     CHECK_FALSE(view.receive(report("self", 1), start));
     CHECK(view.liveHosts(start) == 2);
@@ -236,7 +245,7 @@
     CHECK(hosts.datagrams() < 64 + 64 + 16);
     for (std::size_t i = 0; i < hosts.size(); ++i) {
         CHECK(hosts.view(i).liveHosts(now) == 64);
-        CHECK(hosts.view(i).servingAddresses(now).size() == 63);
+        CHECK(servingAddresses(hosts.view(i), now).size() == 63);
         CHECK(hosts.view(i).others().servers.at(Base::ServerId("s")).running == 63);
         CHECK(hosts.view(i).others().received.at(Base::CustomerId("c")) == 63 * 5);
     }
