Keep a host reachable that is behind, and read the store where it answers

Large customers' callers stay with one host whatever they are told; it accepted one connection a turn, so its queue was full of connections whose callers had left. Ruled out: file numbers (2,860 of 4,100). A host that is not named to callers had four connections to each server whatever callers stayed with it (131 requests answered with no room in six seconds). A reader that the store turns away stayed the reader of its zone, so all hosts of it called; failed calls were repeated each 250 ms. Nine bytes in a datagram ended the process: the CBOR library throws on a length that no memory holds although exceptions are off.

--- a/src/libs/gateway/failure.cpp
+++ b/src/libs/gateway/failure.cpp
@@ -27,6 +27,8 @@
         return "deadline_unmet";
     case FailureType::ShuttingDown:
         return "shutting_down";
+    case FailureType::HostBehind:
+        return "host_overloaded";
     }
     return "backend_failed";
 }
@@ -47,6 +49,7 @@
     case FailureType::NoServer:
     case FailureType::ServerFailed:
     case FailureType::ShuttingDown:
+    case FailureType::HostBehind:
         break;
     }
     return failure.mayHaveRun ? 502 : 503;
--- a/src/libs/gateway/failure.h
+++ b/src/libs/gateway/failure.h
@@ -18,6 +18,7 @@
     ServerFailed, ///< A server failed, or its answer was lost, and no further attempt is allowed.
     TimedOut,     ///< The class's timeout or the caller's deadline has passed.
     ShuttingDown, ///< This host leaves; another one will serve the request.
+    HostBehind,   ///< This host has more to do than its processor can.
 };
 
 /// The gateway's own final answer to a request.
--- a/src/libs/gateway/fleetview.cpp
+++ b/src/libs/gateway/fleetview.cpp
@@ -15,6 +15,9 @@
 /// A host that is down or cut off is sent reports for this long after it was last heard of or
 /// listed in the store.
 constexpr Base::Duration reportFor = std::chrono::seconds(45);
+/// For so long after a change that decides who leads, all hosts are told of it and not only the
+/// leader: three reports, of which one or two may be lost.
+constexpr Base::Duration announceFor = std::chrono::milliseconds(600);
 /// Reports of one's own that are remembered: an echo comes within a second.
 constexpr std::size_t mostSent = 24;
 /// Uses of prompt parts that a leader keeps for its next report: some ten kilobytes.
@@ -110,6 +113,18 @@
     std::erase_if(m_hosts, [now](const auto &it) { return now - it.second.at >= reportFor; });
 }
 
+void FleetView::setLeaving(Base::TimePoint now)
+{
+    m_isLeaving = true;
+    m_announceUntil = now + announceFor;
+}
+
+void FleetView::setStoreLost(bool isLost, Base::TimePoint now)
+{
+    if (std::exchange(m_isStoreLost, isLost) != isLost)
+        m_announceUntil = now + announceFor;
+}
+
 bool FleetView::isAlive(const Heard &heard, Base::TimePoint now) const
 {
     return now - heard.at < aliveFor;
@@ -138,13 +153,20 @@
 
 std::optional<MemberState> FleetView::leaderOf(const Base::ZoneId &zone, Base::TimePoint now) const
 {
+    std::optional<MemberState> first;
     for (const auto &[host, member] : liveMembers(now)) {
         if (member.zone != zone || member.isLeaving)
             continue;
-        const bool isSelfFirst = zone == m_zone && !m_isLeaving && m_self < host;
-        return isSelfFirst ? std::nullopt : std::optional(member);
+        if (!first || (first->isStoreLost && !member.isStoreLost))
+            first = member;
     }
-    return std::nullopt;
+    if (!first || zone != m_zone || m_isLeaving)
+        return first;
+    // A leader that the store turns away would leave its whole zone without proofs of the
+    // configuration, and each host of it would call the store for itself.
+    const bool isSelfFirst = std::tie(m_isStoreLost, m_self)
+                             < std::tie(first->isStoreLost, first->host);
+    return isSelfFirst ? std::nullopt : first;
 }
 
 bool FleetView::isLeader(Base::TimePoint now) const
@@ -174,8 +196,13 @@
 {
     if (!isLarge())
         return {{ReportScope::Host, allReceivers()}};
-    if (const std::optional<MemberState> leader = leaderOf(m_zone, now))
+    if (const std::optional<MemberState> leader = leaderOf(m_zone, now)) {
+        // All must hear at once that this host does not lead any longer; by its silence they would
+        // know only after a second and more without sums and proofs.
+        if (now < m_announceUntil)
+            return {{ReportScope::Host, allReceivers()}};
         return {{ReportScope::Host, {leader->peerAddress}}};
+    }
     std::set<Base::ZoneId> zones;
     for (const auto &[address, receiver] : m_receivers)
         zones.insert(receiver.zone);
--- a/src/libs/gateway/fleetview.h
+++ b/src/libs/gateway/fleetview.h
@@ -47,7 +47,9 @@
     /// False if it is this host's own or older than one already received.
     bool receive(const HostReport &report, Base::TimePoint now);
     void advance(Base::TimePoint now);
-    void setLeaving() { m_isLeaving = true; }
+    void setLeaving(Base::TimePoint now);
+    /// Whether this host's last call to the store failed.
+    void setStoreLost(bool isLost, Base::TimePoint now);
 
     /// Whether this host leads its zone.
     bool isLeader(Base::TimePoint now) const;
@@ -92,7 +94,8 @@
     bool isLarge() const { return m_receivers.size() >= largeFleet; }
     /// All other hosts that are alive, heard of directly or through a leader.
     std::map<Base::HostId, MemberState> liveMembers(Base::TimePoint now) const;
-    /// Empty if no other host of the zone is known to be alive, or this one leads.
+    /// The first host by name of those that reach the store, or of all if none does. Empty if no
+    /// other host of the zone is known to be alive, or this one leads.
     std::optional<MemberState> leaderOf(const Base::ZoneId &zone, Base::TimePoint now) const;
     std::vector<std::string> receiversOf(const Base::ZoneId &zone) const;
     std::vector<std::string> allReceivers() const;
@@ -105,6 +108,8 @@
     Base::HostId m_self;
     Base::ZoneId m_zone;
     bool m_isLeaving = false;
+    bool m_isStoreLost = false;
+    Base::TimePoint m_announceUntil = Base::TimePoint::min();
     std::map<Base::HostId, Heard> m_hosts;
     std::map<std::string, Receiver> m_receivers;
     std::deque<Sent> m_sent;
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -32,8 +32,6 @@
 /// that is busy takes fewer.
 constexpr double connectionShare = 0.8;
 constexpr std::size_t leastConnections = 4;
-/// What a host that callers are not told of uses of them: old lists still bring it some callers.
-constexpr double standbyConnections = 2;
 /// One server's reading speed over its part of the whole throughput. The throughput counts what
 /// is generated twice; a server that only reads is about this much faster.
 constexpr double readingFactor = 1.15;
@@ -154,12 +152,26 @@
                     .add("incarnation", m_incarnation),
                 now());
     watchSignals();
+    m_backlog.noteIdle(now());
     tick();
-    m_io.run();
+    loop();
     m_log.write(LogLine("process.stop").add("open", m_exchanges.size()), now());
     m_log.flush();
 }
 
+void Gateway::loop()
+{
+    while (!m_io.stopped()) {
+        m_io.run_one();
+        if (!m_looksForIdle)
+            continue;
+        // Returns when nothing is ready. Looked for once a tick, since it is a system call more.
+        m_io.poll();
+        m_looksForIdle = false;
+        m_backlog.noteIdle(now());
+    }
+}
+
 void Gateway::watchSignals()
 {
     m_signals.add(SIGTERM);
@@ -226,8 +238,10 @@
 
 void Gateway::onTick()
 {
+    m_looksForIdle = true;
     const Base::TimePoint time = now();
-    m_store->setReading(mustRead(time));
+    m_fleet.setStoreLost(m_store->isLost(), time);
+    m_store->setDuty(readingDuty(time));
     m_store->advance(time);
     std::vector<std::shared_ptr<Exchange>> open;
     open.reserve(m_exchanges.size());
@@ -271,6 +285,7 @@
     self.callerAddress = toString(m_settings.callerAddress);
     self.isLeaving = m_leavingSince.has_value();
     self.isServing = isReady() && m_lease.isHeld(time);
+    self.isStoreLost = m_store->isLost();
     self.capacity = m_settings.processor;
     self.load = m_forwarding.load(time);
     return self;
@@ -322,6 +337,9 @@
     hosts.reserve(members.size());
     for (const MemberState &it : members)
         hosts.push_back({it.host, it.zone, it.callerAddress, it.capacity, it.load});
+    m_fleetLoad = 0;
+    for (const Routing::EntryHost &it : hosts)
+        m_fleetLoad += it.load;
     m_entries.update(std::move(hosts), time);
 }
 
@@ -332,15 +350,21 @@
     std::size_t connections = leastConnections;
     for (const Routing::Service &it : m_table->configuration().services)
         connections = std::max<std::size_t>(connections, it.maxConnections);
-    if (!m_entries.isChosen(m_settings.host)) {
-        m_pool.setLimit(leastConnections);
-        return;
-    }
-    const double hosts = static_cast<double>(m_fleet.others().hosts);
-    const double entries = static_cast<double>(std::max<std::size_t>(m_entries.chosen().size(), 1));
-    const double standby = std::max(0.0, hosts - entries) * standbyConnections;
-    const double part = (static_cast<double>(connections) * connectionShare - standby) / entries;
-    m_pool.setLimit(static_cast<std::size_t>(std::max<double>(leastConnections, part)));
+    const double part = static_cast<double>(connections) * connectionShare * trafficShare();
+    m_pool.setLimit(std::max(leastConnections, static_cast<std::size_t>(part)));
+}
+
+double Gateway::trafficShare() const
+{
+    // Half by what is forwarded: callers may stay with a host that is not named to them. Half in
+    // equal parts to the hosts that are named, since those get what is to come.
+    const bool isChosen = m_entries.isChosen(m_settings.host);
+    const double ofNamed =
+        isChosen ? 1.0 / static_cast<double>(m_entries.chosen().size()) : 0.0;
+    if (m_fleetLoad <= 0)
+        return ofNamed;
+    const double ofLoad = std::min(1.0, m_forwarding.load(bootTimeNow()) / m_fleetLoad);
+    return (ofLoad + ofNamed) / 2;
 }
 
 void Gateway::reportReceived(const HostReport &report)
@@ -376,12 +400,14 @@
     (void)time;
 }
 
-bool Gateway::mustRead(Base::TimePoint time) const
+StoreClient::Duty Gateway::readingDuty(Base::TimePoint time) const
 {
-    if (!m_table || !m_servers.isKnown() || m_fleet.isLeader(time))
-        return true;
+    if (m_fleet.isLeader(time))
+        return StoreClient::Duty::ForZone;
     const std::optional<Base::Duration> age = m_lease.age(time);
-    return !age || *age >= readAfter || time - m_serversProvedAt >= readAfter;
+    const bool isOwnNeed = !m_table || !m_servers.isKnown() || !age || *age >= readAfter
+                           || time - m_serversProvedAt >= readAfter;
+    return isOwnNeed ? StoreClient::Duty::Self : StoreClient::Duty::None;
 }
 
 std::shared_ptr<ActiveRequest> Gateway::handle(CallerRequest request, AnswerSink &sink)
@@ -390,9 +416,10 @@
     accepted.id = ++m_lastWork;
     accepted.request = std::move(request);
     accepted.requestId = std::string(field(accepted.request.message, m_adapter.names.requestId));
-    ExaminedWith known{m_table, m_servers.isKnown(), mayUseKeys(), false};
-    known.refusesLongWork =
+    ExaminedWith known{m_table, m_servers.isKnown(), mayUseKeys(), false, false};
+    known.isLeavingSoon =
         m_leavingSince && now() - *m_leavingSince >= part(m_settings.shutdownGrace, longWorkShare);
+    known.isBehind = m_backlog.isBehind(now());
     if (const std::optional<Failure> failure = m_examiner.examine(accepted, known)) {
         logRefusal(accepted, *failure);
         m_metrics->requestEnded({accepted.route ? accepted.route->name : std::string(),
@@ -649,7 +676,7 @@
     if (m_leavingSince)
         return;
     m_leavingSince = now();
-    m_fleet.setLeaving();
+    m_fleet.setLeaving(now());
     m_limits.closesAfterAnswer = true;
     m_directoryLimits.closesAfterAnswer = true;
     m_store->leave();
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -13,6 +13,7 @@
 #include "gateway/requestexaminer.h"
 #include "gateway/settingswatcher.h"
 #include "gateway/storeclient.h"
+#include "routing/backlogwatch.h"
 #include "routing/configurationlease.h"
 #include "routing/dispatcher.h"
 #include "routing/entryselection.h"
@@ -113,6 +114,8 @@
 
     Gateway(const GatewaySettings &settings, const DeploymentAdapter &adapter);
     Base::Result<void> listen();
+    /// Handles what is ready, and waits when nothing is.
+    void loop();
     void watchSignals();
     /// Takes what may change while the process runs from the settings file, if that has changed.
     void reloadIfChanged();
@@ -124,12 +127,14 @@
     void updateEntries(Base::TimePoint now);
     /// Shares out the connections that each server takes.
     void limitConnections();
+    /// Part of the fleet's forwarding that is this host's, or may soon be.
+    double trafficShare() const;
     MemberState memberOfThisHost(Base::TimePoint now) const;
     HostReport reportOfThisHost(Base::TimePoint now) const;
     /// Takes what another host that reads the store knows of it.
     void takeStoreKnowledge(const HostReport &report);
-    /// Whether this host has to read the store itself.
-    bool mustRead(Base::TimePoint now) const;
+    /// Whether this host has to read the store itself, and for whom.
+    StoreClient::Duty readingDuty(Base::TimePoint now) const;
     void reportReceived(const HostReport &report);
 
     void logRefusal(const AcceptedRequest &accepted, const Failure &failure);
@@ -170,6 +175,7 @@
     Routing::ServerSet m_servers;
     Routing::EntrySelection m_entries;
     Routing::ForwardingMeter m_forwarding;
+    Routing::BacklogWatch m_backlog;
     std::map<std::string, ServiceState> m_services;
     std::unordered_map<Routing::WorkId, std::shared_ptr<Exchange>> m_exchanges;
     std::unordered_map<Base::ServerId, Base::TimePoint> m_heardFrom;
@@ -184,7 +190,10 @@
     Base::TimePoint m_nextReport{};
     Base::TimePoint m_nextSlowCheck{};
     std::optional<Base::TimePoint> m_leavingSince;
+    /// What the forwarding of all hosts takes.
+    double m_fleetLoad = 0;
     bool m_isApplying = false;
+    bool m_looksForIdle = false;
     bool m_wasLeaseHeld = false;
 };
 
--- a/src/libs/gateway/hostreport.cpp
+++ b/src/libs/gateway/hostreport.cpp
@@ -76,7 +76,7 @@
 {
     return {member.host.value(),  member.zone.value(), member.peerAddress,
             member.callerAddress, member.isLeaving,    member.isServing,
-            member.capacity,      member.load};
+            member.isStoreLost,   member.capacity, member.load};
 }
 
 MemberState readMember(ArrayReader &reader)
@@ -88,6 +88,7 @@
     member.callerAddress = reader.text();
     member.isLeaving = reader.flag();
     member.isServing = reader.flag();
+    member.isStoreLost = reader.flag();
     member.capacity = static_cast<Routing::MilliCores>(reader.number());
     member.load = static_cast<Routing::MilliCores>(reader.number());
     return member;
@@ -162,6 +163,18 @@
     return store;
 }
 
+/// Null if \a bytes are not one CBOR item.
+Json parseCbor(std::string_view bytes)
+{
+    try {
+        return Json::from_cbor(bytes.begin(), bytes.end(), true, false);
+    } catch (const Json::exception &) {
+        // A length that no memory holds is thrown although exceptions are not asked for. Not
+        // caught, nine bytes from anywhere would end the process.
+        return {};
+    }
+}
+
 } // namespace
 
 std::string encodeReport(const HostReport &report)
@@ -188,7 +201,7 @@
 
 Base::Result<HostReport> decodeReport(std::string_view bytes)
 {
-    const Json json = Json::from_cbor(bytes.begin(), bytes.end(), true, false);
+    const Json json = parseCbor(bytes);
     ArrayReader reader(json);
     HostReport report;
     const bool isForm = reader.number() == form;
--- a/src/libs/gateway/httplistener.cpp
+++ b/src/libs/gateway/httplistener.cpp
@@ -13,6 +13,10 @@
 /// Connections that wait to be accepted. A full queue costs a caller its opening packet, which
 /// comes again only after a second; at a cold start of the whole fleet hundreds come at once.
 constexpr int acceptQueue = 1024;
+/// Connections that are accepted in one turn. One a turn is too few on a host that is behind: its
+/// queue fills with connections of callers who have left by the time their turn comes, and nobody
+/// gets in for as long as the load lasts.
+constexpr int mostAcceptedInTurn = 256;
 
 } // namespace
 
@@ -32,6 +36,8 @@
         acceptor.bind(endpoint, ec);
     if (!ec)
         acceptor.listen(acceptQueue, ec);
+    if (!ec)
+        acceptor.non_blocking(true, ec);
     if (ec)
         return boost::leaf::new_error(CannotListen{toString(address)});
     listener->accept();
@@ -46,18 +52,30 @@
 
 void HttpListener::accept()
 {
-    m_acceptor.async_accept(*m_io, [this](const boost::system::error_code &ec, Tcp::socket socket) {
+    m_acceptor.async_wait(Tcp::acceptor::wait_read, [this](const boost::system::error_code &ec) {
         if (ec == boost::asio::error::operation_aborted)
             return;
-        if (!ec) {
-            auto connection = std::make_shared<CallerConnection>(std::move(socket), m_context);
-            m_connections.push_back(connection);
-            connection->start(bootTimeNow());
+        for (int i = 0; i < mostAcceptedInTurn; ++i) {
+            if (!acceptOne())
+                break;
         }
         accept();
     });
 }
 
+bool HttpListener::acceptOne()
+{
+    boost::system::error_code ec;
+    Tcp::socket socket(*m_io);
+    m_acceptor.accept(socket, ec);
+    if (ec)
+        return false;
+    auto connection = std::make_shared<CallerConnection>(std::move(socket), m_context);
+    m_connections.push_back(connection);
+    connection->start(bootTimeNow());
+    return true;
+}
+
 void HttpListener::checkTime(Base::TimePoint now)
 {
     for (const auto &connection : m_connections)
--- a/src/libs/gateway/httplistener.h
+++ b/src/libs/gateway/httplistener.h
@@ -34,6 +34,8 @@
 private:
     HttpListener(boost::asio::io_context &io, const ConnectionContext &context);
     void accept();
+    /// False if no connection waits, or the process has no file number left for it.
+    bool acceptOne();
 
     boost::asio::io_context *m_io;
     Tcp::acceptor m_acceptor;
--- a/src/libs/gateway/requestexaminer.h
+++ b/src/libs/gateway/requestexaminer.h
@@ -18,8 +18,10 @@
     bool areServersKnown = false;
     /// The configuration is known to be current.
     bool isLeaseHeld = false;
-    /// Set once this host leaves: long work should go elsewhere.
-    bool refusesLongWork = false;
+    /// This host's process ends before long work would: it should go elsewhere.
+    bool isLeavingSoon = false;
+    /// This host has more to do than its processor can.
+    bool isBehind = false;
 };
 
 /// Decides whether a request is in order, and describes it for the decisions that follow.
--- a/src/libs/gateway/storeclient.cpp
+++ b/src/libs/gateway/storeclient.cpp
@@ -15,8 +15,14 @@
 /// Beyond the wait: a store that is slowed down sixty times answers within 0.3 s.
 constexpr Base::Duration watchTimeout = watchWait + milliseconds(600);
 constexpr Base::Duration readTimeout = milliseconds(900);
-/// After a failure. A store that turns a host away is not asked more often than this.
+/// After a first failure, and the longest pause after several. A store that is down for five
+/// seconds gets eight calls of a host instead of forty; its return is noticed within a second.
 constexpr Base::Duration retryPause = milliseconds(250);
+constexpr Base::Duration longestPause = milliseconds(1000);
+/// For a host that others wait for.
+constexpr Base::Duration longestPauseForZone = milliseconds(500);
+/// Between two calls of a host that the store turned away and others now read for.
+constexpr Base::Duration probePause = milliseconds(2000);
 /// A full reading now and then keeps the watched version within the store's history, which a
 /// store keeps for some twenty seconds.
 constexpr Base::Duration fullReadingInterval = std::chrono::seconds(8);
@@ -37,6 +43,8 @@
     , m_log(&log)
     , m_watchLane(std::make_shared<StoreLane>(io, address))
     , m_readLane(std::make_shared<StoreLane>(io, address))
+    , m_watchPause(retryPause, longestPause)
+    , m_readPause(retryPause, longestPause)
 {}
 
 void StoreClient::advance(Base::TimePoint now)
@@ -44,15 +52,15 @@
     m_watchLane->checkTime(now);
     m_readLane->checkTime(now);
     if (!m_watchLane->isBusy() && now >= m_nextWatch) {
-        const bool isOld = m_isReading && now >= m_nextFullReading;
-        if (m_needsReading || isOld)
+        const bool isOld = isReading() && now >= m_nextFullReading;
+        if (m_needsReading || isOld || (isLost() && !isReading()))
             readConfiguration(now);
-        else if (m_isReading)
+        else if (isReading())
             watchConfiguration(now);
     }
     if (m_readLane->isBusy())
         return;
-    if (now >= m_nextServers && (m_isReading || m_needsServers))
+    if (now >= m_nextServers && (isReading() || m_needsServers))
         readServers(now);
     else
         callForHosts(now);
@@ -108,6 +116,7 @@
                                     bool isWatch)
 {
     m_listener->storeAnswered("configuration", true);
+    m_watchPause.reset();
     noteLane(m_isWatchGood, true, "configuration", "");
     // An older state than one already seen proves nothing and must not come into force.
     if (reading.storeVersion < m_newestVersion)
@@ -138,7 +147,13 @@
 {
     m_listener->storeAnswered("configuration", false);
     noteLane(m_isWatchGood, false, "configuration", why);
-    m_nextWatch = bootTimeNow() + retryPause;
+    const bool isProbe = !isReading() && !m_needsReading;
+    m_nextWatch = bootTimeNow() + (isProbe ? probePause : pauseAfterFailure(m_watchPause));
+}
+
+Base::Duration StoreClient::pauseAfterFailure(Routing::RetryPause &pause) const
+{
+    return pause.next(m_duty == Duty::ForZone ? longestPauseForZone : longestPause);
 }
 
 void StoreClient::readServers(Base::TimePoint now)
@@ -161,6 +176,7 @@
             BOOST_LEAF_AUTO(reading, m_protocol->servers(*answer));
             m_nextServers = askedAt + serverInterval;
             m_listener->storeAnswered("servers", true);
+            m_readPause.reset();
             noteLane(m_isReadGood, true, "servers", "");
             if (reading.storeVersion < m_serversVersion) {
                 m_continueFrom.clear();
@@ -187,7 +203,7 @@
     m_listener->storeAnswered("servers", false);
     noteLane(m_isReadGood, false, "servers", why);
     m_continueFrom.clear();
-    m_nextServers = bootTimeNow() + retryPause;
+    m_nextServers = bootTimeNow() + pauseAfterFailure(m_readPause);
     m_listener->serversUnread();
 }
 
--- a/src/libs/gateway/storeclient.h
+++ b/src/libs/gateway/storeclient.h
@@ -3,6 +3,7 @@
 #include "base/time.h"
 #include "gateway/storelane.h"
 #include "gateway/storeprotocol.h"
+#include "routing/retrypause.h"
 #include "routing/routetable.h"
 
 #include <memory>
@@ -38,11 +39,21 @@
 /// answer a watch without the changes of the last moment. The servers' entries change all the
 /// time with their heartbeats, so they are read whole at an interval.
 ///
-/// All this is done only while this host is to read for itself and others (setReading()). Else
-/// it reads once, and again when it is told that something has changed.
+/// All this is done only while this host is to read for itself or others (setDuty()). Else it
+/// reads once, and again when it is told that something has changed.
+///
+/// Load: the store is down, or turns some hosts away, and every call is paid for. The pauses
+/// between failed calls grow, and a host that others stand in for only asks now and then whether
+/// the store takes its calls again.
 class StoreClient
 {
 public:
+    enum class Duty {
+        None,    ///< Another host reads for this one.
+        Self,    ///< Nobody has read for this host of late.
+        ForZone, ///< Others take what this host reads.
+    };
+
     /// The arguments outlive the client.
     StoreClient(boost::asio::io_context &io, const Settings::Address &address,
                 const StoreProtocol &protocol, const HostRow &self, StoreListener &listener,
@@ -50,7 +61,9 @@
 
     /// Does what is due. Call it every few ten milliseconds.
     void advance(Base::TimePoint now);
-    void setReading(bool isReading) { m_isReading = isReading; }
+    void setDuty(Duty duty) { m_duty = duty; }
+    /// Whether the newest call for the configuration failed.
+    bool isLost() const { return !m_isWatchGood; }
     /// Another host has seen a newer configuration, or other servers.
     void configurationChanged() { m_needsReading = true; }
     void serversChanged() { m_needsServers = true; }
@@ -70,6 +83,8 @@
     void serversFailed(const char *why);
     bool callForHosts(Base::TimePoint now);
     void hostsAnswered(const std::optional<StoreAnswer> &answer);
+    bool isReading() const { return m_duty != Duty::None; }
+    Base::Duration pauseAfterFailure(Routing::RetryPause &pause) const;
     void noteLane(bool &isGood, bool isGoodNow, const char *what, const char *why);
 
     const StoreProtocol *m_protocol;
@@ -84,7 +99,7 @@
     /// Of the newest answer.
     std::uint64_t m_newestVersion = 0;
     std::uint64_t m_configurationVersion = 0;
-    bool m_isReading = true;
+    Duty m_duty = Duty::Self;
     bool m_needsReading = true;
     bool m_needsServers = true;
     Base::TimePoint m_nextWatch{};
@@ -94,6 +109,8 @@
     std::string m_continueFrom;
     std::uint64_t m_serversVersion = 0;
     Base::TimePoint m_nextServers{};
+    Routing::RetryPause m_watchPause;
+    Routing::RetryPause m_readPause;
 
     /// The store's clock when it was last told, and when that was.
     Base::Milliseconds m_storeTime{0};
--- a/tests/auto/gateway/tst_fleetview.cpp
+++ b/tests/auto/gateway/tst_fleetview.cpp
@@ -18,7 +18,7 @@
 
 MemberState member(const std::string &host, const std::string &zone = "z")
 {
-    return {Base::HostId(host), Base::ZoneId(zone), host + ":7000", host + ":8000", false, true, 250, 30};
+    return {Base::HostId(host), Base::ZoneId(zone), host + ":7000", host + ":8000", false, true, false, 250, 30};
 }
 
 HostReport report(const std::string &host, std::uint64_t sequence)
@@ -71,6 +71,7 @@
 
     void step(Base::TimePoint now)
     {
+        m_now = now;
         m_datagrams = 0;
         m_toldUses = 0;
         for (Host &host : m_hosts) {
@@ -124,6 +125,12 @@
     std::size_t toldUses() const { return m_toldUses; }
 
     FleetView &view(std::size_t i) { return *m_hosts[i].view; }
+    /// The store turns host \a i away.
+    void setStoreLost(std::size_t i, bool isLost)
+    {
+        m_hosts[i].self.isStoreLost = isLost;
+        m_hosts[i].view->setStoreLost(isLost, m_now);
+    }
     void setDown(std::size_t i, bool isDown) { m_hosts[i].isDown = isDown; }
     std::size_t datagrams() const { return m_datagrams; }
     std::size_t size() const { return m_hosts.size(); }
@@ -142,6 +149,7 @@
     std::vector<Host> m_hosts;
     std::size_t m_datagrams = 0;
     std::size_t m_toldUses = 0;
+    Base::TimePoint m_now = start;
 };
 
 } // namespace
@@ -156,6 +164,9 @@
     const auto after = decodeReport(encodeReport(before));
     REQUIRE(after);
     CHECK(*after == before);
+    // An array of more elements than there is memory for: the library throws whatever it was asked.
+    CHECK_FALSE(decodeReport("\x9B"
+                             "aaaaaaaa"));
     rc::prop("any bytes", [](const std::string &bytes) { (void)decodeReport(bytes); });
     rc::prop("a report with one byte changed", [&] {
         std::string bytes = encodeReport(before);
@@ -301,3 +312,29 @@
         CHECK(hosts.heardUses(i) == 3);
     }
 }
+
+TEST_CASE("a host that the store turns away does not read for its zone", "[gateway]")
+{
+    // The store turns a third of the hosts away for nine seconds, one that reads for its zone among
+    // them. All hosts of the zone call the store for themselves, some seven calls a second each,
+    // and those that it turns away refuse requests. Cause: the reader stayed the first by name.
+    Hosts hosts(2, 16);
+    Base::TimePoint now = start;
+    for (int i = 0; i < 10; ++i)
+        hosts.step(now += milliseconds(200));
+    REQUIRE(hosts.view(0).isLeader(now));
+    hosts.setStoreLost(0, true);
+    hosts.setStoreLost(1, true);
+    for (int i = 0; i < 4; ++i)
+        hosts.step(now += milliseconds(200));
+    for (std::size_t i = 0; i < 16; ++i)
+        CHECK(hosts.view(i).isLeader(now) == (i == 2));
+    CHECK(hosts.view(0).others().servers.at(Base::ServerId("s")).running == 31);
+    // With the store down for all, there still is one leader, and sums go on.
+    for (std::size_t i = 0; i < 16; ++i)
+        hosts.setStoreLost(i, true);
+    for (int i = 0; i < 4; ++i)
+        hosts.step(now += milliseconds(200));
+    for (std::size_t i = 0; i < 16; ++i)
+        CHECK(hosts.view(i).isLeader(now) == (i == 0));
+}
--- /dev/null
+++ b/tests/auto/routing/tst_retrypause.cpp
@@ -0,0 +1,27 @@
+#include "routing/retrypause.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Routing;
+using std::chrono::milliseconds;
+
+TEST_CASE("pauses between failures double up to a bound and begin anew after a success",
+          "[routing]")
+{
+    // The store is down for five seconds and refuses at once. Sixty hosts call it four times a
+    // second each, with each of two connections. Cause: the pause after a failure was always the
+    // same.
+    RetryPause pause(milliseconds(250), milliseconds(1000));
+    CHECK(pause.next() == milliseconds(250));
+    CHECK(pause.next() == milliseconds(500));
+    CHECK(pause.next() == milliseconds(1000));
+    CHECK(pause.next() == milliseconds(1000));
+    CHECK(pause.next(milliseconds(300)) == milliseconds(300));
+    pause.reset();
+    CHECK(pause.next() == milliseconds(250));
+    int calls = 0;
+    pause.reset();
+    for (Base::Duration at{}; at < milliseconds(5000); at += pause.next())
+        ++calls;
+    CHECK(calls <= 8);
+}
