Tell what changed about servers, and choose streams on a host that is behind

Two causes, measured together.

A small host with a large customer's callers spent its processor on many events of small work.

Tried beside it and not kept: a pending read in place of a wait for readiness on streams.

--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -39,6 +39,8 @@
 /// elsewhere, and the process ends this long before it would be killed.
 constexpr double longWorkShare = 0.35;
 constexpr double endShare = 0.9;
+/// Another host may take it at once; this one is idle again only when open streams have ended.
+constexpr Base::Milliseconds behindRetryAfter{400};
 /// Callers keep an entry list for some seconds; a process that has nothing to do ends after them.
 constexpr double quietShare = 0.65;
 
@@ -300,8 +302,11 @@
     report.store.serversFingerprint = m_servers.fingerprint();
     if (m_ownProofAt && m_servers.isKnown()) {
         const Base::Duration age = time - std::min(*m_ownProofAt, m_serversProvedAt);
-        if (age < m_settings.keyRevocation)
+        if (age < m_settings.keyRevocation) {
             report.store.proofAge = std::chrono::ceil<Base::Milliseconds>(age);
+            report.store.serversVersion = m_store->serversVersion();
+            report.store.serverChanges = m_servers.recentChanges(time);
+        }
     }
     return report;
 }
@@ -323,6 +328,8 @@
         m_reports->send(report, order.receivers);
     }
     m_fleet.sumUp(time);
+    for (auto &[name, state] : m_services)
+        state.dispatcher.othersChanged();
     updateEntries(time);
     limitConnections();
 }
@@ -380,10 +387,14 @@
 
 void Gateway::takeStoreKnowledge(const HostReport &report)
 {
+    const Base::TimePoint time = now();
     const StoreKnowledge &store = report.store;
     const bool isOlder = !m_table || m_table->version() < store.configurationVersion;
     if (isOlder)
         m_store->configurationChanged();
+    // Older than this host's own reading, it could bring back a server that is gone.
+    if (m_servers.isKnown() && store.serversVersion >= m_store->serversVersion())
+        serversChanged(m_servers.applyChanges(store.serverChanges, time));
     const bool hasOtherServers = store.serversFingerprint != m_servers.fingerprint();
     if (hasOtherServers)
         m_store->serversChanged();
@@ -397,7 +408,6 @@
         m_lease.confirm(provedAt);
     if (!hasOtherServers)
         m_serversProvedAt = std::max(m_serversProvedAt, provedAt);
-    (void)time;
 }
 
 StoreClient::Duty Gateway::readingDuty(Base::TimePoint time) const
@@ -416,11 +426,13 @@
     accepted.id = ++m_lastWork;
     accepted.request = std::move(request);
     accepted.requestId = std::string(field(accepted.request.message, m_adapter.names.requestId));
-    ExaminedWith known{m_table, m_servers.isKnown(), mayUseKeys(), false, false};
+    ExaminedWith known{m_table, m_servers.isKnown(), mayUseKeys(), false};
     known.isLeavingSoon =
         m_leavingSince && now() - *m_leavingSince >= part(m_settings.shutdownGrace, longWorkShare);
-    known.isBehind = m_backlog.isBehind(now());
-    if (const std::optional<Failure> failure = m_examiner.examine(accepted, known)) {
+    std::optional<Failure> failure = m_examiner.examine(accepted, known);
+    if (!failure && accepted.route->isStream() && !m_backlog.takesStream(accepted.work, now()))
+        failure = Failure{FailureType::HostBehind, false, behindRetryAfter};
+    if (failure) {
         logRefusal(accepted, *failure);
         m_metrics->requestEnded({accepted.route ? accepted.route->name : std::string(),
                                  accepted.customer.value(), failureName(failure->type),
@@ -629,22 +641,31 @@
 {
     const Routing::ServerChanges changes = m_servers.apply(servers, now());
     m_serversProvedAt = askedAt;
-    if (!changes.isEmpty()) {
-        // Others of the zone take it from here.
+    // Others of the zone take it from here.
+    if (!changes.isEmpty())
         m_nextReport = Base::TimePoint{};
-        for (const Base::ServerId &id : changes.found)
-            m_log.write(LogLine("server.found").add("server", id.value()), now());
-        for (const Base::ServerId &id : changes.leaving) {
-            m_log.write(LogLine("server.leaving").add("server", id.value()), now());
-            m_pool.forget(id);
-        }
-        for (const Base::ServerId &id : changes.gone) {
-            m_log.write(LogLine("server.gone").add("server", id.value()), now());
-            m_pool.forget(id);
-        }
-        for (auto &[name, state] : m_services)
-            state.dispatcher.setTraits(traitsOf(name));
+    serversChanged(changes);
+    // Slots and warm-up change without a server coming or going.
+    applyServers();
+}
+
+void Gateway::serversChanged(const Routing::ServerChanges &changes)
+{
+    if (changes.isEmpty())
+        return;
+    const Base::TimePoint time = now();
+    for (const Base::ServerId &id : changes.found)
+        m_log.write(LogLine("server.found").add("server", id.value()), time);
+    for (const Base::ServerId &id : changes.leaving) {
+        m_log.write(LogLine("server.leaving").add("server", id.value()), time);
+        m_pool.forget(id);
     }
+    for (const Base::ServerId &id : changes.gone) {
+        m_log.write(LogLine("server.gone").add("server", id.value()), time);
+        m_pool.forget(id);
+    }
+    for (auto &[name, state] : m_services)
+        state.dispatcher.setTraits(traitsOf(name));
     applyServers();
 }
 
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -133,6 +133,8 @@
     HostReport reportOfThisHost(Base::TimePoint now) const;
     /// Takes what another host that reads the store knows of it.
     void takeStoreKnowledge(const HostReport &report);
+    /// The set of backend servers has changed.
+    void serversChanged(const Routing::ServerChanges &changes);
     /// Whether this host has to read the store itself, and for whom.
     StoreClient::Duty readingDuty(Base::TimePoint now) const;
     void reportReceived(const HostReport &report);
--- a/src/libs/gateway/hostreport.cpp
+++ b/src/libs/gateway/hostreport.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace Gateway {
@@ -11,7 +12,7 @@
 using Json = nlohmann::json;
 
 /// First element of a report; another number is another form, which is not read.
-constexpr std::uint64_t form = 3;
+constexpr std::uint64_t form = 4;
 constexpr std::uint64_t largestScope = static_cast<std::uint64_t>(ReportScope::Fleet);
 
 /// Reads the elements of an array one after the other. After the first that is missing or of
@@ -144,11 +145,47 @@
     return load;
 }
 
+constexpr std::uint64_t largestChangeKind =
+    static_cast<std::uint64_t>(Routing::ServerChange::Kind::Gone);
+
+Json changeJson(const Routing::ServerChange &change)
+{
+    const Routing::RegisteredServer &server = change.server;
+    return {static_cast<std::uint64_t>(change.kind),
+            server.id.value(),
+            server.service,
+            server.address,
+            server.zone.value(),
+            server.slots,
+            static_cast<std::uint64_t>(std::max<std::int64_t>(0, server.warmingUp.count()))};
+}
+
+Routing::ServerChange readChange(ArrayReader &reader)
+{
+    Routing::ServerChange change;
+    // An unknown kind is read as one that makes the sets differ, which a reading of the store
+    // mends.
+    const std::uint64_t kind = std::min(reader.number(), largestChangeKind);
+    change.kind = static_cast<Routing::ServerChange::Kind>(kind);
+    change.server.id = Base::ServerId(reader.text());
+    change.server.service = reader.text();
+    change.server.address = reader.text();
+    change.server.zone = Base::ZoneId(reader.text());
+    change.server.slots = static_cast<std::uint32_t>(reader.number());
+    change.server.warmingUp =
+        Base::Milliseconds(static_cast<std::int64_t>(reader.number() & INT32_MAX));
+    return change;
+}
+
 Json storeJson(const StoreKnowledge &store)
 {
     const bool hasProof = store.proofAge.has_value();
     const auto age = hasProof ? static_cast<std::uint64_t>(store.proofAge->count()) : 0;
-    return {store.configurationVersion, store.serversFingerprint, hasProof, age};
+    Json changes = Json::array();
+    for (const Routing::ServerChange &change : store.serverChanges)
+        changes.push_back(changeJson(change));
+    return {store.configurationVersion, store.serversFingerprint, hasProof, age,
+            store.serversVersion,       std::move(changes)};
 }
 
 StoreKnowledge readStore(ArrayReader &reader)
@@ -160,6 +197,8 @@
     const std::uint64_t age = reader.number();
     if (hasProof)
         store.proofAge = Base::Milliseconds(static_cast<std::int64_t>(age & INT32_MAX));
+    store.serversVersion = reader.number();
+    reader.each([&](ArrayReader &it) { store.serverChanges.push_back(readChange(it)); });
     return store;
 }
 
--- a/src/libs/gateway/hostreport.h
+++ b/src/libs/gateway/hostreport.h
@@ -5,6 +5,7 @@
 #include "base/time.h"
 #include "routing/entryselection.h"
 #include "routing/fleetload.h"
+#include "routing/serverset.h"
 
 #include <cstdint>
 #include <map>
@@ -47,6 +48,10 @@
     std::uint64_t configurationVersion = 0;
     /// Of the backend servers that it would use.
     std::uint64_t serversFingerprint = 0;
+    /// Version of the store at its last own reading of the servers.
+    std::uint64_t serversVersion = 0;
+    /// What happened to servers of late, in order, so that the others need not read them all.
+    std::vector<Routing::ServerChange> serverChanges;
     /// Set by a host that reads the store itself: how long ago, at the moment of sending, it asked
     /// the question whose answer proved both current.
     std::optional<Base::Milliseconds> proofAge;
--- a/src/libs/gateway/requestexaminer.cpp
+++ b/src/libs/gateway/requestexaminer.cpp
@@ -18,8 +18,6 @@
 constexpr std::uint64_t longestDeadlineMs = 1U << 30;
 constexpr milliseconds notReadyRetryAfter{400};
 constexpr milliseconds leavingRetryAfter{50};
-/// Another host may take it at once; this one is idle again only when open streams have ended.
-constexpr milliseconds behindRetryAfter{400};
 
 std::string keyOf(const Request &message)
 {
@@ -50,8 +48,6 @@
         return failure;
     if (known.isLeavingSoon && accepted.route->isStream())
         return Failure{FailureType::ShuttingDown, false, leavingRetryAfter};
-    if (known.isBehind && accepted.route->isStream())
-        return Failure{FailureType::HostBehind, false, behindRetryAfter};
     accepted.service =
         Routing::RouteTable::chooseService(*accepted.route, Base::stableHash(accepted.requestId));
     describeWork(accepted);
--- a/src/libs/gateway/requestexaminer.h
+++ b/src/libs/gateway/requestexaminer.h
@@ -20,8 +20,6 @@
     bool isLeaseHeld = false;
     /// This host's process ends before long work would: it should go elsewhere.
     bool isLeavingSoon = false;
-    /// This host has more to do than its processor can.
-    bool isBehind = false;
 };
 
 /// Decides whether a request is in order, and describes it for the decisions that follow.
--- a/src/libs/gateway/storeclient.h
+++ b/src/libs/gateway/storeclient.h
@@ -64,6 +64,8 @@
     void setDuty(Duty duty) { m_duty = duty; }
     /// Whether the newest call for the configuration failed.
     bool isLost() const { return !m_isWatchGood; }
+    /// Version of the store at the last whole reading of the servers.
+    std::uint64_t serversVersion() const { return m_serversVersion; }
     /// Another host has seen a newer configuration, or other servers.
     void configurationChanged() { m_needsReading = true; }
     void serversChanged() { m_needsServers = true; }
--- a/src/libs/routing/serverset.cpp
+++ b/src/libs/routing/serverset.cpp
@@ -4,6 +4,20 @@
 
 namespace Routing {
 
+namespace {
+
+/// Five reports to the other hosts: one or two of them may be lost.
+constexpr Base::Duration recentFor = std::chrono::milliseconds(1000);
+
+RegisteredServer serverOf(const Base::ServerId &id)
+{
+    RegisteredServer server;
+    server.id = id;
+    return server;
+}
+
+} // namespace
+
 ServerChanges ServerSet::apply(const std::vector<RegisteredServer> &listed, Base::TimePoint now)
 {
     if (m_isStoreAway) {
@@ -26,8 +40,10 @@
             changes.found.push_back(server.id);
     }
     m_isKnown = true;
-    if (keepsMissing(now))
+    if (keepsMissing(now)) {
+        note(changes, now);
         return changes;
+    }
     for (auto it = m_servers.begin(); it != m_servers.end();) {
         if (present.count(it->first) > 0) {
             ++it;
@@ -37,6 +53,67 @@
         changes.gone.push_back(it->first);
         it = m_servers.erase(it);
     }
+    note(changes, now);
+    return changes;
+}
+
+ServerChanges ServerSet::applyChanges(const std::vector<ServerChange> &changes, Base::TimePoint now)
+{
+    ServerChanges applied;
+    for (const ServerChange &change : changes) {
+        if (!applyOne(change))
+            continue;
+        switch (change.kind) {
+        case ServerChange::Kind::Found:
+            applied.found.push_back(change.server.id);
+            break;
+        case ServerChange::Kind::Leaving:
+            applied.leaving.push_back(change.server.id);
+            break;
+        case ServerChange::Kind::Gone:
+            applied.gone.push_back(change.server.id);
+            break;
+        }
+    }
+    note(applied, now);
+    return applied;
+}
+
+bool ServerSet::applyOne(const ServerChange &change)
+{
+    const Base::ServerId &id = change.server.id;
+    switch (change.kind) {
+    case ServerChange::Kind::Found:
+        return m_ended.count(id) == 0 && m_servers.insert_or_assign(id, change.server).second;
+    case ServerChange::Kind::Leaving:
+        return m_ended.insert(id).second && m_servers.erase(id) > 0;
+    case ServerChange::Kind::Gone:
+        return m_servers.erase(id) > 0;
+    }
+    return false;
+}
+
+void ServerSet::note(const ServerChanges &changes, Base::TimePoint now)
+{
+    while (!m_recent.empty() && now - m_recent.front().at >= recentFor)
+        m_recent.pop_front();
+    for (const Base::ServerId &id : changes.leaving)
+        m_recent.push_back({{ServerChange::Kind::Leaving, serverOf(id)}, now});
+    for (const Base::ServerId &id : changes.gone)
+        m_recent.push_back({{ServerChange::Kind::Gone, serverOf(id)}, now});
+    for (const Base::ServerId &id : changes.found) {
+        if (const RegisteredServer *server = usable(id))
+            m_recent.push_back({{ServerChange::Kind::Found, *server}, now});
+    }
+}
+
+std::vector<ServerChange> ServerSet::recentChanges(Base::TimePoint now) const
+{
+    std::vector<ServerChange> changes;
+    for (const Dated &it : m_recent) {
+        if (now - it.at < recentFor)
+            changes.push_back(it.change);
+    }
     return changes;
 }
 
--- a/src/libs/routing/serverset.h
+++ b/src/libs/routing/serverset.h
@@ -4,6 +4,7 @@
 #include "base/time.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <set>
 #include <string>
@@ -29,6 +30,22 @@
     bool operator==(const RegisteredServer &) const = default;
 };
 
+/// One thing that happened to a backend server.
+struct ServerChange
+{
+    enum class Kind : std::uint8_t {
+        Found,   ///< It may get work now.
+        Leaving, ///< It says that it leaves: for good.
+        Gone,    ///< Its entry is missing.
+    };
+
+    Kind kind = Kind::Found;
+    /// Of one that is leaving or gone only the id counts.
+    RegisteredServer server;
+
+    bool operator==(const ServerChange &) const = default;
+};
+
 /// What a reading of the store changed.
 struct ServerChanges
 {
@@ -55,6 +72,11 @@
 
     /// The store answered with all entries. Readings are given in the order of their questions.
     ServerChanges apply(const std::vector<RegisteredServer> &listed, Base::TimePoint now);
+    /// What another host saw happen, in that order. May be given again, and with a part left out:
+    /// the fingerprints then tell that the sets differ.
+    ServerChanges applyChanges(const std::vector<ServerChange> &changes, Base::TimePoint now);
+    /// What happened within the last second, in order, for hosts that do not read the store.
+    std::vector<ServerChange> recentChanges(Base::TimePoint now) const;
     /// The store did not answer in time, or refused.
     void storeFailed(Base::TimePoint now);
 
@@ -66,6 +88,15 @@
     const std::map<Base::ServerId, RegisteredServer> &servers() const { return m_servers; }
 
 private:
+    struct Dated
+    {
+        ServerChange change;
+        Base::TimePoint at;
+    };
+
+    /// False if nothing changed by it.
+    bool applyOne(const ServerChange &change);
+    void note(const ServerChanges &changes, Base::TimePoint now);
     bool keepsMissing(Base::TimePoint now) const;
 
     Base::Duration m_returnGrace;
@@ -75,6 +106,7 @@
     bool m_isKnown = false;
     bool m_isStoreAway = false;
     Base::TimePoint m_storeBackAt = Base::TimePoint::min();
+    std::deque<Dated> m_recent;
 };
 
 } // namespace Routing
--- a/tests/auto/routing/tst_serverset.cpp
+++ b/tests/auto/routing/tst_serverset.cpp
@@ -110,3 +110,57 @@
     CHECK(lease.isHeld(start + seconds(5)));
     CHECK_FALSE(lease.isHeld(start + milliseconds(5500)));
 }
+
+TEST_CASE("a host that takes changes from another one has the same servers", "[routing]")
+{
+    // Sixty hosts each read all entries of the store whenever one server starts or leaves. Cause:
+    // the reader of a zone told that something had changed, but not what.
+    rc::prop("reports repeated, some lost: same set, or fingerprints differ", [] {
+        ServerSet reader(seconds(2));
+        ServerSet other(seconds(2));
+        Base::TimePoint now = start;
+        std::set<int> listed;
+        std::set<int> leaving;
+        other.apply({}, now);
+        reader.apply({}, now);
+        for (int step = 0; step < 30; ++step) {
+            now += milliseconds(200);
+            if (step % 3 == 0) {
+                const int id = *rc::gen::inRange(0, 6);
+                switch (*rc::gen::inRange(0, 3)) {
+                case 0:
+                    listed.insert(id);
+                    break;
+                case 1:
+                    listed.erase(id);
+                    break;
+                default:
+                    leaving.insert(id);
+                    break;
+                }
+                std::vector<RegisteredServer> entries;
+                for (const int it : listed)
+                    entries.push_back(server(std::to_string(it), leaving.count(it) > 0));
+                reader.apply(entries, now);
+            }
+            // One report in four is lost; never three in a row within the second that it is told.
+            if (step % 4 != 3)
+                other.applyChanges(reader.recentChanges(now), now);
+        }
+        now += milliseconds(200);
+        other.applyChanges(reader.recentChanges(now), now);
+        RC_ASSERT(other.fingerprint() == reader.fingerprint());
+    });
+}
+
+TEST_CASE("a server that leaves stays left whatever a late report says", "[routing]")
+{
+    ServerSet set(seconds(2));
+    set.apply({server("a")}, start);
+    using Kind = ServerChange::Kind;
+    set.applyChanges({{Kind::Leaving, server("a")}}, start);
+    CHECK(set.applyChanges({{Kind::Found, server("a")}}, start).isEmpty());
+    CHECK(set.usable(Base::ServerId("a")) == nullptr);
+    CHECK(set.recentChanges(start).size() == 2);
+    CHECK(set.recentChanges(start + seconds(2)).empty());
+}
