Answer refused callers without the event loop

A refusal took thirteen system calls (strace: accept, four to register, wait and read, one to write, seven to wait for the caller's close and to close) and, with the rest, all of the processor. Ruled out: the look at all servers (these requests are refused before it); log lines (450 a second at most). Change: an accepted connection is read at once, and the loop gets to know it only if it has to be waited for. A host that is behind closes the connection of a caller that it refuses. Five system calls: accept4, recv, send, shutdown, close. A listener that has no file number left waits for the next check of times in place of turning round. Test: tst_gateway, "callers that connect anew and are refused take one turn of the loop".

--- a/src/libs/gateway/answersink.h
+++ b/src/libs/gateway/answersink.h
@@ -21,6 +21,8 @@
     virtual void endStream() = 0;
     /// Closes the connection without an end, so that the answer cannot look complete.
     virtual void breakOff() = 0;
+    /// The answer is the last one of its connection. Call it before the answer.
+    virtual void closeAfterAnswer() = 0;
     /// Whether the caller has closed its connection, read or not. Costs a system call.
     virtual bool isCallerGone() const = 0;
     /// Whether the caller reads slower than its answer comes.
--- a/src/libs/gateway/callerconnection.cpp
+++ b/src/libs/gateway/callerconnection.cpp
@@ -4,8 +4,6 @@
 
 #include <boost/beast/http/error.hpp>
 
-#include <sys/socket.h>
-
 #include <utility>
 
 namespace Gateway {
@@ -28,18 +26,17 @@
 
 } // namespace
 
-CallerConnection::CallerConnection(Tcp::socket socket, const ConnectionContext &context)
-    : m_socket(std::move(socket))
+CallerConnection::CallerConnection(boost::asio::io_context &io, int fd,
+                                   const ConnectionContext &context)
+    : m_socket(io, fd)
     , m_context(context)
 {}
 
 void CallerConnection::start(Base::TimePoint now)
 {
-    boost::system::error_code ec;
-    m_socket.non_blocking(true, ec);
-    m_socket.set_option(Tcp::no_delay(true), ec);
     m_since = now;
-    waitRead();
+    // On a host that is behind the request is there already, and may be answered without the loop.
+    readable();
 }
 
 void CallerConnection::checkTime(Base::TimePoint now)
@@ -64,12 +61,11 @@
     if (m_isWaitingRead || !isOpen())
         return;
     m_isWaitingRead = true;
-    m_socket.async_wait(Tcp::socket::wait_read,
-                        [self = shared_from_this()](const boost::system::error_code &ec) {
-                            self->m_isWaitingRead = false;
-                            if (!ec)
-                                self->readable();
-                        });
+    m_socket.waitRead([self = shared_from_this()](const boost::system::error_code &ec) {
+        self->m_isWaitingRead = false;
+        if (!ec)
+            self->readable();
+    });
 }
 
 void CallerConnection::readable()
@@ -78,7 +74,7 @@
         return;
     std::string &buf = m_context.readBuffer;
     boost::system::error_code ec;
-    const std::size_t n = m_socket.read_some(boost::asio::buffer(buf), ec);
+    const std::size_t n = m_socket.read(buf, ec);
     if (ec == boost::asio::error::would_block) {
         waitRead();
         return;
@@ -189,10 +185,7 @@
 
 bool CallerConnection::isCallerGone() const
 {
-    if (!isOpen())
-        return true;
-    char byte = 0;
-    return recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+    return !isOpen() || m_socket.isAtEnd();
 }
 
 bool CallerConnection::isBlocked() const
@@ -209,7 +202,7 @@
     if (m_isInHandler || !isOpen() || m_closesAfterAnswer || m_input.empty())
         return;
     // Not from here: the caller of this function may still be using what the next request changes.
-    boost::asio::post(m_socket.get_executor(), [self = shared_from_this()] {
+    boost::asio::post(m_socket.executor(), [self = shared_from_this()] {
         self->parse();
         self->waitRead();
     });
@@ -221,7 +214,7 @@
         return;
     m_wasBlocked |= isBlocked();
     boost::system::error_code ec;
-    m_output.flush(m_socket, ec);
+    m_socket.write(m_output, ec);
     if (ec) {
         lose();
         return;
@@ -239,12 +232,11 @@
 void CallerConnection::waitWrite()
 {
     m_isWaitingWrite = true;
-    m_socket.async_wait(Tcp::socket::wait_write,
-                        [self = shared_from_this()](const boost::system::error_code &ec) {
-                            self->m_isWaitingWrite = false;
-                            if (!ec)
-                                self->flush();
-                        });
+    m_socket.waitWrite([self = shared_from_this()](const boost::system::error_code &ec) {
+        self->m_isWaitingWrite = false;
+        if (!ec)
+            self->flush();
+    });
 }
 
 void CallerConnection::lose()
@@ -259,9 +251,7 @@
 
 void CallerConnection::close()
 {
-    boost::system::error_code ec;
-    m_socket.shutdown(Tcp::socket::shutdown_both, ec);
-    m_socket.close(ec);
+    m_socket.close();
 }
 
 } // namespace Gateway
--- a/src/libs/gateway/callerconnection.h
+++ b/src/libs/gateway/callerconnection.h
@@ -2,6 +2,7 @@
 
 #include "base/time.h"
 #include "gateway/answersink.h"
+#include "gateway/callersocket.h"
 #include "gateway/outputbuffer.h"
 
 #include <boost/beast/http/parser.hpp>
@@ -38,14 +39,15 @@
                                public std::enable_shared_from_this<CallerConnection>
 {
 public:
-    CallerConnection(Tcp::socket socket, const ConnectionContext &context);
+    /// Takes over \a fd, a connected socket that does not block.
+    CallerConnection(boost::asio::io_context &io, int fd, const ConnectionContext &context);
 
     void start(Base::TimePoint now);
     /// Closes the connection if it has been idle, or slow with its header, for too long.
     void checkTime(Base::TimePoint now);
     /// Closes it if no request is open.
     void closeIfIdle();
-    bool isOpen() const { return m_socket.is_open(); }
+    bool isOpen() const { return m_socket.isOpen(); }
     bool isBusy() const { return m_active || m_parser || !m_output.isEmpty(); }
 
     void sendAnswer(const ResponseHead &head, std::string_view body) override;
@@ -53,6 +55,7 @@
     void sendEvents(std::string_view data) override;
     void endStream() override;
     void breakOff() override;
+    void closeAfterAnswer() override { m_closesAfterAnswer = true; }
     bool isCallerGone() const override;
     bool isBlocked() const override;
 
@@ -70,7 +73,7 @@
     void lose();
     void close();
 
-    mutable Tcp::socket m_socket;
+    CallerSocket m_socket;
     ConnectionContext m_context;
     std::optional<Http::request_parser<Http::string_body>> m_parser;
     std::string m_input;
--- a/src/libs/gateway/fleetview.cpp
+++ b/src/libs/gateway/fleetview.cpp
@@ -172,8 +172,8 @@
         return first;
     // A leader that the store turns away would leave its whole zone without proofs of the
     // configuration, and each host of it would call the store for itself.
-    const bool isSelfFirst = std::tie(m_isStoreLost, m_self)
-                             < std::tie(first->isStoreLost, first->host);
+    const bool isSelfFirst =
+        std::tie(m_isStoreLost, m_self) < std::tie(first->isStoreLost, first->host);
     return isSelfFirst ? std::nullopt : first;
 }
 
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -366,8 +366,7 @@
     // Half by what is forwarded: callers may stay with a host that is not named to them. Half in
     // equal parts to the hosts that are named, since those get what is to come.
     const bool isChosen = m_entries.isChosen(m_settings.host);
-    const double ofNamed =
-        isChosen ? 1.0 / static_cast<double>(m_entries.chosen().size()) : 0.0;
+    const double ofNamed = isChosen ? 1.0 / static_cast<double>(m_entries.chosen().size()) : 0.0;
     if (m_fleetLoad <= 0)
         return ofNamed;
     const double ofLoad = std::min(1.0, m_forwarding.load(bootTimeNow()) / m_fleetLoad);
@@ -437,6 +436,9 @@
         m_metrics->requestEnded({accepted.route ? accepted.route->name : std::string(),
                                  accepted.customer.value(), failureName(failure->type),
                                  std::nullopt, now() - accepted.request.readAt});
+        // Kept, a refused caller's connection costs more than the refusal.
+        if (failure->type == FailureType::HostBehind)
+            sink.closeAfterAnswer();
         sink.sendAnswer(failureHead(*failure), failureBody(*failure, accepted.requestId));
         return nullptr;
     }
--- a/src/libs/gateway/hostreport.cpp
+++ b/src/libs/gateway/hostreport.cpp
@@ -77,7 +77,7 @@
 {
     return {member.host.value(),  member.zone.value(), member.peerAddress,
             member.callerAddress, member.isLeaving,    member.isServing,
-            member.isStoreLost,   member.capacity, member.load};
+            member.isStoreLost,   member.capacity,     member.load};
 }
 
 MemberState readMember(ArrayReader &reader)
--- a/src/libs/gateway/httplistener.cpp
+++ b/src/libs/gateway/httplistener.cpp
@@ -4,6 +4,9 @@
 
 #include <boost/asio/ip/address_v4.hpp>
 
+#include <sys/socket.h>
+
+#include <cerrno>
 #include <utility>
 
 namespace Gateway {
@@ -16,7 +19,7 @@
 /// Connections that are accepted in one turn. One a turn is too few on a host that is behind: its
 /// queue fills with connections of callers who have left by the time their turn comes, and nobody
 /// gets in for as long as the load lasts.
-constexpr int mostAcceptedInTurn = 256;
+constexpr int mostAcceptedInTurn = 128;
 
 } // namespace
 
@@ -59,25 +62,32 @@
             if (!acceptOne())
                 break;
         }
-        accept();
+        if (!m_isOutOfFiles)
+            accept();
     });
 }
 
 bool HttpListener::acceptOne()
 {
-    boost::system::error_code ec;
-    Tcp::socket socket(*m_io);
-    m_acceptor.accept(socket, ec);
-    if (ec)
+    const int fd =
+        accept4(m_acceptor.native_handle(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (fd < 0) {
+        // The connection stays in the queue. To wait for it would return at once, again and again,
+        // and take the whole processor until a file number is free.
+        m_isOutOfFiles = errno == EMFILE || errno == ENFILE || errno == ENOMEM;
         return false;
-    auto connection = std::make_shared<CallerConnection>(std::move(socket), m_context);
-    m_connections.push_back(connection);
+    }
+    auto connection = std::make_shared<CallerConnection>(*m_io, fd, m_context);
     connection->start(bootTimeNow());
+    if (connection->isOpen())
+        m_connections.push_back(std::move(connection));
     return true;
 }
 
 void HttpListener::checkTime(Base::TimePoint now)
 {
+    if (std::exchange(m_isOutOfFiles, false))
+        accept();
     for (const auto &connection : m_connections)
         connection->checkTime(now);
     std::erase_if(m_connections, [](const auto &it) { return !it->isOpen() && !it->isBusy(); });
--- a/src/libs/gateway/httplistener.h
+++ b/src/libs/gateway/httplistener.h
@@ -25,7 +25,7 @@
                                                               const Settings::Address &address,
                                                               const ConnectionContext &context);
 
-    /// Closes connections that are idle for too long.
+    /// Closes connections that are idle for too long. Call it a few times a second.
     void checkTime(Base::TimePoint now);
     /// Closes the connections on which no request is open.
     void closeIdle();
@@ -40,6 +40,8 @@
     boost::asio::io_context *m_io;
     Tcp::acceptor m_acceptor;
     ConnectionContext m_context;
+    /// Nothing is accepted until the next check of times.
+    bool m_isOutOfFiles = false;
     std::vector<std::shared_ptr<CallerConnection>> m_connections;
 };
 
--- a/src/libs/gateway/outputbuffer.h
+++ b/src/libs/gateway/outputbuffer.h
@@ -34,6 +34,15 @@
             clear();
         return sum;
     }
+    /// What is still to be written.
+    std::string_view text() const { return std::string_view(m_text).substr(m_at); }
+    /// The first \a count bytes of text() have been written.
+    void consume(std::size_t count)
+    {
+        m_at += count;
+        if (isEmpty())
+            clear();
+    }
     void clear()
     {
         m_text.clear();
--- a/src/libs/routing/dispatcher.cpp
+++ b/src/libs/routing/dispatcher.cpp
@@ -514,12 +514,11 @@
 
 void Dispatcher::updateLevels(Base::TimePoint now)
 {
-    const Base::Duration since = m_shareLevelAt == Base::TimePoint::min()
-                                     ? shareInterval
-                                     : now - m_shareLevelAt;
+    const Base::Duration since =
+        m_shareLevelAt == Base::TimePoint::min() ? shareInterval : now - m_shareLevelAt;
     m_shareLevelAt = now;
     // A pause in what is asked for is no time in which anybody was served.
-    m_askedSeconds.add(allCustomers(), 
+    m_askedSeconds.add(allCustomers(),
                        std::chrono::duration<double>(std::min(since, 2 * shareInterval)).count(),
                        now);
     std::map<Base::CustomerId, double> asked;
--- a/src/libs/routing/dispatcher.h
+++ b/src/libs/routing/dispatcher.h
@@ -87,8 +87,8 @@
     {
         RegisteredServer server;
         ServerLoad own;
-        /// Of all other hosts. Looked up once a report and not for each decision, which looks at all
-        /// servers.
+        /// Of all other hosts. Looked up once a report and not for each decision, which looks at
+        /// all servers.
         ServerLoad others;
         ServerHealth health;
         PromptCache cache;
--- a/src/libs/routing/fleetload.h
+++ b/src/libs/routing/fleetload.h
@@ -38,8 +38,8 @@
     /// (FadingMeter).
     std::map<Base::CustomerId, double> asked;
     std::map<Base::CustomerId, double> received;
-    /// Of what was received, that of which the first event came: less than was sent to servers where
-    /// this host is behind with its own work.
+    /// Of what was received, that of which the first event came: less than was sent to servers
+    /// where this host is behind with its own work.
     std::map<Base::CustomerId, double> begun;
     /// Since the report before. If a report is lost, the others believe in fewer copies.
     std::vector<PartUse> partUses;
--- a/src/libs/routing/forwardingmeter.h
+++ b/src/libs/routing/forwardingmeter.h
@@ -23,8 +23,7 @@
     MilliCores load(Base::TimePoint now) const
     {
         constexpr double microsecondsPerMilliCoreSecond = 1000;
-        return static_cast<MilliCores>(faded(now) / meanSeconds()
-                                       / microsecondsPerMilliCoreSecond);
+        return static_cast<MilliCores>(faded(now) / meanSeconds() / microsecondsPerMilliCoreSecond);
     }
 
 private:
--- a/tests/auto/gateway/tst_fleetview.cpp
+++ b/tests/auto/gateway/tst_fleetview.cpp
@@ -18,7 +18,15 @@
 
 MemberState member(const std::string &host, const std::string &zone = "z")
 {
-    return {Base::HostId(host), Base::ZoneId(zone), host + ":7000", host + ":8000", false, true, false, 250, 30};
+    return {Base::HostId(host),
+            Base::ZoneId(zone),
+            host + ":7000",
+            host + ":8000",
+            false,
+            true,
+            false,
+            250,
+            30};
 }
 
 HostReport report(const std::string &host, std::uint64_t sequence)
@@ -160,11 +168,10 @@
     HostReport before = report("a", 1);
     before.scope = ReportScope::Fleet;
     before.store = {7, 8, 9, {}, milliseconds(900)};
-    before.store.serverChanges = {
-        {Routing::ServerChange::Kind::Leaving, {}},
-        {Routing::ServerChange::Kind::Found,
-         {Base::ServerId("t"), "pool", "1.2.3.4:5", Base::ZoneId("z"), 64, false,
-          milliseconds(40)}}};
+    before.store.serverChanges = {{Routing::ServerChange::Kind::Leaving, {}},
+                                  {Routing::ServerChange::Kind::Found,
+                                   {Base::ServerId("t"), "pool", "1.2.3.4:5", Base::ZoneId("z"), 64,
+                                    false, milliseconds(40)}}};
     before.echoes[Base::HostId("b")] = 12;
     before.members = {member("c"), member("d", "y")};
     const auto after = decodeReport(encodeReport(before));
--- /dev/null
+++ b/tests/auto/gateway/tst_httplistener.cpp
@@ -0,0 +1,128 @@
+#include "gateway/httplistener.h"
+
+#include <catch2/catch.hpp>
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+using namespace Gateway;
+
+namespace {
+
+constexpr std::string_view requestText = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n";
+
+/// Answers each request at once, as the last one of its connection or not.
+class Refuser final : public RequestHandler
+{
+public:
+    explicit Refuser(bool closes)
+        : m_closes(closes)
+    {}
+
+    std::shared_ptr<ActiveRequest> handle(CallerRequest, AnswerSink &sink) override
+    {
+        ResponseHead head;
+        head.result(503);
+        if (m_closes)
+            sink.closeAfterAnswer();
+        sink.sendAnswer(head, "no room");
+        return nullptr;
+    }
+
+private:
+    bool m_closes;
+};
+
+/// A listener on loopback, and callers that connect from the same thread.
+class Loopback
+{
+public:
+    explicit Loopback(bool closes)
+        : m_refuser(closes)
+    {
+        Tcp::acceptor probe(m_io, {boost::asio::ip::make_address_v4("127.0.0.1"), 0});
+        m_port = probe.local_endpoint().port();
+        probe.close();
+        boost::leaf::try_handle_all(
+            [&]() -> Base::Result<void> {
+                BOOST_LEAF_ASSIGN(listener, HttpListener::create(m_io, {"127.0.0.1", m_port},
+                                                                 {m_refuser, m_limits, m_buffer}));
+                return {};
+            },
+            [] { FAIL("cannot listen"); });
+    }
+
+    Tcp::socket caller(std::string_view text)
+    {
+        Tcp::socket socket(m_callers);
+        socket.connect({boost::asio::ip::make_address_v4("127.0.0.1"), m_port});
+        boost::asio::write(socket, boost::asio::buffer(text.data(), text.size()));
+        return socket;
+    }
+    /// Everything until the connection ends.
+    static std::string answerOf(Tcp::socket &socket)
+    {
+        std::string text;
+        boost::system::error_code ec;
+        boost::asio::read(socket, boost::asio::dynamic_buffer(text), ec);
+        CHECK(ec == boost::asio::error::eof);
+        return text;
+    }
+    std::size_t poll() { return m_io.poll(); }
+
+    std::unique_ptr<HttpListener> listener;
+
+private:
+    boost::asio::io_context m_io;
+    boost::asio::io_context m_callers;
+    Refuser m_refuser;
+    ConnectionLimits m_limits;
+    std::string m_buffer = std::string(65536, '\0');
+    std::uint16_t m_port = 0;
+};
+
+} // namespace
+
+TEST_CASE("callers that connect anew and are refused take one turn of the loop", "[gateway]")
+{
+    // A large customer's callers connect two thousand times a second to one small host, and nobody
+    // is served there: its processor goes into refusals. Cause: each connection was accepted in a
+    // turn of its own, registered with the loop, waited for, answered, and waited for again.
+    Loopback loopback(true);
+    std::vector<Tcp::socket> callers;
+    for (int i = 0; i < 100; ++i)
+        callers.push_back(loopback.caller(requestText));
+    CHECK(loopback.poll() <= 3);
+    for (Tcp::socket &caller : callers) {
+        const std::string answer = Loopback::answerOf(caller);
+        CHECK(answer.find("HTTP/1.1 503") == 0);
+        CHECK(answer.find("Connection: close") != std::string::npos);
+        CHECK(answer.find("no room") != std::string::npos);
+    }
+    CHECK(loopback.listener->connections() == 0);
+}
+
+TEST_CASE("a connection is kept for further requests, and may come in pieces", "[gateway]")
+{
+    Loopback loopback(false);
+    Tcp::socket caller = loopback.caller(requestText.substr(0, 9));
+    loopback.poll();
+    boost::asio::write(caller,
+                       boost::asio::buffer(requestText.substr(9).data(), requestText.size() - 9));
+    loopback.poll();
+    boost::asio::write(caller, boost::asio::buffer(requestText.data(), requestText.size()));
+    loopback.poll();
+    CHECK(loopback.listener->connections() == 1);
+    caller.shutdown(Tcp::socket::shutdown_send);
+    loopback.poll();
+    const std::string answers = Loopback::answerOf(caller);
+    CHECK(answers.find("no room") != answers.rfind("no room"));
+    loopback.listener->checkTime(Base::TimePoint(std::chrono::hours(1)));
+    CHECK(loopback.listener->connections() == 0);
+}
--- a/tests/auto/routing/tst_backlogwatch.cpp
+++ b/tests/auto/routing/tst_backlogwatch.cpp
@@ -57,8 +57,8 @@
             watch.noteIdle(now);
         }
         const std::chrono::duration<double, std::milli> wait(backlog / millisecondsOfProcessor);
-        outcome.longestWait = std::max(outcome.longestWait,
-                                       std::chrono::duration_cast<Base::Duration>(wait));
+        outcome.longestWait =
+            std::max(outcome.longestWait, std::chrono::duration_cast<Base::Duration>(wait));
     }
     return outcome;
 }
