Let a host that was cut off lead its zone only when its servers are settled

Trace: edge-lis-b-1 was cut off until 13.15 s, came back, and was again the first of its zone by name. It keeps entries that are missing for two seconds after the store's return, as after an outage; the server left at 13.36 s, and edge-lis-b-3, in touch all the time, took it from there until 15.59 s. Its zone lis-c, whose reader had not been cut off, stopped at 13.69 s. Ruled out: the intervals of reading (0.6 s), lost reports. Change: who keeps missing entries counts as one that has lost the store and does not lead while another host can. Also: after a failed reading of the servers a host that does not read for its zone tries once in two seconds, so that it may stand in again.

--- a/src/libs/gateway/callersocket.cpp
+++ b/src/libs/gateway/callersocket.cpp
@@ -67,7 +67,6 @@
     if (m_fd < 0)
         return;
     const int fd = std::exchange(m_fd, -1);
-    shutdown(fd, SHUT_RDWR);
     boost::system::error_code ec;
     if (m_socket.is_open())
         m_socket.close(ec);
--- a/src/libs/gateway/callersocket.h
+++ b/src/libs/gateway/callersocket.h
@@ -14,7 +14,7 @@
 ///
 /// Load: thousands of callers a second connect anew, ask once and are refused. Registered with the
 /// loop from the start, such a connection takes thirteen system calls; read, answered and closed at
-/// once it takes five.
+/// once it takes four.
 class CallerSocket
 {
 public:
--- a/src/libs/gateway/exchange.cpp
+++ b/src/libs/gateway/exchange.cpp
@@ -414,6 +414,10 @@
         return;
     }
     m_status = failureStatus(failure);
+    // Callers who are turned away mostly come back on a new connection; to keep this one would cost
+    // a busy host more than the refusal.
+    if (!failure.mayHaveRun && m_port->isBusy())
+        m_sink->closeAfterAnswer();
     if (!m_isCallerGone)
         m_sink->sendAnswer(failureHead(failure), failureBody(failure, m_accepted.requestId));
     finish(failureName(failure.type));
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -242,7 +242,10 @@
 {
     m_looksForIdle = true;
     const Base::TimePoint time = now();
-    m_fleet.setStoreLost(m_store->isLost(), time);
+    // A host that was cut off keeps servers whose entries are missing for a while. Leading its zone
+    // again meanwhile, it would make hosts that were in touch all the time send to servers that
+    // left.
+    m_fleet.setStoreLost(m_store->isLost() || !m_servers.isSettled(time), time);
     m_store->setDuty(readingDuty(time));
     m_store->advance(time);
     std::vector<std::shared_ptr<Exchange>> open;
@@ -287,7 +290,7 @@
     self.callerAddress = toString(m_settings.callerAddress);
     self.isLeaving = m_leavingSince.has_value();
     self.isServing = isReady() && m_lease.isHeld(time);
-    self.isStoreLost = m_store->isLost();
+    self.isStoreLost = m_store->isLost() || !m_servers.isSettled(time);
     self.capacity = m_settings.processor;
     self.load = m_forwarding.load(time);
     return self;
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -79,6 +79,7 @@
     void workFinished(const std::string &service, Routing::WorkId id,
                       Routing::AttemptOutcome outcome) override;
     Base::Duration expectedStart(const std::string &service, Routing::WorkId id) override;
+    bool isBusy() override { return m_backlog.isBusy(now()); }
     bool takeRepeat(const std::string &service) override;
     const Routing::RegisteredServer *server(const Base::ServerId &id) override;
     bool mayUseKeys() override;
--- a/src/libs/gateway/hostreport.h
+++ b/src/libs/gateway/hostreport.h
@@ -33,7 +33,8 @@
     bool isLeaving = false;
     /// Can serve requests now: knows a configuration that is proved current.
     bool isServing = false;
-    /// Its last call to the store failed; another host should read for its zone.
+    /// It does not reach the store, or has just come back to it; another host should read for its
+    /// zone.
     bool isStoreLost = false;
     /// Of its processor, and what its forwarding takes of it.
     Routing::MilliCores capacity = 1000;
--- a/src/libs/gateway/storeclient.cpp
+++ b/src/libs/gateway/storeclient.cpp
@@ -61,7 +61,8 @@
     }
     if (m_readLane->isBusy())
         return;
-    if (now >= m_nextServers && (isReading() || m_needsServers))
+    // After a failure they are read once more, so that this host may stand in again for the reader.
+    if (now >= m_nextServers && (isReading() || m_needsServers || !m_isReadGood))
         readServers(now);
     else
         callForHosts(now);
@@ -204,7 +205,8 @@
     m_listener->storeAnswered("servers", false);
     noteLane(m_isReadGood, false, "servers", why);
     m_continueFrom.clear();
-    m_nextServers = bootTimeNow() + pauseAfterFailure(m_readPause);
+    const bool isProbe = !isReading() && !m_needsServers;
+    m_nextServers = bootTimeNow() + (isProbe ? probePause : pauseAfterFailure(m_readPause));
     m_listener->serversUnread();
 }
 
--- a/src/libs/routing/backlogwatch.h
+++ b/src/libs/routing/backlogwatch.h
@@ -21,12 +21,15 @@
 public:
     /// Nothing was left to do at \a now.
     void noteIdle(Base::TimePoint now) { m_idleAt = now; }
+    /// Whether there has been no pause for a moment: not yet behind, but nothing to spare.
+    bool isBusy(Base::TimePoint now) const { return now - m_idleAt >= busyAfter; }
     /// Whether a stream that has just come in is taken.
     bool takesStream(const Work &work, Base::TimePoint now);
 
 private:
     /// A streamed event is to be passed on within 120 ms where callers are strictest; work that
     /// came at one moment is done within that time on a host that keeps up.
+    static constexpr Base::Duration busyAfter = std::chrono::milliseconds(60);
     static constexpr Base::Duration choosyAfter = std::chrono::milliseconds(150);
     static constexpr Base::Duration closedAfter = std::chrono::milliseconds(500);
     /// Weight of the newest stream in the mean: some dozens count.
--- a/src/libs/routing/serverset.h
+++ b/src/libs/routing/serverset.h
@@ -81,6 +81,9 @@
     void storeFailed(Base::TimePoint now);
 
     bool isKnown() const { return m_isKnown; }
+    /// Whether an entry that is missing counts as gone: the store neither is away, as seen from
+    /// here, nor has just come back. Else another host's set is the better one.
+    bool isSettled(Base::TimePoint now) const { return !m_isStoreAway && !keepsMissing(now); }
     /// The same for two sets with the same usable servers.
     std::uint64_t fingerprint() const;
     /// Null for one that is leaving, gone or never seen.
--- a/tests/auto/routing/tst_serverset.cpp
+++ b/tests/auto/routing/tst_serverset.cpp
@@ -111,6 +111,23 @@
     CHECK_FALSE(lease.isHeld(start + milliseconds(5500)));
 }
 
+TEST_CASE("a host that was cut off from the store is not settled until its grace is over",
+          "[routing]")
+{
+    // A server ends without a word, and two seconds later hosts that were in touch with the store
+    // all the time still send to it. A host that had been cut off came back just before, was again
+    // the one that reads for its zone, and still kept entries that were missing.
+    ServerSet set(seconds(2));
+    set.apply({server("a")}, start);
+    CHECK(set.isSettled(start));
+    set.storeFailed(start + seconds(1));
+    CHECK_FALSE(set.isSettled(start + seconds(1)));
+    set.apply({}, start + seconds(4));
+    CHECK(set.usable(Base::ServerId("a")) != nullptr);
+    CHECK_FALSE(set.isSettled(start + seconds(5)));
+    CHECK(set.isSettled(start + seconds(6)));
+}
+
 TEST_CASE("a host that takes changes from another one has the same servers", "[routing]")
 {
     // Sixty hosts each read all entries of the store whenever one server starts or leaves. Cause:
