--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -292,7 +292,7 @@
     self.isServing = isReady() && m_lease.isHeld(time);
     self.isStoreLost = m_store->isLost() || !m_servers.isSettled(time);
     self.capacity = m_settings.processor;
-    self.load = m_forwarding.load(time);
+    self.load = m_entries.load(time);
     return self;
 }
 
@@ -333,26 +333,10 @@
     m_fleet.sumUp(time);
     for (auto &[name, state] : m_services)
         state.dispatcher.othersChanged();
-    updateEntries(time);
+    m_entries.update(m_fleet.servingMembers(time), memberOfThisHost(time), time);
     limitConnections();
 }
 
-void Gateway::updateEntries(Base::TimePoint time)
-{
-    std::vector<MemberState> members = m_fleet.servingMembers(time);
-    const MemberState self = memberOfThisHost(time);
-    if (self.isServing || (members.empty() && !self.isLeaving))
-        members.push_back(self);
-    std::vector<Routing::EntryHost> hosts;
-    hosts.reserve(members.size());
-    for (const MemberState &it : members)
-        hosts.push_back({it.host, it.zone, it.callerAddress, it.capacity, it.load});
-    m_fleetLoad = 0;
-    for (const Routing::EntryHost &it : hosts)
-        m_fleetLoad += it.load;
-    m_entries.update(std::move(hosts), time);
-}
-
 void Gateway::limitConnections()
 {
     if (!m_table)
@@ -360,22 +344,11 @@
     std::size_t connections = leastConnections;
     for (const Routing::Service &it : m_table->configuration().services)
         connections = std::max<std::size_t>(connections, it.maxConnections);
-    const double part = static_cast<double>(connections) * connectionShare * trafficShare();
+    const double share = m_entries.trafficShare(m_settings.host, bootTimeNow());
+    const double part = static_cast<double>(connections) * connectionShare * share;
     m_pool.setLimit(std::max(leastConnections, static_cast<std::size_t>(part)));
 }
 
-double Gateway::trafficShare() const
-{
-    // Half by what is forwarded: callers may stay with a host that is not named to them. Half in
-    // equal parts to the hosts that are named, since those get what is to come.
-    const bool isChosen = m_entries.isChosen(m_settings.host);
-    const double ofNamed = isChosen ? 1.0 / static_cast<double>(m_entries.chosen().size()) : 0.0;
-    if (m_fleetLoad <= 0)
-        return ofNamed;
-    const double ofLoad = std::min(1.0, m_forwarding.load(bootTimeNow()) / m_fleetLoad);
-    return (ofLoad + ofNamed) / 2;
-}
-
 void Gateway::reportReceived(const HostReport &report)
 {
     const Base::TimePoint time = now();
@@ -446,7 +419,7 @@
         return nullptr;
     }
     serviceState(accepted.service).retries.recordRequest(now());
-    m_forwarding.addRequest(now());
+    m_entries.addRequest(now());
     const Routing::WorkId id = accepted.id;
     auto exchange = std::make_shared<Exchange>(*this, std::move(accepted), sink);
     m_exchanges[id] = exchange;
@@ -599,7 +572,7 @@
 
 void Gateway::eventsForwarded(std::size_t count)
 {
-    m_forwarding.addEvents(count, now());
+    m_entries.addEvents(count, now());
 }
 
 void Gateway::requestEnded(const EndedRequest &request)
@@ -684,14 +657,6 @@
     m_fleet.learn(hosts, now());
 }
 
-std::vector<std::string> Gateway::entryAddresses() const
-{
-    std::vector<std::string> addresses;
-    for (const Routing::EntryHost &it : m_entries.chosen())
-        addresses.push_back(it.address);
-    return addresses;
-}
-
 bool Gateway::isReady() const
 {
     return m_table && m_servers.isKnown() && !m_leavingSince;
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -3,6 +3,7 @@
 #include "base/random.h"
 #include "base/result.h"
 #include "gateway/backendpool.h"
+#include "gateway/entryboard.h"
 #include "gateway/eventlog.h"
 #include "gateway/exchange.h"
 #include "gateway/fleetview.h"
@@ -16,8 +17,6 @@
 #include "routing/backlogwatch.h"
 #include "routing/configurationlease.h"
 #include "routing/dispatcher.h"
-#include "routing/entryselection.h"
-#include "routing/forwardingmeter.h"
 #include "routing/retryshare.h"
 #include "routing/serverset.h"
 
@@ -101,7 +100,7 @@
     void storeAnswered(const char *call, bool isGood) override;
     void hostsRead(const std::vector<HostRow> &hosts) override;
 
-    std::vector<std::string> entryAddresses() const override;
+    std::vector<std::string> entryAddresses() const override { return m_entries.addresses(); }
     void eventsForwarded(std::size_t count) override;
     std::chrono::seconds entryListMaxAge() const override { return m_settings.entryListMaxAge; }
     bool isReady() const override;
@@ -124,12 +123,8 @@
     void tick();
     void onTick();
     void report(Base::TimePoint now);
-    /// Chooses anew which hosts callers are told of.
-    void updateEntries(Base::TimePoint now);
     /// Shares out the connections that each server takes.
     void limitConnections();
-    /// Part of the fleet's forwarding that is this host's, or may soon be.
-    double trafficShare() const;
     MemberState memberOfThisHost(Base::TimePoint now) const;
     HostReport reportOfThisHost(Base::TimePoint now) const;
     /// Takes what another host that reads the store knows of it.
@@ -176,8 +171,7 @@
     std::shared_ptr<const Routing::RouteTable> m_table;
     Routing::ConfigurationLease m_lease;
     Routing::ServerSet m_servers;
-    Routing::EntrySelection m_entries;
-    Routing::ForwardingMeter m_forwarding;
+    EntryBoard m_entries;
     Routing::BacklogWatch m_backlog;
     std::map<std::string, ServiceState> m_services;
     std::unordered_map<Routing::WorkId, std::shared_ptr<Exchange>> m_exchanges;
@@ -193,8 +187,6 @@
     Base::TimePoint m_nextReport{};
     Base::TimePoint m_nextSlowCheck{};
     std::optional<Base::TimePoint> m_leavingSince;
-    /// What the forwarding of all hosts takes.
-    double m_fleetLoad = 0;
     bool m_isApplying = false;
     bool m_looksForIdle = false;
     bool m_wasLeaseHeld = false;
