Write a refusal's body without a tree of objects

Of a refusal's time outside of the kernel the tree of JSON objects is the largest part (perf). Change: the text is put together by hand but for the caller's id. tst_gateway holds the bodies, which are the same before and after. On loopback (gatewayload, 40 callers, five seconds): 20.8 us a refusal before, 17.4 us after.

--- a/src/libs/gateway/failure.cpp
+++ b/src/libs/gateway/failure.cpp
@@ -71,13 +71,18 @@
 
 std::string failureBody(const Failure &failure, const std::string &requestId)
 {
-    nlohmann::ordered_json error{{"type", failureName(failure.type)},
-                                 {"message", failureName(failure.type)},
-                                 {"ran", failure.mayHaveRun ? "unknown" : "no"}};
+    // Put together by hand but for the caller's id, which is the only text that needs escapes: on
+    // loopback a refusal takes 17.4 us of processor time, and 20.8 us with a tree of objects.
+    const char *name = failureName(failure.type);
+    std::string body = R"({"error":{"type":")";
+    body.append(name).append(R"(","message":")").append(name);
+    body.append(R"(","ran":")").append(failure.mayHaveRun ? "unknown" : "no").append("\"");
     if (failure.retryAfter)
-        error["retryAfterMs"] = failure.retryAfter->count();
-    nlohmann::ordered_json body{{"error", error}, {"requestId", requestId}};
-    return body.dump(-1, ' ', true, nlohmann::ordered_json::error_handler_t::replace);
+        body.append(R"(,"retryAfterMs":)").append(std::to_string(failure.retryAfter->count()));
+    body.append(R"(},"requestId":)");
+    body.append(
+        nlohmann::json(requestId).dump(-1, ' ', true, nlohmann::json::error_handler_t::replace));
+    return body.append("}");
 }
 
 } // namespace Gateway
--- a/tests/auto/gateway/tst_texts.cpp
+++ b/tests/auto/gateway/tst_texts.cpp
@@ -51,6 +51,20 @@
              "Content-Length: 3\r\n\r\nabc");
 }
 
+TEST_CASE("the body of a refusal is the product's, whatever the caller's id", "[gateway]")
+{
+    const Failure refusal{FailureType::HostBehind, false, Base::Milliseconds(400)};
+    CHECK(failureBody(refusal, "a1")
+          == R"({"error":{"type":"host_overloaded","message":"host_overloaded","ran":"no",)"
+             R"("retryAfterMs":400},"requestId":"a1"})");
+    const Failure lost{FailureType::ServerFailed, true, std::nullopt};
+    CHECK(failureBody(lost, "\"\n\xff")
+          == R"({"error":{"type":"backend_failed","message":"backend_failed","ran":"unknown"},)"
+             R"("requestId":"\"\n\ufffd"})");
+    CHECK(failureStatus(refusal) == 503);
+    CHECK(failureStatus(lost) == 502);
+}
+
 TEST_CASE("a stream that is gone on with names the last event once", "[gateway]")
 {
     const Request request = parsed("GET /cars/ HTTP/1.1\r\nHost: a\r\nLast-Event-Id: 3\r\n\r\n");
