--- a/src/libs/gateway/exchange.h
+++ b/src/libs/gateway/exchange.h
@@ -30,9 +30,9 @@
     virtual void workFinished(const std::string &service, Routing::WorkId id,
                               Routing::AttemptOutcome outcome) = 0;
     virtual Base::Duration expectedStart(const std::string &service, Routing::WorkId id) = 0;
-    /// Takes a repeat out of this host's share of the retry budget.
     /// This host has no processor time to spare.
     virtual bool isBusy() = 0;
+    /// Takes a repeat out of this host's share of the retry budget.
     virtual bool takeRepeat(const std::string &service) = 0;
     /// Null if the server may not get work any more.
     virtual const Routing::RegisteredServer *server(const Base::ServerId &id) = 0;
--- a/src/libs/gateway/fleetview.h
+++ b/src/libs/gateway/fleetview.h
@@ -29,9 +29,10 @@
 ///
 /// On a small fleet each host reports to each other one. On a larger one that would be thousands
 /// of datagrams a second, so the hosts of a zone report to one of them, its leader; leaders tell
-/// each other of their zones, and their zones of the fleet. The leader is the first live host by
-/// name and keeps nothing that matters: two that both believe to lead send the same sums twice.
-/// The leader also reads the store for its zone, so that calls to it do not grow with the hosts.
+/// each other of their zones, and their zones of the fleet. The leader also reads the store for its
+/// zone, so that calls to it do not grow with the hosts. It is the first live host by name that the
+/// store takes calls of, and keeps nothing that matters: two that both believe to lead send the
+/// same sums twice.
 class FleetView
 {
 public:
--- a/src/libs/gateway/hostreport.h
+++ b/src/libs/gateway/hostreport.h
@@ -36,7 +36,7 @@
     /// It does not reach the store, or has just come back to it; another host should read for its
     /// zone.
     bool isStoreLost = false;
-    /// Of its processor, and what its forwarding takes of it.
+    /// What it may use of its processor, and what its forwarding takes of that.
     Routing::MilliCores capacity = 1000;
     Routing::MilliCores load = 0;
 
