--- a/tests/auto/routing/tst_fairness.cpp
+++ b/tests/auto/routing/tst_fairness.cpp
@@ -248,9 +248,9 @@
     dispatcher.setOthers(others);
     // The other one, at this host, has its share of the two seconds, and servers have room.
     Base::TimePoint now = start;
+    WorkId id = 0;
     const auto serve = [&](int requests) {
         std::size_t served = 0;
-        static WorkId id = 0;
         for (int i = 0; i < requests; ++i) {
             now += milliseconds(20);
             const Decisions decisions = dispatcher.submit(work(++id, "fast", now), now);
