Tell starts of one server apart, and leave out entries that no server wrote

Cause: a server's identity was its id alone. After a restart under that id it was shut out for good if it had left, and what it kept before still counted. One entry that could not be read made the reading of all servers fail (StoreCodec::servers); missing slots counted as 1, an unknown state as leaving for good.

Change: the id inside is that of one start (name and start); a later start replaces an earlier one, which no reading and no report brings back. An entry with a field that is missing, of another type or out of range, or with an unknown state, names no server; it is counted, and logged once a change. A row that cannot be read no longer hides the others.

--- a/src/libs/gateway/exchange.cpp
+++ b/src/libs/gateway/exchange.cpp
@@ -135,7 +135,7 @@
     const Base::Duration left = endBy() - m_port->now();
     added.timeLeftMs =
         std::max<std::int64_t>(1, std::chrono::duration_cast<milliseconds>(left).count());
-    added.expectedServer = server.id.value();
+    added.expectedServer = server.start.name;
     added.customer = m_accepted.customer.value();
     added.dropsKey = !m_accepted.table->configuration().customers.empty();
     if (m_eventCount > 0 && m_events.lastId())
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -142,6 +142,7 @@
     state.isReady = isReady();
     state.isStoreReader = m_fleet.isLeader(time);
     state.droppedLogLines = m_log.dropped();
+    state.unreadableEntries = m_unreadableEntries;
     return state;
 }
 
@@ -652,6 +653,15 @@
     m_servers.storeFailed(now());
 }
 
+void Gateway::unreadableChanged(const std::set<std::string> &entries)
+{
+    m_unreadableEntries = entries.size();
+    m_log.write(LogLine("server.entries_unreadable")
+                    .add("entries", entries.size())
+                    .add("first", entries.empty() ? std::string() : *entries.begin()),
+                now());
+}
+
 void Gateway::hostsRead(const std::vector<HostRow> &hosts)
 {
     m_fleet.learn(hosts, now());
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -97,6 +97,7 @@
     void serversRead(const std::vector<Routing::RegisteredServer> &servers,
                      Base::TimePoint askedAt) override;
     void serversUnread() override;
+    void unreadableChanged(const std::set<std::string> &entries) override;
     void storeAnswered(const char *call, bool isGood) override;
     void hostsRead(const std::vector<HostRow> &hosts) override;
 
@@ -187,6 +188,7 @@
     Base::TimePoint m_nextReport{};
     Base::TimePoint m_nextSlowCheck{};
     std::optional<Base::TimePoint> m_leavingSince;
+    std::size_t m_unreadableEntries = 0;
     bool m_isApplying = false;
     bool m_looksForIdle = false;
     bool m_wasLeaseHeld = false;
--- a/src/libs/gateway/gatewaymetrics.cpp
+++ b/src/libs/gateway/gatewaymetrics.cpp
@@ -66,6 +66,8 @@
                                       "1 if this host reads the store for others"));
     BOOST_LEAF_ASSIGN(m_droppedLines, gauge("lagoonmast_gateway_log_lines_dropped",
                                             "Log lines dropped since the start"));
+    BOOST_LEAF_ASSIGN(m_unreadableEntries, gauge("lagoonmast_gateway_unreadable_entries",
+                                                 "Entries of servers that could not be read"));
     return {};
 }
 
@@ -110,6 +112,7 @@
     m_ready->set(state.isReady ? 1 : 0);
     m_reader->set(state.isStoreReader ? 1 : 0);
     m_droppedLines->set(static_cast<double>(state.droppedLogLines));
+    m_unreadableEntries->set(static_cast<double>(state.unreadableEntries));
 }
 
 } // namespace Gateway
--- a/src/libs/gateway/gatewaymetrics.h
+++ b/src/libs/gateway/gatewaymetrics.h
@@ -34,6 +34,8 @@
     bool isReady = false;
     bool isStoreReader = false;
     std::uint64_t droppedLogLines = 0;
+    /// Entries of servers in the store that this host could not read at its last reading.
+    std::size_t unreadableEntries = 0;
 };
 
 /// Counters, histograms and gauges of one gateway. docs/OPERATIONS.md lists them.
@@ -73,6 +75,7 @@
     Metrics::Gauge *m_ready = nullptr;
     Metrics::Gauge *m_reader = nullptr;
     Metrics::Gauge *m_droppedLines = nullptr;
+    Metrics::Gauge *m_unreadableEntries = nullptr;
 };
 
 } // namespace Gateway
--- a/src/libs/gateway/hostreport.cpp
+++ b/src/libs/gateway/hostreport.cpp
@@ -12,7 +12,7 @@
 using Json = nlohmann::json;
 
 /// First element of a report; another number is another form, which is not read.
-constexpr std::uint64_t form = 5;
+constexpr std::uint64_t form = 6;
 constexpr std::uint64_t largestScope = static_cast<std::uint64_t>(ReportScope::Fleet);
 
 /// Reads the elements of an array one after the other. After the first that is missing or of
@@ -154,6 +154,8 @@
     const Routing::RegisteredServer &server = change.server;
     return {static_cast<std::uint64_t>(change.kind),
             server.id.value(),
+            server.start.name,
+            static_cast<std::uint64_t>(std::max<std::int64_t>(0, server.start.at.count())),
             server.service,
             server.address,
             server.zone.value(),
@@ -169,6 +171,9 @@
     const std::uint64_t kind = std::min(reader.number(), largestChangeKind);
     change.kind = static_cast<Routing::ServerChange::Kind>(kind);
     change.server.id = Base::ServerId(reader.text());
+    change.server.start.name = reader.text();
+    change.server.start.at =
+        Base::Milliseconds(static_cast<std::int64_t>(reader.number() & INT64_MAX));
     change.server.service = reader.text();
     change.server.address = reader.text();
     change.server.zone = Base::ZoneId(reader.text());
--- a/src/libs/gateway/storeclient.cpp
+++ b/src/libs/gateway/storeclient.cpp
@@ -160,8 +160,10 @@
 
 void StoreClient::readServers(Base::TimePoint now)
 {
-    if (m_continueFrom.empty())
+    if (m_continueFrom.empty()) {
         m_pages.clear();
+        m_unreadablePages.clear();
+    }
     m_readLane->call(
         m_protocol->readServers(m_continueFrom), readTimeout, now,
         [this, now](const std::optional<StoreAnswer> &answer) { serversAnswered(answer, now); });
@@ -186,12 +188,17 @@
             }
             m_serversVersion = reading.storeVersion;
             m_pages.insert(m_pages.end(), reading.servers.begin(), reading.servers.end());
+            m_unreadablePages.merge(std::set<std::string>(reading.unreadable));
             m_continueFrom = reading.continueFrom;
             if (!m_continueFrom.empty()) {
                 m_nextServers = Base::TimePoint{};
                 return {};
             }
             m_needsServers = false;
+            // Told once a change: the same entry is read again twice a second for as long as it
+            // lies there.
+            if (std::exchange(m_unreadable, m_unreadablePages) != m_unreadablePages)
+                m_listener->unreadableChanged(m_unreadable);
             m_listener->serversRead(m_pages, askedAt);
             return {};
         },
--- a/src/libs/gateway/storeclient.h
+++ b/src/libs/gateway/storeclient.h
@@ -8,6 +8,7 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,8 @@
     virtual void serversRead(const std::vector<Routing::RegisteredServer> &servers,
                              Base::TimePoint askedAt) = 0;
     virtual void serversUnread() = 0;
+    /// The entries of servers that could not be read are others than before.
+    virtual void unreadableChanged(const std::set<std::string> &entries) = 0;
     virtual void storeAnswered(const char *call, bool isGood) = 0;
     virtual void hostsRead(const std::vector<HostRow> &hosts) = 0;
 };
@@ -108,6 +111,9 @@
     Base::TimePoint m_nextFullReading{};
 
     std::vector<Routing::RegisteredServer> m_pages;
+    std::set<std::string> m_unreadablePages;
+    /// Of the last whole reading.
+    std::set<std::string> m_unreadable;
     std::string m_continueFrom;
     std::uint64_t m_serversVersion = 0;
     Base::TimePoint m_nextServers{};
--- a/src/libs/gateway/storeprotocol.h
+++ b/src/libs/gateway/storeprotocol.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -58,6 +59,8 @@
 {
     std::uint64_t storeVersion = 0;
     std::vector<Routing::RegisteredServer> servers;
+    /// Keys of entries that cannot be read or say what no server says. They name no server to use.
+    std::set<std::string> unreadable;
     /// Not empty if there are more: what to continue from.
     std::string continueFrom;
 };
@@ -82,7 +85,8 @@
 
 /// How the deployment's store is spoken to: makes calls and reads answers, decides nothing.
 /// Every read function takes any bytes, and fails with StoreRefused, StoreHistoryGone or
-/// MalformedStoreAnswer.
+/// MalformedStoreAnswer. Rows of servers and hosts may come from other writers: one that cannot be
+/// read is left out, and the others hold.
 class StoreProtocol
 {
 public:
--- a/src/libs/routing/serverset.cpp
+++ b/src/libs/routing/serverset.cpp
@@ -9,6 +9,10 @@
 /// Five reports to the other hosts: one or two of them may be lost.
 constexpr Base::Duration recentFor = std::chrono::milliseconds(1000);
 
+/// Between a server's name and its start. Names on the platform do not hold it; one that did would
+/// only look odd in a log, since the start is a number.
+constexpr char startSeparator = '@';
+
 RegisteredServer serverOf(const Base::ServerId &id)
 {
     RegisteredServer server;
@@ -18,6 +22,13 @@
 
 } // namespace
 
+Base::ServerId idOf(const ServerStart &start)
+{
+    if (start.at == Base::Milliseconds(0))
+        return Base::ServerId(start.name);
+    return Base::ServerId(start.name + startSeparator + std::to_string(start.at.count()));
+}
+
 ServerChanges ServerSet::apply(const std::vector<RegisteredServer> &listed, Base::TimePoint now)
 {
     if (m_isStoreAway) {
@@ -27,6 +38,9 @@
     ServerChanges changes;
     std::set<Base::ServerId> present;
     for (const RegisteredServer &server : listed) {
+        if (isOutdated(server.start))
+            continue;
+        supersede(server.start, changes);
         present.insert(server.id);
         if (server.isLeaving) {
             if (m_ended.insert(server.id).second && m_servers.erase(server.id) > 0)
@@ -61,6 +75,11 @@
 {
     ServerChanges applied;
     for (const ServerChange &change : changes) {
+        if (change.kind == ServerChange::Kind::Found) {
+            if (isOutdated(change.server.start))
+                continue;
+            supersede(change.server.start, applied);
+        }
         if (!applyOne(change))
             continue;
         switch (change.kind) {
@@ -93,6 +112,23 @@
     return false;
 }
 
+bool ServerSet::isOutdated(const ServerStart &start) const
+{
+    const auto latest = m_latestStarts.find(start.name);
+    return latest != m_latestStarts.end() && start.at < latest->second;
+}
+
+void ServerSet::supersede(const ServerStart &start, ServerChanges &changes)
+{
+    const auto [latest, isNew] = m_latestStarts.try_emplace(start.name, start.at);
+    if (latest->second == start.at)
+        return;
+    const Base::ServerId before = idOf({start.name, latest->second});
+    latest->second = start.at;
+    if (m_servers.erase(before) > 0)
+        changes.gone.push_back(before);
+}
+
 void ServerSet::note(const ServerChanges &changes, Base::TimePoint now)
 {
     while (!m_recent.empty() && now - m_recent.front().at >= recentFor)
--- a/src/libs/routing/serverset.h
+++ b/src/libs/routing/serverset.h
@@ -12,11 +12,27 @@
 
 namespace Routing {
 
+/// One start of a backend server. The same server may start again under the name that it had; it
+/// then keeps and knows nothing of before, so it is another server for every decision.
+struct ServerStart
+{
+    /// What the server calls itself; the same for all its starts.
+    std::string name;
+    /// Unix time of the start, as the server tells it; 0 if it does not.
+    Base::Milliseconds at{0};
+
+    bool operator==(const ServerStart &) const = default;
+};
+
+/// Names one start: no two starts of one server have the same.
+Base::ServerId idOf(const ServerStart &start);
+
 /// A backend server as it registered itself in the store.
 struct RegisteredServer
 {
-    /// One start of a server; never used again.
+    /// One start of a server, idOf() it; never used again.
     Base::ServerId id;
+    ServerStart start;
     std::string service;
     /// "IP:PORT"; may be given to another server later.
     std::string address;
@@ -63,6 +79,9 @@
 /// that is missing means that the server is gone, but not while the store is away or has just
 /// come back: entries lapse there although their servers run, and using none of them would stop
 /// all work. They are kept until \a returnGrace after the store's return.
+///
+/// A later start of a server replaces the earlier one at once. An earlier one never comes back,
+/// whoever tells of it: its connections are dead, and what it kept of prompts is lost.
 class ServerSet
 {
 public:
@@ -99,13 +118,19 @@
 
     /// False if nothing changed by it.
     bool applyOne(const ServerChange &change);
+    /// Whether a later start of the same server is known.
+    bool isOutdated(const ServerStart &start) const;
+    /// Notes the start if it is the latest one of its server, and removes the one before it.
+    void supersede(const ServerStart &start, ServerChanges &changes);
     void note(const ServerChanges &changes, Base::TimePoint now);
     bool keepsMissing(Base::TimePoint now) const;
 
     Base::Duration m_returnGrace;
     std::map<Base::ServerId, RegisteredServer> m_servers;
-    /// Ids that have ever been seen leaving or gone.
+    /// Ids that have ever been seen leaving.
     std::set<Base::ServerId> m_ended;
+    /// Of each server, by name, the latest start that was ever seen.
+    std::map<std::string, Base::Milliseconds> m_latestStarts;
     bool m_isKnown = false;
     bool m_isStoreAway = false;
     Base::TimePoint m_storeBackAt = Base::TimePoint::min();
--- a/tests/auto/routing/tst_serverset.cpp
+++ b/tests/auto/routing/tst_serverset.cpp
@@ -4,6 +4,8 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
 
+#include <algorithm>
+#include <map>
 #include <set>
 
 using namespace Routing;
@@ -24,6 +26,14 @@
     return it;
 }
 
+RegisteredServer startOf(const std::string &name, milliseconds at, bool isLeaving = false)
+{
+    RegisteredServer it = server(name, isLeaving);
+    it.start = {name, at};
+    it.id = idOf(it.start);
+    return it;
+}
+
 } // namespace
 
 TEST_CASE("a server that was seen leaving gets no work again", "[routing]")
@@ -181,3 +191,80 @@
     CHECK(set.recentChanges(start).size() == 2);
     CHECK(set.recentChanges(start + seconds(2)).empty());
 }
+
+TEST_CASE("a server that starts again under its name is another one", "[routing]")
+{
+    // A server is empty after a restart, but for as long as its entry lives it gets the prompts
+    // that it kept before, on connections that are dead. Cause: only its name was looked at.
+    ServerSet set(seconds(2));
+    const RegisteredServer before = startOf("a", milliseconds(100));
+    const RegisteredServer after = startOf("a", milliseconds(200));
+    set.apply({before}, start);
+    const ServerChanges changes = set.apply({after}, start + seconds(1));
+    CHECK(changes.gone == std::vector{before.id});
+    CHECK(changes.found == std::vector{after.id});
+    // An older reading, or another host's report, does not bring the earlier start back.
+    set.apply({before}, start + seconds(2));
+    CHECK(set.usable(before.id) == nullptr);
+    set.apply({after}, start + seconds(3));
+    set.applyChanges({{ServerChange::Kind::Found, before}}, start + seconds(3));
+    CHECK(set.usable(before.id) == nullptr);
+    CHECK(set.usable(after.id) != nullptr);
+}
+
+TEST_CASE("a server that left and starts again is used again", "[routing]")
+{
+    // A server is emptied, restarted under its name, and never gets work again although it is
+    // ready. Cause: the mark of leaving belonged to the name and not to one start.
+    ServerSet set(seconds(2));
+    set.apply({startOf("a", milliseconds(100))}, start);
+    set.apply({startOf("a", milliseconds(100), true)}, start + seconds(1));
+    const RegisteredServer after = startOf("a", milliseconds(200));
+    CHECK(set.apply({after}, start + seconds(3)).found == std::vector{after.id});
+    // What an older state of the store says of the start that left changes nothing.
+    set.applyChanges({{ServerChange::Kind::Leaving, startOf("a", milliseconds(100), true)}},
+                     start + seconds(3));
+    CHECK(set.usable(after.id) != nullptr);
+}
+
+TEST_CASE("a start that replaces another one does so while the store has just come back",
+          "[routing]")
+{
+    // Entries that are missing are kept for two seconds after the store's return. A server that
+    // started again meanwhile is named by its entry, so the start before it is gone at once.
+    ServerSet set(seconds(2));
+    const RegisteredServer before = startOf("a", milliseconds(100));
+    set.apply({before, startOf("b", milliseconds(100))}, start);
+    set.storeFailed(start + seconds(1));
+    set.apply({startOf("a", milliseconds(200))}, start + seconds(2));
+    CHECK(set.usable(before.id) == nullptr);
+    CHECK(set.servers().size() == 2);
+}
+
+TEST_CASE("in any order of readings and reports the latest start is the one in use", "[routing]")
+{
+    rc::prop("no start that is older than one seen before is usable", [] {
+        ServerSet set(seconds(2));
+        std::map<std::string, milliseconds> latest;
+        Base::TimePoint now = start;
+        for (int i = 0; i < 25; ++i) {
+            now += milliseconds(*rc::gen::inRange(1, 1500));
+            std::vector<RegisteredServer> listed;
+            for (const std::string name : {"a", "b"}) {
+                const milliseconds at(*rc::gen::inRange(1, 6));
+                listed.push_back(startOf(name, at, *rc::gen::inRange(0, 4) == 0));
+                latest[name] = std::max(latest[name], at);
+            }
+            if (*rc::gen::arbitrary<bool>()) {
+                set.apply(listed, now);
+            } else {
+                std::vector<ServerChange> changes;
+                for (const RegisteredServer &it : listed)
+                    changes.push_back({ServerChange::Kind::Found, it});
+                set.applyChanges(changes, now);
+            }
+            for (const auto &[id, it] : set.servers())
+                RC_ASSERT(it.start.at == latest[it.start.name]);
+        }
+    });
+}
