Part customers' shares and the cost of a server from the dispatcher

No change of behaviour: CustomerShares says what room a customer may have, ServerCost what a request costs at a server and whether there is room.

--- /dev/null
+++ b/src/libs/routing/customershares.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "routing/fadingmeter.h"
+#include "routing/fleetload.h"
+
+namespace Routing {
+
+/// What room a customer's request may have at the servers.
+enum class Admission {
+    WithinShare,   ///< Its customer is within its max-min share: any server that is not full.
+    SpareCapacity, ///< Beyond it: only servers that delay nobody's work.
+    Refused,       ///< Others have been served much less and ask for more.
+};
+
+/// Decides how much of a model pool each customer may have.
+///
+/// Load: a customer sends many times its usual, on some hosts or on all. The pool's throughput is
+/// shared out by max-min over the last two seconds and over the whole fleet: who has received less
+/// than the share is within it. What is spare beyond it goes to those who ask for more, but not to
+/// one that is far ahead of another one that asks for more too. So a flood does not delay the
+/// others, and leaves nothing idle.
+class CustomerShares
+{
+public:
+    /// Tokens a second that all servers produce, a generated one counted twice; 0 for no bound.
+    void setThroughput(double tokensPerSecond) { m_tokensPerSecond = tokensPerSecond; }
+    /// Outlives this; changes with time.
+    void setOthers(const OthersLoad &others) { m_others = &others; }
+
+    void recordDemand(const Base::CustomerId &customer, double tokens, Base::TimePoint now);
+    void recordSent(const Base::CustomerId &customer, double tokens, Base::TimePoint now);
+    /// The first event of a request came.
+    void recordStarted(const Base::CustomerId &customer, double tokens, Base::TimePoint now);
+    void report(HostLoad &load, Base::TimePoint now) const;
+
+    Admission admission(const Base::CustomerId &customer, Base::TimePoint now);
+    /// Tokens sent to servers for the customer in the last seconds, by all hosts.
+    double received(const Base::CustomerId &customer, Base::TimePoint now) const;
+    /// Tokens of the last seconds that a customer may have received at most while others ask for
+    /// more than they get.
+    double shareLevel(Base::TimePoint now);
+
+private:
+    /// Of what the customer received, that of which the first event came.
+    double started(const Base::CustomerId &customer, Base::TimePoint now) const;
+    void updateLevels(Base::TimePoint now);
+
+    const OthersLoad *m_others = nullptr;
+    double m_tokensPerSecond = 0;
+    FadingMeter m_asked;
+    FadingMeter m_received;
+    FadingMeter m_begun;
+    /// Seconds, fading as the meters above do, in which something was asked for.
+    FadingMeter m_askedSeconds;
+    double m_shareLevel = 0;
+    /// What the customer that has least, of those that ask for more, was served: counted from the
+    /// first event, since a host that is behind sends work to servers and does not get to the
+    /// answers. Counted from the send, others took spare room beside a customer that got a third.
+    double m_unmetLevel = 0;
+    Base::TimePoint m_updatedAt = Base::TimePoint::min();
+};
+
+} // namespace Routing
--- a/src/libs/routing/dispatcher.cpp
+++ b/src/libs/routing/dispatcher.cpp
@@ -1,11 +1,8 @@
 #include "routing/dispatcher.h"
 
 #include "base/hash.h"
-#include "routing/fairlevel.h"
 
 #include <algorithm>
-#include <cmath>
-#include <limits>
 #include <utility>
 
 namespace Routing {
@@ -14,27 +11,11 @@
 
 using std::chrono::milliseconds;
 
-/// Assumed until the configuration tells the throughput of all servers: that of the slowest
-/// engine seen, about fifty tokens in a millisecond.
-constexpr double defaultReadTokensPerMs = 40;
-/// Time that each running request adds to the first event of another: a step of the engine for
-/// each chunk of the prompt, which grows with what runs.
-constexpr double millisecondsPerRunning = 1;
-/// Work of a plain application takes about this long, so a place in its queue costs this much.
-constexpr double plainWorkMilliseconds = 30;
 /// Another availability zone costs two ways of about half a millisecond, and its bytes are paid
 /// for: weighed as a few milliseconds, so that it decides only among equals.
 constexpr double otherZoneMilliseconds = 4;
 /// What a certain failure costs a caller: the time in which it and the second attempt run.
 constexpr double failureMilliseconds = 1200;
-/// Prompt tokens, as time, that a server may have before it. One long prompt takes up to 0.3 s;
-/// less would leave the server idle between the load reports of other hosts.
-constexpr double fullMilliseconds = 350;
-/// Part of an engine's slots that is used. Beyond it each more request slows all others.
-constexpr double slotsUsed = 0.95;
-/// A plain application is given this many times its slots: a queue of its own of about two
-/// places each, so that it is not idle while an answer is on its way.
-constexpr double plainSlotsUsed = 2.5;
 /// Head start of the server that a prompt beginning which nobody keeps has by hashing. Hosts that
 /// meet it at the same moment choose the same one, unless that is busy.
 constexpr double hashedMilliseconds = 60;
@@ -53,22 +34,6 @@
 constexpr double generatedWeight = 2;
 /// Callers allow about four times as many tokens as are generated.
 constexpr double generatedShare = 0.25;
-/// Room that is spare: reading ahead and running requests of a server that delays nobody's work.
-constexpr double spareMilliseconds = 90;
-constexpr double spareSlots = 0.6;
-/// A customer asks for more than it gets if this many tokens, and this part of what it asked, are
-/// missing: about two large requests, so that one that was turned away by chance does not count.
-constexpr double unmetTokens = 40000;
-constexpr double unmetPart = 0.15;
-/// Spare room is for customers that have received at most this many times what the customer with
-/// least has. Twice as much is felt as unfair; less than this would leave room unused while the
-/// reports of other hosts are on their way.
-constexpr double evenRatio = 1.25;
-/// The share level is reckoned anew this often; reports of other hosts come as often.
-constexpr Base::Duration shareInterval = milliseconds(100);
-/// Tokens of a shared beginning that a server has to read although others keep it cost this many
-/// times their time: they also push out what others need, and delay what runs there.
-constexpr double rereadFactor = 2;
 /// Work whose server has no room that is passed over in search of work whose server has some.
 constexpr std::size_t mostPassedOver = 24;
 /// Least time between two looks at what waits: one takes up to a millisecond of a strong core, and
@@ -90,26 +55,19 @@
     return std::find(work.tried.begin(), work.tried.end(), server) != work.tried.end();
 }
 
-/// Key of a meter that is not kept for each customer.
-const Base::CustomerId &allCustomers()
-{
-    static const Base::CustomerId all;
-    return all;
-}
-
 } // namespace
 
 Dispatcher::Dispatcher(const ServiceTraits &traits, const Base::ZoneId &ownZone)
-    : m_ownZone(ownZone)
+    : m_cost(traits)
+    , m_ownZone(ownZone)
 {
     setTraits(traits);
 }
 
 void Dispatcher::setTraits(const ServiceTraits &traits)
 {
-    m_traits = traits;
-    if (m_traits.readTokensPerMs <= 0)
-        m_traits.readTokensPerMs = defaultReadTokensPerMs;
+    m_cost.setTraits(traits);
+    m_shares.setThroughput(traits.isEngine ? traits.sharedTokensPerSecond : 0);
 }
 
 void Dispatcher::setServers(const std::vector<RegisteredServer> &servers)
@@ -128,6 +86,7 @@
 void Dispatcher::setOthers(const OthersLoad &others)
 {
     m_others = &others;
+    m_shares.setOthers(others);
     othersChanged();
 }
 
@@ -145,7 +104,7 @@
 {
     Decisions decisions;
     if (work.tried.empty())
-        m_asked.add(work.customer, tokensOf(work), now);
+        m_shares.recordDemand(work.customer, tokensOf(work), now);
     if (m_servers.empty()) {
         decisions.turnedAway.push_back(turnAway(work, TurnedAwayReason::NoServer, now));
         return decisions;
@@ -153,21 +112,22 @@
     // Work that comes back was let in before, and a server may have spent time on it: turned away
     // now, its caller could not even be told that it has not run.
     const bool isBack = !work.tried.empty();
-    const Room room = isBack ? Room::Owed : roomFor(work.customer, now);
+    const Admission admission =
+        isBack ? Admission::WithinShare : m_shares.admission(work.customer, now);
     // Told at once: looking at a hundred servers first would cost a crowded host more than the rest
     // of the refusal.
-    if (room == Room::None) {
+    if (admission == Admission::Refused) {
         decisions.turnedAway.push_back(turnAway(work, TurnedAwayReason::BeyondShare, now));
         return decisions;
     }
-    const bool takesAny = isBack || room == Room::Spare;
+    const bool takesAny = isBack || admission == Admission::SpareCapacity;
     // Work that waits is mostly for servers without room, so new work may pass it by.
-    const std::optional<Choice> choice = choose(work, now, room, takesAny);
+    const std::optional<Choice> choice = choose(work, now, admission, takesAny);
     if (choice && choice->hasRoom) {
         place(std::move(work), *choice, now, decisions);
         return decisions;
     }
-    if (room != Room::Owed) {
+    if (admission != Admission::WithinShare) {
         decisions.turnedAway.push_back(turnAway(work, TurnedAwayReason::BeyondShare, now));
         return decisions;
     }
@@ -179,7 +139,7 @@
         std::chrono::duration_cast<Base::Duration>((work.startBy - work.arrivedAt) * waitShare);
     if (now + waitBehind(work.customer) > work.arrivedAt + mayWait) {
         // A server that has to read more is better than none.
-        if (const std::optional<Choice> any = choose(work, now, room, true)) {
+        if (const std::optional<Choice> any = choose(work, now, admission, true)) {
             place(std::move(work), *any, now, decisions);
             return decisions;
         }
@@ -204,7 +164,7 @@
         return;
     Placed &placed = it->second;
     placed.isStarted = true;
-    m_begun.add(placed.work.customer, tokensOf(placed.work), now);
+    m_shares.recordStarted(placed.work.customer, tokensOf(placed.work), now);
     const auto server = m_servers.find(placed.server);
     if (server == m_servers.end())
         return;
@@ -261,9 +221,7 @@
         if (state.own.running > 0)
             load.servers[id] = state.own;
     }
-    m_asked.addTo(load.asked, now);
-    m_received.addTo(load.received, now);
-    m_begun.addTo(load.begun, now);
+    m_shares.report(load, now);
     load.partUses.insert(load.partUses.end(), m_partUses.begin(), m_partUses.end());
     m_partUses.clear();
 }
@@ -278,7 +236,7 @@
 }
 
 std::optional<Dispatcher::Choice> Dispatcher::choose(const Work &work, Base::TimePoint now,
-                                                     Room room, bool takesAny)
+                                                     Admission admission, bool takesAny)
 {
     if (m_servers.empty())
         return std::nullopt;
@@ -293,18 +251,18 @@
     auto keptHere = m_kept.begin();
     for (auto &[id, state] : m_servers) {
         const std::uint32_t kept = *keptHere++;
-        const Standing standing = standingOf(state, now);
-        const bool isRoom = hasRoom(state, standing, room, now);
+        const ServerStanding standing = standingOf(state, now);
+        const bool isRoom = state.health.isUsable(now) && m_cost.hasRoom(standing, admission);
         if (!isRoom && (takesAny || !state.health.isUsable(now)))
             continue;
         const std::uint32_t unread =
-            m_traits.isEngine ? work.promptTokens - std::min(kept, work.promptTokens) : 0;
-        double cost = startMilliseconds(state, standing, unread);
+            m_cost.traits().isEngine ? work.promptTokens - std::min(kept, work.promptTokens) : 0;
+        double cost = m_cost.startMilliseconds(standing, unread);
         // What waits for the server is served first: without it a hundred requests for one
         // beginning would all wait for the server that keeps it, beside idle ones.
-        if (m_traits.isEngine)
-            cost += static_cast<double>(state.awaitedTokens) / m_traits.readTokensPerMs;
-        cost += rereadMilliseconds(mostKept - kept);
+        if (m_cost.traits().isEngine)
+            cost += m_cost.readMilliseconds(static_cast<double>(state.awaitedTokens));
+        cost += m_cost.rereadMilliseconds(mostKept - kept);
         cost += state.health.failureShare(now) * failureMilliseconds;
         if (isNew) {
             cost += static_cast<double>(state.cache.tokens()) / 1000 * millisecondsPerKept;
@@ -335,52 +293,19 @@
     return first;
 }
 
-double Dispatcher::rereadMilliseconds(std::uint32_t rereadTokens) const
-{
-    if (!m_traits.isEngine)
-        return 0;
-    return rereadTokens * rereadFactor / m_traits.readTokensPerMs;
-}
-
-Dispatcher::Standing Dispatcher::standingOf(const ServerState &state, Base::TimePoint now) const
+ServerStanding Dispatcher::standingOf(const ServerState &state, Base::TimePoint now) const
 {
-    Standing standing;
+    ServerStanding standing;
+    standing.slots = state.server.slots;
     standing.load.running = state.own.running + state.others.running;
     standing.load.unreadTokens = state.own.unreadTokens + state.others.unreadTokens;
     standing.slowness = state.health.slowness(now);
     return standing;
 }
 
-double Dispatcher::startMilliseconds(const ServerState &state, const Standing &standing,
-                                     std::uint32_t unreadTokens) const
-{
-    const ServerLoad &load = standing.load;
-    const double slots = std::max(state.server.slots, 1U);
-    if (!m_traits.isEngine) {
-        const double places = (load.running + 1) / slots;
-        return std::max(1.0, places) * plainWorkMilliseconds * standing.slowness + load.running;
-    }
-    const double tokens = static_cast<double>(load.unreadTokens) + unreadTokens;
-    const double full = std::max(0.0, load.running + 1 - slots * slotsUsed);
-    const double reading = tokens / m_traits.readTokensPerMs;
-    const double sharing = load.running * millisecondsPerRunning;
-    return (reading + sharing + full * plainWorkMilliseconds) * standing.slowness;
-}
-
-bool Dispatcher::hasRoom(const ServerState &state, const Standing &standing, Room room,
-                         Base::TimePoint now) const
+bool Dispatcher::hasRoom(const ServerState &state, Admission admission, Base::TimePoint now) const
 {
-    if (room == Room::None || !state.health.isUsable(now))
-        return false;
-    const bool isOwed = room == Room::Owed;
-    const ServerLoad &load = standing.load;
-    const double slots = std::max(state.server.slots, 1U);
-    if (!m_traits.isEngine)
-        return load.running < slots * plainSlotsUsed;
-    if (load.running >= slots * (isOwed ? slotsUsed : spareSlots))
-        return false;
-    const double reading = load.unreadTokens / m_traits.readTokensPerMs;
-    return reading * standing.slowness < (isOwed ? fullMilliseconds : spareMilliseconds);
+    return state.health.isUsable(now) && m_cost.hasRoom(standingOf(state, now), admission);
 }
 
 void Dispatcher::place(Work work, const Choice &choice, Base::TimePoint now, Decisions &decisions)
@@ -390,8 +315,8 @@
     placed.server = state.server.id;
     placed.unreadTokens = choice.unreadTokens;
     placed.at = now;
-    const Standing standing = standingOf(state, now);
-    const double expected = startMilliseconds(state, standing, choice.unreadTokens);
+    const ServerStanding standing = standingOf(state, now);
+    const double expected = m_cost.startMilliseconds(standing, choice.unreadTokens);
     const PlacementInputs inputs{choice.unreadTokens, standing.load.unreadTokens,
                                  standing.load.running, standing.slowness,
                                  state.health.failureShare(now)};
@@ -399,9 +324,9 @@
         std::chrono::duration<double, std::milli>(expected));
     ++state.own.running;
     state.own.unreadTokens += choice.unreadTokens;
-    if (m_traits.isEngine)
+    if (m_cost.traits().isEngine)
         notePartUses(state, work, now);
-    m_received.add(work.customer, tokensOf(work), now);
+    m_shares.recordSent(work.customer, tokensOf(work), now);
     decisions.placements.push_back({work.id, state.server.id, inputs});
     const WorkId id = work.id;
     placed.work = std::move(work);
@@ -425,15 +350,16 @@
         state.awaitedTokens = 0;
     while (!m_waiting.isEmpty() && passedOver.size() < mostPassedOver) {
         const bool isRoom = std::any_of(m_servers.begin(), m_servers.end(), [&](const auto &it) {
-            return hasRoom(it.second, standingOf(it.second, now), Room::Owed, now);
+            return hasRoom(it.second, Admission::WithinShare, now);
         });
         if (!isRoom)
             break;
         std::optional<Work> work = m_waiting.takeNext(
-            [&](const Base::CustomerId &customer) { return received(customer, now); });
+            [&](const Base::CustomerId &customer) { return m_shares.received(customer, now); });
         if (!work)
             break;
-        const std::optional<Choice> choice = choose(*work, now, roomFor(work->customer, now));
+        const std::optional<Choice> choice =
+            choose(*work, now, m_shares.admission(work->customer, now));
         if (choice && choice->hasRoom) {
             place(std::move(*work), *choice, now, decisions);
             continue;
@@ -453,8 +379,8 @@
     });
     for (const Work &work : late) {
         // Any server is better than none, now that the best one will not be free in time.
-        const Room room = roomFor(work.customer, now);
-        if (const std::optional<Choice> choice = choose(work, now, room, true))
+        const Admission admission = m_shares.admission(work.customer, now);
+        if (const std::optional<Choice> choice = choose(work, now, admission, true))
             place(work, *choice, now, decisions);
         else
             decisions.turnedAway.push_back(turnAway(work, TurnedAwayReason::TooLate, now));
@@ -478,7 +404,7 @@
     const double hosts =
         m_others ? static_cast<double>(std::max<std::size_t>(m_others->hosts, 1)) : 1;
     const double servers = static_cast<double>(std::max<std::size_t>(m_servers.size(), 1));
-    return std::max(1.0, servers * m_traits.readTokensPerMs / hosts);
+    return std::max(1.0, servers * m_cost.traits().readTokensPerMs / hosts);
 }
 
 Base::Milliseconds Dispatcher::retryAfter() const
@@ -487,74 +413,10 @@
     return std::clamp(milliseconds(static_cast<std::int64_t>(ms)), leastRetryAfter, mostRetryAfter);
 }
 
-double Dispatcher::received(const Base::CustomerId &customer, Base::TimePoint now) const
-{
-    const double own = m_received.value(customer, now);
-    if (!m_others)
-        return own;
-    const auto others = m_others->received.find(customer);
-    return others == m_others->received.end() ? own : own + others->second;
-}
-
-double Dispatcher::begun(const Base::CustomerId &customer, Base::TimePoint now) const
-{
-    const double own = m_begun.value(customer, now);
-    if (!m_others)
-        return own;
-    const auto others = m_others->begun.find(customer);
-    return others == m_others->begun.end() ? own : own + others->second;
-}
-
-double Dispatcher::shareLevel(Base::TimePoint now)
-{
-    if (m_shareLevelAt == Base::TimePoint::min() || now - m_shareLevelAt >= shareInterval)
-        updateLevels(now);
-    return m_shareLevel;
-}
-
-void Dispatcher::updateLevels(Base::TimePoint now)
-{
-    const Base::Duration since =
-        m_shareLevelAt == Base::TimePoint::min() ? shareInterval : now - m_shareLevelAt;
-    m_shareLevelAt = now;
-    // A pause in what is asked for is no time in which anybody was served.
-    m_askedSeconds.add(allCustomers(),
-                       std::chrono::duration<double>(std::min(since, 2 * shareInterval)).count(),
-                       now);
-    std::map<Base::CustomerId, double> asked;
-    if (m_others)
-        asked = m_others->asked;
-    m_asked.addTo(asked, now);
-    // The meters reach back some two seconds, but not beyond the beginning of the load. With the
-    // whole span as capacity from the first moment, two seconds' worth is let in at once, and
-    // everybody is turned away for the next two.
-    const double seconds = m_askedSeconds.value(allCustomers(), now);
-    m_shareLevel = fairLevel(asked, m_traits.sharedTokensPerSecond * seconds);
-    m_unmetLevel = std::numeric_limits<double>::infinity();
-    for (const auto &[customer, amount] : asked) {
-        const double has = begun(customer, now);
-        if (amount - has > std::max(unmetTokens, amount * unmetPart))
-            m_unmetLevel = std::min(m_unmetLevel, has);
-    }
-}
-
-Dispatcher::Room Dispatcher::roomFor(const Base::CustomerId &customer, Base::TimePoint now)
-{
-    if (!m_traits.isEngine || m_traits.sharedTokensPerSecond <= 0)
-        return Room::Owed;
-    if (received(customer, now) < shareLevel(now))
-        return Room::Owed;
-    return mayTakeSpare(customer, now) ? Room::Spare : Room::None;
-}
-
-bool Dispatcher::mayTakeSpare(const Base::CustomerId &customer, Base::TimePoint now)
-{
-    return received(customer, now) < m_unmetLevel * evenRatio + unmetTokens;
-}
-
 TurnedAway Dispatcher::turnAway(const Work &work, TurnedAwayReason reason, Base::TimePoint now)
 {
-    return {work.id, reason, retryAfter(), received(work.customer, now), shareLevel(now)};
+    return {work.id, reason, retryAfter(), m_shares.received(work.customer, now),
+            m_shares.shareLevel(now)};
 }
 
 } // namespace Routing
--- a/src/libs/routing/dispatcher.h
+++ b/src/libs/routing/dispatcher.h
@@ -2,10 +2,11 @@
 
 #include "base/ids.h"
 #include "base/time.h"
-#include "routing/fadingmeter.h"
+#include "routing/customershares.h"
 #include "routing/fairwaiting.h"
 #include "routing/fleetload.h"
 #include "routing/promptcache.h"
+#include "routing/servercost.h"
 #include "routing/serverhealth.h"
 #include "routing/serverset.h"
 #include "routing/work.h"
@@ -18,19 +19,6 @@
 
 namespace Routing {
 
-/// What a dispatcher must know of its service.
-struct ServiceTraits
-{
-    bool isEngine = false;
-    /// Tokens that one server keeps; 0 for plain applications.
-    std::uint64_t memoryTokens = 0;
-    /// Prompt tokens that one server reads in a millisecond; 0 if not known.
-    double readTokensPerMs = 0;
-    /// Tokens a second that are shared out evenly among customers who ask for more than that; a
-    /// generated token counts twice. 0 for no such bound.
-    double sharedTokensPerSecond = 0;
-};
-
 /// Decides for the requests of one service that enter at this host: which server, now or later,
 /// or not at all.
 ///
@@ -39,10 +27,8 @@
 /// kept only just full and what is more waits here, in fair order; work that could not start in
 /// time behind what waits is turned away at once, with a time after which there should be room.
 ///
-/// Who has received more than its max-min share of the last seconds, in the whole fleet, gets only
-/// room that nobody else needs: the request is placed on a server with little to do, or turned
-/// away. So a customer that sends many times its usual does not delay the others' work, on
-/// whichever hosts it comes in.
+/// CustomerShares says what room a customer's work may have: within its share it waits for a server
+/// that is full, beyond it it is placed on a server with little to do, or turned away at once.
 ///
 /// Placement weighs, in milliseconds to the first event: prompt tokens given to the server and not
 /// read yet, by this host and the others; tokens of this prompt that it does not keep; requests
@@ -105,12 +91,6 @@
         Base::TimePoint at;
         Base::Duration expected{};
     };
-    /// How a server stands at the moment of a decision.
-    struct Standing
-    {
-        ServerLoad load;
-        double slowness = 1;
-    };
     struct Choice
     {
         ServerState *state = nullptr;
@@ -118,28 +98,15 @@
         std::uint32_t unreadTokens = 0;
         bool hasRoom = false;
     };
-    /// How full a server may be to get more work.
-    enum class Room {
-        Owed,  ///< For work within its customer's share.
-        Spare, ///< For work beyond it.
-        None,  ///< Others have received much less and ask for more.
-    };
-
     /// The server that serves the work soonest. If that one has no room, the work is to wait for
     /// it, since it would be served later elsewhere. With \a takesAny only servers with room count.
-    std::optional<Choice> choose(const Work &work, Base::TimePoint now, Room room,
+    std::optional<Choice> choose(const Work &work, Base::TimePoint now, Admission admission,
                                  bool takesAny = false);
-    Standing standingOf(const ServerState &state, Base::TimePoint now) const;
-    double startMilliseconds(const ServerState &state, const Standing &standing,
-                             std::uint32_t unreadTokens) const;
+    ServerStanding standingOf(const ServerState &state, Base::TimePoint now) const;
     /// The server that a prompt beginning has by hashing; null if there are none.
     const ServerState *hashedServer(std::uint64_t beginning) const;
     void notePartUses(ServerState &state, const Work &work, Base::TimePoint now);
-    /// Milliseconds of the engines' time that are lost if \a state gets a prompt of which it has to
-    /// read \a rereadTokens although other servers keep them.
-    double rereadMilliseconds(std::uint32_t rereadTokens) const;
-    bool hasRoom(const ServerState &state, const Standing &standing, Room room,
-                 Base::TimePoint now) const;
+    bool hasRoom(const ServerState &state, Admission admission, Base::TimePoint now) const;
     void place(Work work, const Choice &choice, Base::TimePoint now, Decisions &decisions);
     /// Places what waits as far as there is room.
     void drain(Base::TimePoint now, Decisions &decisions);
@@ -148,18 +115,9 @@
     Base::Duration waitBehind(const Base::CustomerId &customer) const;
     double drainTokensPerMs() const;
     Base::Milliseconds retryAfter() const;
-    double received(const Base::CustomerId &customer, Base::TimePoint now) const;
-    /// Of what the customer received, that of which the first event came.
-    double begun(const Base::CustomerId &customer, Base::TimePoint now) const;
-    /// Tokens of the last seconds that a customer may have received at most while others ask for
-    /// more than they get.
-    double shareLevel(Base::TimePoint now);
-    Room roomFor(const Base::CustomerId &customer, Base::TimePoint now);
-    /// Whether the customer may have spare room: none that asks for more has received much less.
-    bool mayTakeSpare(const Base::CustomerId &customer, Base::TimePoint now);
-    void updateLevels(Base::TimePoint now);
 
-    ServiceTraits m_traits;
+    ServerCost m_cost;
+    CustomerShares m_shares;
     Base::ZoneId m_ownZone;
     const OthersLoad *m_others = nullptr;
     std::map<Base::ServerId, ServerState> m_servers;
@@ -170,17 +128,6 @@
     std::vector<std::uint32_t> m_kept;
     Base::TimePoint m_drainedAt{};
     Base::TimePoint m_forgotAt{};
-    FadingMeter m_asked;
-    FadingMeter m_received;
-    FadingMeter m_begun;
-    /// Seconds, fading as the meters above do, in which something was asked for.
-    FadingMeter m_askedSeconds;
-    double m_shareLevel = 0;
-    /// What the customer that has least, of those that ask for more, was served: counted from the
-    /// first event, since a host that is behind sends work to servers and does not get to the
-    /// answers. Counted from the send, others took spare room beside a customer that got a third.
-    double m_unmetLevel = 0;
-    Base::TimePoint m_shareLevelAt = Base::TimePoint::min();
 };
 
 } // namespace Routing
