Fetch a kept beginning from its keeper in place of reading it twice

Change: where the beginning is kept elsewhere and the configuration tells the size of running memory and the links, the request carries the address of a keeper: one that has read it by now, does not fail, is not the server tried before, with least to hand out; the same zone first. Whether it pays is reckoned from those figures (PrefixFetch); without them nothing is fetched.

Ruled out: fetching from a server that has only just been sent the beginning (test).

--- a/src/libs/gateway/exchange.cpp
+++ b/src/libs/gateway/exchange.cpp
@@ -73,6 +73,7 @@
     m_isPlaced = true;
     m_server = placement.server;
     m_inputs = placement.inputs;
+    m_fetchFrom = placement.fetchFrom;
     const Routing::RegisteredServer *target = m_port->server(m_server);
     if (!target) {
         ++m_sends;
@@ -136,6 +137,11 @@
     added.timeLeftMs =
         std::max<std::int64_t>(1, std::chrono::duration_cast<milliseconds>(left).count());
     added.expectedServer = server.start.name;
+    const Routing::RegisteredServer *keeper =
+        m_fetchFrom.isEmpty() ? nullptr : m_port->server(m_fetchFrom);
+    // One that has left meanwhile keeps nothing: the server reads all itself.
+    if (keeper)
+        added.fetchFrom = keeper->address;
     added.customer = m_accepted.customer.value();
     added.dropsKey = !m_accepted.table->configuration().customers.empty();
     if (m_eventCount > 0 && m_events.lastId())
@@ -477,6 +483,8 @@
         .add("events", m_eventCount)
         .add("waitedMs", m_sends > 0 ? m_sentAt - m_accepted.request.readAt : Base::Duration(0))
         .add("unreadTokens", m_inputs.unreadTokens)
+        .add("fetchedTokens", m_inputs.fetchedTokens)
+        .add("fetchFrom", m_fetchFrom.value())
         .add("tokensAhead", m_inputs.tokensAhead)
         .add("running", m_inputs.running)
         .add("slowness", m_inputs.slowness)
--- a/src/libs/gateway/exchange.h
+++ b/src/libs/gateway/exchange.h
@@ -127,6 +127,7 @@
     std::shared_ptr<BackendConnection> m_connection;
     Base::ServerId m_server;
     Routing::PlacementInputs m_inputs;
+    Base::ServerId m_fetchFrom;
     std::optional<Routing::TurnedAway> m_turnedAway;
     std::vector<Base::ServerId> m_tried;
     ResponseHead m_head;
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -49,6 +49,17 @@
     return std::chrono::duration_cast<Base::Duration>(whole * share);
 }
 
+/// Empty if the configuration does not tell what moving the memory of a token takes.
+std::optional<double> moveMsPerToken(const Routing::EngineTraits &engine)
+{
+    if (engine.bytesPerToken == 0 || engine.linkMbps == 0)
+        return std::nullopt;
+    constexpr double bitsPerByte = 8;
+    constexpr double bitsPerMsOfMbps = 1000;
+    return static_cast<double>(engine.bytesPerToken) * bitsPerByte
+           / (static_cast<double>(engine.linkMbps) * bitsPerMsOfMbps);
+}
+
 Base::Incarnation newIncarnation()
 {
     const auto since = std::chrono::system_clock::now().time_since_epoch();
@@ -462,6 +473,7 @@
         return traits;
     traits.isEngine = true;
     traits.memoryTokens = known->engine->memoryTokens;
+    traits.moveMsPerToken = moveMsPerToken(*known->engine);
     std::size_t servers = 0;
     for (const auto &[id, server] : m_servers.servers())
         servers += server.service == service ? 1 : 0;
--- a/src/libs/gateway/headernames.h
+++ b/src/libs/gateway/headernames.h
@@ -19,6 +19,8 @@
     std::string customer;
     /// Set by us: only the server with this id may run the request.
     std::string expectedServer;
+    /// Set by us: the address of the server from which the prompt's kept beginning is fetched.
+    std::string fetchFrom;
     /// Tokens of the prompt and most tokens to generate: "IN,OUT".
     std::string tokenCounts;
     /// Parts of the prompt in order: "HEX:TOKENS,HEX:TOKENS".
--- a/src/libs/gateway/httptext.cpp
+++ b/src/libs/gateway/httptext.cpp
@@ -88,6 +88,8 @@
     }
     append(text, names.timeLeft, std::to_string(added.timeLeftMs));
     append(text, names.expectedServer, added.expectedServer);
+    if (!added.fetchFrom.empty() && !names.fetchFrom.empty())
+        append(text, names.fetchFrom, added.fetchFrom);
     if (!added.customer.empty())
         append(text, names.customer, added.customer);
     if (!added.lastEventId.empty())
--- a/src/libs/gateway/httptext.h
+++ b/src/libs/gateway/httptext.h
@@ -24,6 +24,8 @@
     std::int64_t timeLeftMs = 0;
     std::string customer;
     std::string expectedServer;
+    /// "IP:PORT"; empty if the server reads the whole prompt itself.
+    std::string fetchFrom;
     /// Replaces the caller's own; empty leaves it as it is.
     std::string lastEventId;
     /// Whether the caller's key must not reach the server.
--- a/src/libs/routing/dispatcher.cpp
+++ b/src/libs/routing/dispatcher.cpp
@@ -34,6 +34,11 @@
 constexpr double generatedWeight = 2;
 /// Callers allow about four times as many tokens as are generated.
 constexpr double generatedShare = 0.25;
+/// A prompt that another host sent is read about this long after the host's report: servers have up
+/// to a third of a second before them, and the report was a tenth of a second under way.
+constexpr Base::Duration toldReadingTime = milliseconds(200);
+/// Share of failed attempts from which on nothing is fetched from a server.
+constexpr double mostKeeperFailures = 0.15;
 /// Work whose server has no room that is passed over in search of work whose server has some.
 constexpr std::size_t mostPassedOver = 24;
 /// Least time between two looks at what waits: one takes up to a millisecond of a strong core, and
@@ -164,6 +169,7 @@
         return;
     Placed &placed = it->second;
     placed.isStarted = true;
+    fetchOver(placed);
     m_shares.recordStarted(placed.work.customer, tokensOf(placed.work), now);
     const auto server = m_servers.find(placed.server);
     if (server == m_servers.end())
@@ -179,8 +185,9 @@
     const auto it = m_placed.find(id);
     if (it == m_placed.end())
         return decisions;
-    const Placed placed = std::move(it->second);
+    Placed placed = std::move(it->second);
     m_placed.erase(it);
+    fetchOver(placed);
     const auto server = m_servers.find(placed.server);
     if (server != m_servers.end()) {
         ServerState &state = server->second;
@@ -231,7 +238,7 @@
     for (const PartUse &use : uses) {
         const auto server = m_servers.find(use.server);
         if (server != m_servers.end())
-            server->second.cache.use(use.hash, use.tokens, now);
+            server->second.cache.use(use.hash, use.tokens, now, now + toldReadingTime);
     }
 }
 
@@ -247,6 +254,7 @@
     const std::uint32_t mostKept = *std::max_element(m_kept.begin(), m_kept.end());
     const bool isNew = !chain.empty() && mostKept < chain.back().tokensSoFar;
     const ServerState *hashed = isNew ? hashedServer(chain.back().hash) : nullptr;
+    const PrefixFetch fetch(m_cost, keepersOf(work, chain, now));
     std::optional<Choice> best;
     auto keptHere = m_kept.begin();
     for (auto &[id, state] : m_servers) {
@@ -255,14 +263,18 @@
         const bool isRoom = state.health.isUsable(now) && m_cost.hasRoom(standing, admission);
         if (!isRoom && (takesAny || !state.health.isUsable(now)))
             continue;
+        const std::optional<FetchPlan> plan = fetch.plan(id, state.server.zone, kept);
+        const std::uint32_t there = kept + (plan ? plan->tokens : 0);
         const std::uint32_t unread =
-            m_cost.traits().isEngine ? work.promptTokens - std::min(kept, work.promptTokens) : 0;
+            m_cost.traits().isEngine ? work.promptTokens - std::min(there, work.promptTokens) : 0;
         double cost = m_cost.startMilliseconds(standing, unread);
+        if (plan)
+            cost += plan->milliseconds;
         // What waits for the server is served first: without it a hundred requests for one
         // beginning would all wait for the server that keeps it, beside idle ones.
         if (m_cost.traits().isEngine)
             cost += m_cost.readMilliseconds(static_cast<double>(state.awaitedTokens));
-        cost += m_cost.rereadMilliseconds(mostKept - kept);
+        cost += m_cost.rereadMilliseconds(mostKept - std::min(there, mostKept));
         cost += state.health.failureShare(now) * failureMilliseconds;
         if (isNew) {
             cost += static_cast<double>(state.cache.tokens()) / 1000 * millisecondsPerKept;
@@ -274,11 +286,44 @@
         if (wasTried(work, state.server.id))
             cost += 10 * failureMilliseconds;
         if (!best || cost < best->milliseconds)
-            best = Choice{&state, cost, unread, isRoom};
+            best = Choice{&state, cost, unread, isRoom, plan};
     }
     return best;
 }
 
+std::vector<PrefixKeeper> Dispatcher::keepersOf(const Work &work,
+                                                const std::vector<ChainLink> &chain,
+                                                Base::TimePoint now) const
+{
+    std::vector<PrefixKeeper> keepers;
+    if (chain.empty() || !m_cost.traits().moveMsPerToken)
+        return keepers;
+    for (const auto &[id, state] : m_servers) {
+        // A fetch from a server that has failed this request, or others of late, would hang or
+        // come back empty, and the request would start late at a server that is well.
+        if (!state.health.isUsable(now) || wasTried(work, id)
+            || state.health.failureShare(now) >= mostKeeperFailures)
+            continue;
+        const std::uint32_t tokens = state.cache.readTokens(chain, now);
+        if (tokens > 0)
+            keepers.push_back({id, state.server.zone, tokens, state.handingOutMilliseconds});
+    }
+    return keepers;
+}
+
+void Dispatcher::fetchOver(Placed &placed)
+{
+    if (!placed.fetch)
+        return;
+    const auto keeper = m_servers.find(placed.fetch->from);
+    if (keeper != m_servers.end()) {
+        double &handingOut = keeper->second.handingOutMilliseconds;
+        handingOut =
+            std::max(0.0, handingOut - m_cost.fetchMilliseconds(placed.fetch->tokens, false));
+    }
+    placed.fetch.reset();
+}
+
 const Dispatcher::ServerState *Dispatcher::hashedServer(std::uint64_t beginning) const
 {
     const ServerState *first = nullptr;
@@ -316,27 +361,37 @@
     placed.unreadTokens = choice.unreadTokens;
     placed.at = now;
     const ServerStanding standing = standingOf(state, now);
-    const double expected = m_cost.startMilliseconds(standing, choice.unreadTokens);
-    const PlacementInputs inputs{choice.unreadTokens, standing.load.unreadTokens,
-                                 standing.load.running, standing.slowness,
-                                 state.health.failureShare(now)};
+    const double fetching = choice.fetch ? choice.fetch->milliseconds : 0;
+    const double expected = m_cost.startMilliseconds(standing, choice.unreadTokens) + fetching;
+    const std::uint32_t fetched = choice.fetch ? choice.fetch->tokens : 0;
+    const PlacementInputs inputs{choice.unreadTokens,        fetched,
+                                 standing.load.unreadTokens, standing.load.running,
+                                 standing.slowness,          state.health.failureShare(now)};
     placed.expected = std::chrono::duration_cast<Base::Duration>(
         std::chrono::duration<double, std::milli>(expected));
     ++state.own.running;
     state.own.unreadTokens += choice.unreadTokens;
     if (m_cost.traits().isEngine)
-        notePartUses(state, work, now);
+        notePartUses(state, work, now, now + placed.expected);
+    if (choice.fetch) {
+        placed.fetch = choice.fetch;
+        const auto keeper = m_servers.find(choice.fetch->from);
+        keeper->second.handingOutMilliseconds +=
+            m_cost.fetchMilliseconds(choice.fetch->tokens, false);
+    }
     m_shares.recordSent(work.customer, tokensOf(work), now);
-    decisions.placements.push_back({work.id, state.server.id, inputs});
+    decisions.placements.push_back(
+        {work.id, state.server.id, inputs, choice.fetch ? choice.fetch->from : Base::ServerId()});
     const WorkId id = work.id;
     placed.work = std::move(work);
     m_placed[id] = std::move(placed);
 }
 
-void Dispatcher::notePartUses(ServerState &state, const Work &work, Base::TimePoint now)
+void Dispatcher::notePartUses(ServerState &state, const Work &work, Base::TimePoint now,
+                              Base::TimePoint readBy)
 {
     for (const ChainLink &link : sharedChainOf(work.parts)) {
-        state.cache.use(link.hash, link.tokens, now);
+        state.cache.use(link.hash, link.tokens, now, readBy);
         if (link.tokensSoFar >= leastToldTokens && state.cache.isNews(link.hash, now))
             m_partUses.push_back({state.server.id, link.hash, link.tokens});
     }
--- a/src/libs/routing/dispatcher.h
+++ b/src/libs/routing/dispatcher.h
@@ -5,6 +5,7 @@
 #include "routing/customershares.h"
 #include "routing/fairwaiting.h"
 #include "routing/fleetload.h"
+#include "routing/prefixfetch.h"
 #include "routing/promptcache.h"
 #include "routing/servercost.h"
 #include "routing/serverhealth.h"
@@ -81,12 +82,15 @@
         /// Prompt tokens of work that waits here for this server and would not be served sooner by
         /// another one.
         std::uint64_t awaitedTokens = 0;
+        /// What this host has ordered other servers to fetch from it and is not there yet, as time.
+        double handingOutMilliseconds = 0;
     };
     struct Placed
     {
         Work work;
         Base::ServerId server;
         std::uint32_t unreadTokens = 0;
+        std::optional<FetchPlan> fetch;
         bool isStarted = false;
         Base::TimePoint at;
         Base::Duration expected{};
@@ -97,15 +101,22 @@
         double milliseconds = 0;
         std::uint32_t unreadTokens = 0;
         bool hasRoom = false;
+        std::optional<FetchPlan> fetch;
     };
     /// The server that serves the work soonest. If that one has no room, the work is to wait for
     /// it, since it would be served later elsewhere. With \a takesAny only servers with room count.
     std::optional<Choice> choose(const Work &work, Base::TimePoint now, Admission admission,
                                  bool takesAny = false);
+    /// Who could hand out the beginning of the prompt that is decided on.
+    std::vector<PrefixKeeper> keepersOf(const Work &work, const std::vector<ChainLink> &chain,
+                                        Base::TimePoint now) const;
+    /// The work began or ended; its server has fetched what it was to fetch.
+    void fetchOver(Placed &placed);
     ServerStanding standingOf(const ServerState &state, Base::TimePoint now) const;
     /// The server that a prompt beginning has by hashing; null if there are none.
     const ServerState *hashedServer(std::uint64_t beginning) const;
-    void notePartUses(ServerState &state, const Work &work, Base::TimePoint now);
+    void notePartUses(ServerState &state, const Work &work, Base::TimePoint now,
+                      Base::TimePoint readBy);
     bool hasRoom(const ServerState &state, Admission admission, Base::TimePoint now) const;
     void place(Work work, const Choice &choice, Base::TimePoint now, Decisions &decisions);
     /// Places what waits as far as there is room.
--- a/src/libs/routing/promptcache.cpp
+++ b/src/libs/routing/promptcache.cpp
@@ -51,14 +51,31 @@
     return kept;
 }
 
-void PromptCache::use(std::uint64_t hash, std::uint32_t tokens, Base::TimePoint now)
+std::uint32_t PromptCache::readTokens(const std::vector<ChainLink> &chain,
+                                      Base::TimePoint now) const
+{
+    std::uint32_t read = 0;
+    for (const ChainLink &link : chain) {
+        const auto it = m_entries.find(link.hash);
+        if (it == m_entries.end() || now - it->second.usedAt >= keptFor || now < it->second.readBy)
+            return read;
+        read = link.tokensSoFar;
+    }
+    return read;
+}
+
+void PromptCache::use(std::uint64_t hash, std::uint32_t tokens, Base::TimePoint now,
+                      Base::TimePoint readBy)
 {
     const auto [it, isNew] = m_entries.try_emplace(hash);
+    Entry &entry = it->second;
     if (isNew) {
-        it->second.tokens = tokens;
+        entry.tokens = tokens;
         m_tokens += tokens;
     }
-    it->second.usedAt = now;
+    if (isNew || now - entry.usedAt >= keptFor)
+        entry.readBy = readBy;
+    entry.usedAt = now;
 }
 
 bool PromptCache::isNews(std::uint64_t hash, Base::TimePoint now)
--- a/src/libs/routing/promptcache.h
+++ b/src/libs/routing/promptcache.h
@@ -33,7 +33,10 @@
 public:
     /// Tokens of \a chain that need not be read again.
     std::uint32_t keptTokens(const std::vector<ChainLink> &chain, Base::TimePoint now) const;
-    void use(std::uint64_t hash, std::uint32_t tokens, Base::TimePoint now);
+    /// Of these, what it has read by now and can hand out.
+    std::uint32_t readTokens(const std::vector<ChainLink> &chain, Base::TimePoint now) const;
+    /// A prompt with the part was sent to the server, which will have read it by \a readBy.
+    void use(std::uint64_t hash, std::uint32_t tokens, Base::TimePoint now, Base::TimePoint readBy);
     /// Whether the other hosts should be told of a use: they do not know of the part, or will soon
     /// take it for dropped. Answers yes once.
     bool isNews(std::uint64_t hash, Base::TimePoint now);
@@ -47,6 +50,7 @@
     {
         std::uint32_t tokens = 0;
         Base::TimePoint usedAt;
+        Base::TimePoint readBy;
         Base::TimePoint toldAt = Base::TimePoint::min();
     };
 
--- a/src/libs/routing/routingconfiguration.h
+++ b/src/libs/routing/routingconfiguration.h
@@ -69,6 +69,10 @@
     std::uint32_t slots = 1;
     /// Tokens that running requests and kept prompt parts share.
     std::uint64_t memoryTokens = 0;
+    /// Bytes of running memory for one token, and megabits a second of a server's link; 0 if not
+    /// told, in which case nothing is fetched from one server to another.
+    std::uint64_t bytesPerToken = 0;
+    std::uint64_t linkMbps = 0;
 
     bool operator==(const EngineTraits &) const = default;
 };
--- a/src/libs/routing/servercost.cpp
+++ b/src/libs/routing/servercost.cpp
@@ -1,6 +1,7 @@
 #include "routing/servercost.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace Routing {
 
@@ -29,6 +30,12 @@
 /// times their time: they also push out what others need, and delay what runs there.
 constexpr double rereadFactor = 2;
 
+/// A fetch before its first byte: a round trip between the servers, and a step of each engine in
+/// which it takes the order.
+constexpr double fetchSetupMilliseconds = 12;
+/// Between zones the platform moves running memory half as fast.
+constexpr double otherZoneFactor = 2;
+
 } // namespace
 
 void ServerCost::setTraits(const ServiceTraits &traits)
@@ -73,4 +80,12 @@
     return m_traits.isEngine ? readMilliseconds(rereadTokens) * rereadFactor : 0;
 }
 
+double ServerCost::fetchMilliseconds(std::uint32_t tokens, bool isOtherZone) const
+{
+    if (!m_traits.moveMsPerToken)
+        return std::numeric_limits<double>::infinity();
+    const double moving = *m_traits.moveMsPerToken * tokens;
+    return fetchSetupMilliseconds + moving * (isOtherZone ? otherZoneFactor : 1);
+}
+
 } // namespace Routing
--- a/src/libs/routing/servercost.h
+++ b/src/libs/routing/servercost.h
@@ -4,6 +4,7 @@
 #include "routing/fleetload.h"
 
 #include <cstdint>
+#include <optional>
 
 namespace Routing {
 
@@ -18,6 +19,9 @@
     /// Tokens a second that are shared out evenly among customers who ask for more than that; a
     /// generated token counts twice. 0 for no such bound.
     double sharedTokensPerSecond = 0;
+    /// Time in which the running memory of one token goes from one server to another; empty if
+    /// servers cannot fetch it.
+    std::optional<double> moveMsPerToken{};
 };
 
 /// How a server stands at the moment of a decision.
@@ -51,6 +55,10 @@
     /// other servers keep them.
     double rereadMilliseconds(std::uint32_t rereadTokens) const;
 
+    /// From the request to a server until it has fetched \a tokens from another one. Infinite if
+    /// servers cannot fetch.
+    double fetchMilliseconds(std::uint32_t tokens, bool isOtherZone) const;
+
 private:
     ServiceTraits m_traits;
 };
--- a/src/libs/routing/work.h
+++ b/src/libs/routing/work.h
@@ -47,6 +47,8 @@
 {
     /// Prompt tokens that the server has to read for this work, as reckoned.
     std::uint32_t unreadTokens = 0;
+    /// Prompt tokens that it fetches from another server.
+    std::uint32_t fetchedTokens = 0;
     /// Prompt tokens that it was given before and has not read, by all hosts.
     std::uint32_t tokensAhead = 0;
     /// Requests that run there, of all hosts.
@@ -62,6 +64,8 @@
     WorkId work = 0;
     Base::ServerId server;
     PlacementInputs inputs;
+    /// The server that it is to fetch the prompt's beginning from; empty if it reads all itself.
+    Base::ServerId fetchFrom;
 };
 
 enum class TurnedAwayReason {
--- a/tests/auto/gateway/tst_texts.cpp
+++ b/tests/auto/gateway/tst_texts.cpp
@@ -20,8 +20,9 @@
     it.timeLeft = "Time-Left";
     it.customer = "Customer";
     it.expectedServer = "Expected-Server";
+    it.fetchFrom = "Fetch-From";
     it.lastEventId = "Last-Event-Id";
-    it.reserved = {"Reserve"};
+    it.reserved = {"Reserve", "Fetch-From"};
     return it;
 }
 
@@ -44,7 +45,7 @@
                                    "Time-Left: 9000\r\nAuthorization: Bearer k\r\nX-Own: z\r\n"
                                    "Connection: keep-alive, X-Hop\r\nX-Hop: 1\r\n"
                                    "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n");
-    const std::string text = forwardedText(request, {1200, "dealer", "s-1", "", true}, names());
+    const std::string text = forwardedText(request, {1200, "dealer", "s-1", "", "", true}, names());
     CHECK(text
           == "POST /cars/?a=b HTTP/1.1\r\nHost: a\r\nRequest-Id: 1\r\nX-Own: z\r\n"
              "Time-Left: 1200\r\nExpected-Server: s-1\r\nCustomer: dealer\r\n"
@@ -65,14 +66,26 @@
     CHECK(failureStatus(lost) == 502);
 }
 
+TEST_CASE("a server is told where to fetch a prompt's beginning, by us alone", "[gateway]")
+{
+    const Request request =
+        parsed("GET /cars/ HTTP/1.1\r\nHost: a\r\nFetch-From: 10.0.0.9:1\r\n\r\n");
+    const ForwardedFields reading{1, "", "s-1", "", "", false};
+    CHECK(forwardedText(request, reading, names()).find("Fetch-From") == std::string::npos);
+    const ForwardedFields fetching{1, "", "s-1", "10.1.0.2:80", "", false};
+    const std::string text = forwardedText(request, fetching, names());
+    CHECK(text.find("Fetch-From: 10.1.0.2:80\r\n") != std::string::npos);
+    CHECK(text.find("10.0.0.9") == std::string::npos);
+}
+
 TEST_CASE("a stream that is gone on with names the last event once", "[gateway]")
 {
     const Request request = parsed("GET /cars/ HTTP/1.1\r\nHost: a\r\nLast-Event-Id: 3\r\n\r\n");
-    const std::string text = forwardedText(request, {1, "", "s-1", "17", false}, names());
+    const std::string text = forwardedText(request, {1, "", "s-1", "", "17", false}, names());
     CHECK(text.find("Last-Event-Id: 3\r\n") == std::string::npos);
     CHECK(text.find("Last-Event-Id: 17\r\n") != std::string::npos);
     CHECK(text.find("Content-Length") == std::string::npos);
-    const std::string first = forwardedText(request, {1, "", "s-1", "", false}, names());
+    const std::string first = forwardedText(request, {1, "", "s-1", "", "", false}, names());
     CHECK(first.find("Last-Event-Id: 3\r\n") != std::string::npos);
 }
 
--- a/tests/auto/routing/tst_placement.cpp
+++ b/tests/auto/routing/tst_placement.cpp
@@ -257,3 +257,80 @@
         }
     });
 }
+
+TEST_CASE("a beginning whose keeper is crowded is fetched and not read again", "[routing]")
+{
+    // A sixth of what engines read are beginnings that another engine keeps: whenever the keeper is
+    // crowded, the next one reads it all again, and what runs there gets its tokens late.
+    ServiceTraits traits{true, 500000, 40, 0};
+    const auto fetchedOf = [&traits](Base::Duration readFor) {
+        Dispatcher dispatcher(traits, Base::ZoneId("near"));
+        dispatcher.setServers(servers(4));
+        dispatcher.submit(prompt(1, 42, start), start);
+        const Base::TimePoint later = start + readFor;
+        std::vector<Placement> placements;
+        for (WorkId id = 2; id <= 8; ++id) {
+            const Decisions decisions = dispatcher.submit(prompt(id, 42, later), later);
+            placements.insert(placements.end(), decisions.placements.begin(),
+                              decisions.placements.end());
+        }
+        std::uint32_t fetched = 0;
+        for (const Placement &it : placements) {
+            CHECK(it.fetchFrom.isEmpty() == (it.inputs.fetchedTokens == 0));
+            CHECK(it.fetchFrom != it.server);
+            fetched += it.inputs.fetchedTokens;
+        }
+        return fetched;
+    };
+    CHECK(fetchedOf(seconds(1)) == 0);
+    traits.moveMsPerToken = 0.001;
+    CHECK(fetchedOf(seconds(1)) >= 3 * sharedTokens);
+    // The keeper has not read it yet: a fetch would come back empty.
+    CHECK(fetchedOf(milliseconds(10)) == 0);
+    // Slow links: reading is cheaper.
+    traits.moveMsPerToken = 0.2;
+    CHECK(fetchedOf(seconds(1)) == 0);
+}
+
+TEST_CASE("nothing is fetched from a server that fails", "[routing]")
+{
+    // A keeper falls silent. Everybody who fetches from it starts late at servers that are well.
+    ServiceTraits traits{true, 500000, 40, 0, 0.001};
+    Dispatcher dispatcher(traits, Base::ZoneId("near"));
+    dispatcher.setServers(servers(3));
+    const Base::ServerId keeper = onlyPlacement(dispatcher.submit(prompt(1, 42, start), start));
+    const Base::TimePoint later = start + seconds(1);
+    dispatcher.finished(1, AttemptOutcome::Silent, later);
+    Work again = prompt(1, 42, later);
+    again.tried = {keeper};
+    const Decisions decisions = dispatcher.submit(again, later);
+    REQUIRE(decisions.placements.size() == 1);
+    CHECK(decisions.placements[0].fetchFrom.isEmpty());
+    const Decisions others = dispatcher.submit(prompt(2, 42, later), later);
+    REQUIRE(others.placements.size() == 1);
+    CHECK(others.placements[0].fetchFrom != keeper);
+}
+
+TEST_CASE("fetches are spread over keepers, and the same zone goes first", "[routing]")
+{
+    const ServerCost cost(ServiceTraits{true, 500000, 40, 0, 0.002});
+    const Base::ZoneId near("near");
+    const Base::ZoneId far("far");
+    const PrefixKeeper idle{Base::ServerId("idle"), near, 13000, 0};
+    const PrefixKeeper busy{Base::ServerId("busy"), near, 13000, 30};
+    const PrefixKeeper other{Base::ServerId("other"), far, 13000, 0};
+    const auto from = [&](std::vector<PrefixKeeper> keepers) {
+        const auto plan = PrefixFetch(cost, std::move(keepers)).plan(Base::ServerId("x"), near, 0);
+        return plan ? plan->from.value() : "none";
+    };
+    CHECK(from({busy, idle, other}) == "idle");
+    CHECK(from({other, idle}) == "idle");
+    CHECK(from({other, busy}) == "other");
+    CHECK(from({}) == "none");
+    const PrefixFetch fetch(cost, {idle});
+    // It does not fetch from itself, nor what it has, nor so little that reading is sooner.
+    CHECK_FALSE(fetch.plan(idle.server, near, 0));
+    CHECK_FALSE(fetch.plan(Base::ServerId("x"), near, 13000));
+    CHECK_FALSE(fetch.plan(Base::ServerId("x"), near, 12950));
+    CHECK(fetch.plan(Base::ServerId("x"), near, 8000)->tokens == 5000);
+}
