Hold spare room against a customer that lacks service for some time only

Each time that one customer's demand jumped, the others were held to 1.25 times what that one had before, although it got all it asked for: its first events were only not there yet.

Change: a customer limits the others when it has lacked service for 0.7 s.

--- a/src/libs/routing/customershares.cpp
+++ b/src/libs/routing/customershares.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <limits>
 #include <map>
+#include <utility>
 
 namespace Routing {
 
@@ -20,6 +21,9 @@
 /// least has. Twice as much is felt as unfair; less than this would leave room unused while the
 /// reports of other hosts are on their way.
 constexpr double evenRatio = 1.25;
+/// A customer whose demand jumps is behind it until its first events are there and hosts have told
+/// each other: with no fault of anybody's, and no reason to hold the others to what it had before.
+constexpr Base::Duration unmetTime = milliseconds(700);
 /// The levels are reckoned anew this often; reports of other hosts come as often.
 constexpr Base::Duration updateInterval = milliseconds(100);
 
@@ -112,11 +116,18 @@
     const double seconds = m_askedSeconds.value(allCustomers(), now);
     m_shareLevel = fairLevel(asked, m_tokensPerSecond * seconds);
     m_unmetLevel = std::numeric_limits<double>::infinity();
+    std::map<Base::CustomerId, Base::TimePoint> unmetSince;
     for (const auto &[customer, amount] : asked) {
         const double has = started(customer, now);
-        if (amount - has > std::max(unmetTokens, amount * unmetPart))
+        if (amount - has <= std::max(unmetTokens, amount * unmetPart))
+            continue;
+        const auto before = m_unmetSince.find(customer);
+        const Base::TimePoint since = before == m_unmetSince.end() ? now : before->second;
+        unmetSince[customer] = since;
+        if (now - since >= unmetTime)
             m_unmetLevel = std::min(m_unmetLevel, has);
     }
+    m_unmetSince = std::move(unmetSince);
 }
 
 } // namespace Routing
--- a/src/libs/routing/customershares.h
+++ b/src/libs/routing/customershares.h
@@ -5,6 +5,8 @@
 #include "routing/fadingmeter.h"
 #include "routing/fleetload.h"
 
+#include <map>
+
 namespace Routing {
 
 /// What room a customer's request may have at the servers.
@@ -59,6 +61,8 @@
     /// first event, since a host that is behind sends work to servers and does not get to the
     /// answers. Counted from the send, others took spare room beside a customer that got a third.
     double m_unmetLevel = 0;
+    /// Since when each customer that asks for more than it gets does so.
+    std::map<Base::CustomerId, Base::TimePoint> m_unmetSince;
     Base::TimePoint m_updatedAt = Base::TimePoint::min();
 };
 
--- a/tests/auto/routing/tst_fairness.cpp
+++ b/tests/auto/routing/tst_fairness.cpp
@@ -269,6 +269,40 @@
     CHECK(uneven * 2 <= even);
 }
 
+TEST_CASE("a customer whose demand jumps does not take the spare room from the others", "[routing]")
+{
+    // Half of a large customer's requests are refused while engines use a sixth of their slots,
+    // each time that another customer's demand jumps. That one gets all it asks for, but its first
+    // events are a third of a second behind, and the others were held to what it had before.
+    CustomerShares shares;
+    shares.setThroughput(100000);
+    OthersLoad others;
+    shares.setOthers(others);
+    const Base::CustomerId large("large");
+    const Base::CustomerId jumping("jumping");
+    others.asked[large] = 400000;
+    others.received[large] = 300000;
+    others.begun[large] = 300000;
+    others.asked[jumping] = 5000;
+    others.begun[jumping] = 5000;
+    Base::TimePoint now = start;
+    const auto pass = [&](Base::Duration time) {
+        for (const Base::TimePoint end = now + time; now < end; now += milliseconds(100))
+            shares.admission(large, now);
+        return shares.admission(large, now);
+    };
+    CHECK(pass(seconds(3)) == Admission::SpareCapacity);
+    others.asked[jumping] = 90000;
+    CHECK(pass(milliseconds(500)) == Admission::SpareCapacity);
+    // It is not served: now it matters what it has.
+    CHECK(pass(milliseconds(400)) == Admission::Refused);
+    others.begun[jumping] = 85000;
+    CHECK(pass(milliseconds(200)) == Admission::SpareCapacity);
+    // A short relief is the end of it, and the time counts anew.
+    others.begun[jumping] = 5000;
+    CHECK(pass(milliseconds(300)) == Admission::SpareCapacity);
+}
+
 TEST_CASE("a flood does not delay customers within their share", "[routing]")
 {
     // One customer sends hundreds of times its usual. Everybody's first tokens come a third of a
