--- a/tests/processes/gatewaystore.sh
+++ b/tests/processes/gatewaystore.sh
@@ -28,10 +28,16 @@
 for i in 1 2 3; do
     put servers "i-$i" null
 done
+returned=$(date +%s%3N)
 fault $STORE '{"mode":"none"}'
 fleet_until "the return at gateway 1" grep -q store.regained "$FLEET_DIR/gateway-1.out"
 expect "a call right after" "$(call 1 /read/c)" 200
 server 3 app ready
+# On a busy machine the entry may come later than the two seconds for which missing ones are kept:
+# the server then counts as gone, as one that does not come back, until its entry is read.
+if [ $(($(date +%s%3N) - returned)) -ge 2000 ]; then
+    fleet_until "the entry that came late" answers 1 /read/c 200
+fi
 expect "and with the entry back" "$(call 1 /read/c)" 200
 
 # Servers that do not come back are gone two seconds later.
