--- a/src/libs/gateway/hostreport.cpp
+++ b/src/libs/gateway/hostreport.cpp
@@ -120,7 +120,7 @@
         servers.push_back({id.value(), it.running, it.unreadTokens});
     Json uses = Json::array();
     for (const Routing::PartUse &use : load.partUses)
-        uses.push_back({use.server.value(), use.hash, use.tokens});
+        uses.push_back({use.server.value(), use.hash});
     return {std::move(servers), amountsJson(load.asked), amountsJson(load.received),
             amountsJson(load.begun), std::move(uses)};
 }
@@ -140,7 +140,6 @@
         Routing::PartUse use;
         use.server = Base::ServerId(it.text());
         use.hash = it.number();
-        use.tokens = static_cast<std::uint32_t>(it.number());
         load.partUses.push_back(use);
     });
     return load;
--- a/src/libs/routing/dispatcher.cpp
+++ b/src/libs/routing/dispatcher.cpp
@@ -19,9 +19,6 @@
 /// Head start of the server that a prompt beginning which nobody keeps has by hashing. Hosts that
 /// meet it at the same moment choose the same one, unless that is busy.
 constexpr double hashedMilliseconds = 60;
-/// A server that keeps more prompt parts will get more work: weighed when a beginning gets its
-/// first server, so that the servers have beginnings of the same weight. Per 1,000 tokens.
-constexpr double millisecondsPerKept = 0.25;
 /// Beginnings shorter than this are not told to the other hosts: reading them again costs less
 /// than telling of the many there are.
 constexpr std::uint32_t leastToldTokens = 200;
@@ -238,7 +235,7 @@
     for (const PartUse &use : uses) {
         const auto server = m_servers.find(use.server);
         if (server != m_servers.end())
-            server->second.cache.use(use.hash, use.tokens, now, now + toldReadingTime);
+            server->second.cache.use(use.hash, now, now + toldReadingTime);
     }
 }
 
@@ -276,11 +273,8 @@
             cost += m_cost.readMilliseconds(static_cast<double>(state.awaitedTokens));
         cost += m_cost.rereadMilliseconds(mostKept - std::min(there, mostKept));
         cost += state.health.failureShare(now) * failureMilliseconds;
-        if (isNew) {
-            cost += static_cast<double>(state.cache.tokens()) / 1000 * millisecondsPerKept;
-            if (&state != hashed)
-                cost += hashedMilliseconds;
-        }
+        if (isNew && &state != hashed)
+            cost += hashedMilliseconds;
         if (state.server.zone != m_ownZone)
             cost += otherZoneMilliseconds;
         if (wasTried(work, state.server.id))
@@ -391,9 +385,9 @@
                               Base::TimePoint readBy)
 {
     for (const ChainLink &link : sharedChainOf(work.parts)) {
-        state.cache.use(link.hash, link.tokens, now, readBy);
+        state.cache.use(link.hash, now, readBy);
         if (link.tokensSoFar >= leastToldTokens && state.cache.isNews(link.hash, now))
-            m_partUses.push_back({state.server.id, link.hash, link.tokens});
+            m_partUses.push_back({state.server.id, link.hash});
     }
 }
 
--- a/src/libs/routing/fleetload.h
+++ b/src/libs/routing/fleetload.h
@@ -25,7 +25,6 @@
     Base::ServerId server;
     /// Of the chain up to the part (ChainLink).
     std::uint64_t hash = 0;
-    std::uint32_t tokens = 0;
 
     bool operator==(const PartUse &) const = default;
 };
--- a/src/libs/routing/promptcache.cpp
+++ b/src/libs/routing/promptcache.cpp
@@ -25,7 +25,7 @@
         hash =
             Base::stableHash(std::string_view(reinterpret_cast<const char *>(both), sizeof(both)));
         sum += part.tokens;
-        chain.push_back({hash, sum, part.tokens});
+        chain.push_back({hash, sum});
     }
     return chain;
 }
@@ -64,15 +64,10 @@
     return read;
 }
 
-void PromptCache::use(std::uint64_t hash, std::uint32_t tokens, Base::TimePoint now,
-                      Base::TimePoint readBy)
+void PromptCache::use(std::uint64_t hash, Base::TimePoint now, Base::TimePoint readBy)
 {
     const auto [it, isNew] = m_entries.try_emplace(hash);
     Entry &entry = it->second;
-    if (isNew) {
-        entry.tokens = tokens;
-        m_tokens += tokens;
-    }
     if (isNew || now - entry.usedAt >= keptFor)
         entry.readBy = readBy;
     entry.usedAt = now;
@@ -97,7 +92,6 @@
             ++it;
             continue;
         }
-        m_tokens -= it->second.tokens;
         it = m_entries.erase(it);
     }
 }
@@ -105,7 +99,6 @@
 void PromptCache::clear()
 {
     m_entries.clear();
-    m_tokens = 0;
 }
 
 } // namespace Routing
--- a/src/libs/routing/promptcache.h
+++ b/src/libs/routing/promptcache.h
@@ -16,7 +16,6 @@
     std::uint64_t hash = 0;
     /// Tokens from the start of the prompt to the end of this part.
     std::uint32_t tokensSoFar = 0;
-    std::uint32_t tokens = 0;
 };
 std::vector<ChainLink> chainOf(const std::vector<PromptPart> &parts);
 /// The links that other requests may share: all but the last, which is the request's own.
@@ -36,26 +35,22 @@
     /// Of these, what it has read by now and can hand out.
     std::uint32_t readTokens(const std::vector<ChainLink> &chain, Base::TimePoint now) const;
     /// A prompt with the part was sent to the server, which will have read it by \a readBy.
-    void use(std::uint64_t hash, std::uint32_t tokens, Base::TimePoint now, Base::TimePoint readBy);
+    void use(std::uint64_t hash, Base::TimePoint now, Base::TimePoint readBy);
     /// Whether the other hosts should be told of a use: they do not know of the part, or will soon
     /// take it for dropped. Answers yes once.
     bool isNews(std::uint64_t hash, Base::TimePoint now);
     void forgetOld(Base::TimePoint now);
     void clear();
-    /// Tokens of all parts that are believed to be kept.
-    std::uint64_t tokens() const { return m_tokens; }
 
 private:
     struct Entry
     {
-        std::uint32_t tokens = 0;
         Base::TimePoint usedAt;
         Base::TimePoint readBy;
         Base::TimePoint toldAt = Base::TimePoint::min();
     };
 
     std::unordered_map<std::uint64_t, Entry> m_entries;
-    std::uint64_t m_tokens = 0;
 };
 
 } // namespace Routing
--- a/tests/auto/gateway/tst_fleetview.cpp
+++ b/tests/auto/gateway/tst_fleetview.cpp
@@ -39,7 +39,7 @@
     it.load.asked[Base::CustomerId("c")] = 90;
     it.load.received[Base::CustomerId("c")] = 40;
     it.load.begun[Base::CustomerId("c")] = 30;
-    it.load.partUses = {{Base::ServerId("s"), 0xffffffffffffffffULL, 12}};
+    it.load.partUses = {{Base::ServerId("s"), 0xffffffffffffffffULL}};
     return it;
 }
 
@@ -127,7 +127,7 @@
     void use(std::size_t i, std::uint64_t count)
     {
         for (std::uint64_t part = 0; part < count; ++part)
-            m_hosts[i].newUses.push_back({Base::ServerId("s"), part, 500});
+            m_hosts[i].newUses.push_back({Base::ServerId("s"), part});
     }
     std::size_t heardUses(std::size_t i) const { return m_hosts[i].heardUses; }
     /// Uses told in the last step, by all hosts to all.
