--- a/src/libs/routing/dispatcher.cpp
+++ b/src/libs/routing/dispatcher.cpp
@@ -250,41 +250,54 @@
         m_kept.push_back(state.cache.keptTokens(chain, now));
     const std::uint32_t mostKept = *std::max_element(m_kept.begin(), m_kept.end());
     const bool isNew = !chain.empty() && mostKept < chain.back().tokensSoFar;
-    const ServerState *hashed = isNew ? hashedServer(chain.back().hash) : nullptr;
-    const PrefixFetch fetch(m_cost, keepersOf(work, chain, now));
+    const KeptPrompt prompt{mostKept, isNew ? hashedServer(chain.back().hash) : nullptr,
+                            PrefixFetch(m_cost, keepersOf(work, chain, now))};
     std::optional<Choice> best;
     auto keptHere = m_kept.begin();
     for (auto &[id, state] : m_servers) {
         const std::uint32_t kept = *keptHere++;
+        const bool isUsable = state.health.isUsable(now);
         const ServerStanding standing = standingOf(state, now);
-        const bool isRoom = state.health.isUsable(now) && m_cost.hasRoom(standing, admission);
-        if (!isRoom && (takesAny || !state.health.isUsable(now)))
+        const bool isRoom = isUsable && m_cost.hasRoom(standing, admission);
+        if (!isRoom && (takesAny || !isUsable))
             continue;
-        const std::optional<FetchPlan> plan = fetch.plan(id, state.server.zone, kept);
-        const std::uint32_t there = kept + (plan ? plan->tokens : 0);
-        const std::uint32_t unread =
-            m_cost.traits().isEngine ? work.promptTokens - std::min(there, work.promptTokens) : 0;
-        double cost = m_cost.startMilliseconds(standing, unread);
-        if (plan)
-            cost += plan->milliseconds;
-        // What waits for the server is served first: without it a hundred requests for one
-        // beginning would all wait for the server that keeps it, beside idle ones.
-        if (m_cost.traits().isEngine)
-            cost += m_cost.readMilliseconds(static_cast<double>(state.awaitedTokens));
-        cost += m_cost.rereadMilliseconds(mostKept - std::min(there, mostKept));
-        cost += state.health.failureShare(now) * failureMilliseconds;
-        if (isNew && &state != hashed)
-            cost += hashedMilliseconds;
-        if (state.server.zone != m_ownZone)
-            cost += otherZoneMilliseconds;
-        if (wasTried(work, state.server.id))
-            cost += 10 * failureMilliseconds;
-        if (!best || cost < best->milliseconds)
-            best = Choice{&state, cost, unread, isRoom, plan};
+        Choice choice = choiceOf(state, standing, work, kept, prompt, now);
+        choice.hasRoom = isRoom;
+        if (!best || choice.milliseconds < best->milliseconds)
+            best = std::move(choice);
     }
     return best;
 }
 
+Dispatcher::Choice Dispatcher::choiceOf(ServerState &state, const ServerStanding &standing,
+                                        const Work &work, std::uint32_t keptTokens,
+                                        const KeptPrompt &prompt, Base::TimePoint now) const
+{
+    Choice choice;
+    choice.state = &state;
+    choice.fetch = prompt.fetch.plan(state.server.id, state.server.zone, keptTokens);
+    const std::uint32_t there = keptTokens + (choice.fetch ? choice.fetch->tokens : 0);
+    if (m_cost.traits().isEngine)
+        choice.unreadTokens = work.promptTokens - std::min(there, work.promptTokens);
+    double &cost = choice.milliseconds;
+    cost = m_cost.startMilliseconds(standing, choice.unreadTokens);
+    if (choice.fetch)
+        cost += choice.fetch->milliseconds;
+    // What waits for the server is served first: without it a hundred requests for one beginning
+    // would all wait for the server that keeps it, beside idle ones.
+    if (m_cost.traits().isEngine)
+        cost += m_cost.readMilliseconds(static_cast<double>(state.awaitedTokens));
+    cost += m_cost.rereadMilliseconds(prompt.mostTokens - std::min(there, prompt.mostTokens));
+    cost += state.health.failureShare(now) * failureMilliseconds;
+    if (prompt.hashed && &state != prompt.hashed)
+        cost += hashedMilliseconds;
+    if (state.server.zone != m_ownZone)
+        cost += otherZoneMilliseconds;
+    if (wasTried(work, state.server.id))
+        cost += 10 * failureMilliseconds;
+    return choice;
+}
+
 std::vector<PrefixKeeper> Dispatcher::keepersOf(const Work &work,
                                                 const std::vector<ChainLink> &chain,
                                                 Base::TimePoint now) const
@@ -312,8 +325,7 @@
     const auto keeper = m_servers.find(placed.fetch->from);
     if (keeper != m_servers.end()) {
         double &handingOut = keeper->second.handingOutMilliseconds;
-        handingOut =
-            std::max(0.0, handingOut - m_cost.fetchMilliseconds(placed.fetch->tokens, false));
+        handingOut = std::max(0.0, handingOut - placed.fetch->milliseconds);
     }
     placed.fetch.reset();
 }
@@ -369,9 +381,9 @@
         notePartUses(state, work, now, now + placed.expected);
     if (choice.fetch) {
         placed.fetch = choice.fetch;
+        placed.fetch->milliseconds = m_cost.fetchMilliseconds(choice.fetch->tokens, false);
         const auto keeper = m_servers.find(choice.fetch->from);
-        keeper->second.handingOutMilliseconds +=
-            m_cost.fetchMilliseconds(choice.fetch->tokens, false);
+        keeper->second.handingOutMilliseconds += placed.fetch->milliseconds;
     }
     m_shares.recordSent(work.customer, tokensOf(work), now);
     decisions.placements.push_back(
--- a/src/libs/routing/dispatcher.h
+++ b/src/libs/routing/dispatcher.h
@@ -90,6 +90,7 @@
         Work work;
         Base::ServerId server;
         std::uint32_t unreadTokens = 0;
+        /// Its time is that which it takes at the keeper, without what waits there.
         std::optional<FetchPlan> fetch;
         bool isStarted = false;
         Base::TimePoint at;
@@ -103,10 +104,22 @@
         bool hasRoom = false;
         std::optional<FetchPlan> fetch;
     };
+    /// Where the beginning of the prompt that is decided on is kept.
+    struct KeptPrompt
+    {
+        /// Most tokens of it that one server keeps.
+        std::uint32_t mostTokens = 0;
+        /// The server for a beginning that nobody keeps whole; null if one does.
+        const ServerState *hashed = nullptr;
+        PrefixFetch fetch;
+    };
     /// The server that serves the work soonest. If that one has no room, the work is to wait for
     /// it, since it would be served later elsewhere. With \a takesAny only servers with room count.
     std::optional<Choice> choose(const Work &work, Base::TimePoint now, Admission admission,
                                  bool takesAny = false);
+    /// What the work costs at one server that keeps \a keptTokens of its prompt.
+    Choice choiceOf(ServerState &state, const ServerStanding &standing, const Work &work,
+                    std::uint32_t keptTokens, const KeptPrompt &prompt, Base::TimePoint now) const;
     /// Who could hand out the beginning of the prompt that is decided on.
     std::vector<PrefixKeeper> keepersOf(const Work &work, const std::vector<ChainLink> &chain,
                                         Base::TimePoint now) const;
