--- a/scripts/days.sh
+++ b/scripts/days.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Plays the days of tests/days on the users' bench, at the sites given, and prints each day's line
+# Plays the days of deploy/days on the users' bench, at the sites given, and prints each day's line
 # and the rules that it broke. Exits with 1 if any was broken.
 # usage: days.sh FLEETBENCH SITE...
 set -euo pipefail
@@ -8,7 +8,7 @@
 shift
 status=0
 for site in "$@"; do
-    for day in tests/days/*.toml; do
+    for day in deploy/days/*.toml; do
         result=$("$bench" run "$site" "$day" --why "days of our own" 2>&1) || true
         printf '%s %s\n' "$(basename "$site" .toml)" \
             "$(grep -aE '^[a-z-]+ +[0-9]+/[0-9]+' <<<"$result" | head -1 | cut -c1-150)"
