Count any failed call as an outage of the store, not only a failed reading of servers

ServerSet was told of failed readings alone, so entries that lapsed in the outage counted as servers that are gone, and callers got 503 no_capacity. Change: a failed watch or reading of the configuration counts too while this host reads, and the servers are read once more after it, so that a host that others read for does not stay doubtful for ever (second test, red likewise).

--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -660,7 +660,7 @@
     applyServers();
 }
 
-void Gateway::serversUnread()
+void Gateway::storeFailed()
 {
     m_servers.storeFailed(now());
 }
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -96,7 +96,7 @@
     void configurationConfirmed(Base::TimePoint askedAt) override;
     void serversRead(const std::vector<Routing::RegisteredServer> &servers,
                      Base::TimePoint askedAt) override;
-    void serversUnread() override;
+    void storeFailed() override;
     void unreadableChanged(const std::set<std::string> &entries) override;
     void storeAnswered(const char *call, bool isGood) override;
     void hostsRead(const std::vector<HostRow> &hosts) override;
--- a/src/libs/gateway/storeclient.cpp
+++ b/src/libs/gateway/storeclient.cpp
@@ -62,7 +62,8 @@
     if (m_readLane->isBusy())
         return;
     // After a failure they are read once more, so that this host may stand in again for the reader.
-    if (now >= m_nextServers && (isReading() || m_needsServers || !m_isReadGood))
+    const bool isAfterFailure = !m_isReadGood || m_areServersDoubtful;
+    if (now >= m_nextServers && (isReading() || m_needsServers || isAfterFailure))
         readServers(now);
     else
         callForHosts(now);
@@ -149,6 +150,13 @@
 {
     m_listener->storeAnswered("configuration", false);
     noteLane(m_isWatchGood, false, "configuration", why);
+    // An outage may be shorter than the time between two readings of the servers, and meet this
+    // call only. Taken as gone at once, entries that lapsed in it would leave callers without
+    // servers.
+    if (isReading()) {
+        m_areServersDoubtful = true;
+        m_listener->storeFailed();
+    }
     const bool isProbe = !isReading() && !m_needsReading;
     m_nextWatch = bootTimeNow() + (isProbe ? probePause : pauseAfterFailure(m_watchPause));
 }
@@ -195,6 +203,7 @@
                 return {};
             }
             m_needsServers = false;
+            m_areServersDoubtful = false;
             // Told once a change: the same entry is read again twice a second for as long as it
             // lies there.
             if (std::exchange(m_unreadable, m_unreadablePages) != m_unreadablePages)
@@ -214,7 +223,7 @@
     m_continueFrom.clear();
     const bool isProbe = !isReading() && !m_needsServers;
     m_nextServers = bootTimeNow() + (isProbe ? probePause : pauseAfterFailure(m_readPause));
-    m_listener->serversUnread();
+    m_listener->storeFailed();
 }
 
 bool StoreClient::callForHosts(Base::TimePoint now)
--- a/src/libs/gateway/storeclient.h
+++ b/src/libs/gateway/storeclient.h
@@ -26,7 +26,9 @@
     virtual void configurationConfirmed(Base::TimePoint askedAt) = 0;
     virtual void serversRead(const std::vector<Routing::RegisteredServer> &servers,
                              Base::TimePoint askedAt) = 0;
-    virtual void serversUnread() = 0;
+    /// A call failed whose answers are being relied on. Entries of servers may have lapsed
+    /// meanwhile although their servers run.
+    virtual void storeFailed() = 0;
     /// The entries of servers that could not be read are others than before.
     virtual void unreadableChanged(const std::set<std::string> &entries) = 0;
     virtual void storeAnswered(const char *call, bool isGood) = 0;
@@ -130,6 +132,8 @@
     bool m_isRowRemoved = false;
     bool m_isWatchGood = true;
     bool m_isReadGood = true;
+    /// A watch failed since the servers were last read whole.
+    bool m_areServersDoubtful = false;
 };
 
 } // namespace Gateway
--- /dev/null
+++ b/tests/auto/gateway/tst_storeclient.cpp
@@ -0,0 +1,204 @@
+#include "gateway/boottime.h"
+#include "gateway/eventlog.h"
+#include "gateway/httplistener.h"
+#include "gateway/storeclient.h"
+
+#include <catch2/catch.hpp>
+
+#include <boost/asio/io_context.hpp>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+
+using namespace Gateway;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/// A protocol whose answers are a version of the store, and nothing else.
+class PlainProtocol final : public StoreProtocol
+{
+public:
+    StoreCall readConfiguration() const override { return {"GET", "/configuration", {}}; }
+    StoreCall watchConfiguration(std::uint64_t, Base::Milliseconds) const override
+    {
+        return {"GET", "/watch", {}};
+    }
+    Base::Result<ConfigurationReading> configuration(const StoreAnswer &answer) const override
+    {
+        BOOST_LEAF_CHECK(checked(answer));
+        Routing::RoutingConfiguration configuration;
+        configuration.version = std::stoull(answer.body);
+        return ConfigurationReading{configuration.version, configuration};
+    }
+    StoreCall readServers(const std::string &) const override { return {"GET", "/servers", {}}; }
+    Base::Result<ServerReading> servers(const StoreAnswer &answer) const override
+    {
+        BOOST_LEAF_CHECK(checked(answer));
+        ServerReading reading;
+        reading.storeVersion = std::stoull(answer.body);
+        return reading;
+    }
+    StoreCall readHosts() const override { return {"GET", "/hosts", {}}; }
+    Base::Result<HostReading> hosts(const StoreAnswer &answer, Base::Milliseconds) const override
+    {
+        BOOST_LEAF_CHECK(checked(answer));
+        return HostReading{{}, seconds(100)};
+    }
+    StoreCall writeHost(const HostRow &, Base::Milliseconds) const override
+    {
+        return {"POST", "/row", "{}"};
+    }
+    StoreCall removeHost(const Base::HostId &) const override { return {"POST", "/row", "{}"}; }
+
+private:
+    static Base::Result<void> checked(const StoreAnswer &answer)
+    {
+        if (answer.status != 200)
+            return boost::leaf::new_error(StoreRefused{answer.status});
+        return {};
+    }
+};
+
+/// A store on loopback: answers each path with version 7, or with 503 where it is told to.
+class PlainStore final : public RequestHandler
+{
+public:
+    std::shared_ptr<ActiveRequest> handle(CallerRequest request, AnswerSink &sink) override
+    {
+        const std::string path(request.message.target());
+        ++calls[path];
+        ResponseHead head;
+        head.result(refused[path] ? 503U : 200U);
+        sink.sendAnswer(head, "7");
+        return nullptr;
+    }
+
+    std::map<std::string, int> calls;
+    std::map<std::string, bool> refused;
+};
+
+class Listener final : public StoreListener
+{
+public:
+    void configurationRead(std::shared_ptr<const Routing::RouteTable>) override {}
+    void configurationConfirmed(Base::TimePoint) override { ++confirmations; }
+    void serversRead(const std::vector<Routing::RegisteredServer> &, Base::TimePoint) override
+    {
+        wasAwayBefore = std::exchange(isStoreAway, false);
+        ++serverReadings;
+    }
+    void storeFailed() override { isStoreAway = true; }
+    void unreadableChanged(const std::set<std::string> &) override {}
+    void storeAnswered(const char *, bool) override {}
+    void hostsRead(const std::vector<HostRow> &) override {}
+
+    int confirmations = 0;
+    int serverReadings = 0;
+    bool isStoreAway = false;
+    /// Whether the store was known to have been away when the servers were last read.
+    bool wasAwayBefore = false;
+};
+
+/// A client of a store on loopback, both on this thread.
+class Loopback
+{
+public:
+    Loopback()
+        : m_null(open("/dev/null", O_WRONLY | O_CLOEXEC))
+        , m_log(m_null, 0)
+    {
+        Tcp::acceptor probe(m_io, {boost::asio::ip::make_address_v4("127.0.0.1"), 0});
+        const Settings::Address address{"127.0.0.1", probe.local_endpoint().port()};
+        probe.close();
+        boost::leaf::try_handle_all(
+            [&]() -> Base::Result<void> {
+                BOOST_LEAF_ASSIGN(m_server,
+                                  HttpListener::create(m_io, address, {store, m_limits, m_buffer}));
+                return {};
+            },
+            [] { FAIL("cannot listen"); });
+        client =
+            std::make_unique<StoreClient>(m_io, address, m_protocol, HostRow{}, listener, m_log);
+    }
+    ~Loopback() { close(m_null); }
+    Loopback(const Loopback &) = delete;
+    Loopback &operator=(const Loopback &) = delete;
+
+    /// False if \a condition does not hold within five seconds.
+    bool runUntil(const std::function<bool()> &condition)
+    {
+        const Base::TimePoint limit = bootTimeNow() + seconds(5);
+        while (!condition()) {
+            if (bootTimeNow() >= limit)
+                return false;
+            client->advance(bootTimeNow());
+            m_io.poll();
+            usleep(1000);
+        }
+        return true;
+    }
+
+private:
+    // Before what has sockets of it.
+    boost::asio::io_context m_io;
+
+public:
+    PlainStore store;
+    Listener listener;
+
+private:
+    PlainProtocol m_protocol;
+    ConnectionLimits m_limits;
+    std::string m_buffer = std::string(65536, '\0');
+    int m_null;
+    EventLog m_log;
+    std::unique_ptr<HttpListener> m_server;
+
+public:
+    std::unique_ptr<StoreClient> client;
+};
+
+} // namespace
+
+TEST_CASE("an outage that only the watch of the configuration meets counts for the servers too",
+          "[gateway]")
+{
+    // The store is away for less than the time between two readings of the servers, and their
+    // entries lapse in it. Its next list shows none of them, and callers get 503 although every
+    // server runs. Cause: only a failed reading of the servers told that the store had been away,
+    // so the missing entries counted as servers that are gone.
+    Loopback fleet;
+    fleet.client->setDuty(StoreClient::Duty::ForZone);
+    REQUIRE(fleet.runUntil([&] { return fleet.listener.serverReadings == 1; }));
+    CHECK_FALSE(fleet.listener.wasAwayBefore);
+    fleet.store.refused["/watch"] = true;
+    fleet.store.refused["/configuration"] = true;
+    const int watches = fleet.store.calls["/watch"];
+    REQUIRE(fleet.runUntil([&] { return fleet.store.calls["/watch"] > watches; }));
+    fleet.store.refused.clear();
+    REQUIRE(fleet.runUntil([&] { return fleet.listener.serverReadings == 2; }));
+    CHECK(fleet.listener.wasAwayBefore);
+}
+
+TEST_CASE("a host that others read for looks at the servers again after an outage of the watch",
+          "[gateway]")
+{
+    // A host loses the store while it reads for itself, and another one stands in for it. It must
+    // not count its servers as doubtful for ever: it could never lead its zone again.
+    Loopback fleet;
+    fleet.client->setDuty(StoreClient::Duty::Self);
+    REQUIRE(fleet.runUntil([&] { return fleet.listener.serverReadings == 1; }));
+    fleet.store.refused["/watch"] = true;
+    REQUIRE(fleet.runUntil([&] { return fleet.listener.isStoreAway; }));
+    fleet.store.refused.clear();
+    fleet.client->setDuty(StoreClient::Duty::None);
+    CHECK(fleet.runUntil([&] { return !fleet.listener.isStoreAway; }));
+}
