Let a host that stays behind serve streams with half of its processor

A host of an eighth of a core whose callers all stay with it refuses every stream once it has not been idle for half a second. The refusals alone fill its processor (2,400 connections a second of 80 us), so it is never idle again, and its customer gets nothing while seven other hosts are idle. Ruled out before: sums of the fleet, log lines, the look at all servers (docs/OPEN.md). Change: a host that far behind takes the streams that serve most for their cost as long as half of its processor can forward them; what a stream costs is reckoned from the events that tokens turned out to bring.

--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -97,6 +97,7 @@
     , m_fleet(settings.host, settings.zone)
     , m_lease(part(settings.keyRevocation, leaseShare))
     , m_servers(returnGrace)
+    , m_backlog(settings.processor)
     , m_incarnation(newIncarnation())
     , m_reportSequence(randomStart())
 {}
@@ -586,6 +587,7 @@
 void Gateway::eventsForwarded(std::size_t count)
 {
     m_entries.addEvents(count, now());
+    m_backlog.noteEvents(count);
 }
 
 void Gateway::requestEnded(const EndedRequest &request)
--- a/src/libs/routing/backlogwatch.cpp
+++ b/src/libs/routing/backlogwatch.cpp
@@ -1,18 +1,78 @@
 #include "routing/backlogwatch.h"
 
+#include "routing/forwardingmeter.h"
+
 #include <algorithm>
 
 namespace Routing {
 
+namespace {
+
+/// Weight of the newest stream in means: some dozens count.
+constexpr double newest = 0.03;
+/// Part of the processor that a host which is far behind spends on streams. The other half goes to
+/// refusals, so that those who are turned away hear of it while they can still ask elsewhere.
+constexpr double streamShare = 0.5;
+/// Credit that is kept at most, as time of refilling: streams that come together are taken
+/// together, and delay each other's events by no more than callers allow.
+constexpr Base::Duration creditSpan = std::chrono::milliseconds(200);
+/// Debt at most, likewise: a host that has promised more than this before it fell behind still
+/// takes streams again within a second.
+constexpr Base::Duration debtSpan = std::chrono::milliseconds(600);
+/// Until streams have been forwarded, a token that a caller allows is reckoned as this many events:
+/// callers allow four times what is generated, and an event holds some five tokens.
+constexpr double presumedEventsPerToken = 0.05;
+/// Tokens that the presumption weighs: those of some twenty streams.
+constexpr double presumedTokens = 10000;
+constexpr double milliCoresOfCore = 1000;
+
+Base::Duration part(Base::Duration span, double share)
+{
+    return std::chrono::duration_cast<Base::Duration>(span * share);
+}
+
+} // namespace
+
 bool BacklogWatch::takesStream(const Work &work, Base::TimePoint now)
 {
     const double density = static_cast<double>(work.promptTokens)
                            / static_cast<double>(std::max(work.outputTokens, 1U));
     m_usualDensity += (density - m_usualDensity) * newest;
+    refill(now);
     const Base::Duration busy = now - m_idleAt;
-    if (busy < choosyAfter)
-        return true;
-    return busy < closedAfter && density >= m_usualDensity;
+    const bool servesMuch = density >= m_usualDensity;
+    const bool isTaken =
+        busy < choosyAfter
+        || (servesMuch && (busy < rationedAfter || m_credit > Base::Duration::zero()));
+    if (isTaken)
+        charge(work);
+    return isTaken;
+}
+
+Base::Duration BacklogWatch::expectedCost(const Work &work) const
+{
+    const double eventsPerToken =
+        (m_events + presumedTokens * presumedEventsPerToken) / (m_allowedTokens + presumedTokens);
+    const double events = eventsPerToken * work.outputTokens;
+    const std::chrono::duration<double, std::micro> cost(
+        ForwardingMeter::requestMicroseconds + ForwardingMeter::eventMicroseconds * events);
+    return std::chrono::duration_cast<Base::Duration>(cost);
+}
+
+void BacklogWatch::refill(Base::TimePoint now)
+{
+    const double share = streamShare * m_capacity / milliCoresOfCore;
+    m_credit = std::min(m_credit + part(now - m_refilledAt, share), part(creditSpan, share));
+    m_refilledAt = now;
+}
+
+void BacklogWatch::charge(const Work &work)
+{
+    const double share = streamShare * m_capacity / milliCoresOfCore;
+    m_credit = std::max(m_credit - expectedCost(work), -part(debtSpan, share));
+    m_events *= 1 - newest;
+    m_allowedTokens *= 1 - newest;
+    m_allowedTokens += work.outputTokens;
 }
 
 } // namespace Routing
--- a/src/libs/routing/backlogwatch.h
+++ b/src/libs/routing/backlogwatch.h
@@ -1,8 +1,11 @@
 #pragma once
 
 #include "base/time.h"
+#include "routing/entryselection.h"
 #include "routing/work.h"
 
+#include <cstddef>
+
 namespace Routing {
 
 /// Decides which streams a host takes that is behind with its own work.
@@ -14,13 +17,24 @@
 ///
 /// Then it takes only the streams that serve most for what forwarding them costs. That cost grows
 /// with the events, and so with the generated tokens, while most of what a customer is served is
-/// the prompt that is read for it: answers that are short for their prompt go first. If it falls
-/// further behind it takes no streams at all. Plain requests cost no more than their refusal.
+/// the prompt that is read for it: answers that are short for their prompt go first.
+///
+/// If it falls further behind, it takes of those as many as half of its processor can forward.
+/// Taking none would not let it catch up: where the refusals alone fill the processor, the backlog
+/// never ends, and a customer whose callers all stay with this host would get nothing for as long
+/// as its load lasts. Plain requests cost no more than their refusal.
 class BacklogWatch
 {
 public:
+    /// \a capacity is what this process may use of the host's processor.
+    explicit BacklogWatch(MilliCores capacity)
+        : m_capacity(capacity)
+    {}
+
     /// Nothing was left to do at \a now.
     void noteIdle(Base::TimePoint now) { m_idleAt = now; }
+    /// Events of streams were forwarded.
+    void noteEvents(std::size_t count) { m_events += static_cast<double>(count); }
     /// Whether there has been no pause for a moment: not yet behind, but nothing to spare.
     bool isBusy(Base::TimePoint now) const { return now - m_idleAt >= busyAfter; }
     /// Whether a stream that has just come in is taken.
@@ -31,13 +45,23 @@
     /// came at one moment is done within that time on a host that keeps up.
     static constexpr Base::Duration busyAfter = std::chrono::milliseconds(60);
     static constexpr Base::Duration choosyAfter = std::chrono::milliseconds(150);
-    static constexpr Base::Duration closedAfter = std::chrono::milliseconds(500);
-    /// Weight of the newest stream in the mean: some dozens count.
-    static constexpr double newest = 0.03;
+    static constexpr Base::Duration rationedAfter = std::chrono::milliseconds(500);
+
+    /// Processor time that forwarding the stream will take, as reckoned.
+    Base::Duration expectedCost(const Work &work) const;
+    void refill(Base::TimePoint now);
+    void charge(const Work &work);
 
+    MilliCores m_capacity;
     Base::TimePoint m_idleAt{};
     /// Prompt tokens for each generated one, mean of the streams that came in.
     double m_usualDensity = 0;
+    /// Processor time that may still be promised to streams; below zero while too much is.
+    Base::Duration m_credit{};
+    Base::TimePoint m_refilledAt{};
+    /// Of the last streams taken: tokens that they were allowed, and events that were forwarded.
+    double m_allowedTokens = 0;
+    double m_events = 0;
 };
 
 } // namespace Routing
--- a/src/libs/routing/forwardingmeter.h
+++ b/src/libs/routing/forwardingmeter.h
@@ -14,6 +14,12 @@
 class ForwardingMeter
 {
 public:
+    /// A request that is decided, sent and answered, and one streamed event: what the users' small
+    /// hosts are charged, about twice the 27 and 22 us of docs/MEASUREMENTS.md for their slower
+    /// cores, and for a request its decision over a hundred servers besides.
+    static constexpr double requestMicroseconds = 125;
+    static constexpr double eventMicroseconds = 40;
+
     void addRequest(Base::TimePoint now) { add(requestMicroseconds, now); }
     void addEvents(std::size_t count, Base::TimePoint now)
     {
@@ -27,11 +33,6 @@
     }
 
 private:
-    /// A request that is decided, sent and answered, and one streamed event: what the users' small
-    /// hosts are charged, about twice the 27 and 22 us of docs/MEASUREMENTS.md for their slower
-    /// cores, and for a request its decision over a hundred servers besides.
-    static constexpr double requestMicroseconds = 125;
-    static constexpr double eventMicroseconds = 40;
     /// Long against the swings of single seconds, short against the lists that callers keep.
     static constexpr Base::Duration halfLife = std::chrono::milliseconds(1400);
 
--- a/tests/auto/routing/tst_backlogwatch.cpp
+++ b/tests/auto/routing/tst_backlogwatch.cpp
@@ -15,8 +15,20 @@
 {
     Base::Duration longestWait{};
     double servedTokens = 0;
+    /// Of the processor, that the streams take which were taken after the first second.
+    double promisedMilliseconds = 0;
 };
 
+/// Of each millisecond.
+constexpr double millisecondsOfProcessor = 0.12;
+
+/// Until a host with \a backlog, in milliseconds of its processor, gets to what comes now.
+Base::Duration waitFor(double backlog)
+{
+    const std::chrono::duration<double, std::milli> wait(backlog / millisecondsOfProcessor);
+    return std::chrono::duration_cast<Base::Duration>(wait);
+}
+
 Work stream(std::uint32_t promptTokens, std::uint32_t outputTokens)
 {
     Work work;
@@ -27,12 +39,13 @@
 
 /// \a streamsPerSecond streams a second, half of them with long prompts and twenty events and half
 /// with short prompts and thirty, come to a host of 0.12 cores. A request takes 125 us, an event
-/// 40 us, a refusal 80 us.
-Outcome play(int streamsPerSecond, bool chooses)
+/// 40 us, a refusal 80 us. Connections that would wait for longer than \a callersWait are not
+/// accepted any more.
+Outcome play(int streamsPerSecond, bool chooses, Base::Duration callersWait = Base::Duration::max())
 {
-    constexpr double millisecondsOfProcessor = 0.12;
+    const Base::TimePoint firstSecondOver{seconds(101)};
     Base::TimePoint now{seconds(100)};
-    BacklogWatch watch;
+    BacklogWatch watch(120);
     watch.noteIdle(now);
     Outcome outcome;
     double backlog = 0;
@@ -43,12 +56,18 @@
         due += streamsPerSecond / 1000.0;
         for (; due >= 1; due -= 1) {
             isLong = !isLong;
+            if (waitFor(backlog) > callersWait)
+                continue;
             const Work work = isLong ? stream(17000, 480) : stream(1460, 700);
             if (chooses && !watch.takesStream(work, now)) {
                 backlog += 0.08;
                 continue;
             }
-            backlog += 0.125 + 0.04 * (isLong ? 20 : 30);
+            const double cost = 0.125 + 0.04 * (isLong ? 20 : 30);
+            backlog += cost;
+            watch.noteEvents(isLong ? 20 : 30);
+            if (now >= firstSecondOver)
+                outcome.promisedMilliseconds += cost;
             outcome.servedTokens += work.promptTokens;
         }
         backlog -= millisecondsOfProcessor;
@@ -56,9 +75,7 @@
             backlog = 0;
             watch.noteIdle(now);
         }
-        const std::chrono::duration<double, std::milli> wait(backlog / millisecondsOfProcessor);
-        outcome.longestWait =
-            std::max(outcome.longestWait, std::chrono::duration_cast<Base::Duration>(wait));
+        outcome.longestWait = std::max(outcome.longestWait, waitFor(backlog));
     }
     return outcome;
 }
@@ -84,6 +101,19 @@
     CHECK(outcome.servedTokens > 1.3 * 10 * 106 * 9230);
 }
 
+TEST_CASE("a host whose refusals alone fill its processor still serves its customer", "[routing]")
+{
+    // A large customer's callers all stay with one host of an eighth of a core: 2,400 requests a
+    // second with those that come back, while seven other hosts are idle. Callers see nothing but
+    // refusals for as long as it lasts, though the pool has room. Cause: refusing them fills the
+    // processor, so the host is never idle, and a host that is behind took no streams.
+    const Outcome outcome = play(2400, true, seconds(1));
+    // Another customer got 450,000 tokens a second. Fair is half of that; half again is the room.
+    CHECK(outcome.servedTokens > 1.5 * 10 * 450000 / 2);
+    // And those that it takes are not promised more than half of its processor can forward.
+    CHECK(outcome.promisedMilliseconds < 0.55 * 9000 * millisecondsOfProcessor);
+}
+
 TEST_CASE("a host that keeps up refuses nothing", "[routing]")
 {
     const Outcome all = play(90, false);
