Keep servers that another host calls gone while the store has just come back

Of two gateways one meets the outage; the other one has only a held watch open in it, reads a list without the lapsed entries, takes the servers as gone and reports so for a second, and the first one believes the report although it keeps them itself. Ruled out: the entry that came late (the script waits for it then); a call that failed unnoticed (mended before). Change: a set in its grace after the store's return leaves out what others call gone. A host that the store turns away still believes one that reads it. Tests: red before (two checks of tst_serverset), green after.

--- a/src/libs/routing/serverset.cpp
+++ b/src/libs/routing/serverset.cpp
@@ -80,6 +80,9 @@
                 continue;
             supersede(change.server.start, applied);
         }
+        // The other host may not have met the outage in which the entry lapsed.
+        if (change.kind == ServerChange::Kind::Gone && keepsMissing(now))
+            continue;
         if (!applyOne(change))
             continue;
         switch (change.kind) {
--- a/src/libs/routing/serverset.h
+++ b/src/libs/routing/serverset.h
@@ -78,7 +78,8 @@
 /// leaving for good, whatever an older reading says later: its id is never used again. An entry
 /// that is missing means that the server is gone, but not while the store is away or has just
 /// come back: entries lapse there although their servers run, and using none of them would stop
-/// all work. They are kept until \a returnGrace after the store's return.
+/// all work. They are kept until \a returnGrace after the store's return, also if another host,
+/// which may not have met the outage, says that they are gone.
 ///
 /// A later start of a server replaces the earlier one at once. An earlier one never comes back,
 /// whoever tells of it: its connections are dead, and what it kept of prompts is lost.
--- a/tests/auto/routing/tst_serverset.cpp
+++ b/tests/auto/routing/tst_serverset.cpp
@@ -69,6 +69,34 @@
     CHECK(set.usable(Base::ServerId("b")) != nullptr);
 }
 
+TEST_CASE("what another host calls gone is kept too while the store has just come back",
+          "[routing]")
+{
+    // After a short outage callers get 503 from a host that keeps the servers whose entries lapsed
+    // in it. Another host of its zone had no call open in the outage, reads a list without them,
+    // and reports them as gone, again and again. Cause: the report was believed at once.
+    ServerSet set(seconds(2));
+    set.apply({server("a")}, start);
+    set.storeFailed(start + milliseconds(100));
+    set.apply({}, start + milliseconds(300));
+    const std::vector<ServerChange> gone{{ServerChange::Kind::Gone, server("a")}};
+    CHECK(set.applyChanges(gone, start + milliseconds(500)).isEmpty());
+    CHECK(set.usable(Base::ServerId("a")) != nullptr);
+    // A server that says that it leaves does so whatever the store did.
+    set.applyChanges({{ServerChange::Kind::Leaving, server("a")}}, start + milliseconds(600));
+    CHECK(set.usable(Base::ServerId("a")) == nullptr);
+}
+
+TEST_CASE("a host that the store turns away believes one that reads it", "[routing]")
+{
+    // The store is well and turns this host away: who reads it knows which servers are gone.
+    ServerSet set(seconds(2));
+    set.apply({server("a")}, start);
+    set.storeFailed(start + milliseconds(100));
+    set.applyChanges({{ServerChange::Kind::Gone, server("a")}}, start + milliseconds(500));
+    CHECK(set.usable(Base::ServerId("a")) == nullptr);
+}
+
 TEST_CASE("a missing entry means gone at once while the store is well", "[routing]")
 {
     ServerSet set(seconds(2));
