End a test's listener before the loop that its sockets belong to

AddressSanitizer shows a use after free in tst_httplistener's Loopback: its listener was declared before the io_context, so it was destroyed after it. Before: red under AddressSanitizer; after: tst_gateway and tst_routing clean under it.

--- a/tests/auto/gateway/tst_httplistener.cpp
+++ b/tests/auto/gateway/tst_httplistener.cpp
@@ -76,8 +76,6 @@
     }
     std::size_t poll() { return m_io.poll(); }
 
-    std::unique_ptr<HttpListener> listener;
-
 private:
     boost::asio::io_context m_io;
     boost::asio::io_context m_callers;
@@ -85,6 +83,10 @@
     ConnectionLimits m_limits;
     std::string m_buffer = std::string(65536, '\0');
     std::uint16_t m_port = 0;
+
+public:
+    // After the loop that its sockets belong to, so that it ends before it.
+    std::unique_ptr<HttpListener> listener;
 };
 
 } // namespace
