Try one call only while the store is lost

Cause: hosts that the store turns away, or all of them while it is down, tried for the configuration, for the servers and for their rows side by side; each refused or unanswered call is paid for. Ruled out: longer pauses, since the return of the store would be noticed later. Change: while the watch is lost nothing else is asked.

--- a/src/libs/gateway/storeclient.cpp
+++ b/src/libs/gateway/storeclient.cpp
@@ -66,7 +66,9 @@
         else if (isReading())
             watchConfiguration(now);
     }
-    if (m_readLane->isBusy())
+    // While the store is lost one call tells when it is back. Trying the others beside it would cost
+    // two to three times the calls of an outage, all paid for.
+    if (m_readLane->isBusy() || (isLost() && !m_isLeaving))
         return;
     // After a failure they are read once more, so that this host may stand in again for the reader.
     const bool isAfterFailure = !m_isReadGood || m_areServersDoubtful;
--- a/tests/auto/gateway/tst_storeclient.cpp
+++ b/tests/auto/gateway/tst_storeclient.cpp
@@ -145,3 +145,27 @@
     fleet.client->setDuty(StoreClient::Duty::None);
     CHECK(fleet.runUntil([&] { return !fleet.listener.isStoreAway; }));
 }
+
+TEST_CASE("a host that has lost the store tries one call until that is answered", "[gateway]")
+{
+    // The store turns a third of 195 hosts away for nine seconds, or is down for all of them. Each
+    // refused call is paid for, and each host tried for the configuration, for the servers and for
+    // its row, side by side. One of them tells as well when the store takes calls again.
+    Loopback fleet;
+    fleet.listener.rows = {HostRow{}};
+    fleet.client->setDuty(StoreClient::Duty::Self);
+    REQUIRE(fleet.runUntil([&] { return fleet.store.calls["/row"] == 1; }));
+    for (const char *path : {"/watch", "/configuration", "/servers", "/hosts", "/row"})
+        fleet.store.refused[path] = true;
+    REQUIRE(fleet.runUntil([&] { return fleet.client->isLost(); }));
+    fleet.store.calls.clear();
+    const Base::TimePoint end = bootTimeNow() + milliseconds(2500);
+    REQUIRE(fleet.runUntil([&] { return bootTimeNow() >= end; }));
+    // After pauses of 0.25, 0.5, 1 and 1 second; one call for the servers may have been under way.
+    CHECK(fleet.store.calls["/watch"] + fleet.store.calls["/configuration"] <= 4);
+    CHECK(fleet.store.calls["/servers"] <= 1);
+    CHECK(fleet.store.calls["/row"] == 0);
+    const int readings = fleet.listener.serverReadings;
+    fleet.store.refused.clear();
+    CHECK(fleet.runUntil([&] { return fleet.listener.serverReadings > readings; }));
+}
