--- a/src/libs/gateway/httplane.cpp
+++ b/src/libs/gateway/httplane.cpp
@@ -22,7 +22,7 @@
     , m_socket(io)
 {}
 
-void HttpLane::call(const StoreCall &call, Base::Duration timeout, Base::TimePoint now, Done done)
+void HttpLane::call(const HttpCall &call, Base::Duration timeout, Base::TimePoint now, Done done)
 {
     m_done = std::move(done);
     m_giveUpAt = now + timeout;
@@ -134,7 +134,7 @@
         waitRead();
         return;
     }
-    StoreAnswer answer{m_parser->get().result_int(), std::move(m_parser->get().body())};
+    HttpAnswer answer{m_parser->get().result_int(), std::move(m_parser->get().body())};
     if (!m_parser->keep_alive() || !m_input.empty())
         close();
     else
@@ -149,7 +149,7 @@
         finish(std::nullopt);
 }
 
-void HttpLane::finish(const std::optional<StoreAnswer> &answer)
+void HttpLane::finish(const std::optional<HttpAnswer> &answer)
 {
     const Done done = std::exchange(m_done, nullptr);
     done(answer);
--- a/src/libs/gateway/httplane.h
+++ b/src/libs/gateway/httplane.h
@@ -24,13 +24,13 @@
 {
 public:
     /// Empty if no answer came. It is then not known whether the call was done.
-    using Done = std::function<void(const std::optional<StoreAnswer> &)>;
+    using Done = std::function<void(const std::optional<HttpAnswer> &)>;
 
     HttpLane(boost::asio::io_context &io, const Settings::Address &address);
 
     bool isBusy() const { return static_cast<bool>(m_done); }
     /// \a done is called once, never from within this call.
-    void call(const StoreCall &call, Base::Duration timeout, Base::TimePoint now, Done done);
+    void call(const HttpCall &call, Base::Duration timeout, Base::TimePoint now, Done done);
     void checkTime(Base::TimePoint now);
 
 private:
@@ -39,7 +39,7 @@
     void waitRead();
     void readable();
     void fail();
-    void finish(const std::optional<StoreAnswer> &answer);
+    void finish(const std::optional<HttpAnswer> &answer);
     void close();
 
     boost::asio::io_context *m_io;
--- a/src/libs/gateway/knowledgeclient.cpp
+++ b/src/libs/gateway/knowledgeclient.cpp
@@ -59,12 +59,12 @@
         m_laneAddress = question.peerAddress;
     }
     m_lane->call({"GET", pathOf(what), {}}, copyTimeout, now,
-                 [this, what, now](const std::optional<StoreAnswer> &answer) {
+                 [this, what, now](const std::optional<HttpAnswer> &answer) {
                      answered(what, answer, now);
                  });
 }
 
-void KnowledgeClient::answered(Knowledge what, const std::optional<StoreAnswer> &answer,
+void KnowledgeClient::answered(Knowledge what, const std::optional<HttpAnswer> &answer,
                                Base::TimePoint askedAt)
 {
     if (!answer || answer->status != 200) {
--- a/src/libs/gateway/knowledgeclient.h
+++ b/src/libs/gateway/knowledgeclient.h
@@ -51,8 +51,7 @@
     };
 
     void ask(Knowledge what, Question &question, Base::TimePoint now);
-    void answered(Knowledge what, const std::optional<StoreAnswer> &answer,
-                  Base::TimePoint askedAt);
+    void answered(Knowledge what, const std::optional<HttpAnswer> &answer, Base::TimePoint askedAt);
     void failed(Knowledge what, const char *why);
 
     boost::asio::io_context *m_io;
--- a/src/libs/gateway/storeclient.cpp
+++ b/src/libs/gateway/storeclient.cpp
@@ -66,8 +66,8 @@
         else if (isReading())
             watchConfiguration(now);
     }
-    // While the store is lost one call tells when it is back. Trying the others beside it would cost
-    // two to three times the calls of an outage, all paid for.
+    // While the store is lost one call tells when it is back. Trying the others beside it would
+    // cost two to three times the calls of an outage, all paid for.
     if (m_readLane->isBusy() || (isLost() && !m_isLeaving))
         return;
     // After a failure they are read once more, so that this host may stand in again for the reader.
@@ -94,7 +94,7 @@
 void StoreClient::readConfiguration(Base::TimePoint now)
 {
     m_watchLane->call(m_protocol->readConfiguration(), readTimeout, now,
-                      [this, now](const std::optional<StoreAnswer> &answer) {
+                      [this, now](const std::optional<HttpAnswer> &answer) {
                           configurationAnswered(answer, now, false);
                       });
 }
@@ -103,12 +103,12 @@
 {
     m_watchLane->call(m_protocol->watchConfiguration(m_readVersion, m_times.watchWait),
                       m_times.watchWait + watchSlack, now,
-                      [this, now](const std::optional<StoreAnswer> &answer) {
+                      [this, now](const std::optional<HttpAnswer> &answer) {
                           configurationAnswered(answer, now, true);
                       });
 }
 
-void StoreClient::configurationAnswered(const std::optional<StoreAnswer> &answer,
+void StoreClient::configurationAnswered(const std::optional<HttpAnswer> &answer,
                                         Base::TimePoint askedAt, bool isWatch)
 {
     if (!answer) {
@@ -198,10 +198,10 @@
     }
     m_readLane->call(
         m_protocol->readServers(m_continueFrom), readTimeout, now,
-        [this, now](const std::optional<StoreAnswer> &answer) { serversAnswered(answer, now); });
+        [this, now](const std::optional<HttpAnswer> &answer) { serversAnswered(answer, now); });
 }
 
-void StoreClient::serversAnswered(const std::optional<StoreAnswer> &answer, Base::TimePoint askedAt)
+void StoreClient::serversAnswered(const std::optional<HttpAnswer> &answer, Base::TimePoint askedAt)
 {
     if (!answer) {
         serversFailed("no answer");
@@ -252,12 +252,12 @@
 
 bool StoreClient::callForHosts(Base::TimePoint now)
 {
-    const auto done = [this](const std::optional<StoreAnswer> &answer) { hostsAnswered(answer); };
+    const auto done = [this](const std::optional<HttpAnswer> &answer) { hostsAnswered(answer); };
     if (m_isLeaving) {
         if (std::exchange(m_isRowRemoved, true))
             return false;
         m_readLane->call(m_protocol->removeHost(m_self.host), readTimeout, now,
-                         [](const std::optional<StoreAnswer> &) {
+                         [](const std::optional<HttpAnswer> &) {
                              // A row that stays behind is left out by its age.
                          });
         return true;
@@ -292,7 +292,7 @@
     const Base::Milliseconds storeNow =
         m_storeTime + std::chrono::duration_cast<milliseconds>(now - m_storeTimeAt);
     m_readLane->call(m_protocol->writeHosts(rows, storeNow), readTimeout, now,
-                     [this](const std::optional<StoreAnswer> &answer) {
+                     [this](const std::optional<HttpAnswer> &answer) {
                          if (!answer || answer->status != 200)
                              m_nextHostWrite = bootTimeNow() + m_hostPause.next();
                          else
@@ -300,7 +300,7 @@
                      });
 }
 
-void StoreClient::hostsAnswered(const std::optional<StoreAnswer> &answer)
+void StoreClient::hostsAnswered(const std::optional<HttpAnswer> &answer)
 {
     m_listener->storeAnswered("hosts", answer.has_value());
     if (!answer) {
--- a/src/libs/gateway/storeclient.h
+++ b/src/libs/gateway/storeclient.h
@@ -98,17 +98,17 @@
 private:
     void readConfiguration(Base::TimePoint now);
     void watchConfiguration(Base::TimePoint now);
-    void configurationAnswered(const std::optional<StoreAnswer> &answer, Base::TimePoint askedAt,
+    void configurationAnswered(const std::optional<HttpAnswer> &answer, Base::TimePoint askedAt,
                                bool isWatch);
     void takeConfiguration(const ConfigurationReading &reading, const std::string &text,
                            Base::TimePoint askedAt, bool isWatch);
     void configurationFailed(const char *why);
     void readServers(Base::TimePoint now);
-    void serversAnswered(const std::optional<StoreAnswer> &answer, Base::TimePoint askedAt);
+    void serversAnswered(const std::optional<HttpAnswer> &answer, Base::TimePoint askedAt);
     void serversFailed(const char *why);
     bool callForHosts(Base::TimePoint now);
     void writeHosts(Base::TimePoint now);
-    void hostsAnswered(const std::optional<StoreAnswer> &answer);
+    void hostsAnswered(const std::optional<HttpAnswer> &answer);
     bool isReading() const { return m_duty != Duty::None; }
     Base::Duration pauseAfterFailure(Routing::RetryPause &pause) const;
     void noteLane(bool &isGood, bool isGoodNow, const char *what, const char *why);
--- a/src/libs/gateway/storeprotocol.h
+++ b/src/libs/gateway/storeprotocol.h
@@ -14,16 +14,16 @@
 
 namespace Gateway {
 
-/// One HTTP call of the platform's store.
-struct StoreCall
+/// One HTTP call of the store, or of another host.
+struct HttpCall
 {
     std::string method = "GET";
     std::string target;
     std::string body;
 };
 
-/// The store's answer, as HTTP has it.
-struct StoreAnswer
+/// Its answer, as HTTP has it.
+struct HttpAnswer
 {
     unsigned status = 0;
     std::string body;
@@ -92,23 +92,23 @@
 public:
     virtual ~StoreProtocol() = default;
 
-    virtual StoreCall readConfiguration() const = 0;
+    virtual HttpCall readConfiguration() const = 0;
     /// Waits for a change after \a version, for \a wait at most.
-    virtual StoreCall watchConfiguration(std::uint64_t version, Base::Milliseconds wait) const = 0;
-    virtual Base::Result<ConfigurationReading> configuration(const StoreAnswer &answer) const = 0;
+    virtual HttpCall watchConfiguration(std::uint64_t version, Base::Milliseconds wait) const = 0;
+    virtual Base::Result<ConfigurationReading> configuration(const HttpAnswer &answer) const = 0;
 
     /// From the first entry, or from \a continueFrom of the page before.
-    virtual StoreCall readServers(const std::string &continueFrom) const = 0;
-    virtual Base::Result<ServerReading> servers(const StoreAnswer &answer) const = 0;
+    virtual HttpCall readServers(const std::string &continueFrom) const = 0;
+    virtual Base::Result<ServerReading> servers(const HttpAnswer &answer) const = 0;
 
-    virtual StoreCall readHosts() const = 0;
+    virtual HttpCall readHosts() const = 0;
     /// Rows older than \a freshFor by the store's clock are left out.
-    virtual Base::Result<HostReading> hosts(const StoreAnswer &answer,
+    virtual Base::Result<HostReading> hosts(const HttpAnswer &answer,
                                             Base::Milliseconds freshFor) const = 0;
     /// Of at most a hundred rows.
-    virtual StoreCall writeHosts(const std::vector<HostRow> &rows,
-                                 Base::Milliseconds storeTime) const = 0;
-    virtual StoreCall removeHost(const Base::HostId &host) const = 0;
+    virtual HttpCall writeHosts(const std::vector<HostRow> &rows,
+                                Base::Milliseconds storeTime) const = 0;
+    virtual HttpCall removeHost(const Base::HostId &host) const = 0;
 };
 
 } // namespace Gateway
--- a/tests/auto/gateway/plainstore.h
+++ b/tests/auto/gateway/plainstore.h
@@ -15,12 +15,12 @@
 class PlainProtocol final : public StoreProtocol
 {
 public:
-    StoreCall readConfiguration() const override { return {"GET", "/configuration", {}}; }
-    StoreCall watchConfiguration(std::uint64_t, Base::Milliseconds) const override
+    HttpCall readConfiguration() const override { return {"GET", "/configuration", {}}; }
+    HttpCall watchConfiguration(std::uint64_t, Base::Milliseconds) const override
     {
         return {"GET", "/watch", {}};
     }
-    Base::Result<ConfigurationReading> configuration(const StoreAnswer &answer) const override
+    Base::Result<ConfigurationReading> configuration(const HttpAnswer &answer) const override
     {
         BOOST_LEAF_CHECK(checked(answer));
         Routing::RoutingConfiguration configuration;
@@ -28,8 +28,8 @@
         // The store is never empty: servers write there before the operator does.
         return ConfigurationReading{configuration.version + 1, configuration};
     }
-    StoreCall readServers(const std::string &) const override { return {"GET", "/servers", {}}; }
-    Base::Result<ServerReading> servers(const StoreAnswer &answer) const override
+    HttpCall readServers(const std::string &) const override { return {"GET", "/servers", {}}; }
+    Base::Result<ServerReading> servers(const HttpAnswer &answer) const override
     {
         BOOST_LEAF_CHECK(checked(answer));
         ServerReading reading;
@@ -37,23 +37,23 @@
         reading.servers = entries;
         return reading;
     }
-    StoreCall readHosts() const override { return {"GET", "/hosts", {}}; }
-    Base::Result<HostReading> hosts(const StoreAnswer &answer, Base::Milliseconds) const override
+    HttpCall readHosts() const override { return {"GET", "/hosts", {}}; }
+    Base::Result<HostReading> hosts(const HttpAnswer &answer, Base::Milliseconds) const override
     {
         BOOST_LEAF_CHECK(checked(answer));
         return HostReading{rows, std::chrono::seconds(100)};
     }
-    StoreCall writeHosts(const std::vector<HostRow> &, Base::Milliseconds) const override
+    HttpCall writeHosts(const std::vector<HostRow> &, Base::Milliseconds) const override
     {
         return {"POST", "/row", "{}"};
     }
-    StoreCall removeHost(const Base::HostId &) const override { return {"POST", "/row", "{}"}; }
+    HttpCall removeHost(const Base::HostId &) const override { return {"POST", "/row", "{}"}; }
 
     std::vector<HostRow> rows;
     std::vector<Routing::RegisteredServer> entries;
 
 private:
-    static Base::Result<void> checked(const StoreAnswer &answer)
+    static Base::Result<void> checked(const HttpAnswer &answer)
     {
         if (answer.status != 200)
             return boost::leaf::new_error(StoreRefused{answer.status});
--- a/tests/auto/platformadapter/tst_storecodec.cpp
+++ b/tests/auto/platformadapter/tst_storecodec.cpp
@@ -235,7 +235,7 @@
 TEST_CASE("rows of hosts are known by the store's own clock", "[platform]")
 {
     const StoreCodec codec;
-    const Gateway::StoreCall write =
+    const Gateway::HttpCall write =
         codec.writeHosts({{Base::HostId("edge-1"), Base::ZoneId("z"), "10.1.0.1:7400"},
                           {Base::HostId("edge-2"), Base::ZoneId("z"), "10.1.0.2:7400"}},
                          Base::Milliseconds(50000));
