Tell a broken connection from an outage of the store, and keep servers from the first moment of one

Change: a call without an answer is tried again at once, on a new connection and with a call that is not held; only if that fails too, or the store refuses, it counts as an outage.

--- a/src/libs/gateway/storeclient.cpp
+++ b/src/libs/gateway/storeclient.cpp
@@ -112,7 +112,7 @@
                                         Base::TimePoint askedAt, bool isWatch)
 {
     if (!answer) {
-        configurationFailed("no answer");
+        configurationFailed("no answer", lossOf(m_isWatchGood));
         return;
     }
     boost::leaf::try_handle_all(
@@ -129,13 +129,13 @@
         },
         [&](const StoreRefused &it) {
             m_log->write(LogLine("store.refused").add("status", it.status), bootTimeNow());
-            configurationFailed("refused");
+            configurationFailed("refused", Loss::Store);
         },
         [&](const MalformedStoreAnswer &it) {
             m_log->write(LogLine("store.malformed").add("what", it.what), bootTimeNow());
-            configurationFailed("malformed");
+            configurationFailed("malformed", Loss::Store);
         },
-        [&] { configurationFailed("unknown"); });
+        [&] { configurationFailed("unknown", Loss::Store); });
 }
 
 void StoreClient::takeConfiguration(const ConfigurationReading &reading, const std::string &text,
@@ -170,10 +170,18 @@
     m_listener->configurationConfirmed(askedAt);
 }
 
-void StoreClient::configurationFailed(const char *why)
+void StoreClient::configurationFailed(const char *why, Loss loss)
 {
     m_listener->storeAnswered("configuration", false);
     noteLane(m_isWatchGood, false, "configuration", why);
+    // A reading is answered at once where a watch is held: the store's return is noticed sooner.
+    m_needsReading = m_needsReading || isReading();
+    // All connections may break or fall silent while the store is well. Counted as an outage that
+    // kept servers which had left for two seconds more, after this host was in touch again.
+    if (loss == Loss::Connection) {
+        m_nextWatch = Base::TimePoint{};
+        return;
+    }
     // An outage may be shorter than the time between two readings of the servers, and meet this
     // call only. Taken as gone at once, entries that lapsed in it would leave callers without
     // servers.
@@ -204,7 +212,7 @@
 void StoreClient::serversAnswered(const std::optional<HttpAnswer> &answer, Base::TimePoint askedAt)
 {
     if (!answer) {
-        serversFailed("no answer");
+        serversFailed("no answer", lossOf(m_isReadGood));
         return;
     }
     boost::leaf::try_handle_all(
@@ -235,16 +243,20 @@
             m_listener->serversRead(m_pages, askedAt);
             return {};
         },
-        [&](const StoreRefused &) { serversFailed("refused"); },
-        [&](const MalformedStoreAnswer &it) { serversFailed(it.what.c_str()); },
-        [&] { serversFailed("unknown"); });
+        [&](const StoreRefused &) { serversFailed("refused", Loss::Store); },
+        [&](const MalformedStoreAnswer &it) { serversFailed(it.what.c_str(), Loss::Store); },
+        [&] { serversFailed("unknown", Loss::Store); });
 }
 
-void StoreClient::serversFailed(const char *why)
+void StoreClient::serversFailed(const char *why, Loss loss)
 {
     m_listener->storeAnswered("servers", false);
     noteLane(m_isReadGood, false, "servers", why);
     m_continueFrom.clear();
+    if (loss == Loss::Connection) {
+        m_nextServers = Base::TimePoint{};
+        return;
+    }
     const bool isProbe = !isReading() && !m_needsServers;
     m_nextServers = bootTimeNow() + (isProbe ? probePause : pauseAfterFailure(m_readPause));
     m_listener->storeFailed();
--- a/src/libs/gateway/storeclient.h
+++ b/src/libs/gateway/storeclient.h
@@ -102,10 +102,15 @@
                                bool isWatch);
     void takeConfiguration(const ConfigurationReading &reading, const std::string &text,
                            Base::TimePoint askedAt, bool isWatch);
-    void configurationFailed(const char *why);
+    /// What is known to be lost: an answer on one connection, or the store itself.
+    enum class Loss { Connection, Store };
+    void configurationFailed(const char *why, Loss loss);
     void readServers(Base::TimePoint now);
     void serversAnswered(const std::optional<HttpAnswer> &answer, Base::TimePoint askedAt);
-    void serversFailed(const char *why);
+    void serversFailed(const char *why, Loss loss);
+    /// The loss that a call without an answer shows: only that of its connection, where a call on a
+    /// new one was good before.
+    static Loss lossOf(bool wasGood) { return wasGood ? Loss::Connection : Loss::Store; }
     bool callForHosts(Base::TimePoint now);
     void writeHosts(Base::TimePoint now);
     void hostsAnswered(const std::optional<HttpAnswer> &answer);
--- a/src/libs/routing/serverset.cpp
+++ b/src/libs/routing/serverset.cpp
@@ -2,6 +2,8 @@
 
 #include "base/hash.h"
 
+#include <utility>
+
 namespace Routing {
 
 namespace {
@@ -80,8 +82,10 @@
                 continue;
             supersede(change.server.start, applied);
         }
-        // The other host may not have met the outage in which the entry lapsed.
-        if (change.kind == ServerChange::Kind::Gone && keepsMissing(now))
+        // The other host may not have met the outage in which the entry lapsed. One that goes on
+        // for longer than this host alone meets it: the other one reads the store.
+        const bool isNewlyAway = m_isStoreAway && now - m_storeAwayAt < m_returnGrace;
+        if (change.kind == ServerChange::Kind::Gone && (keepsMissing(now) || isNewlyAway))
             continue;
         if (!applyOne(change))
             continue;
@@ -156,9 +160,10 @@
     return changes;
 }
 
-void ServerSet::storeFailed(Base::TimePoint)
+void ServerSet::storeFailed(Base::TimePoint now)
 {
-    m_isStoreAway = true;
+    if (!std::exchange(m_isStoreAway, true))
+        m_storeAwayAt = now;
 }
 
 const RegisteredServer *ServerSet::usable(const Base::ServerId &id) const
--- a/src/libs/routing/serverset.h
+++ b/src/libs/routing/serverset.h
@@ -134,6 +134,7 @@
     std::map<std::string, Base::Milliseconds> m_latestStarts;
     bool m_isKnown = false;
     bool m_isStoreAway = false;
+    Base::TimePoint m_storeAwayAt{};
     Base::TimePoint m_storeBackAt = Base::TimePoint::min();
     std::deque<Dated> m_recent;
 };
--- a/tests/auto/gateway/plainstore.h
+++ b/tests/auto/gateway/plainstore.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Gateway {
@@ -61,7 +62,8 @@
     }
 };
 
-/// A store on loopback: answers each path with its version, or with 503 where it is told to.
+/// A store on loopback: answers each path with its version, or with 503 or not at all where it is
+/// told to.
 class PlainStore final : public RequestHandler
 {
 public:
@@ -69,6 +71,10 @@
     {
         const std::string path(request.message.target());
         ++calls[path];
+        if (std::exchange(breaksOnce[path], false)) {
+            sink.breakOff();
+            return nullptr;
+        }
         ResponseHead head;
         head.result(refused[path] ? 503U : 200U);
         sink.sendAnswer(head, std::to_string(version));
@@ -78,6 +84,8 @@
     std::uint64_t version = 7;
     std::map<std::string, int> calls;
     std::map<std::string, bool> refused;
+    /// The connection of the next call ends without an answer.
+    std::map<std::string, bool> breaksOnce;
 };
 
 } // namespace Gateway
--- a/tests/auto/gateway/tst_storeclient.cpp
+++ b/tests/auto/gateway/tst_storeclient.cpp
@@ -169,3 +169,23 @@
     fleet.store.refused.clear();
     CHECK(fleet.runUntil([&] { return fleet.listener.serverReadings > readings; }));
 }
+
+TEST_CASE("a connection that breaks is no outage of the store", "[gateway]")
+{
+    // All connections are reset while a server leaves that never says so: its entry goes. Three
+    // seconds later requests still reach it, a second after its time to leave. Cause: the broken
+    // watch counted as an outage, after which missing entries are kept for two seconds; and the
+    // next watch was held for half a second before it told that the store was there.
+    Loopback fleet;
+    fleet.client->setDuty(StoreClient::Duty::ForZone);
+    REQUIRE(fleet.runUntil([&] { return fleet.listener.serverReadings == 1; }));
+    for (const char *path : {"/watch", "/servers"}) {
+        const int calls = fleet.store.calls[path];
+        fleet.store.breaksOnce[path] = true;
+        REQUIRE(fleet.runUntil([&] { return fleet.store.calls[path] > calls; }));
+        const int readings = fleet.listener.serverReadings;
+        REQUIRE(fleet.runUntil([&] { return fleet.listener.serverReadings > readings; }));
+        CHECK_FALSE(fleet.listener.wasAwayBefore);
+        CHECK_FALSE(fleet.client->isLost());
+    }
+}
