Count an outage also for a host that stops reading because of it

A host's first failed call ends its duty to read, as another host leads its zone then; the second one, which shows the outage, counted only for hosts that read, so the entries that lapsed counted as gone. Change: what shows the store lost counts whatever the duty.

--- a/src/libs/gateway/storeclient.cpp
+++ b/src/libs/gateway/storeclient.cpp
@@ -184,11 +184,10 @@
     }
     // An outage may be shorter than the time between two readings of the servers, and meet this
     // call only. Taken as gone at once, entries that lapsed in it would leave callers without
-    // servers.
-    if (isReading()) {
-        m_areServersDoubtful = true;
-        m_listener->storeFailed();
-    }
+    // servers. That this host has lost the store may itself end its duty to read; the outage counts
+    // all the same.
+    m_areServersDoubtful = true;
+    m_listener->storeFailed();
     const bool isProbe = !isReading() && !m_needsReading;
     m_nextWatch = bootTimeNow() + (isProbe ? probePause : pauseAfterFailure(m_watchPause));
 }
--- a/src/libs/gateway/storeclient.h
+++ b/src/libs/gateway/storeclient.h
@@ -29,7 +29,7 @@
     virtual void configurationConfirmed(Base::TimePoint askedAt) = 0;
     virtual void serversRead(const std::vector<Routing::RegisteredServer> &servers,
                              Base::TimePoint askedAt) = 0;
-    /// A call failed whose answers are being relied on. Entries of servers may have lapsed
+    /// The store does not take calls, or not from this host. Entries of servers may have lapsed
     /// meanwhile although their servers run.
     virtual void storeFailed() = 0;
     /// The entries of servers that could not be read are others than before.
--- a/tests/auto/gateway/tst_storeclient.cpp
+++ b/tests/auto/gateway/tst_storeclient.cpp
@@ -75,12 +75,12 @@
     Loopback(const Loopback &) = delete;
     Loopback &operator=(const Loopback &) = delete;
 
-    /// False if \a condition does not hold within five seconds.
-    bool runUntil(const std::function<bool()> &condition)
+    /// False if \a condition does not hold within \a limit.
+    bool runUntil(const std::function<bool()> &condition, Base::Duration limit = seconds(5))
     {
-        const Base::TimePoint limit = bootTimeNow() + seconds(5);
+        const Base::TimePoint end = bootTimeNow() + limit;
         while (!condition()) {
-            if (bootTimeNow() >= limit)
+            if (bootTimeNow() >= end)
                 return false;
             client->advance(bootTimeNow());
             m_io.poll();
@@ -189,3 +189,21 @@
         CHECK_FALSE(fleet.client->isLost());
     }
 }
+
+TEST_CASE("an outage counts also for a host that stops reading because of it", "[gateway]")
+{
+    // Two hosts of a zone lose the store in turn. The first one tells so and is led by the other
+    // from then on; when both are back it drops all servers, whose entries lapsed meanwhile, and
+    // callers get 503. Cause: its second failed call did not count as an outage any more.
+    Loopback fleet;
+    fleet.client->setDuty(StoreClient::Duty::ForZone);
+    REQUIRE(fleet.runUntil([&] { return fleet.listener.serverReadings == 1; }));
+    fleet.store.breaksOnce["/watch"] = true;
+    fleet.store.refused["/configuration"] = true;
+    REQUIRE(fleet.runUntil([&] { return fleet.client->isLost(); }));
+    fleet.client->setDuty(StoreClient::Duty::None);
+    CHECK(fleet.runUntil([&] { return fleet.listener.isStoreAway; }, seconds(1)));
+    fleet.store.refused.clear();
+    REQUIRE(fleet.runUntil([&] { return fleet.listener.serverReadings == 2; }));
+    CHECK(fleet.listener.wasAwayBefore);
+}
