Hand out no servers that are kept only since the store was away

A host that had dropped it asked the other gateway for a whole list when their sets differed; that one's two seconds of keeping were over, but it had not read the list again since, so it took itself for settled and handed the old one out. Ruled out: an entry that came back (the script writes only the third server's). Change: a list is handed out only if it was read after those two seconds, and a leader asks nobody for one. Test: red before, green after.

--- a/src/libs/gateway/storereplica.cpp
+++ b/src/libs/gateway/storereplica.cpp
@@ -159,7 +159,8 @@
         m_parts.listener.serversChanged(changes, false);
     }
     const bool hasOtherServers = store.serversFingerprint != m_servers.fingerprint();
-    if (hasOtherServers && isNewEnough)
+    // A leader's own reading is the newest there is.
+    if (hasOtherServers && isNewEnough && !m_parts.fleet.isLeader(now))
         m_copies.want(Knowledge::Servers, report.self.peerAddress);
     // The other host answered after this one's report was sent, so its question to the store was
     // sent at most the age that it tells before that moment, however long the answer was under way.
@@ -325,7 +326,9 @@
 {
     const Base::TimePoint now = bootTimeNow();
     const Base::Duration age = now - m_serversProvedAt;
-    if (!m_servers.isKnown() || age >= m_times.readAfter || isStoreLost(now))
+    // A list that was read within the grace after an outage still has servers that are gone.
+    const bool isWhole = m_servers.isKnown() && m_servers.isSettled(m_serversProvedAt);
+    if (!isWhole || age >= m_times.readAfter || isStoreLost(now))
         return std::nullopt;
     HostReport report;
     report.self.host = m_self.host;
--- a/tests/auto/gateway/tst_storereplica.cpp
+++ b/tests/auto/gateway/tst_storereplica.cpp
@@ -12,6 +12,7 @@
 #include <fcntl.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <string>
@@ -289,3 +290,42 @@
     zone.list();
     CHECK(zone.runUntil([&] { return zone.haveAll(7); }, milliseconds(1500)));
 }
+
+TEST_CASE("a host hands out no servers that it keeps only since the store was away", "[gateway]")
+{
+    // The store is away, a server is gone when it returns, and the host that leads the zone drops
+    // it two seconds later. Callers of it get answers from the gone server again. Cause: another
+    // host, which had not read the list again since its own two seconds were over, handed out the
+    // old one.
+    Zone zone;
+    zone.addHosts(2);
+    zone.list();
+    REQUIRE(zone.runUntil([&] { return zone.haveAll(7); }));
+    for (const char *path : {"/watch", "/configuration", "/servers"})
+        zone.store.refused[path] = true;
+    const auto isLost = [&](const auto &it) { return it->replica->isStoreLost(bootTimeNow()); };
+    REQUIRE(
+        zone.runUntil([&] { return std::all_of(zone.hosts.begin(), zone.hosts.end(), isLost); }));
+    zone.protocol.entries.clear();
+    zone.store.refused.clear();
+    const Base::TimePoint end = bootTimeNow() + milliseconds(4500);
+    bool isHandedOut = false;
+    bool isBack = false;
+    std::vector<bool> hasDropped(zone.hosts.size(), false);
+    zone.runUntil(
+        [&] {
+            for (std::size_t i = 0; i < zone.hosts.size(); ++i) {
+                const StoreReplica &replica = *zone.hosts[i]->replica;
+                const std::optional<HostReport> copy = replica.serversCopy();
+                isHandedOut |= copy && !copy->store.serverChanges.empty();
+                const bool isDropped = replica.servers().servers().empty();
+                isBack |= hasDropped[i] && !isDropped;
+                hasDropped[i] = isDropped;
+            }
+            return bootTimeNow() >= end;
+        },
+        seconds(6));
+    CHECK_FALSE(isHandedOut);
+    CHECK_FALSE(isBack);
+    CHECK(hasDropped == std::vector<bool>(zone.hosts.size(), true));
+}
