Let each host of a small fleet find every other one

On a fleet of fewer than twelve hosts reports go from host to host and tell of nobody else, so hosts of different zones that do not lead never heard of each other, and each counted a part of what a customer with callers at all hosts received. Change: on a small fleet each host writes its row and reads the rows again, as before. Test: six hosts of three zones with three seeds, red before, green after.

--- a/src/libs/gateway/fleetview.h
+++ b/src/libs/gateway/fleetview.h
@@ -52,6 +52,9 @@
     /// Whether this host's last call to the store failed.
     void setStoreLost(bool isLost, Base::TimePoint now);
 
+    /// Whether reports go through leaders, and tell of all hosts. On a small fleet a host hears
+    /// only of those that it has found, or that have found it.
+    bool isLarge() const { return m_receivers.size() >= largeFleet; }
     /// Whether this host leads its zone.
     bool isLeader(Base::TimePoint now) const;
     std::vector<ReportOrder> dueReports(Base::TimePoint now) const;
@@ -94,7 +97,6 @@
     };
 
     bool isAlive(const Heard &heard, Base::TimePoint now) const;
-    bool isLarge() const { return m_receivers.size() >= largeFleet; }
     /// All other hosts that are alive, heard of directly or through a leader.
     std::map<Base::HostId, MemberState> liveMembers(Base::TimePoint now) const;
     /// The first host by name of those that reach the store, or of all if none does. Empty if no
--- a/src/libs/gateway/storeclient.cpp
+++ b/src/libs/gateway/storeclient.cpp
@@ -274,8 +274,9 @@
         return true;
     }
     const bool isFirst = m_nextHostRead == Base::TimePoint{};
-    // Who hears from the leader of its zone hears from it of all others, too.
-    if (now >= m_nextHostRead && (isFirst || m_duty == Duty::ForZone)) {
+    // On a large fleet, who hears from the leader of its zone hears from it of all others, too.
+    const bool findsHosts = isFirst || m_findsHosts || m_duty == Duty::ForZone;
+    if (now >= m_nextHostRead && findsHosts) {
         m_nextHostRead = now + (isFirst ? firstHostReadInterval : hostReadInterval);
         m_readLane->call(m_protocol->readHosts(), readTimeout, now, done);
         return true;
--- a/src/libs/gateway/storeclient.h
+++ b/src/libs/gateway/storeclient.h
@@ -74,6 +74,8 @@
     void advance(Base::TimePoint now);
     void setDuty(Duty duty) { m_duty = duty; }
     void setTimes(const StoreTimes &times) { m_times = times; }
+    /// Whether the rows are read again at times, also by a host that others read for.
+    void setFindsHosts(bool findsHosts) { m_findsHosts = findsHosts; }
     /// While held, only the rows of hosts are read and written.
     void setHeld(bool isHeld) { m_isHeld = isHeld; }
     /// Whether the newest call for the configuration failed.
@@ -133,6 +135,7 @@
     StoreTimes m_times;
     Duty m_duty = Duty::Self;
     bool m_isHeld = false;
+    bool m_findsHosts = true;
     bool m_needsReading = true;
     bool m_needsServers = true;
     Base::TimePoint m_nextWatch{};
--- a/src/libs/gateway/storereplica.cpp
+++ b/src/libs/gateway/storereplica.cpp
@@ -85,6 +85,7 @@
     m_parts.fleet.setStoreLost(isStoreLost(now), now);
     m_store.setDuty(readingDuty(now));
     m_store.setHeld(waitsForCopy(now));
+    m_store.setFindsHosts(!m_parts.fleet.isLarge());
     m_copies.advance(now);
     m_store.advance(now);
 }
@@ -238,10 +239,14 @@
 
 std::vector<HostRow> StoreReplica::rowsToKeep() const
 {
+    std::vector<HostRow> rows{m_self};
+    // Each host of a small fleet has to be found by each other one: while only leaders had rows,
+    // the others of different zones never counted each other's load.
+    if (!m_parts.fleet.isLarge())
+        return rows;
     const Base::TimePoint now = bootTimeNow();
     if (!m_parts.fleet.isLeader(now))
         return {};
-    std::vector<HostRow> rows{m_self};
     for (const MemberState &it : m_parts.fleet.membersOfZone(now))
         rows.push_back({it.host, it.zone, it.peerAddress});
     return rows;
--- a/tests/auto/gateway/plainstore.h
+++ b/tests/auto/gateway/plainstore.h
@@ -5,14 +5,16 @@
 
 #include <map>
 #include <memory>
+#include <sstream>
 #include <string>
 #include <utility>
 #include <vector>
 
 namespace Gateway {
 
-/// A protocol whose answers are a version of the store, and nothing else: the rows of hosts and the
-/// entries of servers are those that it is given.
+/// A protocol whose answers are a version of the store, and nothing else: the rows of hosts are
+/// those that it is given and those that were written, the entries of servers those that it is
+/// given.
 class PlainProtocol final : public StoreProtocol
 {
 public:
@@ -42,11 +44,21 @@
     Base::Result<HostReading> hosts(const HttpAnswer &answer, Base::Milliseconds) const override
     {
         BOOST_LEAF_CHECK(checked(answer));
-        return HostReading{rows, std::chrono::seconds(100)};
+        HostReading reading{rows, std::chrono::seconds(100)};
+        std::istringstream lines(answer.body);
+        std::string host;
+        std::string zone;
+        std::string address;
+        while (lines >> host >> zone >> address)
+            reading.hosts.push_back({Base::HostId(host), Base::ZoneId(zone), address});
+        return reading;
     }
-    HttpCall writeHosts(const std::vector<HostRow> &, Base::Milliseconds) const override
+    HttpCall writeHosts(const std::vector<HostRow> &written, Base::Milliseconds) const override
     {
-        return {"POST", "/row", "{}"};
+        std::string body;
+        for (const HostRow &row : written)
+            body += row.host.value() + " " + row.zone.value() + " " + row.peerAddress + "\n";
+        return {"POST", "/row", body};
     }
     HttpCall removeHost(const Base::HostId &) const override { return {"POST", "/row", "{}"}; }
 
@@ -77,11 +89,15 @@
         }
         ResponseHead head;
         head.result(refused[path] ? 503U : 200U);
-        sink.sendAnswer(head, std::to_string(version));
+        if (path == "/row")
+            writtenRows += request.message.body();
+        sink.sendAnswer(head, path == "/hosts" ? writtenRows : std::to_string(version));
         return nullptr;
     }
 
     std::uint64_t version = 7;
+    /// What hosts wrote, a line for each row.
+    std::string writtenRows;
     std::map<std::string, int> calls;
     std::map<std::string, bool> refused;
     /// The connection of the next call ends without an answer.
--- a/tests/auto/gateway/tst_storereplica.cpp
+++ b/tests/auto/gateway/tst_storereplica.cpp
@@ -44,11 +44,12 @@
 class Host
 {
 public:
-    Host(int number, const Settings::Address &store, boost::asio::io_context &io,
-         const StoreProtocol &protocol, EventLog &log, std::string &buffer)
+    Host(int number, const std::string &zone, const Settings::Address &store,
+         boost::asio::io_context &io, const StoreProtocol &protocol, EventLog &log,
+         std::string &buffer)
     {
         m_settings.host = Base::HostId("host-" + std::to_string(100 + number));
-        m_settings.zone = Base::ZoneId("z");
+        m_settings.zone = Base::ZoneId(zone);
         m_settings.peerAddress = freeAddress(io);
         m_settings.storeAddress = store;
         m_view = std::make_unique<FleetView>(m_settings.host, m_settings.zone);
@@ -99,7 +100,8 @@
     std::unique_ptr<StoreReplica> replica;
 };
 
-/// Hosts of one zone and their store, on this thread and loopback. Reports go without a network.
+/// Hosts, mostly of one zone, and their store, on this thread and loopback. Reports go without a
+/// network.
 class Zone
 {
 public:
@@ -126,12 +128,12 @@
     Zone(const Zone &) = delete;
     Zone &operator=(const Zone &) = delete;
 
-    void addHosts(int count)
+    void addHosts(int count, const std::string &zone = "z")
     {
         for (int i = 0; i < count; ++i) {
             const int number = static_cast<int>(hosts.size());
-            hosts.push_back(
-                std::make_unique<Host>(number, m_storeAddress, m_io, protocol, m_log, m_buffer));
+            hosts.push_back(std::make_unique<Host>(number, zone, m_storeAddress, m_io, protocol,
+                                                   m_log, m_buffer));
         }
     }
     /// The rows of all hosts are listed.
@@ -329,3 +331,29 @@
     CHECK_FALSE(isBack);
     CHECK(hasDropped == std::vector<bool>(zone.hosts.size(), true));
 }
+
+TEST_CASE("hosts of a small fleet that start together all hear of each other", "[gateway]")
+{
+    // A customer whose callers use all hosts is served three times as much as one whose callers
+    // stay with one host. Cause: of each zone only the leader had read and written rows, so the
+    // other hosts of different zones never sent each other reports, and each counted a part of what
+    // the first customer received.
+    Zone fleet;
+    for (const char *zone : {"a", "b", "c"})
+        fleet.addHosts(2, zone);
+    // Their settings name the first host of each zone.
+    for (const auto &host : fleet.hosts) {
+        for (const std::size_t seed : {0U, 2U, 4U}) {
+            if (host != fleet.hosts[seed])
+                host->view().learnAddress(fleet.hosts[seed]->row().peerAddress, bootTimeNow());
+        }
+    }
+    const bool isComplete = fleet.runUntil(
+        [&] {
+            const Base::TimePoint now = bootTimeNow();
+            return std::all_of(fleet.hosts.begin(), fleet.hosts.end(),
+                               [&](const auto &it) { return it->view().liveHosts(now) == 6; });
+        },
+        seconds(4));
+    CHECK(isComplete);
+}
