--- /dev/null
+++ b/scripts/checkpackages.sh
@@ -0,0 +1,130 @@
+#!/usr/bin/env bash
+# Fails if the build uses a system file that a machine with only the listed packages lacks, or if
+# the list names a package that the build doesn't use. Needs no clean machine: what the list brings
+# is worked out from the package index, without recommended packages.
+# usage: checkpackages.sh [--files FILE] [--manifest FILE] [--table]
+#   --files FILE     system files that the build uses, one a line; default: those of scripts/buildfiles.sh
+#   --manifest FILE  default: deploy/system.toml
+#   --table          also prints each file with its package
+set -euo pipefail
+cd "$(dirname "$0")/.."
+. scripts/manifest.sh
+
+files= manifest=deploy/system.toml table=
+options=$(getopt -n checkpackages -o '' -l files:,manifest:,table -- "$@") || exit 2
+eval set -- "$options"
+while [ "$1" != -- ]; do
+    case $1 in
+    --files) files=$2 && shift 2 ;;
+    --manifest) manifest=$2 && shift 2 ;;
+    --table) table=1 && shift ;;
+    esac
+done
+
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
+if [ -z "$files" ]; then
+    files=$work/files
+    scripts/buildfiles.sh >"$files"
+fi
+
+# closure PACKAGE...: the packages that installing these on an empty machine brings.
+closure() {
+    apt-get -o Dir::State::status=/dev/null --no-install-recommends -s install "$@" \
+        | sed -n 's/^Inst \([^ ]*\) .*/\1/p' | sort -u
+}
+
+# essential_packages: what each machine has from the start, so also this one.
+essential_packages() {
+    dpkg-query -W -f '${Essential} ${Package}\n' | sed -n 's/^yes //p'
+}
+
+# merged: the paths as a system with merged /usr has them; the index of packages may lack the /usr.
+merged() {
+    sed -E 's#^/(lib|lib64|bin|sbin)/#/usr/\1/#'
+}
+
+# with_links: each path followed by the paths that it links to.
+with_links() {
+    local path target
+    while read -r path; do
+        while printf '%s\n' "$path" && [ -L "$path" ]; do
+            target=$(readlink "$path")
+            [[ $target == /* ]] || target=$(dirname "$path")/$target
+            path=$(realpath -s "$target")
+        done
+    done | merged | sort -u
+}
+
+# owners: a line "PACKAGE PATH" for each path that a package owns.
+owners() {
+    local paths
+    mapfile -t paths
+    { dpkg-query -S "${paths[@]}" "${paths[@]#/usr}" 2>/dev/null || true; } \
+        | sed -nE 's#^([^:, ]+)(:[a-z0-9]+)?(, .*)?: (/.*)$#\1 \4#p' \
+        | sed -E 's#^([^ ]+) /(lib|lib64|bin|sbin)/#\1 /usr/\2/#' | sort -u
+}
+
+failures=0
+# report WHAT LINE...: counts and prints a failure if there are lines.
+report() {
+    local what=$1
+    shift
+    [ "$#" -gt 0 ] || return 0
+    failures=$((failures + 1))
+    echo "$what:"
+    printf '    %s\n' "$@"
+}
+
+mapfile -t listed < <(manifest_packages "$manifest")
+[ "${#listed[@]}" -gt 0 ] || { echo "checkpackages: $manifest lists no packages" >&2; exit 2; }
+mapfile -t essential < <(essential_packages)
+closure "${essential[@]}" build-essential >"$work/toolchain" || {
+    echo "checkpackages: the package index knows no build-essential: run apt-get update" >&2
+    exit 2
+}
+closure "${essential[@]}" "${listed[@]}" >"$work/available" || {
+    echo "checkpackages: the packages of $manifest cannot be installed" >&2
+    exit 1
+}
+with_links <"$files" >"$work/paths"
+owners <"$work/paths" >"$work/owned"
+cut -d' ' -f1 "$work/owned" | sort -u >"$work/used"
+
+# A link that update-alternatives made has no owner; what it leads to has.
+mapfile -t lines < <(cut -d' ' -f2 "$work/owned" | sort -u | comm -13 - "$work/paths" \
+    | while read -r path; do [ -L "$path" ] || printf '%s\n' "$path"; done)
+report "the build uses files that no package owns" "${lines[@]}"
+
+mapfile -t lines < <(comm -23 "$work/used" "$work/available" | while read -r package; do
+    echo "$package ($(sed -n "s#^$package ##p" "$work/owned" | head -1))"
+done)
+report "the build uses packages that $manifest doesn't bring" "${lines[@]}"
+
+# Headers that the sources include, modules that CMakeLists.txt asks for and programs that the build
+# calls need their own package in the list: what another package depends on may change.
+mapfile -t folders < <(c++ -xc++ -E -v /dev/null 2>&1 \
+    | sed -n '/search starts here/,/^End of search/s#^ \(/.*\)#\1#p' | xargs -n 1 realpath -s)
+{
+    git ls-files 'src/*.cpp' 'src/*.h' 'src/*.cc' 'platform/*.cpp' 'platform/*.h' \
+        | xargs sed -nE 's/^#include <([^>]+)>.*/\1/p' | sort -u | while read -r header; do
+            printf "%s/$header\n" "${folders[@]}"
+        done
+    command -v cmake ninja pkg-config
+    sed -n 's/^pkg_check_modules([A-Z0-9]* REQUIRED IMPORTED_TARGET \(.*\))$/\1/p' CMakeLists.txt \
+        | tr ' ' '\n' | xargs pkg-config --path
+} | sort -u >"$work/direct"
+mapfile -t lines < <(awk 'NR == FNR {direct[$1]; next} $2 in direct {print $1}' \
+    "$work/direct" "$work/owned" | sort -u | comm -23 - "$work/toolchain" \
+    | comm -23 - <(printf '%s\n' "${listed[@]}" | sort))
+report "the build uses packages itself that $manifest doesn't name" "${lines[@]}"
+
+# build-essential owns no files: it stands for the toolchain.
+mapfile -t lines < <(printf '%s\n' "${listed[@]}" | grep -vx build-essential | sort \
+    | comm -23 - "$work/used")
+report "$manifest lists packages that the build doesn't use" "${lines[@]}"
+
+[ -z "$table" ] || sort -k2 "$work/owned"
+echo "checkpackages: $(wc -l <"$files") files of $(wc -l <"$work/used") packages," \
+    "$(wc -l <"$work/available") packages available, $failures failures"
+[ "$failures" -eq 0 ]
--- a/scripts/install.sh
+++ b/scripts/install.sh
@@ -1,15 +1,22 @@
 #!/usr/bin/env bash
-# Installs what the build, the tests and the linters need, where it is not there yet.
+# Installs what is missing of the packages that the build needs (deploy/system.toml) and of those
+# that only the tests, the linters and scripts/generate.sh need (scripts/packages.txt).
+# Recommended packages are left out, as on the users' machines.
 set -euo pipefail
-here=$(cd "$(dirname "$0")" && pwd)
-mapfile -t packages < "$here/packages.txt"
+cd "$(dirname "$0")/.."
+. scripts/manifest.sh
+mapfile -t packages < <(manifest_packages deploy/system.toml && cat scripts/packages.txt)
 missing=()
 for package in "${packages[@]}"; do
     dpkg-query -W -f '${Status}' "$package" 2>/dev/null | grep -q 'ok installed' \
         || missing+=("$package")
 done
-[ "${#missing[@]}" -eq 0 ] && exit 0
 sudo=
 [ "$(id -u)" -eq 0 ] || sudo=sudo
-$sudo apt-get update -q
-DEBIAN_FRONTEND=noninteractive $sudo apt-get install -y -q "${missing[@]}"
+# scripts/checkpackages.sh reads the package index too.
+if [ "${#missing[@]}" -gt 0 ] || ! compgen -G '/var/lib/apt/lists/*_Packages*' >/dev/null; then
+    $sudo apt-get update -q
+fi
+[ "${#missing[@]}" -eq 0 ] && exit 0
+DEBIAN_FRONTEND=noninteractive $sudo apt-get install -y -q --no-install-recommends \
+    "${missing[@]}"
