Keep lapsed servers also after an outage that only another host met

Cause: the host that reads for its zone meets the outage and says so; the next one takes over, and its first reading comes after the return. It had made no call in between, so it took entries that lapsed in the outage as gone at once, and its reports told the others.

Evidence: in tst_storereplica the first of two hosts loses the store, the entries go and the store returns before the second one reads.

Why this works: a report tells for how long its sender has been without the store. A host that reads a list in which most of its servers are missing within two seconds of such a loss keeps them for the two seconds that an outage of its own would give them. A server or two that end while some host is cut off are gone at once, as before, so no host in touch sends to a server that left; both have a test (tst_serverset).

The form of the reports changes.

--- a/src/libs/gateway/hostreport.cpp
+++ b/src/libs/gateway/hostreport.cpp
@@ -12,7 +12,7 @@
 using Json = nlohmann::json;
 
 /// First element of a report; another number is another form, which is not read.
-constexpr std::uint64_t form = 6;
+constexpr std::uint64_t form = 7;
 constexpr std::uint64_t largestScope = static_cast<std::uint64_t>(ReportScope::Fleet);
 
 /// Reads the elements of an array one after the other. After the first that is missing or of
@@ -182,15 +182,32 @@
     return change;
 }
 
+/// Two elements, so that no number has to stand for none.
+void pushAge(Json &to, const std::optional<Base::Milliseconds> &age)
+{
+    to.push_back(age.has_value());
+    to.push_back(age ? static_cast<std::uint64_t>(age->count()) : 0);
+}
+
+std::optional<Base::Milliseconds> readAge(ArrayReader &reader)
+{
+    const bool isSet = reader.flag();
+    const std::uint64_t age = reader.number();
+    if (!isSet)
+        return std::nullopt;
+    return Base::Milliseconds(static_cast<std::int64_t>(age & INT32_MAX));
+}
+
 Json storeJson(const StoreKnowledge &store)
 {
-    const bool hasProof = store.proofAge.has_value();
-    const auto age = hasProof ? static_cast<std::uint64_t>(store.proofAge->count()) : 0;
+    Json json{store.configurationVersion, store.serversFingerprint, store.serversVersion};
+    pushAge(json, store.proofAge);
+    pushAge(json, store.lossAge);
     Json changes = Json::array();
     for (const Routing::ServerChange &change : store.serverChanges)
         changes.push_back(changeJson(change));
-    return {store.configurationVersion, store.serversFingerprint, hasProof, age,
-            store.serversVersion,       std::move(changes)};
+    json.push_back(std::move(changes));
+    return json;
 }
 
 StoreKnowledge readStore(ArrayReader &reader)
@@ -198,11 +215,9 @@
     StoreKnowledge store;
     store.configurationVersion = reader.number();
     store.serversFingerprint = reader.number();
-    const bool hasProof = reader.flag();
-    const std::uint64_t age = reader.number();
-    if (hasProof)
-        store.proofAge = Base::Milliseconds(static_cast<std::int64_t>(age & INT32_MAX));
     store.serversVersion = reader.number();
+    store.proofAge = readAge(reader);
+    store.lossAge = readAge(reader);
     reader.each([&](ArrayReader &it) { store.serverChanges.push_back(readChange(it)); });
     return store;
 }
--- a/src/libs/gateway/hostreport.h
+++ b/src/libs/gateway/hostreport.h
@@ -56,6 +56,8 @@
     /// Set by a host that reads the store itself: how long ago, at the moment of sending, it asked
     /// the question whose answer proved both current.
     std::optional<Base::Milliseconds> proofAge;
+    /// Set while the store does not answer the sender: for how long, at the moment of sending.
+    std::optional<Base::Milliseconds> lossAge;
 
     bool operator==(const StoreKnowledge &) const = default;
 };
--- a/src/libs/gateway/storereplica.cpp
+++ b/src/libs/gateway/storereplica.cpp
@@ -134,6 +134,8 @@
     StoreKnowledge store;
     store.configurationVersion = version();
     store.serversFingerprint = m_servers.fingerprint();
+    if (const std::optional<Base::TimePoint> lostAt = m_servers.storeAwayAt())
+        store.lossAge = std::chrono::floor<Base::Milliseconds>(now - *lostAt);
     if (!m_ownProofAt || !m_servers.isKnown())
         return store;
     const Base::Duration age = now - std::min(*m_ownProofAt, m_serversProvedAt);
@@ -147,7 +149,10 @@
 
 void StoreReplica::takeReport(const HostReport &report, Base::TimePoint now)
 {
+    // This host may be the next to read, and its first reading come after the outage.
     const StoreKnowledge &store = report.store;
+    if (store.lossAge)
+        m_servers.outageReported(now - *store.lossAge);
     if (!store.proofAge || report.self.zone != m_self.zone)
         return;
     const bool isOlder = version() < store.configurationVersion;
--- a/src/libs/routing/serverset.cpp
+++ b/src/libs/routing/serverset.cpp
@@ -2,6 +2,7 @@
 
 #include "base/hash.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace Routing {
@@ -56,6 +57,8 @@
             changes.found.push_back(server.id);
     }
     m_isKnown = true;
+    if (!keepsMissing(now) && isLapse(present, now))
+        m_storeBackAt = now;
     if (keepsMissing(now)) {
         note(changes, now);
         return changes;
@@ -166,6 +169,16 @@
         m_storeAwayAt = now;
 }
 
+void ServerSet::outageReported(Base::TimePoint lostAt)
+{
+    m_otherOutageAt = std::max(m_otherOutageAt, lostAt);
+}
+
+std::optional<Base::TimePoint> ServerSet::storeAwayAt() const
+{
+    return m_isStoreAway ? std::optional(m_storeAwayAt) : std::nullopt;
+}
+
 const RegisteredServer *ServerSet::usable(const Base::ServerId &id) const
 {
     const auto it = m_servers.find(id);
@@ -180,6 +193,21 @@
     return hash;
 }
 
+bool ServerSet::isLapse(const std::set<Base::ServerId> &present, Base::TimePoint now) const
+{
+    // Of a longer outage this host meets a part itself, or the other one is cut off.
+    const bool isOutageNear =
+        m_otherOutageAt != Base::TimePoint::min() && now - m_otherOutageAt < m_returnGrace;
+    if (!isOutageNear)
+        return false;
+    const auto missing = std::count_if(m_servers.begin(), m_servers.end(), [&](const auto &it) {
+        return present.count(it.first) == 0;
+    });
+    // A host may be cut off while the store is well. What ends meanwhile is a server or two, and
+    // keeping those would send requests to servers that left.
+    return 2 * static_cast<std::size_t>(missing) > m_servers.size();
+}
+
 bool ServerSet::keepsMissing(Base::TimePoint now) const
 {
     return m_storeBackAt != Base::TimePoint::min() && now - m_storeBackAt < m_returnGrace;
--- a/src/libs/routing/serverset.h
+++ b/src/libs/routing/serverset.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -79,7 +80,8 @@
 /// that is missing means that the server is gone, but not while the store is away or has just
 /// come back: entries lapse there although their servers run, and using none of them would stop
 /// all work. They are kept until \a returnGrace after the store's return, also if another host,
-/// which may not have met the outage, says that they are gone.
+/// which may not have met the outage, says that they are gone. A host that did not call the store
+/// during the outage knows it by what others report and by most entries missing at once.
 ///
 /// A later start of a server replaces the earlier one at once. An earlier one never comes back,
 /// whoever tells of it: its connections are dead, and what it kept of prompts is lost.
@@ -99,11 +101,15 @@
     std::vector<ServerChange> recentChanges(Base::TimePoint now) const;
     /// The store did not answer in time, or refused.
     void storeFailed(Base::TimePoint now);
+    /// Another host tells that it lost the store at \a lostAt, by this host's clock.
+    void outageReported(Base::TimePoint lostAt);
 
     bool isKnown() const { return m_isKnown; }
     /// Whether an entry that is missing counts as gone: the store neither is away, as seen from
     /// here, nor has just come back. Else another host's set is the better one.
     bool isSettled(Base::TimePoint now) const { return !m_isStoreAway && !keepsMissing(now); }
+    /// Since when the store does not answer this host; empty while it does.
+    std::optional<Base::TimePoint> storeAwayAt() const;
     /// The same for two sets with the same usable servers.
     std::uint64_t fingerprint() const;
     /// Null for one that is leaving, gone or never seen.
@@ -125,6 +131,9 @@
     void supersede(const ServerStart &start, ServerChanges &changes);
     void note(const ServerChanges &changes, Base::TimePoint now);
     bool keepsMissing(Base::TimePoint now) const;
+    /// Whether \a present lacks so many servers that their entries must have lapsed in an outage
+    /// that another host met.
+    bool isLapse(const std::set<Base::ServerId> &present, Base::TimePoint now) const;
 
     Base::Duration m_returnGrace;
     std::map<Base::ServerId, RegisteredServer> m_servers;
@@ -136,6 +145,7 @@
     bool m_isStoreAway = false;
     Base::TimePoint m_storeAwayAt{};
     Base::TimePoint m_storeBackAt = Base::TimePoint::min();
+    Base::TimePoint m_otherOutageAt = Base::TimePoint::min();
     std::deque<Dated> m_recent;
 };
 
--- a/tests/auto/gateway/tst_fleetview.cpp
+++ b/tests/auto/gateway/tst_fleetview.cpp
@@ -167,7 +167,7 @@
 {
     HostReport before = report("a", 1);
     before.scope = ReportScope::Fleet;
-    before.store = {7, 8, 9, {}, milliseconds(900)};
+    before.store = {7, 8, 9, {}, milliseconds(900), milliseconds(300)};
     before.store.serverChanges = {{Routing::ServerChange::Kind::Leaving, {}},
                                   {Routing::ServerChange::Kind::Found,
                                    {Base::ServerId("t@9"),
--- a/tests/auto/gateway/tst_storereplica.cpp
+++ b/tests/auto/gateway/tst_storereplica.cpp
@@ -332,6 +332,32 @@
     CHECK(hasDropped == std::vector<bool>(zone.hosts.size(), true));
 }
 
+// Guards against callers without servers after an outage that only the host before met.
+TEST_CASE("who takes over from a host that lost the store keeps servers whose entries lapsed",
+          "[gateway]")
+{
+    Zone zone;
+    zone.addHosts(2);
+    zone.list();
+    REQUIRE(zone.runUntil([&] { return zone.haveAll(7); }));
+    // By now only the first host calls the store.
+    zone.runFor(seconds(2));
+    for (const char *path : {"/watch", "/configuration", "/servers"})
+        zone.store.refused[path] = true;
+    REQUIRE(zone.runUntil([&] { return zone.hosts[0]->replica->isStoreLost(bootTimeNow()); }));
+    REQUIRE_FALSE(zone.hosts[1]->replica->isStoreLost(bootTimeNow()));
+    zone.protocol.entries.clear();
+    zone.store.refused.clear();
+    const auto hasServer = [](const auto &it) { return !it->replica->servers().servers().empty(); };
+    const auto isAnyEmpty = [&] {
+        return !std::all_of(zone.hosts.begin(), zone.hosts.end(), hasServer);
+    };
+    CHECK_FALSE(zone.runUntil(isAnyEmpty, milliseconds(1500)));
+    // Those that do not come back are gone all the same.
+    CHECK(zone.runUntil(
+        [&] { return std::none_of(zone.hosts.begin(), zone.hosts.end(), hasServer); }, seconds(5)));
+}
+
 TEST_CASE("hosts of a small fleet that start together all hear of each other", "[gateway]")
 {
     // A customer whose callers use all hosts is served three times as much as one whose callers
--- a/tests/auto/routing/tst_serverset.cpp
+++ b/tests/auto/routing/tst_serverset.cpp
@@ -109,6 +109,40 @@
     CHECK(set.usable(Base::ServerId("a")) == nullptr);
 }
 
+// Guards against a pool without servers after an outage that this host's own calls did not meet.
+TEST_CASE("entries that lapse in an outage that another host met are kept for the same time",
+          "[routing]")
+{
+    ServerSet set(seconds(2));
+    set.apply({server("a"), server("b"), server("c")}, start);
+    set.outageReported(start + seconds(4));
+    // An older one that is heard of later changes nothing.
+    set.outageReported(start + seconds(1));
+    CHECK(set.apply({server("c")}, start + seconds(5)).gone.empty());
+    CHECK_FALSE(set.isSettled(start + seconds(5)));
+    CHECK(set.apply({server("c")}, start + milliseconds(6999)).gone.empty());
+    CHECK(set.apply({server("c")}, start + seconds(7)).gone.size() == 2);
+}
+
+// Guards against requests to a server that left, kept because some host is cut off from the store.
+TEST_CASE("a server that ends while another host has lost the store is gone at once", "[routing]")
+{
+    ServerSet set(seconds(2));
+    set.apply({server("a"), server("b")}, start);
+    set.outageReported(start + milliseconds(900));
+    CHECK(set.apply({server("b")}, start + seconds(1)).gone.size() == 1);
+    CHECK(set.isSettled(start + seconds(1)));
+}
+
+// Guards against a report of long ago that keeps servers which are gone.
+TEST_CASE("an outage that another host met long ago keeps no servers", "[routing]")
+{
+    ServerSet set(seconds(2));
+    set.apply({server("a")}, start);
+    set.outageReported(start + seconds(1));
+    CHECK(set.apply({}, start + seconds(3)).gone.size() == 1);
+}
+
 TEST_CASE("a missing entry means gone at once while the store is well", "[routing]")
 {
     ServerSet set(seconds(2));
