Part the services of a gateway from its listening and reporting

gateway.cpp answered, ticked, reported and kept the dispatchers with what they know. Services keeps the dispatchers and the shares of retries now, and takes the configuration, the servers and the other hosts' work from where they are kept.

--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -26,9 +26,6 @@
 /// that is busy takes fewer.
 constexpr double connectionShare = 0.8;
 constexpr std::size_t leastConnections = 4;
-/// One server's reading speed over its part of the whole throughput. The throughput counts what
-/// is generated twice; a server that only reads is about this much faster.
-constexpr double readingFactor = 1.15;
 /// Within the grace: requests that come later than this after SIGTERM and may take long are sent
 /// elsewhere, and the process ends this long before it would be killed.
 constexpr double longWorkShare = 0.35;
@@ -43,17 +40,6 @@
     return std::chrono::duration_cast<Base::Duration>(whole * share);
 }
 
-/// Empty if the configuration does not tell what moving the memory of a token takes.
-std::optional<double> moveMsPerToken(const Routing::EngineTraits &engine)
-{
-    if (engine.bytesPerToken == 0 || engine.linkMbps == 0)
-        return std::nullopt;
-    constexpr double bitsPerByte = 8;
-    constexpr double bitsPerMsOfMbps = 1000;
-    return static_cast<double>(engine.bytesPerToken) * bitsPerByte
-           / (static_cast<double>(engine.linkMbps) * bitsPerMsOfMbps);
-}
-
 Base::Incarnation newIncarnation()
 {
     const auto since = std::chrono::system_clock::now().time_since_epoch();
@@ -98,6 +84,7 @@
 {
     BOOST_LEAF_ASSIGN(m_replica, StoreReplica::create(m_settings, {m_io, m_adapter.store, m_fleet,
                                                                    m_log, m_readBuffer, *this}));
+    m_services = std::make_unique<Services>(m_settings, *m_replica, m_fleet);
     BOOST_LEAF_ASSIGN(m_reports,
                       ReportSocket::create(m_io, m_settings.peerAddress,
                                            [this](const HostReport &it) { reportReceived(it); }));
@@ -136,8 +123,7 @@
     const Base::TimePoint time = bootTimeNow();
     GatewayState state;
     state.openRequests = m_exchanges.size();
-    for (const auto &[name, service] : m_services)
-        state.waitingWork += service.dispatcher.waiting();
+    state.waitingWork = m_services->waiting();
     state.liveHosts = m_fleet.liveHosts(time);
     state.servers = m_replica->servers().servers().size();
     state.configurationVersion = m_replica->version();
@@ -228,8 +214,7 @@
     m_settings.requestLinesPerSecond = settings.requestLinesPerSecond;
     m_replica->takeSettings(m_settings);
     m_log.setRequestLines(settings.requestLinesPerSecond);
-    for (auto &[name, state] : m_services)
-        state.retries.setAllowance(settings.retries);
+    m_services->retryAllowanceChanged(settings.retries);
 }
 
 void Gateway::tick()
@@ -258,8 +243,7 @@
     m_pool.checkTime(time);
     if (time >= m_nextReport)
         report(time);
-    for (auto &[name, state] : m_services)
-        apply(state.dispatcher.advance(time));
+    m_services->advance(time, [this](const Routing::Decisions &it) { apply(it); });
     if (time >= m_nextSlowCheck) {
         m_nextSlowCheck = time + slowCheckInterval;
         m_callers->checkTime(time);
@@ -311,8 +295,7 @@
 {
     m_nextReport = time + reportInterval;
     HostReport own = reportOfThisHost(time);
-    for (auto &[name, state] : m_services)
-        state.dispatcher.report(own.load, time);
+    m_services->report(own.load, time);
     for (const ReportOrder &order : m_fleet.dueReports(time)) {
         HostReport report = own;
         report.scope = order.scope;
@@ -324,8 +307,7 @@
         m_reports->send(report, order.receivers);
     }
     m_fleet.sumUp(time);
-    for (auto &[name, state] : m_services)
-        state.dispatcher.othersChanged();
+    m_services->othersChanged();
     m_entries.update(m_fleet.servingMembers(time), memberOfThisHost(time), time);
     limitConnections();
 }
@@ -347,8 +329,7 @@
     const Base::TimePoint time = now();
     if (!m_fleet.receive(report, time))
         return;
-    for (auto &[name, state] : m_services)
-        state.dispatcher.learnPartUses(report.load.partUses, time);
+    m_services->learnPartUses(report.load.partUses, time);
     m_replica->takeReport(report, time);
 }
 
@@ -375,7 +356,7 @@
         sink.sendAnswer(failureHead(*failure), failureBody(*failure, accepted.requestId));
         return nullptr;
     }
-    serviceState(accepted.service).retries.recordRequest(now());
+    m_services->service(accepted.service).retries.recordRequest(now());
     m_entries.addRequest(now());
     const Routing::WorkId id = accepted.id;
     auto exchange = std::make_shared<Exchange>(*this, std::move(accepted), sink);
@@ -397,48 +378,6 @@
                 time);
 }
 
-Gateway::ServiceState &Gateway::serviceState(const std::string &service)
-{
-    const auto it = m_services.find(service);
-    if (it != m_services.end())
-        return it->second;
-    const auto [added, isNew] = m_services.emplace(
-        service, ServiceState{Routing::Dispatcher(traitsOf(service), m_settings.zone),
-                              Routing::RetryShare(m_settings.retries)});
-    added->second.dispatcher.setOthers(m_fleet.others());
-    applyServers();
-    return added->second;
-}
-
-Routing::ServiceTraits Gateway::traitsOf(const std::string &service) const
-{
-    Routing::ServiceTraits traits;
-    const std::shared_ptr<const Routing::RouteTable> &table = m_replica->table();
-    const Routing::Service *known = table ? table->service(service) : nullptr;
-    if (!known || !known->engine)
-        return traits;
-    traits.isEngine = true;
-    traits.memoryTokens = known->engine->memoryTokens;
-    traits.moveMsPerToken = moveMsPerToken(*known->engine);
-    std::size_t servers = 0;
-    for (const auto &[id, server] : m_replica->servers().servers())
-        servers += server.service == service ? 1 : 0;
-    const auto throughput = static_cast<double>(table->configuration().limits.tokensPerSecond);
-    traits.sharedTokensPerSecond = throughput;
-    if (servers > 0)
-        traits.readTokensPerMs = throughput * readingFactor / static_cast<double>(servers) / 1000;
-    return traits;
-}
-
-void Gateway::applyServers()
-{
-    std::map<std::string, std::vector<Routing::RegisteredServer>> byService;
-    for (const auto &[id, server] : m_replica->servers().servers())
-        byService[server.service].push_back(server);
-    for (auto &[name, state] : m_services)
-        state.dispatcher.setServers(byService[name]);
-}
-
 void Gateway::apply(const Routing::Decisions &decisions)
 {
     m_decisions.push_back(decisions);
@@ -465,33 +404,33 @@
 
 void Gateway::submitWork(const std::string &service, Routing::Work work)
 {
-    apply(serviceState(service).dispatcher.submit(std::move(work), now()));
+    apply(m_services->service(service).dispatcher.submit(std::move(work), now()));
 }
 
 void Gateway::withdrawWork(const std::string &service, Routing::WorkId id)
 {
-    serviceState(service).dispatcher.withdraw(id);
+    m_services->service(service).dispatcher.withdraw(id);
 }
 
 void Gateway::workStarted(const std::string &service, Routing::WorkId id)
 {
-    serviceState(service).dispatcher.started(id, now());
+    m_services->service(service).dispatcher.started(id, now());
 }
 
 void Gateway::workFinished(const std::string &service, Routing::WorkId id,
                            Routing::AttemptOutcome outcome)
 {
-    apply(serviceState(service).dispatcher.finished(id, outcome, now()));
+    apply(m_services->service(service).dispatcher.finished(id, outcome, now()));
 }
 
 Base::Duration Gateway::expectedStart(const std::string &service, Routing::WorkId id)
 {
-    return serviceState(service).dispatcher.expectedStart(id);
+    return m_services->service(service).dispatcher.expectedStart(id);
 }
 
 bool Gateway::takeRepeat(const std::string &service)
 {
-    const bool isGranted = serviceState(service).retries.take(m_fleet.others().hosts, now());
+    const bool isGranted = m_services->service(service).retries.take(m_fleet.others().hosts, now());
     m_metrics->repeatAsked(isGranted);
     return isGranted;
 }
@@ -558,8 +497,7 @@
     m_limits.bodyBytes = limits.bodyBytes;
     m_limits.headerTimeout = limits.headerTimeout;
     m_limits.idleTimeout = limits.idleTimeout;
-    for (auto &[name, state] : m_services)
-        state.dispatcher.setTraits(traitsOf(name));
+    m_services->configurationChanged();
 }
 
 void Gateway::serversChanged(const Routing::ServerChanges &changes, bool isNews)
@@ -579,9 +517,7 @@
         m_log.write(LogLine("server.gone").add("server", id.value()), time);
         m_pool.forget(id);
     }
-    for (auto &[name, state] : m_services)
-        state.dispatcher.setTraits(traitsOf(name));
-    applyServers();
+    m_services->serversChanged();
 }
 
 void Gateway::unreadableChanged(const std::set<std::string> &entries)
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -12,18 +12,16 @@
 #include "gateway/httplistener.h"
 #include "gateway/reportsocket.h"
 #include "gateway/requestexaminer.h"
+#include "gateway/services.h"
 #include "gateway/settingswatcher.h"
 #include "gateway/storereplica.h"
 #include "routing/backlogwatch.h"
-#include "routing/dispatcher.h"
-#include "routing/retryshare.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include <deque>
-#include <map>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -92,7 +90,7 @@
 
     void configurationTaken() override;
     void serversChanged(const Routing::ServerChanges &changes, bool isNews) override;
-    void serversRead() override { applyServers(); }
+    void serversRead() override { m_services->serversRead(); }
     void unreadableChanged(const std::set<std::string> &entries) override;
     void storeAnswered(const char *call, bool isGood) override;
 
@@ -102,12 +100,6 @@
     bool isReady() const override;
 
 private:
-    struct ServiceState
-    {
-        Routing::Dispatcher dispatcher;
-        Routing::RetryShare retries;
-    };
-
     Gateway(const GatewaySettings &settings, const DeploymentAdapter &adapter);
     Base::Result<void> listen();
     /// Handles what is ready, and waits when nothing is.
@@ -126,9 +118,6 @@
     void reportReceived(const HostReport &report);
 
     void logRefusal(const AcceptedRequest &accepted, const Failure &failure);
-    ServiceState &serviceState(const std::string &service);
-    Routing::ServiceTraits traitsOf(const std::string &service) const;
-    void applyServers();
     void apply(const Routing::Decisions &decisions);
 
     Base::Result<void> listenForMetrics();
@@ -160,7 +149,7 @@
     std::unique_ptr<HttpListener> m_discovery;
     EntryBoard m_entries;
     Routing::BacklogWatch m_backlog;
-    std::map<std::string, ServiceState> m_services;
+    std::unique_ptr<Services> m_services;
     std::unordered_map<Routing::WorkId, std::shared_ptr<Exchange>> m_exchanges;
     std::unordered_map<Base::ServerId, Base::TimePoint> m_heardFrom;
     std::deque<Routing::Decisions> m_decisions;
