Test the three guards that no test needed

Callers would see: a request that may not run twice on a connection that its server has just closed, of which nobody knows whether it ran; servers that work for callers who have left; a key that was taken away and counts on, proved by an answer from an older state of the store.

The guards stood, but each race lasts milliseconds, so no test with processes met it. The tests play the race step by step on one thread: the close has arrived and is not handled yet; the caller leaves between submission and placement; the store answers from a version before the one already seen.

--- /dev/null
+++ b/tests/auto/gateway/loopbackserver.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "gateway/httptext.h"
+#include "routing/serverset.h"
+
+#include <catch2/catch.hpp>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+
+#include <poll.h>
+#include <unistd.h>
+
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace Gateway {
+
+/// A backend server on loopback that does one step at a time, on the thread of its test.
+class LoopbackServer
+{
+public:
+    explicit LoopbackServer(boost::asio::io_context &io)
+        : m_acceptor(io, {boost::asio::ip::make_address_v4("127.0.0.1"), 0})
+    {}
+
+    Routing::RegisteredServer entry() const
+    {
+        Routing::RegisteredServer it;
+        it.id = Base::ServerId("s-1");
+        it.start.name = "s-1";
+        it.service = "app";
+        it.address = "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+        return it;
+    }
+    /// Whether a connection waits to be accepted.
+    bool isCalled() { return isReadable(m_acceptor.native_handle()); }
+    Tcp::socket accept() { return m_acceptor.accept(); }
+    /// Reads a request without a body; empty if the caller has closed the connection.
+    static std::string readRequest(Tcp::socket &socket)
+    {
+        std::string text;
+        boost::system::error_code ec;
+        boost::asio::read_until(socket, boost::asio::dynamic_buffer(text), "\r\n\r\n", ec);
+        return ec ? std::string() : text;
+    }
+    static void answer(Tcp::socket &socket, const std::string &requestId)
+    {
+        const std::string text = "HTTP/1.1 200 OK\r\nRequest-Id: " + requestId
+                                 + "\r\nSignature: s\r\nContent-Length: 2\r\n\r\nok";
+        boost::asio::write(socket, boost::asio::buffer(text));
+    }
+    /// Closes the connection; returns once the other end has been told.
+    static void close(Tcp::socket &socket, const std::function<bool()> &isTold)
+    {
+        socket.close();
+        for (int i = 0; i < 1000 && !isTold(); ++i)
+            usleep(1000);
+        REQUIRE(isTold());
+    }
+    static bool isReadable(int descriptor)
+    {
+        pollfd it{descriptor, POLLIN, 0};
+        return ::poll(&it, 1, 0) == 1;
+    }
+
+private:
+    Tcp::acceptor m_acceptor;
+};
+
+} // namespace Gateway
--- a/tests/auto/gateway/tst_storeclient.cpp
+++ b/tests/auto/gateway/tst_storeclient.cpp
@@ -170,6 +170,35 @@
     CHECK(fleet.runUntil([&] { return fleet.listener.serverReadings > readings; }));
 }
 
+// Guards against a key that was taken away and is used on, since an answer from an older state of
+// the store counted as a proof, or brought back a server that left.
+TEST_CASE("an answer from an older state of the store proves nothing", "[gateway]")
+{
+    Loopback fleet;
+    fleet.client->setDuty(StoreClient::Duty::ForZone);
+    REQUIRE(fleet.runUntil(
+        [&] { return fleet.listener.confirmations > 0 && fleet.listener.serverReadings > 0; }));
+    fleet.store.version = 6;
+    const auto calls = [&] {
+        return fleet.store.calls["/watch"] + fleet.store.calls["/configuration"];
+    };
+    // What was asked before the change may still be under way.
+    REQUIRE(fleet.runUntil([&, n = calls()] { return calls() > n + 1; }));
+    const int confirmations = fleet.listener.confirmations;
+    const int serverReadings = fleet.listener.serverReadings;
+    REQUIRE(fleet.runUntil([&, n = calls(), reads = fleet.store.calls["/servers"]] {
+        return calls() > n + 2 && fleet.store.calls["/servers"] > reads + 1;
+    }));
+    CHECK(fleet.listener.confirmations == confirmations);
+    CHECK(fleet.listener.serverReadings == serverReadings);
+    CHECK(fleet.listener.configurations == 1);
+    fleet.store.version = 8;
+    CHECK(fleet.runUntil([&] {
+        return fleet.listener.configurations == 2 && fleet.listener.confirmations > confirmations
+               && fleet.listener.serverReadings > serverReadings;
+    }));
+}
+
 TEST_CASE("a connection that breaks is no outage of the store", "[gateway]")
 {
     // All connections are reset while a server leaves that never says so: its entry goes. Three
