--- a/tests/auto/gateway/loopbackserver.h
+++ b/tests/auto/gateway/loopbackserver.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/headernames.h"
 #include "gateway/httptext.h"
 #include "routing/serverset.h"
 
@@ -27,6 +28,16 @@
         : m_acceptor(io, {boost::asio::ip::make_address_v4("127.0.0.1"), 0})
     {}
 
+    /// The header fields that it speaks.
+    static HeaderNames names()
+    {
+        HeaderNames names;
+        names.requestId = "Request-Id";
+        names.signature = "Signature";
+        names.timeLeft = "Time-Left";
+        names.notRun = "Not-Run";
+        return names;
+    }
     Routing::RegisteredServer entry() const
     {
         Routing::RegisteredServer it;
@@ -49,8 +60,9 @@
     }
     static void answer(Tcp::socket &socket, const std::string &requestId)
     {
-        const std::string text = "HTTP/1.1 200 OK\r\nRequest-Id: " + requestId
-                                 + "\r\nSignature: s\r\nContent-Length: 2\r\n\r\nok";
+        const std::string text = "HTTP/1.1 200 OK\r\n" + names().requestId + ": " + requestId
+                                 + "\r\n" + names().signature
+                                 + ": s\r\nContent-Length: 2\r\n\r\nok";
         boost::asio::write(socket, boost::asio::buffer(text));
     }
     /// Closes the connection; returns once the other end has been told.
--- a/tests/auto/gateway/tst_backendpool.cpp
+++ b/tests/auto/gateway/tst_backendpool.cpp
@@ -12,13 +12,6 @@
 
 namespace {
 
-HeaderNames plainNames()
-{
-    HeaderNames names;
-    names.requestId = "Request-Id";
-    return names;
-}
-
 class Listener final : public BackendListener
 {
 public:
@@ -67,7 +60,7 @@
 
 private:
     Routing::RegisteredServer m_entry = server.entry();
-    HeaderNames m_names = plainNames();
+    HeaderNames m_names = LoopbackServer::names();
     std::string m_buffer = std::string(65536, '\0');
     BackendPool m_pool{m_io, m_names, m_buffer};
 };
--- a/tests/auto/gateway/tst_exchange.cpp
+++ b/tests/auto/gateway/tst_exchange.cpp
@@ -19,16 +19,6 @@
 
 namespace {
 
-HeaderNames plainNames()
-{
-    HeaderNames names;
-    names.requestId = "Request-Id";
-    names.signature = "Signature";
-    names.timeLeft = "Time-Left";
-    names.notRun = "Not-Run";
-    return names;
-}
-
 class Sink final : public AnswerSink
 {
 public:
@@ -129,7 +119,7 @@
 
 private:
     Routing::RegisteredServer m_entry = backend.entry();
-    HeaderNames m_names = plainNames();
+    HeaderNames m_names = LoopbackServer::names();
     std::string m_buffer = std::string(65536, '\0');
     int m_null;
     EventLog m_log;
