--- a/src/libs/gateway/fleetview.cpp
+++ b/src/libs/gateway/fleetview.cpp
@@ -45,6 +45,7 @@
         sum.received[customer] += amount;
     for (const auto &[customer, amount] : load.begun)
         sum.begun[customer] += amount;
+    sum.askedSeconds = std::max(sum.askedSeconds, load.askedSeconds);
 }
 
 void subtractAmounts(std::map<Base::CustomerId, double> &from,
@@ -342,6 +343,7 @@
     m_others.asked = std::move(sum.asked);
     m_others.received = std::move(sum.received);
     m_others.begun = std::move(sum.begun);
+    m_others.askedSeconds = sum.askedSeconds;
     m_others.hosts = liveHosts(now);
 }
 
--- a/src/libs/gateway/hostreport.cpp
+++ b/src/libs/gateway/hostreport.cpp
@@ -12,7 +12,8 @@
 using Json = nlohmann::json;
 
 /// First element of a report; another number is another form, which is not read.
-constexpr std::uint64_t form = 7;
+constexpr std::uint64_t form = 8;
+constexpr double millisecondsOfSecond = 1000;
 constexpr std::uint64_t largestScope = static_cast<std::uint64_t>(ReportScope::Fleet);
 
 /// Reads the elements of an array one after the other. After the first that is missing or of
@@ -122,7 +123,8 @@
     for (const Routing::PartUse &use : load.partUses)
         uses.push_back({use.server.value(), use.hash});
     return {std::move(servers), amountsJson(load.asked), amountsJson(load.received),
-            amountsJson(load.begun), std::move(uses)};
+            amountsJson(load.begun), static_cast<std::uint64_t>(load.askedSeconds * millisecondsOfSecond),
+            std::move(uses)};
 }
 
 Routing::HostLoad readLoad(ArrayReader &reader)
@@ -136,6 +138,7 @@
     readAmounts(reader, load.asked);
     readAmounts(reader, load.received);
     readAmounts(reader, load.begun);
+    load.askedSeconds = static_cast<double>(reader.number()) / millisecondsOfSecond;
     reader.each([&](ArrayReader &it) {
         Routing::PartUse use;
         use.server = Base::ServerId(it.text());
--- a/src/libs/routing/customershares.cpp
+++ b/src/libs/routing/customershares.cpp
@@ -20,10 +20,23 @@
 /// Spare room is for customers that have received at most this many times what the customer with
 /// least has. Twice as much is felt as unfair; less than this would leave room unused while the
 /// reports of other hosts are on their way.
-constexpr double evenRatio = 1.25;
+constexpr double evenRatio = 1.6;
 /// A customer whose demand jumps is behind it until its first events are there and hosts have told
 /// each other: with no fault of anybody's, and no reason to hold the others to what it had before.
 constexpr Base::Duration unmetTime = milliseconds(700);
+/// Part of its share that a customer has without a limit at each host: far below it, nothing has to
+/// be shared out, and a request that comes to a host for once is not held up.
+constexpr double freePart = 0.5;
+/// Age of what other hosts report: up to a fifth of a second until a report, and twice that where it
+/// goes through leaders.
+constexpr Base::Duration reportAge = milliseconds(400);
+/// Crowding at which what is let in is what servers began of late. Below it more is let in, which
+/// finds spare room within seconds; above it less, so that work of a customer whose demand jumps
+/// finds room.
+constexpr double crowdingTarget = 1.5;
+constexpr double growthGain = 1;
+constexpr double mostGrowth = 1;
+constexpr double mostCut = 0.2;
 /// The levels are reckoned anew this often; reports of other hosts come as often.
 constexpr Base::Duration updateInterval = milliseconds(100);
 
@@ -52,6 +65,7 @@
                                 Base::TimePoint now)
 {
     m_received.add(customer, tokens, now);
+    m_pacer.charge(customer, tokens, now);
 }
 
 void CustomerShares::recordStarted(const Base::CustomerId &customer, double tokens,
@@ -65,6 +79,7 @@
     m_asked.addTo(load.asked, now);
     m_received.addTo(load.received, now);
     m_begun.addTo(load.begun, now);
+    load.askedSeconds = std::max(load.askedSeconds, m_askedSeconds.value(allCustomers(), now));
 }
 
 Admission CustomerShares::admission(const Base::CustomerId &customer, Base::TimePoint now)
@@ -72,7 +87,12 @@
     if (m_tokensPerSecond <= 0)
         return Admission::WithinShare;
     const double has = received(customer, now);
-    if (has < shareLevel(now))
+    const double share = shareLevel(now);
+    if (has < share * freePart)
+        return Admission::WithinShare;
+    if (!m_pacer.mayPass(customer, now))
+        return Admission::Refused;
+    if (has < share)
         return Admission::WithinShare;
     return has < m_unmetLevel * evenRatio + unmetTokens ? Admission::SpareCapacity
                                                         : Admission::Refused;
@@ -113,7 +133,7 @@
     // The meters reach back some two seconds, but not beyond the beginning of the load. With the
     // whole span as capacity from the first moment, two seconds' worth is let in at once, and
     // everybody is turned away for the next two.
-    const double seconds = m_askedSeconds.value(allCustomers(), now);
+    const double seconds = askedSeconds(now);
     m_shareLevel = fairLevel(asked, m_tokensPerSecond * seconds);
     m_unmetLevel = std::numeric_limits<double>::infinity();
     std::map<Base::CustomerId, Base::TimePoint> unmetSince;
@@ -128,6 +148,56 @@
             m_unmetLevel = std::min(m_unmetLevel, has);
     }
     m_unmetSince = std::move(unmetSince);
+    updateRates(asked, seconds, now);
+}
+
+double CustomerShares::askedSeconds(Base::TimePoint now) const
+{
+    const double own = m_askedSeconds.value(allCustomers(), now);
+    return m_others ? std::max(own, m_others->askedSeconds) : own;
+}
+
+double CustomerShares::spareLevel(const std::map<Base::CustomerId, double> &asked, double seconds,
+                                  Base::TimePoint now) const
+{
+    double begun = 0;
+    for (const auto &[customer, amount] : asked)
+        begun += started(customer, now);
+    const double growth =
+        std::clamp(growthGain * (crowdingTarget - m_crowding), -mostCut, mostGrowth);
+    const double told = m_tokensPerSecond * seconds;
+    const double capacity = std::max(told, std::max(told, begun) * (1 + growth));
+    const double bound = m_unmetLevel * evenRatio + unmetTokens;
+    return std::max(m_shareLevel, std::min(fairLevel(asked, capacity), bound));
+}
+
+void CustomerShares::updateRates(const std::map<Base::CustomerId, double> &asked, double seconds,
+                                 Base::TimePoint now)
+{
+    m_askedThen.push_back({now, {}});
+    m_asked.addTo(m_askedThen.back().asked, now);
+    while (m_askedThen.size() > 1 && now - m_askedThen[1].at >= reportAge)
+        m_askedThen.pop_front();
+    const double level = spareLevel(asked, seconds, now);
+    const auto beyond = std::count_if(asked.begin(), asked.end(),
+                                      [level](const auto &it) { return it.second > level; });
+    std::map<Base::CustomerId, double> rates;
+    // What one customer alone asks for beyond the others has to be shared with nobody.
+    if (beyond > 1) {
+        for (const auto &[customer, amount] : asked) {
+            if (amount > level)
+                rates[customer] = level / seconds * ownPart(customer);
+        }
+    }
+    m_pacer.setRates(rates, now);
+}
+
+double CustomerShares::ownPart(const Base::CustomerId &customer) const
+{
+    const double leastPart = 1.0 / static_cast<double>(m_others ? m_others->hosts : 1);
+    const double own = valueOf(m_askedThen.front().asked, customer);
+    const double all = own + (m_others ? valueOf(m_others->asked, customer) : 0);
+    return all > 0 ? std::max(own / all, leastPart) : leastPart;
 }
 
 } // namespace Routing
--- a/src/libs/routing/customershares.h
+++ b/src/libs/routing/customershares.h
@@ -2,9 +2,11 @@
 
 #include "base/ids.h"
 #include "base/time.h"
+#include "routing/customerpacer.h"
 #include "routing/fadingmeter.h"
 #include "routing/fleetload.h"
 
+#include <deque>
 #include <map>
 
 namespace Routing {
@@ -13,7 +15,7 @@
 enum class Admission {
     WithinShare,   ///< Its customer is within its max-min share: any server that is not full.
     SpareCapacity, ///< Beyond it: only servers that delay nobody's work.
-    Refused,       ///< Others have been served much less and ask for more.
+    Refused,       ///< Beyond it at this host, or others have been served much less.
 };
 
 /// Decides how much of a model pool each customer may have.
@@ -23,11 +25,17 @@
 /// than the share is within it. What is spare beyond it goes to those who ask for more, but not to
 /// one that is far ahead of another one that asks for more too. So a flood does not delay the
 /// others, and leaves nothing idle.
+///
+/// The sums over the fleet are late by half a second, and all hosts see them change together. So
+/// they decide only how fast each host lets in a customer that asks for more than its level: the
+/// part of that level which the host has of what the customer asks for.
 class CustomerShares
 {
 public:
     /// Tokens a second that all servers produce, a generated one counted twice; 0 for no bound.
     void setThroughput(double tokensPerSecond) { m_tokensPerSecond = tokensPerSecond; }
+    /// Mean over the servers: 0 with spare room, 1 without, 2 without room for anybody.
+    void setCrowding(double crowding) { m_crowding = crowding; }
     /// Outlives this; changes with time.
     void setOthers(const OthersLoad &others) { m_others = &others; }
 
@@ -47,16 +55,37 @@
 private:
     /// Of what the customer received, that of which the first event came.
     double started(const Base::CustomerId &customer, Base::TimePoint now) const;
+    /// Time in which something was asked for, fading as the meters do, of the host that knows
+    /// longest.
+    double askedSeconds(Base::TimePoint now) const;
     void updateLevels(Base::TimePoint now);
+    /// The level while nobody lacks service, and \a level then.
+    double spareLevel(const std::map<Base::CustomerId, double> &asked, double seconds,
+                      Base::TimePoint now) const;
+    void updateRates(const std::map<Base::CustomerId, double> &asked, double seconds,
+                     Base::TimePoint now);
+    /// This host's part of what the customer asks for, 0 to 1.
+    double ownPart(const Base::CustomerId &customer) const;
+
+    /// What this host was asked for at a moment.
+    struct AskedThen
+    {
+        Base::TimePoint at;
+        std::map<Base::CustomerId, double> asked;
+    };
 
     const OthersLoad *m_others = nullptr;
     double m_tokensPerSecond = 0;
+    double m_crowding = 0;
     FadingMeter m_asked;
     FadingMeter m_received;
     FadingMeter m_begun;
     /// Seconds, fading as the meters above do, in which something was asked for.
     FadingMeter m_askedSeconds;
     double m_shareLevel = 0;
+    /// As long ago as what the others report is old, so that the parts of all hosts add up.
+    std::deque<AskedThen> m_askedThen;
+    CustomerPacer m_pacer;
     /// What the customer that has least, of those that ask for more, was served: counted from the
     /// first event, since a host that is behind sends work to servers and does not get to the
     /// answers. Counted from the send, others took spare room beside a customer that got a third.
--- a/src/libs/routing/dispatcher.cpp
+++ b/src/libs/routing/dispatcher.cpp
@@ -44,6 +44,8 @@
 /// Between two looks for prompt parts that are no longer kept: they count as dropped by their time
 /// anyway, and there are thousands of them.
 constexpr Base::Duration forgetInterval = std::chrono::seconds(1);
+/// Between two looks at how crowded the servers are: as often as reports of other hosts change it.
+constexpr Base::Duration crowdingInterval = milliseconds(100);
 constexpr milliseconds leastRetryAfter{200};
 constexpr milliseconds mostRetryAfter{2000};
 
@@ -208,6 +210,10 @@
         for (auto &[id, state] : m_servers)
             state.cache.forgetOld(now);
     }
+    if (now - m_measuredAt >= crowdingInterval) {
+        m_measuredAt = now;
+        m_shares.setCrowding(crowding(now));
+    }
     drain(now, decisions);
     turnAwayLate(now, decisions);
     return decisions;
@@ -359,6 +365,16 @@
     return state.health.isUsable(now) && m_cost.hasRoom(standingOf(state, now), admission);
 }
 
+double Dispatcher::crowding(Base::TimePoint now) const
+{
+    double sum = 0;
+    for (const auto &[id, state] : m_servers) {
+        if (!hasRoom(state, Admission::SpareCapacity, now))
+            sum += hasRoom(state, Admission::WithinShare, now) ? 1 : 2;
+    }
+    return m_servers.empty() ? 0 : sum / static_cast<double>(m_servers.size());
+}
+
 void Dispatcher::place(Work work, const Choice &choice, Base::TimePoint now, Decisions &decisions)
 {
     ServerState &state = *choice.state;
--- a/src/libs/routing/dispatcher.h
+++ b/src/libs/routing/dispatcher.h
@@ -131,6 +131,8 @@
     void notePartUses(ServerState &state, const Work &work, Base::TimePoint now,
                       Base::TimePoint readBy);
     bool hasRoom(const ServerState &state, Admission admission, Base::TimePoint now) const;
+    /// Mean over the servers: 0 with spare room, 1 without, 2 without room for anybody.
+    double crowding(Base::TimePoint now) const;
     void place(Work work, const Choice &choice, Base::TimePoint now, Decisions &decisions);
     /// Places what waits as far as there is room.
     void drain(Base::TimePoint now, Decisions &decisions);
@@ -151,6 +153,7 @@
     /// Tokens that each server keeps of the prompt that is decided on, in their order.
     std::vector<std::uint32_t> m_kept;
     Base::TimePoint m_drainedAt{};
+    Base::TimePoint m_measuredAt{};
     Base::TimePoint m_forgotAt{};
 };
 
--- a/src/libs/routing/fleetload.h
+++ b/src/libs/routing/fleetload.h
@@ -40,6 +40,9 @@
     /// Of what was received, that of which the first event came: less than was sent to servers
     /// where this host is behind with its own work.
     std::map<Base::CustomerId, double> begun;
+    /// Seconds, fading as the amounts do, in which something was asked for. Of several hosts, that
+    /// of the one that knows longest.
+    double askedSeconds = 0;
     /// Since the report before. If a report is lost, the others believe in fewer copies.
     std::vector<PartUse> partUses;
 
@@ -53,6 +56,7 @@
     std::map<Base::CustomerId, double> asked;
     std::map<Base::CustomerId, double> received;
     std::map<Base::CustomerId, double> begun;
+    double askedSeconds = 0;
     /// Live hosts, this one included.
     std::size_t hosts = 1;
 };
--- /dev/null
+++ b/tests/auto/routing/fairnessjudge.cpp
@@ -0,0 +1,94 @@
+#include "fairnessjudge.h"
+
+#include <algorithm>
+#include <sstream>
+
+namespace {
+
+constexpr std::size_t windowSeconds = 6;
+constexpr double leftOut = 3;
+
+} // namespace
+
+FairnessJudge::FairnessJudge(std::size_t customers, std::size_t seconds)
+    : m_seconds(customers, std::vector<Second>(seconds))
+    , m_largest(customers)
+{}
+
+FairnessJudge::Second *FairnessJudge::secondOf(std::size_t customer, Base::Duration at)
+{
+    const auto second =
+        static_cast<std::size_t>(std::chrono::duration_cast<std::chrono::seconds>(at).count());
+    return second < m_seconds[customer].size() ? &m_seconds[customer][second] : nullptr;
+}
+
+void FairnessJudge::asked(std::size_t customer, double tokens, Base::Duration at)
+{
+    m_largest[customer] = std::max(m_largest[customer], tokens);
+    if (Second *second = secondOf(customer, at))
+        second->asked += tokens;
+}
+
+void FairnessJudge::got(std::size_t customer, double tokens, Base::Duration at)
+{
+    if (Second *second = secondOf(customer, at))
+        second->got += tokens;
+}
+
+void FairnessJudge::waited(std::size_t customer, Base::Duration at)
+{
+    if (Second *second = secondOf(customer, at))
+        second->hasWaited = true;
+}
+
+std::optional<HeldDown> FairnessJudge::heldDown() const
+{
+    const std::size_t seconds = m_seconds.front().size();
+    std::vector<double> best(seconds);
+    for (std::size_t s = 0; s < seconds; ++s) {
+        for (const auto &customer : m_seconds)
+            best[s] = std::max(best[s], customer[s].got);
+    }
+    for (std::size_t c = 0; c < m_seconds.size(); ++c) {
+        for (std::size_t from = 0; from + windowSeconds <= seconds; ++from) {
+            HeldDown it{c, from, 0, 0, 0};
+            double owed = 0;
+            bool hasWaited = true;
+            for (std::size_t s = from; s < from + windowSeconds; ++s) {
+                const Second &second = m_seconds[c][s];
+                hasWaited = hasWaited && second.hasWaited;
+                owed += std::min(second.asked, best[s]);
+                it.asked += second.asked;
+                it.got += second.got;
+                it.bestGot += best[s];
+            }
+            if (hasWaited && it.got < owed / 2 - leftOut * m_largest[c])
+                return it;
+        }
+    }
+    return std::nullopt;
+}
+
+double FairnessJudge::servedOf(std::size_t customer) const
+{
+    double sum = 0;
+    for (const Second &second : m_seconds[customer])
+        sum += second.got;
+    return sum;
+}
+
+double FairnessJudge::served() const
+{
+    double sum = 0;
+    for (std::size_t c = 0; c < m_seconds.size(); ++c)
+        sum += servedOf(c);
+    return sum;
+}
+
+std::string describe(const HeldDown &it)
+{
+    std::ostringstream text;
+    text << "customer " << it.customer << " from second " << it.fromSecond << " asked for "
+         << it.asked << ", got " << it.got << " beside " << it.bestGot;
+    return text.str();
+}
--- /dev/null
+++ b/tests/auto/routing/tst_fleetfairness.cpp
@@ -0,0 +1,93 @@
+#include "fleetmodel.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+using std::chrono::seconds;
+
+namespace {
+
+CustomerLoad customer(const std::string &name, double requestsPerSecond)
+{
+    CustomerLoad load;
+    load.name = name;
+    load.requestsPerSecond = requestsPerSecond;
+    return load;
+}
+
+CustomerLoad flooding(CustomerLoad load, double factor, Base::Duration from, Base::Duration to)
+{
+    load.flood = factor;
+    load.floodFrom = from;
+    load.floodTo = to;
+    return load;
+}
+
+/// Empty if nobody was held down.
+std::string heldDownIn(const FleetScenario &scenario)
+{
+    FleetModel model(scenario);
+    model.play();
+    const auto heldDown = model.judge().heldDown();
+    return heldDown ? describe(*heldDown) : std::string();
+}
+
+/// A large customer floods, then a second one, then a small one, while more and more hosts are
+/// named.
+FleetScenario floodsInTurn()
+{
+    FleetScenario scenario;
+    scenario.customers = {
+        flooding(customer("first", 40), 6, seconds(2), seconds(11)),
+        flooding(customer("second", 20), 8, seconds(7), seconds(16)),
+        flooding(customer("small", 3), 30, seconds(13), seconds(16)),
+        customer("calm", 10),
+    };
+    return scenario;
+}
+
+} // namespace
+
+TEST_CASE("floods that begin one after the other hold nobody down", "[routing][fleet]")
+{
+    // Guards against hosts that all let in a customer at the same moment, on sums that are late.
+    for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+        FleetScenario scenario = floodsInTurn();
+        scenario.seed = seed;
+        INFO("seed " << seed);
+        CHECK(heldDownIn(scenario) == "");
+    }
+}
+
+TEST_CASE("no customer is held down for six seconds", "[routing][fleet]")
+{
+    // Guards against a customer that gets less than half of what the best served one gets.
+    rc::prop("whatever the hosts' speed, the split of customers over hosts and their work", [] {
+        FleetScenario scenario;
+        scenario.seed = *rc::gen::inRange<std::uint64_t>(1, 1000000);
+        scenario.hosts = *rc::gen::inRange<std::size_t>(4, 32);
+        scenario.engines = *rc::gen::inRange<std::size_t>(8, 32);
+        scenario.slowness = *rc::gen::element(0.5, 1.0, 1.4, 2.0);
+        scenario.reportLoss = *rc::gen::element(0.0, 0.1);
+        const std::size_t customers = *rc::gen::inRange<std::size_t>(2, 7);
+        const double each = static_cast<double>(scenario.engines) * 4 / static_cast<double>(customers);
+        for (std::size_t i = 0; i < customers; ++i) {
+            CustomerLoad load = customer("c" + std::to_string(i), each);
+            load.requestsPerSecond *= *rc::gen::element(0.1, 0.5, 1.0, 2.0);
+            const bool isLong = *rc::gen::arbitrary<bool>();
+            load.promptTokens = isLong ? 16000 : 3000;
+            load.events = isLong ? 12 : 30;
+            load.outputTokens = isLong ? 240 : 600;
+            load.hosts = *rc::gen::element<std::size_t>(0, 0, 1, 3);
+            load.firstHost = *rc::gen::inRange<std::size_t>(0, scenario.hosts);
+            const int from = *rc::gen::inRange(1, 9);
+            if (*rc::gen::arbitrary<bool>())
+                load = flooding(load, *rc::gen::element(4, 10, 30), seconds(from),
+                                seconds(from + 7));
+            scenario.customers.push_back(load);
+        }
+        const std::string heldDown = heldDownIn(scenario);
+        if (!heldDown.empty())
+            RC_FAIL(heldDown);
+    });
+}
