--- a/src/libs/routing/customershares.cpp
+++ b/src/libs/routing/customershares.cpp
@@ -179,15 +179,10 @@
     while (m_askedThen.size() > 1 && now - m_askedThen[1].at >= reportAge)
         m_askedThen.pop_front();
     const double level = spareLevel(asked, seconds, now);
-    const auto beyond = std::count_if(asked.begin(), asked.end(),
-                                      [level](const auto &it) { return it.second > level; });
     std::map<Base::CustomerId, double> rates;
-    // What one customer alone asks for beyond the others has to be shared with nobody.
-    if (beyond > 1) {
-        for (const auto &[customer, amount] : asked) {
-            if (amount > level)
-                rates[customer] = level / seconds * ownPart(customer);
-        }
+    for (const auto &[customer, amount] : asked) {
+        if (amount > level)
+            rates[customer] = level / seconds * ownPart(customer);
     }
     m_pacer.setRates(rates, now);
 }
