--- a/src/libs/routing/customershares.cpp
+++ b/src/libs/routing/customershares.cpp
@@ -184,6 +184,9 @@
         if (amount > level)
             rates[customer] = level / seconds * ownPart(customer);
     }
+    // What one customer alone asks for beyond the others has to be shared with nobody.
+    if (rates.size() == 1 && m_crowding < crowdingTarget)
+        rates.clear();
     m_pacer.setRates(rates, now);
 }
 
