--- a/src/libs/routing/customerpacer.h
+++ b/src/libs/routing/customerpacer.h
@@ -32,7 +32,6 @@
         Base::TimePoint at;
     };
 
-    static double mostCredit(const Allowance &allowance);
     static double creditAt(const Allowance &allowance, Base::TimePoint now);
 
     std::map<Base::CustomerId, Allowance> m_allowances;
--- a/src/libs/routing/customershares.cpp
+++ b/src/libs/routing/customershares.cpp
@@ -21,6 +21,9 @@
 /// least has. Twice as much is felt as unfair; less than this would leave room unused while the
 /// reports of other hosts are on their way.
 constexpr double evenRatio = 1.6;
+/// What customers are let in at, likewise. More, since who is let in at a rate gets somewhat less
+/// than that, and all would be held to less and less.
+constexpr double rateRatio = 2;
 /// A customer whose demand jumps is behind it until its first events are there and hosts have told
 /// each other: with no fault of anybody's, and no reason to hold the others to what it had before.
 constexpr Base::Duration unmetTime = milliseconds(700);
@@ -65,6 +68,11 @@
                                 Base::TimePoint now)
 {
     m_received.add(customer, tokens, now);
+}
+
+void CustomerShares::recordLetIn(const Base::CustomerId &customer, double tokens,
+                                 Base::TimePoint now)
+{
     m_pacer.charge(customer, tokens, now);
 }
 
@@ -167,7 +175,7 @@
         std::clamp(growthGain * (crowdingTarget - m_crowding), -mostCut, mostGrowth);
     const double told = m_tokensPerSecond * seconds;
     const double capacity = std::max(told, std::max(told, begun) * (1 + growth));
-    const double bound = m_unmetLevel * evenRatio + unmetTokens;
+    const double bound = m_unmetLevel * rateRatio + unmetTokens;
     return std::max(m_shareLevel, std::min(fairLevel(asked, capacity), bound));
 }
 
--- a/src/libs/routing/customershares.h
+++ b/src/libs/routing/customershares.h
@@ -41,6 +41,8 @@
 
     void recordDemand(const Base::CustomerId &customer, double tokens, Base::TimePoint now);
     void recordSent(const Base::CustomerId &customer, double tokens, Base::TimePoint now);
+    /// A request was placed or may wait here; negative if it was not served after all.
+    void recordLetIn(const Base::CustomerId &customer, double tokens, Base::TimePoint now);
     /// The first event of a request came.
     void recordStarted(const Base::CustomerId &customer, double tokens, Base::TimePoint now);
     void report(HostLoad &load, Base::TimePoint now) const;
--- a/src/libs/routing/dispatcher.cpp
+++ b/src/libs/routing/dispatcher.cpp
@@ -128,6 +128,8 @@
     // Work that waits is mostly for servers without room, so new work may pass it by.
     const std::optional<Choice> choice = choose(work, now, admission, takesAny);
     if (choice && choice->hasRoom) {
+        if (!isBack)
+            m_shares.recordLetIn(work.customer, tokensOf(work), now);
         place(std::move(work), *choice, now, decisions);
         return decisions;
     }
@@ -144,6 +146,8 @@
     if (now + waitBehind(work.customer) > work.arrivedAt + mayWait) {
         // A server that has to read more is better than none.
         if (const std::optional<Choice> any = choose(work, now, admission, true)) {
+            if (!isBack)
+                m_shares.recordLetIn(work.customer, tokensOf(work), now);
             place(std::move(work), *any, now, decisions);
             return decisions;
         }
@@ -152,6 +156,8 @@
     }
     if (choice)
         choice->state->awaitedTokens += choice->unreadTokens;
+    if (!isBack)
+        m_shares.recordLetIn(work.customer, tokensOf(work), now);
     m_waiting.push(std::move(work));
     return decisions;
 }
@@ -435,8 +441,7 @@
             [&](const Base::CustomerId &customer) { return m_shares.received(customer, now); });
         if (!work)
             break;
-        const std::optional<Choice> choice =
-            choose(*work, now, m_shares.admission(work->customer, now));
+        const std::optional<Choice> choice = choose(*work, now, Admission::WithinShare);
         if (choice && choice->hasRoom) {
             place(std::move(*work), *choice, now, decisions);
             continue;
@@ -456,11 +461,13 @@
     });
     for (const Work &work : late) {
         // Any server is better than none, now that the best one will not be free in time.
-        const Admission admission = m_shares.admission(work.customer, now);
-        if (const std::optional<Choice> choice = choose(work, now, admission, true))
+        if (const std::optional<Choice> choice = choose(work, now, Admission::WithinShare, true)) {
             place(work, *choice, now, decisions);
-        else
-            decisions.turnedAway.push_back(turnAway(work, TurnedAwayReason::TooLate, now));
+            continue;
+        }
+        if (work.tried.empty())
+            m_shares.recordLetIn(work.customer, -tokensOf(work), now);
+        decisions.turnedAway.push_back(turnAway(work, TurnedAwayReason::TooLate, now));
     }
 }
 
