--- a/src/libs/routing/customershares.cpp
+++ b/src/libs/routing/customershares.cpp
@@ -39,7 +39,7 @@
 constexpr double crowdingTarget = 1.5;
 constexpr double growthGain = 1;
 constexpr double mostGrowth = 1;
-constexpr double mostCut = 0.2;
+constexpr double mostCut = 0.5;
 /// The levels are reckoned anew this often; reports of other hosts come as often.
 constexpr Base::Duration updateInterval = milliseconds(100);
 
@@ -142,7 +142,9 @@
     // whole span as capacity from the first moment, two seconds' worth is let in at once, and
     // everybody is turned away for the next two.
     const double seconds = askedSeconds(now);
-    m_shareLevel = fairLevel(asked, m_tokensPerSecond * seconds);
+    // Servers that are lost or slow do less than the configuration tells.
+    const double told = m_tokensPerSecond * seconds * (1 + std::min(growth(), 0.0));
+    m_shareLevel = fairLevel(asked, told);
     m_unmetLevel = std::numeric_limits<double>::infinity();
     std::map<Base::CustomerId, Base::TimePoint> unmetSince;
     for (const auto &[customer, amount] : asked) {
@@ -165,16 +167,18 @@
     return m_others ? std::max(own, m_others->askedSeconds) : own;
 }
 
+double CustomerShares::growth() const
+{
+    return std::clamp(growthGain * (crowdingTarget - m_crowding), -mostCut, mostGrowth);
+}
+
 double CustomerShares::spareLevel(const std::map<Base::CustomerId, double> &asked, double seconds,
                                   Base::TimePoint now) const
 {
     double begun = 0;
     for (const auto &[customer, amount] : asked)
         begun += started(customer, now);
-    const double growth =
-        std::clamp(growthGain * (crowdingTarget - m_crowding), -mostCut, mostGrowth);
-    const double told = m_tokensPerSecond * seconds;
-    const double capacity = std::max(told, std::max(told, begun) * (1 + growth));
+    const double capacity = std::max(m_tokensPerSecond * seconds, begun) * (1 + growth());
     const double bound = m_unmetLevel * rateRatio + unmetTokens;
     return std::max(m_shareLevel, std::min(fairLevel(asked, capacity), bound));
 }
@@ -184,7 +188,8 @@
 {
     m_askedThen.push_back({now, {}});
     m_asked.addTo(m_askedThen.back().asked, now);
-    while (m_askedThen.size() > 1 && now - m_askedThen[1].at >= reportAge)
+    while (m_askedThen.size() > 1
+           && (now - m_askedThen[1].at >= reportAge || now - m_askedThen[0].at >= 2 * reportAge))
         m_askedThen.pop_front();
     const double level = spareLevel(asked, seconds, now);
     std::map<Base::CustomerId, double> rates;
--- a/src/libs/routing/customershares.h
+++ b/src/libs/routing/customershares.h
@@ -34,7 +34,7 @@
 public:
     /// Tokens a second that all servers produce, a generated one counted twice; 0 for no bound.
     void setThroughput(double tokensPerSecond) { m_tokensPerSecond = tokensPerSecond; }
-    /// Mean over the servers: 0 with spare room, 1 without, 2 without room for anybody.
+    /// Mean over the servers that may get work now: 0 with spare room, 1 without, 2 without room for anybody.
     void setCrowding(double crowding) { m_crowding = crowding; }
     /// Outlives this; changes with time.
     void setOthers(const OthersLoad &others) { m_others = &others; }
@@ -61,6 +61,9 @@
     /// longest.
     double askedSeconds(Base::TimePoint now) const;
     void updateLevels(Base::TimePoint now);
+    /// Part by which more is to be let in than servers began of late; below zero where they are
+    /// crowded.
+    double growth() const;
     /// The level while nobody lacks service, and \a level then.
     double spareLevel(const std::map<Base::CustomerId, double> &asked, double seconds,
                       Base::TimePoint now) const;
--- a/src/libs/routing/dispatcher.cpp
+++ b/src/libs/routing/dispatcher.cpp
@@ -374,11 +374,15 @@
 double Dispatcher::crowding(Base::TimePoint now) const
 {
     double sum = 0;
+    double usable = 0;
     for (const auto &[id, state] : m_servers) {
+        if (!state.health.isUsable(now))
+            continue;
+        usable += 1;
         if (!hasRoom(state, Admission::SpareCapacity, now))
             sum += hasRoom(state, Admission::WithinShare, now) ? 1 : 2;
     }
-    return m_servers.empty() ? 0 : sum / static_cast<double>(m_servers.size());
+    return usable > 0 ? sum / usable : 0;
 }
 
 void Dispatcher::place(Work work, const Choice &choice, Base::TimePoint now, Decisions &decisions)
--- a/tests/auto/routing/fleetmodel.cpp
+++ b/tests/auto/routing/fleetmodel.cpp
@@ -18,8 +18,6 @@
 constexpr Base::Duration target = std::chrono::seconds(1);
 constexpr Base::Duration eventInterval = milliseconds(60);
 constexpr double tokensPerMs = 40;
-/// What the configuration tells of the throughput, of what the engines can do.
-constexpr double toldPart = 0.6;
 /// Milliseconds of the processor.
 constexpr double requestCost = 0.125;
 constexpr double eventCost = 0.04;
@@ -68,7 +66,8 @@
         servers[i].slots = 64;
         m_freeAt[servers[i].id] = m_now;
     }
-    const double told = static_cast<double>(scenario.engines) * tokensPerMs * 1000 * toldPart;
+    const double told = static_cast<double>(scenario.engines) * tokensPerMs * 1000
+                        * scenario.toldPart;
     const Routing::ServiceTraits traits{true, 500000, tokensPerMs, told};
     for (Host &host : m_hosts) {
         host.dispatcher = std::make_unique<Routing::Dispatcher>(traits, Base::ZoneId("z"));
--- a/tests/auto/routing/fleetmodel.h
+++ b/tests/auto/routing/fleetmodel.h
@@ -39,6 +39,8 @@
     /// Of a host's processor, and how many times longer its work takes than usual.
     double processorShare = 0.12;
     double slowness = 1;
+    /// What the configuration tells of the throughput, of what the engines can do.
+    double toldPart = 0.6;
     /// Part of the reports that are lost.
     double reportLoss = 0.02;
     Base::Duration length = std::chrono::seconds(16);
