--- a/src/libs/routing/customershares.cpp
+++ b/src/libs/routing/customershares.cpp
@@ -39,7 +39,7 @@
 constexpr double crowdingTarget = 1.5;
 constexpr double growthGain = 0.6;
 constexpr double mostGrowth = 0.5;
-constexpr double mostCut = 0.5;
+constexpr double mostCut = 0.3;
 /// The levels are reckoned anew this often; reports of other hosts come as often.
 constexpr Base::Duration updateInterval = milliseconds(100);
 
