Observe what a host's work takes instead of reckoning with fixed costs

Callers saw: on a slower machine a host that is behind takes streams that it can't forward, and their events come late for everybody.

Cause: the costs of a request and of an event were fixed. BacklogWatch's promise of half of the processor, and the load that EntrySelection chooses entries by, hang on them.

CostObserver compares: while a host is never idle, its capacity times the time goes into what is counted. BacklogWatch counts refusals and plain requests too, and charges streams with the observed factor; ForwardingMeter reports load with it. Spans with an idle moment tell nothing, and a stopped process is not taken for a slow one.

--- a/src/libs/gateway/entryboard.h
+++ b/src/libs/gateway/entryboard.h
@@ -14,6 +14,7 @@
 class EntryBoard
 {
 public:
+    void setCostFactor(double factor) { m_forwarding.setCostFactor(factor); }
     void addRequest(Base::TimePoint now) { m_forwarding.addRequest(now); }
     void addEvents(std::size_t count, Base::TimePoint now) { m_forwarding.addEvents(count, now); }
     /// What this host's forwarding takes of its processor.
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -294,6 +294,7 @@
 void Gateway::report(Base::TimePoint time)
 {
     m_nextReport = time + reportInterval;
+    m_entries.setCostFactor(m_backlog.costFactor());
     HostReport own = reportOfThisHost(time);
     m_services->report(own.load, time);
     for (const ReportOrder &order : m_fleet.dueReports(time)) {
@@ -343,7 +344,11 @@
     known.isLeavingSoon =
         m_leavingSince && now() - *m_leavingSince >= part(m_settings.shutdownGrace, longWorkShare);
     std::optional<Failure> failure = m_examiner.examine(accepted, known);
-    if (!failure && accepted.route->isStream() && !m_backlog.takesStream(accepted.work, now())) {
+    if (failure)
+        m_backlog.noteRefusal(now());
+    else if (!accepted.route->isStream())
+        m_backlog.noteRequest(now());
+    else if (!m_backlog.takesStream(accepted.work, now())) {
         m_services->service(accepted.service).dispatcher.turnedAwayBefore(accepted.work, now());
         failure = Failure{FailureType::HostBehind, false, behindRetryAfter};
     }
--- a/src/libs/routing/backlogwatch.cpp
+++ b/src/libs/routing/backlogwatch.cpp
@@ -31,8 +31,38 @@
     return std::chrono::duration_cast<Base::Duration>(span * share);
 }
 
+Base::Duration microseconds(double count)
+{
+    return std::chrono::duration_cast<Base::Duration>(
+        std::chrono::duration<double, std::micro>(count));
+}
+
 } // namespace
 
+void BacklogWatch::noteIdle(Base::TimePoint now)
+{
+    m_idleAt = now;
+    m_cost.noteIdle(now);
+}
+
+void BacklogWatch::noteEvents(std::size_t count)
+{
+    m_events += static_cast<double>(count);
+    m_cost.addWork(microseconds(ForwardingMeter::eventMicroseconds * static_cast<double>(count)));
+}
+
+void BacklogWatch::noteRequest(Base::TimePoint now)
+{
+    m_cost.addWork(microseconds(ForwardingMeter::requestMicroseconds));
+    m_cost.advance(now);
+}
+
+void BacklogWatch::noteRefusal(Base::TimePoint now)
+{
+    m_cost.addWork(microseconds(ForwardingMeter::refusalMicroseconds));
+    m_cost.advance(now);
+}
+
 bool BacklogWatch::takesStream(const Work &work, Base::TimePoint now)
 {
     const double density = static_cast<double>(work.promptTokens)
@@ -44,8 +74,12 @@
     const bool isTaken =
         busy < choosyAfter
         || (servesMuch && (busy < rationedAfter || m_credit > Base::Duration::zero()));
-    if (isTaken)
+    if (isTaken) {
         charge(work);
+        noteRequest(now);
+    } else {
+        noteRefusal(now);
+    }
     return isTaken;
 }
 
@@ -54,9 +88,9 @@
     const double eventsPerToken =
         (m_events + presumedTokens * presumedEventsPerToken) / (m_allowedTokens + presumedTokens);
     const double events = eventsPerToken * work.outputTokens;
-    const std::chrono::duration<double, std::micro> cost(
-        ForwardingMeter::requestMicroseconds + ForwardingMeter::eventMicroseconds * events);
-    return std::chrono::duration_cast<Base::Duration>(cost);
+    return microseconds(
+        (ForwardingMeter::requestMicroseconds + ForwardingMeter::eventMicroseconds * events)
+        * m_cost.factor());
 }
 
 void BacklogWatch::refill(Base::TimePoint now)
--- a/src/libs/routing/backlogwatch.h
+++ b/src/libs/routing/backlogwatch.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/time.h"
+#include "routing/costobserver.h"
 #include "routing/entryselection.h"
 #include "routing/work.h"
 
@@ -29,12 +30,18 @@
     /// \a capacity is what this process may use of the host's processor.
     explicit BacklogWatch(MilliCores capacity)
         : m_capacity(capacity)
+        , m_cost(capacity)
     {}
 
     /// Nothing was left to do at \a now.
-    void noteIdle(Base::TimePoint now) { m_idleAt = now; }
+    void noteIdle(Base::TimePoint now);
     /// Events of streams were forwarded.
-    void noteEvents(std::size_t count) { m_events += static_cast<double>(count); }
+    void noteEvents(std::size_t count);
+    /// Work that no stream is part of: a plain request, and one that was turned away otherwise.
+    void noteRequest(Base::TimePoint now);
+    void noteRefusal(Base::TimePoint now);
+    /// How many times longer than reckoned this host's work takes.
+    double costFactor() const { return m_cost.factor(); }
     /// Whether there has been no pause for a moment: not yet behind, but nothing to spare.
     bool isBusy(Base::TimePoint now) const { return now - m_idleAt >= busyAfter; }
     /// Whether a stream that has just come in is taken.
@@ -53,6 +60,7 @@
     void charge(const Work &work);
 
     MilliCores m_capacity;
+    CostObserver m_cost;
     Base::TimePoint m_idleAt{};
     /// Prompt tokens for each generated one, mean of the streams that came in.
     double m_usualDensity = 0;
--- /dev/null
+++ b/src/libs/routing/costobserver.cpp
@@ -0,0 +1,63 @@
+#include "routing/costobserver.h"
+
+#include <algorithm>
+
+namespace Routing {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Shortest span that tells: what was counted just before it, or is in the middle at its end, is
+/// little beside it.
+constexpr Base::Duration leastSpan = milliseconds(200);
+/// A host that does not run for longer than this between two requests was stopped, and spent
+/// nothing meanwhile.
+constexpr Base::Duration longestStep = milliseconds(100);
+/// What remains of the sums before with each span: some five seconds count.
+constexpr double remains = 0.96;
+/// As if this much time had gone by in which the work took as long as reckoned.
+constexpr Base::Duration presumedSpan = milliseconds(200);
+constexpr double leastFactor = 0.25;
+constexpr double mostFactor = 8;
+constexpr double milliCoresOfCore = 1000;
+
+Base::Duration part(Base::Duration span, double share)
+{
+    return std::chrono::duration_cast<Base::Duration>(span * share);
+}
+
+} // namespace
+
+void CostObserver::noteIdle(Base::TimePoint now)
+{
+    beginSpan(now);
+}
+
+void CostObserver::advance(Base::TimePoint now)
+{
+    m_elapsed += std::min(now - m_advancedAt, longestStep);
+    m_advancedAt = now;
+    if (m_elapsed < leastSpan)
+        return;
+    m_spentBefore = part(m_spentBefore, remains) + part(m_elapsed, m_capacity / milliCoresOfCore);
+    m_reckonedBefore = part(m_reckonedBefore, remains) + m_reckoned;
+    beginSpan(now);
+}
+
+double CostObserver::factor() const
+{
+    const Base::Duration presumed = part(presumedSpan, m_capacity / milliCoresOfCore);
+    const std::chrono::duration<double> spent = m_spentBefore + presumed;
+    const std::chrono::duration<double> reckoned = m_reckonedBefore + presumed;
+    return std::clamp(spent / reckoned, leastFactor, mostFactor);
+}
+
+void CostObserver::beginSpan(Base::TimePoint now)
+{
+    m_advancedAt = now;
+    m_elapsed = Base::Duration::zero();
+    m_reckoned = Base::Duration::zero();
+}
+
+} // namespace Routing
--- a/src/libs/routing/forwardingmeter.h
+++ b/src/libs/routing/forwardingmeter.h
@@ -19,7 +19,11 @@
     /// cores, and for a request its decision over a hundred servers besides.
     static constexpr double requestMicroseconds = 125;
     static constexpr double eventMicroseconds = 40;
+    /// A request that is turned away at once.
+    static constexpr double refusalMicroseconds = 80;
 
+    /// How many times longer than reckoned what comes from now on takes (CostObserver).
+    void setCostFactor(double factor) { m_costFactor = factor; }
     void addRequest(Base::TimePoint now) { add(requestMicroseconds, now); }
     void addEvents(std::size_t count, Base::TimePoint now)
     {
@@ -42,7 +46,7 @@
     }
     void add(double microseconds, Base::TimePoint now)
     {
-        m_microseconds = faded(now) + microseconds;
+        m_microseconds = faded(now) + microseconds * m_costFactor;
         m_at = now;
     }
     double faded(Base::TimePoint now) const
@@ -54,6 +58,7 @@
                            / static_cast<double>(halfLife.count()));
     }
 
+    double m_costFactor = 1;
     double m_microseconds = 0;
     Base::TimePoint m_at;
 };
