Share a host that is behind by customer

Callers saw: of two customers whose callers stay with one host that is behind, the one with short prompts and long answers gets nothing.

Cause: BacklogWatch took the streams that serve most for their cost, compared over all customers. A customer whose streams all serve less than the mean was passed over for as long as the host was behind.

Now each customer has its max-min part (fairLevel) of the processor time, of half of it where the host is far behind. Of a customer's streams those go first that serve most for their cost, as before, but compared with its own. Far behind, any of its streams is taken up to half of its part, so a customer whose large streams are rare gets its part too. What is taken in all is still bound by half of the processor.

The four cases before hold unchanged.

--- a/src/libs/routing/backlogwatch.cpp
+++ b/src/libs/routing/backlogwatch.cpp
@@ -1,5 +1,6 @@
 #include "routing/backlogwatch.h"
 
+#include "routing/fairlevel.h"
 #include "routing/forwardingmeter.h"
 
 #include <algorithm>
@@ -25,12 +26,28 @@
 /// Tokens that the presumption weighs: those of some twenty streams.
 constexpr double presumedTokens = 10000;
 constexpr double milliCoresOfCore = 1000;
+/// Part of its level up to which any stream of a customer is taken.
+constexpr double anyStreamPart = 0.5;
+/// The level is reckoned anew this often: with each stream it would cost more than a refusal.
+constexpr Base::Duration levelInterval = std::chrono::milliseconds(100);
 
 Base::Duration part(Base::Duration span, double share)
 {
     return std::chrono::duration_cast<Base::Duration>(span * share);
 }
 
+double inMicroseconds(Base::Duration span)
+{
+    return std::chrono::duration<double, std::micro>(span).count();
+}
+
+/// Whether \a density is that of a stream that serves much; \a usual is the mean and learns it.
+bool servesMuch(double density, double &usual)
+{
+    usual += (density - usual) * newest;
+    return density >= usual;
+}
+
 Base::Duration microseconds(double count)
 {
     return std::chrono::duration_cast<Base::Duration>(
@@ -67,15 +84,23 @@
 {
     const double density = static_cast<double>(work.promptTokens)
                            / static_cast<double>(std::max(work.outputTokens, 1U));
-    m_usualDensity += (density - m_usualDensity) * newest;
+    const bool servesItsMost = servesMuch(density, m_usualDensities[work.customer]);
     refill(now);
+    const double cost = inMicroseconds(expectedCost(work));
+    m_asked.add(work.customer, cost, now);
+    updateLevels(now);
+    const double taken = m_taken.value(work.customer, now);
     const Base::Duration busy = now - m_idleAt;
-    const bool servesMuch = density >= m_usualDensity;
-    const bool isTaken =
-        busy < choosyAfter
-        || (servesMuch && (busy < rationedAfter || m_credit > Base::Duration::zero()));
+    bool isTaken = busy < choosyAfter;
+    if (!isTaken && busy < rationedAfter) {
+        isTaken = servesItsMost && taken < m_choosyLevel;
+    } else if (!isTaken) {
+        const double mayTake = m_rationedLevel * (servesItsMost ? 1 : anyStreamPart);
+        isTaken = m_credit > Base::Duration::zero() && taken < mayTake;
+    }
     if (isTaken) {
         charge(work);
+        m_taken.add(work.customer, cost, now);
         noteRequest(now);
     } else {
         noteRefusal(now);
@@ -83,6 +108,20 @@
     return isTaken;
 }
 
+void BacklogWatch::updateLevels(Base::TimePoint now)
+{
+    if (m_levelAt != Base::TimePoint::min() && now - m_levelAt < levelInterval)
+        return;
+    m_levelAt = now;
+    std::map<Base::CustomerId, double> asked;
+    m_asked.addTo(asked, now);
+    constexpr double microsecondsOfSecond = 1e6;
+    const double capacity =
+        m_capacity / milliCoresOfCore * FadingMeter::meanSeconds() * microsecondsOfSecond;
+    m_choosyLevel = fairLevel(asked, capacity);
+    m_rationedLevel = fairLevel(asked, capacity * streamShare);
+}
+
 Base::Duration BacklogWatch::expectedCost(const Work &work) const
 {
     const double eventsPerToken =
--- a/src/libs/routing/backlogwatch.h
+++ b/src/libs/routing/backlogwatch.h
@@ -3,9 +3,11 @@
 #include "base/time.h"
 #include "routing/costobserver.h"
 #include "routing/entryselection.h"
+#include "routing/fadingmeter.h"
 #include "routing/work.h"
 
 #include <cstddef>
+#include <map>
 
 namespace Routing {
 
@@ -16,11 +18,15 @@
 /// that their servers have finished, and new callers are not even accepted. A host is behind while
 /// it has not been idle for a moment in some time.
 ///
-/// Then it takes only the streams that serve most for what forwarding them costs. That cost grows
-/// with the events, and so with the generated tokens, while most of what a customer is served is
-/// the prompt that is read for it: answers that are short for their prompt go first.
+/// Then each customer has its max-min part of the processor. Of a customer's streams it takes those
+/// that serve most for what forwarding them costs: that cost grows with the events, and so with the
+/// generated tokens, while most of what a customer is served is the prompt that is read for it.
+/// Compared over all customers, one with short prompts and long answers would always be the one
+/// that is passed over.
 ///
-/// If it falls further behind, it takes of those as many as half of its processor can forward.
+/// If it falls further behind, only half of its processor is shared out so. Up to half of its part
+/// any stream of a customer is taken, so that none gets nothing because few of its streams are
+/// large.
 /// Taking none would not let it catch up: where the refusals alone fill the processor, the backlog
 /// never ends, and a customer whose callers all stay with this host would get nothing for as long
 /// as its load lasts. Plain requests cost no more than their refusal.
@@ -54,6 +60,7 @@
     static constexpr Base::Duration choosyAfter = std::chrono::milliseconds(150);
     static constexpr Base::Duration rationedAfter = std::chrono::milliseconds(500);
 
+    void updateLevels(Base::TimePoint now);
     /// Processor time that forwarding the stream will take, as reckoned.
     Base::Duration expectedCost(const Work &work) const;
     void refill(Base::TimePoint now);
@@ -62,8 +69,17 @@
     MilliCores m_capacity;
     CostObserver m_cost;
     Base::TimePoint m_idleAt{};
-    /// Prompt tokens for each generated one, mean of the streams that came in.
-    double m_usualDensity = 0;
+    /// Prompt tokens for each generated one, mean of the streams of each customer that came in.
+    std::map<Base::CustomerId, double> m_usualDensities;
+    /// Processor time, in microseconds, of the streams of each customer that came in, and of those
+    /// that were taken.
+    FadingMeter m_asked;
+    FadingMeter m_taken;
+    /// What a customer may have taken of the last seconds on a host that is behind, and on one that
+    /// is far behind.
+    double m_choosyLevel = 0;
+    double m_rationedLevel = 0;
+    Base::TimePoint m_levelAt = Base::TimePoint::min();
     /// Processor time that may still be promised to streams; below zero while too much is.
     Base::Duration m_credit{};
     Base::TimePoint m_refilledAt{};
--- a/tests/auto/routing/tst_backlogwatch.cpp
+++ b/tests/auto/routing/tst_backlogwatch.cpp
@@ -80,6 +80,53 @@
     return outcome;
 }
 
+/// Processor time that streams of two customers took which were taken after the first two seconds.
+struct PerCustomer
+{
+    double ofLong = 0;
+    double ofShort = 0;
+};
+
+/// For ten seconds one customer sends streams with long prompts and short answers to a host of
+/// 0.12 cores, and another one streams with short prompts and long answers, each so many a second.
+PerCustomer playTwo(int longPerSecond, int shortPerSecond)
+{
+    Base::TimePoint now{seconds(100)};
+    BacklogWatch watch(120);
+    watch.noteIdle(now);
+    PerCustomer taken;
+    double backlog = 0;
+    double dueLong = 0;
+    double dueShort = 0;
+    for (int ms = 0; ms < 10000; ++ms) {
+        now += milliseconds(1);
+        dueLong += longPerSecond / 1000.0;
+        dueShort += shortPerSecond / 1000.0;
+        while ((dueLong >= 1 || dueShort >= 1) && waitFor(backlog) <= seconds(1)) {
+            // Who is first takes turns: at one moment not all are accepted.
+            const bool isLong = ms % 2 == 0 ? dueLong >= 1 : dueShort < 1;
+            (isLong ? dueLong : dueShort) -= 1;
+            Work work = isLong ? stream(17000, 480) : stream(1460, 700);
+            work.customer = Base::CustomerId(isLong ? "long" : "short");
+            if (!watch.takesStream(work, now)) {
+                backlog += 0.08;
+                continue;
+            }
+            const double cost = 0.125 + 0.04 * (isLong ? 20 : 30);
+            backlog += cost;
+            watch.noteEvents(isLong ? 20 : 30);
+            if (ms >= 2000)
+                (isLong ? taken.ofLong : taken.ofShort) += cost;
+        }
+        dueLong = std::min(dueLong, 1.0);
+        dueShort = std::min(dueShort, 1.0);
+        backlog = std::max(backlog - millisecondsOfProcessor, 0.0);
+        if (backlog <= 0)
+            watch.noteIdle(now);
+    }
+    return taken;
+}
+
 } // namespace
 
 TEST_CASE("a host with three times the streams that it can forward stays near its callers",
@@ -121,3 +168,55 @@
     CHECK(all.servedTokens == chosen.servedTokens);
     CHECK(all.longestWait == chosen.longestWait);
 }
+
+TEST_CASE("a customer with short prompts and long answers is not the one passed over", "[routing]")
+{
+    // Two customers' callers stay with one host that is behind. One of them gets nothing for as
+    // long as that lasts. Cause: only streams that serve most for their cost were taken, and all of
+    // its streams serve less than the other's.
+    const PerCustomer taken = playTwo(200, 100);
+    CHECK(taken.ofLong > 0);
+    CHECK(taken.ofShort > 0.7 * taken.ofLong);
+    CHECK(taken.ofShort < 1.4 * taken.ofLong);
+}
+
+TEST_CASE("a customer that asks ten times as much at a host that is behind gets no more",
+          "[routing]")
+{
+    // Guards against a host that serves whoever asks most often.
+    const PerCustomer taken = playTwo(1500, 80);
+    CHECK(taken.ofShort > 0.7 * taken.ofLong);
+    const PerCustomer other = playTwo(80, 1500);
+    CHECK(other.ofLong > 0.7 * other.ofShort);
+}
+
+TEST_CASE("a customer whose large streams are rare uses its part of a host that is behind",
+          "[routing]")
+{
+    // Guards against a part that is left unused: few of its streams serve more than their mean.
+    Base::TimePoint now{seconds(100)};
+    BacklogWatch watch(120);
+    watch.noteIdle(now);
+    double promised = 0;
+    double backlog = 0;
+    for (int i = 0; i < 20000; ++i) {
+        now += std::chrono::microseconds(500);
+        backlog -= millisecondsOfProcessor / 2;
+        if (backlog <= 0) {
+            backlog = 0;
+            watch.noteIdle(now);
+        }
+        if (waitFor(backlog) > seconds(1))
+            continue;
+        const Work work = i % 100 == 0 ? stream(40000, 400) : stream(1000, 400);
+        if (!watch.takesStream(work, now)) {
+            backlog += 0.08;
+            continue;
+        }
+        watch.noteEvents(20);
+        backlog += 0.125 + 0.04 * 20;
+        if (i >= 4000)
+            promised += 0.125 + 0.04 * 20;
+    }
+    CHECK(promised > 0.15 * 8000 * millisecondsOfProcessor);
+}
