--- a/src/libs/gateway/exchange.h
+++ b/src/libs/gateway/exchange.h
@@ -87,6 +87,8 @@
     /// Looks at the request's time limits.
     void checkTime(Base::TimePoint now);
     bool isOver() const { return m_state == State::Over; }
+    bool isStream() const { return route().isStream(); }
+    const Routing::Work &work() const { return m_accepted.work; }
 
     void callerGone() override;
     void callerReady() override;
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -401,9 +401,13 @@
                 std::shared_ptr<Exchange>(exchange->second)->placed(it);
         }
         for (const Routing::TurnedAway &it : next.turnedAway) {
-            const auto exchange = m_exchanges.find(it.work);
-            if (exchange != m_exchanges.end())
-                std::shared_ptr<Exchange>(exchange->second)->turnedAway(it);
+            const auto found = m_exchanges.find(it.work);
+            if (found == m_exchanges.end())
+                continue;
+            const std::shared_ptr<Exchange> exchange = found->second;
+            if (exchange->isStream())
+                m_backlog.giveBack(exchange->work(), now());
+            exchange->turnedAway(it);
         }
     }
     m_isApplying = false;
--- a/src/libs/routing/backlogwatch.cpp
+++ b/src/libs/routing/backlogwatch.cpp
@@ -108,6 +108,15 @@
     return isTaken;
 }
 
+void BacklogWatch::giveBack(const Work &work, Base::TimePoint now)
+{
+    const Base::Duration cost = expectedCost(work);
+    m_credit += cost;
+    m_taken.add(work.customer, -inMicroseconds(cost), now);
+    m_cost.addWork(microseconds(ForwardingMeter::refusalMicroseconds
+                                - ForwardingMeter::requestMicroseconds));
+}
+
 void BacklogWatch::updateLevels(Base::TimePoint now)
 {
     if (m_levelAt != Base::TimePoint::min() && now - m_levelAt < levelInterval)
--- a/src/libs/routing/backlogwatch.h
+++ b/src/libs/routing/backlogwatch.h
@@ -52,6 +52,9 @@
     bool isBusy(Base::TimePoint now) const { return now - m_idleAt >= busyAfter; }
     /// Whether a stream that has just come in is taken.
     bool takesStream(const Work &work, Base::TimePoint now);
+    /// A stream that was taken is not sent anywhere, for another reason: it takes no more than a
+    /// refusal.
+    void giveBack(const Work &work, Base::TimePoint now);
 
 private:
     /// A streamed event is to be passed on within 120 ms where callers are strictest; work that
--- a/tests/auto/routing/fleetmodel.cpp
+++ b/tests/auto/routing/fleetmodel.cpp
@@ -198,14 +198,7 @@
         refused(id, Base::Duration::zero());
         return 0;
     }
-    Routing::Work work;
-    work.id = id;
-    work.customer = Base::CustomerId(load.name);
-    work.arrivedAt = m_now;
-    work.startBy = m_now + target;
-    work.giveUpAt = m_now + 8 * target;
-    work.promptTokens = load.promptTokens;
-    work.outputTokens = load.outputTokens;
+    Routing::Work work = workOf(id, load);
     if (!it.backlog->takesStream(work, m_now)) {
         it.dispatcher->turnedAwayBefore(work, m_now);
         refused(id, milliseconds(400));
@@ -216,10 +209,26 @@
     return decisions.turnedAway.empty() ? requestCost : refusalCost;
 }
 
+Routing::Work FleetModel::workOf(Routing::WorkId id, const CustomerLoad &load) const
+{
+    Routing::Work work;
+    work.id = id;
+    work.customer = Base::CustomerId(load.name);
+    work.arrivedAt = m_now;
+    work.startBy = m_now + target;
+    work.giveUpAt = m_now + 8 * target;
+    work.promptTokens = load.promptTokens;
+    work.outputTokens = load.outputTokens;
+    return work;
+}
+
 void FleetModel::apply(std::size_t host, const Routing::Decisions &decisions)
 {
-    for (const Routing::TurnedAway &it : decisions.turnedAway)
+    for (const Routing::TurnedAway &it : decisions.turnedAway) {
+        const CustomerLoad &load = m_scenario.customers[m_requests.at(it.work).customer];
+        m_hosts[host].backlog->giveBack(workOf(it.work, load), m_now);
         refused(it.work, it.retryAfter);
+    }
     for (const Routing::Placement &it : decisions.placements) {
         Request &request = m_requests.at(it.work);
         const CustomerLoad &load = m_scenario.customers[request.customer];
--- a/tests/auto/routing/fleetmodel.h
+++ b/tests/auto/routing/fleetmodel.h
@@ -94,6 +94,7 @@
     /// Milliseconds of the processor that it took.
     double perform(std::size_t host, const Task &task);
     double receive(std::size_t host, Routing::WorkId id);
+    Routing::Work workOf(Routing::WorkId id, const CustomerLoad &load) const;
     void apply(std::size_t host, const Routing::Decisions &decisions);
     void refused(Routing::WorkId id, Base::Duration retryAfter);
     void report();
