Count the work of another zone once while its leader changes

Cause: sumUp() and addOthers() added up all reports younger than 1.4 s. The last sum of the former leader, the sum of the new one, and what hosts of that zone announced to all counted side by side. While hosts started and no zone had a sum yet, addOthers() on the other hand counted none of them, so a leader told its zone less than it believed itself.

Now a zone's newest sum counts, whoever told it, and single hosts of another zone only while nobody summed up their zone. Both functions use the same sum. A former leader's report of its own work no longer drops the zone's sum that it had told. Small fleets send no sums: all hosts count there as before.

--- a/src/libs/gateway/fleetview.cpp
+++ b/src/libs/gateway/fleetview.cpp
@@ -108,6 +108,8 @@
         if (report.scope == ReportScope::Host && from.zone == m_zone)
             appendUses(m_usesForLeaders, report.load.partUses);
     }
+    if (report.scope != ReportScope::Host)
+        m_summaries[from.host] = {report, now};
     m_hosts[from.host] = {report, now};
     return true;
 }
@@ -116,6 +118,7 @@
 {
     std::erase_if(m_receivers, [now](const auto &it) { return now >= it.second.until; });
     std::erase_if(m_hosts, [now](const auto &it) { return now - it.second.at >= reportFor; });
+    std::erase_if(m_summaries, [now](const auto &it) { return now - it.second.at >= reportFor; });
 }
 
 void FleetView::setLeaving(Base::TimePoint now)
@@ -253,10 +256,36 @@
     }
     if (report.scope == ReportScope::Zone)
         return;
+    addOtherZones(report.load, now);
+}
+
+std::map<Base::ZoneId, const FleetView::Heard *> FleetView::zoneReports(Base::TimePoint now) const
+{
+    std::map<Base::ZoneId, const Heard *> newest;
+    for (const auto &[host, heard] : m_summaries) {
+        if (heard.report.scope != ReportScope::Zone || !isAlive(heard, now))
+            continue;
+        const Heard *&ofZone = newest[heard.report.self.zone];
+        if (!ofZone || heard.at > ofZone->at)
+            ofZone = &heard;
+    }
+    return newest;
+}
+
+void FleetView::addOtherZones(Routing::HostLoad &sum, Base::TimePoint now) const
+{
+    const std::map<Base::ZoneId, const Heard *> zones = zoneReports(now);
+    for (const auto &[zone, heard] : zones) {
+        if (zone != m_zone)
+            addLoad(sum, heard->report.load);
+    }
+    // A small fleet has no leaders, and hosts that start together do not know theirs.
     for (const auto &[host, heard] : m_hosts) {
-        if (isAlive(heard, now) && heard.report.self.zone != m_zone
-            && heard.report.scope == ReportScope::Zone)
-            addLoad(report.load, heard.report.load);
+        const Base::ZoneId &zone = heard.report.self.zone;
+        if (zone == m_zone || zones.count(zone) > 0)
+            continue;
+        if (isAlive(heard, now) && heard.report.scope == ReportScope::Host)
+            addLoad(sum, heard.report.load);
     }
 }
 
@@ -334,9 +363,11 @@
         }
     } else {
         for (const auto &[host, heard] : m_hosts) {
-            if (isAlive(heard, now) && heard.report.scope != ReportScope::Fleet)
+            if (isAlive(heard, now) && heard.report.self.zone == m_zone
+                && heard.report.scope == ReportScope::Host)
                 addLoad(sum, heard.report.load);
         }
+        addOtherZones(sum, now);
     }
     m_others.servers = std::move(sum.servers);
     m_others.asked = std::move(sum.asked);
--- a/src/libs/gateway/fleetview.h
+++ b/src/libs/gateway/fleetview.h
@@ -106,6 +106,11 @@
     std::vector<std::string> allReceivers() const;
     /// The fleet's load as this host's leader told it; empty if there is none.
     const Heard *fleetReport(Base::TimePoint now) const;
+    /// The newest sum of each zone that a leader told of.
+    std::map<Base::ZoneId, const Heard *> zoneReports(Base::TimePoint now) const;
+    /// Adds the work of all other zones, each host's once: what its zone's leader told, or what the
+    /// hosts of the zone did if none has told.
+    void addOtherZones(Routing::HostLoad &sum, Base::TimePoint now) const;
 
     /// From this many other hosts on, reports go through leaders.
     static constexpr std::size_t largeFleet = 12;
@@ -118,6 +123,8 @@
     mutable Base::TimePoint m_isLeaderAt = Base::TimePoint::min();
     mutable bool m_wasLeader = true;
     std::map<Base::HostId, Heard> m_hosts;
+    /// The last report of a zone or the fleet of each host that sent one.
+    std::map<Base::HostId, Heard> m_summaries;
     std::map<std::string, Receiver> m_receivers;
     std::deque<Sent> m_sent;
     /// Heard from hosts of this zone; other leaders are still to be told.
--- a/tests/auto/gateway/tst_fleetview.cpp
+++ b/tests/auto/gateway/tst_fleetview.cpp
@@ -358,3 +358,39 @@
     for (std::size_t i = 0; i < 16; ++i)
         CHECK(hosts.view(i).isLeader(now) == (i == 0));
 }
+
+TEST_CASE("the work of another zone counts once while its leader changes", "[gateway]")
+{
+    // A zone gets another leader, and for up to two seconds its work counts twice elsewhere. Cause:
+    // reports of both leaders were summed, and what hosts of the zone announced to all besides.
+    FleetView view = viewOf("self");
+    const auto otherZone = [](const std::string &host, ReportScope scope, double asked) {
+        HostReport it = report(host, 1);
+        it.self.zone = Base::ZoneId("y");
+        it.scope = scope;
+        it.load.asked[Base::CustomerId("c")] = asked;
+        return it;
+    };
+    const auto asked = [&view](Base::TimePoint now) {
+        view.sumUp(now);
+        HostReport fleet;
+        fleet.scope = ReportScope::Fleet;
+        view.addOthers(fleet, now);
+        CHECK(view.others().asked == fleet.load.asked);
+        return fleet.load.asked[Base::CustomerId("c")];
+    };
+    view.receive(otherZone("y1", ReportScope::Host, 7), start);
+    view.receive(otherZone("y2", ReportScope::Host, 8), start);
+    // Nobody sums up the zone yet.
+    CHECK(asked(start) == 15);
+    view.receive(otherZone("y3", ReportScope::Zone, 500), start);
+    CHECK(asked(start) == 500);
+    const Base::TimePoint later = start + milliseconds(200);
+    view.receive(otherZone("y4", ReportScope::Zone, 600), later);
+    CHECK(asked(later) == 600);
+    // The former leader reports its own work only.
+    HostReport former = otherZone("y3", ReportScope::Host, 30);
+    former.sequence = 2;
+    view.receive(former, later);
+    CHECK(asked(later) == 600);
+}
