Hold the spare room's bound against what was begun on both sides, and leave servers some room

A customer that lacks most was held down by its own bound: what it was sent was compared with 1.6 times what it had begun, and with first events half a second late the two differ by a third.

--- a/src/libs/routing/customershares.cpp
+++ b/src/libs/routing/customershares.cpp
@@ -36,7 +36,7 @@
 /// Crowding at which what is let in is what servers began of late. Below it more is let in, which
 /// finds spare room within seconds; above it less, so that work of a customer whose demand jumps
 /// finds room.
-constexpr double crowdingTarget = 1.5;
+constexpr double crowdingTarget = 1.25;
 constexpr double growthGain = 0.6;
 constexpr double mostGrowth = 0.5;
 constexpr double mostCut = 0.3;
@@ -102,8 +102,10 @@
         return Admission::Refused;
     if (has < share)
         return Admission::WithinShare;
-    return has < m_unmetLevel * evenRatio + unmetTokens ? Admission::SpareCapacity
-                                                        : Admission::Refused;
+    // Compared like with like: by what it was sent, who lacks most would hold down itself.
+    return started(customer, now) < m_unmetLevel * evenRatio + unmetTokens
+               ? Admission::SpareCapacity
+               : Admission::Refused;
 }
 
 double CustomerShares::received(const Base::CustomerId &customer, Base::TimePoint now) const
