Tell each second what a host that has load did, in a line of its log

Operators saw: of a host that is behind most lines are dropped, and a refusal names no customer, so the log doesn't say which hosts are behind nor whose streams they pass over.

host.load, once a second while there is load: time with work left, processor time, observed cost factor, requests, refusals, events, the three customers passed over most, the fleet's share level and unmet level, age of the newest report. Metrics: lagoonmast_gateway_cost_factor and busy_seconds_total.

Test: tst_hostload (there was no such line before).

--- a/src/libs/gateway/fleetview.cpp
+++ b/src/libs/gateway/fleetview.cpp
@@ -321,6 +321,16 @@
     return newest;
 }
 
+std::optional<Base::Duration> FleetView::newestReportAge(Base::TimePoint now) const
+{
+    std::optional<Base::Duration> age;
+    for (const auto &[host, heard] : m_hosts) {
+        if (!age || now - heard.at < *age)
+            age = now - heard.at;
+    }
+    return age;
+}
+
 void FleetView::sumUp(Base::TimePoint now)
 {
     Routing::HostLoad sum;
--- a/src/libs/gateway/fleetview.h
+++ b/src/libs/gateway/fleetview.h
@@ -69,6 +69,8 @@
     /// leave if none of them serves.
     std::vector<MemberState> servingMembers(Base::TimePoint now) const;
     std::size_t liveHosts(Base::TimePoint now) const;
+    /// Age of the newest report of another host; empty if there is none.
+    std::optional<Base::Duration> newestReportAge(Base::TimePoint now) const;
     /// The other hosts of this zone that are alive and do not leave.
     std::vector<MemberState> membersOfZone(Base::TimePoint now) const;
     const Routing::OthersLoad &others() const { return m_others; }
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <chrono>
 #include <csignal>
+#include <ctime>
 #include <random>
 #include <utility>
 
@@ -47,6 +48,14 @@
         std::chrono::duration_cast<std::chrono::microseconds>(since).count());
 }
 
+Base::Duration processorTimeOfProcess()
+{
+    timespec time{};
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
+    return std::chrono::duration_cast<Base::Duration>(std::chrono::seconds(time.tv_sec)
+                                                      + std::chrono::nanoseconds(time.tv_nsec));
+}
+
 /// Sequences of two starts of one host must not meet: an echo of an older one proves nothing.
 std::uint64_t randomStart()
 {
@@ -132,6 +141,8 @@
     state.isStoreReader = m_fleet.isLeader(time);
     state.droppedLogLines = m_log.dropped();
     state.unreadableEntries = m_unreadableEntries;
+    state.costFactor = m_backlog.costFactor();
+    state.busyTime = m_load.busyTime();
     return state;
 }
 
@@ -160,7 +171,9 @@
         // Returns when nothing is ready. Looked for once a tick, since it is a system call more.
         m_io.poll();
         m_looksForIdle = false;
-        m_backlog.noteIdle(now());
+        const Base::TimePoint time = now();
+        m_backlog.noteIdle(time);
+        m_load.addBusy(m_busySince, time);
     }
 }
 
@@ -231,8 +244,12 @@
 
 void Gateway::onTick()
 {
-    m_looksForIdle = true;
     const Base::TimePoint time = now();
+    // Not idle since the tick before.
+    if (m_looksForIdle)
+        m_load.addBusy(m_busySince, time);
+    m_busySince = time;
+    m_looksForIdle = true;
     m_replica->advance(time);
     std::vector<std::shared_ptr<Exchange>> open;
     open.reserve(m_exchanges.size());
@@ -263,10 +280,24 @@
             line.add("ageMs", *age);
         m_log.write(line, time);
     }
+    logLoad(time);
     checkShutdown(time);
     m_log.flush();
 }
 
+void Gateway::logLoad(Base::TimePoint time)
+{
+    if (!m_load.isDue(time))
+        return;
+    LoadFigures figures;
+    figures.processorTime = processorTimeOfProcess();
+    figures.costFactor = m_backlog.costFactor();
+    m_services->showLevels(figures, time);
+    figures.reportAge = m_fleet.newestReportAge(time);
+    if (const auto line = m_load.line(figures, time))
+        m_log.write(*line, time);
+}
+
 MemberState Gateway::memberOfThisHost(Base::TimePoint time) const
 {
     MemberState self;
@@ -350,9 +381,11 @@
         m_backlog.noteRequest(now());
     else if (!m_backlog.takesStream(accepted.work, now())) {
         m_services->service(accepted.service).dispatcher.turnedAwayBefore(accepted.work, now());
+        m_load.addPassedOver(accepted.customer);
         failure = Failure{FailureType::HostBehind, false, behindRetryAfter};
     }
     if (failure) {
+        m_load.addRefusal();
         logRefusal(accepted, *failure);
         m_metrics->requestEnded({accepted.route ? accepted.route->name : std::string(),
                                  accepted.customer.value(), failureName(failure->type),
@@ -365,6 +398,7 @@
     }
     m_services->service(accepted.service).retries.recordRequest(now());
     m_entries.addRequest(now());
+    m_load.addRequest();
     const Routing::WorkId id = accepted.id;
     auto exchange = std::make_shared<Exchange>(*this, std::move(accepted), sink);
     m_exchanges[id] = exchange;
@@ -479,6 +513,7 @@
 {
     m_entries.addEvents(count, now());
     m_backlog.noteEvents(count);
+    m_load.addEvents(count);
 }
 
 void Gateway::requestEnded(const EndedRequest &request)
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -9,6 +9,7 @@
 #include "gateway/fleetview.h"
 #include "gateway/gatewaymetrics.h"
 #include "gateway/gatewaysettings.h"
+#include "gateway/hostload.h"
 #include "gateway/httplistener.h"
 #include "gateway/reportsocket.h"
 #include "gateway/requestexaminer.h"
@@ -117,6 +118,8 @@
     HostReport reportOfThisHost(Base::TimePoint now) const;
     void reportReceived(const HostReport &report);
 
+    /// Writes the line about this host's load, once a second.
+    void logLoad(Base::TimePoint now);
     void logRefusal(const AcceptedRequest &accepted, const Failure &failure);
     void apply(const Routing::Decisions &decisions);
 
@@ -149,6 +152,9 @@
     std::unique_ptr<HttpListener> m_discovery;
     EntryBoard m_entries;
     Routing::BacklogWatch m_backlog;
+    HostLoadCounts m_load;
+    /// Up to where the time with work is counted.
+    Base::TimePoint m_busySince{};
     std::unique_ptr<Services> m_services;
     std::unordered_map<Routing::WorkId, std::shared_ptr<Exchange>> m_exchanges;
     std::unordered_map<Base::ServerId, Base::TimePoint> m_heardFrom;
--- a/src/libs/gateway/gatewaymetrics.cpp
+++ b/src/libs/gateway/gatewaymetrics.cpp
@@ -68,6 +68,11 @@
                                             "Log lines dropped since the start"));
     BOOST_LEAF_ASSIGN(m_unreadableEntries, gauge("lagoonmast_gateway_unreadable_entries",
                                                  "Entries of servers that could not be read"));
+    BOOST_LEAF_ASSIGN(m_costFactor, gauge("lagoonmast_gateway_cost_factor",
+                                          "How many times longer than reckoned its work takes"));
+    BOOST_LEAF_ASSIGN(m_busySeconds, m_registry.counters({"lagoonmast_gateway_busy_seconds_total",
+                                                          "Time with work left to do, in seconds",
+                                                          {}}));
     return {};
 }
 
@@ -113,6 +118,9 @@
     m_reader->set(state.isStoreReader ? 1 : 0);
     m_droppedLines->set(static_cast<double>(state.droppedLogLines));
     m_unreadableEntries->set(static_cast<double>(state.unreadableEntries));
+    m_costFactor->set(state.costFactor);
+    Metrics::Counter &busy = m_busySeconds->with({});
+    busy.increment(seconds(state.busyTime) - busy.value());
 }
 
 } // namespace Gateway
--- a/src/libs/gateway/gatewaymetrics.h
+++ b/src/libs/gateway/gatewaymetrics.h
@@ -36,6 +36,9 @@
     std::uint64_t droppedLogLines = 0;
     /// Entries of servers in the store that this host could not read at its last reading.
     std::size_t unreadableEntries = 0;
+    double costFactor = 1;
+    /// Since the start, with work left to do.
+    Base::Duration busyTime{};
 };
 
 /// Counters, histograms and gauges of one gateway. docs/OPERATIONS.md lists them.
@@ -76,6 +79,8 @@
     Metrics::Gauge *m_reader = nullptr;
     Metrics::Gauge *m_droppedLines = nullptr;
     Metrics::Gauge *m_unreadableEntries = nullptr;
+    Metrics::Gauge *m_costFactor = nullptr;
+    Metrics::Family<Metrics::Counter> *m_busySeconds = nullptr;
 };
 
 } // namespace Gateway
--- a/src/libs/gateway/services.cpp
+++ b/src/libs/gateway/services.cpp
@@ -1,5 +1,6 @@
 #include "gateway/services.h"
 
+#include <cmath>
 #include <optional>
 
 namespace Gateway {
@@ -118,6 +119,21 @@
         it.dispatcher.report(load, now);
 }
 
+void Services::showLevels(LoadFigures &figures, Base::TimePoint now)
+{
+    const auto takeLower = [](std::optional<double> &lowest, double level) {
+        // A log line has no way to write infinity.
+        if (std::isfinite(level) && (!lowest || level < *lowest))
+            lowest = level;
+    };
+    for (auto &[name, it] : m_services) {
+        if (!traitsOf(name).isEngine)
+            continue;
+        takeLower(figures.shareLevel, it.dispatcher.shareLevel(now));
+        takeLower(figures.unmetLevel, it.dispatcher.unmetLevel());
+    }
+}
+
 void Services::advance(Base::TimePoint now,
                        const std::function<void(const Routing::Decisions &)> &apply)
 {
--- a/src/libs/gateway/services.h
+++ b/src/libs/gateway/services.h
@@ -2,6 +2,7 @@
 
 #include "gateway/fleetview.h"
 #include "gateway/gatewaysettings.h"
+#include "gateway/hostload.h"
 #include "gateway/storereplica.h"
 #include "routing/dispatcher.h"
 #include "routing/retryshare.h"
@@ -42,6 +43,8 @@
     void othersChanged();
     void learnPartUses(const std::vector<Routing::PartUse> &uses, Base::TimePoint now);
 
+    /// Fills in the levels of \a figures.
+    void showLevels(LoadFigures &figures, Base::TimePoint now);
     /// Adds the work of all services to \a load, for a report.
     void report(Routing::HostLoad &load, Base::TimePoint now);
     /// Hands each service's decisions that time brings to \a apply, before the next service
--- a/src/libs/routing/customershares.h
+++ b/src/libs/routing/customershares.h
@@ -53,6 +53,9 @@
     /// Tokens of the last seconds that a customer may have received at most while others ask for
     /// more than they get.
     double shareLevel(Base::TimePoint now);
+    /// What the customer that has least, of those that lack service, was served of late; infinite
+    /// while nobody does. It bounds what others get.
+    double unmetLevel() const { return m_unmetLevel; }
 
 private:
     /// Of what the customer received, that of which the first event came.
--- a/src/libs/routing/dispatcher.h
+++ b/src/libs/routing/dispatcher.h
@@ -71,6 +71,9 @@
     /// What another host sent to the servers.
     void learnPartUses(const std::vector<PartUse> &uses, Base::TimePoint now);
     std::size_t waiting() const { return m_waiting.size(); }
+    /// For the log (CustomerShares).
+    double shareLevel(Base::TimePoint now) { return m_shares.shareLevel(now); }
+    double unmetLevel() const { return m_shares.unmetLevel(); }
 
 private:
     struct ServerState
