--- a/src/libs/gateway/fleetview.cpp
+++ b/src/libs/gateway/fleetview.cpp
@@ -415,6 +415,16 @@
                   [](const auto &it) { return it.second.report.scope == ReportScope::Fleet; });
 }
 
+std::optional<Base::Duration> FleetView::newestReportAge(Base::TimePoint now) const
+{
+    std::optional<Base::Duration> age;
+    for (const auto &[host, heard] : m_hosts) {
+        if (!age || now - heard.at < *age)
+            age = now - heard.at;
+    }
+    return age;
+}
+
 void FleetView::sumUp(Base::TimePoint now)
 {
     updateGathering(now);
