--- a/tests/auto/routing/fleetmodel.cpp
+++ b/tests/auto/routing/fleetmodel.cpp
@@ -277,7 +277,7 @@
             if (&from != &host)
                 add(others, from.reported);
         }
-        host.coming.push_back({m_now + reportDelay, std::move(others)});
+        host.coming.emplace_back(m_now + reportDelay, std::move(others));
     }
 }
 
--- a/tests/auto/routing/tst_fleetfairness.cpp
+++ b/tests/auto/routing/tst_fleetfairness.cpp
@@ -103,7 +103,7 @@
         FleetScenario scenario = floodsInTurn();
         scenario.seed = seed;
         INFO("seed " << seed);
-        CHECK(heldDownIn(scenario) == "");
+        CHECK(heldDownIn(scenario).empty());
     }
 }
 
