Let no host charge its work less than reckoned

Charged less, twice as many streams are taken, and what comes in waits longer for its refusal and for its connection.

The factor is 1 at least. It still grows on a machine that is slower than reckoned.

--- a/src/libs/routing/costobserver.cpp
+++ b/src/libs/routing/costobserver.cpp
@@ -18,7 +18,9 @@
 constexpr double remains = 0.96;
 /// As if this much time had gone by in which the work took as long as reckoned.
 constexpr Base::Duration presumedSpan = milliseconds(200);
-constexpr double leastFactor = 0.25;
+/// A host that is faster than reckoned keeps what it saves for refusals and new connections:
+/// charged less, its streams crowd them out.
+constexpr double leastFactor = 1;
 constexpr double mostFactor = 8;
 constexpr double milliCoresOfCore = 1000;
 
--- a/src/libs/routing/costobserver.h
+++ b/src/libs/routing/costobserver.h
@@ -24,7 +24,7 @@
     void addWork(Base::Duration cost) { m_reckoned += cost; }
     /// Looks at the time; call it with each request.
     void advance(Base::TimePoint now);
-    /// Observed cost over reckoned cost. Before anything was observed it is 1.
+    /// Observed cost over reckoned cost, at least 1. Before anything was observed it is 1.
     double factor() const;
 
 private:
