Let each host let in a customer at a rate, in place of a yes or no for the fleet

Cause: each host compared late sums of the fleet with a level and let in everything or nothing. All hosts opened at the same moment, and a host that callers were newly sent to was open for its first 0.7 s, because its own clock had just begun.

Why this holds: a host lets in its part of the level, and the parts of all hosts add up to one whatever the delay. The level follows what servers begin and how crowded they are.

--- a/src/libs/routing/dispatcher.cpp
+++ b/src/libs/routing/dispatcher.cpp
@@ -44,6 +44,8 @@
 /// Between two looks for prompt parts that are no longer kept: they count as dropped by their time
 /// anyway, and there are thousands of them.
 constexpr Base::Duration forgetInterval = std::chrono::seconds(1);
+/// Between two looks at how crowded the servers are: as often as reports of other hosts change it.
+constexpr Base::Duration crowdingInterval = milliseconds(100);
 constexpr milliseconds leastRetryAfter{200};
 constexpr milliseconds mostRetryAfter{2000};
 
@@ -126,6 +128,8 @@
     // Work that waits is mostly for servers without room, so new work may pass it by.
     const std::optional<Choice> choice = choose(work, now, admission, takesAny);
     if (choice && choice->hasRoom) {
+        if (!isBack)
+            m_shares.recordLetIn(work.customer, tokensOf(work), now);
         place(std::move(work), *choice, now, decisions);
         return decisions;
     }
@@ -142,6 +146,8 @@
     if (now + waitBehind(work.customer) > work.arrivedAt + mayWait) {
         // A server that has to read more is better than none.
         if (const std::optional<Choice> any = choose(work, now, admission, true)) {
+            if (!isBack)
+                m_shares.recordLetIn(work.customer, tokensOf(work), now);
             place(std::move(work), *any, now, decisions);
             return decisions;
         }
@@ -150,10 +156,17 @@
     }
     if (choice)
         choice->state->awaitedTokens += choice->unreadTokens;
+    if (!isBack)
+        m_shares.recordLetIn(work.customer, tokensOf(work), now);
     m_waiting.push(std::move(work));
     return decisions;
 }
 
+void Dispatcher::turnedAwayBefore(const Work &work, Base::TimePoint now)
+{
+    m_shares.recordDemand(work.customer, tokensOf(work), now);
+}
+
 void Dispatcher::withdraw(WorkId id)
 {
     m_waiting.remove(id);
@@ -208,6 +221,10 @@
         for (auto &[id, state] : m_servers)
             state.cache.forgetOld(now);
     }
+    if (now - m_measuredAt >= crowdingInterval) {
+        m_measuredAt = now;
+        m_shares.setCrowding(crowding(now));
+    }
     drain(now, decisions);
     turnAwayLate(now, decisions);
     return decisions;
@@ -359,6 +376,20 @@
     return state.health.isUsable(now) && m_cost.hasRoom(standingOf(state, now), admission);
 }
 
+double Dispatcher::crowding(Base::TimePoint now) const
+{
+    double sum = 0;
+    double usable = 0;
+    for (const auto &[id, state] : m_servers) {
+        if (!state.health.isUsable(now))
+            continue;
+        usable += 1;
+        if (!hasRoom(state, Admission::SpareCapacity, now))
+            sum += hasRoom(state, Admission::WithinShare, now) ? 1 : 2;
+    }
+    return usable > 0 ? sum / usable : 0;
+}
+
 void Dispatcher::place(Work work, const Choice &choice, Base::TimePoint now, Decisions &decisions)
 {
     ServerState &state = *choice.state;
@@ -419,8 +450,7 @@
             [&](const Base::CustomerId &customer) { return m_shares.received(customer, now); });
         if (!work)
             break;
-        const std::optional<Choice> choice =
-            choose(*work, now, m_shares.admission(work->customer, now));
+        const std::optional<Choice> choice = choose(*work, now, Admission::WithinShare);
         if (choice && choice->hasRoom) {
             place(std::move(*work), *choice, now, decisions);
             continue;
@@ -440,11 +470,13 @@
     });
     for (const Work &work : late) {
         // Any server is better than none, now that the best one will not be free in time.
-        const Admission admission = m_shares.admission(work.customer, now);
-        if (const std::optional<Choice> choice = choose(work, now, admission, true))
+        if (const std::optional<Choice> choice = choose(work, now, Admission::WithinShare, true)) {
             place(work, *choice, now, decisions);
-        else
-            decisions.turnedAway.push_back(turnAway(work, TurnedAwayReason::TooLate, now));
+            continue;
+        }
+        if (work.tried.empty())
+            m_shares.recordLetIn(work.customer, -tokensOf(work), now);
+        decisions.turnedAway.push_back(turnAway(work, TurnedAwayReason::TooLate, now));
     }
 }
 
--- a/src/libs/routing/dispatcher.h
+++ b/src/libs/routing/dispatcher.h
@@ -52,6 +52,9 @@
 
     /// Work that arrives, or comes back after a failed attempt.
     Decisions submit(Work work, Base::TimePoint now);
+    /// Work that this host turned away before it came here. It is demand all the same: without it
+    /// the fleet believes that its customer lacks nothing.
+    void turnedAwayBefore(const Work &work, Base::TimePoint now);
     /// Work that waits and is no longer wanted.
     void withdraw(WorkId id);
     /// The first event of placed work came.
@@ -68,6 +71,9 @@
     /// What another host sent to the servers.
     void learnPartUses(const std::vector<PartUse> &uses, Base::TimePoint now);
     std::size_t waiting() const { return m_waiting.size(); }
+    /// For the log (CustomerShares).
+    double shareLevel(Base::TimePoint now) { return m_shares.shareLevel(now); }
+    double unmetLevel() const { return m_shares.unmetLevel(); }
 
 private:
     struct ServerState
@@ -131,6 +137,9 @@
     void notePartUses(ServerState &state, const Work &work, Base::TimePoint now,
                       Base::TimePoint readBy);
     bool hasRoom(const ServerState &state, Admission admission, Base::TimePoint now) const;
+    /// Mean over the servers that may get work now: 0 with spare room, 1 without, 2 without room
+    /// for anybody.
+    double crowding(Base::TimePoint now) const;
     void place(Work work, const Choice &choice, Base::TimePoint now, Decisions &decisions);
     /// Places what waits as far as there is room.
     void drain(Base::TimePoint now, Decisions &decisions);
@@ -151,6 +160,7 @@
     /// Tokens that each server keeps of the prompt that is decided on, in their order.
     std::vector<std::uint32_t> m_kept;
     Base::TimePoint m_drainedAt{};
+    Base::TimePoint m_measuredAt{};
     Base::TimePoint m_forgotAt{};
 };
 
