--- a/tests/auto/routing/tst_backlogwatch.cpp
+++ b/tests/auto/routing/tst_backlogwatch.cpp
@@ -220,3 +220,26 @@
     }
     CHECK(promised > 0.15 * 8000 * millisecondsOfProcessor);
 }
+
+TEST_CASE("streams that are refused for another reason take nothing of what a host promises",
+          "[routing]")
+{
+    // Guards against a host that serves nobody beside a flood that is beyond its share.
+    Base::TimePoint now{seconds(100)};
+    BacklogWatch watch(120);
+    watch.noteIdle(now);
+    now += seconds(1);
+    Work flood = stream(17000, 480);
+    flood.customer = Base::CustomerId("flood");
+    Work small = flood;
+    small.customer = Base::CustomerId("small");
+    std::size_t taken = 0;
+    for (int ms = 0; ms < 5000; ++ms) {
+        now += milliseconds(1);
+        if (watch.takesStream(flood, now))
+            watch.giveBack(flood, now);
+        if (ms % 100 == 0 && watch.takesStream(small, now))
+            ++taken;
+    }
+    CHECK(taken >= 45);
+}
