Limit requests to servers that warm up

What callers saw: a server that has just started, or has become cold again, crashes when it gets more than about 18 requests a second from all hosts together. Its entry and the configuration tell that (remaining warm-up, rate), and no decision read it: an idle server is the cheapest one for each of 83 hosts.

Cause: warmingUp was decoded and never used, hosts that do not read the store never heard of it, and the rate of the service was not decoded.

Now WarmUpLimiter lets a host send to such a server in slots of 0.1 s that a hash of host, server and slot draws, so that the hosts together use about a third of the rate, need no agreement on who lives, and save nothing up. Warm-ups that begin anew are reported between hosts with the time that remains. A server that could not be reached, or was silent, is presumed to start again, since its entry is read up to 2.5 s later. Such a server is not chosen by the hash of a new beginning.

--- a/src/libs/gateway/fleetview.cpp
+++ b/src/libs/gateway/fleetview.cpp
@@ -456,6 +456,7 @@
     m_others.begun = std::move(sum.begun);
     m_others.askedSeconds = sum.askedSeconds;
     m_others.hosts = liveHosts(now);
+    m_others.possibleHosts = m_receivers.size() + 1;
 }
 
 void FleetView::addRelayedUses(HostReport &report)
--- a/src/libs/gateway/services.cpp
+++ b/src/libs/gateway/services.cpp
@@ -27,7 +27,8 @@
 
 Services::Services(const GatewaySettings &settings, const StoreReplica &replica,
                    const FleetView &fleet)
-    : m_zone(settings.zone)
+    : m_host(settings.host)
+    , m_zone(settings.zone)
     , m_retries(settings.retries)
     , m_replica(&replica)
     , m_fleet(&fleet)
@@ -38,8 +39,9 @@
     const auto it = m_services.find(name);
     if (it != m_services.end())
         return it->second;
-    const auto [added, isNew] = m_services.emplace(
-        name, Service{Routing::Dispatcher(traitsOf(name), m_zone), Routing::RetryShare(m_retries)});
+    const auto [added, isNew] =
+        m_services.emplace(name, Service{Routing::Dispatcher(traitsOf(name), m_zone, m_host),
+                                         Routing::RetryShare(m_retries)});
     added->second.dispatcher.setPeerLoad(m_fleet->others());
     serversRead();
     return added->second;
@@ -58,7 +60,10 @@
     Routing::ServiceTraits traits;
     const std::shared_ptr<const Routing::RouteTable> &table = m_replica->table();
     const Routing::Service *known = table ? table->service(name) : nullptr;
-    if (!known || !known->engine)
+    if (!known)
+        return traits;
+    traits.warmUp = known->warmUp;
+    if (!known->engine)
         return traits;
     traits.isEngine = true;
     traits.memoryTokens = known->engine->memoryTokens;
@@ -92,8 +97,11 @@
     std::map<std::string, std::vector<Routing::RegisteredServer>> byService;
     for (const auto &[id, server] : m_replica->servers().servers())
         byService[server.service].push_back(server);
-    for (auto &[name, it] : m_services)
+    for (auto &[name, it] : m_services) {
         it.dispatcher.setServers(byService[name]);
+        for (const Routing::RegisteredServer &server : byService[name])
+            it.dispatcher.setWarmUntil(server.id, m_replica->servers().warmUntil(server.id));
+    }
 }
 
 void Services::retryAllowanceChanged(const Routing::RetryAllowance &allowance)
--- a/src/libs/gateway/services.h
+++ b/src/libs/gateway/services.h
@@ -56,6 +56,7 @@
 private:
     Routing::ServiceTraits traitsOf(const std::string &name) const;
 
+    Base::HostId m_host;
     Base::ZoneId m_zone;
     Routing::RetryAllowance m_retries;
     const StoreReplica *m_replica;
--- a/src/libs/gateway/storereplica.cpp
+++ b/src/libs/gateway/storereplica.cpp
@@ -356,8 +356,7 @@
     report.store.serversFingerprint = m_servers.fingerprint();
     report.store.serversVersion = m_store.serversVersion();
     report.store.proofAge = std::chrono::ceil<Base::Milliseconds>(age);
-    for (const auto &[id, server] : m_servers.servers())
-        report.store.serverChanges.push_back({Routing::ServerChange::Kind::Found, server});
+    report.store.serverChanges = m_servers.asChanges(now);
     return report;
 }
 
--- a/src/libs/routing/dispatcher.cpp
+++ b/src/libs/routing/dispatcher.cpp
@@ -67,8 +67,10 @@
 
 } // namespace
 
-Dispatcher::Dispatcher(const ServiceTraits &traits, const Base::ZoneId &ownZone)
+Dispatcher::Dispatcher(const ServiceTraits &traits, const Base::ZoneId &ownZone,
+                       const Base::HostId &self)
     : m_cost(traits)
+    , m_warmUpLimiter(self)
     , m_ownZone(ownZone)
 {
     setTraits(traits);
@@ -78,6 +80,7 @@
 {
     m_cost.setTraits(traits);
     m_shares.setThroughput(traits.isEngine ? traits.sharedTokensPerSecond : 0);
+    m_warmUpLimiter.setWarmUp(traits.warmUp);
 }
 
 void Dispatcher::setServers(const std::vector<RegisteredServer> &servers)
@@ -93,6 +96,13 @@
     peerLoadChanged();
 }
 
+void Dispatcher::setWarmUntil(const Base::ServerId &server, Base::TimePoint until)
+{
+    const auto it = m_servers.find(server);
+    if (it != m_servers.end())
+        it->second.warmUntil = std::max(it->second.warmUntil, until);
+}
+
 void Dispatcher::setPeerLoad(const PeerLoad &peerLoad)
 {
     m_peerLoad = &peerLoad;
@@ -104,6 +114,7 @@
 {
     if (!m_peerLoad)
         return;
+    m_warmUpLimiter.setHosts(m_peerLoad->possibleHosts);
     for (auto &[id, state] : m_servers) {
         const auto it = m_peerLoad->servers.find(id);
         state.peerLoad = it == m_peerLoad->servers.end() ? ServerLoad() : it->second;
@@ -213,6 +224,9 @@
         state.health.record(outcome, now);
         if (outcome == AttemptOutcome::Unreachable)
             state.cache.clear();
+        // The server may be starting again, and its entry tells so only later.
+        if (outcome == AttemptOutcome::Unreachable || outcome == AttemptOutcome::Silent)
+            state.warmUntil = std::max(state.warmUntil, now + m_warmUpLimiter.presumedWarmUp());
     }
     if (!m_waiting.isEmpty() && now - m_placedWaitingAt >= placementInterval)
         placeWaiting(now, decisions);
@@ -274,16 +288,18 @@
         m_cachedTokens.push_back(state.cache.cachedTokens(prefixes, now));
     const std::uint32_t maxCached = *std::max_element(m_cachedTokens.begin(), m_cachedTokens.end());
     const bool isNew = !prefixes.empty() && maxCached < prefixes.back().tokensSoFar;
-    const CachedPrefix prompt{maxCached, isNew ? selectByRendezvous(prefixes.back().hash) : nullptr,
+    const CachedPrefix prompt{maxCached,
+                              isNew ? selectByRendezvous(prefixes.back().hash, now) : nullptr,
                               PrefixFetch(m_cost, sourcesFor(work, prefixes, now))};
     std::optional<Candidate> best;
     auto cachedHere = m_cachedTokens.begin();
     for (auto &[id, state] : m_servers) {
         const std::uint32_t cached = *cachedHere++;
-        const bool isUsable = state.health.isUsable(now);
+        if (!isUsable(state, now))
+            continue;
         const ServerSnapshot snapshot = snapshotOf(state, now);
-        const bool hasCapacity = isUsable && m_cost.hasRoom(snapshot, admission);
-        if (!hasCapacity && (onlyWithCapacity || !isUsable))
+        const bool hasCapacity = m_cost.hasRoom(snapshot, admission);
+        if (!hasCapacity && onlyWithCapacity)
             continue;
         Candidate candidate = evaluate(state, snapshot, work, cached, prompt, now);
         candidate.hasRoom = hasCapacity;
@@ -355,11 +371,15 @@
     placed.fetch.reset();
 }
 
-const Dispatcher::ServerState *Dispatcher::selectByRendezvous(std::uint64_t beginning) const
+const Dispatcher::ServerState *Dispatcher::selectByRendezvous(std::uint64_t beginning,
+                                                              Base::TimePoint now) const
 {
     const ServerState *selected = nullptr;
     std::uint64_t lowest = 0;
     for (const auto &[id, state] : m_servers) {
+        // A server that takes few requests cannot be the only one that keeps a beginning.
+        if (now < state.warmUntil)
+            continue;
         const std::uint64_t order = Base::stableHash(id.value(), beginning);
         if (selected && order >= lowest)
             continue;
@@ -379,9 +399,17 @@
     return snapshot;
 }
 
+bool Dispatcher::isUsable(const ServerState &state, Base::TimePoint now) const
+{
+    if (!state.health.isUsable(now))
+        return false;
+    return now >= state.warmUntil
+           || m_warmUpLimiter.isAllowed(state.server.id, state.lastSentAt, now);
+}
+
 bool Dispatcher::hasRoom(const ServerState &state, Admission admission, Base::TimePoint now) const
 {
-    return state.health.isUsable(now) && m_cost.hasRoom(snapshotOf(state, now), admission);
+    return isUsable(state, now) && m_cost.hasRoom(snapshotOf(state, now), admission);
 }
 
 double Dispatcher::saturation(Base::TimePoint now) const
@@ -389,7 +417,7 @@
     double sum = 0;
     double usable = 0;
     for (const auto &[id, state] : m_servers) {
-        if (!state.health.isUsable(now))
+        if (!isUsable(state, now))
             continue;
         usable += 1;
         if (!hasRoom(state, Admission::SpareCapacity, now))
@@ -406,6 +434,7 @@
     placed.server = state.server.id;
     placed.unreadTokens = candidate.unreadTokens;
     placed.at = now;
+    state.lastSentAt = now;
     const ServerSnapshot snapshot = snapshotOf(state, now);
     const double fetching = candidate.fetch ? candidate.fetch->milliseconds : 0;
     const double expected = m_cost.startMilliseconds(snapshot, candidate.unreadTokens) + fetching;
--- a/src/libs/routing/dispatcher.h
+++ b/src/libs/routing/dispatcher.h
@@ -10,6 +10,7 @@
 #include "routing/servercost.h"
 #include "routing/serverhealth.h"
 #include "routing/serverset.h"
+#include "routing/warmuplimiter.h"
 #include "routing/work.h"
 
 #include <cstdint>
@@ -44,11 +45,14 @@
 class Dispatcher
 {
 public:
-    Dispatcher(const ServiceTraits &traits, const Base::ZoneId &ownZone);
+    Dispatcher(const ServiceTraits &traits, const Base::ZoneId &ownZone,
+               const Base::HostId &self = {});
 
     void setTraits(const ServiceTraits &traits);
     /// Sets the servers that may get requests now.
     void setServers(const std::vector<RegisteredServer> &servers);
+    /// Sets the time until which a server warms up. A longer warm-up that is presumed stays.
+    void setWarmUntil(const Base::ServerId &server, Base::TimePoint until);
     /// Sets the load of the other hosts. \a peerLoad must outlive the dispatcher and may change;
     /// peerLoadChanged() must be called after each change.
     void setPeerLoad(const PeerLoad &peerLoad);
@@ -96,6 +100,10 @@
         /// The time that the server needs for the transfers that this host ordered other servers to
         /// make from it and that are not complete yet.
         double outgoingFetchMilliseconds = 0;
+        /// Until this time, the server may be warming up.
+        Base::TimePoint warmUntil{};
+        /// The time of this host's last request to the server.
+        Base::TimePoint lastSentAt{};
     };
     struct Placed
     {
@@ -145,9 +153,11 @@
     ServerSnapshot snapshotOf(const ServerState &state, Base::TimePoint now) const;
     /// Returns the server that rendezvous hashing selects for \a beginning, or null if there are no
     /// servers.
-    const ServerState *selectByRendezvous(std::uint64_t beginning) const;
+    const ServerState *selectByRendezvous(std::uint64_t beginning, Base::TimePoint now) const;
     void recordPartUses(ServerState &state, const Work &work, Base::TimePoint now,
                         Base::TimePoint readBy);
+    /// Returns whether a request may be sent to the server now, full or not.
+    bool isUsable(const ServerState &state, Base::TimePoint now) const;
     bool hasRoom(const ServerState &state, Admission admission, Base::TimePoint now) const;
     /// Returns the mean saturation of the servers that may get requests now. A server counts as 0
     /// with spare capacity, as 1 without, and as 2 if it is full for everybody.
@@ -166,6 +176,7 @@
 
     ServerCost m_cost;
     CustomerShares m_shares;
+    WarmUpLimiter m_warmUpLimiter;
     Base::ZoneId m_ownZone;
     const PeerLoad *m_peerLoad = nullptr;
     std::map<Base::ServerId, ServerState> m_servers;
--- a/src/libs/routing/fleetload.h
+++ b/src/libs/routing/fleetload.h
@@ -61,6 +61,9 @@
     double askedSeconds = 0;
     /// The number of live hosts, including this one.
     std::size_t hosts = 1;
+    /// The number of hosts that may be running, including this one: also those that have been
+    /// silent for a while and may only be cut off from this host.
+    std::size_t possibleHosts = 1;
 };
 
 } // namespace Routing
--- a/src/libs/routing/routingconfiguration.h
+++ b/src/libs/routing/routingconfiguration.h
@@ -79,6 +79,18 @@
     bool operator==(const EngineTraits &) const = default;
 };
 
+/// How the servers of a service behave after a start.
+struct WarmUp
+{
+    /// The time for which a server warms up after its start.
+    Base::Milliseconds duration{0};
+    /// The requests per second that a server takes from the whole fleet while it warms up. It
+    /// crashes at a rate well above that.
+    double requestsPerSecond = 0;
+
+    bool operator==(const WarmUp &) const = default;
+};
+
 struct Service
 {
     std::string name;
@@ -86,6 +98,8 @@
     std::uint32_t maxConnections = 64;
     /// The properties of the model servers; empty for a plain application.
     std::optional<EngineTraits> engine;
+    /// Empty if the servers take any rate of requests at once.
+    std::optional<WarmUp> warmUp;
 
     bool operator==(const Service &) const = default;
 };
--- a/src/libs/routing/servercost.h
+++ b/src/libs/routing/servercost.h
@@ -2,6 +2,7 @@
 
 #include "routing/customershares.h"
 #include "routing/fleetload.h"
+#include "routing/routingconfiguration.h"
 
 #include <cstdint>
 #include <optional>
@@ -22,6 +23,8 @@
     /// The time in milliseconds to transfer the KV cache of one token from one server to another.
     /// It is empty if servers cannot fetch from each other.
     std::optional<double> transferMsPerToken{};
+    /// Empty if servers take any rate of requests right after their start.
+    std::optional<WarmUp> warmUp{};
 };
 
 /// The state of a server at the moment of a decision.
--- a/src/libs/routing/serverset.cpp
+++ b/src/libs/routing/serverset.cpp
@@ -16,6 +16,10 @@
 /// did would still be unambiguous, since the start is a number.
 constexpr char startSeparator = '@';
 
+/// A reported warm-up that ends this much later than the known one is a new one. Smaller
+/// differences come from the time that reports are on their way.
+constexpr Base::Duration warmUpTolerance = std::chrono::milliseconds(500);
+
 RegisteredServer serverOf(const Base::ServerId &id)
 {
     RegisteredServer server;
@@ -52,9 +56,12 @@
         }
         if (m_left.count(server.id) > 0)
             continue;
+        const bool hasNewWarmUp = recordEntryWarmUp(server, now);
         const auto [it, isNew] = m_servers.insert_or_assign(server.id, server);
         if (isNew)
             changes.found.push_back(server.id);
+        else if (hasNewWarmUp)
+            changes.warmingUp.push_back(server.id);
     }
     m_isKnown = true;
     if (!isInGracePeriod(now) && isMassExpiry(present, now))
@@ -91,6 +98,10 @@
         const bool isNewlyUnreachable = m_isStoreUnreachable && now - m_storeLostAt < m_gracePeriod;
         if (change.kind == ServerChange::Kind::Gone && (isInGracePeriod(now) || isNewlyUnreachable))
             continue;
+        const bool isKnown = usable(change.server.id) != nullptr;
+        if (change.kind == ServerChange::Kind::Found && recordReportedWarmUp(change.server, now)
+            && isKnown)
+            applied.warmingUp.push_back(change.server.id);
         if (!applyChange(change))
             continue;
         switch (change.kind) {
@@ -148,18 +159,78 @@
         m_recent.push_back({{ServerChange::Kind::Leaving, serverOf(id)}, now});
     for (const Base::ServerId &id : changes.gone)
         m_recent.push_back({{ServerChange::Kind::Gone, serverOf(id)}, now});
-    for (const Base::ServerId &id : changes.found) {
-        if (const RegisteredServer *server = usable(id))
-            m_recent.push_back({{ServerChange::Kind::Found, *server}, now});
+    for (const std::vector<Base::ServerId> &ids : {changes.found, changes.warmingUp}) {
+        for (const Base::ServerId &id : ids) {
+            if (const RegisteredServer *server = usable(id))
+                m_recent.push_back({{ServerChange::Kind::Found, *server}, now});
+        }
     }
+    for (const std::vector<Base::ServerId> &ids : {changes.leaving, changes.gone}) {
+        for (const Base::ServerId &id : ids)
+            m_warmUntil.erase(id);
+    }
+}
+
+bool ServerSet::recordEntryWarmUp(const RegisteredServer &server, Base::TimePoint now)
+{
+    if (server.warmingUp <= Base::Milliseconds(0))
+        return false;
+    const auto known = m_servers.find(server.id);
+    // The entry is read several times until the server writes it again. Only a time that has grown
+    // tells of a new warm-up.
+    if (known != m_servers.end() && server.warmingUp <= known->second.warmingUp)
+        return false;
+    Base::TimePoint &until = m_warmUntil[server.id];
+    if (now + server.warmingUp <= until)
+        return false;
+    until = now + server.warmingUp;
+    return true;
+}
+
+bool ServerSet::recordReportedWarmUp(const RegisteredServer &server, Base::TimePoint now)
+{
+    if (server.warmingUp <= Base::Milliseconds(0))
+        return false;
+    const auto known = m_warmUntil.find(server.id);
+    if (known != m_warmUntil.end() && now + server.warmingUp <= known->second + warmUpTolerance)
+        return false;
+    m_warmUntil[server.id] = now + server.warmingUp;
+    return true;
+}
+
+RegisteredServer ServerSet::withRemainingWarmUp(const RegisteredServer &server,
+                                                Base::TimePoint now) const
+{
+    RegisteredServer it = server;
+    const Base::Duration left = std::max(Base::Duration::zero(), warmUntil(server.id) - now);
+    it.warmingUp = std::chrono::ceil<Base::Milliseconds>(left);
+    return it;
+}
+
+Base::TimePoint ServerSet::warmUntil(const Base::ServerId &id) const
+{
+    const auto it = m_warmUntil.find(id);
+    return it == m_warmUntil.end() ? Base::TimePoint{} : it->second;
+}
+
+std::vector<ServerChange> ServerSet::asChanges(Base::TimePoint now) const
+{
+    std::vector<ServerChange> changes;
+    for (const auto &[id, server] : m_servers)
+        changes.push_back({ServerChange::Kind::Found, withRemainingWarmUp(server, now)});
+    return changes;
 }
 
 std::vector<ServerChange> ServerSet::recentChanges(Base::TimePoint now) const
 {
     std::vector<ServerChange> changes;
     for (const TimedChange &it : m_recent) {
-        if (now - it.at < recentChangeSpan)
-            changes.push_back(it.change);
+        if (now - it.at >= recentChangeSpan)
+            continue;
+        changes.push_back(it.change);
+        ServerChange &change = changes.back();
+        if (change.kind == ServerChange::Kind::Found)
+            change.server = withRemainingWarmUp(change.server, now);
     }
     return changes;
 }
--- a/src/libs/routing/serverset.h
+++ b/src/libs/routing/serverset.h
@@ -41,7 +41,7 @@
     /// The number of requests that the server runs at once.
     std::uint32_t slots = 1;
     bool isLeaving = false;
-    /// The remaining time for which the server is slow after its start.
+    /// The remaining time for which the server warms up, as it told in its entry.
     Base::Milliseconds warmingUp{0};
 
     bool operator==(const RegisteredServer &) const = default;
@@ -51,7 +51,7 @@
 struct ServerChange
 {
     enum class Kind : std::uint8_t {
-        Found,   ///< The server may get requests now.
+        Found,   ///< The server may get requests now, or its warm-up has begun anew.
         Leaving, ///< The server announced that it leaves. This is final.
         Gone,    ///< The server's entry is missing.
     };
@@ -69,8 +69,13 @@
     std::vector<Base::ServerId> found;
     std::vector<Base::ServerId> leaving;
     std::vector<Base::ServerId> gone;
+    /// The servers that warm up longer than was known before.
+    std::vector<Base::ServerId> warmingUp;
 
-    bool isEmpty() const { return found.empty() && leaving.empty() && gone.empty(); }
+    bool isEmpty() const
+    {
+        return found.empty() && leaving.empty() && gone.empty() && warmingUp.empty();
+    }
 };
 
 /// The set of backend servers that may get requests.
@@ -120,6 +125,10 @@
     /// Returns the server with \a id, or null if it is leaving, gone or unknown.
     const RegisteredServer *usable(const Base::ServerId &id) const;
     const std::map<Base::ServerId, RegisteredServer> &servers() const { return m_servers; }
+    /// Returns the time until which the server warms up; a time in the past if it does not.
+    Base::TimePoint warmUntil(const Base::ServerId &id) const;
+    /// Returns all usable servers, as changes for a host that has no list yet.
+    std::vector<ServerChange> asChanges(Base::TimePoint now) const;
 
 private:
     struct TimedChange
@@ -135,6 +144,12 @@
     /// Records the start if it is the latest one of its server, and removes the previous one.
     void supersede(const ServerStart &start, ServerChanges &changes);
     void recordChanges(const ServerChanges &changes, Base::TimePoint now);
+    /// Records the warm-up that an entry of the store tells. Returns whether it is a new one.
+    bool recordEntryWarmUp(const RegisteredServer &server, Base::TimePoint now);
+    /// Records the remaining warm-up that another host reports. Returns whether it is a new one.
+    bool recordReportedWarmUp(const RegisteredServer &server, Base::TimePoint now);
+    /// Returns \a server with the warm-up that remains at \a now.
+    RegisteredServer withRemainingWarmUp(const RegisteredServer &server, Base::TimePoint now) const;
     bool isInGracePeriod(Base::TimePoint now) const;
     /// Returns whether \a present lacks so many servers that their entries must have expired in an
     /// outage that another host noticed.
@@ -146,6 +161,8 @@
     std::set<Base::ServerId> m_left;
     /// The latest start that was ever seen of each server, by the server's name.
     std::map<std::string, Base::Milliseconds> m_latestStarts;
+    /// The time until which each server warms up, for those that ever told one.
+    std::map<Base::ServerId, Base::TimePoint> m_warmUntil;
     bool m_isKnown = false;
     bool m_isStoreUnreachable = false;
     Base::TimePoint m_storeLostAt{};
--- a/tests/auto/platformadapter/tst_storecodec.cpp
+++ b/tests/auto/platformadapter/tst_storecodec.cpp
@@ -217,6 +217,19 @@
     CHECK(configuration(200, R"({"rows":[],"hasMore":false,"ver":0,"nowMs":3})") == Outcome::Good);
 }
 
+TEST_CASE("the warm-up of a service's servers is read from the configuration", "[platform]")
+{
+    std::string text = configurationExample;
+    const std::string before = R"("maxConnections":360,)";
+    text.replace(text.find(before), before.size(), before + R"("coldStartS":3.0,"coldPerS":8.8,)");
+    const auto read = readConfiguration(text);
+    REQUIRE(read);
+    CHECK(read->services[0].warmUp == Routing::WarmUp{Base::Milliseconds(3000), 8.8});
+    CHECK_FALSE(read->services[1].warmUp);
+    text.replace(text.find("3.0,"), 4, "-1 ,");
+    CHECK(outcomeOf([&] { return readConfiguration(text); }) == Outcome::Malformed);
+}
+
 TEST_CASE("servers are read page by page", "[platform]")
 {
     const StoreCodec codec;
--- a/tests/auto/routing/tst_serverset.cpp
+++ b/tests/auto/routing/tst_serverset.cpp
@@ -351,3 +351,42 @@
         }
     });
 }
+
+TEST_CASE("a server that warms up anew is reported with the time that remains", "[routing]")
+{
+    // Guards against a host that sends a server its usual requests although the server has just
+    // become cold, because only hosts that read the store know of it.
+    ServerSet reader(seconds(2));
+    reader.apply({server("a"), server("b")}, start);
+    RegisteredServer cold = server("a");
+    cold.warmingUp = milliseconds(3000);
+    const ServerChanges changes = reader.apply({cold, server("b")}, start + seconds(1));
+    CHECK(changes.warmingUp == std::vector{Base::ServerId("a")});
+    CHECK(reader.warmUntil(Base::ServerId("a")) == start + seconds(4));
+    ServerSet other(seconds(2));
+    other.apply({server("a"), server("b")}, start);
+    const Base::TimePoint later = start + milliseconds(1600);
+    const ServerChanges taken = other.applyChanges(reader.recentChanges(later), later);
+    CHECK(taken.warmingUp == std::vector{Base::ServerId("a")});
+    CHECK(other.warmUntil(Base::ServerId("a")) == start + seconds(4));
+    // The same report arrives again a little later.
+    const Base::TimePoint again = later + milliseconds(200);
+    CHECK(other.applyChanges(reader.recentChanges(later), again).isEmpty());
+}
+
+TEST_CASE("an entry that a server has not written again does not prolong its warm-up", "[routing]")
+{
+    ServerSet set(seconds(2));
+    RegisteredServer cold = server("a");
+    cold.warmingUp = milliseconds(3000);
+    set.apply({cold}, start);
+    CHECK(set.apply({cold}, start + seconds(1)).isEmpty());
+    CHECK(set.warmUntil(Base::ServerId("a")) == start + seconds(3));
+    cold.warmingUp = milliseconds(1800);
+    set.apply({cold}, start + seconds(2));
+    CHECK(set.warmUntil(Base::ServerId("a")) == start + seconds(3));
+    // The server becomes cold again.
+    cold.warmingUp = milliseconds(3000);
+    CHECK(set.apply({cold}, start + seconds(5)).warmingUp.size() == 1);
+    CHECK(set.warmUntil(Base::ServerId("a")) == start + seconds(8));
+}
