Send nothing to the servers of evacuated zones

What callers saw: nothing at first; the operator did.

Cause: the rows op/evacuate/ZONE were not read, though they come with the watch of the configuration. A watch that returned such a row also began again before it, so it was answered at once until the next full reading.

Now a reading or a watch of the operator's table gives the evacuated zones beside the configuration, without a further call. Hosts pass them on in every report with the version of the store that they were read at, the newer version wins, and a host that starts takes them with its copy of the servers and is not ready before it knows them. The servers of such a zone get no request, first or repeated; cached beginnings may still be fetched from them by other servers. A request that only such servers could run is refused at once. After the end of an evacuation the zone's servers are presumed cold.

--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -582,6 +582,13 @@
                 now());
 }
 
+void Gateway::evacuationsChanged()
+{
+    // The other hosts should learn of it at once.
+    m_nextReport = Base::TimePoint{};
+    m_services->evacuationsChanged(now());
+}
+
 bool Gateway::isReady() const
 {
     return m_replica->isKnown() && !m_leavingSince;
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -96,6 +96,7 @@
     void configurationApplied() override;
     void serversChanged(const Routing::ServerChanges &changes, bool notifiesZone) override;
     void serversRead() override { m_services->serversRead(); }
+    void evacuationsChanged() override;
     void unreadableEntriesChanged(const std::set<std::string> &entries) override;
     void storeCallFinished(const char *call, bool isGood) override;
 
--- a/src/libs/gateway/hostreport.cpp
+++ b/src/libs/gateway/hostreport.cpp
@@ -12,7 +12,7 @@
 using Json = nlohmann::json;
 
 /// First element of a report. Reports with another format version are not read.
-constexpr std::uint64_t formatVersion = 8;
+constexpr std::uint64_t formatVersion = 9;
 constexpr double millisecondsPerSecond = 1000;
 constexpr std::uint64_t largestScope = static_cast<std::uint64_t>(ReportScope::Fleet);
 
@@ -213,6 +213,11 @@
     for (const Routing::ServerChange &change : store.serverChanges)
         changes.push_back(changeJson(change));
     json.push_back(std::move(changes));
+    Json zones = Json::array();
+    for (const Base::ZoneId &zone : store.evacuatedZones)
+        zones.push_back(Json::array({zone.value()}));
+    json.push_back(std::move(zones));
+    json.push_back(store.evacuationVersion);
     return json;
 }
 
@@ -225,6 +230,8 @@
     store.proofAge = readAge(reader);
     store.outageAge = readAge(reader);
     reader.forEach([&](ArrayReader &it) { store.serverChanges.push_back(readChange(it)); });
+    reader.forEach([&](ArrayReader &it) { store.evacuatedZones.emplace_back(it.text()); });
+    store.evacuationVersion = reader.number();
     return store;
 }
 
--- a/src/libs/gateway/hostreport.h
+++ b/src/libs/gateway/hostreport.h
@@ -60,6 +60,10 @@
     /// Set while the store does not answer the sender: the duration of the outage when the report
     /// was sent.
     std::optional<Base::Milliseconds> outageAge;
+    /// The zones that the operator has evacuated, and the version of the store at which they were
+    /// read; 0 if the sender does not know them.
+    std::vector<Base::ZoneId> evacuatedZones;
+    std::uint64_t evacuationVersion = 0;
 
     bool operator==(const StoreState &) const = default;
 };
--- a/src/libs/gateway/services.cpp
+++ b/src/libs/gateway/services.cpp
@@ -1,5 +1,7 @@
 #include "gateway/services.h"
 
+#include "gateway/boottime.h"
+
 #include <cmath>
 #include <optional>
 
@@ -43,6 +45,7 @@
         m_services.emplace(name, Service{Routing::Dispatcher(traitsOf(name), m_zone, m_host),
                                          Routing::RetryShare(m_retries)});
     added->second.dispatcher.setPeerLoad(m_fleet->others());
+    added->second.dispatcher.setEvacuatedZones(m_replica->evacuatedZones().zones(), bootTimeNow());
     serversRead();
     return added->second;
 }
@@ -104,6 +107,12 @@
     }
 }
 
+void Services::evacuationsChanged(Base::TimePoint now)
+{
+    for (auto &[name, it] : m_services)
+        it.dispatcher.setEvacuatedZones(m_replica->evacuatedZones().zones(), now);
+}
+
 void Services::retryAllowanceChanged(const Routing::RetryAllowance &allowance)
 {
     m_retries = allowance;
--- a/src/libs/gateway/services.h
+++ b/src/libs/gateway/services.h
@@ -41,6 +41,7 @@
     /// Must be called when the slots or warm-up times of servers may have changed and no server
     /// came or went.
     void serversRead();
+    void evacuationsChanged(Base::TimePoint now);
     void retryAllowanceChanged(const Routing::RetryAllowance &allowance);
     void peerLoadChanged();
     void applyPartUses(const std::vector<Routing::PartUse> &uses, Base::TimePoint now);
--- a/src/libs/gateway/storeclient.cpp
+++ b/src/libs/gateway/storeclient.cpp
@@ -157,11 +157,12 @@
         m_watchFromVersion = reading.storeVersion;
         m_needsReading = false;
         m_nextFullReading = askedAt + fullReadingInterval;
-    } else if (reading.configuration) {
+    } else if (reading.hasChanges) {
         // A watch from a version before this change would return at once, again and again.
         m_watchFromVersion = reading.storeVersion;
     }
     m_nextWatch = Base::TimePoint{};
+    takeEvacuations(reading, isWatch);
     if (reading.configuration && reading.configuration->version > m_configurationVersion) {
         m_configurationVersion = reading.configuration->version;
         m_listener->configurationRead(Routing::RouteTable::create(*reading.configuration), text);
@@ -175,6 +176,23 @@
     m_listener->configurationConfirmed(askedAt);
 }
 
+void StoreClient::takeEvacuations(const ConfigurationReading &reading, bool isWatch)
+{
+    for (const std::string &key : reading.unreadable)
+        m_log->write(LogLine("evacuation.unreadable").add("key", key), bootTimeNow());
+    if (isWatch) {
+        if (!reading.evacuations.empty())
+            m_listener->evacuationsChanged(reading.evacuations, reading.storeVersion);
+        return;
+    }
+    std::set<Base::ZoneId> zones;
+    for (const Routing::EvacuationChange &it : reading.evacuations) {
+        if (it.isEvacuated)
+            zones.insert(it.zone);
+    }
+    m_listener->evacuationsRead(zones, reading.storeVersion);
+}
+
 void StoreClient::configurationFailed(const char *why, FailureScope scope)
 {
     m_listener->storeCallFinished("configuration", false);
--- a/src/libs/gateway/storeclient.h
+++ b/src/libs/gateway/storeclient.h
@@ -28,6 +28,11 @@
     /// The known configuration is current: the store confirmed it in answer to a call that was sent
     /// at \a askedAt.
     virtual void configurationConfirmed(Base::TimePoint askedAt) = 0;
+    /// All evacuated zones were read, as of \a version of the store.
+    virtual void evacuationsRead(const std::set<Base::ZoneId> &zones, std::uint64_t version) = 0;
+    /// A watch returned all changes of evacuations up to \a version of the store.
+    virtual void evacuationsChanged(const std::vector<Routing::EvacuationChange> &changes,
+                                    std::uint64_t version) = 0;
     /// The entries of all servers were read; the call for the last page was sent at \a askedAt.
     virtual void serversRead(const std::vector<Routing::RegisteredServer> &servers,
                              Base::TimePoint askedAt) = 0;
@@ -111,6 +116,7 @@
                                bool isWatch);
     void takeConfiguration(const ConfigurationReading &reading, const std::string &text,
                            Base::TimePoint askedAt, bool isWatch);
+    void takeEvacuations(const ConfigurationReading &reading, bool isWatch);
     /// What a failure affects: one connection only, or the store as a whole.
     enum class FailureScope { Connection, Store };
     void configurationFailed(const char *why, FailureScope scope);
--- a/src/libs/gateway/storeprotocol.h
+++ b/src/libs/gateway/storeprotocol.h
@@ -3,6 +3,7 @@
 #include "base/ids.h"
 #include "base/result.h"
 #include "base/time.h"
+#include "routing/evacuatedzones.h"
 #include "routing/routingconfiguration.h"
 #include "routing/serverset.h"
 
@@ -45,13 +46,20 @@
     std::string what;
 };
 
-/// Result of reading or watching the configuration.
+/// Result of reading or watching what the operator has set: the configuration and the evacuated
+/// zones.
 struct ConfigurationReading
 {
     /// Version of the store at the moment of the reading. The store never decreases it.
     std::uint64_t storeVersion = 0;
     /// Empty if there is no configuration, or if a watch returned no change of it.
     std::optional<Routing::RoutingConfiguration> configuration;
+    /// All evacuated zones after a reading, or their changes after a watch.
+    std::vector<Routing::EvacuationChange> evacuations;
+    /// Keys of entries on evacuations that name no zone; they are not used.
+    std::vector<std::string> unreadable;
+    /// Whether a watch returned any change, of whatever kind.
+    bool hasChanges = false;
 };
 
 /// One page of the entries of backend servers.
--- a/src/libs/gateway/storereplica.cpp
+++ b/src/libs/gateway/storereplica.cpp
@@ -128,8 +128,7 @@
     if (m_store.isConfigurationMissing())
         return StoreClient::ReaderRole::None;
     const std::optional<Base::Duration> age = m_lease.age(now);
-    const bool needsOwnReading = !m_table || !m_servers.isKnown() || !age
-                                 || *age >= m_times.fallbackReadAge
+    const bool needsOwnReading = !isKnown() || !age || *age >= m_times.fallbackReadAge
                                  || now - m_serversProvedAt >= m_times.fallbackReadAge;
     return needsOwnReading ? StoreClient::ReaderRole::Self : StoreClient::ReaderRole::None;
 }
@@ -138,6 +137,9 @@
 {
     StoreState store;
     store.configurationVersion = version();
+    const std::set<Base::ZoneId> &zones = m_evacuatedZones.zones();
+    store.evacuatedZones.assign(zones.begin(), zones.end());
+    store.evacuationVersion = m_evacuatedZones.version();
     store.serversFingerprint = m_servers.fingerprint();
     if (const std::optional<Base::TimePoint> lostAt = m_servers.storeUnreachableSince())
         store.outageAge = std::chrono::floor<Base::Milliseconds>(now - *lostAt);
@@ -159,6 +161,7 @@
     const StoreState &store = report.store;
     if (store.outageAge)
         m_servers.outageReported(now - *store.outageAge);
+    takeEvacuations(store);
     if (!store.proofAge || report.self.zone != m_self.zone)
         return;
     const bool isOlder = version() < store.configurationVersion;
@@ -206,6 +209,37 @@
     setTable(std::move(table), text);
 }
 
+void StoreReplica::evacuationsRead(const std::set<Base::ZoneId> &zones, std::uint64_t version)
+{
+    if (m_evacuatedZones.replace(zones, version))
+        logEvacuations();
+}
+
+void StoreReplica::evacuationsChanged(const std::vector<Routing::EvacuationChange> &changes,
+                                      std::uint64_t version)
+{
+    if (m_evacuatedZones.apply(changes, version))
+        logEvacuations();
+}
+
+void StoreReplica::takeEvacuations(const StoreState &store)
+{
+    evacuationsRead({store.evacuatedZones.begin(), store.evacuatedZones.end()},
+                    store.evacuationVersion);
+}
+
+void StoreReplica::logEvacuations()
+{
+    std::string names;
+    for (const Base::ZoneId &zone : m_evacuatedZones.zones())
+        names += (names.empty() ? "" : ",") + zone.value();
+    m_dependencies.log.write(LogLine("evacuation.changed")
+                                 .add("zones", names)
+                                 .add("version", m_evacuatedZones.version()),
+                             bootTimeNow());
+    m_dependencies.listener.evacuationsChanged();
+}
+
 void StoreReplica::configurationConfirmed(Base::TimePoint askedAt)
 {
     m_lease.confirm(askedAt);
@@ -308,6 +342,7 @@
     if (!store.proofAge || store.serversVersion < m_store.serversVersion())
         return;
     const Base::TimePoint now = bootTimeNow();
+    takeEvacuations(store);
     m_store.serversCopied(store.serversVersion);
     if (m_servers.isKnown()) {
         m_dependencies.listener.serversChanged(
@@ -357,6 +392,9 @@
     report.store.serversVersion = m_store.serversVersion();
     report.store.proofAge = std::chrono::ceil<Base::Milliseconds>(age);
     report.store.serverChanges = m_servers.asChanges(now);
+    report.store.evacuatedZones.assign(m_evacuatedZones.zones().begin(),
+                                       m_evacuatedZones.zones().end());
+    report.store.evacuationVersion = m_evacuatedZones.version();
     return report;
 }
 
--- a/src/libs/gateway/storereplica.h
+++ b/src/libs/gateway/storereplica.h
@@ -36,6 +36,8 @@
     virtual void serversRead() = 0;
     /// The set of server entries that cannot be read has changed.
     virtual void unreadableEntriesChanged(const std::set<std::string> &entries) = 0;
+    /// The operator has evacuated zones or taken evacuations back.
+    virtual void evacuationsChanged() = 0;
     /// A call of the store has ended; \a isGood unless it failed.
     virtual void storeCallFinished(const char *call, bool isGood) = 0;
 };
@@ -83,8 +85,9 @@
     std::uint64_t version() const { return m_table ? m_table->version() : 0; }
     const Routing::ServerSet &servers() const { return m_servers; }
     const Routing::ConfigurationLease &lease() const { return m_lease; }
-    /// Whether both a configuration and the backend servers are known.
-    bool isKnown() const { return m_table && m_servers.isKnown(); }
+    const Routing::EvacuatedZones &evacuatedZones() const { return m_evacuatedZones; }
+    /// Whether a configuration, the backend servers and the evacuated zones are known.
+    bool isKnown() const { return m_table && m_servers.isKnown() && m_evacuatedZones.isKnown(); }
     /// Whether the store does not take this host's calls, or has come back so recently that entries
     /// may still be missing. Another host should then read the store for the zone.
     bool isStoreLost(Base::TimePoint now) const;
@@ -97,6 +100,9 @@
     void configurationRead(std::shared_ptr<const Routing::RouteTable> table,
                            const std::string &text) override;
     void configurationConfirmed(Base::TimePoint askedAt) override;
+    void evacuationsRead(const std::set<Base::ZoneId> &zones, std::uint64_t version) override;
+    void evacuationsChanged(const std::vector<Routing::EvacuationChange> &changes,
+                            std::uint64_t version) override;
     void serversRead(const std::vector<Routing::RegisteredServer> &servers,
                      Base::TimePoint askedAt) override;
     void storeFailed() override;
@@ -120,6 +126,9 @@
     /// Whether a host that has just started waits for a copy instead of asking the store.
     bool waitsForCopy(Base::TimePoint now) const;
     void setTable(std::shared_ptr<const Routing::RouteTable> table, const std::string &text);
+    /// Takes the evacuated zones that another host knows.
+    void takeEvacuations(const StoreState &store);
+    void logEvacuations();
     /// Returns the changes that turn this host's servers into those of \a copy.
     std::vector<Routing::ServerChange>
     changesToReach(const std::vector<Routing::ServerChange> &copy) const;
@@ -138,6 +147,7 @@
     std::string m_tableText;
     Routing::ConfigurationLease m_lease;
     Routing::ServerSet m_servers;
+    Routing::EvacuatedZones m_evacuatedZones;
     Base::TimePoint m_startedAt;
     /// Time of the question whose answer last proved the configuration current to this host's own
     /// store client.
--- a/src/libs/routing/dispatcher.cpp
+++ b/src/libs/routing/dispatcher.cpp
@@ -93,6 +93,7 @@
         next[server.id].server = server;
     }
     m_servers = std::move(next);
+    updateEvacuated();
     peerLoadChanged();
 }
 
@@ -103,6 +104,27 @@
         it->second.warmUntil = std::max(it->second.warmUntil, until);
 }
 
+void Dispatcher::setEvacuatedZones(const std::set<Base::ZoneId> &zones, Base::TimePoint now)
+{
+    m_evacuatedZones = zones;
+    for (auto &[id, state] : m_servers) {
+        // All hosts see an idle zone at the same moment, and its servers may be cold.
+        const bool isRestored = state.isEvacuated && zones.count(state.server.zone) == 0;
+        if (isRestored)
+            state.warmUntil = std::max(state.warmUntil, now + m_warmUpLimiter.presumedWarmUp());
+    }
+    updateEvacuated();
+}
+
+void Dispatcher::updateEvacuated()
+{
+    m_hasEligibleServer = false;
+    for (auto &[id, state] : m_servers) {
+        state.isEvacuated = m_evacuatedZones.count(state.server.zone) > 0;
+        m_hasEligibleServer |= !state.isEvacuated;
+    }
+}
+
 void Dispatcher::setPeerLoad(const PeerLoad &peerLoad)
 {
     m_peerLoad = &peerLoad;
@@ -126,7 +148,7 @@
     Decisions decisions;
     if (work.tried.empty())
         m_shares.recordDemand(work.customer, tokensOf(work), now);
-    if (m_servers.empty()) {
+    if (!m_hasEligibleServer) {
         decisions.rejected.push_back(makeRejection(work, RejectionReason::NoServer, now));
         return decisions;
     }
@@ -378,7 +400,7 @@
     std::uint64_t lowest = 0;
     for (const auto &[id, state] : m_servers) {
         // A server that takes few requests cannot be the only one that keeps a beginning.
-        if (now < state.warmUntil)
+        if (state.isEvacuated || now < state.warmUntil)
             continue;
         const std::uint64_t order = Base::stableHash(id.value(), beginning);
         if (selected && order >= lowest)
@@ -401,7 +423,7 @@
 
 bool Dispatcher::isUsable(const ServerState &state, Base::TimePoint now) const
 {
-    if (!state.health.isUsable(now))
+    if (state.isEvacuated || !state.health.isUsable(now))
         return false;
     return now >= state.warmUntil
            || m_warmUpLimiter.isAllowed(state.server.id, state.lastSentAt, now);
--- a/src/libs/routing/dispatcher.h
+++ b/src/libs/routing/dispatcher.h
@@ -16,6 +16,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -53,6 +54,9 @@
     void setServers(const std::vector<RegisteredServer> &servers);
     /// Sets the time until which a server warms up. A longer warm-up that is presumed stays.
     void setWarmUntil(const Base::ServerId &server, Base::TimePoint until);
+    /// Sets the zones whose servers get no new requests. Servers of a zone that gets requests again
+    /// are presumed to have just started.
+    void setEvacuatedZones(const std::set<Base::ZoneId> &zones, Base::TimePoint now);
     /// Sets the load of the other hosts. \a peerLoad must outlive the dispatcher and may change;
     /// peerLoadChanged() must be called after each change.
     void setPeerLoad(const PeerLoad &peerLoad);
@@ -104,6 +108,7 @@
         Base::TimePoint warmUntil{};
         /// The time of this host's last request to the server.
         Base::TimePoint lastSentAt{};
+        bool isEvacuated = false;
     };
     struct Placed
     {
@@ -159,6 +164,7 @@
     /// Returns whether a request may be sent to the server now, full or not.
     bool isUsable(const ServerState &state, Base::TimePoint now) const;
     bool hasRoom(const ServerState &state, Admission admission, Base::TimePoint now) const;
+    void updateEvacuated();
     /// Returns the mean saturation of the servers that may get requests now. A server counts as 0
     /// with spare capacity, as 1 without, and as 2 if it is full for everybody.
     double saturation(Base::TimePoint now) const;
@@ -177,6 +183,9 @@
     ServerCost m_cost;
     CustomerShares m_shares;
     WarmUpLimiter m_warmUpLimiter;
+    std::set<Base::ZoneId> m_evacuatedZones;
+    /// Whether there is a server outside of the evacuated zones.
+    bool m_hasEligibleServer = false;
     Base::ZoneId m_ownZone;
     const PeerLoad *m_peerLoad = nullptr;
     std::map<Base::ServerId, ServerState> m_servers;
--- a/tests/auto/gateway/fakestore.h
+++ b/tests/auto/gateway/fakestore.h
@@ -18,8 +18,9 @@
 {
 public:
     HttpCall readConfiguration() const override { return {"GET", "/configuration", {}}; }
-    HttpCall watchConfiguration(std::uint64_t, Base::Milliseconds) const override
+    HttpCall watchConfiguration(std::uint64_t version, Base::Milliseconds) const override
     {
+        watchedVersions.push_back(version);
         return {"GET", "/watch", {}};
     }
     Base::Result<ConfigurationReading> configuration(const HttpAnswer &answer) const override
@@ -28,7 +29,13 @@
         Routing::RoutingConfiguration configuration;
         configuration.version = std::stoull(answer.body);
         // The store is never empty, since servers write to it before the operator does.
-        return ConfigurationReading{configuration.version + 1, configuration};
+        ConfigurationReading reading{
+            configuration.version + 1, configuration, evacuations, {}, true};
+        // The store's version grows when the operator evacuates a zone, the configuration's does
+        // not.
+        if (answer.body == unchangedConfiguration)
+            reading.configuration.reset();
+        return reading;
     }
     HttpCall readServers(const std::string &) const override { return {"GET", "/servers", {}}; }
     Base::Result<ServerReading> servers(const HttpAnswer &answer) const override
@@ -63,6 +70,11 @@
 
     std::vector<HostRow> rows;
     std::vector<Routing::RegisteredServer> entries;
+    std::vector<Routing::EvacuationChange> evacuations;
+    /// The versions from which changes were watched.
+    mutable std::vector<std::uint64_t> watchedVersions;
+    /// At this version of the store, it returns no configuration.
+    std::string unchangedConfiguration;
 
 private:
     static Base::Result<void> checked(const HttpAnswer &answer)
--- a/tests/auto/gateway/tst_fleetview.cpp
+++ b/tests/auto/gateway/tst_fleetview.cpp
@@ -284,7 +284,7 @@
 {
     HostReport before = report("a", 1);
     before.scope = ReportScope::Fleet;
-    before.store = {7, 8, 9, {}, milliseconds(900), milliseconds(300)};
+    before.store = {7, 8, 9, {}, milliseconds(900), milliseconds(300), {Base::ZoneId("y")}, 31};
     before.store.serverChanges = {{Routing::ServerChange::Kind::Leaving, {}},
                                   {Routing::ServerChange::Kind::Found,
                                    {Base::ServerId("t@9"),
--- a/tests/auto/gateway/tst_storeclient.cpp
+++ b/tests/auto/gateway/tst_storeclient.cpp
@@ -30,6 +30,15 @@
         ++configurations;
     }
     void configurationConfirmed(Base::TimePoint) override { ++confirmations; }
+    void evacuationsRead(const std::set<Base::ZoneId> &zones, std::uint64_t) override
+    {
+        evacuated = zones;
+    }
+    void evacuationsChanged(const std::vector<Routing::EvacuationChange> &changes,
+                            std::uint64_t) override
+    {
+        evacuationChanges = changes;
+    }
     void serversRead(const std::vector<Routing::RegisteredServer> &, Base::TimePoint) override
     {
         wasStoreLost = std::exchange(isStoreLost, false);
@@ -42,6 +51,8 @@
     std::vector<HostRow> rowsToRefresh() const override { return rows; }
 
     std::vector<HostRow> rows;
+    std::set<Base::ZoneId> evacuated;
+    std::vector<Routing::EvacuationChange> evacuationChanges;
     int configurations = 0;
     int confirmations = 0;
     int serverReadings = 0;
@@ -68,8 +79,7 @@
                 return {};
             },
             [] { FAIL("cannot listen"); });
-        client =
-            std::make_unique<StoreClient>(m_io, address, m_protocol, HostRow{}, listener, m_log);
+        client = std::make_unique<StoreClient>(m_io, address, protocol, HostRow{}, listener, m_log);
     }
     ~StoreFixture() { close(m_nullDescriptor); }
     StoreFixture(const StoreFixture &) = delete;
@@ -98,8 +108,9 @@
     FakeStore store;
     Listener listener;
 
+    FakeStoreProtocol protocol;
+
 private:
-    FakeStoreProtocol m_protocol;
     ConnectionLimits m_limits;
     std::string m_buffer = std::string(65536, '\0');
     int m_nullDescriptor;
@@ -203,6 +214,24 @@
     }));
 }
 
+TEST_CASE("a watch goes on behind a change that is not of the configuration", "[gateway]")
+{
+    // The operator evacuates a zone. Guards against a watch that starts again before this change:
+    // the store answers it at once, hundreds of times a second, and each call has a price.
+    StoreFixture fixture;
+    fixture.client->setReaderRole(StoreClient::ReaderRole::ForZone);
+    REQUIRE(fixture.runUntil([&] { return fixture.listener.confirmations > 0; }));
+    fixture.protocol.evacuations = {{Base::ZoneId("east"), true}};
+    fixture.protocol.unchangedConfiguration = "9";
+    fixture.store.version = 9;
+    REQUIRE(fixture.runUntil([&] { return !fixture.listener.evacuationChanges.empty(); }));
+    CHECK(fixture.listener.evacuationChanges == fixture.protocol.evacuations);
+    const std::size_t watches = fixture.protocol.watchedVersions.size();
+    REQUIRE(
+        fixture.runUntil([&] { return fixture.protocol.watchedVersions.size() > watches + 1; }));
+    CHECK(fixture.protocol.watchedVersions.back() == 10);
+}
+
 TEST_CASE("a broken connection is no outage of the store", "[gateway]")
 {
     // Guards against requests to a server that has left. All connections are reset while a server
--- a/tests/auto/gateway/tst_storereplica.cpp
+++ b/tests/auto/gateway/tst_storereplica.cpp
@@ -30,6 +30,7 @@
     void configurationApplied() override {}
     void serversChanged(const Routing::ServerChanges &, bool) override {}
     void serversRead() override {}
+    void evacuationsChanged() override {}
     void unreadableEntriesChanged(const std::set<std::string> &) override {}
     void storeCallFinished(const char *, bool) override {}
 };
@@ -246,6 +247,60 @@
                         StoreIntervals().fallbackReadAge - milliseconds(400)));
 }
 
+// Guards against requests to servers of an evacuated zone from hosts that the store rejects, or
+// that do not read it.
+TEST_CASE("an evacuation reaches all hosts and is taken back at all hosts", "[gateway]")
+{
+    StoreFleet fleet;
+    fleet.addHosts(14, "east");
+    fleet.addHosts(2, "west");
+    fleet.listHosts();
+    REQUIRE(fleet.runUntil([&] { return fleet.allHoldVersion(7); }));
+    fleet.runFor(milliseconds(900));
+    // The watches of the leaders continue, and all other calls are rejected.
+    fleet.store.refused["/configuration"] = true;
+    fleet.store.refused["/servers"] = true;
+    const auto allHave = [&](std::size_t zones) {
+        return std::all_of(fleet.hosts.begin(), fleet.hosts.end(), [&](const auto &it) {
+            return it->replica->evacuatedZones().zones().size() == zones;
+        });
+    };
+    fleet.protocol.evacuations = {{Base::ZoneId("east"), true}};
+    fleet.protocol.unchangedConfiguration = "9";
+    fleet.store.version = 9;
+    CHECK(fleet.runUntil([&] { return allHave(1); }, seconds(1)));
+    fleet.protocol.evacuations = {{Base::ZoneId("east"), false}};
+    fleet.protocol.unchangedConfiguration = "10";
+    fleet.store.version = 10;
+    CHECK(fleet.runUntil([&] { return allHave(0); }, seconds(1)));
+}
+
+TEST_CASE("a host that starts during an evacuation knows of it before it serves", "[gateway]")
+{
+    StoreFleet fleet;
+    fleet.addHosts(3);
+    fleet.listHosts();
+    REQUIRE(fleet.runUntil([&] { return fleet.allHoldVersion(7); }));
+    fleet.runFor(milliseconds(700));
+    fleet.protocol.evacuations = {{Base::ZoneId("z"), true}};
+    fleet.protocol.unchangedConfiguration = "9";
+    fleet.store.version = 9;
+    REQUIRE(fleet.runUntil(
+        [&] { return fleet.hosts[2]->replica->evacuatedZones().contains(Base::ZoneId("z")); }));
+    fleet.addHosts(4);
+    bool servesWithoutIt = false;
+    REQUIRE(fleet.runUntil([&] {
+        const auto isIgnorant = [](const auto &it) {
+            return it->replica->isKnown()
+                   && !it->replica->evacuatedZones().contains(Base::ZoneId("z"));
+        };
+        servesWithoutIt |= std::any_of(fleet.hosts.begin(), fleet.hosts.end(), isIgnorant);
+        return std::all_of(fleet.hosts.begin(), fleet.hosts.end(),
+                           [](const auto &it) { return it->replica->isKnown(); });
+    }));
+    CHECK_FALSE(servesWithoutIt);
+}
+
 TEST_CASE("hosts that start beside others copy their data", "[gateway]")
 {
     // Hosts are replaced in turn. Guards against starts that cost the store five calls each, which
--- a/tests/auto/platformadapter/tst_storecodec.cpp
+++ b/tests/auto/platformadapter/tst_storecodec.cpp
@@ -217,6 +217,35 @@
     CHECK(configuration(200, R"({"rows":[],"hasMore":false,"ver":0,"nowMs":3})") == Outcome::Good);
 }
 
+TEST_CASE("evacuated zones are read beside the configuration", "[platform]")
+{
+    const StoreCodec codec;
+    const auto read = codec.configuration({200, rowsBody({{"config", configurationExample},
+                                                          {"evacuate/east", "{}"},
+                                                          {"evacuate/north", "not JSON"},
+                                                          {"evacuate/", "{}"},
+                                                          {"novel/east", "{}"}})});
+    REQUIRE(read);
+    CHECK(read->configuration);
+    CHECK(read->hasChanges);
+    CHECK(read->evacuations
+          == std::vector<Routing::EvacuationChange>{{Base::ZoneId("east"), true},
+                                                    {Base::ZoneId("north"), true}});
+    CHECK(read->unreadable == std::vector<std::string>{"evacuate/"});
+}
+
+TEST_CASE("an evacuation that is taken back is a removed row of a watch", "[platform]")
+{
+    const StoreCodec codec;
+    const Json row{{"key", "evacuate/east"}, {"removed", true}, {"ver", 8}};
+    const Json answer{{"rows", Json::array({row})}, {"ver", 9}, {"nowMs", 1}};
+    const auto read = codec.configuration({200, answer.dump()});
+    REQUIRE(read);
+    CHECK_FALSE(read->configuration);
+    CHECK(read->evacuations
+          == std::vector<Routing::EvacuationChange>{{Base::ZoneId("east"), false}});
+}
+
 TEST_CASE("the warm-up of a service's servers is read from the configuration", "[platform]")
 {
     std::string text = configurationExample;
--- a/tests/auto/routing/tst_warmuplimiter.cpp
+++ b/tests/auto/routing/tst_warmuplimiter.cpp
@@ -161,6 +161,11 @@
             m_hosts.back()->dispatcher.setPeerLoad(m_hosts.back()->others);
         }
     }
+    void setEvacuated(const std::set<Base::ZoneId> &zones, Base::TimePoint now)
+    {
+        for (const auto &it : m_hosts)
+            it->dispatcher.setEvacuatedZones(zones, now);
+    }
     void setWarmUntil(Base::TimePoint until)
     {
         for (const auto &it : m_hosts) {
@@ -254,6 +259,24 @@
 
 } // namespace
 
+TEST_CASE("an evacuated zone gets no request, and its servers get few when it is restored",
+          "[routing]")
+{
+    // The operator evacuates a zone and takes that back when its servers are idle and cold. Guards
+    // against hosts that all choose these servers at once, which then crash.
+    HostsOfPool hosts(24);
+    hosts.setEvacuated({Base::ZoneId("west")}, start);
+    hosts.run(start, seconds(2));
+    CHECK(mostInWest(hosts) == 0);
+    hosts.setEvacuated({}, start + seconds(2));
+    hosts.run(start + seconds(2), seconds(3));
+    CHECK(mostInWest(hosts) > 0);
+    CHECK(static_cast<double>(mostInWest(hosts)) <= mostPerSecond);
+    // Once warm, they take their part again.
+    hosts.run(start + seconds(8), seconds(2));
+    CHECK(static_cast<double>(mostInWest(hosts)) > mostPerSecond);
+}
+
 TEST_CASE("servers that register as cold get few requests from all hosts together", "[routing]")
 {
     HostsOfPool hosts(24);
@@ -283,3 +306,13 @@
     }
     CHECK(placed <= 2);
 }
+
+TEST_CASE("a request is refused at once if all servers are in evacuated zones", "[routing]")
+{
+    Dispatcher dispatcher({true, 500000, 40, 0}, Base::ZoneId("east"));
+    dispatcher.setServers(serversOfTwoZones());
+    dispatcher.setEvacuatedZones({Base::ZoneId("east"), Base::ZoneId("west")}, start);
+    const Decisions decisions = dispatcher.submit(shortPrompt(1, start), start);
+    REQUIRE(decisions.rejected.size() == 1);
+    CHECK(decisions.rejected.front().reason == RejectionReason::NoServer);
+}
