Log what is known of the customer that asks a host for most

FairnessChecker also tells the lowest share of what is due in six seconds, so that a change can be measured that breaks no rule.

--- a/src/libs/gateway/hostload.cpp
+++ b/src/libs/gateway/hostload.cpp
@@ -30,6 +30,17 @@
     return text;
 }
 
+void addCustomer(LogLine &line, const Routing::CustomerSample &sample)
+{
+    line.add("customer", sample.customer.value())
+        .add("asked", sample.asked)
+        .add("received", sample.received)
+        .add("begun", sample.begun)
+        .add("ownPart", sample.ownPart);
+    if (sample.rate)
+        line.add("rate", *sample.rate);
+}
+
 } // namespace
 
 void HostLoadCounter::addShedStream(const Base::CustomerId &customer)
@@ -69,6 +80,8 @@
             line->add("unmetLevel", *sample.unmetLevel);
         if (sample.reportAge)
             line->add("reportAgeMs", *sample.reportAge);
+        if (sample.largestCustomer)
+            addCustomer(*line, *sample.largestCustomer);
     }
     clear(sample, now);
     return line;
--- a/src/libs/gateway/hostload.h
+++ b/src/libs/gateway/hostload.h
@@ -3,6 +3,7 @@
 #include "base/ids.h"
 #include "base/time.h"
 #include "gateway/eventlog.h"
+#include "routing/customershares.h"
 
 #include <cstddef>
 #include <map>
@@ -20,6 +21,8 @@
     /// empty if there is none (Routing::CustomerShares).
     std::optional<double> shareLevel;
     std::optional<double> unmetLevel;
+    /// The customer that asked this host for most; empty if none did recently.
+    std::optional<Routing::CustomerSample> largestCustomer;
     /// Age of the newest report of another host; empty if there is none.
     std::optional<Base::Duration> reportAge;
 };
--- a/src/libs/gateway/services.cpp
+++ b/src/libs/gateway/services.cpp
@@ -150,6 +150,9 @@
             continue;
         keepLower(sample.shareLevel, it.dispatcher.shareLevel(now));
         keepLower(sample.unmetLevel, it.dispatcher.unmetLevel());
+        const auto largest = it.dispatcher.largestCustomer(now);
+        if (largest && (!sample.largestCustomer || sample.largestCustomer->asked < largest->asked))
+            sample.largestCustomer = largest;
     }
 }
 
--- a/src/libs/routing/customerratelimiter.cpp
+++ b/src/libs/routing/customerratelimiter.cpp
@@ -44,6 +44,12 @@
     m_buckets = std::move(buckets);
 }
 
+std::optional<double> CustomerRateLimiter::rate(const Base::CustomerId &customer) const
+{
+    const auto it = m_buckets.find(customer);
+    return it == m_buckets.end() ? std::nullopt : std::optional(it->second.tokensPerSecond);
+}
+
 bool CustomerRateLimiter::isAllowed(const Base::CustomerId &customer, Base::TimePoint now) const
 {
     const auto it = m_buckets.find(customer);
--- a/src/libs/routing/customerratelimiter.h
+++ b/src/libs/routing/customerratelimiter.h
@@ -4,6 +4,7 @@
 #include "base/time.h"
 
 #include <map>
+#include <optional>
 
 namespace Routing {
 
@@ -20,6 +21,8 @@
     /// Sets the rates in tokens per second of all customers that are limited. Customers without a
     /// rate are not limited. The rates replace all earlier ones.
     void setRates(const std::map<Base::CustomerId, double> &rates, Base::TimePoint now);
+    /// Returns the rate of the customer; empty if it is not limited.
+    std::optional<double> rate(const Base::CustomerId &customer) const;
     bool isAllowed(const Base::CustomerId &customer, Base::TimePoint now) const;
     /// Charges an admitted request of \a tokens. The charge may exceed the remaining credit, so
     /// that large requests are not starved; later requests then wait longer.
--- a/src/libs/routing/customershares.cpp
+++ b/src/libs/routing/customershares.cpp
@@ -210,6 +210,26 @@
     m_rateLimiter.setRates(rates, now);
 }
 
+std::optional<CustomerSample> CustomerShares::largestHere(Base::TimePoint now) const
+{
+    std::map<Base::CustomerId, double> asked;
+    m_asked.addTo(asked, now);
+    const auto largest =
+        std::max_element(asked.begin(), asked.end(), [](const auto &one, const auto &other) {
+            return one.second < other.second;
+        });
+    if (largest == asked.end())
+        return std::nullopt;
+    CustomerSample sample;
+    sample.customer = largest->first;
+    sample.asked = largest->second + (m_peerLoad ? valueOf(m_peerLoad->asked, sample.customer) : 0);
+    sample.received = received(sample.customer, now);
+    sample.begun = started(sample.customer, now);
+    sample.ownPart = largest->second / sample.asked;
+    sample.rate = m_rateLimiter.rate(sample.customer);
+    return sample;
+}
+
 double CustomerShares::ownDemandShare(const Base::CustomerId &customer) const
 {
     const double minShare = 1.0 / static_cast<double>(m_peerLoad ? m_peerLoad->hosts : 1);
--- a/src/libs/routing/customershares.h
+++ b/src/libs/routing/customershares.h
@@ -8,6 +8,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 
 namespace Routing {
 
@@ -20,6 +21,20 @@
     Refused,       ///< The request may not use any server.
 };
 
+/// What this host knows of one customer, in recent tokens (DecayingSum).
+struct CustomerSample
+{
+    Base::CustomerId customer;
+    /// Of the whole fleet: asked for, sent to servers, and begun by servers.
+    double asked = 0;
+    double received = 0;
+    double begun = 0;
+    /// This host's part of what the customer asked for, from 0 to 1.
+    double ownPart = 0;
+    /// The tokens per second that this host admits; empty if it does not limit the customer.
+    std::optional<double> rate;
+};
+
 /// Decides how much of a model pool each customer may use.
 ///
 /// A customer may send many times its usual load, through some hosts or through all. The pool's
@@ -63,6 +78,8 @@
     /// Returns the recently served tokens of the least served customer among those that get less
     /// than they ask for; infinite if there is none. This value limits what other customers get.
     double unmetLevel() const { return m_unmetLevel; }
+    /// Returns the customer that asked this host for most; empty if none did recently.
+    std::optional<CustomerSample> largestHere(Base::TimePoint now) const;
 
 private:
     /// Returns the part of the customer's received tokens that belongs to requests whose first
--- a/src/libs/routing/dispatcher.h
+++ b/src/libs/routing/dispatcher.h
@@ -87,6 +87,10 @@
     /// The levels of CustomerShares, for the log.
     double shareLevel(Base::TimePoint now) { return m_shares.shareLevel(now); }
     double unmetLevel() const { return m_shares.unmetLevel(); }
+    std::optional<CustomerSample> largestCustomer(Base::TimePoint now) const
+    {
+        return m_shares.largestHere(now);
+    }
 
 private:
     struct ServerState
--- a/tests/auto/routing/fairnesschecker.cpp
+++ b/tests/auto/routing/fairnesschecker.cpp
@@ -41,7 +41,8 @@
         second->wasDelayed = true;
 }
 
-std::optional<UnderservedPeriod> FairnessChecker::findUnderserved() const
+template <typename Visit>
+void FairnessChecker::forEachDelayedPeriod(Visit visit) const
 {
     const std::size_t seconds = m_seconds.front().size();
     std::vector<double> best(seconds);
@@ -62,11 +63,32 @@
                 period.received += second.received;
                 period.bestReceived += best[s];
             }
-            if (wasDelayed && period.received < due / 2 - toleratedRequests * m_largest[c])
-                return period;
+            if (wasDelayed)
+                visit(period, due);
         }
     }
-    return std::nullopt;
+}
+
+std::optional<UnderservedPeriod> FairnessChecker::findUnderserved() const
+{
+    std::optional<UnderservedPeriod> found;
+    forEachDelayedPeriod([&](const UnderservedPeriod &period, double due) {
+        const double tolerated = toleratedRequests * m_largest[period.customer];
+        if (!found && period.received < due / 2 - tolerated)
+            found = period;
+    });
+    return found;
+}
+
+double FairnessChecker::lowestShare() const
+{
+    double lowest = 1;
+    forEachDelayedPeriod([&](const UnderservedPeriod &period, double due) {
+        const double tolerated = toleratedRequests * m_largest[period.customer];
+        if (due > 0)
+            lowest = std::min(lowest, (period.received + tolerated) / due);
+    });
+    return lowest;
 }
 
 double FairnessChecker::servedOf(std::size_t customer) const
--- a/tests/auto/routing/fairnesschecker.h
+++ b/tests/auto/routing/fairnesschecker.h
@@ -34,6 +34,9 @@
     void recordDelayed(std::size_t customer, Base::Duration at);
 
     std::optional<UnderservedPeriod> findUnderserved() const;
+    /// Returns the lowest share of the tokens due to it that any customer got in six seconds in
+    /// each of which one of its requests was delayed; 1 if there is no such period.
+    double lowestShare() const;
     double served() const;
     double servedOf(std::size_t customer) const;
     double receivedIn(std::size_t customer, std::size_t second) const
@@ -50,6 +53,10 @@
     };
 
     Second *secondOf(std::size_t customer, Base::Duration at);
+    /// Calls \a visit with each period of six seconds in each of which a request of the period's
+    /// customer was delayed, and with the tokens due to it.
+    template <typename Visit>
+    void forEachDelayedPeriod(Visit visit) const;
 
     std::vector<std::vector<Second>> m_seconds;
     std::vector<double> m_largest;
