Spread plain requests over servers, and admit what they can answer in time

Cause: two decisions on counts that are half a second old. All hosts chose the server with the least work, which answers a hundred requests a second, so its queue filled before any host saw it; and all hosts stopped at 2.5 times the slots and went on at the same moments.

Now a server is drawn by a hash of the request, with a weight for its failures and its slowness, and OverloadGate admits the same share at each host when more arrives in the fleet than the servers answer, which is observed: answers of all hosts by busy slots. Hosts report arrivals and answers of each plain service.

--- a/src/libs/gateway/fleetview.cpp
+++ b/src/libs/gateway/fleetview.cpp
@@ -56,6 +56,11 @@
     for (const auto &[customer, amount] : load.begun)
         sum.begun[customer] += amount;
     sum.askedSeconds = std::max(sum.askedSeconds, load.askedSeconds);
+    for (const auto &[service, use] : load.serviceUses) {
+        Routing::ServiceUse &to = sum.serviceUses[service];
+        to.arrivals += use.arrivals;
+        to.answers += use.answers;
+    }
 }
 
 void subtractAmounts(std::map<Base::CustomerId, double> &from,
@@ -80,6 +85,11 @@
     subtractAmounts(from.asked, load.asked);
     subtractAmounts(from.received, load.received);
     subtractAmounts(from.begun, load.begun);
+    for (const auto &[service, use] : load.serviceUses) {
+        Routing::ServiceUse &to = from.serviceUses[service];
+        to.arrivals = std::max(0.0, to.arrivals - use.arrivals);
+        to.answers = std::max(0.0, to.answers - use.answers);
+    }
 }
 
 } // namespace
@@ -455,6 +465,7 @@
     m_others.received = std::move(sum.received);
     m_others.begun = std::move(sum.begun);
     m_others.askedSeconds = sum.askedSeconds;
+    m_others.serviceUses = std::move(sum.serviceUses);
     m_others.hosts = liveHosts(now);
     m_others.possibleHosts = m_receivers.size() + 1;
 }
--- a/src/libs/gateway/hostreport.cpp
+++ b/src/libs/gateway/hostreport.cpp
@@ -14,6 +14,8 @@
 /// First element of a report. Reports with another format version are not read.
 constexpr std::uint64_t formatVersion = 9;
 constexpr double millisecondsPerSecond = 1000;
+/// Numbers of requests are written in hundredths: a small host has only a few recent ones.
+constexpr double hundredths = 100;
 constexpr std::uint64_t largestScope = static_cast<std::uint64_t>(ReportScope::Fleet);
 
 /// Reads the elements of an array one after the other. After the first element that is missing or
@@ -122,12 +124,18 @@
     Json uses = Json::array();
     for (const Routing::PartUse &use : load.partUses)
         uses.push_back({use.server.value(), use.hash});
+    Json serviceUses = Json::array();
+    for (const auto &[service, use] : load.serviceUses) {
+        serviceUses.push_back({service, static_cast<std::uint64_t>(use.arrivals * hundredths),
+                               static_cast<std::uint64_t>(use.answers * hundredths)});
+    }
     return {std::move(servers),
             amountsJson(load.asked),
             amountsJson(load.received),
             amountsJson(load.begun),
             static_cast<std::uint64_t>(load.askedSeconds * millisecondsPerSecond),
-            std::move(uses)};
+            std::move(uses),
+            std::move(serviceUses)};
 }
 
 Routing::HostLoad readLoad(ArrayReader &reader)
@@ -148,6 +156,12 @@
         use.hash = it.number();
         load.partUses.push_back(use);
     });
+    reader.forEach([&](ArrayReader &it) {
+        const std::string service = it.text();
+        Routing::ServiceUse &use = load.serviceUses[service];
+        use.arrivals = static_cast<double>(it.number()) / hundredths;
+        use.answers = static_cast<double>(it.number()) / hundredths;
+    });
     return load;
 }
 
--- a/src/libs/gateway/services.cpp
+++ b/src/libs/gateway/services.cpp
@@ -122,8 +122,12 @@
 
 void Services::peerLoadChanged()
 {
-    for (auto &[name, it] : m_services)
+    for (auto &[name, it] : m_services) {
         it.dispatcher.peerLoadChanged();
+        const auto use = m_fleet->others().serviceUses.find(name);
+        it.dispatcher.setPeerUse(use == m_fleet->others().serviceUses.end() ? Routing::ServiceUse()
+                                                                            : use->second);
+    }
 }
 
 void Services::applyPartUses(const std::vector<Routing::PartUse> &uses, Base::TimePoint now)
@@ -134,8 +138,11 @@
 
 void Services::report(Routing::HostLoad &load, Base::TimePoint now)
 {
-    for (auto &[name, it] : m_services)
+    for (auto &[name, it] : m_services) {
         it.dispatcher.report(load, now);
+        if (const std::optional<Routing::ServiceUse> use = it.dispatcher.use(now))
+            load.serviceUses[name] = *use;
+    }
 }
 
 void Services::fillLevels(LoadSample &sample, Base::TimePoint now)
--- a/src/libs/routing/decayingsum.h
+++ b/src/libs/routing/decayingsum.h
@@ -37,6 +37,13 @@
         return std::chrono::duration<double>(halfLife).count() / std::log(2.0);
     }
 
+    /// Returns the share of an amount that is left after \a span.
+    static double keptShare(Base::Duration span)
+    {
+        return std::exp2(-static_cast<double>(span.count())
+                         / static_cast<double>(halfLife.count()));
+    }
+
 private:
     struct Entry
     {
@@ -51,9 +58,7 @@
 
     static double decayed(const Entry &entry, Base::TimePoint now)
     {
-        return entry.amount
-               * std::exp2(-static_cast<double>((now - entry.at).count())
-                           / static_cast<double>(halfLife.count()));
+        return entry.amount * keptShare(now - entry.at);
     }
 
     std::map<Base::CustomerId, Entry> m_entries;
--- a/src/libs/routing/dispatcher.cpp
+++ b/src/libs/routing/dispatcher.cpp
@@ -3,6 +3,8 @@
 #include "base/hash.h"
 
 #include <algorithm>
+#include <cmath>
+#include <limits>
 #include <utility>
 
 namespace Routing {
@@ -17,6 +19,9 @@
 constexpr double otherZoneMilliseconds = 4;
 /// The cost of a failed attempt for a caller: the time of the failed attempt and of the second one.
 constexpr double failureMilliseconds = 1200;
+/// The exponent of the share of attempts that a server of a plain application answers, in its
+/// weight. A server that fails half of its requests gets a sixteenth of what others get.
+constexpr double failureExponent = 4;
 /// The cost added to every server other than the rendezvous server of a beginning that is not
 /// cached anywhere. Hosts that see the same beginning at the same moment thus choose the same
 /// server, unless it is busy.
@@ -71,6 +76,7 @@
                        const Base::HostId &self)
     : m_cost(traits)
     , m_warmUpLimiter(self)
+    , m_hostHash(Base::stableHash(self.value()))
     , m_ownZone(ownZone)
 {
     setTraits(traits);
@@ -146,8 +152,10 @@
 Decisions Dispatcher::submit(Work work, Base::TimePoint now)
 {
     Decisions decisions;
-    if (work.tried.empty())
+    if (work.tried.empty()) {
         m_shares.recordDemand(work.customer, tokensOf(work), now);
+        m_overloadGate.recordArrival(now);
+    }
     if (!m_hasEligibleServer) {
         decisions.rejected.push_back(makeRejection(work, RejectionReason::NoServer, now));
         return decisions;
@@ -163,6 +171,10 @@
         decisions.rejected.push_back(makeRejection(work, RejectionReason::BeyondShare, now));
         return decisions;
     }
+    if (!isRetry && !m_cost.traits().isEngine && !m_overloadGate.admit(now)) {
+        decisions.rejected.push_back(makeRejection(work, RejectionReason::TooLate, now));
+        return decisions;
+    }
     const bool onlyWithCapacity = isRetry || admission == Admission::SpareCapacity;
     // Waiting requests mostly wait for servers that are full, so a new request may overtake them.
     const std::optional<Candidate> candidate = selectServer(work, now, admission, onlyWithCapacity);
@@ -244,6 +256,10 @@
         if (!placed.isStarted)
             state.own.unreadTokens -= std::min(state.own.unreadTokens, placed.unreadTokens);
         state.health.record(outcome, now);
+        if (outcome == AttemptOutcome::Served && !m_cost.traits().isEngine) {
+            m_overloadGate.recordAnswer(now);
+            state.health.recordStart(now - placed.at, placed.expected, now);
+        }
         if (outcome == AttemptOutcome::Unreachable)
             state.cache.clear();
         // The server may be starting again, and its entry tells so only later.
@@ -266,12 +282,33 @@
     if (now - m_saturationAt >= saturationInterval) {
         m_saturationAt = now;
         m_shares.setSaturation(saturation(now));
+        m_overloadGate.recordWork(plainWork(now), now);
     }
     placeWaiting(now, decisions);
     resolveOverdue(now, decisions);
     return decisions;
 }
 
+std::optional<ServiceUse> Dispatcher::use(Base::TimePoint now) const
+{
+    return m_cost.traits().isEngine ? std::nullopt : std::optional(m_overloadGate.use(now));
+}
+
+PlainWork Dispatcher::plainWork(Base::TimePoint now) const
+{
+    PlainWork work;
+    for (const auto &[id, state] : m_servers) {
+        if (!isUsable(state, now))
+            continue;
+        const std::uint32_t running = snapshotOf(state, now).load.running;
+        const std::uint32_t busy = std::min(running, state.server.slots);
+        work.slots += state.server.slots;
+        work.busySlots += busy;
+        work.queued += running - busy;
+    }
+    return work;
+}
+
 Base::Duration Dispatcher::expectedStart(WorkId id) const
 {
     const auto it = m_placed.find(id);
@@ -304,6 +341,8 @@
 {
     if (m_servers.empty())
         return std::nullopt;
+    if (!m_cost.traits().isEngine)
+        return drawPlainServer(work, now);
     const std::vector<PrefixHash> prefixes = sharedPrefixHashes(work.parts);
     m_cachedTokens.clear();
     for (const auto &[id, state] : m_servers)
@@ -331,6 +370,35 @@
     return best;
 }
 
+std::optional<Dispatcher::Candidate> Dispatcher::drawPlainServer(const Work &work,
+                                                                 Base::TimePoint now)
+{
+    ServerState *drawn = nullptr;
+    std::pair<bool, double> lowest;
+    const std::uint64_t seed = m_hostHash + work.id;
+    for (auto &[id, state] : m_servers) {
+        if (!hasRoom(state, Admission::WithinShare, now))
+            continue;
+        // The lowest of exponential draws belongs to each server in proportion to its weight.
+        const double uniform =
+            (static_cast<double>(Base::stableHash(id.value(), seed)) + 1)
+            / (static_cast<double>(std::numeric_limits<std::uint64_t>::max()) + 2);
+        const double weight = std::pow(1 - state.health.failureShare(now), failureExponent)
+                              / state.health.slowness(now);
+        const std::pair order(wasTried(work, id), -std::log(uniform) / weight);
+        if (drawn && order >= lowest)
+            continue;
+        drawn = &state;
+        lowest = order;
+    }
+    if (!drawn)
+        return std::nullopt;
+    const CachedPrefix prompt{0, nullptr, PrefixFetch(m_cost, {})};
+    Candidate candidate = evaluate(*drawn, snapshotOf(*drawn, now), work, 0, prompt, now);
+    candidate.hasRoom = true;
+    return candidate;
+}
+
 Dispatcher::Candidate Dispatcher::evaluate(ServerState &state, const ServerSnapshot &snapshot,
                                            const Work &work, std::uint32_t cachedTokens,
                                            const CachedPrefix &prompt, Base::TimePoint now) const
--- a/src/libs/routing/dispatcher.h
+++ b/src/libs/routing/dispatcher.h
@@ -5,6 +5,7 @@
 #include "routing/customershares.h"
 #include "routing/fairwaitqueue.h"
 #include "routing/fleetload.h"
+#include "routing/overloadgate.h"
 #include "routing/prefixfetch.h"
 #include "routing/promptcachemodel.h"
 #include "routing/servercost.h"
@@ -62,6 +63,11 @@
     void setPeerLoad(const PeerLoad &peerLoad);
     void peerLoadChanged();
 
+    /// Sets the recent use of a plain application through all other hosts.
+    void setPeerUse(const ServiceUse &use) { m_overloadGate.setPeerUse(use); }
+    /// Returns the recent use of a plain application through this host; empty for a model pool.
+    std::optional<ServiceUse> use(Base::TimePoint now) const;
+
     /// Handles a request that arrives, or that returns after a failed attempt.
     Decisions submit(Work work, Base::TimePoint now);
     /// Records a request that this host rejected before it reached the dispatcher. It counts as
@@ -149,6 +155,10 @@
     /// serve it later. With \a onlyWithCapacity, only servers that have capacity count.
     std::optional<Candidate> selectServer(const Work &work, Base::TimePoint now,
                                           Admission admission, bool onlyWithCapacity = false);
+    /// Returns one of the servers of a plain application, by a hash of the request. Dozens of hosts
+    /// see the same counts of what runs, half a second old: if they chose the server with the least
+    /// work, they would fill its queue while others are idle.
+    std::optional<Candidate> drawPlainServer(const Work &work, Base::TimePoint now);
     /// Estimates the cost of the request at a server that has \a cachedTokens of its prompt cached.
     Candidate evaluate(ServerState &state, const ServerSnapshot &snapshot, const Work &work,
                        std::uint32_t cachedTokens, const CachedPrefix &prompt,
@@ -169,6 +179,8 @@
     bool isUsable(const ServerState &state, Base::TimePoint now) const;
     bool hasRoom(const ServerState &state, Admission admission, Base::TimePoint now) const;
     void updateEvacuated();
+    /// Returns the work of a plain application's servers that may get requests now.
+    PlainWork plainWork(Base::TimePoint now) const;
     /// Returns the mean saturation of the servers that may get requests now. A server counts as 0
     /// with spare capacity, as 1 without, and as 2 if it is full for everybody.
     double saturation(Base::TimePoint now) const;
@@ -187,6 +199,9 @@
     ServerCost m_cost;
     CustomerShares m_shares;
     WarmUpLimiter m_warmUpLimiter;
+    OverloadGate m_overloadGate;
+    /// Makes the choices of different hosts independent of each other.
+    std::uint64_t m_hostHash;
     std::set<Base::ZoneId> m_evacuatedZones;
     /// Whether there is a server outside of the evacuated zones.
     bool m_hasEligibleServer = false;
--- a/src/libs/routing/fleetload.h
+++ b/src/libs/routing/fleetload.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <string>
 #include <vector>
 
 namespace Routing {
@@ -30,6 +31,18 @@
     bool operator==(const PartUse &) const = default;
 };
 
+/// The recent use of a plain application, in numbers of requests with exponential decay
+/// (DecayingSum).
+struct ServiceUse
+{
+    /// Requests that arrived, refused ones included.
+    double arrivals = 0;
+    /// Requests that a server answered.
+    double answers = 0;
+
+    bool operator==(const ServiceUse &) const = default;
+};
+
 /// The load report that one host sends to the others. A newer report replaces the whole older one.
 struct HostLoad
 {
@@ -44,6 +57,8 @@
     /// The time in seconds in which anything was asked for, with the same decay as the amounts. The
     /// value of several hosts together is the largest of theirs.
     double askedSeconds = 0;
+    /// The use of each plain application, by its service's name.
+    std::map<std::string, ServiceUse> serviceUses;
     /// The prompt parts sent since the previous report. If a report is lost, the other hosts assume
     /// fewer cached copies than there are.
     std::vector<PartUse> partUses;
@@ -59,6 +74,7 @@
     std::map<Base::CustomerId, double> received;
     std::map<Base::CustomerId, double> begun;
     double askedSeconds = 0;
+    std::map<std::string, ServiceUse> serviceUses;
     /// The number of live hosts, including this one.
     std::size_t hosts = 1;
     /// The number of hosts that may be running, including this one: also those that have been
--- a/src/libs/routing/servercost.cpp
+++ b/src/libs/routing/servercost.cpp
@@ -23,9 +23,10 @@
 /// The share of an engine's slots that is used. Beyond it, each additional request slows down all
 /// others.
 constexpr double usedSlotShare = 0.95;
-/// A plain application gets this many times its slots. Its own queue then holds 1.5 requests for
-/// each slot, so that it is not idle while an answer is on its way.
-constexpr double plainSlotFactor = 2.5;
+/// A plain application gets at most this many times its slots. OverloadGate keeps it far below
+/// that as soon as the throughput is known; a lower limit would make all hosts stop and go at the
+/// same moments, since the counts of what runs are half a second old.
+constexpr double plainSlotFactor = 8;
 /// The limits of spare capacity for queued reading and for running requests. Below them, a server
 /// delays nobody's requests.
 constexpr double spareQueuedReadMilliseconds = 90;
--- a/tests/auto/gateway/tst_fleetview.cpp
+++ b/tests/auto/gateway/tst_fleetview.cpp
@@ -295,6 +295,7 @@
                                     64,
                                     false,
                                     milliseconds(40)}}};
+    before.load.serviceUses["app"] = {90, 70};
     before.echoes[Base::HostId("b")] = 12;
     before.members = {member("c"), member("d", "y")};
     const auto after = decodeReport(encodeReport(before));
