--- a/src/libs/routing/dispatcher.cpp
+++ b/src/libs/routing/dispatcher.cpp
@@ -263,7 +263,7 @@
         if (outcome == AttemptOutcome::Unreachable)
             state.cache.clear();
         // The server may be starting again, and its entry tells so only later.
-        if (outcome == AttemptOutcome::Unreachable || outcome == AttemptOutcome::Silent)
+        if (outcome == AttemptOutcome::Unreachable)
             state.warmUntil = std::max(state.warmUntil, now + m_warmUpLimiter.presumedWarmUp());
     }
     if (!m_waiting.isEmpty() && now - m_placedWaitingAt >= placementInterval)
