Log what servers announce in their answers, and requests sent to them against it

No decision reads it yet.

- Retry-After of a 503 or 429 and Server-Leaving are decoded, on answers to any request.
- server.notice, backoffMs in request.attempt_failed, two metrics.

--- a/src/libs/gateway/backendconnection.cpp
+++ b/src/libs/gateway/backendconnection.cpp
@@ -65,6 +65,7 @@
     m_output.append(m_attempt.text);
     if (m_isConnected) {
         m_isUsed = true;
+        m_owner->requestWritten(*this);
         write();
         return;
     }
@@ -91,6 +92,7 @@
     const int limit = unacknowledgedTimeoutMs;
     setsockopt(m_socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof(limit));
     m_isConnected = true;
+    m_owner->requestWritten(*this);
     write();
     waitRead();
 }
@@ -214,6 +216,7 @@
 {
     m_isHeadSeen = true;
     const ResponseHead &head = m_parser->get().base();
+    m_owner->headReceived(*this, head);
     const std::string_view id = field(head, m_names->requestId);
     m_isLateAnswer = id != m_attempt.requestId;
     if (m_isLateAnswer)
--- a/src/libs/gateway/backendconnection.h
+++ b/src/libs/gateway/backendconnection.h
@@ -37,11 +37,14 @@
     virtual void attemptFailed(const AttemptFailure &failure) = 0;
 };
 
-/// Is notified when a connection becomes idle, and can take another request, or is closed.
+/// Is notified when a request is written to a connection, when the head of any answer arrives on
+/// it, and when it becomes idle, and can take another request, or is closed.
 class ConnectionOwner
 {
 public:
     virtual ~ConnectionOwner() = default;
+    virtual void requestWritten(class BackendConnection &connection) = 0;
+    virtual void headReceived(class BackendConnection &connection, const ResponseHead &head) = 0;
     virtual void connectionIdle(class BackendConnection &connection) = 0;
     virtual void connectionClosed(class BackendConnection &connection) = 0;
 };
--- a/src/libs/gateway/backendpool.cpp
+++ b/src/libs/gateway/backendpool.cpp
@@ -1,5 +1,6 @@
 #include "gateway/backendpool.h"
 
+#include "gateway/servernotice.h"
 #include "settings/address.h"
 
 #include <algorithm>
@@ -8,10 +9,11 @@
 namespace Gateway {
 
 BackendPool::BackendPool(boost::asio::io_context &io, const HeaderNames &names,
-                         std::string &readBuffer)
+                         std::string &readBuffer, ServerObserver &observer)
     : m_io(&io)
     , m_names(&names)
     , m_readBuffer(&readBuffer)
+    , m_observer(&observer)
 {}
 
 std::shared_ptr<BackendConnection> BackendPool::send(SendParameters parameters,
@@ -77,6 +79,18 @@
         connection->close();
 }
 
+void BackendPool::requestWritten(BackendConnection &connection)
+{
+    m_observer->requestWritten(Base::ServerId(connection.serverKey()));
+}
+
+void BackendPool::headReceived(BackendConnection &connection, const ResponseHead &head)
+{
+    const Routing::ServerNotice notice = serverNotice(head, *m_names);
+    if (!notice.isEmpty())
+        m_observer->serverNoticed(Base::ServerId(connection.serverKey()), notice);
+}
+
 void BackendPool::connectionIdle(BackendConnection &connection)
 {
     m_connections[connection.serverKey()].idle.push_back(&connection);
--- a/src/libs/gateway/backendpool.h
+++ b/src/libs/gateway/backendpool.h
@@ -2,6 +2,7 @@
 
 #include "base/ids.h"
 #include "gateway/backendconnection.h"
+#include "routing/servernotices.h"
 #include "routing/serverset.h"
 
 #include <map>
@@ -23,13 +24,26 @@
     bool isNotRepeatable = false;
 };
 
+/// Is notified of what passes between this host and backend servers, for all requests.
+class ServerObserver
+{
+public:
+    virtual ~ServerObserver() = default;
+    /// A request is written to a connection to \a server.
+    virtual void requestWritten(const Base::ServerId &server) = 0;
+    /// An answer of \a server, to whichever request, says something about the server itself.
+    virtual void serverNoticed(const Base::ServerId &server,
+                               const Routing::ServerNotice &notice) = 0;
+};
+
 /// Pools connections to backend servers and keeps them open between requests, since a new
 /// connection costs the server time and each server accepts a bounded number from the whole fleet.
 class BackendPool final : public ConnectionOwner
 {
 public:
     /// The arguments must outlive the pool.
-    BackendPool(boost::asio::io_context &io, const HeaderNames &names, std::string &readBuffer);
+    BackendPool(boost::asio::io_context &io, const HeaderNames &names, std::string &readBuffer,
+                ServerObserver &observer);
 
     /// Sends on an idle connection or a new one. Returns the connection, which belongs to the
     /// attempt until that ends. Returns null, and sends nothing, if this host already has as many
@@ -44,6 +58,8 @@
     /// Closes the idle connections to \a server, which has gone.
     void closeIdleConnections(const Base::ServerId &server);
 
+    void requestWritten(BackendConnection &connection) override;
+    void headReceived(BackendConnection &connection, const ResponseHead &head) override;
     void connectionIdle(BackendConnection &connection) override;
     void connectionClosed(BackendConnection &connection) override;
 
@@ -61,6 +77,7 @@
     boost::asio::io_context *m_io;
     const HeaderNames *m_names;
     std::string *m_readBuffer;
+    ServerObserver *m_observer;
     std::map<std::string, ServerConnections> m_connections;
     std::size_t m_limit = 64;
 };
--- a/src/libs/gateway/exchange.cpp
+++ b/src/libs/gateway/exchange.cpp
@@ -111,6 +111,7 @@
     m_sentAt = now;
     m_lastDataAt = now;
     m_expectedStart = m_port->expectedStart(m_accepted.service, m_accepted.id);
+    m_backoffLeft = m_port->backoffLeft(server.id);
     ++m_sends;
     m_tried.push_back(server.id);
     OutgoingAttempt attempt;
@@ -459,7 +460,8 @@
         .add("repeats", retries)
         .add("sends", m_sends)
         .add("events", m_eventCount)
-        .add("afterMs", now - m_sentAt);
+        .add("afterMs", now - m_sentAt)
+        .add("backoffMs", m_backoffLeft);
     m_port->log().write(line, now);
 }
 
--- a/src/libs/gateway/exchange.h
+++ b/src/libs/gateway/exchange.h
@@ -53,6 +53,8 @@
     virtual void serverResponded(const Base::ServerId &server) = 0;
     /// Returns when the server last sent part of an answer; empty if it never has.
     virtual std::optional<Base::TimePoint> lastResponseFrom(const Base::ServerId &server) = 0;
+    /// Returns the remaining time for which the server asked this host to send no requests.
+    virtual Base::Duration backoffLeft(const Base::ServerId &server) = 0;
     /// Notes that events of a stream were forwarded to their caller.
     virtual void eventsForwarded(std::size_t count) = 0;
     /// Counts a request that ended.
@@ -162,6 +164,8 @@
     Base::TimePoint m_lastDataAt;
     Base::TimePoint m_firstEventAt;
     Base::Duration m_expectedStart{};
+    /// The server's remaining backoff when the attempt began.
+    Base::Duration m_backoffLeft{};
     std::size_t m_eventCount = 0;
     unsigned m_status = 0;
     /// Number of attempts that may have run, and number of all attempts.
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -39,6 +39,9 @@
 /// From this share of the shutdown grace on, a process without open requests stops. Before that,
 /// callers may still use an entry list that names this host.
 constexpr double idleStopShare = 0.65;
+/// Labels of metrics: the kinds of notices that servers give in their answers.
+constexpr const char *backoffNotice = "backoff";
+constexpr const char *leavingNotice = "leaving";
 
 Base::Duration fractionOf(Base::Duration whole, double share)
 {
@@ -87,7 +90,7 @@
     , m_settingsWatcher(settings.file)
     , m_log(STDOUT_FILENO, settings.requestLinesPerSecond)
     , m_readBuffer(readBufferBytes, '\0')
-    , m_pool(m_io, adapter.names, m_readBuffer)
+    , m_pool(m_io, adapter.names, m_readBuffer, *this)
     , m_fleet(settings.host, settings.zone)
     , m_backlog(settings.processor)
     , m_incarnation(newIncarnation())
@@ -520,6 +523,36 @@
     return it->second;
 }
 
+Base::Duration Gateway::backoffLeft(const Base::ServerId &server)
+{
+    return m_notices.backoffLeft(server, now());
+}
+
+void Gateway::requestWritten(const Base::ServerId &server)
+{
+    if (m_notices.backoffLeft(server, now()) > Base::Duration::zero())
+        m_metrics->unwantedRequestWritten(backoffNotice);
+    if (m_notices.isLeaving(server))
+        m_metrics->unwantedRequestWritten(leavingNotice);
+}
+
+void Gateway::serverNoticed(const Base::ServerId &server, const Routing::ServerNotice &notice)
+{
+    const Base::TimePoint time = now();
+    if (notice.backoff > Base::Duration::zero())
+        m_metrics->serverNoticed(backoffNotice);
+    if (notice.isLeaving)
+        m_metrics->serverNoticed(leavingNotice);
+    const bool isNews = m_notices.record(server, notice, time);
+    if (!isNews || !m_log.tryAcquireRequestLine(true, time))
+        return;
+    m_log.write(LogLine("server.notice")
+                    .add("server", server.value())
+                    .add("backoffMs", notice.backoff)
+                    .add("leaving", notice.isLeaving),
+                time);
+}
+
 void Gateway::eventsForwarded(std::size_t count)
 {
     m_entryHosts.addEvents(count, now());
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -60,6 +60,7 @@
 /// stream costs one wake-up; some hosts have only a quarter of a core.
 class Gateway final : public RequestHandler,
                       public ExchangePort,
+                      public ServerObserver,
                       public StoreReplicaListener,
                       public EntryDirectory
 {
@@ -90,9 +91,13 @@
     void attemptFailed(Routing::AttemptOutcome outcome) override;
     void serverResponded(const Base::ServerId &server) override;
     std::optional<Base::TimePoint> lastResponseFrom(const Base::ServerId &server) override;
+    Base::Duration backoffLeft(const Base::ServerId &server) override;
     void requestEnded(const EndedRequest &request) override;
     void exchangeFinished(Routing::WorkId id) override;
 
+    void requestWritten(const Base::ServerId &server) override;
+    void serverNoticed(const Base::ServerId &server, const Routing::ServerNotice &notice) override;
+
     void configurationApplied() override;
     void serversChanged(const Routing::ServerChanges &changes, bool notifiesZone) override;
     void serversRead() override { m_services->serversRead(); }
@@ -165,6 +170,7 @@
     /// Time up to which m_load counts the busy time.
     Base::TimePoint m_busySince{};
     std::unique_ptr<Services> m_services;
+    Routing::ServerNotices m_notices;
     std::unordered_map<Routing::WorkId, std::shared_ptr<Exchange>> m_exchanges;
     std::unordered_map<Base::ServerId, Base::TimePoint> m_lastResponses;
     std::deque<Routing::Decisions> m_decisions;
--- a/src/libs/gateway/gatewaymetrics.cpp
+++ b/src/libs/gateway/gatewaymetrics.cpp
@@ -41,6 +41,15 @@
     BOOST_LEAF_ASSIGN(m_retries, m_registry.counters({"lagoonmast_gateway_repeats_total",
                                                       "Repeats asked of the retry share",
                                                       {"granted"}}));
+    BOOST_LEAF_ASSIGN(m_serverNotices,
+                      m_registry.counters({"lagoonmast_gateway_server_notices_total",
+                                           "Answers in which a backend server backed this host "
+                                           "off, or announced that it leaves",
+                                           {"notice"}}));
+    BOOST_LEAF_ASSIGN(m_unwantedRequests,
+                      m_registry.counters({"lagoonmast_gateway_unwanted_requests_total",
+                                           "Requests written to servers after such a notice",
+                                           {"notice"}}));
     BOOST_LEAF_ASSIGN(m_storeCalls, m_registry.counters({"lagoonmast_gateway_store_calls_total",
                                                          "Calls of the platform's store",
                                                          {"call", "result"}}));
@@ -103,6 +112,16 @@
     m_retries->with({isGranted ? "yes" : "no"}).increment();
 }
 
+void GatewayMetrics::serverNoticed(const char *notice)
+{
+    m_serverNotices->with({notice}).increment();
+}
+
+void GatewayMetrics::unwantedRequestWritten(const char *notice)
+{
+    m_unwantedRequests->with({notice}).increment();
+}
+
 void GatewayMetrics::storeCallFinished(const std::string &call, bool isGood)
 {
     m_storeCalls->with({call, isGood ? "good" : "failed"}).increment();
--- a/src/libs/gateway/gatewaymetrics.h
+++ b/src/libs/gateway/gatewaymetrics.h
@@ -57,6 +57,10 @@
     void requestEnded(const EndedRequest &request);
     void attemptFailed(const std::string &outcome);
     void retryRequested(bool isGranted);
+    /// Counts a notice of a server; \a notice is its kind.
+    void serverNoticed(const char *notice);
+    /// Counts a request that was written to a server which had announced that it wants none.
+    void unwantedRequestWritten(const char *notice);
     void storeCallFinished(const std::string &call, bool isGood);
     /// Sets the gauges to the values of \a state.
     void updateGauges(const GatewayState &state);
@@ -73,6 +77,8 @@
     Metrics::Family<Metrics::Counter> *m_customerRequests = nullptr;
     Metrics::Family<Metrics::Counter> *m_failedAttempts = nullptr;
     Metrics::Family<Metrics::Counter> *m_retries = nullptr;
+    Metrics::Family<Metrics::Counter> *m_serverNotices = nullptr;
+    Metrics::Family<Metrics::Counter> *m_unwantedRequests = nullptr;
     Metrics::Family<Metrics::Counter> *m_storeCalls = nullptr;
     Metrics::Family<Metrics::Histogram> *m_firstEventTime = nullptr;
     Metrics::Family<Metrics::Histogram> *m_answerTime = nullptr;
--- a/src/libs/gateway/headernames.h
+++ b/src/libs/gateway/headernames.h
@@ -30,6 +30,11 @@
     std::string lastEventId;
     /// In an answer: the server did not run the request.
     std::string notRun;
+    /// In an answer that turns a request away: the seconds for which the server wants no requests
+    /// from this host.
+    std::string retryAfter;
+    /// In any answer: "1" if the server leaves.
+    std::string leaving;
     /// Fields that only the gateway may set; they are removed from callers' requests.
     std::vector<std::string> reserved;
 };
--- /dev/null
+++ b/src/libs/routing/servernotices.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "base/ids.h"
+#include "base/time.h"
+
+#include <map>
+#include <set>
+
+namespace Routing {
+
+/// What an answer says about the server that sent it, beyond the request that it answers.
+struct ServerNotice
+{
+    /// The time for which the server wants no requests from this host; zero if it does not say.
+    Base::Duration backoff{};
+    /// Whether the server announces that it leaves.
+    bool isLeaving = false;
+
+    bool isEmpty() const { return backoff <= Base::Duration::zero() && !isLeaving; }
+};
+
+/// What backend servers announced to this host in their answers.
+///
+/// A server that is overloaded may ask one host to send it nothing for a while. A later answer
+/// neither ends nor shortens that time, since answers may overtake each other. A server that
+/// announces that it leaves does so for good. Neither depends on the server's entry in the store,
+/// which may be missing for a while or older than the answer; the id of a server that starts again
+/// is another one.
+class ServerNotices
+{
+public:
+    /// Records \a notice of \a server. Returns whether it is news: the server did not back this
+    /// host off before, or has not announced that it leaves.
+    bool record(const Base::ServerId &server, const ServerNotice &notice, Base::TimePoint now);
+
+    bool isLeaving(const Base::ServerId &server) const { return m_leaving.count(server) > 0; }
+    /// Returns the remaining time for which \a server wants no requests; zero if there is none.
+    Base::Duration backoffLeft(const Base::ServerId &server, Base::TimePoint now) const;
+
+private:
+    std::map<Base::ServerId, Base::TimePoint> m_backoffEnds;
+    std::set<Base::ServerId> m_leaving;
+};
+
+} // namespace Routing
--- a/tests/auto/gateway/loopbackserver.h
+++ b/tests/auto/gateway/loopbackserver.h
@@ -36,6 +36,8 @@
         names.signature = "Signature";
         names.timeLeft = "Time-Left";
         names.notRun = "Not-Run";
+        names.retryAfter = "Retry-After";
+        names.leaving = "Leaving";
         return names;
     }
     Routing::RegisteredServer entry() const
@@ -61,9 +63,14 @@
     }
     static void answer(Tcp::socket &socket, const std::string &requestId)
     {
-        const std::string text = "HTTP/1.1 200 OK\r\n" + names().requestId + ": " + requestId
-                                 + "\r\n" + names().signature
-                                 + ": s\r\nContent-Length: 2\r\n\r\nok";
+        answer(socket, requestId, "200 OK", names().signature + ": s\r\n");
+    }
+    /// Answers with \a status and \a fields, each of which ends with a line break.
+    static void answer(Tcp::socket &socket, const std::string &requestId, const std::string &status,
+                       const std::string &fields)
+    {
+        const std::string text = "HTTP/1.1 " + status + "\r\n" + names().requestId + ": "
+                                 + requestId + "\r\n" + fields + "Content-Length: 2\r\n\r\nok";
         boost::asio::write(socket, boost::asio::buffer(text));
     }
     /// Closes the connection and waits until the other end has received the close, as \a isNoticed
--- a/tests/auto/gateway/tst_backendpool.cpp
+++ b/tests/auto/gateway/tst_backendpool.cpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 using namespace Gateway;
 
@@ -25,9 +26,15 @@
 };
 
 /// A pool and its server, both on the thread of the test.
-class PoolFixture
+class PoolFixture final : public ServerObserver
 {
 public:
+    void requestWritten(const Base::ServerId &) override { ++written; }
+    void serverNoticed(const Base::ServerId &, const Routing::ServerNotice &notice) override
+    {
+        notices.push_back(notice);
+    }
+
     std::shared_ptr<BackendConnection> send(const std::string &requestId, bool isNotRepeatable)
     {
         OutgoingAttempt attempt;
@@ -37,18 +44,28 @@
     }
     /// Accepts a new connection, answers one request on it and waits until the pool has the answer.
     Tcp::socket serve(const std::string &requestId)
+    {
+        Tcp::socket socket = accept();
+        LoopbackServer::answer(socket, requestId);
+        waitForAnswer();
+        return socket;
+    }
+    /// Accepts a new connection and reads one request on it.
+    Tcp::socket accept()
     {
         Tcp::socket socket = server.accept();
         m_io.poll();
         REQUIRE_FALSE(LoopbackServer::readRequest(socket).empty());
-        LoopbackServer::answer(socket, requestId);
+        return socket;
+    }
+    void waitForAnswer()
+    {
         const int expected = listener.answers + 1;
         for (int i = 0; i < 1000 && listener.answers < expected; ++i) {
             m_io.poll();
             usleep(1000);
         }
         REQUIRE(listener.answers == expected);
-        return socket;
     }
 
 private:
@@ -57,12 +74,14 @@
 public:
     LoopbackServer server{m_io};
     Listener listener;
+    int written = 0;
+    std::vector<Routing::ServerNotice> notices;
 
 private:
     Routing::RegisteredServer m_entry = server.entry();
     HeaderNames m_names = LoopbackServer::names();
     std::string m_buffer = std::string(65536, '\0');
-    BackendPool m_pool{m_io, m_names, m_buffer};
+    BackendPool m_pool{m_io, m_names, m_buffer, *this};
 };
 
 } // namespace
@@ -96,3 +115,19 @@
     CHECK(fixture.send("r-2", true) == first);
     CHECK_FALSE(fixture.server.isCalled());
 }
+
+TEST_CASE("a notice of a server is noticed on answers to any request", "[gateway]")
+{
+    // Guards against the notice of an answer that belongs to no open request: the server counts the
+    // time from that answer on.
+    PoolFixture fixture;
+    const std::shared_ptr<BackendConnection> connection = fixture.send("r-1", true);
+    Tcp::socket socket = fixture.accept();
+    LoopbackServer::answer(socket, "r-0", "503 Full", "Retry-After: 3\r\n");
+    LoopbackServer::answer(socket, "r-1", "200 OK", "Leaving: 1\r\n");
+    fixture.waitForAnswer();
+    REQUIRE(fixture.notices.size() == 2);
+    CHECK(fixture.notices[0].backoff == std::chrono::seconds(3));
+    CHECK(fixture.notices[1].isLeaving);
+    CHECK(fixture.written == 1);
+}
--- a/tests/auto/gateway/tst_exchange.cpp
+++ b/tests/auto/gateway/tst_exchange.cpp
@@ -39,13 +39,13 @@
 };
 
 /// A gateway with one server. It places work when the test tells it to.
-class SingleServerPort final : public ExchangePort
+class SingleServerPort final : public ExchangePort, public ServerObserver
 {
 public:
     SingleServerPort()
         : m_null(open("/dev/null", O_WRONLY | O_CLOEXEC))
         , m_log(m_null, 0)
-        , m_pool(m_io, m_names, m_buffer)
+        , m_pool(m_io, m_names, m_buffer, *this)
     {}
     ~SingleServerPort() override { close(m_null); }
     SingleServerPort(const SingleServerPort &) = delete;
@@ -71,6 +71,9 @@
     void attemptFailed(Routing::AttemptOutcome) override {}
     void serverResponded(const Base::ServerId &) override {}
     std::optional<Base::TimePoint> lastResponseFrom(const Base::ServerId &) override { return {}; }
+    Base::Duration backoffLeft(const Base::ServerId &) override { return {}; }
+    void requestWritten(const Base::ServerId &) override {}
+    void serverNoticed(const Base::ServerId &, const Routing::ServerNotice &) override {}
     void eventsForwarded(std::size_t) override {}
     void requestEnded(const EndedRequest &request) override { ended.push_back(request.outcome); }
     void exchangeFinished(Routing::WorkId) override {}
