--- a/tests/standins/common/faults.cpp
+++ b/tests/standins/common/faults.cpp
@@ -10,20 +10,21 @@
 
 using Json = nlohmann::json;
 
-Json toJson(const FaultPlan &plan)
+Json toJson(const FaultPlan &plan, std::uint64_t met)
 {
-    return {{"mode", plan.mode},
-            {"delayMs", plan.delay.count()},
-            {"afterEvents", plan.afterEvents},
-            {"count", plan.count}};
+    return {
+        {"mode", plan.mode},   {"delayMs", plan.delay.count()}, {"afterEvents", plan.afterEvents},
+        {"count", plan.count}, {"retryAfter", plan.retryAfter}, {"met", met}};
 }
 
 } // namespace
 
 HttpResponse Faults::handle(const HttpRequest &request)
 {
-    if (request.method == "GET")
-        return jsonResponse(200, toJson(peek()));
+    if (request.method == "GET") {
+        const std::lock_guard lock(m_mutex);
+        return jsonResponse(200, toJson(m_plan, m_used));
+    }
     const Json json = Json::parse(request.body, nullptr, false);
     if (!json.is_object())
         return errorResponse(400, "no JSON object");
@@ -32,10 +33,11 @@
     plan.delay = std::chrono::milliseconds(numberOf(json, "delayMs"));
     plan.afterEvents = numberOf(json, "afterEvents");
     plan.count = numberOf(json, "count");
+    plan.retryAfter = textOf(json, "retryAfter");
     const std::lock_guard lock(m_mutex);
     m_plan = plan;
     m_used = 0;
-    return jsonResponse(200, toJson(plan));
+    return jsonResponse(200, toJson(plan, 0));
 }
 
 FaultPlan Faults::take()
--- a/tests/standins/common/faults.h
+++ b/tests/standins/common/faults.h
@@ -10,7 +10,8 @@
 namespace StandIn {
 
 /// The fault that the next calls meet. POST /faults sets it:
-/// {"mode":"...","delayMs":N,"afterEvents":N,"count":N}.
+/// {"mode":"...","delayMs":N,"afterEvents":N,"count":N,"retryAfter":"..."}. GET /faults returns it
+/// with the number of calls that have met it so far, "met".
 struct FaultPlan
 {
     /// Kind of the fault; README.md lists the modes of each stand-in. "none" is no fault.
@@ -20,6 +21,8 @@
     std::uint64_t afterEvents = 0;
     /// Number of calls that meet the fault; 0 means every call until the next POST.
     std::uint64_t count = 0;
+    /// With the mode "refuse": the value of Retry-After in the answers; empty for none.
+    std::string retryAfter;
 };
 
 /// Holds the fault plan of a stand-in. Thread-safe.
@@ -30,8 +33,7 @@
     HttpResponse handle(const HttpRequest &request);
     /// Returns the plan for one call and counts the call; the mode is "none" once the count is
     /// used up.
-    FaultPlan take();
-    /// Returns the plan without counting a call.
+    FaultPlan take(); /// Returns the plan without counting a call.
     FaultPlan peek() const;
 
 private:
--- a/tests/standins/deployedserverstandin/deployedservice.cpp
+++ b/tests/standins/deployedserverstandin/deployedservice.cpp
@@ -86,8 +86,12 @@
     const FaultPlan fault = m_faults.take();
     while (fault.mode == "frozen" && isConnectionOpen(request.connection))
         std::this_thread::sleep_for(hangupCheckInterval);
-    if (fault.mode == "refuse" || fault.mode == "frozen")
-        return notRun(request, 503);
+    if (fault.mode == "refuse" || fault.mode == "frozen") {
+        HttpResponse response = notRun(request, 503);
+        if (!fault.retryAfter.empty())
+            response.headers["Retry-After"] = fault.retryAfter;
+        return response;
+    }
     return request.header("Token-Count").empty() ? plain(request, fault) : stream(request, fault);
 }
 
