Send nothing to a server that has asked for a pause

What callers saw: a request that a server turned away went to another one or was refused; with a third of a pool's servers turning all away, each caller paid for up to three attempts, the retry share was used up, and requests were refused beside servers with room.

Cause: the 503 of a server that did not run a request counted as full for 60 ms, whatever else it said. Its Retry-After reached no decision.

Fix: what servers announce is kept by server and start, apart from the store's entry, which may vanish and return, and each decision that names a server looks at it: the choice for new, repeated and waiting requests, the server that keeps a beginning, and the source of a fetch.

--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -525,14 +525,14 @@
 
 Base::Duration Gateway::backoffLeft(const Base::ServerId &server)
 {
-    return m_notices.backoffLeft(server, now());
+    return m_services->notices().backoffLeft(server, now());
 }
 
 void Gateway::requestWritten(const Base::ServerId &server)
 {
-    if (m_notices.backoffLeft(server, now()) > Base::Duration::zero())
+    if (m_services->notices().backoffLeft(server, now()) > Base::Duration::zero())
         m_metrics->unwantedRequestWritten(backoffNotice);
-    if (m_notices.isLeaving(server))
+    if (m_services->notices().isLeaving(server))
         m_metrics->unwantedRequestWritten(leavingNotice);
 }
 
@@ -543,7 +543,7 @@
         m_metrics->serverNoticed(backoffNotice);
     if (notice.isLeaving)
         m_metrics->serverNoticed(leavingNotice);
-    const bool isNews = m_notices.record(server, notice, time);
+    const bool isNews = m_services->notices().record(server, notice, time);
     if (!isNews || !m_log.tryAcquireRequestLine(true, time))
         return;
     m_log.write(LogLine("server.notice")
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -170,7 +170,6 @@
     /// Time up to which m_load counts the busy time.
     Base::TimePoint m_busySince{};
     std::unique_ptr<Services> m_services;
-    Routing::ServerNotices m_notices;
     std::unordered_map<Routing::WorkId, std::shared_ptr<Exchange>> m_exchanges;
     std::unordered_map<Base::ServerId, Base::TimePoint> m_lastResponses;
     std::deque<Routing::Decisions> m_decisions;
--- a/src/libs/gateway/services.cpp
+++ b/src/libs/gateway/services.cpp
@@ -45,6 +45,7 @@
         m_services.emplace(name, Service{Routing::Dispatcher(traitsOf(name), m_zone, m_host),
                                          Routing::RetryShare(m_retries)});
     added->second.dispatcher.setPeerLoad(m_fleet->others());
+    added->second.dispatcher.setNotices(m_notices);
     added->second.dispatcher.setEvacuatedZones(m_replica->evacuatedZones().zones(), bootTimeNow());
     serversRead();
     return added->second;
--- a/src/libs/gateway/services.h
+++ b/src/libs/gateway/services.h
@@ -32,6 +32,8 @@
     Services(const GatewaySettings &settings, const StoreReplica &replica, const FleetView &fleet);
 
     Service &service(const std::string &name);
+    /// What backend servers announced to this host. Every decision uses it.
+    Routing::ServerNotices &notices() { return m_notices; }
     /// Returns the number of requests of all services that wait for a server.
     std::size_t waiting() const;
 
@@ -62,6 +64,7 @@
     Routing::RetryAllowance m_retries;
     const StoreReplica *m_replica;
     const FleetView *m_fleet;
+    Routing::ServerNotices m_notices;
     std::map<std::string, Service> m_services;
 };
 
--- a/src/libs/routing/dispatcher.cpp
+++ b/src/libs/routing/dispatcher.cpp
@@ -439,7 +439,7 @@
     for (const auto &[id, state] : m_servers) {
         // A fetch from a server that failed this request, or other requests recently, would hang or
         // return nothing. The request would then start late at a healthy server.
-        if (!state.health.isUsable(now) || wasTried(work, id)
+        if (!state.health.isUsable(now) || isBackedOff(state, now) || wasTried(work, id)
             || state.health.failureShare(now) >= maxSourceFailureShare)
             continue;
         const std::uint32_t tokens = state.cache.fetchableTokens(prefixes, now);
@@ -468,7 +468,7 @@
     std::uint64_t lowest = 0;
     for (const auto &[id, state] : m_servers) {
         // A server that takes few requests cannot be the only one that keeps a beginning.
-        if (state.isEvacuated || now < state.warmUntil)
+        if (state.isEvacuated || now < state.warmUntil || isBackedOff(state, now))
             continue;
         const std::uint64_t order = Base::stableHash(id.value(), beginning);
         if (selected && order >= lowest)
@@ -489,9 +489,14 @@
     return snapshot;
 }
 
+bool Dispatcher::isBackedOff(const ServerState &state, Base::TimePoint now) const
+{
+    return m_notices && m_notices->backoffLeft(state.server.id, now) > Base::Duration::zero();
+}
+
 bool Dispatcher::isUsable(const ServerState &state, Base::TimePoint now) const
 {
-    if (state.isEvacuated || !state.health.isUsable(now))
+    if (state.isEvacuated || !state.health.isUsable(now) || isBackedOff(state, now))
         return false;
     return now >= state.warmUntil
            || m_warmUpLimiter.isAllowed(state.server.id, state.lastSentAt, now);
--- a/src/libs/routing/dispatcher.h
+++ b/src/libs/routing/dispatcher.h
@@ -10,6 +10,7 @@
 #include "routing/promptcachemodel.h"
 #include "routing/servercost.h"
 #include "routing/serverhealth.h"
+#include "routing/servernotices.h"
 #include "routing/serverset.h"
 #include "routing/warmuplimiter.h"
 #include "routing/work.h"
@@ -58,6 +59,9 @@
     /// Sets the zones whose servers get no new requests. Servers of a zone that gets requests again
     /// are presumed to have just started.
     void setEvacuatedZones(const std::set<Base::ZoneId> &zones, Base::TimePoint now);
+    /// Sets what servers announced to this host. \a notices must outlive the dispatcher and may
+    /// change.
+    void setNotices(const ServerNotices &notices) { m_notices = &notices; }
     /// Sets the load of the other hosts. \a peerLoad must outlive the dispatcher and may change;
     /// peerLoadChanged() must be called after each change.
     void setPeerLoad(const PeerLoad &peerLoad);
@@ -175,6 +179,8 @@
     const ServerState *selectByRendezvous(std::uint64_t beginning, Base::TimePoint now) const;
     void recordPartUses(ServerState &state, const Work &work, Base::TimePoint now,
                         Base::TimePoint readBy);
+    /// Returns whether the server asked this host to send no requests now.
+    bool isBackedOff(const ServerState &state, Base::TimePoint now) const;
     /// Returns whether a request may be sent to the server now, full or not.
     bool isUsable(const ServerState &state, Base::TimePoint now) const;
     bool hasRoom(const ServerState &state, Admission admission, Base::TimePoint now) const;
@@ -207,6 +213,7 @@
     bool m_hasEligibleServer = false;
     Base::ZoneId m_ownZone;
     const PeerLoad *m_peerLoad = nullptr;
+    const ServerNotices *m_notices = nullptr;
     std::map<Base::ServerId, ServerState> m_servers;
     std::unordered_map<WorkId, Placed> m_placed;
     FairWaitQueue m_waiting;
--- /dev/null
+++ b/tests/auto/routing/tst_backoff.cpp
@@ -0,0 +1,186 @@
+#include "routing/dispatcher.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <vector>
+
+using namespace Routing;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr Base::TimePoint start{seconds(1000)};
+
+std::vector<RegisteredServer> servers(std::size_t count)
+{
+    std::vector<RegisteredServer> all;
+    for (std::size_t i = 0; i < count; ++i) {
+        RegisteredServer server;
+        server.id = Base::ServerId("s" + std::to_string(i));
+        server.slots = 4;
+        server.zone = Base::ZoneId(i % 2 == 0 ? "near" : "far");
+        all.push_back(server);
+    }
+    return all;
+}
+
+ServiceTraits traits(bool isEngine)
+{
+    ServiceTraits it;
+    it.isEngine = isEngine;
+    if (isEngine) {
+        it.memoryTokens = 500000;
+        it.readTokensPerMs = 40;
+        it.transferMsPerToken = 0.001;
+    }
+    return it;
+}
+
+Work request(WorkId id, std::uint64_t beginning, Base::TimePoint now)
+{
+    Work work;
+    work.id = id;
+    work.customer = Base::CustomerId("c");
+    work.arrivedAt = now;
+    work.startBy = now + milliseconds(800);
+    work.deadline = now + seconds(8);
+    work.promptTokens = 3000;
+    work.outputTokens = 100;
+    work.parts = {{beginning, 2000}, {id * 7919, 1000}};
+    return work;
+}
+
+/// One host before a few servers, some of which back it off. Checks each placement.
+class BackoffModel
+{
+public:
+    BackoffModel(bool isEngine, std::size_t count)
+        : m_listed(servers(count))
+        , m_dispatcher(traits(isEngine), Base::ZoneId("near"))
+    {
+        m_dispatcher.setNotices(m_notices);
+        m_dispatcher.setServers(m_listed);
+    }
+
+    void step()
+    {
+        m_now += milliseconds(*rc::gen::inRange(0, 120));
+        switch (*rc::gen::inRange(0, 8)) {
+        case 0:
+        case 1:
+        case 2:
+            submit(request(++m_last, *rc::gen::inRange(0U, 3U), m_now));
+            break;
+        case 3:
+        case 4:
+            finishOne();
+            break;
+        case 5:
+            m_notices.record(m_listed[*rc::gen::inRange<std::size_t>(0, m_listed.size())].id,
+                             {milliseconds(*rc::gen::inRange(1, 3000)), false}, m_now);
+            break;
+        case 6:
+            relist();
+            break;
+        default:
+            check(m_dispatcher.advance(m_now));
+        }
+    }
+
+private:
+    void submit(Work work)
+    {
+        m_works[work.id] = work;
+        check(m_dispatcher.submit(std::move(work), m_now));
+    }
+
+    void finishOne()
+    {
+        if (m_running.empty())
+            return;
+        const Placement placed = m_running.back();
+        m_running.pop_back();
+        const bool isServed = *rc::gen::arbitrary<bool>();
+        check(m_dispatcher.finished(
+            placed.work, isServed ? AttemptOutcome::Served : AttemptOutcome::NoRoom, m_now));
+        if (isServed)
+            return;
+        m_notices.record(placed.server, {milliseconds(*rc::gen::inRange(0, 3000)), false}, m_now);
+        Work again = m_works[placed.work];
+        again.tried.push_back(placed.server);
+        submit(std::move(again));
+    }
+
+    /// Removes one server's entry, or lists all again.
+    void relist()
+    {
+        std::vector<RegisteredServer> some = m_listed;
+        if (*rc::gen::arbitrary<bool>())
+            some.erase(
+                some.begin()
+                + *rc::gen::inRange<std::ptrdiff_t>(0, static_cast<std::ptrdiff_t>(some.size())));
+        m_dispatcher.setServers(some);
+    }
+
+    void check(const Decisions &decisions)
+    {
+        for (const Placement &it : decisions.placements) {
+            RC_ASSERT(m_notices.backoffLeft(it.server, m_now) == Base::Duration::zero());
+            // Nothing is fetched from it either: a fetch is work for it.
+            RC_ASSERT(m_notices.backoffLeft(it.fetchFrom, m_now) == Base::Duration::zero());
+            m_running.push_back(it);
+        }
+    }
+
+    std::vector<RegisteredServer> m_listed;
+    ServerNotices m_notices;
+    Dispatcher m_dispatcher;
+    std::map<WorkId, Work> m_works;
+    std::vector<Placement> m_running;
+    Base::TimePoint m_now = start;
+    WorkId m_last = 0;
+};
+
+} // namespace
+
+TEST_CASE("a server that backs this host off gets no requests", "[routing]")
+{
+    // Guards against requests to a server that has asked for a pause, on whichever way they come
+    // there: first tries, retries, waiting requests, servers whose entries vanish and return.
+    rc::prop("any requests, answers and readings of the servers", [] {
+        BackoffModel model(*rc::gen::arbitrary<bool>(),
+                           static_cast<std::size_t>(*rc::gen::inRange(1, 5)));
+        const int steps = *rc::gen::inRange(1, 200);
+        for (int i = 0; i < steps; ++i)
+            model.step();
+    });
+}
+
+TEST_CASE("a server gets requests again when its backoff is over", "[routing]")
+{
+    // Guards against a server that is lost to this host after it has asked for a pause.
+    for (const bool isEngine : {true, false}) {
+        ServerNotices notices;
+        Dispatcher dispatcher(traits(isEngine), Base::ZoneId("near"));
+        dispatcher.setNotices(notices);
+        dispatcher.setServers(servers(2));
+        notices.record(Base::ServerId("s0"), {seconds(3), false}, start);
+        std::map<Base::ServerId, int> early;
+        std::map<Base::ServerId, int> late;
+        for (WorkId id = 1; id <= 100; ++id) {
+            const Base::TimePoint now = start + milliseconds(100) * id;
+            const Decisions decisions = dispatcher.submit(request(id, id, now), now);
+            REQUIRE(decisions.placements.size() == 1);
+            ++(now < start + seconds(3) ? early : late)[decisions.placements.front().server];
+            dispatcher.started(id, now);
+            dispatcher.finished(id, AttemptOutcome::Served, now);
+        }
+        CHECK(early.count(Base::ServerId("s0")) == 0);
+        CHECK(late[Base::ServerId("s0")] > 10);
+    }
+}
