Send nothing to a server that announces in an answer that it leaves

What callers saw: new requests were sent to a server that says in each answer that it leaves, as long as its entry in the store is older or the store is away (DRAIN). They are cut off when it ends.

Fix: the notice is kept for good for this start of the server, apart from the entry, so that an older entry or one that vanishes and returns does not undo it. Its idle connections are closed; what runs there goes on. Other hosts are not told: each hears it in its first answer, and the entry follows.

--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -544,6 +544,8 @@
     if (notice.isLeaving)
         m_metrics->serverNoticed(leavingNotice);
     const bool isNews = m_services->notices().record(server, notice, time);
+    if (notice.isLeaving)
+        m_pool.closeIdleConnections(server);
     if (!isNews || !m_log.tryAcquireRequestLine(true, time))
         return;
     m_log.write(LogLine("server.notice")
--- a/src/libs/routing/dispatcher.cpp
+++ b/src/libs/routing/dispatcher.cpp
@@ -124,11 +124,8 @@
 
 void Dispatcher::updateEvacuated()
 {
-    m_hasEligibleServer = false;
-    for (auto &[id, state] : m_servers) {
+    for (auto &[id, state] : m_servers)
         state.isEvacuated = m_evacuatedZones.count(state.server.zone) > 0;
-        m_hasEligibleServer |= !state.isEvacuated;
-    }
 }
 
 void Dispatcher::setPeerLoad(const PeerLoad &peerLoad)
@@ -156,7 +153,7 @@
         m_shares.recordDemand(work.customer, tokensOf(work), now);
         m_overloadGate.recordArrival(now);
     }
-    if (!m_hasEligibleServer) {
+    if (!hasEligibleServer()) {
         decisions.rejected.push_back(makeRejection(work, RejectionReason::NoServer, now));
         return decisions;
     }
@@ -439,7 +436,7 @@
     for (const auto &[id, state] : m_servers) {
         // A fetch from a server that failed this request, or other requests recently, would hang or
         // return nothing. The request would then start late at a healthy server.
-        if (!state.health.isUsable(now) || isBackedOff(state, now) || wasTried(work, id)
+        if (!state.health.isUsable(now) || !wantsRequests(state, now) || wasTried(work, id)
             || state.health.failureShare(now) >= maxSourceFailureShare)
             continue;
         const std::uint32_t tokens = state.cache.fetchableTokens(prefixes, now);
@@ -468,7 +465,7 @@
     std::uint64_t lowest = 0;
     for (const auto &[id, state] : m_servers) {
         // A server that takes few requests cannot be the only one that keeps a beginning.
-        if (state.isEvacuated || now < state.warmUntil || isBackedOff(state, now))
+        if (state.isEvacuated || now < state.warmUntil || !wantsRequests(state, now))
             continue;
         const std::uint64_t order = Base::stableHash(id.value(), beginning);
         if (selected && order >= lowest)
@@ -489,14 +486,21 @@
     return snapshot;
 }
 
-bool Dispatcher::isBackedOff(const ServerState &state, Base::TimePoint now) const
+bool Dispatcher::wantsRequests(const ServerState &state, Base::TimePoint now) const
 {
-    return m_notices && m_notices->backoffLeft(state.server.id, now) > Base::Duration::zero();
+    return !m_notices || m_notices->wantsRequests(state.server.id, now);
+}
+
+bool Dispatcher::hasEligibleServer() const
+{
+    return std::any_of(m_servers.begin(), m_servers.end(), [this](const auto &it) {
+        return !it.second.isEvacuated && !(m_notices && m_notices->isLeaving(it.first));
+    });
 }
 
 bool Dispatcher::isUsable(const ServerState &state, Base::TimePoint now) const
 {
-    if (state.isEvacuated || !state.health.isUsable(now) || isBackedOff(state, now))
+    if (state.isEvacuated || !state.health.isUsable(now) || !wantsRequests(state, now))
         return false;
     return now >= state.warmUntil
            || m_warmUpLimiter.isAllowed(state.server.id, state.lastSentAt, now);
--- a/src/libs/routing/dispatcher.h
+++ b/src/libs/routing/dispatcher.h
@@ -179,8 +179,10 @@
     const ServerState *selectByRendezvous(std::uint64_t beginning, Base::TimePoint now) const;
     void recordPartUses(ServerState &state, const Work &work, Base::TimePoint now,
                         Base::TimePoint readBy);
-    /// Returns whether the server asked this host to send no requests now.
-    bool isBackedOff(const ServerState &state, Base::TimePoint now) const;
+    /// Returns whether the server has not announced that it wants no requests now.
+    bool wantsRequests(const ServerState &state, Base::TimePoint now) const;
+    /// Returns whether there is a server that stays and is outside of the evacuated zones.
+    bool hasEligibleServer() const;
     /// Returns whether a request may be sent to the server now, full or not.
     bool isUsable(const ServerState &state, Base::TimePoint now) const;
     bool hasRoom(const ServerState &state, Admission admission, Base::TimePoint now) const;
@@ -209,8 +211,6 @@
     /// Makes the choices of different hosts independent of each other.
     std::uint64_t m_hostHash;
     std::set<Base::ZoneId> m_evacuatedZones;
-    /// Whether there is a server outside of the evacuated zones.
-    bool m_hasEligibleServer = false;
     Base::ZoneId m_ownZone;
     const PeerLoad *m_peerLoad = nullptr;
     const ServerNotices *m_notices = nullptr;
--- a/src/libs/routing/servernotices.h
+++ b/src/libs/routing/servernotices.h
@@ -33,6 +33,11 @@
     /// host off before, or has not announced that it leaves.
     bool record(const Base::ServerId &server, const ServerNotice &notice, Base::TimePoint now);
 
+    /// Returns whether \a server has not announced that it wants no requests now.
+    bool wantsRequests(const Base::ServerId &server, Base::TimePoint now) const
+    {
+        return !isLeaving(server) && backoffLeft(server, now) == Base::Duration::zero();
+    }
     bool isLeaving(const Base::ServerId &server) const { return m_leaving.count(server) > 0; }
     /// Returns the remaining time for which \a server wants no requests; zero if there is none.
     Base::Duration backoffLeft(const Base::ServerId &server, Base::TimePoint now) const;
--- a/tests/auto/routing/tst_backoff.cpp
+++ b/tests/auto/routing/tst_unwantedrequests.cpp
@@ -55,12 +55,16 @@
     return work;
 }
 
-/// One host before a few servers, some of which back it off. Checks each placement.
-class BackoffModel
+/// The kinds of notices that servers give.
+enum class Notices { Backoffs, Leaving };
+
+/// One host before a few servers, some of which give notices. Checks each placement.
+class NoticeModel
 {
 public:
-    BackoffModel(bool isEngine, std::size_t count)
-        : m_listed(servers(count))
+    NoticeModel(Notices kind, bool isEngine, std::size_t count)
+        : m_kind(kind)
+        , m_listed(servers(count))
         , m_dispatcher(traits(isEngine), Base::ZoneId("near"))
     {
         m_dispatcher.setNotices(m_notices);
@@ -81,8 +85,7 @@
             finishOne();
             break;
         case 5:
-            m_notices.record(m_listed[*rc::gen::inRange<std::size_t>(0, m_listed.size())].id,
-                             {milliseconds(*rc::gen::inRange(1, 3000)), false}, m_now);
+            notice(m_listed[*rc::gen::inRange<std::size_t>(0, m_listed.size())].id);
             break;
         case 6:
             relist();
@@ -110,12 +113,20 @@
             placed.work, isServed ? AttemptOutcome::Served : AttemptOutcome::NoRoom, m_now));
         if (isServed)
             return;
-        m_notices.record(placed.server, {milliseconds(*rc::gen::inRange(0, 3000)), false}, m_now);
+        notice(placed.server);
         Work again = m_works[placed.work];
         again.tried.push_back(placed.server);
         submit(std::move(again));
     }
 
+    void notice(const Base::ServerId &server)
+    {
+        if (m_kind == Notices::Backoffs)
+            m_notices.record(server, {milliseconds(*rc::gen::inRange(0, 3000)), false}, m_now);
+        else
+            m_notices.record(server, {{}, true}, m_now);
+    }
+
     /// Removes one server's entry, or lists all again.
     void relist()
     {
@@ -131,12 +142,15 @@
     {
         for (const Placement &it : decisions.placements) {
             RC_ASSERT(m_notices.backoffLeft(it.server, m_now) == Base::Duration::zero());
+            RC_ASSERT_FALSE(m_notices.isLeaving(it.server));
             // Nothing is fetched from it either: a fetch is work for it.
             RC_ASSERT(m_notices.backoffLeft(it.fetchFrom, m_now) == Base::Duration::zero());
+            RC_ASSERT_FALSE(m_notices.isLeaving(it.fetchFrom));
             m_running.push_back(it);
         }
     }
 
+    Notices m_kind;
     std::vector<RegisteredServer> m_listed;
     ServerNotices m_notices;
     Dispatcher m_dispatcher;
@@ -153,14 +167,42 @@
     // Guards against requests to a server that has asked for a pause, on whichever way they come
     // there: first tries, retries, waiting requests, servers whose entries vanish and return.
     rc::prop("any requests, answers and readings of the servers", [] {
-        BackoffModel model(*rc::gen::arbitrary<bool>(),
-                           static_cast<std::size_t>(*rc::gen::inRange(1, 5)));
+        NoticeModel model(Notices::Backoffs, *rc::gen::arbitrary<bool>(),
+                          static_cast<std::size_t>(*rc::gen::inRange(1, 5)));
         const int steps = *rc::gen::inRange(1, 200);
         for (int i = 0; i < steps; ++i)
             model.step();
     });
 }
 
+TEST_CASE("a server that announces in an answer that it leaves gets no requests", "[routing]")
+{
+    // Guards against requests to a server that leaves, while its entry in the store is older.
+    rc::prop("any requests, answers and readings of the servers", [] {
+        NoticeModel model(Notices::Leaving, *rc::gen::arbitrary<bool>(),
+                          static_cast<std::size_t>(*rc::gen::inRange(1, 5)));
+        const int steps = *rc::gen::inRange(1, 200);
+        for (int i = 0; i < steps; ++i)
+            model.step();
+    });
+}
+
+TEST_CASE("requests are rejected at once if all servers announce that they leave", "[routing]")
+{
+    // Guards against requests that wait until they are late for a server that never comes back.
+    for (const bool isEngine : {true, false}) {
+        ServerNotices notices;
+        Dispatcher dispatcher(traits(isEngine), Base::ZoneId("near"));
+        dispatcher.setNotices(notices);
+        dispatcher.setServers(servers(2));
+        for (const char *id : {"s0", "s1"})
+            notices.record(Base::ServerId(id), {{}, true}, start);
+        const Decisions decisions = dispatcher.submit(request(1, 1, start), start);
+        REQUIRE(decisions.rejected.size() == 1);
+        CHECK(decisions.rejected.front().reason == RejectionReason::NoServer);
+    }
+}
+
 TEST_CASE("a server gets requests again when its backoff is over", "[routing]")
 {
     // Guards against a server that is lost to this host after it has asked for a pause.
--- a/tests/processes/deployment.sh
+++ b/tests/processes/deployment.sh
@@ -100,6 +100,17 @@
 prompt=(-X POST -H 'Model: m' -H 'Token-Count: 700,40' -H 'Prefix-Hash: ab:500,cd:200'
     -d 'a question')
 
+# met PORT: prints how many requests have met the fault of the server at PORT.
+met() {
+    curl -sf "http://$FLEET_IP:$1/faults" | jq .met
+}
+
+# stream N: sends prompt N to gateway 1. No two prompts begin alike, so all servers are chosen.
+stream() {
+    call 1 "/stream/$1" -X POST -H 'Model: m' -H 'Token-Count: 700,40' \
+        -H "Prefix-Hash: a$1:500,b$1:200" -d 'a question'
+}
+
 # runs_of PATH: prints how often the servers began to run a request for PATH.
 runs_of() {
     local port
--- a/tests/processes/serverbackoff.sh
+++ b/tests/processes/serverbackoff.sh
@@ -7,17 +7,6 @@
 . tests/processes/deployment.sh
 deployment_up
 
-# met PORT: prints how many requests have met the fault of the server at PORT.
-met() {
-    curl -sf "http://$FLEET_IP:$1/faults" | jq .met
-}
-
-# stream N: sends prompt N to gateway 1. No two prompts begin alike, so all servers are chosen.
-stream() {
-    call 1 "/stream/$1" -X POST -H 'Model: m' -H 'Token-Count: 700,40' \
-        -H "Prefix-Hash: a$1:500,b$1:200" -d 'a question'
-}
-
 # The pause outlasts the test, and each call ends before the next one begins, so that nothing
 # depends on how long anything takes.
 refusal='{"mode":"refuse","retryAfter":"600"}'
--- a/tests/standins/deployedserverstandin/deployedservice.cpp
+++ b/tests/standins/deployedserverstandin/deployedservice.cpp
@@ -84,6 +84,14 @@
     if (request.header("Expect-Instance") != m_id)
         return notRun(request, 421);
     const FaultPlan fault = m_faults.take();
+    HttpResponse response = answer(request, fault);
+    if (fault.mode == "leaving")
+        response.headers["Server-Leaving"] = "1";
+    return response;
+}
+
+HttpResponse DeployedService::answer(const HttpRequest &request, const FaultPlan &fault)
+{
     while (fault.mode == "frozen" && isConnectionOpen(request.connection))
         std::this_thread::sleep_for(hangupCheckInterval);
     if (fault.mode == "refuse" || fault.mode == "frozen") {
--- a/tests/standins/deployedserverstandin/deployedservice.h
+++ b/tests/standins/deployedserverstandin/deployedservice.h
@@ -27,6 +27,8 @@
     explicit DeployedService(const Options &options);
     /// Records in the journal that the request runs; returns its entry.
     std::size_t begin(const HttpRequest &request);
+    /// The answer of the server that the request names.
+    HttpResponse answer(const HttpRequest &request, const FaultPlan &fault);
     /// An answer that says that the request has not run.
     HttpResponse notRun(const HttpRequest &request, int status) const;
     HttpResponse plain(const HttpRequest &request, const FaultPlan &fault);
