Withdraw attempts that wait for a connection to a server which wants no requests

What callers saw: nothing yet; found by looking for other ways to a server that has asked for a pause. If the server backs the host off meanwhile, the request reached it all the same, was turned away and cost its caller a repeat, although it could still go elsewhere.

What has been written stays.

Test: red with the withdrawal left out (two requests written where one is allowed).

--- a/src/libs/gateway/backendconnection.cpp
+++ b/src/libs/gateway/backendconnection.cpp
@@ -123,6 +123,12 @@
     close();
 }
 
+void BackendConnection::withdrawUnsent()
+{
+    if (m_listener && !m_isConnected)
+        fail(Routing::AttemptOutcome::Withdrawn);
+}
+
 void BackendConnection::resume()
 {
     m_isPaused = false;
--- a/src/libs/gateway/backendconnection.h
+++ b/src/libs/gateway/backendconnection.h
@@ -77,6 +77,8 @@
               BackendListener &listener, Base::TimePoint now);
     /// Cancels the attempt by closing the connection, which makes the server stop working on it.
     void cancel();
+    /// Fails the attempt as withdrawn if it still waits for the connection to be established.
+    void withdrawUnsent();
     /// Stops reading, to apply backpressure to the server while its caller is slow.
     void pause() { m_isPaused = true; }
     /// Reads on after pause().
--- a/src/libs/gateway/backendpool.cpp
+++ b/src/libs/gateway/backendpool.cpp
@@ -79,6 +79,16 @@
         connection->close();
 }
 
+void BackendPool::withdrawUnsent(const Base::ServerId &server)
+{
+    const auto pooled = m_connections.find(server.value());
+    if (pooled == m_connections.end())
+        return;
+    const std::vector<std::shared_ptr<BackendConnection>> all = pooled->second.all;
+    for (const std::shared_ptr<BackendConnection> &connection : all)
+        connection->withdrawUnsent();
+}
+
 void BackendPool::requestWritten(BackendConnection &connection)
 {
     m_observer->requestWritten(Base::ServerId(connection.serverKey()));
--- a/src/libs/gateway/backendpool.h
+++ b/src/libs/gateway/backendpool.h
@@ -58,6 +58,9 @@
     /// Closes the idle connections to \a server, which has gone.
     void closeIdleConnections(const Base::ServerId &server);
 
+    /// Withdraws the attempts that wait for a connection to \a server, which wants no requests now.
+    void withdrawUnsent(const Base::ServerId &server);
+
     void requestWritten(BackendConnection &connection) override;
     void headReceived(BackendConnection &connection, const ResponseHead &head) override;
     void connectionIdle(BackendConnection &connection) override;
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -544,6 +544,7 @@
     if (notice.isLeaving)
         m_metrics->serverNoticed(leavingNotice);
     const bool isNews = m_services->notices().record(server, notice, time);
+    m_pool.withdrawUnsent(server);
     if (notice.isLeaving)
         m_pool.closeIdleConnections(server);
     if (!isNews || !m_log.tryAcquireRequestLine(true, time))
--- a/tests/auto/gateway/tst_backendpool.cpp
+++ b/tests/auto/gateway/tst_backendpool.cpp
@@ -19,10 +19,15 @@
     void answerStarted(const ResponseHead &) override {}
     void answerData(std::string_view) override {}
     void answerEnded() override { ++answers; }
-    void attemptFailed(const AttemptFailure &) override { ++failures; }
+    void attemptFailed(const AttemptFailure &failure) override
+    {
+        ++failures;
+        lastFailure = failure;
+    }
 
     int answers = 0;
     int failures = 0;
+    AttemptFailure lastFailure;
 };
 
 /// A pool and its server, both on the thread of the test.
@@ -30,9 +35,10 @@
 {
 public:
     void requestWritten(const Base::ServerId &) override { ++written; }
-    void serverNoticed(const Base::ServerId &, const Routing::ServerNotice &notice) override
+    void serverNoticed(const Base::ServerId &id, const Routing::ServerNotice &notice) override
     {
         notices.push_back(notice);
+        m_pool.withdrawUnsent(id);
     }
 
     std::shared_ptr<BackendConnection> send(const std::string &requestId, bool isNotRepeatable)
@@ -58,6 +64,8 @@
         REQUIRE_FALSE(LoopbackServer::readRequest(socket).empty());
         return socket;
     }
+    void poll() { m_io.poll(); }
+    void withdrawUnsent() { m_pool.withdrawUnsent(m_entry.id); }
     void waitForAnswer()
     {
         const int expected = listener.answers + 1;
@@ -131,3 +139,24 @@
     CHECK(fixture.notices[1].isLeaving);
     CHECK(fixture.written == 1);
 }
+
+TEST_CASE("an attempt that waits for its connection is withdrawn when its server wants no requests",
+          "[gateway]")
+{
+    // Guards against requests that reach a server although they could still be sent elsewhere: they
+    // were assigned to it before it turned another request away.
+    PoolFixture fixture;
+    const std::shared_ptr<BackendConnection> sent = fixture.send("r-1", true);
+    Tcp::socket socket = fixture.accept();
+    const std::shared_ptr<BackendConnection> unsent = fixture.send("r-2", true);
+    fixture.withdrawUnsent();
+    CHECK(fixture.listener.failures == 1);
+    CHECK(fixture.listener.lastFailure.outcome == Routing::AttemptOutcome::Withdrawn);
+    CHECK_FALSE(fixture.listener.lastFailure.maybeSent);
+    fixture.poll();
+    CHECK(fixture.written == 1);
+    // The attempt that was sent goes on.
+    LoopbackServer::answer(socket, "r-1");
+    fixture.waitForAnswer();
+    CHECK(fixture.listener.failures == 1);
+}
