Refuse at once what no server wants in time, and tell callers when one does

- A request is refused at once if all servers asked for no requests for longer than it may wait, with the time until the first one wants some (30 s at most); waiting requests too.
A backoff that ends in time is waited for.
If all servers leave, waiting requests are refused at once as well.

--- a/src/libs/gateway/exchange.cpp
+++ b/src/libs/gateway/exchange.cpp
@@ -375,7 +375,7 @@
     }
     const bool isNoRoom = outcome == AttemptOutcome::NoRoom;
     fail({isNoRoom ? FailureType::Rejection : FailureType::ServerFailed, m_mayHaveRun,
-          defaultRetryAfter});
+          std::max(defaultRetryAfter, m_port->backoffRetryAfter(m_accepted.service))});
 }
 
 bool Exchange::mayRetry(AttemptOutcome outcome, bool maybeRan)
--- a/src/libs/gateway/exchange.h
+++ b/src/libs/gateway/exchange.h
@@ -55,6 +55,9 @@
     virtual std::optional<Base::TimePoint> lastResponseFrom(const Base::ServerId &server) = 0;
     /// Returns the remaining time for which the server asked this host to send no requests.
     virtual Base::Duration backoffLeft(const Base::ServerId &server) = 0;
+    /// Returns when callers should come back because all servers of the service asked for no
+    /// requests; zero if one of them wants requests.
+    virtual Base::Milliseconds backoffRetryAfter(const std::string &service) = 0;
     /// Notes that events of a stream were forwarded to their caller.
     virtual void eventsForwarded(std::size_t count) = 0;
     /// Counts a request that ended.
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -528,6 +528,11 @@
     return m_services->notices().backoffLeft(server, now());
 }
 
+Base::Milliseconds Gateway::backoffRetryAfter(const std::string &service)
+{
+    return m_services->service(service).dispatcher.backoffRetryAfter(now());
+}
+
 void Gateway::requestWritten(const Base::ServerId &server)
 {
     if (m_services->notices().backoffLeft(server, now()) > Base::Duration::zero())
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -92,6 +92,7 @@
     void serverResponded(const Base::ServerId &server) override;
     std::optional<Base::TimePoint> lastResponseFrom(const Base::ServerId &server) override;
     Base::Duration backoffLeft(const Base::ServerId &server) override;
+    Base::Milliseconds backoffRetryAfter(const std::string &service) override;
     void requestEnded(const EndedRequest &request) override;
     void exchangeFinished(Routing::WorkId id) override;
 
--- a/src/libs/routing/dispatcher.cpp
+++ b/src/libs/routing/dispatcher.cpp
@@ -58,6 +58,9 @@
 constexpr Base::Duration saturationInterval = milliseconds(100);
 constexpr milliseconds minRetryAfter{200};
 constexpr milliseconds maxRetryAfter{2000};
+/// The longest time after which a caller is told to come back while all servers want no requests.
+/// Other servers may come meanwhile.
+constexpr milliseconds maxBackoffRetryAfter{30'000};
 
 double tokensOf(const Work &work)
 {
@@ -65,6 +68,14 @@
            + generatedTokenWeight * expectedGeneratedShare * work.outputTokens;
 }
 
+/// Returns the time up to which the request may wait here.
+Base::TimePoint latestPlacement(const Work &work)
+{
+    return work.arrivedAt
+           + std::chrono::duration_cast<Base::Duration>((work.startBy - work.arrivedAt)
+                                                        * maxWaitShare);
+}
+
 bool wasTried(const Work &work, const Base::ServerId &server)
 {
     return std::find(work.tried.begin(), work.tried.end(), server) != work.tried.end();
@@ -153,8 +164,8 @@
         m_shares.recordDemand(work.customer, tokensOf(work), now);
         m_overloadGate.recordArrival(now);
     }
-    if (!hasEligibleServer()) {
-        decisions.rejected.push_back(makeRejection(work, RejectionReason::NoServer, now));
+    if (const std::optional<RejectionReason> reason = hopelessness(work, now)) {
+        decisions.rejected.push_back(makeRejection(work, *reason, now));
         return decisions;
     }
     // A returning request was admitted before, and a server may have spent time on it. If it were
@@ -189,9 +200,7 @@
         decisions.rejected.push_back(makeRejection(work, RejectionReason::QueueFull, now));
         return decisions;
     }
-    const Base::Duration maxWait =
-        std::chrono::duration_cast<Base::Duration>((work.startBy - work.arrivedAt) * maxWaitShare);
-    if (now + expectedWait(work.customer) > work.arrivedAt + maxWait) {
+    if (now + expectedWait(work.customer, now) > latestPlacement(work)) {
         // A server that has to read more of the prompt is better than none.
         if (const std::optional<Candidate> any = selectServer(work, now, admission, true)) {
             if (!isRetry)
@@ -603,9 +612,8 @@
 
 void Dispatcher::resolveOverdue(Base::TimePoint now, Decisions &decisions)
 {
-    const std::vector<Work> overdue = m_waiting.takeIf([&](const Work &work) {
-        return now - work.arrivedAt > (work.startBy - work.arrivedAt) * maxWaitShare;
-    });
+    const std::vector<Work> overdue = m_waiting.takeIf(
+        [&](const Work &work) { return now > latestPlacement(work) || hopelessness(work, now); });
     for (const Work &work : overdue) {
         // Any server is better than none, since the best one will not be free in time.
         if (const std::optional<Candidate> candidate =
@@ -615,11 +623,37 @@
         }
         if (work.tried.empty())
             m_shares.recordAdmitted(work.customer, -tokensOf(work), now);
-        decisions.rejected.push_back(makeRejection(work, RejectionReason::TooLate, now));
+        const RejectionReason reason = hopelessness(work, now).value_or(RejectionReason::TooLate);
+        decisions.rejected.push_back(makeRejection(work, reason, now));
+    }
+}
+
+std::optional<RejectionReason> Dispatcher::hopelessness(const Work &work, Base::TimePoint now) const
+{
+    if (!hasEligibleServer())
+        return RejectionReason::NoServer;
+    const Base::Duration backoff = commonBackoff(now);
+    if (backoff > Base::Duration::zero() && now + backoff > latestPlacement(work))
+        return RejectionReason::BackedOff;
+    return std::nullopt;
+}
+
+Base::Duration Dispatcher::commonBackoff(Base::TimePoint now) const
+{
+    Base::Duration shortest = Base::Duration::max();
+    for (const auto &[id, state] : m_servers) {
+        if (state.isEvacuated || (m_notices && m_notices->isLeaving(id)))
+            continue;
+        const Base::Duration left =
+            m_notices ? m_notices->backoffLeft(id, now) : Base::Duration::zero();
+        if (left == Base::Duration::zero())
+            return Base::Duration::zero();
+        shortest = std::min(shortest, left);
     }
+    return shortest == Base::Duration::max() ? Base::Duration::zero() : shortest;
 }
 
-Base::Duration Dispatcher::expectedWait(const Base::CustomerId &customer) const
+Base::Duration Dispatcher::expectedWait(const Base::CustomerId &customer, Base::TimePoint now) const
 {
     // Customers take turns, so the wait of a customer is the time for its own requests multiplied
     // by the number of customers that wait.
@@ -628,26 +662,36 @@
     const double tokens = std::min(static_cast<double>(own) * static_cast<double>(customers),
                                    static_cast<double>(m_waiting.tokens()));
     return std::chrono::duration_cast<Base::Duration>(
-        std::chrono::duration<double, std::milli>(tokens / drainTokensPerMs()));
+        std::chrono::duration<double, std::milli>(tokens / drainTokensPerMs(now)));
 }
 
-double Dispatcher::drainTokensPerMs() const
+double Dispatcher::drainTokensPerMs(Base::TimePoint now) const
 {
     const double hosts =
         m_peerLoad ? static_cast<double>(std::max<std::size_t>(m_peerLoad->hosts, 1)) : 1;
-    const double servers = static_cast<double>(std::max<std::size_t>(m_servers.size(), 1));
+    const auto willing = std::count_if(m_servers.begin(), m_servers.end(), [&](const auto &it) {
+        return wantsRequests(it.second, now);
+    });
+    const double servers = static_cast<double>(std::max<std::ptrdiff_t>(willing, 1));
     return std::max(1.0, servers * m_cost.traits().readTokensPerMs / hosts);
 }
 
-Base::Milliseconds Dispatcher::retryAfter() const
+Base::Milliseconds Dispatcher::retryAfter(Base::TimePoint now) const
+{
+    const double ms = static_cast<double>(m_waiting.tokens()) / drainTokensPerMs(now);
+    const milliseconds drained =
+        std::clamp(milliseconds(static_cast<std::int64_t>(ms)), minRetryAfter, maxRetryAfter);
+    return std::max(drained, backoffRetryAfter(now));
+}
+
+Base::Milliseconds Dispatcher::backoffRetryAfter(Base::TimePoint now) const
 {
-    const double ms = static_cast<double>(m_waiting.tokens()) / drainTokensPerMs();
-    return std::clamp(milliseconds(static_cast<std::int64_t>(ms)), minRetryAfter, maxRetryAfter);
+    return std::min(std::chrono::ceil<milliseconds>(commonBackoff(now)), maxBackoffRetryAfter);
 }
 
 Rejection Dispatcher::makeRejection(const Work &work, RejectionReason reason, Base::TimePoint now)
 {
-    return {work.id, reason, retryAfter(), m_shares.received(work.customer, now),
+    return {work.id, reason, retryAfter(now), m_shares.received(work.customer, now),
             m_shares.shareLevel(now)};
 }
 
--- a/src/libs/routing/dispatcher.h
+++ b/src/libs/routing/dispatcher.h
@@ -87,6 +87,9 @@
     /// changed.
     Decisions advance(Base::TimePoint now);
 
+    /// Returns when callers should come back because all servers asked for no requests; zero if one
+    /// of them wants requests, or none of them stays.
+    Base::Milliseconds backoffRetryAfter(Base::TimePoint now) const;
     /// Returns the expected time from the placement of a request to its first event.
     Base::Duration expectedStart(WorkId id) const;
     /// Adds this host's load to \a load.
@@ -200,9 +203,15 @@
     /// there is none.
     void resolveOverdue(Base::TimePoint now, Decisions &decisions);
     /// Returns the estimated time that a new request of \a customer waits behind the waiting ones.
-    Base::Duration expectedWait(const Base::CustomerId &customer) const;
-    double drainTokensPerMs() const;
-    Base::Milliseconds retryAfter() const;
+    Base::Duration expectedWait(const Base::CustomerId &customer, Base::TimePoint now) const;
+    /// Returns the time until the first server may want requests again; zero if one wants them now,
+    /// or if none of them stays.
+    Base::Duration commonBackoff(Base::TimePoint now) const;
+    /// Returns why \a work cannot be served in time by any server, however little work they have;
+    /// nothing if it may be.
+    std::optional<RejectionReason> hopelessness(const Work &work, Base::TimePoint now) const;
+    double drainTokensPerMs(Base::TimePoint now) const;
+    Base::Milliseconds retryAfter(Base::TimePoint now) const;
 
     ServerCost m_cost;
     CustomerShares m_shares;
--- a/src/libs/routing/work.cpp
+++ b/src/libs/routing/work.cpp
@@ -7,6 +7,8 @@
     switch (reason) {
     case RejectionReason::NoServer:
         return "no_server";
+    case RejectionReason::BackedOff:
+        return "backed_off";
     case RejectionReason::TooLate:
         return "too_late";
     case RejectionReason::QueueFull:
--- a/src/libs/routing/work.h
+++ b/src/libs/routing/work.h
@@ -72,7 +72,8 @@
 };
 
 enum class RejectionReason {
-    NoServer,    ///< No server of the service is known.
+    NoServer,    ///< No server of the service is known, or all of them leave.
+    BackedOff,   ///< All servers asked for no requests for longer than the request can wait.
     TooLate,     ///< The request could not start in time behind the requests that wait already.
     QueueFull,   ///< The number of waiting requests has reached this host's limit.
     BeyondShare, ///< The customer has received its share, and there is no spare capacity.
--- a/tests/auto/gateway/tst_exchange.cpp
+++ b/tests/auto/gateway/tst_exchange.cpp
@@ -72,6 +72,7 @@
     void serverResponded(const Base::ServerId &) override {}
     std::optional<Base::TimePoint> lastResponseFrom(const Base::ServerId &) override { return {}; }
     Base::Duration backoffLeft(const Base::ServerId &) override { return {}; }
+    Base::Milliseconds backoffRetryAfter(const std::string &) override { return {}; }
     void requestWritten(const Base::ServerId &) override {}
     void serverNoticed(const Base::ServerId &, const Routing::ServerNotice &) override {}
     void eventsForwarded(std::size_t) override {}
--- a/tests/auto/routing/tst_unwantedrequests.cpp
+++ b/tests/auto/routing/tst_unwantedrequests.cpp
@@ -226,3 +226,80 @@
         CHECK(late[Base::ServerId("s0")] > 10);
     }
 }
+
+TEST_CASE("requests are rejected at once if all servers back this host off for too long",
+          "[routing]")
+{
+    // Guards against requests that wait until they are late, and against callers who come back
+    // again and again while no server wants requests.
+    for (const bool isEngine : {true, false}) {
+        ServerNotices notices;
+        Dispatcher dispatcher(traits(isEngine), Base::ZoneId("near"));
+        dispatcher.setNotices(notices);
+        dispatcher.setServers(servers(2));
+        notices.record(Base::ServerId("s0"), {seconds(3), false}, start);
+        notices.record(Base::ServerId("s1"), {seconds(5), false}, start);
+        const Decisions decisions = dispatcher.submit(request(1, 1, start), start);
+        REQUIRE(decisions.rejected.size() == 1);
+        CHECK(decisions.rejected.front().reason == RejectionReason::BackedOff);
+        CHECK(decisions.rejected.front().retryAfter == seconds(3));
+        CHECK(dispatcher.backoffRetryAfter(start + seconds(1)) == seconds(2));
+        CHECK(dispatcher.backoffRetryAfter(start + seconds(3)) == seconds(0));
+    }
+}
+
+TEST_CASE("waiting requests are rejected as soon as no server wants them in time", "[routing]")
+{
+    // Guards against requests that wait in vain: they were accepted before the last server backed
+    // this host off or announced that it leaves.
+    for (const ServerNotice &last : {ServerNotice{seconds(3), false}, ServerNotice{{}, true}}) {
+        ServerNotices notices;
+        Dispatcher dispatcher(traits(true), Base::ZoneId("near"));
+        dispatcher.setNotices(notices);
+        dispatcher.setServers(servers(1));
+        for (WorkId id = 1; dispatcher.waiting() == 0; ++id)
+            REQUIRE(dispatcher.submit(request(id, id, start), start).rejected.empty());
+        const std::size_t waiting = dispatcher.waiting();
+        notices.record(Base::ServerId("s0"), last, start);
+        const Decisions decisions = dispatcher.advance(start + milliseconds(1));
+        CHECK(decisions.rejected.size() == waiting);
+        CHECK(dispatcher.waiting() == 0);
+    }
+}
+
+TEST_CASE("a request waits for a backoff that ends in time", "[routing]")
+{
+    // Guards against refusals beside servers that want requests again in a moment.
+    ServerNotices notices;
+    Dispatcher dispatcher(traits(true), Base::ZoneId("near"));
+    dispatcher.setNotices(notices);
+    dispatcher.setServers(servers(1));
+    notices.record(Base::ServerId("s0"), {milliseconds(100), false}, start);
+    CHECK(dispatcher.submit(request(1, 1, start), start).rejected.empty());
+    CHECK(dispatcher.waiting() == 1);
+    CHECK(dispatcher.advance(start + milliseconds(99)).placements.empty());
+    CHECK(dispatcher.advance(start + milliseconds(100)).placements.size() == 1);
+}
+
+TEST_CASE("servers that want no requests do not shorten the wait that is expected", "[routing]")
+{
+    // Guards against requests that wait behind others for a pool that is reckoned at its full size
+    // while most of its servers back this host off.
+    const auto rejectedOf = [](std::size_t backedOff) {
+        ServerNotices notices;
+        Dispatcher dispatcher(traits(true), Base::ZoneId("near"));
+        dispatcher.setNotices(notices);
+        dispatcher.setServers(servers(4));
+        for (std::size_t i = 0; i < backedOff; ++i)
+            notices.record(Base::ServerId("s" + std::to_string(i)), {seconds(30), false}, start);
+        std::size_t rejected = 0;
+        for (WorkId id = 1; id <= 60; ++id)
+            rejected += dispatcher.submit(request(id, id, start), start).rejected.size();
+        return std::pair(rejected, dispatcher.waiting());
+    };
+    const auto [rejectedByOne, waitingForOne] = rejectedOf(3);
+    const auto [rejectedByAll, waitingForAll] = rejectedOf(0);
+    CHECK(rejectedByOne > rejectedByAll);
+    // What waits is what the servers that want requests can begin in time.
+    CHECK(waitingForOne * 3 <= waitingForAll + 3);
+}
--- a/tests/processes/serverbackoff.sh
+++ b/tests/processes/serverbackoff.sh
@@ -19,6 +19,8 @@
 fault 19713 "$refusal"
 for i in $(seq 1 20); do
     expect "call $i" "$(call 1 "/read/$i")" 503
+    # The longest time that callers are told, since other servers may come.
+    expect "retry time of call $i" "$(jq .error.retryAfterMs "$FLEET_DIR/body")" 30000
 done
 expect "requests of gateway 1 at the only server of the application" "$(met 19713)" 1
 
