--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -1,8 +1,8 @@
 #!/usr/bin/env bash
 # Runs three gateways, a store and four backend servers as processes. Callers send requests all the
 # time while faults are injected from outside: signals, restarts, a faulty proxy before the store
-# and the servers, revoked and restored keys, servers that leave or restart under their id, and
-# entries that no server wrote. At the end, the answers that callers received and the requests that
+# and the servers, revoked and restored keys, servers that leave or restart under their id, that ask
+# for a pause or announce in their answers that they leave, and entries that no server wrote. At the end, the answers that callers received and the requests that
 # servers ran are checked against every guarantee. SEED determines the run except for the timing of
 # processes.
 # usage: soak.sh BUILD_FOLDER SEED SECONDS
@@ -16,9 +16,11 @@
 REVOCATION_MS=3000
 version=100
 next_id=10
-# Seeds up to 18 use only the first 12 kinds of fault, so that each still injects the same faults.
+# Seeds up to 18 use only the first 12 kinds of fault, and seeds up to 29 the first 15, so that each
+# still injects the same faults.
 fault_kinds=12
 [ "$seed" -le 18 ] || fault_kinds=15
+[ "$seed" -le 29 ] || fault_kinds=17
 SERVER_PID=()
 SERVER_ID=()
 SERVER_BORN=()
@@ -140,9 +142,35 @@
         put servers "another-$slot" "${entries[RANDOM % 3]}"
         sleep "$length"
         put servers "another-$slot" null ;;
+    15) log_fault "server $slot asks for a pause of $length s"
+        server_fault "$slot" '{"mode":"refuse","retryAfter":"'"$length"'"}'
+        sleep "0.$((3 + RANDOM % 6))"
+        server_fault "$slot" '{"mode":"none"}' ;;
+    16) log_fault "server $slot announces that it leaves"
+        server_fault "$slot" '{"mode":"leaving"}'
+        sleep "$length"
+        remove_server "$slot"
+        start_server "$slot" "${SERVICE[$slot]}" ;;
     esac
 }
 
+# server_fault SLOT JSON: sets the fault of a server. A server that has just been started may not
+# listen yet; it then has no fault.
+server_fault() {
+    curl -sf -o "$FLEET_DIR/fault" "http://$FLEET_IP:1971$1/faults" -d "$2" || true
+}
+
+# check_unwanted GATEWAY: reports requests that the gateway wrote to a server after the server had
+# told it that it wants none.
+check_unwanted() {
+    local written
+    written=$(curl -sf "http://$FLEET_IP:1976$1/metrics" \
+        | awk '/^lagoonmast_gateway_unwanted_requests_total/ { n += $2 } END { print n + 0 }')
+    [ "$written" = 0 ] \
+        || echo "gateway $1 wrote $written requests to servers that wanted none" \
+            >>"$FLEET_DIR/violations"
+}
+
 fleet_standin store rowstorestandin $STORE
 fleet_start proxy "$FLEET_BUILD/tests/soak/faultproxy" "$FLEET_IP" 19800 "19810:$STORE" \
     19821:19711 19822:19712 19823:19713 19824:19714
@@ -172,6 +200,7 @@
 kill $callers
 wait $callers
 for i in 1 2 3; do
+    check_unwanted $i
     kill -TERM "${GATEWAYS[$i]}" \
         || echo "gateway $i exited before it was stopped" >>"$FLEET_DIR/violations"
     wait "${GATEWAYS[$i]}" || echo "gateway $i exited with status $?" >>"$FLEET_DIR/violations"
