--- a/tests/auto/routing/tst_fleetfairness.cpp
+++ b/tests/auto/routing/tst_fleetfairness.cpp
@@ -154,6 +154,34 @@
     CHECK(sum / seeds > 2.0 / 3);
 }
 
+TEST_CASE("a host that is behind does not keep others from the engines", "[routing][behind]")
+{
+    // Guards against customers that are refused at all hosts while the engines are idle: one host
+    // cannot handle its answers in time and reports prompts as unread that the engines have read.
+    FleetScenario scenario;
+    scenario.hosts = 20;
+    scenario.engines = 27;
+    scenario.slowness = 2;
+    CustomerLoad calm = customer("calm", 5);
+    calm.promptTokens = 3000;
+    calm.events = 30;
+    calm.outputTokens = 600;
+    calm.hosts = 3;
+    calm.firstHost = 7;
+    CustomerLoad stays = flooding(customer("stays", 27), 30, seconds(1), seconds(8));
+    stays.promptTokens = 16000;
+    stays.events = 12;
+    stays.hosts = 1;
+    scenario.customers = {calm, stays};
+    for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+        scenario.seed = seed;
+        FleetModel model(scenario);
+        model.run();
+        INFO("seed " << seed);
+        CHECK_FALSE(model.fairness().findUnderserved());
+    }
+}
+
 TEST_CASE("no customer is underserved, whatever the hosts' speed and the customers' requests",
           "[routing][fleet]")
 {
