--- a/src/libs/gateway/backendpool.h
+++ b/src/libs/gateway/backendpool.h
@@ -57,7 +57,6 @@
     void checkTime(Base::TimePoint now);
     /// Closes the idle connections to \a server, which has gone.
     void closeIdleConnections(const Base::ServerId &server);
-
     /// Withdraws the attempts that wait for a connection to \a server, which wants no requests now.
     void withdrawUnsent(const Base::ServerId &server);
 
--- a/src/libs/gateway/gatewaymetrics.h
+++ b/src/libs/gateway/gatewaymetrics.h
@@ -57,7 +57,7 @@
     void requestEnded(const EndedRequest &request);
     void attemptFailed(const std::string &outcome);
     void retryRequested(bool isGranted);
-    /// Counts a notice of a server; \a notice is its kind.
+    /// Counts an answer with a notice of its server; \a notice is the kind: "backoff" or "leaving".
     void serverNoticed(const char *notice);
     /// Counts a request that was written to a server which had announced that it wants none.
     void unwantedRequestWritten(const char *notice);
--- a/src/libs/gateway/servernotice.cpp
+++ b/src/libs/gateway/servernotice.cpp
@@ -8,6 +8,7 @@
 
 namespace {
 
+/// Returns the time that a Retry-After field states; zero if it is not a positive decimal number.
 Base::Duration backoffTime(std::string_view text)
 {
     double seconds = 0;
--- a/src/libs/routing/dispatcher.cpp
+++ b/src/libs/routing/dispatcher.cpp
@@ -164,7 +164,7 @@
         m_shares.recordDemand(work.customer, tokensOf(work), now);
         m_overloadGate.recordArrival(now);
     }
-    if (const std::optional<RejectionReason> reason = hopelessness(work, now)) {
+    if (const std::optional<RejectionReason> reason = unavailability(work, now)) {
         decisions.rejected.push_back(makeRejection(work, *reason, now));
         return decisions;
     }
@@ -613,7 +613,7 @@
 void Dispatcher::resolveOverdue(Base::TimePoint now, Decisions &decisions)
 {
     const std::vector<Work> overdue = m_waiting.takeIf(
-        [&](const Work &work) { return now > latestPlacement(work) || hopelessness(work, now); });
+        [&](const Work &work) { return now > latestPlacement(work) || unavailability(work, now); });
     for (const Work &work : overdue) {
         // Any server is better than none, since the best one will not be free in time.
         if (const std::optional<Candidate> candidate =
@@ -623,12 +623,13 @@
         }
         if (work.tried.empty())
             m_shares.recordAdmitted(work.customer, -tokensOf(work), now);
-        const RejectionReason reason = hopelessness(work, now).value_or(RejectionReason::TooLate);
+        const RejectionReason reason = unavailability(work, now).value_or(RejectionReason::TooLate);
         decisions.rejected.push_back(makeRejection(work, reason, now));
     }
 }
 
-std::optional<RejectionReason> Dispatcher::hopelessness(const Work &work, Base::TimePoint now) const
+std::optional<RejectionReason> Dispatcher::unavailability(const Work &work,
+                                                          Base::TimePoint now) const
 {
     if (!hasEligibleServer())
         return RejectionReason::NoServer;
--- a/src/libs/routing/dispatcher.h
+++ b/src/libs/routing/dispatcher.h
@@ -33,6 +33,9 @@
 /// that could not start in time behind the waiting ones is rejected at once, together with a time
 /// after which capacity is expected.
 ///
+/// A server that asked this host for no requests for a while, or that announced that it leaves,
+/// gets none. If no server wants requests in time, they are rejected at once.
+///
 /// CustomerShares decides how much capacity a customer's requests may use. Within its share, a
 /// request waits for a server that is full. Beyond its share, it is placed on a server with little
 /// load, or rejected at once.
@@ -207,9 +210,9 @@
     /// Returns the time until the first server may want requests again; zero if one wants them now,
     /// or if none of them stays.
     Base::Duration commonBackoff(Base::TimePoint now) const;
-    /// Returns why \a work cannot be served in time by any server, however little work they have;
-    /// nothing if it may be.
-    std::optional<RejectionReason> hopelessness(const Work &work, Base::TimePoint now) const;
+    /// Returns why no server wants \a work in time, or nothing if one does. How much the servers
+    /// have to do does not matter.
+    std::optional<RejectionReason> unavailability(const Work &work, Base::TimePoint now) const;
     double drainTokensPerMs(Base::TimePoint now) const;
     Base::Milliseconds retryAfter(Base::TimePoint now) const;
 
