Log which limit a customer beyond its share met, and who lacks service most

All its refusals say beyond_share, which stands for three different limits, and host.load names the level of the customer that lacks service most, but not the customer. So the log cannot tell whether its rate, the amount of another customer or the servers' room held it back. request.end now has the limit, host.load the customer.

--- a/src/libs/gateway/exchange.cpp
+++ b/src/libs/gateway/exchange.cpp
@@ -505,6 +505,7 @@
         .add("wholeMs", now - m_accepted.request.readAt);
     if (m_rejection) {
         line.add("why", Routing::nameOf(m_rejection->reason))
+            .add("limit", Routing::nameOf(m_rejection->shareLimit))
             .add("received", m_rejection->received)
             .add("shareLevel", m_rejection->shareLevel)
             .add("retryAfterMs", Base::Duration(m_rejection->retryAfter));
--- a/src/libs/gateway/hostload.cpp
+++ b/src/libs/gateway/hostload.cpp
@@ -76,8 +76,10 @@
             line->add("passedOver", topCustomers(m_shedStreams));
         if (sample.shareLevel)
             line->add("shareLevel", *sample.shareLevel);
-        if (sample.unmetLevel)
-            line->add("unmetLevel", *sample.unmetLevel);
+        if (sample.unmetLevel) {
+            line->add("unmetLevel", *sample.unmetLevel)
+                .add("unmetCustomer", sample.unmetCustomer.value());
+        }
         if (sample.reportAge)
             line->add("reportAgeMs", *sample.reportAge);
         if (sample.largestCustomer)
--- a/src/libs/gateway/hostload.h
+++ b/src/libs/gateway/hostload.h
@@ -21,6 +21,8 @@
     /// empty if there is none (Routing::CustomerShares).
     std::optional<double> shareLevel;
     std::optional<double> unmetLevel;
+    /// The customer that has the unmet level.
+    Base::CustomerId unmetCustomer;
     /// The customer that asked this host for most; empty if none did recently.
     std::optional<Routing::CustomerSample> largestCustomer;
     /// Age of the newest report of another host; empty if there is none.
--- a/src/libs/gateway/services.cpp
+++ b/src/libs/gateway/services.cpp
@@ -150,14 +150,17 @@
 {
     const auto keepLower = [](std::optional<double> &lowest, double level) {
         // A log line cannot represent infinity.
-        if (std::isfinite(level) && (!lowest || level < *lowest))
+        const bool isLower = std::isfinite(level) && (!lowest || level < *lowest);
+        if (isLower)
             lowest = level;
+        return isLower;
     };
     for (auto &[name, it] : m_services) {
         if (!traitsOf(name).isEngine)
             continue;
         keepLower(sample.shareLevel, it.dispatcher.shareLevel(now));
-        keepLower(sample.unmetLevel, it.dispatcher.unmetLevel());
+        if (keepLower(sample.unmetLevel, it.dispatcher.unmetLevel()))
+            sample.unmetCustomer = it.dispatcher.unmetCustomer();
         const auto largest = it.dispatcher.largestCustomer(now);
         if (largest && (!sample.largestCustomer || sample.largestCustomer->asked < largest->asked))
             sample.largestCustomer = largest;
--- a/src/libs/routing/customershares.cpp
+++ b/src/libs/routing/customershares.cpp
@@ -61,6 +61,11 @@
 
 } // namespace
 
+bool isRefused(Admission admission)
+{
+    return admission == Admission::OverRate || admission == Admission::AheadOfOthers;
+}
+
 void CustomerShares::recordDemand(const Base::CustomerId &customer, double tokens,
                                   Base::TimePoint now)
 {
@@ -102,14 +107,14 @@
     if (receivedTokens < share * unlimitedShare)
         return Admission::WithinShare;
     if (!m_rateLimiter.isAllowed(customer, now))
-        return Admission::Refused;
+        return Admission::OverRate;
     if (receivedTokens < share)
         return Admission::WithinShare;
     // Both sides count tokens from the first event. If the customer were compared by the tokens
     // sent for it, the least served customer would limit itself.
     return started(customer, now) < m_unmetLevel * maxSpareRatio + minUnmetTokens
                ? Admission::SpareCapacity
-               : Admission::Refused;
+               : Admission::AheadOfOthers;
 }
 
 double CustomerShares::received(const Base::CustomerId &customer, Base::TimePoint now) const
@@ -152,6 +157,7 @@
     const double configuredCapacity = m_tokensPerSecond * seconds * (1 + std::min(growth(), 0.0));
     m_shareLevel = maxMinLevel(asked, configuredCapacity);
     m_unmetLevel = std::numeric_limits<double>::infinity();
+    m_unmetCustomer = {};
     std::map<Base::CustomerId, Base::TimePoint> unmetSince;
     for (const auto &[customer, amount] : asked) {
         const double startedTokens = started(customer, now);
@@ -160,8 +166,10 @@
         const auto before = m_unmetSince.find(customer);
         const Base::TimePoint since = before == m_unmetSince.end() ? now : before->second;
         unmetSince[customer] = since;
-        if (now - since >= unmetDelay)
-            m_unmetLevel = std::min(m_unmetLevel, startedTokens);
+        if (now - since >= unmetDelay && startedTokens < m_unmetLevel) {
+            m_unmetLevel = startedTokens;
+            m_unmetCustomer = customer;
+        }
     }
     m_unmetSince = std::move(unmetSince);
     updateRates(asked, seconds, now);
--- a/src/libs/routing/customershares.h
+++ b/src/libs/routing/customershares.h
@@ -13,14 +13,16 @@
 namespace Routing {
 
 /// The capacity that a customer's request may use. A customer within its max-min share gets
-/// WithinShare. Beyond it, a request gets SpareCapacity, or Refused if the customer exceeds its
-/// rate at this host or others have been served much less.
+/// WithinShare, and beyond it SpareCapacity. The other values refuse the request.
 enum class Admission {
     WithinShare,   ///< The request may use any server that is not full.
     SpareCapacity, ///< The request may only use servers on which it delays nobody.
-    Refused,       ///< The request may not use any server.
+    OverRate,      ///< The customer has used its rate at this host.
+    AheadOfOthers, ///< Others that ask for more have been served much less.
 };
 
+bool isRefused(Admission admission);
+
 /// What this host knows of one customer, in recent tokens (DecayingSum).
 struct CustomerSample
 {
@@ -78,6 +80,8 @@
     /// Returns the recently served tokens of the least served customer among those that get less
     /// than they ask for; infinite if there is none. This value limits what other customers get.
     double unmetLevel() const { return m_unmetLevel; }
+    /// Returns the customer whose amount unmetLevel() is; empty if there is none.
+    const Base::CustomerId &unmetCustomer() const { return m_unmetCustomer; }
     /// Returns the customer that asked this host for most; empty if none did recently.
     std::optional<CustomerSample> largestHere(Base::TimePoint now) const;
 
@@ -126,6 +130,7 @@
     /// to servers but does not process the answers in time. If tokens counted from sending, others
     /// would take spare capacity while such a customer gets a third of what they get.
     double m_unmetLevel = 0;
+    Base::CustomerId m_unmetCustomer;
     /// For each customer that asks for more than it gets, the time since which it does so.
     std::map<Base::CustomerId, Base::TimePoint> m_unmetSince;
     Base::TimePoint m_updatedAt = Base::TimePoint::min();
--- a/src/libs/routing/dispatcher.cpp
+++ b/src/libs/routing/dispatcher.cpp
@@ -175,8 +175,10 @@
         isRetry ? Admission::WithinShare : m_shares.admission(work.customer, now);
     // The refusal comes first: looking at a hundred servers would cost an overloaded host more than
     // the rest of the refusal.
-    if (admission == Admission::Refused) {
-        decisions.rejected.push_back(makeRejection(work, RejectionReason::BeyondShare, now));
+    if (isRefused(admission)) {
+        const ShareLimit limit =
+            admission == Admission::OverRate ? ShareLimit::Rate : ShareLimit::AheadOfOthers;
+        decisions.rejected.push_back(makeRejection(work, limit, now));
         return decisions;
     }
     if (!isRetry && !m_cost.traits().isEngine && !m_overloadGate.admit(now)) {
@@ -193,7 +195,7 @@
         return decisions;
     }
     if (admission != Admission::WithinShare) {
-        decisions.rejected.push_back(makeRejection(work, RejectionReason::BeyondShare, now));
+        decisions.rejected.push_back(makeRejection(work, ShareLimit::SpareCapacity, now));
         return decisions;
     }
     if (m_waiting.size() >= maxWaiting) {
@@ -692,8 +694,19 @@
 
 Rejection Dispatcher::makeRejection(const Work &work, RejectionReason reason, Base::TimePoint now)
 {
-    return {work.id, reason, retryAfter(now), m_shares.received(work.customer, now),
+    return {work.id,
+            reason,
+            ShareLimit::None,
+            retryAfter(now),
+            m_shares.received(work.customer, now),
             m_shares.shareLevel(now)};
 }
 
+Rejection Dispatcher::makeRejection(const Work &work, ShareLimit limit, Base::TimePoint now)
+{
+    Rejection rejection = makeRejection(work, RejectionReason::BeyondShare, now);
+    rejection.shareLimit = limit;
+    return rejection;
+}
+
 } // namespace Routing
--- a/src/libs/routing/dispatcher.h
+++ b/src/libs/routing/dispatcher.h
@@ -103,6 +103,7 @@
     /// The levels of CustomerShares, for the log.
     double shareLevel(Base::TimePoint now) { return m_shares.shareLevel(now); }
     double unmetLevel() const { return m_shares.unmetLevel(); }
+    const Base::CustomerId &unmetCustomer() const { return m_shares.unmetCustomer(); }
     std::optional<CustomerSample> largestCustomer(Base::TimePoint now) const
     {
         return m_shares.largestHere(now);
@@ -202,6 +203,8 @@
     /// Places waiting requests as far as there is capacity.
     void placeWaiting(Base::TimePoint now, Decisions &decisions);
     Rejection makeRejection(const Work &work, RejectionReason reason, Base::TimePoint now);
+    /// Rejects a request of a customer that has met \a limit.
+    Rejection makeRejection(const Work &work, ShareLimit limit, Base::TimePoint now);
     /// Places each request that has waited too long on any server with capacity, or rejects it if
     /// there is none.
     void resolveOverdue(Base::TimePoint now, Decisions &decisions);
--- a/src/libs/routing/servercost.cpp
+++ b/src/libs/routing/servercost.cpp
@@ -68,7 +68,7 @@
 
 bool ServerCost::hasRoom(const ServerSnapshot &snapshot, Admission admission) const
 {
-    if (admission == Admission::Refused)
+    if (isRefused(admission))
         return false;
     const bool isWithinShare = admission == Admission::WithinShare;
     const ServerLoad &load = snapshot.load;
--- a/src/libs/routing/work.cpp
+++ b/src/libs/routing/work.cpp
@@ -19,6 +19,21 @@
     return "too_late";
 }
 
+const char *nameOf(ShareLimit limit)
+{
+    switch (limit) {
+    case ShareLimit::None:
+        return "none";
+    case ShareLimit::Rate:
+        return "rate";
+    case ShareLimit::AheadOfOthers:
+        return "ahead_of_others";
+    case ShareLimit::SpareCapacity:
+        return "spare_capacity";
+    }
+    return "none";
+}
+
 const char *nameOf(AttemptOutcome outcome)
 {
     switch (outcome) {
--- a/src/libs/routing/work.h
+++ b/src/libs/routing/work.h
@@ -79,11 +79,21 @@
     BeyondShare, ///< The customer has received its share, and there is no spare capacity.
 };
 
+/// The limit that a request of a customer beyond its share has met.
+enum class ShareLimit {
+    None,
+    Rate,          ///< The customer has used its rate at this host.
+    AheadOfOthers, ///< Others that ask for more have been served much less.
+    SpareCapacity, ///< No server has spare capacity.
+};
+
 /// The decision to refuse a request for now. The request has not run.
 struct Rejection
 {
     WorkId work = 0;
     RejectionReason reason = RejectionReason::TooLate;
+    /// Set for RejectionReason::BeyondShare.
+    ShareLimit shareLimit = ShareLimit::None;
     /// The time after which capacity is expected to be free.
     Base::Milliseconds retryAfter{0};
     /// What the customer received recently and the share level, in tokens. Both are written to the
@@ -93,6 +103,7 @@
 };
 
 const char *nameOf(RejectionReason reason);
+const char *nameOf(ShareLimit limit);
 
 struct Decisions
 {
--- a/tests/auto/gateway/tst_hostload.cpp
+++ b/tests/auto/gateway/tst_hostload.cpp
@@ -25,6 +25,8 @@
     sample.processorTime = milliseconds(60);
     sample.costFactor = 1.5;
     sample.shareLevel = 2000;
+    sample.unmetLevel = 500;
+    sample.unmetCustomer = Base::CustomerId("c3");
     sample.largestCustomer =
         Routing::CustomerSample{Base::CustomerId("c9"), 900, 400, 300, 0.5, 250};
     CHECK_FALSE(counts.line(sample, start + milliseconds(900)));
@@ -33,8 +35,9 @@
     CHECK(line->text().ends_with(
         "\"event\":\"host.load\",\"busyMs\":700,\"processorMs\":60,\"costFactor\":1.500,"
         "\"requests\":1,\"refusals\":1,\"events\":12,\"passedOver\":\"c9:10 c8:9 c7:8\","
-        "\"shareLevel\":2000.000,\"customer\":\"c9\",\"asked\":900.000,\"received\":400.000,"
-        "\"begun\":300.000,\"ownPart\":0.500,\"rate\":250.000}\n"));
+        "\"shareLevel\":2000.000,\"unmetLevel\":500.000,\"unmetCustomer\":\"c3\","
+        "\"customer\":\"c9\",\"asked\":900.000,\"received\":400.000,\"begun\":300.000,\"ownPart\":"
+        "0.500,\"rate\":250.000}\n"));
     // No further work was counted.
     CHECK_FALSE(counts.line(sample, start + seconds(2)));
     counts.addEvents(1);
--- a/tests/auto/routing/tst_fairness.cpp
+++ b/tests/auto/routing/tst_fairness.cpp
@@ -341,7 +341,7 @@
     others.asked[jumping] = 90000;
     CHECK(pass(milliseconds(500)) == Admission::SpareCapacity);
     // The customer stays underserved, so its amount now limits the others.
-    CHECK(pass(milliseconds(400)) == Admission::Refused);
+    CHECK(pass(milliseconds(400)) == Admission::AheadOfOthers);
     others.begun[jumping] = 85000;
     CHECK(pass(milliseconds(200)) == Admission::SpareCapacity);
     // A short recovery ends the underserved time, and it is counted from zero again.
