Log the longest pause between the events of a stream

The log has the time to the first event, but not the pauses that make an answer late too, so it cannot tell whether servers read prompts too slowly or run too many streams.

--- a/src/libs/gateway/exchange.cpp
+++ b/src/libs/gateway/exchange.cpp
@@ -269,6 +269,9 @@
     }
     if (m_eventCount == 0)
         m_firstEventAt = m_lastDataAt;
+    else
+        m_longestPause = std::max(m_longestPause, m_lastDataAt - m_lastEventAt);
+    m_lastEventAt = m_lastDataAt;
     m_eventCount += whole.count;
     m_port->eventsForwarded(whole.count);
     const std::shared_ptr<Exchange> self = shared_from_this();
@@ -502,6 +505,7 @@
         .add("expectedMs", m_expectedStart)
         .add("firstMs",
              m_eventCount > 0 ? m_firstEventAt - m_accepted.request.readAt : Base::Duration(0))
+        .add("longestPauseMs", m_longestPause)
         .add("wholeMs", now - m_accepted.request.readAt);
     if (m_rejection) {
         line.add("why", Routing::nameOf(m_rejection->reason))
--- a/src/libs/gateway/exchange.h
+++ b/src/libs/gateway/exchange.h
@@ -166,6 +166,8 @@
     Base::TimePoint m_sentAt;
     Base::TimePoint m_lastDataAt;
     Base::TimePoint m_firstEventAt;
+    Base::TimePoint m_lastEventAt;
+    Base::Duration m_longestPause{};
     Base::Duration m_expectedStart{};
     /// The server's remaining backoff when the attempt began.
     Base::Duration m_backoffLeft{};
