Give the servers of a service and the choice among them files of their own

dispatcher.cpp had 712 lines and decided everything. ServerPool now has what is known of the servers and which of them may get requests, ServerChoice the choice among them.

--- a/src/libs/routing/dispatcher.cpp
+++ b/src/libs/routing/dispatcher.cpp
@@ -1,10 +1,6 @@
 #include "routing/dispatcher.h"
 
-#include "base/hash.h"
-
 #include <algorithm>
-#include <cmath>
-#include <limits>
 #include <utility>
 
 namespace Routing {
@@ -13,19 +9,6 @@
 
 using std::chrono::milliseconds;
 
-/// A server in another availability zone adds two network trips of about half a millisecond each,
-/// and its traffic is billed. This weight of a few milliseconds decides only between servers that
-/// are otherwise equal.
-constexpr double otherZoneMilliseconds = 4;
-/// The cost of a failed attempt for a caller: the time of the failed attempt and of the second one.
-constexpr double failureMilliseconds = 1200;
-/// The exponent of the share of attempts that a server of a plain application answers, in its
-/// weight. A server that fails half of its requests gets a sixteenth of what others get.
-constexpr double failureExponent = 4;
-/// The cost added to every server other than the rendezvous server of a beginning that is not
-/// cached anywhere. Hosts that see the same beginning at the same moment thus choose the same
-/// server, unless it is busy.
-constexpr double nonRendezvousMilliseconds = 60;
 /// Shorter beginnings are not reported to the other hosts: there are many of them, and reading one
 /// again costs less than reporting it.
 constexpr std::uint32_t minReportedTokens = 200;
@@ -43,8 +26,6 @@
 /// up to a third of a second of reading queued, and the report was on its way for a tenth of a
 /// second.
 constexpr Base::Duration reportedReadingTime = milliseconds(200);
-/// Nothing is fetched from a server whose share of failed attempts is this or higher.
-constexpr double maxSourceFailureShare = 0.15;
 /// The maximum number of waiting requests that one placement pass skips because their best server
 /// is full, in search of one whose server has capacity.
 constexpr std::size_t maxSkipped = 24;
@@ -76,69 +57,28 @@
                                                         * maxWaitShare);
 }
 
-bool wasTried(const Work &work, const Base::ServerId &server)
-{
-    return std::find(work.tried.begin(), work.tried.end(), server) != work.tried.end();
-}
-
 } // namespace
 
 Dispatcher::Dispatcher(const ServiceTraits &traits, const Base::ZoneId &ownZone,
                        const Base::HostId &self)
-    : m_cost(traits)
-    , m_warmUpLimiter(self)
-    , m_hostHash(Base::stableHash(self.value()))
-    , m_ownZone(ownZone)
+    : m_pool(traits, self)
+    , m_choice(ownZone, self)
 {
     setTraits(traits);
 }
 
 void Dispatcher::setTraits(const ServiceTraits &traits)
 {
-    m_cost.setTraits(traits);
+    m_pool.setTraits(traits);
     m_shares.setThroughput(traits.isEngine ? traits.sharedTokensPerSecond : 0);
-    m_warmUpLimiter.setWarmUp(traits.warmUp);
 }
 
 void Dispatcher::setServers(const std::vector<RegisteredServer> &servers)
 {
-    std::map<Base::ServerId, ServerState> next;
-    for (const RegisteredServer &server : servers) {
-        const auto known = m_servers.find(server.id);
-        if (known != m_servers.end())
-            next[server.id] = std::move(known->second);
-        next[server.id].server = server;
-    }
-    m_servers = std::move(next);
-    updateEvacuated();
+    m_pool.setServers(servers);
     peerLoadChanged();
 }
 
-void Dispatcher::setWarmUntil(const Base::ServerId &server, Base::TimePoint until)
-{
-    const auto it = m_servers.find(server);
-    if (it != m_servers.end())
-        it->second.warmUntil = std::max(it->second.warmUntil, until);
-}
-
-void Dispatcher::setEvacuatedZones(const std::set<Base::ZoneId> &zones, Base::TimePoint now)
-{
-    m_evacuatedZones = zones;
-    for (auto &[id, state] : m_servers) {
-        // All hosts see an idle zone at the same moment, and its servers may be cold.
-        const bool isRestored = state.isEvacuated && zones.count(state.server.zone) == 0;
-        if (isRestored)
-            state.warmUntil = std::max(state.warmUntil, now + m_warmUpLimiter.presumedWarmUp());
-    }
-    updateEvacuated();
-}
-
-void Dispatcher::updateEvacuated()
-{
-    for (auto &[id, state] : m_servers)
-        state.isEvacuated = m_evacuatedZones.count(state.server.zone) > 0;
-}
-
 void Dispatcher::setPeerLoad(const PeerLoad &peerLoad)
 {
     m_peerLoad = &peerLoad;
@@ -148,13 +88,8 @@
 
 void Dispatcher::peerLoadChanged()
 {
-    if (!m_peerLoad)
-        return;
-    m_warmUpLimiter.setHosts(m_peerLoad->possibleHosts);
-    for (auto &[id, state] : m_servers) {
-        const auto it = m_peerLoad->servers.find(id);
-        state.peerLoad = it == m_peerLoad->servers.end() ? ServerLoad() : it->second;
-    }
+    if (m_peerLoad)
+        m_pool.applyPeerLoad(*m_peerLoad);
 }
 
 Decisions Dispatcher::submit(Work work, Base::TimePoint now)
@@ -181,13 +116,14 @@
         decisions.rejected.push_back(makeRejection(work, limit, now));
         return decisions;
     }
-    if (!isRetry && !m_cost.traits().isEngine && !m_overloadGate.admit(now)) {
+    if (!isRetry && !m_pool.isEngine() && !m_overloadGate.admit(now)) {
         decisions.rejected.push_back(makeRejection(work, RejectionReason::TooLate, now));
         return decisions;
     }
     const bool onlyWithCapacity = isRetry || admission == Admission::SpareCapacity;
     // Waiting requests mostly wait for servers that are full, so a new request may overtake them.
-    const std::optional<Candidate> candidate = selectServer(work, now, admission, onlyWithCapacity);
+    const std::optional<ServerChoice::Candidate> candidate =
+        m_choice.select(m_pool, work, now, admission, onlyWithCapacity);
     if (candidate && candidate->hasRoom) {
         if (!isRetry)
             m_shares.recordAdmitted(work.customer, tokensOf(work), now);
@@ -204,7 +140,8 @@
     }
     if (now + expectedWait(work.customer, now) > latestPlacement(work)) {
         // A server that has to read more of the prompt is better than none.
-        if (const std::optional<Candidate> any = selectServer(work, now, admission, true)) {
+        if (const std::optional<ServerChoice::Candidate> any =
+                m_choice.select(m_pool, work, now, admission, true)) {
             if (!isRetry)
                 m_shares.recordAdmitted(work.customer, tokensOf(work), now);
             place(std::move(work), *any, now, decisions);
@@ -240,12 +177,11 @@
     placed.isStarted = true;
     releaseFetch(placed);
     m_shares.recordStarted(placed.work.customer, tokensOf(placed.work), now);
-    const auto server = m_servers.find(placed.server);
-    if (server == m_servers.end())
+    ServerState *const state = m_pool.find(placed.server);
+    if (!state)
         return;
-    ServerState &state = server->second;
-    state.own.unreadTokens -= std::min(state.own.unreadTokens, placed.unreadTokens);
-    state.health.recordStart(now - placed.at, placed.expected, now);
+    state->own.unreadTokens -= std::min(state->own.unreadTokens, placed.unreadTokens);
+    state->health.recordStart(now - placed.at, placed.expected, now);
 }
 
 Decisions Dispatcher::finished(WorkId id, AttemptOutcome outcome, Base::TimePoint now)
@@ -257,14 +193,13 @@
     Placed placed = std::move(it->second);
     m_placed.erase(it);
     releaseFetch(placed);
-    const auto server = m_servers.find(placed.server);
-    if (server != m_servers.end()) {
-        ServerState &state = server->second;
+    if (ServerState *const server = m_pool.find(placed.server)) {
+        ServerState &state = *server;
         state.own.running -= std::min(state.own.running, 1U);
         if (!placed.isStarted)
             state.own.unreadTokens -= std::min(state.own.unreadTokens, placed.unreadTokens);
         state.health.record(outcome, now);
-        if (outcome == AttemptOutcome::Served && !m_cost.traits().isEngine) {
+        if (outcome == AttemptOutcome::Served && !m_pool.isEngine()) {
             m_overloadGate.recordAnswer(now);
             state.health.recordStart(now - placed.at, placed.expected, now);
         }
@@ -272,7 +207,7 @@
             state.cache.clear();
         // The server may be starting again, and its entry tells so only later.
         if (outcome == AttemptOutcome::Unreachable)
-            state.warmUntil = std::max(state.warmUntil, now + m_warmUpLimiter.presumedWarmUp());
+            m_pool.presumeCold(state, now);
     }
     if (!m_waiting.isEmpty() && now - m_placedWaitingAt >= placementInterval)
         placeWaiting(now, decisions);
@@ -284,13 +219,13 @@
     Decisions decisions;
     if (now - m_evictedAt >= evictionInterval) {
         m_evictedAt = now;
-        for (auto &[id, state] : m_servers)
+        for (auto &[id, state] : m_pool.servers())
             state.cache.evictExpired(now);
     }
     if (now - m_saturationAt >= saturationInterval) {
         m_saturationAt = now;
-        m_shares.setSaturation(saturation(now));
-        m_overloadGate.recordWork(plainWork(now), now);
+        m_shares.setSaturation(m_pool.saturation(now));
+        m_overloadGate.recordWork(m_pool.plainWork(now), now);
     }
     placeWaiting(now, decisions);
     resolveOverdue(now, decisions);
@@ -299,22 +234,7 @@
 
 std::optional<ServiceUse> Dispatcher::use(Base::TimePoint now) const
 {
-    return m_cost.traits().isEngine ? std::nullopt : std::optional(m_overloadGate.use(now));
-}
-
-PlainWork Dispatcher::plainWork(Base::TimePoint now) const
-{
-    PlainWork work;
-    for (const auto &[id, state] : m_servers) {
-        if (!isUsable(state, now))
-            continue;
-        const std::uint32_t running = snapshotOf(state, now).load.running;
-        const std::uint32_t busy = std::min(running, state.server.slots);
-        work.slots += state.server.slots;
-        work.busySlots += busy;
-        work.queued += running - busy;
-    }
-    return work;
+    return m_pool.isEngine() ? std::nullopt : std::optional(m_overloadGate.use(now));
 }
 
 Base::Duration Dispatcher::expectedStart(WorkId id) const
@@ -325,7 +245,7 @@
 
 void Dispatcher::report(HostLoad &load, Base::TimePoint now)
 {
-    for (const auto &[id, state] : m_servers) {
+    for (const auto &[id, state] : m_pool.servers()) {
         if (state.own.running > 0)
             load.servers[id] = state.own;
     }
@@ -337,206 +257,23 @@
 void Dispatcher::applyPartUses(const std::vector<PartUse> &uses, Base::TimePoint now)
 {
     for (const PartUse &use : uses) {
-        const auto server = m_servers.find(use.server);
-        if (server != m_servers.end())
-            server->second.cache.recordUse(use.hash, now, now + reportedReadingTime);
-    }
-}
-
-std::optional<Dispatcher::Candidate> Dispatcher::selectServer(const Work &work, Base::TimePoint now,
-                                                              Admission admission,
-                                                              bool onlyWithCapacity)
-{
-    if (m_servers.empty())
-        return std::nullopt;
-    if (!m_cost.traits().isEngine)
-        return drawPlainServer(work, now);
-    const std::vector<PrefixHash> prefixes = sharedPrefixHashes(work.parts);
-    m_cachedTokens.clear();
-    for (const auto &[id, state] : m_servers)
-        m_cachedTokens.push_back(state.cache.cachedTokens(prefixes, now));
-    const std::uint32_t maxCached = *std::max_element(m_cachedTokens.begin(), m_cachedTokens.end());
-    const bool isNew = !prefixes.empty() && maxCached < prefixes.back().tokensSoFar;
-    const CachedPrefix prompt{maxCached,
-                              isNew ? selectByRendezvous(prefixes.back().hash, now) : nullptr,
-                              PrefixFetch(m_cost, sourcesFor(work, prefixes, now))};
-    std::optional<Candidate> best;
-    auto cachedHere = m_cachedTokens.begin();
-    for (auto &[id, state] : m_servers) {
-        const std::uint32_t cached = *cachedHere++;
-        if (!isUsable(state, now))
-            continue;
-        const ServerSnapshot snapshot = snapshotOf(state, now);
-        const bool hasCapacity = m_cost.hasRoom(snapshot, admission);
-        if (!hasCapacity && onlyWithCapacity)
-            continue;
-        Candidate candidate = evaluate(state, snapshot, work, cached, prompt, now);
-        candidate.hasRoom = hasCapacity;
-        if (!best || candidate.milliseconds < best->milliseconds)
-            best = std::move(candidate);
+        if (ServerState *const server = m_pool.find(use.server))
+            server->cache.recordUse(use.hash, now, now + reportedReadingTime);
     }
-    return best;
-}
-
-std::optional<Dispatcher::Candidate> Dispatcher::drawPlainServer(const Work &work,
-                                                                 Base::TimePoint now)
-{
-    ServerState *drawn = nullptr;
-    std::pair<bool, double> lowest;
-    const std::uint64_t seed = m_hostHash + work.id;
-    for (auto &[id, state] : m_servers) {
-        if (!hasRoom(state, Admission::WithinShare, now))
-            continue;
-        // The lowest of exponential draws belongs to each server in proportion to its weight.
-        const double uniform =
-            (static_cast<double>(Base::stableHash(id.value(), seed)) + 1)
-            / (static_cast<double>(std::numeric_limits<std::uint64_t>::max()) + 2);
-        const double weight = std::pow(1 - state.health.failureShare(now), failureExponent)
-                              / state.health.slowness(now);
-        const std::pair order(wasTried(work, id), -std::log(uniform) / weight);
-        if (drawn && order >= lowest)
-            continue;
-        drawn = &state;
-        lowest = order;
-    }
-    if (!drawn)
-        return std::nullopt;
-    const CachedPrefix prompt{0, nullptr, PrefixFetch(m_cost, {})};
-    Candidate candidate = evaluate(*drawn, snapshotOf(*drawn, now), work, 0, prompt, now);
-    candidate.hasRoom = true;
-    return candidate;
-}
-
-Dispatcher::Candidate Dispatcher::evaluate(ServerState &state, const ServerSnapshot &snapshot,
-                                           const Work &work, std::uint32_t cachedTokens,
-                                           const CachedPrefix &prompt, Base::TimePoint now) const
-{
-    Candidate candidate;
-    candidate.state = &state;
-    candidate.fetch = prompt.fetch.plan(state.server.id, state.server.zone, cachedTokens);
-    const std::uint32_t available = cachedTokens + (candidate.fetch ? candidate.fetch->tokens : 0);
-    if (m_cost.traits().isEngine)
-        candidate.unreadTokens = work.promptTokens - std::min(available, work.promptTokens);
-    double &cost = candidate.milliseconds;
-    cost = m_cost.startMilliseconds(snapshot, candidate.unreadTokens);
-    if (candidate.fetch)
-        cost += candidate.fetch->milliseconds;
-    // Requests that wait for the server are served first. Without this term, a hundred requests
-    // with the same beginning would all wait for the server that has it cached, while others are
-    // idle.
-    if (m_cost.traits().isEngine)
-        cost += m_cost.readMilliseconds(static_cast<double>(state.queuedTokens));
-    cost += m_cost.rereadMilliseconds(prompt.maxTokens - std::min(available, prompt.maxTokens));
-    cost += state.health.failureShare(now) * failureMilliseconds;
-    if (prompt.rendezvousServer && &state != prompt.rendezvousServer)
-        cost += nonRendezvousMilliseconds;
-    if (state.server.zone != m_ownZone)
-        cost += otherZoneMilliseconds;
-    if (wasTried(work, state.server.id))
-        cost += 10 * failureMilliseconds;
-    return candidate;
-}
-
-std::vector<PrefixSource> Dispatcher::sourcesFor(const Work &work,
-                                                 const std::vector<PrefixHash> &prefixes,
-                                                 Base::TimePoint now) const
-{
-    std::vector<PrefixSource> sources;
-    if (prefixes.empty() || !m_cost.traits().transferMsPerToken)
-        return sources;
-    for (const auto &[id, state] : m_servers) {
-        // A fetch from a server that failed this request, or other requests recently, would hang or
-        // return nothing. The request would then start late at a healthy server.
-        if (!state.health.isUsable(now) || !wantsRequests(state, now) || wasTried(work, id)
-            || state.health.failureShare(now) >= maxSourceFailureShare)
-            continue;
-        const std::uint32_t tokens = state.cache.fetchableTokens(prefixes, now);
-        if (tokens > 0)
-            sources.push_back({id, state.server.zone, tokens, state.outgoingFetchMilliseconds});
-    }
-    return sources;
 }
 
 void Dispatcher::releaseFetch(Placed &placed)
 {
     if (!placed.fetch)
         return;
-    const auto source = m_servers.find(placed.fetch->from);
-    if (source != m_servers.end()) {
-        double &outgoing = source->second.outgoingFetchMilliseconds;
+    if (ServerState *const source = m_pool.find(placed.fetch->from)) {
+        double &outgoing = source->outgoingFetchMilliseconds;
         outgoing = std::max(0.0, outgoing - placed.fetch->milliseconds);
     }
     placed.fetch.reset();
 }
 
-const Dispatcher::ServerState *Dispatcher::selectByRendezvous(std::uint64_t beginning,
-                                                              Base::TimePoint now) const
-{
-    const ServerState *selected = nullptr;
-    std::uint64_t lowest = 0;
-    for (const auto &[id, state] : m_servers) {
-        // A server that takes few requests cannot be the only one that keeps a beginning.
-        if (state.isEvacuated || now < state.warmUntil || !wantsRequests(state, now))
-            continue;
-        const std::uint64_t order = Base::stableHash(id.value(), beginning);
-        if (selected && order >= lowest)
-            continue;
-        selected = &state;
-        lowest = order;
-    }
-    return selected;
-}
-
-ServerSnapshot Dispatcher::snapshotOf(const ServerState &state, Base::TimePoint now) const
-{
-    ServerSnapshot snapshot;
-    snapshot.slots = state.server.slots;
-    snapshot.load.running = state.own.running + state.peerLoad.running;
-    snapshot.load.unreadTokens = state.own.unreadTokens + state.peerLoad.unreadTokens;
-    snapshot.slowness = state.health.slowness(now);
-    return snapshot;
-}
-
-bool Dispatcher::wantsRequests(const ServerState &state, Base::TimePoint now) const
-{
-    return !m_notices || m_notices->wantsRequests(state.server.id, now);
-}
-
-bool Dispatcher::hasEligibleServer() const
-{
-    return std::any_of(m_servers.begin(), m_servers.end(), [this](const auto &it) {
-        return !it.second.isEvacuated && !(m_notices && m_notices->isLeaving(it.first));
-    });
-}
-
-bool Dispatcher::isUsable(const ServerState &state, Base::TimePoint now) const
-{
-    if (state.isEvacuated || !state.health.isUsable(now) || !wantsRequests(state, now))
-        return false;
-    return now >= state.warmUntil
-           || m_warmUpLimiter.isAllowed(state.server.id, state.lastSentAt, now);
-}
-
-bool Dispatcher::hasRoom(const ServerState &state, Admission admission, Base::TimePoint now) const
-{
-    return isUsable(state, now) && m_cost.hasRoom(snapshotOf(state, now), admission);
-}
-
-double Dispatcher::saturation(Base::TimePoint now) const
-{
-    double sum = 0;
-    double usable = 0;
-    for (const auto &[id, state] : m_servers) {
-        if (!isUsable(state, now))
-            continue;
-        usable += 1;
-        if (!hasRoom(state, Admission::SpareCapacity, now))
-            sum += hasRoom(state, Admission::WithinShare, now) ? 1 : 2;
-    }
-    return usable > 0 ? sum / usable : 0;
-}
-
-void Dispatcher::place(Work work, const Candidate &candidate, Base::TimePoint now,
+void Dispatcher::place(Work work, const ServerChoice::Candidate &candidate, Base::TimePoint now,
                        Decisions &decisions)
 {
     ServerState &state = *candidate.state;
@@ -545,9 +282,10 @@
     placed.unreadTokens = candidate.unreadTokens;
     placed.at = now;
     state.lastSentAt = now;
-    const ServerSnapshot snapshot = snapshotOf(state, now);
+    const ServerSnapshot snapshot = m_pool.snapshotOf(state, now);
     const double fetching = candidate.fetch ? candidate.fetch->milliseconds : 0;
-    const double expected = m_cost.startMilliseconds(snapshot, candidate.unreadTokens) + fetching;
+    const double expected =
+        m_pool.cost().startMilliseconds(snapshot, candidate.unreadTokens) + fetching;
     const std::uint32_t fetched = candidate.fetch ? candidate.fetch->tokens : 0;
     const PlacementInputs inputs{candidate.unreadTokens,     fetched,
                                  snapshot.load.unreadTokens, snapshot.load.running,
@@ -556,13 +294,13 @@
         std::chrono::duration<double, std::milli>(expected));
     ++state.own.running;
     state.own.unreadTokens += candidate.unreadTokens;
-    if (m_cost.traits().isEngine)
+    if (m_pool.isEngine())
         recordPartUses(state, work, now, now + placed.expected);
     if (candidate.fetch) {
         placed.fetch = candidate.fetch;
-        placed.fetch->milliseconds = m_cost.fetchMilliseconds(candidate.fetch->tokens, false);
-        const auto source = m_servers.find(candidate.fetch->from);
-        source->second.outgoingFetchMilliseconds += placed.fetch->milliseconds;
+        placed.fetch->milliseconds =
+            m_pool.cost().fetchMilliseconds(candidate.fetch->tokens, false);
+        m_pool.find(candidate.fetch->from)->outgoingFetchMilliseconds += placed.fetch->milliseconds;
     }
     m_shares.recordSent(work.customer, tokensOf(work), now);
     decisions.placements.push_back({work.id, state.server.id, inputs,
@@ -586,20 +324,17 @@
 {
     std::vector<Work> skipped;
     m_placedWaitingAt = now;
-    for (auto &[id, state] : m_servers)
+    for (auto &[id, state] : m_pool.servers())
         state.queuedTokens = 0;
     while (!m_waiting.isEmpty() && skipped.size() < maxSkipped) {
-        const bool hasCapacity =
-            std::any_of(m_servers.begin(), m_servers.end(), [&](const auto &it) {
-                return hasRoom(it.second, Admission::WithinShare, now);
-            });
-        if (!hasCapacity)
+        if (!m_pool.hasAnyRoom(now))
             break;
         std::optional<Work> work = m_waiting.takeNext(
             [&](const Base::CustomerId &customer) { return m_shares.received(customer, now); });
         if (!work)
             break;
-        const std::optional<Candidate> candidate = selectServer(*work, now, Admission::WithinShare);
+        const std::optional<ServerChoice::Candidate> candidate =
+            m_choice.select(m_pool, *work, now, Admission::WithinShare);
         if (candidate && candidate->hasRoom) {
             place(std::move(*work), *candidate, now, decisions);
             continue;
@@ -618,8 +353,8 @@
         [&](const Work &work) { return now > latestPlacement(work) || unavailability(work, now); });
     for (const Work &work : overdue) {
         // Any server is better than none, since the best one will not be free in time.
-        if (const std::optional<Candidate> candidate =
-                selectServer(work, now, Admission::WithinShare, true)) {
+        if (const std::optional<ServerChoice::Candidate> candidate =
+                m_choice.select(m_pool, work, now, Admission::WithinShare, true)) {
             place(work, *candidate, now, decisions);
             continue;
         }
@@ -633,29 +368,14 @@
 std::optional<RejectionReason> Dispatcher::unavailability(const Work &work,
                                                           Base::TimePoint now) const
 {
-    if (!hasEligibleServer())
+    if (!m_pool.hasEligibleServer())
         return RejectionReason::NoServer;
-    const Base::Duration backoff = commonBackoff(now);
+    const Base::Duration backoff = m_pool.commonBackoff(now);
     if (backoff > Base::Duration::zero() && now + backoff > latestPlacement(work))
         return RejectionReason::BackedOff;
     return std::nullopt;
 }
 
-Base::Duration Dispatcher::commonBackoff(Base::TimePoint now) const
-{
-    Base::Duration shortest = Base::Duration::max();
-    for (const auto &[id, state] : m_servers) {
-        if (state.isEvacuated || (m_notices && m_notices->isLeaving(id)))
-            continue;
-        const Base::Duration left =
-            m_notices ? m_notices->backoffLeft(id, now) : Base::Duration::zero();
-        if (left == Base::Duration::zero())
-            return Base::Duration::zero();
-        shortest = std::min(shortest, left);
-    }
-    return shortest == Base::Duration::max() ? Base::Duration::zero() : shortest;
-}
-
 Base::Duration Dispatcher::expectedWait(const Base::CustomerId &customer, Base::TimePoint now) const
 {
     // Customers take turns, so the wait of a customer is the time for its own requests multiplied
@@ -672,11 +392,8 @@
 {
     const double hosts =
         m_peerLoad ? static_cast<double>(std::max<std::size_t>(m_peerLoad->hosts, 1)) : 1;
-    const auto willing = std::count_if(m_servers.begin(), m_servers.end(), [&](const auto &it) {
-        return wantsRequests(it.second, now);
-    });
-    const double servers = static_cast<double>(std::max<std::ptrdiff_t>(willing, 1));
-    return std::max(1.0, servers * m_cost.traits().readTokensPerMs / hosts);
+    const auto servers = static_cast<double>(std::max<std::size_t>(m_pool.willingServers(now), 1));
+    return std::max(1.0, servers * m_pool.cost().traits().readTokensPerMs / hosts);
 }
 
 Base::Milliseconds Dispatcher::retryAfter(Base::TimePoint now) const
@@ -689,7 +406,8 @@
 
 Base::Milliseconds Dispatcher::backoffRetryAfter(Base::TimePoint now) const
 {
-    return std::min(std::chrono::ceil<milliseconds>(commonBackoff(now)), maxBackoffRetryAfter);
+    return std::min(std::chrono::ceil<milliseconds>(m_pool.commonBackoff(now)),
+                    maxBackoffRetryAfter);
 }
 
 Rejection Dispatcher::makeRejection(const Work &work, RejectionReason reason, Base::TimePoint now)
--- /dev/null
+++ b/src/libs/routing/serverchoice.cpp
@@ -0,0 +1,161 @@
+#include "routing/serverchoice.h"
+
+#include "base/hash.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <utility>
+
+namespace Routing {
+
+namespace {
+
+/// A server in another availability zone adds two network trips of about half a millisecond each,
+/// and its traffic is billed. This weight of a few milliseconds decides only between servers that
+/// are otherwise equal.
+constexpr double otherZoneMilliseconds = 4;
+/// The cost of a failed attempt for a caller: the time of the failed attempt and of the second one.
+constexpr double failureMilliseconds = 1200;
+/// The exponent of the share of attempts that a server of a plain application answers, in its
+/// weight. A server that fails half of its requests gets a sixteenth of what others get.
+constexpr double failureExponent = 4;
+/// The cost added to every server other than the rendezvous server of a beginning that is not
+/// cached anywhere. Hosts that see the same beginning at the same moment thus choose the same
+/// server, unless it is busy.
+constexpr double nonRendezvousMilliseconds = 60;
+/// Nothing is fetched from a server whose share of failed attempts is this or higher.
+constexpr double maxSourceFailureShare = 0.15;
+
+bool wasTried(const Work &work, const Base::ServerId &server)
+{
+    return std::find(work.tried.begin(), work.tried.end(), server) != work.tried.end();
+}
+
+} // namespace
+
+ServerChoice::ServerChoice(const Base::ZoneId &ownZone, const Base::HostId &self)
+    : m_ownZone(ownZone)
+    , m_hostHash(Base::stableHash(self.value()))
+{}
+
+std::optional<ServerChoice::Candidate> ServerChoice::select(ServerPool &pool, const Work &work,
+                                                            Base::TimePoint now,
+                                                            Admission admission,
+                                                            bool onlyWithCapacity)
+{
+    if (pool.servers().empty())
+        return std::nullopt;
+    if (!pool.isEngine())
+        return drawPlainServer(pool, work, now);
+    const std::vector<PrefixHash> prefixes = sharedPrefixHashes(work.parts);
+    m_cachedTokens.clear();
+    for (const auto &[id, state] : pool.servers())
+        m_cachedTokens.push_back(state.cache.cachedTokens(prefixes, now));
+    const std::uint32_t maxCached = *std::max_element(m_cachedTokens.begin(), m_cachedTokens.end());
+    const bool isNew = !prefixes.empty() && maxCached < prefixes.back().tokensSoFar;
+    const CachedPrefix prompt{maxCached,
+                              isNew ? pool.selectByRendezvous(prefixes.back().hash, now) : nullptr,
+                              PrefixFetch(pool.cost(), sourcesFor(pool, work, prefixes, now))};
+    std::optional<Candidate> best;
+    auto cachedHere = m_cachedTokens.begin();
+    for (auto &[id, state] : pool.servers()) {
+        const std::uint32_t cached = *cachedHere++;
+        if (!pool.isUsable(state, now))
+            continue;
+        const ServerSnapshot snapshot = pool.snapshotOf(state, now);
+        const bool hasCapacity = pool.cost().hasRoom(snapshot, admission);
+        if (!hasCapacity && onlyWithCapacity)
+            continue;
+        Candidate candidate = evaluate(pool, state, snapshot, work, cached, prompt, now);
+        candidate.hasRoom = hasCapacity;
+        if (!best || candidate.milliseconds < best->milliseconds)
+            best = std::move(candidate);
+    }
+    return best;
+}
+
+std::optional<ServerChoice::Candidate>
+ServerChoice::drawPlainServer(ServerPool &pool, const Work &work, Base::TimePoint now) const
+{
+    ServerState *drawn = nullptr;
+    std::pair<bool, double> lowest;
+    const std::uint64_t seed = m_hostHash + work.id;
+    for (auto &[id, state] : pool.servers()) {
+        if (!pool.hasRoom(state, Admission::WithinShare, now))
+            continue;
+        // The lowest of exponential draws belongs to each server in proportion to its weight.
+        const double uniform =
+            (static_cast<double>(Base::stableHash(id.value(), seed)) + 1)
+            / (static_cast<double>(std::numeric_limits<std::uint64_t>::max()) + 2);
+        const double weight = std::pow(1 - state.health.failureShare(now), failureExponent)
+                              / state.health.slowness(now);
+        const std::pair order(wasTried(work, id), -std::log(uniform) / weight);
+        if (drawn && order >= lowest)
+            continue;
+        drawn = &state;
+        lowest = order;
+    }
+    if (!drawn)
+        return std::nullopt;
+    const CachedPrefix prompt{0, nullptr, PrefixFetch(pool.cost(), {})};
+    Candidate candidate =
+        evaluate(pool, *drawn, pool.snapshotOf(*drawn, now), work, 0, prompt, now);
+    candidate.hasRoom = true;
+    return candidate;
+}
+
+ServerChoice::Candidate ServerChoice::evaluate(const ServerPool &pool, ServerState &state,
+                                               const ServerSnapshot &snapshot, const Work &work,
+                                               std::uint32_t cachedTokens,
+                                               const CachedPrefix &prompt,
+                                               Base::TimePoint now) const
+{
+    Candidate candidate;
+    candidate.state = &state;
+    candidate.fetch = prompt.fetch.plan(state.server.id, state.server.zone, cachedTokens);
+    const std::uint32_t available = cachedTokens + (candidate.fetch ? candidate.fetch->tokens : 0);
+    if (pool.isEngine())
+        candidate.unreadTokens = work.promptTokens - std::min(available, work.promptTokens);
+    double &cost = candidate.milliseconds;
+    cost = pool.cost().startMilliseconds(snapshot, candidate.unreadTokens);
+    if (candidate.fetch)
+        cost += candidate.fetch->milliseconds;
+    // Requests that wait for the server are served first. Without this term, a hundred requests
+    // with the same beginning would all wait for the server that has it cached, while others are
+    // idle.
+    if (pool.isEngine())
+        cost += pool.cost().readMilliseconds(static_cast<double>(state.queuedTokens));
+    cost +=
+        pool.cost().rereadMilliseconds(prompt.maxTokens - std::min(available, prompt.maxTokens));
+    cost += state.health.failureShare(now) * failureMilliseconds;
+    if (prompt.rendezvousServer && &state != prompt.rendezvousServer)
+        cost += nonRendezvousMilliseconds;
+    if (state.server.zone != m_ownZone)
+        cost += otherZoneMilliseconds;
+    if (wasTried(work, state.server.id))
+        cost += 10 * failureMilliseconds;
+    return candidate;
+}
+
+std::vector<PrefixSource> ServerChoice::sourcesFor(const ServerPool &pool, const Work &work,
+                                                   const std::vector<PrefixHash> &prefixes,
+                                                   Base::TimePoint now)
+{
+    std::vector<PrefixSource> sources;
+    if (prefixes.empty() || !pool.cost().traits().transferMsPerToken)
+        return sources;
+    for (const auto &[id, state] : pool.servers()) {
+        // A fetch from a server that failed this request, or other requests recently, would hang or
+        // return nothing. The request would then start late at a healthy server.
+        if (!state.health.isUsable(now) || !pool.wantsRequests(state, now) || wasTried(work, id)
+            || state.health.failureShare(now) >= maxSourceFailureShare)
+            continue;
+        const std::uint32_t tokens = state.cache.fetchableTokens(prefixes, now);
+        if (tokens > 0)
+            sources.push_back({id, state.server.zone, tokens, state.outgoingFetchMilliseconds});
+    }
+    return sources;
+}
+
+} // namespace Routing
--- /dev/null
+++ b/src/libs/routing/serverpool.cpp
@@ -0,0 +1,192 @@
+#include "routing/serverpool.h"
+
+#include "base/hash.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Routing {
+
+ServerPool::ServerPool(const ServiceTraits &traits, const Base::HostId &self)
+    : m_cost(traits)
+    , m_warmUpLimiter(self)
+{
+    setTraits(traits);
+}
+
+void ServerPool::setTraits(const ServiceTraits &traits)
+{
+    m_cost.setTraits(traits);
+    m_warmUpLimiter.setWarmUp(traits.warmUp);
+}
+
+void ServerPool::setServers(const std::vector<RegisteredServer> &servers)
+{
+    std::map<Base::ServerId, ServerState> next;
+    for (const RegisteredServer &server : servers) {
+        const auto known = m_servers.find(server.id);
+        if (known != m_servers.end())
+            next[server.id] = std::move(known->second);
+        next[server.id].server = server;
+    }
+    m_servers = std::move(next);
+    updateEvacuated();
+}
+
+void ServerPool::setWarmUntil(const Base::ServerId &server, Base::TimePoint until)
+{
+    if (ServerState *state = find(server))
+        state->warmUntil = std::max(state->warmUntil, until);
+}
+
+void ServerPool::setEvacuatedZones(const std::set<Base::ZoneId> &zones, Base::TimePoint now)
+{
+    m_evacuatedZones = zones;
+    for (auto &[id, state] : m_servers) {
+        // All hosts see an idle zone at the same moment, and its servers may be cold.
+        const bool isRestored = state.isEvacuated && zones.count(state.server.zone) == 0;
+        if (isRestored)
+            presumeCold(state, now);
+    }
+    updateEvacuated();
+}
+
+void ServerPool::updateEvacuated()
+{
+    for (auto &[id, state] : m_servers)
+        state.isEvacuated = m_evacuatedZones.count(state.server.zone) > 0;
+}
+
+void ServerPool::applyPeerLoad(const PeerLoad &load)
+{
+    m_warmUpLimiter.setHosts(load.possibleHosts);
+    for (auto &[id, state] : m_servers) {
+        const auto it = load.servers.find(id);
+        state.peerLoad = it == load.servers.end() ? ServerLoad() : it->second;
+    }
+}
+
+void ServerPool::presumeCold(ServerState &state, Base::TimePoint now) const
+{
+    state.warmUntil = std::max(state.warmUntil, now + m_warmUpLimiter.presumedWarmUp());
+}
+
+ServerState *ServerPool::find(const Base::ServerId &id)
+{
+    const auto it = m_servers.find(id);
+    return it == m_servers.end() ? nullptr : &it->second;
+}
+
+ServerSnapshot ServerPool::snapshotOf(const ServerState &state, Base::TimePoint now) const
+{
+    ServerSnapshot snapshot;
+    snapshot.slots = state.server.slots;
+    snapshot.load.running = state.own.running + state.peerLoad.running;
+    snapshot.load.unreadTokens = state.own.unreadTokens + state.peerLoad.unreadTokens;
+    snapshot.slowness = state.health.slowness(now);
+    return snapshot;
+}
+
+bool ServerPool::wantsRequests(const ServerState &state, Base::TimePoint now) const
+{
+    return !m_notices || m_notices->wantsRequests(state.server.id, now);
+}
+
+bool ServerPool::hasEligibleServer() const
+{
+    return std::any_of(m_servers.begin(), m_servers.end(), [this](const auto &it) {
+        return !it.second.isEvacuated && !(m_notices && m_notices->isLeaving(it.first));
+    });
+}
+
+bool ServerPool::isUsable(const ServerState &state, Base::TimePoint now) const
+{
+    if (state.isEvacuated || !state.health.isUsable(now) || !wantsRequests(state, now))
+        return false;
+    return now >= state.warmUntil
+           || m_warmUpLimiter.isAllowed(state.server.id, state.lastSentAt, now);
+}
+
+bool ServerPool::hasRoom(const ServerState &state, Admission admission, Base::TimePoint now) const
+{
+    return isUsable(state, now) && m_cost.hasRoom(snapshotOf(state, now), admission);
+}
+
+bool ServerPool::hasAnyRoom(Base::TimePoint now) const
+{
+    return std::any_of(m_servers.begin(), m_servers.end(), [&](const auto &it) {
+        return hasRoom(it.second, Admission::WithinShare, now);
+    });
+}
+
+std::size_t ServerPool::willingServers(Base::TimePoint now) const
+{
+    const auto willing = std::count_if(m_servers.begin(), m_servers.end(), [&](const auto &it) {
+        return wantsRequests(it.second, now);
+    });
+    return static_cast<std::size_t>(willing);
+}
+
+PlainWork ServerPool::plainWork(Base::TimePoint now) const
+{
+    PlainWork work;
+    for (const auto &[id, state] : m_servers) {
+        if (!isUsable(state, now))
+            continue;
+        const std::uint32_t running = snapshotOf(state, now).load.running;
+        const std::uint32_t busy = std::min(running, state.server.slots);
+        work.slots += state.server.slots;
+        work.busySlots += busy;
+        work.queued += running - busy;
+    }
+    return work;
+}
+
+double ServerPool::saturation(Base::TimePoint now) const
+{
+    double sum = 0;
+    double usable = 0;
+    for (const auto &[id, state] : m_servers) {
+        if (!isUsable(state, now))
+            continue;
+        usable += 1;
+        if (!hasRoom(state, Admission::SpareCapacity, now))
+            sum += hasRoom(state, Admission::WithinShare, now) ? 1 : 2;
+    }
+    return usable > 0 ? sum / usable : 0;
+}
+
+Base::Duration ServerPool::commonBackoff(Base::TimePoint now) const
+{
+    Base::Duration shortest = Base::Duration::max();
+    for (const auto &[id, state] : m_servers) {
+        if (state.isEvacuated || (m_notices && m_notices->isLeaving(id)))
+            continue;
+        const Base::Duration left =
+            m_notices ? m_notices->backoffLeft(id, now) : Base::Duration::zero();
+        if (left == Base::Duration::zero())
+            return Base::Duration::zero();
+        shortest = std::min(shortest, left);
+    }
+    return shortest == Base::Duration::max() ? Base::Duration::zero() : shortest;
+}
+
+const ServerState *ServerPool::selectByRendezvous(std::uint64_t beginning,
+                                                  Base::TimePoint now) const
+{
+    const ServerState *selected = nullptr;
+    std::uint64_t lowest = 0;
+    for (const auto &[id, state] : m_servers) {
+        // A server that takes few requests cannot be the only one that keeps a beginning.
+        if (state.isEvacuated || now < state.warmUntil || !wantsRequests(state, now))
+            continue;
+        const std::uint64_t order = Base::stableHash(id.value(), beginning);
+        if (selected && order >= lowest)
+            continue;
+        selected = &state;
+        lowest = order;
+    }
+    return selected;
+}
+
+} // namespace Routing
--- /dev/null
+++ b/src/libs/routing/serverpool.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "routing/fleetload.h"
+#include "routing/overloadgate.h"
+#include "routing/promptcachemodel.h"
+#include "routing/servercost.h"
+#include "routing/serverhealth.h"
+#include "routing/servernotices.h"
+#include "routing/serverset.h"
+#include "routing/warmuplimiter.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <vector>
+
+namespace Routing {
+
+/// What this host knows of one server, and what it has sent there.
+struct ServerState
+{
+    RegisteredServer server;
+    ServerLoad own;
+    /// The sum over all other hosts. It is looked up once for each report and not for each
+    /// decision, because a decision looks at all servers.
+    ServerLoad peerLoad;
+    ServerHealth health;
+    PromptCacheModel cache;
+    /// The prompt tokens of requests that wait here for this server because no other one would
+    /// serve them sooner.
+    std::uint64_t queuedTokens = 0;
+    /// The time that the server needs for the transfers that this host ordered other servers to
+    /// make from it and that are not complete yet.
+    double outgoingFetchMilliseconds = 0;
+    /// Until this time, the server may be warming up.
+    Base::TimePoint warmUntil{};
+    /// The time of this host's last request to the server.
+    Base::TimePoint lastSentAt{};
+    bool isEvacuated = false;
+};
+
+/// The servers of one service, and which of them may get requests of this host now.
+///
+/// A server gets none while it is in an evacuated zone, in a cooldown after a failure, warming up
+/// beyond this host's part, or while it has announced that it wants none.
+class ServerPool
+{
+public:
+    ServerPool(const ServiceTraits &traits, const Base::HostId &self);
+
+    void setTraits(const ServiceTraits &traits);
+    const ServerCost &cost() const { return m_cost; }
+    bool isEngine() const { return m_cost.traits().isEngine; }
+
+    void setServers(const std::vector<RegisteredServer> &servers);
+    void setWarmUntil(const Base::ServerId &server, Base::TimePoint until);
+    void setEvacuatedZones(const std::set<Base::ZoneId> &zones, Base::TimePoint now);
+    void setNotices(const ServerNotices &notices) { m_notices = &notices; }
+    /// Applies the load of the other hosts.
+    void applyPeerLoad(const PeerLoad &load);
+    /// Presumes that the server starts again, although its entry does not say so yet.
+    void presumeCold(ServerState &state, Base::TimePoint now) const;
+
+    std::map<Base::ServerId, ServerState> &servers() { return m_servers; }
+    const std::map<Base::ServerId, ServerState> &servers() const { return m_servers; }
+    /// Returns the server with this id; null if it is not in the pool.
+    ServerState *find(const Base::ServerId &id);
+
+    ServerSnapshot snapshotOf(const ServerState &state, Base::TimePoint now) const;
+    /// Returns whether the server has not announced that it wants no requests now.
+    bool wantsRequests(const ServerState &state, Base::TimePoint now) const;
+    /// Returns the number of servers that have not announced that they want no requests now.
+    std::size_t willingServers(Base::TimePoint now) const;
+    /// Returns whether there is a server that stays and is outside of the evacuated zones.
+    bool hasEligibleServer() const;
+    /// Returns whether a request may be sent to the server now, full or not.
+    bool isUsable(const ServerState &state, Base::TimePoint now) const;
+    bool hasRoom(const ServerState &state, Admission admission, Base::TimePoint now) const;
+    /// Returns whether any server has room for a request within its customer's share.
+    bool hasAnyRoom(Base::TimePoint now) const;
+    /// Returns the work of a plain application's servers that may get requests now.
+    PlainWork plainWork(Base::TimePoint now) const;
+    /// Returns the mean saturation of the servers that may get requests now. A server counts as 0
+    /// with spare capacity, as 1 without, and as 2 if it is full for everybody.
+    double saturation(Base::TimePoint now) const;
+    /// Returns the time until the first server may want requests again; zero if one wants them now,
+    /// or if none of them stays.
+    Base::Duration commonBackoff(Base::TimePoint now) const;
+    /// Returns the server that rendezvous hashing selects for \a beginning, or null if there are no
+    /// servers.
+    const ServerState *selectByRendezvous(std::uint64_t beginning, Base::TimePoint now) const;
+
+private:
+    void updateEvacuated();
+
+    ServerCost m_cost;
+    WarmUpLimiter m_warmUpLimiter;
+    std::set<Base::ZoneId> m_evacuatedZones;
+    const ServerNotices *m_notices = nullptr;
+    std::map<Base::ServerId, ServerState> m_servers;
+};
+
+} // namespace Routing
