Share what all hosts see of each server's pace

By server, the median of actual to expected time goes from 1.6 to 5.3, and above 3 three to four of ten streams pause too long. Hosts reckon with 1.0 to 1.3, since each sees an answer of a server every five seconds.

Each host now reports, for the servers at which it runs something, what the first events of its recent requests took and what they were expected to take. All hosts derive from the sums how much longer a server takes than the others, and reckon with it in the choice, in the room and in the saturation. The report's format stays readable both ways.

It acts only for services of which a server tells how long work takes on its machine (a fourth figure of its load field).

--- a/src/libs/gateway/fleetview.cpp
+++ b/src/libs/gateway/fleetview.cpp
@@ -48,6 +48,8 @@
         Routing::ServerLoad &to = sum.servers[server];
         to.running += it.running;
         to.unreadTokens += it.unreadTokens;
+        to.starts.took += it.starts.took;
+        to.starts.expected += it.starts.expected;
     }
     for (const auto &[customer, amount] : load.asked)
         sum.asked[customer] += amount;
@@ -81,6 +83,9 @@
             continue;
         to->second.running -= std::min(to->second.running, it.running);
         to->second.unreadTokens -= std::min(to->second.unreadTokens, it.unreadTokens);
+        Routing::StartTimes &starts = to->second.starts;
+        starts.took = std::max(0.0, starts.took - it.starts.took);
+        starts.expected = std::max(0.0, starts.expected - it.starts.expected);
     }
     subtractAmounts(from.asked, load.asked);
     subtractAmounts(from.received, load.received);
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -149,6 +149,7 @@
     state.droppedLogLines = m_log.dropped();
     state.unreadableEntries = m_unreadableEntries;
     state.costFactor = m_backlog.costFactor();
+    state.slowestPace = m_services->slowestPace();
     state.busyTime = m_load.busyTime();
     return state;
 }
@@ -300,6 +301,7 @@
     LoadSample sample;
     sample.processorTime = processCpuTime();
     sample.costFactor = m_backlog.costFactor();
+    sample.slowestPace = m_services->slowestPace();
     m_services->fillLevels(sample, time);
     sample.reportAge = m_fleet.newestReportAge(time);
     if (const auto line = m_load.line(sample, time))
@@ -549,6 +551,8 @@
     if (notice.isLeaving)
         m_metrics->serverNoticed(leavingNotice);
     const bool isNews = m_services->notices().record(server, notice, time);
+    if (!notice.asksForLess())
+        return;
     m_pool.withdrawUnsent(server);
     if (notice.isLeaving)
         m_pool.closeIdleConnections(server);
--- a/src/libs/gateway/gatewaymetrics.cpp
+++ b/src/libs/gateway/gatewaymetrics.cpp
@@ -79,6 +79,9 @@
                                             "Log lines dropped since the start"));
     BOOST_LEAF_ASSIGN(m_unreadableEntries, gauge("lagoonmast_gateway_unreadable_entries",
                                                  "Entries of servers that could not be read"));
+    BOOST_LEAF_ASSIGN(m_slowestPace,
+                      gauge("lagoonmast_gateway_slowest_server_pace",
+                            "Ratio of the slowest server's time to that of a usual one"));
     BOOST_LEAF_ASSIGN(m_costFactor, gauge("lagoonmast_gateway_cost_factor",
                                           "How many times longer than reckoned its work takes"));
     BOOST_LEAF_ASSIGN(m_busySeconds, m_registry.counters({"lagoonmast_gateway_busy_seconds_total",
@@ -140,6 +143,7 @@
     m_droppedLines->set(static_cast<double>(state.droppedLogLines));
     m_unreadableEntries->set(static_cast<double>(state.unreadableEntries));
     m_costFactor->set(state.costFactor);
+    m_slowestPace->set(state.slowestPace);
     Metrics::Counter &busy = m_busySeconds->with({});
     busy.increment(seconds(state.busyTime) - busy.value());
 }
--- a/src/libs/gateway/gatewaymetrics.h
+++ b/src/libs/gateway/gatewaymetrics.h
@@ -43,6 +43,7 @@
     std::size_t unreadableEntries = 0;
     /// Factor by which this host's work takes longer than estimated.
     double costFactor = 1;
+    double slowestPace = 1;
     /// Time since the start of the process during which work was left to do.
     Base::Duration busyTime{};
 };
@@ -93,6 +94,7 @@
     Metrics::Gauge *m_droppedLines = nullptr;
     Metrics::Gauge *m_unreadableEntries = nullptr;
     Metrics::Gauge *m_costFactor = nullptr;
+    Metrics::Gauge *m_slowestPace = nullptr;
     Metrics::Family<Metrics::Counter> *m_busySeconds = nullptr;
 };
 
--- a/src/libs/gateway/headernames.h
+++ b/src/libs/gateway/headernames.h
@@ -35,6 +35,9 @@
     std::string retryAfter;
     /// In any answer: "1" if the server leaves.
     std::string leaving;
+    /// In any answer: what the server has to do, as "RUNNING,WAITING,SLOTS" and, if it shares its
+    /// machine with others, the time that work takes there in percent of the usual one.
+    std::string serverLoad;
     /// Fields that only the gateway may set; they are removed from callers' requests.
     std::vector<std::string> reserved;
 };
--- a/src/libs/gateway/hostload.cpp
+++ b/src/libs/gateway/hostload.cpp
@@ -69,6 +69,7 @@
         line->add("busyMs", m_busy - m_loggedBusy)
             .add("processorMs", sample.processorTime - m_loggedProcessorTime)
             .add("costFactor", sample.costFactor)
+            .add("slowestPace", sample.slowestPace)
             .add("requests", m_requests)
             .add("refusals", m_refusals)
             .add("events", m_events);
--- a/src/libs/gateway/hostload.h
+++ b/src/libs/gateway/hostload.h
@@ -17,6 +17,8 @@
     /// Processor time of this process since its start.
     Base::Duration processorTime{};
     double costFactor = 1;
+    /// The highest pace of the servers (Routing::ServerPace).
+    double slowestPace = 1;
     /// Lowest share level and lowest unmet level of all services with inference engines, in tokens;
     /// empty if there is none (Routing::CustomerShares).
     std::optional<double> shareLevel;
--- a/src/libs/gateway/hostreport.cpp
+++ b/src/libs/gateway/hostreport.cpp
@@ -16,6 +16,8 @@
 constexpr double millisecondsPerSecond = 1000;
 /// Numbers of requests are written in hundredths: a small host has only a few recent ones.
 constexpr double hundredths = 100;
+/// Start times are written in hundredths of a second, which take two bytes each.
+constexpr double millisecondsOfStartUnit = 10;
 constexpr std::uint64_t largestScope = static_cast<std::uint64_t>(ReportScope::Fleet);
 
 /// Reads the elements of an array one after the other. After the first element that is missing or
@@ -57,6 +59,8 @@
         }
     }
     bool isGood() const { return m_isGood; }
+    /// Returns whether there is another element.
+    bool hasMore() const { return m_isGood && m_at < m_json->size(); }
 
 private:
     const Json *next()
@@ -119,8 +123,15 @@
 Json loadJson(const Routing::HostLoad &load)
 {
     Json servers = Json::array();
-    for (const auto &[id, it] : load.servers)
-        servers.push_back({id.value(), it.running, it.unreadTokens});
+    for (const auto &[id, it] : load.servers) {
+        Json server = {id.value(), it.running, it.unreadTokens};
+        if (it.starts.expected >= millisecondsOfStartUnit) {
+            server.push_back(static_cast<std::uint64_t>(it.starts.took / millisecondsOfStartUnit));
+            server.push_back(
+                static_cast<std::uint64_t>(it.starts.expected / millisecondsOfStartUnit));
+        }
+        servers.push_back(std::move(server));
+    }
     Json uses = Json::array();
     for (const Routing::PartUse &use : load.partUses)
         uses.push_back({use.server.value(), use.hash});
@@ -144,7 +155,14 @@
     reader.forEach([&](ArrayReader &it) {
         const Base::ServerId id(it.text());
         const auto running = static_cast<std::uint32_t>(it.number());
-        load.servers[id] = {running, static_cast<std::uint32_t>(it.number())};
+        Routing::ServerLoad &server = load.servers[id];
+        server.running = running;
+        server.unreadTokens = static_cast<std::uint32_t>(it.number());
+        // Hosts that take servers for alike leave the rest out.
+        if (!it.hasMore())
+            return;
+        server.starts.took = static_cast<double>(it.number()) * millisecondsOfStartUnit;
+        server.starts.expected = static_cast<double>(it.number()) * millisecondsOfStartUnit;
     });
     readAmounts(reader, load.asked);
     readAmounts(reader, load.received);
--- a/src/libs/gateway/servernotice.cpp
+++ b/src/libs/gateway/servernotice.cpp
@@ -21,6 +21,9 @@
         std::chrono::duration<double>(std::min(seconds, longest)));
 }
 
+/// The number of figures of a load field that tells how long work takes on the server's machine.
+constexpr std::ptrdiff_t figuresWithMachineLoad = 4;
+
 bool isTurnedAway(unsigned status)
 {
     return status == 503 || status == 429;
@@ -37,6 +40,9 @@
     if (isTurnedAway(status))
         notice.backoff = backoffTime(field(head, names.retryAfter));
     notice.isLeaving = field(head, names.leaving) == "1";
+    const std::string_view load = field(head, names.serverLoad);
+    notice.tellsMachineLoad =
+        std::count(load.begin(), load.end(), ',') + 1 >= figuresWithMachineLoad;
     return notice;
 }
 
--- a/src/libs/gateway/services.cpp
+++ b/src/libs/gateway/services.cpp
@@ -59,6 +59,14 @@
     return waiting;
 }
 
+double Services::slowestPace() const
+{
+    double slowest = 1;
+    for (const auto &[name, it] : m_services)
+        slowest = std::max(slowest, it.dispatcher.slowestPace());
+    return slowest;
+}
+
 Routing::ServiceTraits Services::traitsOf(const std::string &name) const
 {
     Routing::ServiceTraits traits;
--- a/src/libs/gateway/services.h
+++ b/src/libs/gateway/services.h
@@ -34,6 +34,8 @@
     Service &service(const std::string &name);
     /// What backend servers announced to this host. Every decision uses it.
     Routing::ServerNotices &notices() { return m_notices; }
+    /// Returns the highest pace of the servers of all services (Routing::ServerPace).
+    double slowestPace() const;
     /// Returns the number of requests of all services that wait for a server.
     std::size_t waiting() const;
 
--- a/src/libs/routing/dispatcher.cpp
+++ b/src/libs/routing/dispatcher.cpp
@@ -49,6 +49,12 @@
            + generatedTokenWeight * expectedGeneratedShare * work.outputTokens;
 }
 
+Base::Duration toDuration(double milliseconds)
+{
+    return std::chrono::duration_cast<Base::Duration>(
+        std::chrono::duration<double, std::milli>(milliseconds));
+}
+
 /// Returns the time up to which the request may wait here.
 Base::TimePoint latestPlacement(const Work &work)
 {
@@ -182,6 +188,7 @@
         return;
     state->own.unreadTokens -= std::min(state->own.unreadTokens, placed.unreadTokens);
     state->health.recordStart(now - placed.at, placed.expected, now);
+    state->starts.record(now - placed.at, placed.usual, now);
 }
 
 Decisions Dispatcher::finished(WorkId id, AttemptOutcome outcome, Base::TimePoint now)
@@ -199,6 +206,8 @@
         if (!placed.isStarted)
             state.own.unreadTokens -= std::min(state.own.unreadTokens, placed.unreadTokens);
         state.health.record(outcome, now);
+        if (outcome == AttemptOutcome::Silent && !placed.isStarted)
+            state.starts.record(now - placed.at, placed.usual, now);
         if (outcome == AttemptOutcome::Served && !m_pool.isEngine()) {
             m_overloadGate.recordAnswer(now);
             state.health.recordStart(now - placed.at, placed.expected, now);
@@ -224,6 +233,7 @@
     }
     if (now - m_saturationAt >= saturationInterval) {
         m_saturationAt = now;
+        m_pool.updatePaces(now);
         m_shares.setSaturation(m_pool.saturation(now));
         m_overloadGate.recordWork(m_pool.plainWork(now), now);
     }
@@ -247,7 +257,7 @@
 {
     for (const auto &[id, state] : m_pool.servers()) {
         if (state.own.running > 0)
-            load.servers[id] = state.own;
+            load.servers[id] = m_pool.reportedLoad(state, now);
     }
     m_shares.report(load, now);
     load.partUses.insert(load.partUses.end(), m_partUses.begin(), m_partUses.end());
@@ -290,8 +300,11 @@
     const PlacementInputs inputs{candidate.unreadTokens,     fetched,
                                  snapshot.load.unreadTokens, snapshot.load.running,
                                  snapshot.slowness,          state.health.failureShare(now)};
-    placed.expected = std::chrono::duration_cast<Base::Duration>(
-        std::chrono::duration<double, std::milli>(expected));
+    placed.expected = toDuration(expected);
+    ServerSnapshot usual = snapshot;
+    usual.slowness = 1;
+    placed.usual =
+        toDuration(m_pool.cost().startMilliseconds(usual, candidate.unreadTokens) + fetching);
     ++state.own.running;
     state.own.unreadTokens += candidate.unreadTokens;
     if (m_pool.isEngine())
@@ -384,8 +397,7 @@
     const std::size_t customers = std::max<std::size_t>(m_waiting.customers(), 1);
     const double tokens = std::min(static_cast<double>(own) * static_cast<double>(customers),
                                    static_cast<double>(m_waiting.tokens()));
-    return std::chrono::duration_cast<Base::Duration>(
-        std::chrono::duration<double, std::milli>(tokens / drainTokensPerMs(now)));
+    return toDuration(tokens / drainTokensPerMs(now));
 }
 
 double Dispatcher::drainTokensPerMs(Base::TimePoint now) const
--- a/src/libs/routing/dispatcher.h
+++ b/src/libs/routing/dispatcher.h
@@ -96,6 +96,8 @@
     double shareLevel(Base::TimePoint now) { return m_shares.shareLevel(now); }
     double unmetLevel() const { return m_shares.unmetLevel(); }
     const Base::CustomerId &unmetCustomer() const { return m_shares.unmetCustomer(); }
+    /// The highest pace of the servers, for the log and the metrics.
+    double slowestPace() const { return m_pool.slowestPace(); }
     std::optional<CustomerSample> largestCustomer(Base::TimePoint now) const
     {
         return m_shares.largestHere(now);
@@ -113,6 +115,8 @@
         bool isStarted = false;
         Base::TimePoint at;
         Base::Duration expected{};
+        /// The same at a server of usual pace.
+        Base::Duration usual{};
     };
     /// Removes the fetch of a request that has started or ended from the load of the fetch's
     /// source. The server has then fetched what it was to fetch.
--- a/src/libs/routing/fleetload.h
+++ b/src/libs/routing/fleetload.h
@@ -2,6 +2,7 @@
 
 #include "base/ids.h"
 #include "base/time.h"
+#include "routing/serverpace.h"
 
 #include <cstdint>
 #include <map>
@@ -17,6 +18,9 @@
     /// The estimated number of prompt tokens that were sent to the server and that it has not read
     /// yet.
     std::uint32_t unreadTokens = 0;
+    /// What the first events of recent requests took. It is empty for a service whose servers are
+    /// taken for alike.
+    StartTimes starts{};
 
     bool operator==(const ServerLoad &) const = default;
 };
--- a/src/libs/routing/servernotices.cpp
+++ b/src/libs/routing/servernotices.cpp
@@ -14,6 +14,8 @@
         end->second = std::max(end->second, now + notice.backoff);
         isNews = isFirst;
     }
+    if (notice.tellsMachineLoad)
+        m_tellMachineLoad.insert(server);
     if (notice.isLeaving)
         isNews |= m_leaving.insert(server).second;
     return isNews;
--- a/src/libs/routing/servernotices.h
+++ b/src/libs/routing/servernotices.h
@@ -15,8 +15,13 @@
     Base::Duration backoff{};
     /// Whether the server announces that it leaves.
     bool isLeaving = false;
+    /// Whether the server tells how long work takes on its machine at this moment: it shares that
+    /// machine with others.
+    bool tellsMachineLoad = false;
 
-    bool isEmpty() const { return backoff <= Base::Duration::zero() && !isLeaving; }
+    /// Returns whether the server wants fewer requests of this host.
+    bool asksForLess() const { return backoff > Base::Duration::zero() || isLeaving; }
+    bool isEmpty() const { return !asksForLess() && !tellsMachineLoad; }
 };
 
 /// What backend servers announced to this host in their answers.
@@ -39,12 +44,17 @@
         return !isLeaving(server) && backoffLeft(server, now) == Base::Duration::zero();
     }
     bool isLeaving(const Base::ServerId &server) const { return m_leaving.count(server) > 0; }
+    bool tellsMachineLoad(const Base::ServerId &server) const
+    {
+        return m_tellMachineLoad.count(server) > 0;
+    }
     /// Returns the remaining time for which \a server wants no requests; zero if there is none.
     Base::Duration backoffLeft(const Base::ServerId &server, Base::TimePoint now) const;
 
 private:
     std::map<Base::ServerId, Base::TimePoint> m_backoffEnds;
     std::set<Base::ServerId> m_leaving;
+    std::set<Base::ServerId> m_tellMachineLoad;
 };
 
 } // namespace Routing
--- a/src/libs/routing/serverpool.cpp
+++ b/src/libs/routing/serverpool.cpp
@@ -66,6 +66,41 @@
     }
 }
 
+void ServerPool::updatePaces(Base::TimePoint now)
+{
+    m_areServersUnlike = isEngine() && m_notices
+                         && std::any_of(m_servers.begin(), m_servers.end(), [&](const auto &it) {
+                                return m_notices->tellsMachineLoad(it.first);
+                            });
+    if (!m_areServersUnlike)
+        return;
+    std::map<Base::ServerId, StartTimes> times;
+    for (const auto &[id, state] : m_servers) {
+        const StartTimes own = state.starts.value(now);
+        const StartTimes &others = state.peerLoad.starts;
+        times[id] = {own.took + others.took, own.expected + others.expected};
+    }
+    m_pace.update(times, now);
+    for (auto &[id, state] : m_servers)
+        state.pace = m_pace.pace(id);
+}
+
+double ServerPool::slowestPace() const
+{
+    double slowest = 1;
+    for (const auto &[id, state] : m_servers)
+        slowest = std::max(slowest, state.pace);
+    return slowest;
+}
+
+ServerLoad ServerPool::reportedLoad(const ServerState &state, Base::TimePoint now) const
+{
+    ServerLoad load = state.own;
+    if (m_areServersUnlike)
+        load.starts = state.starts.value(now);
+    return load;
+}
+
 void ServerPool::presumeCold(ServerState &state, Base::TimePoint now) const
 {
     state.warmUntil = std::max(state.warmUntil, now + m_warmUpLimiter.presumedWarmUp());
@@ -83,7 +118,7 @@
     snapshot.slots = state.server.slots;
     snapshot.load.running = state.own.running + state.peerLoad.running;
     snapshot.load.unreadTokens = state.own.unreadTokens + state.peerLoad.unreadTokens;
-    snapshot.slowness = state.health.slowness(now);
+    snapshot.slowness = std::max(state.health.slowness(now), state.pace);
     return snapshot;
 }
 
--- a/src/libs/routing/serverpool.h
+++ b/src/libs/routing/serverpool.h
@@ -8,6 +8,7 @@
 #include "routing/servercost.h"
 #include "routing/serverhealth.h"
 #include "routing/servernotices.h"
+#include "routing/serverpace.h"
 #include "routing/serverset.h"
 #include "routing/warmuplimiter.h"
 
@@ -28,6 +29,10 @@
     /// decision, because a decision looks at all servers.
     ServerLoad peerLoad;
     ServerHealth health;
+    /// What the first events of this host's recent requests took.
+    StartTimeSum starts;
+    /// The ratio of the server's time to that of a usual one, as observed by all hosts.
+    double pace = 1;
     PromptCacheModel cache;
     /// The prompt tokens of requests that wait here for this server because no other one would
     /// serve them sooner.
@@ -61,6 +66,12 @@
     void setNotices(const ServerNotices &notices) { m_notices = &notices; }
     /// Applies the load of the other hosts.
     void applyPeerLoad(const PeerLoad &load);
+    /// Updates the pace of each server. Must be called several times a second.
+    void updatePaces(Base::TimePoint now);
+    /// Returns the highest pace of all servers; 1 if servers are taken for alike.
+    double slowestPace() const;
+    /// Returns the load of this host on the server, for a report.
+    ServerLoad reportedLoad(const ServerState &state, Base::TimePoint now) const;
     /// Presumes that the server starts again, although its entry does not say so yet.
     void presumeCold(ServerState &state, Base::TimePoint now) const;
 
@@ -98,6 +109,9 @@
 
     ServerCost m_cost;
     WarmUpLimiter m_warmUpLimiter;
+    ServerPace m_pace;
+    /// Whether a server told that it shares its machine with others, so that servers are unlike.
+    bool m_areServersUnlike = false;
     std::set<Base::ZoneId> m_evacuatedZones;
     const ServerNotices *m_notices = nullptr;
     std::map<Base::ServerId, ServerState> m_servers;
--- a/tests/auto/gateway/tst_fleetview.cpp
+++ b/tests/auto/gateway/tst_fleetview.cpp
@@ -296,6 +296,8 @@
                                     false,
                                     milliseconds(40)}}};
     before.load.serviceUses["app"] = {90, 70};
+    before.load.servers[Base::ServerId("t@9")] = {3, 2000, {1230, 900}};
+    before.load.servers[Base::ServerId("u@9")] = {1, 400};
     before.echoes[Base::HostId("b")] = 12;
     before.members = {member("c"), member("d", "y")};
     const auto after = decodeReport(encodeReport(before));
--- a/tests/auto/gateway/tst_hostload.cpp
+++ b/tests/auto/gateway/tst_hostload.cpp
@@ -24,6 +24,7 @@
     counts.addBusy(start, start + milliseconds(700));
     sample.processorTime = milliseconds(60);
     sample.costFactor = 1.5;
+    sample.slowestPace = 2.5;
     sample.shareLevel = 2000;
     sample.unmetLevel = 500;
     sample.unmetCustomer = Base::CustomerId("c3");
@@ -34,6 +35,7 @@
     REQUIRE(line);
     CHECK(line->text().ends_with(
         "\"event\":\"host.load\",\"busyMs\":700,\"processorMs\":60,\"costFactor\":1.500,"
+        "\"slowestPace\":2.500,"
         "\"requests\":1,\"refusals\":1,\"events\":12,\"passedOver\":\"c9:10 c8:9 c7:8\","
         "\"shareLevel\":2000.000,\"unmetLevel\":500.000,\"unmetCustomer\":\"c3\","
         "\"customer\":\"c9\",\"asked\":900.000,\"received\":400.000,\"begun\":300.000,\"ownPart\":"
--- a/tests/auto/gateway/tst_servernotice.cpp
+++ b/tests/auto/gateway/tst_servernotice.cpp
@@ -15,6 +15,7 @@
     HeaderNames it;
     it.retryAfter = "Retry-After";
     it.leaving = "Leaving";
+    it.serverLoad = "Load";
     return it;
 }
 
@@ -51,6 +52,15 @@
         CHECK(backoff("3", status) == Base::Duration::zero());
 }
 
+TEST_CASE("a server that shares its machine is told by the fourth figure of its load", "[gateway]")
+{
+    CHECK(serverNotice(head(200, "Load", "3,0,8,250"), names()).tellsMachineLoad);
+    for (const char *text : {"", "3", "3,0,8"})
+        CHECK(serverNotice(head(200, "Load", text), names()).isEmpty());
+    CHECK_FALSE(serverNotice(head(200, "Load", "3,0,8,250"), names()).asksForLess());
+    CHECK(serverNotice(head(200, "Load", "3,0,8,250"), HeaderNames()).isEmpty());
+}
+
 TEST_CASE("any answer of a server may announce that it leaves", "[gateway]")
 {
     for (const unsigned status : {200U, 500U, 503U})
