Let floods use spare capacity only where their beginnings are cached

Cause: a customer beyond its share makes any server with spare room read or fetch its beginnings, which evicts those of everybody.

Now a customer beyond its share that no other one is well ahead of gets only servers that have as much of the prompt cached as any. One that began less than 0.8 times what the best served one began may use all.

--- a/src/libs/routing/customershares.cpp
+++ b/src/libs/routing/customershares.cpp
@@ -20,9 +20,14 @@
 /// served customer. Customers perceive a ratio of two as unfair. A lower ratio would leave capacity
 /// unused while reports of other hosts are on their way.
 constexpr double maxSpareRatio = 1.6;
-/// The same ratio for the rates at which customers are admitted. It is higher because a customer
-/// that is admitted at a rate gets somewhat less than that rate, and all rates would shrink step by
-/// step.
+/// A customer beyond its share may make servers read again what others have cached while it has
+/// received less than this share of what the best served one has. Reading again evicts the cached
+/// beginnings of everybody, but a customer whose beginnings were lost with a server must not fall
+/// behind.
+constexpr double maxBehindShare = 0.8;
+/// The ratio of maxSpareRatio for the rates at which customers are admitted. It is higher because a
+/// customer that is admitted at a rate gets somewhat less than that rate, and all rates would
+/// shrink step by step.
 constexpr double maxRateRatio = 2;
 /// The part of its share up to which a host admits a customer without a limit. A customer far below
 /// its share needs no limit, and its occasional request at a host is not delayed.
@@ -106,9 +111,11 @@
         return Admission::WithinShare;
     // Both sides count tokens from the first event. If the customer were compared by the tokens
     // sent for it, the least served customer would limit itself.
-    return started(customer, now) < unmetLevel() * maxSpareRatio + toleratedTokens
-               ? Admission::SpareCapacity
-               : Admission::AheadOfOthers;
+    const double startedTokens = started(customer, now);
+    if (startedTokens >= unmetLevel() * maxSpareRatio + toleratedTokens)
+        return Admission::AheadOfOthers;
+    return startedTokens < m_bestStarted * maxBehindShare ? Admission::SpareCapacity
+                                                          : Admission::CachedOnly;
 }
 
 double CustomerShares::received(const Base::CustomerId &customer, Base::TimePoint now) const
@@ -150,6 +157,9 @@
     // Servers that are lost or slow process less than the configured throughput.
     const double configuredCapacity = m_tokensPerSecond * seconds * (1 + std::min(growth(), 0.0));
     m_shareLevel = maxMinLevel(asked, configuredCapacity);
+    m_bestStarted = 0;
+    for (const auto &[customer, amount] : asked)
+        m_bestStarted = std::max(m_bestStarted, started(customer, now));
     m_unmetDemand.update(
         asked, [&](const Base::CustomerId &customer) { return started(customer, now); }, now);
     updateRates(asked, seconds, now);
--- a/src/libs/routing/customershares.h
+++ b/src/libs/routing/customershares.h
@@ -14,10 +14,12 @@
 namespace Routing {
 
 /// The capacity that a customer's request may use. A customer within its max-min share gets
-/// WithinShare, and beyond it SpareCapacity. The other values refuse the request.
+/// WithinShare, and beyond it SpareCapacity, or CachedOnly if no other customer is served much
+/// better. The other values refuse the request.
 enum class Admission {
     WithinShare,   ///< The request may use any server that is not full.
     SpareCapacity, ///< The request may only use servers on which it delays nobody.
+    CachedOnly,    ///< The same, and only servers that have as much of its prompt cached as any.
     OverRate,      ///< The customer has used its rate at this host.
     AheadOfOthers, ///< Others that ask for more have been served much less.
 };
@@ -131,6 +133,8 @@
     /// sending, others would take spare capacity while such a customer gets a third of what they
     /// get.
     UnmetDemand m_unmetDemand;
+    /// The recently served tokens of the best served customer.
+    double m_bestStarted = 0;
     Base::TimePoint m_updatedAt = Base::TimePoint::min();
 };
 
--- a/src/libs/routing/dispatcher.cpp
+++ b/src/libs/routing/dispatcher.cpp
@@ -126,7 +126,7 @@
         decisions.rejected.push_back(makeRejection(work, RejectionReason::TooLate, now));
         return decisions;
     }
-    const bool onlyWithCapacity = isRetry || admission == Admission::SpareCapacity;
+    const bool onlyWithCapacity = isRetry || admission != Admission::WithinShare;
     // Waiting requests mostly wait for servers that are full, so a new request may overtake them.
     const std::optional<ServerChoice::Candidate> candidate =
         m_choice.select(m_pool, work, now, admission, onlyWithCapacity);
--- a/src/libs/routing/serverchoice.cpp
+++ b/src/libs/routing/serverchoice.cpp
@@ -67,6 +67,8 @@
         const bool hasCapacity = pool.cost().hasRoom(snapshot, admission);
         if (!hasCapacity && onlyWithCapacity)
             continue;
+        if (admission == Admission::CachedOnly && cached < maxCached)
+            continue;
         Candidate candidate = evaluate(pool, state, snapshot, work, cached, prompt, now);
         candidate.hasRoom = hasCapacity;
         if (!best || candidate.milliseconds < best->milliseconds)
--- a/tests/auto/routing/tst_placement.cpp
+++ b/tests/auto/routing/tst_placement.cpp
@@ -1,4 +1,5 @@
 #include "routing/dispatcher.h"
+#include "routing/serverchoice.h"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
@@ -342,3 +343,28 @@
     CHECK_FALSE(fetch.plan(Base::ServerId("x"), near, 12950));
     CHECK(fetch.plan(Base::ServerId("x"), near, 8000)->tokens == 5000);
 }
+
+TEST_CASE("a flood beyond its share does not make other servers read a beginning again",
+          "[routing]")
+{
+    // Guards against floods that fill the servers' memory with further copies of beginnings, so
+    // that those of all customers are read again.
+    const ServiceTraits traits{true, 500000, 40, 0};
+    ServerPool pool(traits, Base::HostId());
+    pool.setServers(servers(2));
+    ServerChoice choice(Base::ZoneId("near"), Base::HostId());
+    const Base::TimePoint now = start + seconds(1);
+    const Work work = prompt(1, 1000, now);
+    const auto select = [&](Admission admission) {
+        return choice.select(pool, work, now, admission, true);
+    };
+    CHECK(select(Admission::CachedOnly));
+    ServerState &keeper = *pool.find(Base::ServerId("s0"));
+    keeper.cache.recordUse(sharedPrefixHashes(work.parts).back().hash, start, start);
+    REQUIRE(select(Admission::CachedOnly));
+    CHECK(select(Admission::CachedOnly)->state == &keeper);
+    keeper.own.running = 60;
+    CHECK_FALSE(select(Admission::CachedOnly));
+    CHECK(select(Admission::SpareCapacity));
+    CHECK(select(Admission::WithinShare));
+}
--- a/tests/auto/routing/tst_unmetdemand.cpp
+++ b/tests/auto/routing/tst_unmetdemand.cpp
@@ -133,3 +133,26 @@
     }
     CHECK(refusals == 0);
 }
+
+TEST_CASE("a customer behind the best served one may make servers read again", "[routing]")
+{
+    // Guards against a customer whose beginnings were lost with their servers and that falls behind
+    // the others, since it may only use servers that have them cached.
+    CustomerShares shares;
+    shares.setThroughput(1000000);
+    PeerLoad others;
+    shares.setPeerLoad(others);
+    const Base::CustomerId best("best");
+    const Base::CustomerId behind("behind");
+    Base::TimePoint now = start;
+    for (; now < start + seconds(3); now += interval) {
+        for (const Base::CustomerId &customer : {best, behind}) {
+            others.asked[customer] = 10000000 + std::chrono::duration<double>(now - start).count();
+            others.received[customer] = others.begun[customer] =
+                customer == best ? 1900000 : 1400000;
+        }
+        shares.admission(best, now);
+    }
+    CHECK(shares.admission(best, now) == Admission::CachedOnly);
+    CHECK(shares.admission(behind, now) == Admission::SpareCapacity);
+}
