Let floods read again what only unusable servers have cached

Read in the change before: a beginning that only a server in cooldown, or of an evacuated zone, has cached kept a flood from all other servers, so it was refused with spare capacity. Only servers that may get requests now count. The new check of the test fails without it.

--- a/src/libs/routing/serverchoice.cpp
+++ b/src/libs/routing/serverchoice.cpp
@@ -57,6 +57,8 @@
     const CachedPrefix prompt{maxCached,
                               isNew ? pool.selectByRendezvous(prefixes.back().hash, now) : nullptr,
                               PrefixFetch(pool.cost(), sourcesFor(pool, work, prefixes, now))};
+    const std::uint32_t minCached =
+        admission == Admission::CachedOnly ? maxUsableCached(pool, now) : 0;
     std::optional<Candidate> best;
     auto cachedHere = m_cachedTokens.begin();
     for (auto &[id, state] : pool.servers()) {
@@ -67,7 +69,7 @@
         const bool hasCapacity = pool.cost().hasRoom(snapshot, admission);
         if (!hasCapacity && onlyWithCapacity)
             continue;
-        if (admission == Admission::CachedOnly && cached < maxCached)
+        if (cached < minCached)
             continue;
         Candidate candidate = evaluate(pool, state, snapshot, work, cached, prompt, now);
         candidate.hasRoom = hasCapacity;
@@ -77,6 +79,18 @@
     return best;
 }
 
+std::uint32_t ServerChoice::maxUsableCached(const ServerPool &pool, Base::TimePoint now) const
+{
+    std::uint32_t tokens = 0;
+    auto cachedHere = m_cachedTokens.begin();
+    for (const auto &[id, state] : pool.servers()) {
+        const std::uint32_t cached = *cachedHere++;
+        if (cached > tokens && pool.isUsable(state, now))
+            tokens = cached;
+    }
+    return tokens;
+}
+
 std::optional<ServerChoice::Candidate>
 ServerChoice::drawPlainServer(ServerPool &pool, const Work &work, Base::TimePoint now) const
 {
--- a/src/libs/routing/serverchoice.h
+++ b/src/libs/routing/serverchoice.h
@@ -58,6 +58,9 @@
     /// work, they would fill its queue while others are idle.
     std::optional<Candidate> drawPlainServer(ServerPool &pool, const Work &work,
                                              Base::TimePoint now) const;
+    /// Returns the largest number of the current request's tokens that a server has cached that may
+    /// get requests now.
+    std::uint32_t maxUsableCached(const ServerPool &pool, Base::TimePoint now) const;
     /// Estimates the cost of the request at a server that has \a cachedTokens of its prompt cached.
     Candidate evaluate(const ServerPool &pool, ServerState &state, const ServerSnapshot &snapshot,
                        const Work &work, std::uint32_t cachedTokens, const CachedPrefix &prompt,
--- a/tests/auto/routing/tst_placement.cpp
+++ b/tests/auto/routing/tst_placement.cpp
@@ -367,4 +367,7 @@
     CHECK_FALSE(select(Admission::CachedOnly));
     CHECK(select(Admission::SpareCapacity));
     CHECK(select(Admission::WithinShare));
+    // What a server has cached that cannot be used now keeps nobody from the others.
+    keeper.health.record(AttemptOutcome::Unreachable, now);
+    CHECK(select(Admission::CachedOnly));
 }
