--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -2,7 +2,8 @@
 # Runs three gateways, a store and four backend servers as processes. Callers send requests all the
 # time while faults are injected from outside: signals, restarts, a faulty proxy before the store
 # and the servers, revoked and restored keys, servers that leave or restart under their id, that ask
-# for a pause or announce in their answers that they leave, and entries that no server wrote. At the end, the answers that callers received and the requests that
+# for a pause or announce in their answers that they leave, and entries that no server wrote. Servers
+# differ in speed and tell their load. At the end, the answers that callers received and the requests that
 # servers ran are checked against every guarantee. SEED determines the run except for the timing of
 # processes.
 # usage: soak.sh BUILD_FOLDER SEED SECONDS
@@ -48,7 +49,8 @@
     local slot=$1 id=${3:-i-$next_id}
     next_id=$((next_id + 1))
     "$FLEET_BUILD/tests/standins/deployedserverstandin" --address "$FLEET_IP:1971$slot" --id "$id" \
-        --work-ms 15 --events 12 --print-runs true >>"$FLEET_DIR/runs" 2>>"$FLEET_DIR/servers.log" &
+        --work-ms "$((10 + slot % 3 * 15))" --events 12 --print-runs true \
+        >>"$FLEET_DIR/runs" 2>>"$FLEET_DIR/servers.log" &
     SERVER_PID[$slot]=$!
     SERVER_ID[$slot]=$id
     SERVER_BORN[$slot]=$(now_ms)
--- a/tests/standins/deployedserverstandin/deployedservice.cpp
+++ b/tests/standins/deployedserverstandin/deployedservice.cpp
@@ -87,6 +87,8 @@
     HttpResponse response = answer(request, fault);
     if (fault.mode == "leaving")
         response.headers["Server-Leaving"] = "1";
+    // Running, waiting, slots, and the time that work takes in percent of the usual one.
+    response.headers["Server-Load"] = fault.delay > fault.delay.zero() ? "1,0,8,250" : "1,0,8,100";
     return response;
 }
 
