--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -49,7 +49,7 @@
     local slot=$1 id=${3:-i-$next_id}
     next_id=$((next_id + 1))
     "$FLEET_BUILD/tests/standins/deployedserverstandin" --address "$FLEET_IP:1971$slot" --id "$id" \
-        --work-ms "$((10 + slot % 3 * 15))" --events 12 --print-runs true \
+        --work-ms "$((10 + slot % 3 * 15))" --events 12 --print-runs true --tells-load true \
         >>"$FLEET_DIR/runs" 2>>"$FLEET_DIR/servers.log" &
     SERVER_PID[$slot]=$!
     SERVER_ID[$slot]=$id
--- a/tests/standins/deployedserverstandin/deployedservice.cpp
+++ b/tests/standins/deployedserverstandin/deployedservice.cpp
@@ -60,6 +60,7 @@
         {"id", "i-1", "instance id of the server, new at each start"},
         {"work-ms", "5", "run time of a plain call and pause before each event, in milliseconds"},
         {"events", "8", "number of events in a stream"},
+        {"tells-load", "false", "tell in each answer how long work takes on the machine"},
         {"print-runs", "false", "print a line for each request that begins to run"}};
 }
 
@@ -72,6 +73,7 @@
     : m_id(options.text("id"))
     , m_workTime(options.milliseconds("work-ms"))
     , m_events(static_cast<std::uint64_t>(options.number("events")))
+    , m_tellsLoad(options.isSet("tells-load"))
     , m_isPrintingRuns(options.isSet("print-runs"))
 {}
 
@@ -88,7 +90,9 @@
     if (fault.mode == "leaving")
         response.headers["Server-Leaving"] = "1";
     // Running, waiting, slots, and the time that work takes in percent of the usual one.
-    response.headers["Server-Load"] = fault.delay > fault.delay.zero() ? "1,0,8,250" : "1,0,8,100";
+    if (m_tellsLoad)
+        response.headers["Server-Load"] =
+            fault.delay > fault.delay.zero() ? "1,0,8,250" : "1,0,8,100";
     return response;
 }
 
--- a/tests/standins/deployedserverstandin/deployedservice.h
+++ b/tests/standins/deployedserverstandin/deployedservice.h
@@ -39,6 +39,7 @@
     std::string m_id;
     std::chrono::milliseconds m_workTime;
     std::uint64_t m_events;
+    bool m_tellsLoad = false;
     bool m_isPrintingRuns;
     Faults m_faults;
     Journal m_journal;
