Bound the start times that a report may claim, and make two files shorter

Read in the change: sums of start times are decoded from any 64-bit number and written again as one, so two large figures of a broken report would overflow when a leader writes its summary.

--- a/src/libs/gateway/exchange.cpp
+++ b/src/libs/gateway/exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/eventlog.h"
 #include "gateway/gatewaymetrics.h"
+#include "gateway/rejectiontext.h"
 
 #include <algorithm>
 #include <utility>
@@ -268,9 +269,8 @@
         m_port->workStarted(m_accepted.service, m_accepted.id);
     }
     if (m_eventCount == 0)
-        m_firstEventAt = m_lastDataAt;
-    else
-        m_longestPause = std::max(m_longestPause, m_lastDataAt - m_lastEventAt);
+        m_firstEventAt = m_lastEventAt = m_lastDataAt;
+    m_longestPause = std::max(m_longestPause, m_lastDataAt - m_lastEventAt);
     m_lastEventAt = m_lastDataAt;
     m_eventCount += whole.count;
     m_port->eventsForwarded(whole.count);
@@ -507,13 +507,8 @@
              m_eventCount > 0 ? m_firstEventAt - m_accepted.request.readAt : Base::Duration(0))
         .add("longestPauseMs", m_longestPause)
         .add("wholeMs", now - m_accepted.request.readAt);
-    if (m_rejection) {
-        line.add("why", Routing::nameOf(m_rejection->reason))
-            .add("limit", Routing::nameOf(m_rejection->shareLimit))
-            .add("received", m_rejection->received)
-            .add("shareLevel", m_rejection->shareLevel)
-            .add("retryAfterMs", Base::Duration(m_rejection->retryAfter));
-    }
+    if (m_rejection)
+        addRejection(line, *m_rejection);
     m_port->log().write(line, now);
 }
 
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -9,7 +9,6 @@
 #include <algorithm>
 #include <chrono>
 #include <csignal>
-#include <ctime>
 #include <random>
 #include <utility>
 
@@ -55,14 +54,6 @@
         std::chrono::duration_cast<std::chrono::microseconds>(since).count());
 }
 
-Base::Duration processCpuTime()
-{
-    timespec time{};
-    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
-    return std::chrono::duration_cast<Base::Duration>(std::chrono::seconds(time.tv_sec)
-                                                      + std::chrono::nanoseconds(time.tv_nsec));
-}
-
 /// A random start keeps the sequences of two starts of one host apart, since an echo of an earlier
 /// start's report proves nothing.
 std::uint64_t randomSequenceStart()
@@ -301,7 +292,6 @@
     LoadSample sample;
     sample.processorTime = processCpuTime();
     sample.costFactor = m_backlog.costFactor();
-    sample.slowestPace = m_services->slowestPace();
     m_services->fillLevels(sample, time);
     sample.reportAge = m_fleet.newestReportAge(time);
     if (const auto line = m_load.line(sample, time))
--- a/src/libs/gateway/hostload.cpp
+++ b/src/libs/gateway/hostload.cpp
@@ -1,6 +1,7 @@
 #include "gateway/hostload.h"
 
 #include <algorithm>
+#include <ctime>
 #include <string>
 #include <utility>
 #include <vector>
@@ -43,6 +44,14 @@
 
 } // namespace
 
+Base::Duration processCpuTime()
+{
+    timespec time{};
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
+    return std::chrono::duration_cast<Base::Duration>(std::chrono::seconds(time.tv_sec)
+                                                      + std::chrono::nanoseconds(time.tv_nsec));
+}
+
 void HostLoadCounter::addShedStream(const Base::CustomerId &customer)
 {
     if (m_shedStreams.size() < maxCountedCustomers || m_shedStreams.contains(customer))
--- a/src/libs/gateway/hostload.h
+++ b/src/libs/gateway/hostload.h
@@ -31,6 +31,9 @@
     std::optional<Base::Duration> reportAge;
 };
 
+/// Returns the processor time of this process since its start.
+Base::Duration processCpuTime();
+
 /// Counts this host's work of the last second for a line of the log. When a host is overloaded and
 /// request lines are dropped, no other line shows whose streams it rejects.
 class HostLoadCounter
--- a/src/libs/gateway/hostreport.cpp
+++ b/src/libs/gateway/hostreport.cpp
@@ -18,6 +18,8 @@
 constexpr double hundredths = 100;
 /// Start times are written in hundredths of a second, which take two bytes each.
 constexpr double millisecondsOfStartUnit = 10;
+/// The longest sum of start times that is read, of some hours.
+constexpr std::uint64_t maxStartUnits = 1'000'000;
 constexpr std::uint64_t largestScope = static_cast<std::uint64_t>(ReportScope::Fleet);
 
 /// Reads the elements of an array one after the other. After the first element that is missing or
@@ -149,6 +151,12 @@
             std::move(serviceUses)};
 }
 
+/// Bounds what any report may claim, so that sums of reports can be written again.
+double readStartTime(ArrayReader &reader)
+{
+    return static_cast<double>(std::min(reader.number(), maxStartUnits)) * millisecondsOfStartUnit;
+}
+
 Routing::HostLoad readLoad(ArrayReader &reader)
 {
     Routing::HostLoad load;
@@ -161,8 +169,8 @@
         // Hosts that take servers for alike leave the rest out.
         if (!it.hasMore())
             return;
-        server.starts.took = static_cast<double>(it.number()) * millisecondsOfStartUnit;
-        server.starts.expected = static_cast<double>(it.number()) * millisecondsOfStartUnit;
+        server.starts.took = readStartTime(it);
+        server.starts.expected = readStartTime(it);
     });
     readAmounts(reader, load.asked);
     readAmounts(reader, load.received);
--- a/src/libs/gateway/services.cpp
+++ b/src/libs/gateway/services.cpp
@@ -163,6 +163,7 @@
             lowest = level;
         return isLower;
     };
+    sample.slowestPace = slowestPace();
     for (auto &[name, it] : m_services) {
         if (!traitsOf(name).isEngine)
             continue;
--- a/src/libs/gateway/services.h
+++ b/src/libs/gateway/services.h
@@ -50,7 +50,7 @@
     void peerLoadChanged();
     void applyPartUses(const std::vector<Routing::PartUse> &uses, Base::TimePoint now);
 
-    /// Fills in the levels and the largest customer of \a sample.
+    /// Fills in the slowest pace, the levels and the largest customer of \a sample.
     void fillLevels(LoadSample &sample, Base::TimePoint now);
     /// Adds the work of all services to \a load, for a report.
     void report(Routing::HostLoad &load, Base::TimePoint now);
--- a/tests/auto/gateway/tst_fleetview.cpp
+++ b/tests/auto/gateway/tst_fleetview.cpp
@@ -303,6 +303,12 @@
     const auto after = decodeReport(encodeReport(before));
     REQUIRE(after);
     CHECK(*after == before);
+    // Sums of start times that are too large to be written again are cut.
+    HostReport large = before;
+    large.load.servers[Base::ServerId("t@9")].starts = {1e18, 1e18};
+    const auto cut = decodeReport(encodeReport(large));
+    REQUIRE(cut);
+    CHECK(cut->load.servers.at(Base::ServerId("t@9")).starts == Routing::StartTimes{1e7, 1e7});
     // An array of more elements than there is memory for: the library throws whatever it was asked
     // to do.
     CHECK_FALSE(decodeReport("\x9B"
