--- a/src/libs/gateway/exchange.cpp
+++ b/src/libs/gateway/exchange.cpp
@@ -1,10 +1,13 @@
 #include "gateway/exchange.h"
 
+#include "gateway/contentdigest.h"
 #include "gateway/eventlog.h"
 #include "gateway/gatewaymetrics.h"
 #include "gateway/rejectiontext.h"
 
 #include <algorithm>
+#include <cinttypes>
+#include <cstdio>
 #include <utility>
 
 namespace Gateway {
@@ -448,6 +451,14 @@
     m_port->exchangeFinished(m_accepted.id);
 }
 
+std::string Exchange::contentText() const
+{
+    char text[17];
+    std::snprintf(text, sizeof(text), "%016" PRIx64,
+                  contentDigest(m_accepted.request.message, m_port->names()));
+    return text;
+}
+
 void Exchange::logFailedAttempt(AttemptOutcome outcome, bool maybeRan, bool retries)
 {
     m_port->attemptFailed(outcome);
@@ -457,6 +468,7 @@
     LogLine line("request.attempt_failed");
     line.add("request", m_accepted.requestId)
         .add("route", route().name)
+        .add("content", contentText())
         .add("server", m_server.value())
         .add("outcome", Routing::nameOf(outcome))
         .add("maybeRan", maybeRan)
@@ -484,6 +496,7 @@
     LogLine line("request.end");
     line.add("request", m_accepted.requestId)
         .add("route", route().name)
+        .add("content", contentText())
         .add("customer", m_accepted.customer.value())
         .add("configuration", m_accepted.table->version())
         .add("outcome", outcome)
--- a/src/libs/gateway/exchange.h
+++ b/src/libs/gateway/exchange.h
@@ -144,6 +144,8 @@
     Base::TimePoint effectiveDeadline() const;
     void fail(Failure failure);
     void finish(const char *outcome);
+    /// Returns the digest of the request's content for the log.
+    std::string contentText() const;
     void logEnd(const char *outcome);
     void logFailedAttempt(Routing::AttemptOutcome outcome, bool maybeRan, bool retries);
 
--- a/src/libs/gateway/headernames.h
+++ b/src/libs/gateway/headernames.h
@@ -22,6 +22,8 @@
     /// Set by the gateway: address of the server from whose cache the beginning of the prompt is
     /// fetched.
     std::string fetchFrom;
+    /// Name of the model that is to answer.
+    std::string model;
     /// Number of tokens of the prompt and maximum number of tokens to generate: "IN,OUT".
     std::string tokenCounts;
     /// Hash and number of tokens of each part of the prompt, in order: "HEX:TOKENS,HEX:TOKENS".
--- a/tests/auto/gateway/tst_texts.cpp
+++ b/tests/auto/gateway/tst_texts.cpp
@@ -1,3 +1,4 @@
+#include "gateway/contentdigest.h"
 #include "gateway/eventsplitter.h"
 #include "gateway/failure.h"
 #include "gateway/gatewaysettings.h"
@@ -21,6 +22,7 @@
     it.customer = "Customer";
     it.expectedServer = "Expected-Server";
     it.fetchFrom = "Fetch-From";
+    it.promptParts = "Prompt-Parts";
     it.lastEventId = "Last-Event-Id";
     it.reserved = {"Reserve", "Fetch-From"};
     return it;
@@ -52,6 +54,22 @@
              "Content-Length: 3\r\n\r\nabc");
 }
 
+TEST_CASE("the digest of a request's content is the same over the tries of its caller", "[gateway]")
+{
+    const auto digest = [](const std::string &head, const std::string &body) {
+        return contentDigest(parsed("POST " + head + "\r\nContent-Length: "
+                                    + std::to_string(body.size()) + "\r\n\r\n" + body),
+                             names());
+    };
+    const std::string head = "/cars/1 HTTP/1.1\r\nHost: a\r\nPrompt-Parts: ab:5\r\n";
+    const std::uint64_t first = digest(head + "Request-Id: 1\r\nTime-Left: 9000", "abc");
+    CHECK(digest(head + "Request-Id: 2\r\nTime-Left: 400\r\nLast-Event-Id: 7", "abc") == first);
+    CHECK(digest(head + "Request-Id: 1", "abd") != first);
+    CHECK(digest("/cars/1 HTTP/1.1\r\nHost: a\r\nPrompt-Parts: ab:6", "abc") != first);
+    CHECK(digest("/cars/2 HTTP/1.1\r\nHost: a\r\nPrompt-Parts: ab:5", "abc") != first);
+    CHECK(digest("/cars/1 HTTP/1.1\r\nHost: b\r\nPrompt-Parts: ab:5", "abc") != first);
+}
+
 TEST_CASE("the body of a refusal has the documented form for any request id", "[gateway]")
 {
     const Failure refusal{FailureType::HostOverloaded, false, Base::Milliseconds(400)};
