--- a/tests/standins/deployedserverstandin/deployedservice.cpp
+++ b/tests/standins/deployedserverstandin/deployedservice.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include <cstdio>
+#include <cstdlib>
 #include <thread>
 #include <utility>
 
@@ -61,6 +62,7 @@
         {"work-ms", "5", "run time of a plain call and pause before each event, in milliseconds"},
         {"events", "8", "number of events in a stream"},
         {"tells-load", "false", "tell in each answer how long work takes on the machine"},
+        {"exit-on", "", "path of the requests under which the process ends at once"},
         {"print-runs", "false", "print a line for each request that begins to run"}};
 }
 
@@ -74,6 +76,7 @@
     , m_workTime(options.milliseconds("work-ms"))
     , m_events(static_cast<std::uint64_t>(options.number("events")))
     , m_tellsLoad(options.isSet("tells-load"))
+    , m_exitPath(options.text("exit-on"))
     , m_isPrintingRuns(options.isSet("print-runs"))
 {}
 
@@ -115,6 +118,8 @@
         std::printf("run %s %s\n", request.header("Attempt-Id").c_str(), m_id.c_str());
         std::fflush(stdout);
     }
+    if (!m_exitPath.empty() && request.path == m_exitPath)
+        std::_Exit(EXIT_FAILURE);
     return m_journal.begin(request);
 }
 
--- a/tests/standins/deployedserverstandin/deployedservice.h
+++ b/tests/standins/deployedserverstandin/deployedservice.h
@@ -40,6 +40,7 @@
     std::chrono::milliseconds m_workTime;
     std::uint64_t m_events;
     bool m_tellsLoad = false;
+    std::string m_exitPath;
     bool m_isPrintingRuns;
     Faults m_faults;
     Journal m_journal;
