--- a/src/libs/gateway/exchange.cpp
+++ b/src/libs/gateway/exchange.cpp
@@ -4,6 +4,7 @@
 #include "gateway/eventlog.h"
 #include "gateway/gatewaymetrics.h"
 #include "gateway/rejectiontext.h"
+#include "gateway/silencelimit.h"
 
 #include <algorithm>
 #include <cinttypes>
@@ -22,22 +23,6 @@
 constexpr unsigned maxSends = 4;
 /// Another attempt cannot end in time if less time than this is left.
 constexpr Base::Duration minTimeLeft = milliseconds(40);
-/// A repeatable request whose answer has not begun is sent to another server after this many times
-/// the expected time, but not before a minimum. A server that is down may never reset the
-/// connection.
-constexpr int silenceFactor = 2;
-constexpr Base::Duration minSilenceTimeout = milliseconds(250);
-constexpr Base::Duration minStreamSilenceTimeout = milliseconds(1100);
-/// A started stream is resumed at another server after a pause of this many times the longest pause
-/// that is on time. Callers leave after eight times; giving up before half of that leaves time for
-/// the other server.
-constexpr int pauseToleranceFactor = 3;
-/// A server that has sent anything to this host within this time is alive.
-constexpr Base::Duration serverQuietTime = milliseconds(150);
-constexpr Base::Duration streamServerQuietTime = milliseconds(600);
-/// The silence timeout is this many times longer while the server answers other requests. Callers
-/// of a stream leave after about four seconds without an event.
-constexpr int aliveServerFactor = 3;
 constexpr Base::Milliseconds defaultRetryAfter{300};
 
 bool isEventStreamHead(const ResponseHead &head)
@@ -193,31 +178,17 @@
     submit();
 }
 
-Base::Duration Exchange::silenceTimeout() const
-{
-    if (route().isStream() && m_isWorkStarted)
-        return route().longestPause * pauseToleranceFactor;
-    const Base::Duration floor = route().isStream() ? minStreamSilenceTimeout : minSilenceTimeout;
-    return std::max(m_expectedStart * silenceFactor, floor);
-}
-
 bool Exchange::isSilent(Base::TimePoint now) const
 {
     if (m_state != State::Sent || !route().mayRepeat() || m_sink->isBlocked())
         return false;
     if (m_isHeadSeen && !route().isStream())
         return false;
-    const Base::Duration silence = now - (m_isWorkStarted ? m_lastDataAt : m_sentAt);
-    if (silence < silenceTimeout())
-        return false;
-    // A server that answers other requests is alive and only slow. Giving up its work would waste
-    // what it has already read, and in an overloaded pool no other server has capacity. A server
-    // that never answers this request may drop some of its requests silently, so the longer wait is
-    // bounded too.
-    const Base::Duration quietTime = route().isStream() ? streamServerQuietTime : serverQuietTime;
-    const std::optional<Base::TimePoint> lastResponseAt = m_port->lastResponseFrom(m_server);
-    const bool isServerQuiet = !lastResponseAt || now - *lastResponseAt >= quietTime;
-    return isServerQuiet || silence >= silenceTimeout() * aliveServerFactor;
+    SilentAttempt attempt{route(), m_expectedStart, m_isWorkStarted, {}, {}};
+    attempt.silence = now - (m_isWorkStarted ? m_lastDataAt : m_sentAt);
+    if (const auto lastResponseAt = m_port->lastResponseFrom(m_server))
+        attempt.serverQuiet = now - *lastResponseAt;
+    return isTooSilent(attempt);
 }
 
 void Exchange::callerGone()
--- a/src/libs/gateway/exchange.h
+++ b/src/libs/gateway/exchange.h
@@ -137,9 +137,6 @@
     void forwardEvents(std::string_view data);
     /// Whether the request may be sent elsewhere because its server has been silent for too long.
     bool isSilent(Base::TimePoint now) const;
-    /// Returns the silence after which an attempt is given up, if its server sends nothing to other
-    /// requests either.
-    Base::Duration silenceTimeout() const;
     /// Returns the end of the class's timeout or the caller's deadline, whichever is earlier.
     Base::TimePoint effectiveDeadline() const;
     void fail(Failure failure);
