--- a/src/libs/gateway/exchange.cpp
+++ b/src/libs/gateway/exchange.cpp
@@ -108,6 +108,7 @@
     m_body.clear();
     m_events.discardPartialEvent();
     m_sentAt = now;
+    m_softwareVersion = server.softwareVersion;
     m_lastDataAt = now;
     m_expectedStart = m_port->expectedStart(m_accepted.service, m_accepted.id);
     m_backoffLeft = m_port->backoffLeft(server.id);
@@ -486,6 +487,7 @@
     line.add("request", m_accepted.requestId)
         .add("route", route().name)
         .add("content", contentText())
+        .add("version", m_softwareVersion)
         .add("server", m_server.value())
         .add("outcome", Routing::nameOf(outcome))
         .add("maybeRan", maybeRan)
@@ -520,6 +522,8 @@
         .add("outcome", outcome)
         .add("status", m_status)
         .add("server", m_server.value())
+        .add("version", m_softwareVersion)
+        .add("resumes", field(m_accepted.request.message, m_port->names().resumedRequestId))
         .add("sends", m_sends)
         .add("runs", m_possibleRuns)
         .add("events", m_eventCount)
--- a/src/libs/gateway/exchange.h
+++ b/src/libs/gateway/exchange.h
@@ -167,6 +167,8 @@
     State m_state = State::Waiting;
     std::shared_ptr<BackendConnection> m_connection;
     Base::ServerId m_server;
+    /// The software version of the server to which the last attempt was sent.
+    std::string m_softwareVersion;
     Routing::PlacementInputs m_inputs;
     Base::ServerId m_fetchFrom;
     std::optional<Routing::Rejection> m_rejection;
--- a/src/libs/gateway/headernames.h
+++ b/src/libs/gateway/headernames.h
@@ -30,6 +30,8 @@
     std::string promptParts;
     /// Id of the last event that the caller has received, in a request that resumes a stream.
     std::string lastEventId;
+    /// Id of the caller's attempt that brought the first event, in a request that resumes a stream.
+    std::string resumedRequestId;
     /// In an answer: the server did not run the request.
     std::string notRun;
     /// In an answer that turns a request away: the seconds for which the server wants no requests
--- a/src/libs/gateway/hostreport.cpp
+++ b/src/libs/gateway/hostreport.cpp
@@ -12,7 +12,7 @@
 using Json = nlohmann::json;
 
 /// First element of a report. Reports with another format version are not read.
-constexpr std::uint64_t formatVersion = 10;
+constexpr std::uint64_t formatVersion = 11;
 constexpr double millisecondsPerSecond = 1000;
 /// Numbers of requests are written in hundredths: a small host has only a few recent ones.
 constexpr double hundredths = 100;
@@ -204,6 +204,7 @@
             server.service,
             server.address,
             server.zone.value(),
+            server.softwareVersion,
             server.slots,
             static_cast<std::uint64_t>(std::max<std::int64_t>(0, server.warmingUp.count()))};
 }
@@ -222,6 +223,7 @@
     change.server.service = reader.text();
     change.server.address = reader.text();
     change.server.zone = Base::ZoneId(reader.text());
+    change.server.softwareVersion = reader.text();
     change.server.slots = static_cast<std::uint32_t>(reader.number());
     change.server.warmingUp =
         Base::Milliseconds(static_cast<std::int64_t>(reader.number() & INT32_MAX));
--- a/src/libs/routing/serverset.h
+++ b/src/libs/routing/serverset.h
@@ -38,6 +38,8 @@
     /// The address as "IP:PORT". Another server may get it later.
     std::string address;
     Base::ZoneId zone;
+    /// The version of the server's software. Versions have no order.
+    std::string softwareVersion;
     /// The number of requests that the server runs at once.
     std::uint32_t slots = 1;
     bool isLeaving = false;
--- a/tests/auto/gateway/tst_fleetview.cpp
+++ b/tests/auto/gateway/tst_fleetview.cpp
@@ -292,6 +292,7 @@
                                     "pool",
                                     "1.2.3.4:5",
                                     Base::ZoneId("z"),
+                                    "v1.1",
                                     64,
                                     false,
                                     milliseconds(40)}}};
--- a/tests/auto/platformadapter/tst_storecodec.cpp
+++ b/tests/auto/platformadapter/tst_storecodec.cpp
@@ -118,6 +118,7 @@
     CHECK(server->start == Routing::ServerStart{"i-1", Base::Milliseconds(1764700000123)});
     CHECK(server->id == idOf(server->start));
     CHECK(server->slots == 64);
+    CHECK(server->softwareVersion == "v1");
     CHECK(server->warmingUp == Base::Milliseconds(250));
     CHECK_FALSE(server->isLeaving);
     CHECK(readServer("i-1", serverWith("state", "draining"))->isLeaving);
