--- a/tests/processes/deployment.sh
+++ b/tests/processes/deployment.sh
@@ -39,10 +39,10 @@
         "tenants":[{"name":"dealer","apiKeys":'"$2"',"priority":1}]}'
 }
 
-# server N SERVICE STATE: writes the entry of backend server N.
+# server N SERVICE STATE: writes the entry of backend server N, with the software version VERSION.
 server() {
     put servers "i-$1" '{"service":"'"$2"'","address":"'"$FLEET_IP"':1971'"$1"'","zone":"z",
-        "version":"v1","slots":8,"state":"'"$3"'","sequence":1,"coldRemainingMs":0,
+        "version":"'"${VERSION:-v1}"'","slots":8,"state":"'"$3"'","sequence":1,"coldRemainingMs":0,
         "born":1764700000000}'
 }
 
