--- a/src/libs/gateway/exchange.cpp
+++ b/src/libs/gateway/exchange.cpp
@@ -24,6 +24,8 @@
 /// Another attempt cannot end in time if less time than this is left.
 constexpr Base::Duration minTimeLeft = milliseconds(40);
 constexpr Base::Milliseconds defaultRetryAfter{300};
+/// By then, another host has reported which software version began the stream.
+constexpr Base::Milliseconds unknownStreamRetryAfter{300};
 
 bool isEventStreamHead(const ResponseHead &head)
 {
@@ -49,15 +51,50 @@
         fail({FailureType::ServersEnded, true, std::nullopt});
         return;
     }
+    if (!determineContinuation()) {
+        fail({FailureType::UnknownStream, false, unknownStreamRetryAfter});
+        return;
+    }
     submit();
 }
 
+bool Exchange::determineContinuation()
+{
+    if (!route().isStream())
+        return true;
+    const std::string resumed(field(m_accepted.request.message, m_port->names().resumedRequestId));
+    const bool isNew = resumed.empty() && !m_resumeAfterId;
+    if (isNew || !resumed.empty())
+        m_stream = Routing::streamId(m_accepted.customer, isNew ? m_accepted.requestId : resumed);
+    if (isNew)
+        return true;
+    const Routing::Continuation it = m_port->continuation(m_accepted.service, m_stream);
+    m_port->streamResumed(true, it.kind);
+    if (it.kind == Routing::Continuation::Kind::SameVersion) {
+        m_streamVersion = it.softwareVersion;
+        m_accepted.work.isContinuation = true;
+    }
+    return it.kind != Routing::Continuation::Kind::Unknown;
+}
+
+void Exchange::recordStreamBegun()
+{
+    if (m_streamVersion || route().kind != Routing::WorkKind::ResumableStream)
+        return;
+    m_streamVersion = m_softwareVersion;
+    if (m_stream)
+        m_port->streamBegun(*m_stream, {m_accepted.service, m_softwareVersion});
+}
+
 void Exchange::submit()
 {
     m_state = State::Waiting;
     m_isPlaced = false;
     Routing::Work work = m_accepted.work;
     work.tried = m_tried;
+    work.softwareVersion = m_streamVersion;
+    if (m_eventCount > 0)
+        m_port->streamResumed(false, Routing::Continuation::Kind::SameVersion);
     m_port->submitWork(m_accepted.service, std::move(work));
 }
 
@@ -70,7 +107,9 @@
     m_inputs = placement.inputs;
     m_fetchFrom = placement.fetchFrom;
     const Routing::RegisteredServer *target = m_port->server(m_server);
-    if (!target) {
+    const bool isOtherVersion =
+        target && m_streamVersion && target->softwareVersion != *m_streamVersion;
+    if (!target || isOtherVersion) {
         ++m_sends;
         finishAttempt(AttemptOutcome::Withdrawn);
         handleFailedAttempt(AttemptOutcome::Withdrawn, false);
@@ -163,9 +202,9 @@
     if (m_state != State::Waiting)
         return;
     m_rejection = why;
-    const FailureType type = why.reason == Routing::RejectionReason::NoServer
-                                 ? FailureType::NoServer
-                                 : FailureType::Rejection;
+    const bool isNoServer = why.reason == Routing::RejectionReason::NoServer
+                            || why.reason == Routing::RejectionReason::NoVersion;
+    const FailureType type = isNoServer ? FailureType::NoServer : FailureType::Rejection;
     fail({type, m_mayHaveRun, why.retryAfter});
 }
 
@@ -256,6 +295,7 @@
         m_isWorkStarted = true;
         m_port->workStarted(m_accepted.service, m_accepted.id);
     }
+    recordStreamBegun();
     if (m_eventCount == 0)
         m_firstEventAt = m_lastEventAt = m_lastDataAt;
     m_longestPause = std::max(m_longestPause, m_lastDataAt - m_lastEventAt);
--- a/src/libs/gateway/exchange.h
+++ b/src/libs/gateway/exchange.h
@@ -7,6 +7,7 @@
 #include "gateway/headernames.h"
 #include "routing/crashhistory.h"
 #include "routing/routetable.h"
+#include "routing/streamorigins.h"
 #include "routing/work.h"
 
 #include <memory>
@@ -44,6 +45,13 @@
     virtual const Routing::RegisteredServer *server(const Base::ServerId &id) = 0;
     /// Whether API keys may be used, which requires a configuration that is known to be current.
     virtual bool mayUseKeys() = 0;
+    /// Returns where a stream may go on that its caller takes up.
+    virtual Routing::Continuation continuation(const std::string &service,
+                                               const std::optional<Routing::StreamId> &stream) = 0;
+    /// Counts a stream that its caller takes up, or that goes on within its answer.
+    virtual void streamResumed(bool isByCaller, Routing::Continuation::Kind kind) = 0;
+    /// Notes that the first event of a stream was forwarded.
+    virtual void streamBegun(Routing::StreamId stream, const Routing::StreamOrigin &origin) = 0;
     virtual BackendPool &backends() = 0;
     virtual const HeaderNames &names() = 0;
     virtual EventLog &log() = 0;
@@ -128,6 +136,11 @@
     const Routing::Route &route() const { return *m_accepted.route; }
     bool isStreaming() const { return m_isStreamStarted; }
     void submit();
+    /// Limits a stream that its caller takes up to the servers that may go on with it. Returns
+    /// false if they are not known.
+    bool determineContinuation();
+    /// Notes the software version that the rest of the stream needs.
+    void recordStreamBegun();
     void sendTo(const Routing::RegisteredServer &server);
     ForwardedFields forwardedFields(const Routing::RegisteredServer &server) const;
     void finishAttempt(Routing::AttemptOutcome outcome);
@@ -169,6 +182,10 @@
     Base::ServerId m_server;
     /// The software version of the server to which the last attempt was sent.
     std::string m_softwareVersion;
+    /// The software version that began the stream; empty before the first event.
+    std::optional<std::string> m_streamVersion;
+    /// The stream's id; empty if the caller takes up a stream that it does not name.
+    std::optional<Routing::StreamId> m_stream;
     Routing::PlacementInputs m_inputs;
     Base::ServerId m_fetchFrom;
     std::optional<Routing::Rejection> m_rejection;
--- a/src/libs/gateway/failure.cpp
+++ b/src/libs/gateway/failure.cpp
@@ -25,6 +25,8 @@
         return "backend_failed";
     case FailureType::ServersEnded:
         return "servers_ended";
+    case FailureType::UnknownStream:
+        return "stream_unknown";
     case FailureType::TimedOut:
         return "deadline_unmet";
     case FailureType::ShuttingDown:
@@ -51,6 +53,7 @@
     case FailureType::NoServer:
     case FailureType::ServerFailed:
     case FailureType::ServersEnded:
+    case FailureType::UnknownStream:
     case FailureType::ShuttingDown:
     case FailureType::HostOverloaded:
         break;
--- a/src/libs/gateway/failure.h
+++ b/src/libs/gateway/failure.h
@@ -18,6 +18,7 @@
     NoServer,       ///< No server of the service is known or reachable.
     ServerFailed,   ///< A server failed, or its answer was lost, and no further attempt is allowed.
     ServersEnded,   ///< Several servers have ended while they ran the request.
+    UnknownStream,  ///< It is not known which software version began the stream to go on with.
     TimedOut,       ///< The route's timeout or the caller's deadline has passed.
     ShuttingDown,   ///< This host shuts down; another one can serve the request.
     HostOverloaded, ///< This host's processor is overloaded.
--- a/src/libs/gateway/fleetview.cpp
+++ b/src/libs/gateway/fleetview.cpp
@@ -140,6 +140,13 @@
     return true;
 }
 
+bool FleetView::isNewStart(const HostReport &report) const
+{
+    const auto known = m_hosts.find(report.self.host);
+    return report.self.host != m_self
+           && (known == m_hosts.end() || known->second.report.incarnation < report.incarnation);
+}
+
 void FleetView::advance(Base::TimePoint now)
 {
     std::erase_if(m_receivers, [now](const auto &it) { return now >= it.second.until; });
--- a/src/libs/gateway/fleetview.h
+++ b/src/libs/gateway/fleetview.h
@@ -49,6 +49,8 @@
     /// Takes in a report of another host. Returns false if the report is this host's own or not
     /// newer than the last one of its sender.
     bool receive(const HostReport &report, Base::TimePoint now);
+    /// Returns whether \a report is the first one of its sender, or of a new start of it.
+    bool isNewStart(const HostReport &report) const;
     /// Forgets hosts, summaries and receivers that are too old.
     void advance(Base::TimePoint now);
     /// This host is leaving: it does not lead its zone any more, and reports to all hosts for a
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -19,6 +19,7 @@
 namespace {
 
 using std::chrono::milliseconds;
+using Source = Routing::StreamOrigins::Source;
 
 /// Granularity of all time limits. Each tick costs a wake-up, so it is no finer than callers
 /// notice.
@@ -274,6 +275,8 @@
             m_metricsListener->checkTime(time);
         m_fleet.advance(time);
         m_crashes.advance(time);
+        m_streamOrigins.setServers(m_replica->servers().servers(), time);
+        m_streamOrigins.advance(time);
         std::erase_if(m_lastResponses, [this](const auto &it) { return !server(it.first); });
         reloadIfChanged();
     }
@@ -337,6 +340,8 @@
         HostReport report = own;
         report.scope = order.scope;
         report.sequence = ++m_reportSequence;
+        report.streams = m_streamOrigins.reports(
+            order.scope == ReportScope::Zone ? Source::OwnZone : Source::OtherZone, time);
         m_fleet.addOtherHosts(report, time);
         m_fleet.addRelayedUses(report);
         if (order.scope == ReportScope::Host)
@@ -373,8 +378,10 @@
 void Gateway::reportReceived(const HostReport &report)
 {
     const Base::TimePoint time = now();
+    const bool isNewStart = m_fleet.isNewStart(report);
     if (!m_fleet.receive(report, time))
         return;
+    streamsReported(report, isNewStart, time);
     m_services->applyPartUses(report.load.partUses, time);
     const bool isCrashNews = m_crashes.apply(report.crashes, time);
     if (isCrashNews && m_fleet.isLarge() && m_fleet.isLeader(time))
@@ -382,6 +389,21 @@
     m_replica->applyReport(report, time);
 }
 
+void Gateway::streamsReported(const HostReport &report, bool isNewStart, Base::TimePoint time)
+{
+    const bool isOfOwnZone =
+        report.self.zone == m_settings.zone && report.scope == ReportScope::Host;
+    const bool relays = m_fleet.isLarge() && m_fleet.isLeader(time);
+    m_streamOrigins.apply(report.streams, isOfOwnZone ? Source::OwnZone : Source::OtherZone, relays,
+                          time);
+    if (!isNewStart)
+        return;
+    // Streams that ended hosts began are known to others only.
+    const bool repeatsAll = relays || !m_fleet.isLarge();
+    m_streamOrigins.repeatReports(repeatsAll ? Source::OtherZone : Source::Self, time);
+    m_nextReport = Base::TimePoint{};
+}
+
 std::shared_ptr<ActiveRequest> Gateway::handle(CallerRequest request, AnswerSink &sink)
 {
     AcceptedRequest accepted;
@@ -532,6 +554,17 @@
     return it->second;
 }
 
+Routing::Continuation Gateway::continuation(const std::string &service,
+                                            const std::optional<Routing::StreamId> &stream)
+{
+    return m_streamOrigins.continuation(service, stream, now());
+}
+
+void Gateway::streamBegun(Routing::StreamId stream, const Routing::StreamOrigin &origin)
+{
+    m_streamOrigins.recordBegun(stream, origin, now());
+}
+
 bool Gateway::isGone(const Base::ServerId &server) const
 {
     return !m_replica->servers().usable(server);
@@ -625,6 +658,10 @@
     m_limits.headerTimeout = limits.headerTimeout;
     m_limits.idleTimeout = limits.idleTimeout;
     m_services->configurationChanged();
+    Base::Duration longest{};
+    for (const Routing::Route &it : m_replica->table()->configuration().routes)
+        longest = std::max<Base::Duration>(longest, it.isStream() ? it.timeout : longest);
+    m_streamOrigins.setLongestStream(longest);
 }
 
 void Gateway::serversChanged(const Routing::ServerChanges &changes, bool notifiesZone)
@@ -645,6 +682,7 @@
         m_pool.closeIdleConnections(id);
     }
     m_services->serversChanged();
+    m_streamOrigins.setServers(m_replica->servers().servers(), time);
 }
 
 void Gateway::unreadableEntriesChanged(const std::set<std::string> &entries)
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -93,6 +93,13 @@
     void serverResponded(const Base::ServerId &server) override;
     std::optional<Base::TimePoint> lastResponseFrom(const Base::ServerId &server) const override;
     bool isGone(const Base::ServerId &server) const override;
+    Routing::Continuation continuation(const std::string &service,
+                                       const std::optional<Routing::StreamId> &stream) override;
+    void streamResumed(bool isByCaller, Routing::Continuation::Kind kind) override
+    {
+        m_metrics->streamResumed(isByCaller, Routing::nameOf(kind));
+    }
+    void streamBegun(Routing::StreamId stream, const Routing::StreamOrigin &origin) override;
     const Routing::CrashHistory &crashes() override { return m_crashes; }
     void serverMayHaveEnded(const Routing::RequestContent &content,
                             const Routing::ServerEnd &end) override;
@@ -137,6 +144,8 @@
     MemberState ownMemberState(Base::TimePoint now) const;
     HostReport ownReport(Base::TimePoint now) const;
     void reportReceived(const HostReport &report);
+    /// Takes in the streams of a report, and repeats what a host that has started lacks.
+    void streamsReported(const HostReport &report, bool isNewStart, Base::TimePoint time);
 
     /// Logs this host's load, once a second.
     void logLoad(Base::TimePoint now);
@@ -182,6 +191,7 @@
     std::unordered_map<Routing::WorkId, std::shared_ptr<Exchange>> m_exchanges;
     std::unordered_map<Base::ServerId, Base::TimePoint> m_lastResponses;
     Routing::CrashHistory m_crashes{*this};
+    Routing::StreamOrigins m_streamOrigins;
     std::deque<Routing::Decisions> m_decisions;
     Base::Incarnation m_incarnation = 0;
     std::uint64_t m_reportSequence = 0;
--- a/src/libs/gateway/gatewaymetrics.cpp
+++ b/src/libs/gateway/gatewaymetrics.cpp
@@ -50,6 +50,11 @@
                       m_registry.counters({"lagoonmast_gateway_unwanted_requests_total",
                                            "Requests written to servers after such a notice",
                                            {"notice"}}));
+    BOOST_LEAF_ASSIGN(m_resumedStreams,
+                      m_registry.counters({"lagoonmast_gateway_resumed_streams_total",
+                                           "Streams taken up by their caller, or resumed by this "
+                                           "host, and the servers at which they may go on",
+                                           {"by", "where"}}));
     BOOST_LEAF_ASSIGN(m_storeCalls, m_registry.counters({"lagoonmast_gateway_store_calls_total",
                                                          "Calls of the platform's store",
                                                          {"call", "result"}}));
@@ -128,6 +133,11 @@
     m_unwantedRequests->with({notice}).increment();
 }
 
+void GatewayMetrics::streamResumed(bool isByCaller, const char *where)
+{
+    m_resumedStreams->with({isByCaller ? "caller" : "host", where}).increment();
+}
+
 void GatewayMetrics::storeCallFinished(const std::string &call, bool isGood)
 {
     m_storeCalls->with({call, isGood ? "good" : "failed"}).increment();
--- a/src/libs/gateway/gatewaymetrics.h
+++ b/src/libs/gateway/gatewaymetrics.h
@@ -64,6 +64,8 @@
     void serverNoticed(const char *notice);
     /// Counts a request that was written to a server which had announced that it wants none.
     void unwantedRequestWritten(const char *notice);
+    /// Counts a stream that goes on; \a where is the name of a Routing::Continuation::Kind.
+    void streamResumed(bool isByCaller, const char *where);
     void storeCallFinished(const std::string &call, bool isGood);
     /// Sets the gauges to the values of \a state.
     void updateGauges(const GatewayState &state);
@@ -82,6 +84,7 @@
     Metrics::Family<Metrics::Counter> *m_retries = nullptr;
     Metrics::Family<Metrics::Counter> *m_serverNotices = nullptr;
     Metrics::Family<Metrics::Counter> *m_unwantedRequests = nullptr;
+    Metrics::Family<Metrics::Counter> *m_resumedStreams = nullptr;
     Metrics::Family<Metrics::Counter> *m_storeCalls = nullptr;
     Metrics::Family<Metrics::Histogram> *m_firstEventTime = nullptr;
     Metrics::Family<Metrics::Histogram> *m_answerTime = nullptr;
--- a/src/libs/gateway/hostreport.cpp
+++ b/src/libs/gateway/hostreport.cpp
@@ -12,7 +12,7 @@
 using Json = nlohmann::json;
 
 /// First element of a report. Reports with another format version are not read.
-constexpr std::uint64_t formatVersion = 11;
+constexpr std::uint64_t formatVersion = 12;
 constexpr double millisecondsPerSecond = 1000;
 /// Numbers of requests are written in hundredths: a small host has only a few recent ones.
 constexpr double hundredths = 100;
@@ -60,6 +60,19 @@
             check(inner.isGood());
         }
     }
+    /// Reads an array of numbers.
+    std::vector<std::uint64_t> numbers()
+    {
+        std::vector<std::uint64_t> numbers;
+        const Json *json = next();
+        if (!json || !check(json->is_array()))
+            return numbers;
+        for (const Json &it : *json) {
+            if (check(it.is_number_unsigned()))
+                numbers.push_back(it.get<std::uint64_t>());
+        }
+        return numbers;
+    }
     bool isGood() const { return m_isGood; }
     /// Returns whether there is another element.
     bool hasMore() const { return m_isGood && m_at < m_json->size(); }
@@ -304,6 +317,23 @@
     return crash;
 }
 
+Json streamsJson(const Routing::StreamReport &report)
+{
+    Json streams = Json::array();
+    for (const Routing::StreamId stream : report.streams)
+        streams.push_back(stream);
+    return {report.origin.service, report.origin.softwareVersion, std::move(streams)};
+}
+
+Routing::StreamReport readStreams(ArrayReader &reader)
+{
+    Routing::StreamReport report;
+    report.origin.service = reader.text();
+    report.origin.softwareVersion = reader.text();
+    report.streams = reader.numbers();
+    return report;
+}
+
 /// Returns null if \a bytes are not exactly one CBOR item.
 Json parseCbor(std::string_view bytes)
 {
@@ -329,6 +359,9 @@
     Json crashes = Json::array();
     for (const Routing::CrashReport &crash : report.crashes)
         crashes.push_back(crashJson(crash));
+    Json streams = Json::array();
+    for (const Routing::StreamReport &it : report.streams)
+        streams.push_back(streamsJson(it));
     const Json json = {formatVersion,
                        report.incarnation,
                        report.sequence,
@@ -338,7 +371,8 @@
                        std::move(echoes),
                        std::move(members),
                        Json::array({loadJson(report.load)}),
-                       std::move(crashes)};
+                       std::move(crashes),
+                       std::move(streams)};
     std::string bytes;
     Json::to_cbor(json, bytes);
     return bytes;
@@ -362,6 +396,7 @@
     reader.forEach([&](ArrayReader &it) { report.members.push_back(readMember(it)); });
     reader.forEach([&](ArrayReader &it) { report.load = readLoad(it); });
     reader.forEach([&](ArrayReader &it) { report.crashes.push_back(readCrash(it)); });
+    reader.forEach([&](ArrayReader &it) { report.streams.push_back(readStreams(it)); });
     if (!hasKnownFormat || !reader.isGood() || scope > largestScope || report.self.host.isEmpty())
         return boost::leaf::new_error(MalformedReport());
     report.scope = static_cast<ReportScope>(scope);
--- a/src/libs/gateway/hostreport.h
+++ b/src/libs/gateway/hostreport.h
@@ -7,6 +7,7 @@
 #include "routing/entryselection.h"
 #include "routing/fleetload.h"
 #include "routing/serverset.h"
+#include "routing/streamorigins.h"
 
 #include <cstdint>
 #include <map>
@@ -87,6 +88,8 @@
     Routing::HostLoad load;
     /// The latest ends of servers and the requests that ran there, as far as the sender knows them.
     std::vector<Routing::CrashReport> crashes;
+    /// The latest streams and the software versions that began them.
+    std::vector<Routing::StreamReport> streams;
 
     bool operator==(const HostReport &) const = default;
 };
--- a/src/libs/routing/dispatcher.cpp
+++ b/src/libs/routing/dispatcher.cpp
@@ -110,10 +110,12 @@
         return decisions;
     }
     // A returning request was admitted before, and a server may have spent time on it. If it were
-    // rejected now, its caller could not be told that it has not run.
+    // rejected now, its caller could not be told that it has not run. So was a stream that its
+    // caller takes up.
     const bool isRetry = !work.tried.empty();
-    const Admission admission =
-        isRetry ? Admission::WithinShare : m_shares.admission(work.customer, now);
+    const Admission admission = isRetry || work.isContinuation
+                                    ? Admission::WithinShare
+                                    : m_shares.admission(work.customer, now);
     // The refusal comes first: looking at a hundred servers would cost an overloaded host more than
     // the rest of the refusal.
     if (isRefused(admission)) {
@@ -383,7 +385,9 @@
 {
     if (!m_pool.hasEligibleServer())
         return RejectionReason::NoServer;
-    const Base::Duration backoff = m_pool.commonBackoff(now);
+    if (!m_pool.hasEligibleServer(work))
+        return RejectionReason::NoVersion;
+    const Base::Duration backoff = m_pool.commonBackoff(work, now);
     if (backoff > Base::Duration::zero() && now + backoff > latestPlacement(work))
         return RejectionReason::BackedOff;
     return std::nullopt;
--- a/src/libs/routing/serverchoice.cpp
+++ b/src/libs/routing/serverchoice.cpp
@@ -63,7 +63,7 @@
     auto cachedHere = m_cachedTokens.begin();
     for (auto &[id, state] : pool.servers()) {
         const std::uint32_t cached = *cachedHere++;
-        if (!pool.isUsable(state, now))
+        if (!ServerPool::isCompatible(state, work) || !pool.isUsable(state, now))
             continue;
         const ServerSnapshot snapshot = pool.snapshotOf(state, now);
         const bool hasCapacity = pool.cost().hasRoom(snapshot, admission);
@@ -98,7 +98,8 @@
     std::pair<bool, double> lowest;
     const std::uint64_t seed = m_hostHash + work.id;
     for (auto &[id, state] : pool.servers()) {
-        if (!pool.hasRoom(state, Admission::WithinShare, now))
+        if (!ServerPool::isCompatible(state, work)
+            || !pool.hasRoom(state, Admission::WithinShare, now))
             continue;
         // The lowest of exponential draws belongs to each server in proportion to its weight.
         const double uniform =
--- a/src/libs/routing/serverpool.cpp
+++ b/src/libs/routing/serverpool.cpp
@@ -129,8 +129,14 @@
 
 bool ServerPool::hasEligibleServer() const
 {
-    return std::any_of(m_servers.begin(), m_servers.end(), [this](const auto &it) {
-        return !it.second.isEvacuated && !(m_notices && m_notices->isLeaving(it.first));
+    return hasEligibleServer(Work());
+}
+
+bool ServerPool::hasEligibleServer(const Work &work) const
+{
+    return std::any_of(m_servers.begin(), m_servers.end(), [&](const auto &it) {
+        return isCompatible(it.second, work) && !it.second.isEvacuated
+               && !(m_notices && m_notices->isLeaving(it.first));
     });
 }
 
@@ -192,10 +198,16 @@
 }
 
 Base::Duration ServerPool::commonBackoff(Base::TimePoint now) const
+{
+    return commonBackoff(Work(), now);
+}
+
+Base::Duration ServerPool::commonBackoff(const Work &work, Base::TimePoint now) const
 {
     Base::Duration shortest = Base::Duration::max();
     for (const auto &[id, state] : m_servers) {
-        if (state.isEvacuated || (m_notices && m_notices->isLeaving(id)))
+        if (!isCompatible(state, work) || state.isEvacuated
+            || (m_notices && m_notices->isLeaving(id)))
             continue;
         const Base::Duration left =
             m_notices ? m_notices->backoffLeft(id, now) : Base::Duration::zero();
--- a/src/libs/routing/serverpool.h
+++ b/src/libs/routing/serverpool.h
@@ -11,6 +11,7 @@
 #include "routing/serverpace.h"
 #include "routing/serverset.h"
 #include "routing/warmuplimiter.h"
+#include "routing/work.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -85,8 +86,15 @@
     bool wantsRequests(const ServerState &state, Base::TimePoint now) const;
     /// Returns the number of servers that have not announced that they want no requests now.
     std::size_t willingServers(Base::TimePoint now) const;
+    /// Returns whether the software of the server may run \a work.
+    static bool isCompatible(const ServerState &state, const Work &work)
+    {
+        return !work.softwareVersion || *work.softwareVersion == state.server.softwareVersion;
+    }
     /// Returns whether there is a server that stays and is outside of the evacuated zones.
     bool hasEligibleServer() const;
+    /// Returns the same for servers that may run \a work.
+    bool hasEligibleServer(const Work &work) const;
     /// Returns whether a request may be sent to the server now, full or not.
     bool isUsable(const ServerState &state, Base::TimePoint now) const;
     bool hasRoom(const ServerState &state, Admission admission, Base::TimePoint now) const;
@@ -100,6 +108,8 @@
     /// Returns the time until the first server may want requests again; zero if one wants them now,
     /// or if none of them stays.
     Base::Duration commonBackoff(Base::TimePoint now) const;
+    /// Returns the same for servers that may run \a work.
+    Base::Duration commonBackoff(const Work &work, Base::TimePoint now) const;
     /// Returns the server that rendezvous hashing selects for \a beginning, or null if there are no
     /// servers.
     const ServerState *selectByRendezvous(std::uint64_t beginning, Base::TimePoint now) const;
--- /dev/null
+++ b/src/libs/routing/streamorigins.cpp
@@ -0,0 +1,175 @@
+#include "routing/streamorigins.h"
+
+#include "base/hash.h"
+
+#include <algorithm>
+
+namespace Routing {
+
+namespace {
+
+/// A stream is reported for this long, in three reports, of which one or two may be lost.
+constexpr Base::Duration reportedFor = std::chrono::milliseconds(600);
+/// The maximum number of streams in one report; they take nine kilobytes.
+constexpr std::size_t maxReported = 1000;
+/// Origins are remembered for at least this long.
+constexpr Base::Duration minMemory = std::chrono::seconds(30);
+/// A stream that began just before its caller took it up may go on for its whole time again.
+constexpr int memoryFactor = 2;
+/// The maximum number of streams that are remembered; they take about eight megabytes.
+constexpr std::size_t maxStreams = 100'000;
+
+} // namespace
+
+StreamId streamId(const Base::CustomerId &customer, const std::string &requestId)
+{
+    return Base::stableHash(requestId, Base::stableHash(customer.value()));
+}
+
+const char *nameOf(Continuation::Kind kind)
+{
+    switch (kind) {
+    case Continuation::Kind::AnyServer:
+        return "any_server";
+    case Continuation::Kind::SameVersion:
+        return "same_version";
+    case Continuation::Kind::Unknown:
+        break;
+    }
+    return "unknown";
+}
+
+StreamOrigins::StreamOrigins()
+    : m_memory(minMemory)
+{}
+
+void StreamOrigins::setLongestStream(Base::Duration time)
+{
+    m_memory = std::max(minMemory, time * memoryFactor);
+}
+
+void StreamOrigins::setServers(const std::map<Base::ServerId, RegisteredServer> &servers,
+                               Base::TimePoint now)
+{
+    for (const auto &[id, server] : servers)
+        recordVersion({server.service, server.softwareVersion}, now);
+}
+
+void StreamOrigins::recordVersion(const StreamOrigin &origin, Base::TimePoint now)
+{
+    const bool wasMixed = isMixed(origin.service, now);
+    m_versionsSeenAt[origin.service][origin.softwareVersion] = now;
+    if (wasMixed || !isMixed(origin.service, now))
+        return;
+    // Callers of all open streams may take them up while both versions serve.
+    reportAll(Source::Self, origin.service, now);
+}
+
+void StreamOrigins::reportAll(Source source, const std::string &service, Base::TimePoint now)
+{
+    std::size_t count = 0;
+    for (auto it = m_byAge.rbegin(); it != m_byAge.rend(); ++it) {
+        const auto found = m_streams.find(it->stream);
+        if (found == m_streams.end() || found->second.source > source
+            || found->second.origin->service != service)
+            continue;
+        const auto part = static_cast<int>(count++ / maxReported);
+        m_reported.push_back({it->stream, now + part * reportedFor});
+    }
+}
+
+bool StreamOrigins::isMixed(const std::string &service, Base::TimePoint now) const
+{
+    const auto versions = m_versionsSeenAt.find(service);
+    if (versions == m_versionsSeenAt.end())
+        return false;
+    return std::ranges::count_if(versions->second,
+                                 [&](const auto &it) { return now - it.second < m_memory; })
+           > 1;
+}
+
+void StreamOrigins::recordBegun(StreamId stream, const StreamOrigin &origin, Base::TimePoint now)
+{
+    add(stream, origin, Source::Self, now);
+    if (isMixed(origin.service, now))
+        m_reported.push_back({stream, now});
+}
+
+void StreamOrigins::add(StreamId stream, const StreamOrigin &origin, Source source,
+                        Base::TimePoint now)
+{
+    const StreamOrigin &shared = *m_origins.insert(origin).first;
+    if (!m_streams.try_emplace(stream, Entry{&shared, source, now}).second)
+        return;
+    m_byAge.push_back({stream, now});
+    if (m_byAge.size() <= maxStreams)
+        return;
+    m_streams.erase(m_byAge.front().stream);
+    m_byAge.pop_front();
+}
+
+void StreamOrigins::apply(const std::vector<StreamReport> &reports, Source source, bool relays,
+                          Base::TimePoint now)
+{
+    for (const StreamReport &report : reports) {
+        recordVersion(report.origin, now);
+        for (const StreamId stream : report.streams) {
+            if (m_streams.count(stream) > 0)
+                continue;
+            add(stream, report.origin, source, now);
+            if (relays)
+                m_reported.push_back({stream, now});
+        }
+    }
+}
+
+void StreamOrigins::repeatReports(Source source, Base::TimePoint now)
+{
+    for (const auto &[service, versions] : m_versionsSeenAt) {
+        if (isMixed(service, now))
+            reportAll(source, service, now);
+    }
+}
+
+std::vector<StreamReport> StreamOrigins::reports(Source source, Base::TimePoint now) const
+{
+    std::map<const StreamOrigin *, std::set<StreamId>> byOrigin;
+    std::size_t count = 0;
+    // The newest streams come first, since the others were in earlier reports.
+    for (auto it = m_reported.rbegin(); it != m_reported.rend() && count < maxReported; ++it) {
+        if (it->at > now || now - it->at >= reportedFor)
+            continue;
+        const auto found = m_streams.find(it->stream);
+        if (found == m_streams.end() || found->second.source > source)
+            continue;
+        count += byOrigin[found->second.origin].insert(it->stream).second ? 1 : 0;
+    }
+    std::vector<StreamReport> reports;
+    for (const auto &[origin, streams] : byOrigin)
+        reports.push_back({*origin, {streams.begin(), streams.end()}});
+    return reports;
+}
+
+Continuation StreamOrigins::continuation(const std::string &service,
+                                         const std::optional<StreamId> &stream,
+                                         Base::TimePoint now) const
+{
+    const auto found = stream ? m_streams.find(*stream) : m_streams.end();
+    if (found != m_streams.end() && found->second.origin->service == service)
+        return {Continuation::Kind::SameVersion, found->second.origin->softwareVersion};
+    if (isMixed(service, now))
+        return {Continuation::Kind::Unknown, {}};
+    return {Continuation::Kind::AnyServer, {}};
+}
+
+void StreamOrigins::advance(Base::TimePoint now)
+{
+    while (!m_byAge.empty() && now - m_byAge.front().at >= m_memory) {
+        m_streams.erase(m_byAge.front().stream);
+        m_byAge.pop_front();
+    }
+    while (!m_reported.empty() && now - m_reported.front().at >= reportedFor)
+        m_reported.pop_front();
+}
+
+} // namespace Routing
--- /dev/null
+++ b/src/libs/routing/streamorigins.h
@@ -0,0 +1,133 @@
+#pragma once
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "routing/serverset.h"
+
+#include <compare>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace Routing {
+
+/// A hash of the customer and of the id of the caller's attempt that began a stream.
+using StreamId = std::uint64_t;
+
+StreamId streamId(const Base::CustomerId &customer, const std::string &requestId);
+
+/// The service and the software version of the server that began a stream.
+struct StreamOrigin
+{
+    std::string service;
+    std::string softwareVersion;
+
+    auto operator<=>(const StreamOrigin &) const = default;
+};
+
+/// Streams of one origin, as hosts report them to each other.
+struct StreamReport
+{
+    StreamOrigin origin;
+    std::vector<StreamId> streams;
+
+    bool operator==(const StreamReport &) const = default;
+};
+
+/// Where a stream may go on that its caller takes up.
+struct Continuation
+{
+    enum class Kind {
+        AnyServer,   ///< The service has had servers of one version only.
+        SameVersion, ///< At a server of the version that began the stream.
+        Unknown,     ///< It is not known which version began the stream.
+    };
+
+    Kind kind = Kind::AnyServer;
+    /// Set for Kind::SameVersion.
+    std::string softwareVersion;
+};
+
+/// Returns the name of \a kind in metrics.
+const char *nameOf(Continuation::Kind kind);
+
+/// Remembers which software version began each stream.
+///
+/// Servers of several versions may serve side by side in one service. What two versions write does
+/// not fit together, and servers do not check what they continue. Callers take streams up at any
+/// host, often because the host that began them has ended, so hosts tell each other the origins of
+/// their streams while a service has servers of several versions, and all that they know to a host
+/// that has started. An origin that is not known is never guessed.
+class StreamOrigins
+{
+public:
+    StreamOrigins();
+
+    /// The host that began a stream, as seen from this one.
+    enum class Source : std::uint8_t {
+        Self,
+        OwnZone,
+        OtherZone,
+    };
+
+    /// Sets the longest time that a caller may wait for the end of a stream. Origins and versions
+    /// are remembered for longer than that.
+    void setLongestStream(Base::Duration time);
+    /// Notes the versions of the servers in use. Must be called when servers change, and every
+    /// second.
+    void setServers(const std::map<Base::ServerId, RegisteredServer> &servers, Base::TimePoint now);
+    /// Records that the first event of \a stream was forwarded by this host.
+    void recordBegun(StreamId stream, const StreamOrigin &origin, Base::TimePoint now);
+    /// Takes in what another host reports. If \a relays, this host's reports will contain it too.
+    void apply(const std::vector<StreamReport> &reports, Source source, bool relays,
+               Base::TimePoint now);
+    /// Reports the streams of all hosts up to \a source anew, since another host has started.
+    void repeatReports(Source source, Base::TimePoint now);
+    /// Returns the origins that are due in a report, of the streams of all hosts up to \a source.
+    std::vector<StreamReport> reports(Source source, Base::TimePoint now) const;
+
+    /// Returns where \a stream of \a service may go on; \a stream is empty if the caller does not
+    /// name it.
+    Continuation continuation(const std::string &service, const std::optional<StreamId> &stream,
+                              Base::TimePoint now) const;
+    /// Forgets what is too old.
+    void advance(Base::TimePoint now);
+    std::size_t size() const { return m_streams.size(); }
+
+private:
+    struct Entry
+    {
+        const StreamOrigin *origin = nullptr;
+        Source source = Source::Self;
+        Base::TimePoint knownAt;
+    };
+    struct TimedStream
+    {
+        StreamId stream = 0;
+        Base::TimePoint at;
+    };
+
+    void add(StreamId stream, const StreamOrigin &origin, Source source, Base::TimePoint now);
+    /// Reports all streams of \a service that hosts up to \a source began, a part at a time.
+    void reportAll(Source source, const std::string &service, Base::TimePoint now);
+    /// Returns whether servers of several versions have served in \a service recently.
+    bool isMixed(const std::string &service, Base::TimePoint now) const;
+    void recordVersion(const StreamOrigin &origin, Base::TimePoint now);
+
+    Base::Duration m_memory;
+    /// Never shrinks; it has an element for each version of each service.
+    std::set<StreamOrigin> m_origins;
+    std::map<std::string, std::map<std::string, Base::TimePoint>> m_versionsSeenAt;
+    std::unordered_map<StreamId, Entry> m_streams;
+    /// The streams in the order in which they became known.
+    std::deque<TimedStream> m_byAge;
+    /// The streams that are reported, with the time from which on.
+    std::deque<TimedStream> m_reported;
+};
+
+} // namespace Routing
--- a/src/libs/routing/work.cpp
+++ b/src/libs/routing/work.cpp
@@ -7,6 +7,8 @@
     switch (reason) {
     case RejectionReason::NoServer:
         return "no_server";
+    case RejectionReason::NoVersion:
+        return "no_version";
     case RejectionReason::BackedOff:
         return "backed_off";
     case RejectionReason::TooLate:
--- a/src/libs/routing/work.h
+++ b/src/libs/routing/work.h
@@ -4,6 +4,8 @@
 #include "base/time.h"
 
 #include <cstdint>
+#include <optional>
+#include <string>
 #include <vector>
 
 namespace Routing {
@@ -41,6 +43,10 @@
     std::vector<PromptPart> parts;
     /// The servers at which earlier attempts of this request failed. Other servers are preferred.
     std::vector<Base::ServerId> tried;
+    /// The only software version whose servers may run the request; empty if any may.
+    std::optional<std::string> softwareVersion;
+    /// Whether the request goes on with a stream that this fleet has begun for the same customer.
+    bool isContinuation = false;
 };
 
 /// The values on which the choice of a server was based. They are written to the log.
@@ -73,6 +79,7 @@
 
 enum class RejectionReason {
     NoServer,    ///< No server of the service is known, or all of them leave.
+    NoVersion,   ///< No server has the software version that the request needs.
     BackedOff,   ///< All servers asked for no requests for longer than the request can wait.
     TooLate,     ///< The request could not start in time behind the requests that wait already.
     QueueFull,   ///< The number of waiting requests has reached this host's limit.
--- a/tests/auto/gateway/tst_exchange.cpp
+++ b/tests/auto/gateway/tst_exchange.cpp
@@ -76,6 +76,13 @@
     {
         return {};
     }
+    Routing::Continuation continuation(const std::string &,
+                                       const std::optional<Routing::StreamId> &) override
+    {
+        return {};
+    }
+    void streamResumed(bool, Routing::Continuation::Kind) override {}
+    void streamBegun(Routing::StreamId, const Routing::StreamOrigin &) override {}
     bool isGone(const Base::ServerId &) const override { return false; }
     const Routing::CrashHistory &crashes() override { return m_crashes; }
     void serverMayHaveEnded(const Routing::RequestContent &content,
--- a/tests/auto/gateway/tst_fleetview.cpp
+++ b/tests/auto/gateway/tst_fleetview.cpp
@@ -307,6 +307,7 @@
                        milliseconds(20),
                        true},
                       {{Base::CustomerId("c"), 5}, {}, {}, milliseconds(30), false}};
+    before.streams = {{{"pool", "v1"}, {1ULL << 63, 7}}, {{"pool", "v2"}, {}}};
     const auto after = decodeReport(encodeReport(before));
     REQUIRE(after);
     CHECK(*after == before);
--- /dev/null
+++ b/tests/auto/routing/tst_streamorigins.cpp
@@ -0,0 +1,232 @@
+#include "routing/dispatcher.h"
+#include "routing/streamorigins.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+using namespace Routing;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using Kind = Continuation::Kind;
+using Source = StreamOrigins::Source;
+
+namespace {
+
+constexpr Base::TimePoint start{seconds(1000)};
+const std::string pool = "pool";
+
+/// Returns a server for each element of \a versions.
+std::vector<RegisteredServer> servers(const std::vector<std::string> &versions)
+{
+    std::vector<RegisteredServer> all;
+    for (const std::string &version : versions) {
+        RegisteredServer server;
+        server.id = Base::ServerId("s" + std::to_string(all.size()));
+        server.service = pool;
+        server.slots = 4;
+        server.softwareVersion = version;
+        all.push_back(server);
+    }
+    return all;
+}
+
+void setServers(StreamOrigins &origins, const std::vector<std::string> &versions,
+                Base::TimePoint now)
+{
+    std::map<Base::ServerId, RegisteredServer> byId;
+    for (const RegisteredServer &it : servers(versions))
+        byId[it.id] = it;
+    origins.setServers(byId, now);
+}
+
+Work prompt(WorkId id, Base::TimePoint now)
+{
+    Work work;
+    work.id = id;
+    work.customer = Base::CustomerId("c");
+    work.arrivedAt = now;
+    work.startBy = now + milliseconds(800);
+    work.deadline = now + seconds(8);
+    work.promptTokens = 3000;
+    work.outputTokens = 100;
+    work.parts = {{id * 31, 2000}, {id * 7919, 1000}};
+    return work;
+}
+
+Dispatcher dispatcherWith(const std::vector<std::string> &versions)
+{
+    const ServiceTraits traits{true, 500000, 40, 0};
+    Dispatcher dispatcher(traits, Base::ZoneId("z"));
+    dispatcher.setServers(servers(versions));
+    return dispatcher;
+}
+
+} // namespace
+
+// Guards against streams that go on at another version because their host was killed.
+TEST_CASE("any host knows the version of a stream that another one began", "[routing]")
+{
+    StreamOrigins a;
+    StreamOrigins b;
+    for (StreamOrigins *it : {&a, &b})
+        setServers(*it, {"v1"}, start);
+    a.recordBegun(1, {pool, "v1"}, start);
+    CHECK(a.reports(Source::Self, start).empty());
+    // A second version appears while the first stream is open.
+    const Base::TimePoint now = start + seconds(2);
+    for (StreamOrigins *it : {&a, &b})
+        setServers(*it, {"v1", "v2"}, now);
+    a.recordBegun(2, {pool, "v2"}, now);
+    CHECK(b.continuation(pool, 1, now).kind == Kind::Unknown);
+    b.apply(a.reports(Source::Self, now), Source::OtherZone, false, now);
+    CHECK(b.continuation(pool, 1, now).softwareVersion == "v1");
+    CHECK(b.continuation(pool, 2, now).softwareVersion == "v2");
+    CHECK(b.continuation(pool, 3, now).kind == Kind::Unknown);
+    CHECK(b.continuation(pool, std::nullopt, now).kind == Kind::Unknown);
+    CHECK(a.reports(Source::Self, now + seconds(1)).empty());
+    // A host that starts is told by those that are left.
+    StreamOrigins c;
+    setServers(c, {"v1", "v2"}, now + seconds(3));
+    b.repeatReports(Source::OtherZone, now + seconds(3));
+    c.apply(b.reports(Source::OtherZone, now + seconds(3)), Source::OtherZone, false,
+            now + seconds(3));
+    CHECK(c.continuation(pool, 1, now + seconds(3)).softwareVersion == "v1");
+}
+
+// Guards against streams that are refused, or go on anywhere, when only one version is left.
+TEST_CASE("an unknown stream goes on only if no other version has served for long", "[routing]")
+{
+    StreamOrigins origins;
+    origins.setLongestStream(seconds(40));
+    setServers(origins, {"v1"}, start);
+    CHECK(origins.continuation(pool, 1, start).kind == Kind::AnyServer);
+    setServers(origins, {"v2"}, start + seconds(1));
+    CHECK(origins.continuation(pool, 1, start + seconds(1)).kind == Kind::Unknown);
+    CHECK(origins.continuation("other", 1, start + seconds(1)).kind == Kind::AnyServer);
+    setServers(origins, {"v2"}, start + seconds(79));
+    CHECK(origins.continuation(pool, 1, start + seconds(79)).kind == Kind::Unknown);
+    setServers(origins, {"v2"}, start + seconds(81));
+    CHECK(origins.continuation(pool, 1, start + seconds(81)).kind == Kind::AnyServer);
+}
+
+TEST_CASE("no host names a wrong version, whatever is lost", "[routing]")
+{
+    rc::prop("hosts are killed and reports lost", [] {
+        const std::vector<std::string> versions{"v1", "v2", "v3"};
+        std::vector<std::unique_ptr<StreamOrigins>> hosts;
+        const auto started = [&](Base::TimePoint now) {
+            auto host = std::make_unique<StreamOrigins>();
+            setServers(*host, versions, now);
+            return host;
+        };
+        for (int i = 0; i < 4; ++i)
+            hosts.push_back(started(start));
+        std::map<StreamId, std::string> begun;
+        for (StreamId stream = 1; stream < 60; ++stream) {
+            const Base::TimePoint now = start + milliseconds(200) * static_cast<int>(stream);
+            const auto at = *rc::gen::inRange<std::size_t>(0, hosts.size());
+            begun[stream] = versions[*rc::gen::inRange<std::size_t>(0, versions.size())];
+            hosts[at]->recordBegun(stream, {pool, begun[stream]}, now);
+            const bool isStart = *rc::gen::inRange(0, 10) == 0;
+            if (isStart)
+                hosts[*rc::gen::inRange<std::size_t>(0, hosts.size())] = started(now);
+            for (const auto &from : hosts) {
+                if (isStart)
+                    from->repeatReports(Source::OtherZone, now);
+                for (const auto &to : hosts) {
+                    if (from != to && *rc::gen::inRange(0, 5) > 0)
+                        to->apply(from->reports(Source::OtherZone, now), Source::OtherZone, false,
+                                  now);
+                }
+            }
+            for (const auto &host : hosts) {
+                const StreamId asked = *rc::gen::inRange<StreamId>(1, stream + 1);
+                const Continuation it = host->continuation(pool, asked, now);
+                RC_ASSERT(it.kind != Kind::AnyServer);
+                RC_ASSERT(it.kind == Kind::Unknown || it.softwareVersion == begun[asked]);
+            }
+        }
+    });
+}
+
+// Guards against reports that outgrow a datagram when a host starts beside thousands of streams.
+TEST_CASE("many streams are told in parts, each in time", "[routing]")
+{
+    StreamOrigins a;
+    StreamOrigins b;
+    setServers(a, {"v1", "v2"}, start);
+    setServers(b, {"v1", "v2"}, start);
+    for (StreamId stream = 1; stream <= 2500; ++stream)
+        a.recordBegun(stream, {pool, stream % 2 == 0 ? "v1" : "v2"}, start);
+    Base::TimePoint now = start + seconds(5);
+    a.repeatReports(Source::Self, now);
+    for (int i = 0; i < 10; ++i) {
+        const std::vector<StreamReport> reports = a.reports(Source::Self, now);
+        std::size_t count = 0;
+        for (const StreamReport &it : reports)
+            count += it.streams.size();
+        CHECK(count <= 1000);
+        b.apply(reports, Source::OtherZone, false, now);
+        now += milliseconds(200);
+        a.advance(now);
+    }
+    CHECK(b.size() == 2500);
+}
+
+// Guards against a customer that takes up other customers' streams, or its own under their ids.
+TEST_CASE("the id of a stream depends on its customer", "[routing]")
+{
+    CHECK(streamId(Base::CustomerId("a"), "1") != streamId(Base::CustomerId("b"), "1"));
+    CHECK(streamId(Base::CustomerId("a"), "1") == streamId(Base::CustomerId("a"), "1"));
+}
+
+TEST_CASE("a stream goes on only at servers of the version that began it", "[routing]")
+{
+    rc::prop("any mix of versions and loads", [] {
+        const auto count = *rc::gen::inRange<std::size_t>(2, 9);
+        std::vector<std::string> versions;
+        for (std::size_t i = 0; i < count; ++i)
+            versions.push_back(*rc::gen::element<std::string>("v1", "v2"));
+        Dispatcher dispatcher = dispatcherWith(versions);
+        const auto versionOf = [&](const Base::ServerId &id) {
+            return versions[std::stoul(id.value().substr(1))];
+        };
+        std::map<WorkId, std::string> wanted;
+        const auto check = [&](const Decisions &decisions) {
+            for (const Placement &it : decisions.placements)
+                RC_ASSERT(wanted.count(it.work) == 0 || versionOf(it.server) == wanted[it.work]);
+            for (const Rejection &it : decisions.rejected)
+                RC_ASSERT(it.reason != RejectionReason::NoVersion || wanted.count(it.work) > 0);
+        };
+        Base::TimePoint now = start;
+        for (WorkId id = 1; id < 60; ++id) {
+            Work work = prompt(id, now);
+            if (*rc::gen::arbitrary<bool>()) {
+                work.softwareVersion = wanted[id] = *rc::gen::element<std::string>("v1", "v2");
+                work.isContinuation = true;
+            }
+            check(dispatcher.submit(std::move(work), now));
+            now += milliseconds(*rc::gen::inRange(0, 40));
+            if (*rc::gen::arbitrary<bool>())
+                check(dispatcher.finished(*rc::gen::inRange<WorkId>(1, id + 1),
+                                          AttemptOutcome::Served, now));
+            check(dispatcher.advance(now));
+        }
+    });
+}
+
+// Guards against callers that wait for a version of which no server is left.
+TEST_CASE("a stream whose version has no server left is refused at once", "[routing]")
+{
+    Dispatcher dispatcher = dispatcherWith({"v2", "v2"});
+    Work work = prompt(1, start);
+    work.softwareVersion = "v1";
+    const Decisions decisions = dispatcher.submit(work, start);
+    REQUIRE(decisions.rejected.size() == 1);
+    CHECK(decisions.rejected.front().reason == RejectionReason::NoVersion);
+}
