--- a/src/libs/routing/prefixfetch.cpp
+++ b/src/libs/routing/prefixfetch.cpp
@@ -20,10 +20,11 @@
     : m_cost(&cost)
 {
     // A large pool has tens of sources, and each decision looks at all servers for each of them.
-    // One source per zone is enough.
+    // One source per zone and version is enough.
     for (PrefixSource &source : sources) {
-        const auto sameZone = std::find_if(m_sources.begin(), m_sources.end(),
-                                           [&](const auto &it) { return it.zone == source.zone; });
+        const auto sameZone = std::find_if(m_sources.begin(), m_sources.end(), [&](const auto &it) {
+            return it.zone == source.zone && it.softwareVersion == source.softwareVersion;
+        });
         if (sameZone == m_sources.end())
             m_sources.push_back(std::move(source));
         else if (isBetter(source, *sameZone))
@@ -32,12 +33,14 @@
 }
 
 std::optional<FetchPlan> PrefixFetch::plan(const Base::ServerId &server, const Base::ZoneId &zone,
-                                           std::uint32_t cachedTokens) const
+                                           std::uint32_t cachedTokens,
+                                           const std::string &softwareVersion) const
 {
     std::optional<FetchPlan> best;
     double maxSaved = 0;
     for (const PrefixSource &source : m_sources) {
-        if (source.server == server || source.tokens <= cachedTokens)
+        if (source.server == server || source.softwareVersion != softwareVersion
+            || source.tokens <= cachedTokens)
             continue;
         const std::uint32_t tokens = source.tokens - cachedTokens;
         const double fetching =
--- a/src/libs/routing/prefixfetch.h
+++ b/src/libs/routing/prefixfetch.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace Routing {
@@ -18,6 +19,7 @@
     std::uint32_t tokens = 0;
     /// The time in milliseconds for the transfers that are queued at the server.
     double queuedMilliseconds = 0;
+    std::string softwareVersion = {};
 };
 
 /// The plan that a server fetches a prompt's beginning from another server instead of reading it.
@@ -45,13 +47,14 @@
     PrefixFetch(const ServerCost &cost, std::vector<PrefixSource> sources);
 
     /// Returns the best fetch for \a server in \a zone that has \a cachedTokens itself, or nothing
-    /// if reading is cheaper.
+    /// if reading is cheaper. What a server of another software version has cached does not fit.
     std::optional<FetchPlan> plan(const Base::ServerId &server, const Base::ZoneId &zone,
-                                  std::uint32_t cachedTokens) const;
+                                  std::uint32_t cachedTokens,
+                                  const std::string &softwareVersion = {}) const;
 
 private:
     const ServerCost *m_cost;
-    /// The best source of each zone.
+    /// The best source of each zone and software version.
     std::vector<PrefixSource> m_sources;
 };
 
--- a/src/libs/routing/serverchoice.cpp
+++ b/src/libs/routing/serverchoice.cpp
@@ -130,7 +130,8 @@
 {
     Candidate candidate;
     candidate.state = &state;
-    candidate.fetch = prompt.fetch.plan(state.server.id, state.server.zone, cachedTokens);
+    candidate.fetch = prompt.fetch.plan(state.server.id, state.server.zone, cachedTokens,
+                                        state.server.softwareVersion);
     const std::uint32_t available = cachedTokens + (candidate.fetch ? candidate.fetch->tokens : 0);
     if (pool.isEngine())
         candidate.unreadTokens = work.promptTokens - std::min(available, work.promptTokens);
@@ -170,7 +171,8 @@
             continue;
         const std::uint32_t tokens = state.cache.fetchableTokens(prefixes, now);
         if (tokens > 0)
-            sources.push_back({id, state.server.zone, tokens, state.outgoingFetchMilliseconds});
+            sources.push_back({id, state.server.zone, tokens, state.outgoingFetchMilliseconds,
+                               state.server.softwareVersion});
     }
     return sources;
 }
--- a/tests/auto/routing/tst_placement.cpp
+++ b/tests/auto/routing/tst_placement.cpp
@@ -318,6 +318,35 @@
     CHECK(others.placements[0].fetchFrom != source);
 }
 
+// Guards against cached prompts that one software version wrote and another one goes on with.
+TEST_CASE("a beginning is fetched only from servers of the same software version", "[routing]")
+{
+    const ServiceTraits traits{true, 500000, 40, 0, 0.001};
+    Dispatcher dispatcher(traits, Base::ZoneId("near"));
+    std::vector<RegisteredServer> all = servers(6);
+    for (std::size_t i = 0; i < all.size(); ++i)
+        all[i].softwareVersion = i < 3 ? "v1" : "v2";
+    dispatcher.setServers(all);
+    const auto versionOf = [&](const Base::ServerId &id) {
+        return all[std::stoul(id.value().substr(1))].softwareVersion;
+    };
+    dispatcher.submit(prompt(1, 42, start), start);
+    const Base::TimePoint later = start + seconds(1);
+    std::size_t fetches = 0;
+    std::set<std::string> used;
+    for (WorkId id = 2; id <= 24; ++id) {
+        for (const Placement &it : dispatcher.submit(prompt(id, 42, later), later).placements) {
+            used.insert(versionOf(it.server));
+            if (it.fetchFrom.isEmpty())
+                continue;
+            ++fetches;
+            CHECK(versionOf(it.fetchFrom) == versionOf(it.server));
+        }
+    }
+    CHECK(fetches > 0);
+    CHECK(used.size() == 2);
+}
+
 TEST_CASE("fetches are spread over sources, and sources of the same zone are preferred",
           "[routing]")
 {
