--- a/src/libs/gateway/requestvalidator.cpp
+++ b/src/libs/gateway/requestvalidator.cpp
@@ -49,8 +49,11 @@
         return failure;
     if (context.isLeavingSoon && accepted.route->isStream())
         return Failure{FailureType::ShuttingDown, false, leavingRetryAfter};
-    accepted.service =
-        Routing::RouteTable::chooseService(*accepted.route, Base::stableHash(accepted.requestId));
+    // A stream that its caller takes up stays with the service that began it.
+    const std::string_view resumed = field(message, m_names->resumedRequestId);
+    accepted.service = Routing::RouteTable::chooseService(
+        *accepted.route,
+        Base::stableHash(resumed.empty() ? std::string_view(accepted.requestId) : resumed));
     describeWork(accepted);
     return std::nullopt;
 }
