--- a/src/libs/routing/serverset.cpp
+++ b/src/libs/routing/serverset.cpp
@@ -260,8 +260,10 @@
 std::uint64_t ServerSet::fingerprint() const
 {
     std::uint64_t hash = m_servers.size();
-    for (const auto &[id, server] : m_servers)
+    for (const auto &[id, server] : m_servers) {
         hash = Base::stableHash(server.address, Base::stableHash(id.value(), hash));
+        hash = Base::stableHash(server.softwareVersion, hash);
+    }
     return hash;
 }
 
--- a/tests/auto/routing/tst_serverset.cpp
+++ b/tests/auto/routing/tst_serverset.cpp
@@ -36,6 +36,23 @@
 
 } // namespace
 
+// Guards against hosts that never notice that they know different versions of a server.
+TEST_CASE("the fingerprint depends on the software versions of the servers", "[routing]")
+{
+    RegisteredServer server;
+    server.id = Base::ServerId("s");
+    server.start.name = "s";
+    server.softwareVersion = "v1";
+    ServerSet one(seconds(2));
+    one.apply({server}, start);
+    server.softwareVersion = "v2";
+    ServerSet other(seconds(2));
+    other.apply({server}, start);
+    CHECK(one.fingerprint() != other.fingerprint());
+    one.applyChanges(other.asChanges(start), start);
+    CHECK(one.fingerprint() == other.fingerprint());
+}
+
 TEST_CASE("a server that was seen leaving gets no requests again", "[routing]")
 {
     // A server announces that it leaves, and then a reading of an older state of the store still
