--- a/src/libs/routing/dispatcher.cpp
+++ b/src/libs/routing/dispatcher.cpp
@@ -17,11 +17,6 @@
 constexpr double maxWaitShare = 0.5;
 /// The maximum number of requests that wait at this host. Each holds a body of about ten kilobytes.
 constexpr std::size_t maxWaiting = 400;
-/// Generating a token costs an engine about as much as reading two tokens.
-constexpr double generatedTokenWeight = 2;
-/// The expected ratio of generated to allowed tokens: callers allow about four times as many tokens
-/// as are generated.
-constexpr double expectedGeneratedShare = 0.25;
 /// The time from another host's report until the server has read the reported prompt. Servers have
 /// up to a third of a second of reading queued, and the report was on its way for a tenth of a
 /// second.
@@ -43,12 +38,6 @@
 /// Other servers may come meanwhile.
 constexpr milliseconds maxBackoffRetryAfter{30'000};
 
-double tokensOf(const Work &work)
-{
-    return 1 + work.promptTokens
-           + generatedTokenWeight * expectedGeneratedShare * work.outputTokens;
-}
-
 Base::Duration toDuration(double milliseconds)
 {
     return std::chrono::duration_cast<Base::Duration>(
@@ -113,6 +102,7 @@
     // rejected now, its caller could not be told that it has not run. So was a stream that its
     // caller takes up.
     const bool isRetry = !work.tried.empty();
+    work.isContinuation = work.isContinuation && m_pool.hasSeveralVersions();
     const Admission admission = isRetry || work.isContinuation
                                     ? Admission::WithinShare
                                     : m_shares.admission(work.customer, now);
@@ -132,7 +122,8 @@
     // Waiting requests mostly wait for servers that are full, so a new request may overtake them.
     const std::optional<ServerChoice::Candidate> candidate =
         m_choice.select(m_pool, work, now, admission, onlyWithCapacity);
-    if (candidate && candidate->hasRoom) {
+    const bool mayOvertake = work.isContinuation || (candidate && !isAwaited(*candidate->state));
+    if (candidate && candidate->hasRoom && mayOvertake) {
         if (!isRetry)
             m_shares.recordAdmitted(work.customer, tokensOf(work), now);
         place(std::move(work), *candidate, now, decisions);
@@ -146,7 +137,7 @@
         decisions.rejected.push_back(makeRejection(work, RejectionReason::QueueFull, now));
         return decisions;
     }
-    if (now + expectedWait(work.customer, now) > latestPlacement(work)) {
+    if (now + expectedWait(work, now) > latestPlacement(work)) {
         // A server that has to read more of the prompt is better than none.
         if (const std::optional<ServerChoice::Candidate> any =
                 m_choice.select(m_pool, work, now, admission, true)) {
@@ -393,28 +384,33 @@
     return std::nullopt;
 }
 
-Base::Duration Dispatcher::expectedWait(const Base::CustomerId &customer, Base::TimePoint now) const
+Base::Duration Dispatcher::expectedWait(const Work &work, Base::TimePoint now) const
 {
+    if (work.isContinuation && work.softwareVersion) {
+        const auto ahead = static_cast<double>(m_waiting.tokensTakenUp(*work.softwareVersion));
+        return toDuration(ahead / drainTokensPerMs(work, now));
+    }
     // Customers take turns, so the wait of a customer is the time for its own requests multiplied
     // by the number of customers that wait.
-    const std::uint64_t own = m_waiting.tokensOf(customer);
+    const std::uint64_t own = m_waiting.tokensOf(work.customer);
     const std::size_t customers = std::max<std::size_t>(m_waiting.customers(), 1);
     const double tokens = std::min(static_cast<double>(own) * static_cast<double>(customers),
                                    static_cast<double>(m_waiting.tokens()));
-    return toDuration(tokens / drainTokensPerMs(now));
+    return toDuration(tokens / drainTokensPerMs(work, now));
 }
 
-double Dispatcher::drainTokensPerMs(Base::TimePoint now) const
+double Dispatcher::drainTokensPerMs(const Work &work, Base::TimePoint now) const
 {
     const double hosts =
         m_peerLoad ? static_cast<double>(std::max<std::size_t>(m_peerLoad->hosts, 1)) : 1;
-    const auto servers = static_cast<double>(std::max<std::size_t>(m_pool.willingServers(now), 1));
+    const std::size_t willing = m_pool.willingServers(work, now);
+    const auto servers = static_cast<double>(std::max<std::size_t>(willing, 1));
     return std::max(1.0, servers * m_pool.cost().traits().readTokensPerMs / hosts);
 }
 
 Base::Milliseconds Dispatcher::retryAfter(Base::TimePoint now) const
 {
-    const double ms = static_cast<double>(m_waiting.tokens()) / drainTokensPerMs(now);
+    const double ms = static_cast<double>(m_waiting.tokens()) / drainTokensPerMs(Work(), now);
     const milliseconds drained =
         std::clamp(milliseconds(static_cast<std::int64_t>(ms)), minRetryAfter, maxRetryAfter);
     return std::max(drained, backoffRetryAfter(now));
--- a/src/libs/routing/dispatcher.h
+++ b/src/libs/routing/dispatcher.h
@@ -34,6 +34,10 @@
 /// CustomerShares decides how much capacity a customer's requests may use. Within its share, a
 /// request waits for a server that is full. Beyond its share, it is placed on a server with little
 /// load, or rejected at once.
+///
+/// While servers of several software versions serve, a stream that its caller takes up may go on at
+/// a few of them only. It is within its customer's share, waits before all others, and is not
+/// overtaken at these servers.
 class Dispatcher
 {
 public:
@@ -133,12 +137,19 @@
     /// Places each request that has waited too long on any server with capacity, or rejects it if
     /// there is none.
     void resolveOverdue(Base::TimePoint now, Decisions &decisions);
-    /// Returns the estimated time that a new request of \a customer waits behind the waiting ones.
-    Base::Duration expectedWait(const Base::CustomerId &customer, Base::TimePoint now) const;
+    /// Returns the estimated time that \a work waits behind the waiting requests.
+    Base::Duration expectedWait(const Work &work, Base::TimePoint now) const;
+    /// Returns whether a stream that is taken up waits for a server like this one. Nothing else may
+    /// overtake it there.
+    bool isAwaited(const ServerState &state) const
+    {
+        return m_waiting.tokensTakenUp(state.server.softwareVersion) > 0;
+    }
     /// Returns why no server wants \a work in time, or nothing if one does. How much the servers
     /// have to do does not matter.
     std::optional<RejectionReason> unavailability(const Work &work, Base::TimePoint now) const;
-    double drainTokensPerMs(Base::TimePoint now) const;
+    /// Returns this host's part of the reading speed of the servers that may run \a work.
+    double drainTokensPerMs(const Work &work, Base::TimePoint now) const;
     Base::Milliseconds retryAfter(Base::TimePoint now) const;
 
     ServerPool m_pool;
--- a/src/libs/routing/fairwaitqueue.cpp
+++ b/src/libs/routing/fairwaitqueue.cpp
@@ -10,15 +10,15 @@
 
 bool goesBefore(const Work &a, const Work &b)
 {
-    return std::tie(a.priority, a.startBy, a.id) < std::tie(b.priority, b.startBy, b.id);
+    return std::tuple(!a.isContinuation, a.priority, a.startBy, a.id)
+           < std::tuple(!b.isContinuation, b.priority, b.startBy, b.id);
 }
 
 } // namespace
 
 void FairWaitQueue::push(Work work)
 {
-    ++m_size;
-    m_tokens += work.promptTokens;
+    addToTotals(work);
     std::vector<Work> &waiting = m_byCustomer[work.customer];
     const auto place = std::upper_bound(waiting.begin(), waiting.end(), work, goesBefore);
     waiting.insert(place, std::move(work));
@@ -27,13 +27,13 @@
 std::optional<Work> FairWaitQueue::takeNext(const Received &received)
 {
     auto next = m_byCustomer.end();
-    double leastAmount = 0;
+    std::pair<bool, double> least;
     for (auto it = m_byCustomer.begin(); it != m_byCustomer.end(); ++it) {
-        const double amount = received(it->first);
-        if (next != m_byCustomer.end() && amount >= leastAmount)
+        const std::pair order(!it->second.front().isContinuation, received(it->first));
+        if (next != m_byCustomer.end() && order >= least)
             continue;
         next = it;
-        leastAmount = amount;
+        least = order;
     }
     if (next == m_byCustomer.end())
         return std::nullopt;
@@ -78,10 +78,26 @@
     return sum;
 }
 
+std::uint64_t FairWaitQueue::tokensTakenUp(const std::string &softwareVersion) const
+{
+    const auto it = m_tokensTakenUp.find(softwareVersion);
+    return it == m_tokensTakenUp.end() ? 0 : it->second;
+}
+
+void FairWaitQueue::addToTotals(const Work &work)
+{
+    ++m_size;
+    m_tokens += work.promptTokens;
+    if (work.isContinuation && work.softwareVersion)
+        m_tokensTakenUp[*work.softwareVersion] += work.promptTokens;
+}
+
 void FairWaitQueue::removeFromTotals(const Work &work)
 {
     --m_size;
     m_tokens -= work.promptTokens;
+    if (work.isContinuation && work.softwareVersion)
+        m_tokensTakenUp[*work.softwareVersion] -= work.promptTokens;
 }
 
 } // namespace Routing
--- a/src/libs/routing/fairwaitqueue.h
+++ b/src/libs/routing/fairwaitqueue.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace Routing {
@@ -16,6 +17,9 @@
 /// load would delay everybody else's. Here the customer that has received least is next, so the
 /// requests of a flood wait behind each other. Within a customer, requests with a more urgent
 /// priority go first, and then those that must start first.
+///
+/// Streams that their callers take up go before all of these. Only the few servers of one software
+/// version may go on with them, while others may begin anywhere.
 class FairWaitQueue
 {
 public:
@@ -34,13 +38,18 @@
     std::size_t customers() const { return m_byCustomer.size(); }
     std::uint64_t tokensOf(const Base::CustomerId &customer) const;
     std::uint64_t tokens() const { return m_tokens; }
+    /// Returns the tokens of the streams that are taken up and wait for \a softwareVersion.
+    std::uint64_t tokensTakenUp(const std::string &softwareVersion) const;
 
 private:
+    void addToTotals(const Work &work);
     void removeFromTotals(const Work &work);
 
     std::map<Base::CustomerId, std::vector<Work>> m_byCustomer;
     std::size_t m_size = 0;
     std::uint64_t m_tokens = 0;
+    /// The tokens of the streams that are taken up, by software version.
+    std::map<std::string, std::uint64_t> m_tokensTakenUp;
 };
 
 } // namespace Routing
--- a/src/libs/routing/serverpool.cpp
+++ b/src/libs/routing/serverpool.cpp
@@ -30,6 +30,9 @@
         next[server.id].server = server;
     }
     m_servers = std::move(next);
+    m_hasSeveralVersions = std::any_of(servers.begin(), servers.end(), [&](const auto &it) {
+        return it.softwareVersion != servers.front().softwareVersion;
+    });
     updateEvacuated();
 }
 
@@ -160,10 +163,10 @@
     });
 }
 
-std::size_t ServerPool::willingServers(Base::TimePoint now) const
+std::size_t ServerPool::willingServers(const Work &work, Base::TimePoint now) const
 {
     const auto willing = std::count_if(m_servers.begin(), m_servers.end(), [&](const auto &it) {
-        return wantsRequests(it.second, now);
+        return isCompatible(it.second, work) && wantsRequests(it.second, now);
     });
     return static_cast<std::size_t>(willing);
 }
--- a/src/libs/routing/serverpool.h
+++ b/src/libs/routing/serverpool.h
@@ -84,8 +84,11 @@
     ServerSnapshot snapshotOf(const ServerState &state, Base::TimePoint now) const;
     /// Returns whether the server has not announced that it wants no requests now.
     bool wantsRequests(const ServerState &state, Base::TimePoint now) const;
-    /// Returns the number of servers that have not announced that they want no requests now.
-    std::size_t willingServers(Base::TimePoint now) const;
+    /// Returns the number of servers that may run \a work and have not announced that they want no
+    /// requests now.
+    std::size_t willingServers(const Work &work, Base::TimePoint now) const;
+    /// Returns whether the servers have different software versions.
+    bool hasSeveralVersions() const { return m_hasSeveralVersions; }
     /// Returns whether the software of the server may run \a work.
     static bool isCompatible(const ServerState &state, const Work &work)
     {
@@ -122,6 +125,7 @@
     ServerPace m_pace;
     /// Whether a server told that it shares its machine with others, so that servers are unlike.
     bool m_areServersUnlike = false;
+    bool m_hasSeveralVersions = false;
     std::set<Base::ZoneId> m_evacuatedZones;
     const ServerNotices *m_notices = nullptr;
     std::map<Base::ServerId, ServerState> m_servers;
--- a/src/libs/routing/work.cpp
+++ b/src/libs/routing/work.cpp
@@ -2,6 +2,22 @@
 
 namespace Routing {
 
+namespace {
+
+/// Generating a token costs an engine about as much as reading two tokens.
+constexpr double generatedTokenWeight = 2;
+/// The expected ratio of generated to allowed tokens: callers allow about four times as many tokens
+/// as are generated.
+constexpr double expectedGeneratedShare = 0.25;
+
+} // namespace
+
+double tokensOf(const Work &work)
+{
+    return 1 + work.promptTokens
+           + generatedTokenWeight * expectedGeneratedShare * work.outputTokens;
+}
+
 const char *nameOf(RejectionReason reason)
 {
     switch (reason) {
--- a/src/libs/routing/work.h
+++ b/src/libs/routing/work.h
@@ -49,6 +49,9 @@
     bool isContinuation = false;
 };
 
+/// Returns the expected cost of a request to its engine, in tokens that it reads.
+double tokensOf(const Work &work);
+
 /// The values on which the choice of a server was based. They are written to the log.
 struct PlacementInputs
 {
--- a/tests/auto/routing/tst_streamorigins.cpp
+++ b/tests/auto/routing/tst_streamorigins.cpp
@@ -4,9 +4,11 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 using namespace Routing;
@@ -21,14 +23,15 @@
 const std::string pool = "pool";
 
 /// Returns a server for each element of \a versions.
-std::vector<RegisteredServer> servers(const std::vector<std::string> &versions)
+std::vector<RegisteredServer> servers(const std::vector<std::string> &versions,
+                                      std::uint32_t slots = 4)
 {
     std::vector<RegisteredServer> all;
     for (const std::string &version : versions) {
         RegisteredServer server;
         server.id = Base::ServerId("s" + std::to_string(all.size()));
         server.service = pool;
-        server.slots = 4;
+        server.slots = slots;
         server.softwareVersion = version;
         all.push_back(server);
     }
@@ -58,11 +61,11 @@
     return work;
 }
 
-Dispatcher dispatcherWith(const std::vector<std::string> &versions)
+Dispatcher dispatcherWith(const std::vector<std::string> &versions, std::uint32_t slots = 4)
 {
     const ServiceTraits traits{true, 500000, 40, 0};
     Dispatcher dispatcher(traits, Base::ZoneId("z"));
-    dispatcher.setServers(servers(versions));
+    dispatcher.setServers(servers(versions, slots));
     return dispatcher;
 }
 
@@ -230,3 +233,61 @@
     REQUIRE(decisions.rejected.size() == 1);
     CHECK(decisions.rejected.front().reason == RejectionReason::NoVersion);
 }
+
+// Guards against taken up streams that find no place beside more load than the pool can do.
+TEST_CASE("streams that are taken up go on at least half as often as new ones begin", "[routing]")
+{
+    const bool areAllTakenUp = GENERATE(false, true);
+    // With four slots, places are scarcer than the time to read prompts.
+    const std::uint32_t slots = GENERATE(4, 32);
+    Dispatcher dispatcher =
+        dispatcherWith({"v1", "v1", "v2", "v2", "v2", "v2", "v2", "v2", "v2"}, slots);
+    std::map<Base::ServerId, Base::TimePoint> readUntil;
+    std::multimap<Base::TimePoint, std::pair<WorkId, bool>> ends;
+    std::map<bool, int> asked;
+    std::map<bool, int> begun;
+    std::map<WorkId, Work> open;
+    const auto apply = [&](const Decisions &decisions, Base::TimePoint now) {
+        for (const Placement &it : decisions.placements) {
+            const Work &work = open.at(it.work);
+            // The servers read 40 tokens in a millisecond, one prompt after the other.
+            Base::TimePoint &until = readUntil[it.server];
+            until = std::max(until, now) + milliseconds(it.inputs.unreadTokens / 40);
+            begun[work.isContinuation] += until <= work.startBy ? 1 : 0;
+            ends.insert({until, {it.work, false}});
+            ends.insert({until + seconds(1), {it.work, true}});
+        }
+    };
+    WorkId id = 0;
+    for (int ms = 0; ms < 10000; ms += 2) {
+        const Base::TimePoint now = start + milliseconds(ms);
+        while (!ends.empty() && ends.begin()->first <= now) {
+            const auto [work, isEnd] = ends.begin()->second;
+            ends.erase(ends.begin());
+            if (isEnd)
+                apply(dispatcher.finished(work, AttemptOutcome::Served, now), now);
+            else
+                dispatcher.started(work, now);
+        }
+        const bool isBurst = areAllTakenUp && ms / 1000 == 5;
+        const int each = isBurst ? 5 : 50;
+        for (const bool isContinuation : {false, true}) {
+            if (ms % (isContinuation ? each : 4) != 0)
+                continue;
+            Work work = prompt(++id, now);
+            work.isContinuation = isContinuation;
+            if (isContinuation)
+                work.softwareVersion = "v1";
+            ++asked[isContinuation];
+            open[id] = work;
+            apply(dispatcher.submit(work, now), now);
+        }
+        if (ms % 25 == 0)
+            apply(dispatcher.advance(now), now);
+    }
+    const double shareOfNew = static_cast<double>(begun[false]) / asked[false];
+    const double shareOfTakenUp = static_cast<double>(begun[true]) / asked[true];
+    CAPTURE(shareOfNew, shareOfTakenUp);
+    CHECK(shareOfNew > 0);
+    CHECK(shareOfTakenUp >= 0.5 * shareOfNew);
+}
