--- a/src/libs/gateway/exchange.cpp
+++ b/src/libs/gateway/exchange.cpp
@@ -3,12 +3,9 @@
 #include "gateway/contentdigest.h"
 #include "gateway/eventlog.h"
 #include "gateway/gatewaymetrics.h"
-#include "gateway/rejectiontext.h"
 #include "gateway/silencelimit.h"
 
 #include <algorithm>
-#include <cinttypes>
-#include <cstdio>
 #include <utility>
 
 namespace Gateway {
@@ -27,6 +24,9 @@
 /// By then, another host has reported which software version began the stream.
 constexpr Base::Milliseconds unknownStreamRetryAfter{300};
 
+/// Other tries of the request have run.
+const Failure serversEnded{FailureType::ServersEnded, true, std::nullopt};
+
 bool isEventStreamHead(const ResponseHead &head)
 {
     return field(head, "Content-Type").starts_with("text/event-stream");
@@ -38,62 +38,39 @@
     : m_port(&port)
     , m_accepted(std::move(accepted))
     , m_sink(&sink)
+    , m_binding(StreamBinding::create(m_accepted, port.names()))
 {
     const std::string_view lastId = field(m_accepted.request.message, m_port->names().lastEventId);
-    m_resumeAfterId = parseNumber(lastId);
-    m_events = EventSplitter(m_resumeAfterId);
-    m_acceptedAt = m_port->now();
+    m_events = EventSplitter(parseNumber(lastId));
 }
 
 void Exchange::start()
 {
     if (isBlocked()) {
-        fail({FailureType::ServersEnded, true, std::nullopt});
+        fail(serversEnded);
         return;
     }
-    if (!determineContinuation()) {
-        fail({FailureType::UnknownStream, false, unknownStreamRetryAfter});
-        return;
+    if (m_binding.isTakenUp()) {
+        using Kind = Routing::Continuation::Kind;
+        const Kind kind = m_binding.bindTakenUp(m_port->memory().streamOrigins(), m_port->now());
+        m_port->streamResumed(true, kind);
+        if (kind == Kind::Unknown) {
+            fail({FailureType::UnknownStream, false, unknownStreamRetryAfter});
+            return;
+        }
+        m_accepted.work.isContinuation = kind == Kind::SameVersion;
     }
     submit();
 }
 
-bool Exchange::determineContinuation()
-{
-    if (!route().isStream())
-        return true;
-    const std::string resumed(field(m_accepted.request.message, m_port->names().resumedRequestId));
-    const bool isNew = resumed.empty() && !m_resumeAfterId;
-    if (isNew || !resumed.empty())
-        m_stream = Routing::streamId(m_accepted.customer, isNew ? m_accepted.requestId : resumed);
-    if (isNew)
-        return true;
-    const Routing::Continuation it = m_port->continuation(m_accepted.service, m_stream);
-    m_port->streamResumed(true, it.kind);
-    if (it.kind == Routing::Continuation::Kind::SameVersion) {
-        m_streamVersion = it.softwareVersion;
-        m_accepted.work.isContinuation = true;
-    }
-    return it.kind != Routing::Continuation::Kind::Unknown;
-}
-
-void Exchange::recordStreamBegun()
-{
-    if (m_streamVersion || route().kind != Routing::WorkKind::ResumableStream)
-        return;
-    m_streamVersion = m_softwareVersion;
-    if (m_stream)
-        m_port->streamBegun(*m_stream, {m_accepted.service, m_softwareVersion});
-}
-
 void Exchange::submit()
 {
     m_state = State::Waiting;
     m_isPlaced = false;
     Routing::Work work = m_accepted.work;
     work.tried = m_tried;
-    work.softwareVersion = m_streamVersion;
-    if (m_eventCount > 0)
+    work.softwareVersion = m_binding.softwareVersion();
+    if (m_record.events > 0)
         m_port->streamResumed(false, Routing::Continuation::Kind::SameVersion);
     m_port->submitWork(m_accepted.service, std::move(work));
 }
@@ -103,14 +80,12 @@
     if (m_state != State::Waiting)
         return;
     m_isPlaced = true;
-    m_server = placement.server;
-    m_inputs = placement.inputs;
-    m_fetchFrom = placement.fetchFrom;
-    const Routing::RegisteredServer *target = m_port->server(m_server);
-    const bool isOtherVersion =
-        target && m_streamVersion && target->softwareVersion != *m_streamVersion;
-    if (!target || isOtherVersion) {
-        ++m_sends;
+    m_record.server = placement.server;
+    m_record.inputs = placement.inputs;
+    m_record.fetchFrom = placement.fetchFrom;
+    const Routing::RegisteredServer *target = m_port->server(m_record.server);
+    if (!target || !m_binding.allows(*target)) {
+        ++m_record.sends;
         finishAttempt(AttemptOutcome::Withdrawn);
         handleFailedAttempt(AttemptOutcome::Withdrawn, false);
         return;
@@ -124,7 +99,7 @@
     // Servers may have ended under another try of the request while this one waited.
     if (isBlocked()) {
         finishAttempt(AttemptOutcome::Withdrawn);
-        fail({FailureType::ServersEnded, true, std::nullopt});
+        fail(serversEnded);
         return;
     }
     // On an overloaded host the caller may have left before its request was read. Its server would
@@ -146,12 +121,12 @@
     m_isWorkStarted = false;
     m_body.clear();
     m_events.discardPartialEvent();
-    m_sentAt = now;
-    m_softwareVersion = server.softwareVersion;
+    m_record.sentAt = now;
+    m_record.softwareVersion = server.softwareVersion;
     m_lastDataAt = now;
-    m_expectedStart = m_port->expectedStart(m_accepted.service, m_accepted.id);
-    m_backoffLeft = m_port->backoffLeft(server.id);
-    ++m_sends;
+    m_record.expectedStart = m_port->expectedStart(m_accepted.service, m_accepted.id);
+    m_record.backoffLeft = m_port->backoffLeft(server.id);
+    ++m_record.sends;
     m_tried.push_back(server.id);
     OutgoingAttempt attempt;
     attempt.text =
@@ -159,7 +134,7 @@
     attempt.requestId = m_accepted.requestId;
     attempt.isHead = m_accepted.request.message.method() == Http::verb::head;
     const std::shared_ptr<Exchange> self = shared_from_this();
-    const unsigned send = m_sends;
+    const unsigned send = m_record.sends;
     std::shared_ptr<BackendConnection> connection =
         m_port->backends().send({server, std::move(attempt), !route().mayRepeat()}, *this, now);
     if (!connection) {
@@ -168,7 +143,7 @@
         return;
     }
     // The attempt may have failed within the call, and another one may already be under way.
-    if (m_state == State::Sent && m_sends == send)
+    if (m_state == State::Sent && m_record.sends == send)
         m_connection = std::move(connection);
 }
 
@@ -180,14 +155,14 @@
         std::max<std::int64_t>(1, std::chrono::duration_cast<milliseconds>(left).count());
     added.expectedServer = server.start.name;
     const Routing::RegisteredServer *fetchSource =
-        m_fetchFrom.isEmpty() ? nullptr : m_port->server(m_fetchFrom);
+        m_record.fetchFrom.isEmpty() ? nullptr : m_port->server(m_record.fetchFrom);
     // A server that has left since does not hold the prompt any more, so the target server reads
     // all of it itself.
     if (fetchSource)
         added.fetchFrom = fetchSource->address;
     added.customer = m_accepted.customer.value();
     added.dropsAuthorization = !m_accepted.table->configuration().customers.empty();
-    if (m_eventCount > 0 && m_events.lastId())
+    if (m_record.events > 0 && m_events.lastId())
         added.lastEventId = std::to_string(*m_events.lastId());
     return added;
 }
@@ -201,7 +176,7 @@
 {
     if (m_state != State::Waiting)
         return;
-    m_rejection = why;
+    m_record.rejection = why;
     const bool isNoServer = why.reason == Routing::RejectionReason::NoServer
                             || why.reason == Routing::RejectionReason::NoVersion;
     const FailureType type = isNoServer ? FailureType::NoServer : FailureType::Rejection;
@@ -226,7 +201,7 @@
         return;
     logFailedAttempt(AttemptOutcome::Silent, true, true);
     m_mayHaveRun = true;
-    ++m_possibleRuns;
+    ++m_record.possibleRuns;
     cancelAttempt(AttemptOutcome::Silent);
     submit();
 }
@@ -237,9 +212,9 @@
         return false;
     if (m_isHeadSeen && !route().isStream())
         return false;
-    SilentAttempt attempt{route(), m_expectedStart, m_isWorkStarted, {}, {}};
-    attempt.silence = now - (m_isWorkStarted ? m_lastDataAt : m_sentAt);
-    if (const auto lastResponseAt = m_port->lastResponseFrom(m_server))
+    SilentAttempt attempt{route(), m_record.expectedStart, m_isWorkStarted, {}, {}};
+    attempt.silence = now - (m_isWorkStarted ? m_lastDataAt : m_record.sentAt);
+    if (const auto lastResponseAt = m_port->lastResponseFrom(m_record.server))
         attempt.serverQuiet = now - *lastResponseAt;
     return isTooSilent(attempt);
 }
@@ -269,7 +244,7 @@
 {
     m_isHeadSeen = true;
     m_lastDataAt = m_port->now();
-    m_port->serverResponded(m_server);
+    m_port->serverResponded(m_record.server);
     m_head = head;
     m_isEventStream =
         route().isStream() && head.result() == Http::status::ok && isEventStreamHead(head);
@@ -278,7 +253,7 @@
 void Exchange::answerData(std::string_view data)
 {
     m_lastDataAt = m_port->now();
-    m_port->serverResponded(m_server);
+    m_port->serverResponded(m_record.server);
     if (!m_isEventStream) {
         m_body.append(data);
         return;
@@ -295,17 +270,17 @@
         m_isWorkStarted = true;
         m_port->workStarted(m_accepted.service, m_accepted.id);
     }
-    recordStreamBegun();
-    if (m_eventCount == 0)
-        m_firstEventAt = m_lastEventAt = m_lastDataAt;
-    m_longestPause = std::max(m_longestPause, m_lastDataAt - m_lastEventAt);
-    m_lastEventAt = m_lastDataAt;
-    m_eventCount += whole.count;
+    m_binding.bindBegun(m_port->memory().streamOrigins(), m_record.softwareVersion, m_lastDataAt);
+    if (m_record.events == 0)
+        m_record.firstEventAt = m_record.lastEventAt = m_lastDataAt;
+    m_record.longestPause = std::max(m_record.longestPause, m_lastDataAt - m_record.lastEventAt);
+    m_record.lastEventAt = m_lastDataAt;
+    m_record.events += whole.count;
     m_port->eventsForwarded(whole.count);
     const std::shared_ptr<Exchange> self = shared_from_this();
     if (!m_isStreamStarted) {
         m_isStreamStarted = true;
-        m_status = m_head.result_int();
+        m_record.status = m_head.result_int();
         m_sink->startStream(m_head);
     }
     m_sink->sendEvents(whole.text);
@@ -319,7 +294,7 @@
     if (m_state != State::Sent)
         return;
     if (m_isEventStream) {
-        if (m_events.hasPartialEvent() || m_eventCount == 0) {
+        if (m_events.hasPartialEvent() || m_record.events == 0) {
             recordServerEnd(false);
             finishAttempt(AttemptOutcome::Broken);
             handleFailedAttempt(AttemptOutcome::Broken, true);
@@ -356,7 +331,7 @@
         if (!m_isStreamStarted && mayRetry(AttemptOutcome::ServerError, true)) {
             logFailedAttempt(AttemptOutcome::ServerError, true, true);
             m_mayHaveRun = true;
-            ++m_possibleRuns;
+            ++m_record.possibleRuns;
             submit();
             return;
         }
@@ -368,7 +343,7 @@
         fail({FailureType::ServerFailed, true, std::nullopt});
         return;
     }
-    m_status = status;
+    m_record.status = status;
     if (!m_isCallerGone)
         m_sink->sendAnswer(m_head, m_body);
     finish("answered");
@@ -399,18 +374,20 @@
 
 void Exchange::recordServerEnd(bool isSilence)
 {
-    m_port->serverMayHaveEnded(content(), {m_server, m_sentAt, m_port->now(), isSilence});
+    const Base::TimePoint now = m_port->now();
+    m_port->memory().recordServerEnd(content(), {m_record.server, m_record.sentAt, now, isSilence},
+                                     now);
 }
 
 void Exchange::recordServed()
 {
-    if (!m_port->crashes().isEmpty())
-        m_port->contentServed(content());
+    if (!m_port->memory().crashes().isEmpty())
+        m_port->memory().recordServed(content(), m_port->now());
 }
 
 bool Exchange::isBlocked()
 {
-    const Routing::CrashHistory &crashes = m_port->crashes();
+    const Routing::CrashHistory &crashes = m_port->memory().crashes();
     return !crashes.isEmpty() && crashes.isBlocked(content(), m_port->now());
 }
 
@@ -428,14 +405,14 @@
     logFailedAttempt(outcome, maybeRan, retries);
     if (maybeRan) {
         m_mayHaveRun = true;
-        ++m_possibleRuns;
+        ++m_record.possibleRuns;
     }
     if (retries) {
         submit();
         return;
     }
     if (isBlocked()) {
-        fail({FailureType::ServersEnded, true, std::nullopt});
+        fail(serversEnded);
         return;
     }
     const bool isNoRoom = outcome == AttemptOutcome::NoRoom;
@@ -445,11 +422,11 @@
 
 bool Exchange::mayRetry(AttemptOutcome outcome, bool maybeRan)
 {
-    if (m_isCallerGone || m_sends >= maxSends || isBlocked())
+    if (m_isCallerGone || m_record.sends >= maxSends || isBlocked())
         return false;
     if (maybeRan && !route().mayRepeat())
         return false;
-    if (m_possibleRuns + (maybeRan ? 1 : 0) >= route().maxAttempts)
+    if (m_record.possibleRuns + (maybeRan ? 1 : 0) >= route().maxAttempts)
         return false;
     if (m_isStreamStarted && route().kind != Routing::WorkKind::ResumableStream)
         return false;
@@ -491,7 +468,7 @@
         finish(failureName(failure.type));
         return;
     }
-    m_status = failureStatus(failure);
+    m_record.status = failureStatus(failure);
     // Rejected callers mostly come back on a new connection, and keeping this one open would cost a
     // busy host more than the rejection.
     if (!failure.mayHaveRun && m_port->isBusy())
@@ -510,34 +487,16 @@
     m_port->exchangeFinished(m_accepted.id);
 }
 
-std::string Exchange::contentText()
-{
-    char text[17];
-    std::snprintf(text, sizeof(text), "%016" PRIx64, content().digest);
-    return text;
-}
-
 void Exchange::logFailedAttempt(AttemptOutcome outcome, bool maybeRan, bool retries)
 {
     m_port->attemptFailed(outcome);
     const Base::TimePoint now = m_port->now();
     if (!m_port->log().tryAcquireRequestLine(true, now))
         return;
-    LogLine line("request.attempt_failed");
-    line.add("request", m_accepted.requestId)
-        .add("route", route().name)
-        .add("content", contentText())
-        .add("version", m_softwareVersion)
-        .add("server", m_server.value())
-        .add("outcome", Routing::nameOf(outcome))
-        .add("maybeRan", maybeRan)
-        .add("repeats", retries)
-        .add("sends", m_sends)
-        .add("events", m_eventCount)
-        .add("afterMs", now - m_sentAt)
-        .add("backoffMs", m_backoffLeft)
-        .add("serverEnds", m_port->crashes().ends(content(), now));
-    m_port->log().write(line, now);
+    const FailedAttempt failed{outcome, maybeRan, retries,
+                               m_port->memory().crashes().ends(content(), now)};
+    m_port->log().write(attemptFailedLine(m_accepted, m_record, failed, content().digest, now),
+                        now);
 }
 
 void Exchange::logEnd(const char *outcome)
@@ -545,45 +504,16 @@
     const Base::TimePoint now = m_port->now();
     EndedRequest ended{route().name, m_accepted.customer.value(), outcome, std::nullopt,
                        now - m_accepted.request.readAt};
-    if (m_eventCount > 0)
-        ended.first = m_firstEventAt - m_accepted.request.readAt;
-    else if (m_status != 0 && m_status < 500)
+    if (m_record.events > 0)
+        ended.first = m_record.firstEventAt - m_accepted.request.readAt;
+    else if (m_record.status != 0 && m_record.status < 500)
         ended.first = ended.whole;
     m_port->requestEnded(ended);
-    const bool isFailure = m_status >= 500 || (m_status == 0 && !m_isCallerGone);
+    const bool isFailure = m_record.status >= 500 || (m_record.status == 0 && !m_isCallerGone);
     if (!m_port->log().tryAcquireRequestLine(isFailure, now))
         return;
-    LogLine line("request.end");
-    line.add("request", m_accepted.requestId)
-        .add("route", route().name)
-        .add("content", contentText())
-        .add("customer", m_accepted.customer.value())
-        .add("configuration", m_accepted.table->version())
-        .add("outcome", outcome)
-        .add("status", m_status)
-        .add("server", m_server.value())
-        .add("version", m_softwareVersion)
-        .add("resumes", field(m_accepted.request.message, m_port->names().resumedRequestId))
-        .add("sends", m_sends)
-        .add("runs", m_possibleRuns)
-        .add("events", m_eventCount)
-        .add("promptTokens", m_accepted.work.promptTokens)
-        .add("outputTokens", m_accepted.work.outputTokens)
-        .add("waitedMs", m_sends > 0 ? m_sentAt - m_accepted.request.readAt : Base::Duration(0))
-        .add("unreadTokens", m_inputs.unreadTokens)
-        .add("fetchedTokens", m_inputs.fetchedTokens)
-        .add("fetchFrom", m_fetchFrom.value())
-        .add("tokensAhead", m_inputs.tokensAhead)
-        .add("running", m_inputs.running)
-        .add("slowness", m_inputs.slowness)
-        .add("failureShare", m_inputs.failureShare)
-        .add("expectedMs", m_expectedStart)
-        .add("firstMs",
-             m_eventCount > 0 ? m_firstEventAt - m_accepted.request.readAt : Base::Duration(0))
-        .add("longestPauseMs", m_longestPause)
-        .add("wholeMs", now - m_accepted.request.readAt);
-    if (m_rejection)
-        addRejection(line, *m_rejection);
+    LogLine line = requestEndLine(m_accepted, m_record, outcome, content().digest, now);
+    line.add("resumes", field(m_accepted.request.message, m_port->names().resumedRequestId));
     m_port->log().write(line, now);
 }
 
--- a/src/libs/gateway/exchange.h
+++ b/src/libs/gateway/exchange.h
@@ -1,14 +1,14 @@
 #pragma once
 
+#include "gateway/acceptedrequest.h"
 #include "gateway/answersink.h"
 #include "gateway/backendpool.h"
 #include "gateway/eventsplitter.h"
 #include "gateway/failure.h"
 #include "gateway/headernames.h"
-#include "routing/crashhistory.h"
-#include "routing/routetable.h"
-#include "routing/streamorigins.h"
-#include "routing/work.h"
+#include "gateway/requestmemory.h"
+#include "gateway/requestrecord.h"
+#include "gateway/streambinding.h"
 
 #include <memory>
 #include <optional>
@@ -45,13 +45,10 @@
     virtual const Routing::RegisteredServer *server(const Base::ServerId &id) = 0;
     /// Whether API keys may be used, which requires a configuration that is known to be current.
     virtual bool mayUseKeys() = 0;
-    /// Returns where a stream may go on that its caller takes up.
-    virtual Routing::Continuation continuation(const std::string &service,
-                                               const std::optional<Routing::StreamId> &stream) = 0;
+    /// Returns what the hosts remember of requests beyond this try.
+    virtual RequestMemory &memory() = 0;
     /// Counts a stream that its caller takes up, or that goes on within its answer.
     virtual void streamResumed(bool isByCaller, Routing::Continuation::Kind kind) = 0;
-    /// Notes that the first event of a stream was forwarded.
-    virtual void streamBegun(Routing::StreamId stream, const Routing::StreamOrigin &origin) = 0;
     virtual BackendPool &backends() = 0;
     virtual const HeaderNames &names() = 0;
     virtual EventLog &log() = 0;
@@ -62,13 +59,6 @@
     virtual void serverResponded(const Base::ServerId &server) = 0;
     /// Returns when the server last sent part of an answer; empty if it never has.
     virtual std::optional<Base::TimePoint> lastResponseFrom(const Base::ServerId &server) const = 0;
-    /// Returns which requests were running when servers ended.
-    virtual const Routing::CrashHistory &crashes() = 0;
-    /// Notes that the server of an attempt may have ended under \a content.
-    virtual void serverMayHaveEnded(const Routing::RequestContent &content,
-                                    const Routing::ServerEnd &end) = 0;
-    /// Notes that a server answered \a content.
-    virtual void contentServed(const Routing::RequestContent &content) = 0;
     /// Returns the remaining time for which the server asked this host to send no requests.
     virtual Base::Duration backoffLeft(const Base::ServerId &server) = 0;
     /// Returns when callers should come back because all servers of the service asked for no
@@ -82,23 +72,6 @@
     virtual void exchangeFinished(Routing::WorkId id) = 0;
 };
 
-/// A request that passed validation, with the data that validation determined.
-struct AcceptedRequest
-{
-    Routing::WorkId id = 0;
-    CallerRequest request;
-    std::string requestId;
-    /// The configuration that the request was accepted under. The request keeps it, so that a newer
-    /// one does not change the handling of a request in progress.
-    std::shared_ptr<const Routing::RouteTable> table;
-    const Routing::Route *route = nullptr;
-    std::string service;
-    Base::CustomerId customer;
-    Routing::Work work;
-    /// The caller stops waiting at this time.
-    Base::TimePoint deadline;
-};
-
 /// One request from its acceptance to its final answer, with its attempts, retries and stream.
 ///
 /// Once a byte of an attempt was sent, the attempt may have run, unless the server says that it did
@@ -134,13 +107,7 @@
     enum class State { Waiting, Sent, Finished };
 
     const Routing::Route &route() const { return *m_accepted.route; }
-    bool isStreaming() const { return m_isStreamStarted; }
     void submit();
-    /// Limits a stream that its caller takes up to the servers that may go on with it. Returns
-    /// false if they are not known.
-    bool determineContinuation();
-    /// Notes the software version that the rest of the stream needs.
-    void recordStreamBegun();
     void sendTo(const Routing::RegisteredServer &server);
     ForwardedFields forwardedFields(const Routing::RegisteredServer &server) const;
     void finishAttempt(Routing::AttemptOutcome outcome);
@@ -169,8 +136,6 @@
     Base::TimePoint effectiveDeadline() const;
     void fail(Failure failure);
     void finish(const char *outcome);
-    /// Returns the digest of the request's content for the log.
-    std::string contentText();
     void logEnd(const char *outcome);
     void logFailedAttempt(Routing::AttemptOutcome outcome, bool maybeRan, bool retries);
 
@@ -179,38 +144,15 @@
     AnswerSink *m_sink;
     State m_state = State::Waiting;
     std::shared_ptr<BackendConnection> m_connection;
-    Base::ServerId m_server;
-    /// The software version of the server to which the last attempt was sent.
-    std::string m_softwareVersion;
-    /// The software version that began the stream; empty before the first event.
-    std::optional<std::string> m_streamVersion;
-    /// The stream's id; empty if the caller takes up a stream that it does not name.
-    std::optional<Routing::StreamId> m_stream;
-    Routing::PlacementInputs m_inputs;
-    Base::ServerId m_fetchFrom;
-    std::optional<Routing::Rejection> m_rejection;
+    RequestRecord m_record;
+    StreamBinding m_binding;
     /// Computed when it is first needed.
     std::optional<Routing::RequestContent> m_content;
     std::vector<Base::ServerId> m_tried;
     ResponseHead m_head;
     std::string m_body;
     EventSplitter m_events;
-    /// Id of the last event that the caller has, if it resumes a stream.
-    std::optional<std::uint64_t> m_resumeAfterId;
-    Base::TimePoint m_acceptedAt;
-    Base::TimePoint m_sentAt;
     Base::TimePoint m_lastDataAt;
-    Base::TimePoint m_firstEventAt;
-    Base::TimePoint m_lastEventAt;
-    Base::Duration m_longestPause{};
-    Base::Duration m_expectedStart{};
-    /// The server's remaining backoff when the attempt began.
-    Base::Duration m_backoffLeft{};
-    std::size_t m_eventCount = 0;
-    unsigned m_status = 0;
-    /// Number of attempts that may have run, and number of all attempts.
-    unsigned m_possibleRuns = 0;
-    unsigned m_sends = 0;
     bool m_mayHaveRun = false;
     bool m_isHeadSeen = false;
     bool m_isEventStream = false;
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -11,7 +11,6 @@
 #include <algorithm>
 #include <chrono>
 #include <csignal>
-#include <random>
 #include <utility>
 
 namespace Gateway {
@@ -19,7 +18,6 @@
 namespace {
 
 using std::chrono::milliseconds;
-using Source = Routing::StreamOrigins::Source;
 
 /// Granularity of all time limits. Each tick costs a wake-up, so it is no finer than callers
 /// notice.
@@ -50,21 +48,6 @@
     return std::chrono::duration_cast<Base::Duration>(whole * share);
 }
 
-Base::Incarnation newIncarnation()
-{
-    const auto since = std::chrono::system_clock::now().time_since_epoch();
-    return static_cast<Base::Incarnation>(
-        std::chrono::duration_cast<std::chrono::microseconds>(since).count());
-}
-
-/// A random start keeps the sequences of two starts of one host apart, since an echo of an earlier
-/// start's report proves nothing.
-std::uint64_t randomSequenceStart()
-{
-    std::random_device device;
-    return (static_cast<std::uint64_t>(device()) << 28) + device();
-}
-
 } // namespace
 
 Base::Result<std::unique_ptr<Gateway>> Gateway::create(const GatewaySettings &settings,
@@ -86,9 +69,9 @@
     , m_readBuffer(readBufferBytes, '\0')
     , m_pool(m_io, adapter.names, m_readBuffer, *this)
     , m_fleet(settings.host, settings.zone)
+    , m_memory(settings.zone, m_fleet, *this, *this)
     , m_backlog(settings.processor)
-    , m_incarnation(newIncarnation())
-    , m_reportSequence(randomSequenceStart())
+    , m_identity(ReportIdentity::create())
 {}
 
 Base::Result<void> Gateway::listen()
@@ -144,7 +127,7 @@
     state.unreadableEntries = m_unreadableEntries;
     state.costFactor = m_backlog.costFactor();
     state.slowestPace = m_services->slowestPace();
-    state.blockedRequests = m_crashes.blocked(time);
+    state.blockedRequests = m_memory.crashes().blocked(time);
     state.busyTime = m_load.busyTime();
     return state;
 }
@@ -155,7 +138,7 @@
                     .add("host", m_settings.host.value())
                     .add("zone", m_settings.zone.value())
                     .add("callers", toString(m_settings.callerAddress))
-                    .add("incarnation", m_incarnation),
+                    .add("incarnation", m_identity.incarnation),
                 now());
     watchSignals();
     m_backlog.recordIdle(now());
@@ -274,9 +257,7 @@
         if (m_metricsListener)
             m_metricsListener->checkTime(time);
         m_fleet.advance(time);
-        m_crashes.advance(time);
-        m_streamOrigins.setServers(m_replica->servers().servers(), time);
-        m_streamOrigins.advance(time);
+        m_memory.advance(m_replica->servers().servers(), time);
         std::erase_if(m_lastResponses, [this](const auto &it) { return !server(it.first); });
         reloadIfChanged();
     }
@@ -324,9 +305,8 @@
 {
     HostReport report;
     report.self = ownMemberState(time);
-    report.incarnation = m_incarnation;
+    report.incarnation = m_identity.incarnation;
     report.store = m_replica->storeState(time);
-    report.crashes = m_crashes.recent(time);
     return report;
 }
 
@@ -339,9 +319,8 @@
     for (const DueReport &order : m_fleet.dueReports(time)) {
         HostReport report = own;
         report.scope = order.scope;
-        report.sequence = ++m_reportSequence;
-        report.streams = m_streamOrigins.reports(
-            order.scope == ReportScope::Zone ? Source::OwnZone : Source::OtherZone, time);
+        report.sequence = ++m_identity.sequence;
+        m_memory.addTo(report, time);
         m_fleet.addOtherHosts(report, time);
         m_fleet.addRelayedUses(report);
         if (order.scope == ReportScope::Host)
@@ -354,9 +333,12 @@
     limitConnections();
 }
 
-void Gateway::reportSoon()
+void Gateway::reportWanted(bool isUrgent)
 {
     m_nextReport = Base::TimePoint{};
+    if (!isUrgent)
+        return;
+    // One report covers all events that are ready now.
     boost::asio::post(m_io, [this] {
         if (m_nextReport == Base::TimePoint{})
             report(now());
@@ -367,9 +349,8 @@
 {
     if (!m_replica->table())
         return;
-    std::size_t connections = minConnections;
-    for (const Routing::Service &it : m_replica->table()->configuration().services)
-        connections = std::max<std::size_t>(connections, it.maxConnections);
+    const std::size_t connections =
+        std::max<std::size_t>(minConnections, m_replica->table()->maxConnections());
     const double share = m_entryHosts.trafficShare(m_settings.host, bootTimeNow());
     const double limit = static_cast<double>(connections) * openConnectionShare * share;
     m_pool.setConnectionLimit(std::max(minConnections, static_cast<std::size_t>(limit)));
@@ -381,29 +362,11 @@
     const bool isNewStart = m_fleet.isNewStart(report);
     if (!m_fleet.receive(report, time))
         return;
-    streamsReported(report, isNewStart, time);
+    m_memory.apply(report, isNewStart, time);
     m_services->applyPartUses(report.load.partUses, time);
-    const bool isCrashNews = m_crashes.apply(report.crashes, time);
-    if (isCrashNews && m_fleet.isLarge() && m_fleet.isLeader(time))
-        m_nextReport = Base::TimePoint{};
     m_replica->applyReport(report, time);
 }
 
-void Gateway::streamsReported(const HostReport &report, bool isNewStart, Base::TimePoint time)
-{
-    const bool isOfOwnZone =
-        report.self.zone == m_settings.zone && report.scope == ReportScope::Host;
-    const bool relays = m_fleet.isLarge() && m_fleet.isLeader(time);
-    m_streamOrigins.apply(report.streams, isOfOwnZone ? Source::OwnZone : Source::OtherZone, relays,
-                          time);
-    if (!isNewStart)
-        return;
-    // Streams that ended hosts began are known to others only.
-    const bool repeatsAll = relays || !m_fleet.isLarge();
-    m_streamOrigins.repeatReports(repeatsAll ? Source::OtherZone : Source::Self, time);
-    m_nextReport = Base::TimePoint{};
-}
-
 std::shared_ptr<ActiveRequest> Gateway::handle(CallerRequest request, AnswerSink &sink)
 {
     AcceptedRequest accepted;
@@ -452,12 +415,7 @@
     const Base::TimePoint time = now();
     if (!m_log.tryAcquireRequestLine(true, time))
         return;
-    m_log.write(LogLine("request.refused")
-                    .add("request", accepted.requestId)
-                    .add("why", failureName(failure.type))
-                    .add("status", failureStatus(failure))
-                    .add("configuration", m_replica->version()),
-                time);
+    m_log.write(refusedLine(accepted, failure, m_replica->version()), time);
 }
 
 void Gateway::apply(const Routing::Decisions &decisions)
@@ -554,39 +512,11 @@
     return it->second;
 }
 
-Routing::Continuation Gateway::continuation(const std::string &service,
-                                            const std::optional<Routing::StreamId> &stream)
-{
-    return m_streamOrigins.continuation(service, stream, now());
-}
-
-void Gateway::streamBegun(Routing::StreamId stream, const Routing::StreamOrigin &origin)
-{
-    m_streamOrigins.recordBegun(stream, origin, now());
-}
-
 bool Gateway::isGone(const Base::ServerId &server) const
 {
     return !m_replica->servers().usable(server);
 }
 
-void Gateway::serverMayHaveEnded(const Routing::RequestContent &content,
-                                 const Routing::ServerEnd &end)
-{
-    if (!m_crashes.recordEnd(content, end, now()))
-        return;
-    // The caller may be at another host within a few milliseconds.
-    if (m_crashes.ends(content, now()) > 1)
-        reportSoon();
-    else
-        m_nextReport = Base::TimePoint{};
-}
-
-void Gateway::contentServed(const Routing::RequestContent &content)
-{
-    m_crashes.recordServed(content, now());
-}
-
 Base::Duration Gateway::backoffLeft(const Base::ServerId &server)
 {
     return m_services->notices().backoffLeft(server, now());
@@ -658,10 +588,7 @@
     m_limits.headerTimeout = limits.headerTimeout;
     m_limits.idleTimeout = limits.idleTimeout;
     m_services->configurationChanged();
-    Base::Duration longest{};
-    for (const Routing::Route &it : m_replica->table()->configuration().routes)
-        longest = std::max<Base::Duration>(longest, it.isStream() ? it.timeout : longest);
-    m_streamOrigins.setLongestStream(longest);
+    m_memory.streamOrigins().setLongestStream(m_replica->table()->longestStream());
 }
 
 void Gateway::serversChanged(const Routing::ServerChanges &changes, bool notifiesZone)
@@ -682,7 +609,7 @@
         m_pool.closeIdleConnections(id);
     }
     m_services->serversChanged();
-    m_streamOrigins.setServers(m_replica->servers().servers(), time);
+    m_memory.advance(m_replica->servers().servers(), time);
 }
 
 void Gateway::unreadableEntriesChanged(const std::set<std::string> &entries)
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -11,6 +11,7 @@
 #include "gateway/gatewaysettings.h"
 #include "gateway/hostload.h"
 #include "gateway/httplistener.h"
+#include "gateway/reportidentity.h"
 #include "gateway/reportsocket.h"
 #include "gateway/requestvalidator.h"
 #include "gateway/services.h"
@@ -61,6 +62,7 @@
 class Gateway final : public RequestHandler,
                       public ExchangePort,
                       public Routing::ServerLife,
+                      public RequestMemoryListener,
                       public ServerObserver,
                       public StoreReplicaListener,
                       public EntryDirectory
@@ -93,17 +95,12 @@
     void serverResponded(const Base::ServerId &server) override;
     std::optional<Base::TimePoint> lastResponseFrom(const Base::ServerId &server) const override;
     bool isGone(const Base::ServerId &server) const override;
-    Routing::Continuation continuation(const std::string &service,
-                                       const std::optional<Routing::StreamId> &stream) override;
+    RequestMemory &memory() override { return m_memory; }
     void streamResumed(bool isByCaller, Routing::Continuation::Kind kind) override
     {
         m_metrics->streamResumed(isByCaller, Routing::nameOf(kind));
     }
-    void streamBegun(Routing::StreamId stream, const Routing::StreamOrigin &origin) override;
-    const Routing::CrashHistory &crashes() override { return m_crashes; }
-    void serverMayHaveEnded(const Routing::RequestContent &content,
-                            const Routing::ServerEnd &end) override;
-    void contentServed(const Routing::RequestContent &content) override;
+    void reportWanted(bool isUrgent) override;
     Base::Duration backoffLeft(const Base::ServerId &server) override;
     Base::Milliseconds backoffRetryAfter(const std::string &service) override;
     void requestEnded(const EndedRequest &request) override;
@@ -137,15 +134,11 @@
     void tick();
     void onTick();
     void report(Base::TimePoint now);
-    /// Reports once the events that are ready now have been handled.
-    void reportSoon();
     /// Limits the connections to each server to this host's share of those that the server takes.
     void limitConnections();
     MemberState ownMemberState(Base::TimePoint now) const;
     HostReport ownReport(Base::TimePoint now) const;
     void reportReceived(const HostReport &report);
-    /// Takes in the streams of a report, and repeats what a host that has started lacks.
-    void streamsReported(const HostReport &report, bool isNewStart, Base::TimePoint time);
 
     /// Logs this host's load, once a second.
     void logLoad(Base::TimePoint now);
@@ -173,6 +166,7 @@
     ConnectionLimits m_directoryLimits;
     BackendPool m_pool;
     FleetView m_fleet;
+    RequestMemory m_memory;
     std::unique_ptr<StoreReplica> m_replica;
     std::unique_ptr<ReportSocket> m_reports;
     std::unique_ptr<RequestHandler> m_directoryHandler;
@@ -190,11 +184,8 @@
     std::unique_ptr<Services> m_services;
     std::unordered_map<Routing::WorkId, std::shared_ptr<Exchange>> m_exchanges;
     std::unordered_map<Base::ServerId, Base::TimePoint> m_lastResponses;
-    Routing::CrashHistory m_crashes{*this};
-    Routing::StreamOrigins m_streamOrigins;
     std::deque<Routing::Decisions> m_decisions;
-    Base::Incarnation m_incarnation = 0;
-    std::uint64_t m_reportSequence = 0;
+    ReportIdentity m_identity;
     Routing::WorkId m_lastWorkId = 0;
     Base::TimePoint m_nextReport{};
     Base::TimePoint m_nextSlowCheck{};
--- /dev/null
+++ b/src/libs/gateway/requestmemory.cpp
@@ -0,0 +1,58 @@
+#include "gateway/requestmemory.h"
+
+namespace Gateway {
+
+using Source = Routing::StreamOrigins::Source;
+
+RequestMemory::RequestMemory(const Base::ZoneId &zone, const FleetView &fleet,
+                             const Routing::ServerLife &life, RequestMemoryListener &listener)
+    : m_zone(zone)
+    , m_fleet(&fleet)
+    , m_listener(&listener)
+    , m_crashes(life)
+{}
+
+void RequestMemory::recordServerEnd(const Routing::RequestContent &content,
+                                    const Routing::ServerEnd &end, Base::TimePoint now)
+{
+    if (m_crashes.recordEnd(content, end, now))
+        m_listener->reportWanted(m_crashes.ends(content, now) > 1);
+}
+
+void RequestMemory::recordServed(const Routing::RequestContent &content, Base::TimePoint now)
+{
+    m_crashes.recordServed(content, now);
+}
+
+void RequestMemory::addTo(HostReport &report, Base::TimePoint now) const
+{
+    const bool isOfZone = report.scope == ReportScope::Zone;
+    report.crashes = m_crashes.recent(now);
+    report.streams = m_streamOrigins.reports(isOfZone ? Source::OwnZone : Source::OtherZone, now);
+}
+
+void RequestMemory::apply(const HostReport &report, bool isNewStart, Base::TimePoint now)
+{
+    const bool relays = m_fleet->isLarge() && m_fleet->isLeader(now);
+    const bool isOfOwnZone = report.self.zone == m_zone && report.scope == ReportScope::Host;
+    const bool isCrashNews = m_crashes.apply(report.crashes, now);
+    m_streamOrigins.apply(report.streams, isOfOwnZone ? Source::OwnZone : Source::OtherZone, relays,
+                          now);
+    if (isNewStart) {
+        // Streams that ended hosts began are known to others only.
+        const bool repeatsAll = relays || !m_fleet->isLarge();
+        m_streamOrigins.repeatReports(repeatsAll ? Source::OtherZone : Source::Self, now);
+    }
+    if (isNewStart || (relays && isCrashNews))
+        m_listener->reportWanted(false);
+}
+
+void RequestMemory::advance(const std::map<Base::ServerId, Routing::RegisteredServer> &servers,
+                            Base::TimePoint now)
+{
+    m_crashes.advance(now);
+    m_streamOrigins.setServers(servers, now);
+    m_streamOrigins.advance(now);
+}
+
+} // namespace Gateway
--- /dev/null
+++ b/src/libs/gateway/requestrecord.cpp
@@ -0,0 +1,88 @@
+#include "gateway/requestrecord.h"
+
+#include "gateway/rejectiontext.h"
+
+#include <cinttypes>
+#include <cstdio>
+
+namespace Gateway {
+
+namespace {
+
+std::string hexText(std::uint64_t digest)
+{
+    char text[17];
+    std::snprintf(text, sizeof(text), "%016" PRIx64, digest);
+    return text;
+}
+
+} // namespace
+
+LogLine refusedLine(const AcceptedRequest &accepted, const Failure &failure,
+                    std::uint64_t configurationVersion)
+{
+    LogLine line("request.refused");
+    line.add("request", accepted.requestId)
+        .add("why", failureName(failure.type))
+        .add("status", failureStatus(failure))
+        .add("configuration", configurationVersion);
+    return line;
+}
+
+LogLine attemptFailedLine(const AcceptedRequest &accepted, const RequestRecord &record,
+                          const FailedAttempt &failed, std::uint64_t content, Base::TimePoint now)
+{
+    LogLine line("request.attempt_failed");
+    line.add("request", accepted.requestId)
+        .add("route", accepted.route->name)
+        .add("content", hexText(content))
+        .add("version", record.softwareVersion)
+        .add("server", record.server.value())
+        .add("outcome", Routing::nameOf(failed.outcome))
+        .add("maybeRan", failed.maybeRan)
+        .add("repeats", failed.isRepeated)
+        .add("sends", record.sends)
+        .add("events", record.events)
+        .add("afterMs", now - record.sentAt)
+        .add("backoffMs", record.backoffLeft)
+        .add("serverEnds", failed.serverEnds);
+    return line;
+}
+
+LogLine requestEndLine(const AcceptedRequest &accepted, const RequestRecord &record,
+                       const char *outcome, std::uint64_t content, Base::TimePoint now)
+{
+    const Base::TimePoint readAt = accepted.request.readAt;
+    LogLine line("request.end");
+    line.add("request", accepted.requestId)
+        .add("route", accepted.route->name)
+        .add("content", hexText(content))
+        .add("customer", accepted.customer.value())
+        .add("configuration", accepted.table->version())
+        .add("outcome", outcome)
+        .add("status", record.status)
+        .add("server", record.server.value())
+        .add("version", record.softwareVersion)
+        .add("sends", record.sends)
+        .add("runs", record.possibleRuns)
+        .add("events", record.events)
+        .add("promptTokens", accepted.work.promptTokens)
+        .add("outputTokens", accepted.work.outputTokens)
+        .add("waitedMs", record.sends > 0 ? record.sentAt - readAt : Base::Duration(0))
+        .add("unreadTokens", record.inputs.unreadTokens)
+        .add("fetchedTokens", record.inputs.fetchedTokens)
+        .add("fetchFrom", record.fetchFrom.value())
+        .add("tokensAhead", record.inputs.tokensAhead)
+        .add("running", record.inputs.running)
+        .add("slowness", record.inputs.slowness)
+        .add("failureShare", record.inputs.failureShare)
+        .add("expectedMs", record.expectedStart)
+        .add("firstMs", record.events > 0 ? record.firstEventAt - readAt : Base::Duration(0))
+        .add("longestPauseMs", record.longestPause)
+        .add("wholeMs", now - readAt);
+    if (record.rejection)
+        addRejection(line, *record.rejection);
+    return line;
+}
+
+} // namespace Gateway
--- /dev/null
+++ b/src/libs/gateway/requestrecord.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "gateway/acceptedrequest.h"
+#include "gateway/eventlog.h"
+#include "gateway/failure.h"
+#include "routing/work.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace Gateway {
+
+/// What has happened to a request so far, for decisions and for the log.
+struct RequestRecord
+{
+    /// The server of the last placement, and the software version to which the last attempt was
+    /// sent.
+    Base::ServerId server;
+    std::string softwareVersion;
+    Routing::PlacementInputs inputs;
+    Base::ServerId fetchFrom;
+    std::optional<Routing::Rejection> rejection;
+    Base::TimePoint sentAt;
+    Base::TimePoint firstEventAt;
+    Base::TimePoint lastEventAt;
+    Base::Duration longestPause{};
+    Base::Duration expectedStart{};
+    /// The server's remaining backoff when the attempt began.
+    Base::Duration backoffLeft{};
+    /// The number of events that were forwarded.
+    std::size_t events = 0;
+    /// The status that the caller got; 0 if none.
+    unsigned status = 0;
+    /// The number of attempts that may have run, and of all attempts.
+    unsigned possibleRuns = 0;
+    unsigned sends = 0;
+};
+
+/// An attempt without a usable answer.
+struct FailedAttempt
+{
+    Routing::AttemptOutcome outcome = Routing::AttemptOutcome::Broken;
+    bool maybeRan = false;
+    bool isRepeated = false;
+    /// How many servers have ended under the request.
+    unsigned serverEnds = 0;
+};
+
+/// Returns the log line of a request that was answered without an exchange.
+LogLine refusedLine(const AcceptedRequest &accepted, const Failure &failure,
+                    std::uint64_t configurationVersion);
+/// Returns the log line of a failed attempt. \a content is the digest of the request's content.
+LogLine attemptFailedLine(const AcceptedRequest &accepted, const RequestRecord &record,
+                          const FailedAttempt &failed, std::uint64_t content, Base::TimePoint now);
+/// Returns the log line of the end of a request. \a content is the digest of its content.
+LogLine requestEndLine(const AcceptedRequest &accepted, const RequestRecord &record,
+                       const char *outcome, std::uint64_t content, Base::TimePoint now);
+
+} // namespace Gateway
--- /dev/null
+++ b/src/libs/gateway/streambinding.cpp
@@ -0,0 +1,42 @@
+#include "gateway/streambinding.h"
+
+namespace Gateway {
+
+StreamBinding StreamBinding::create(const AcceptedRequest &accepted, const HeaderNames &names)
+{
+    StreamBinding binding;
+    if (!accepted.route->isStream())
+        return binding;
+    const std::string resumed(field(accepted.request.message, names.resumedRequestId));
+    const bool hasLastEvent =
+        parseNumber(field(accepted.request.message, names.lastEventId)) != std::nullopt;
+    binding.m_isResumable = accepted.route->kind == Routing::WorkKind::ResumableStream;
+    binding.m_isTakenUp = hasLastEvent || !resumed.empty();
+    binding.m_service = accepted.service;
+    if (!binding.m_isTakenUp)
+        binding.m_stream = Routing::streamId(accepted.customer, accepted.requestId);
+    else if (!resumed.empty())
+        binding.m_stream = Routing::streamId(accepted.customer, resumed);
+    return binding;
+}
+
+Routing::Continuation::Kind StreamBinding::bindTakenUp(const Routing::StreamOrigins &origins,
+                                                       Base::TimePoint now)
+{
+    const Routing::Continuation it = origins.continuation(m_service, m_stream, now);
+    if (it.kind == Routing::Continuation::Kind::SameVersion)
+        m_softwareVersion = it.softwareVersion;
+    return it.kind;
+}
+
+void StreamBinding::bindBegun(Routing::StreamOrigins &origins, const std::string &softwareVersion,
+                              Base::TimePoint now)
+{
+    if (m_softwareVersion || !m_isResumable)
+        return;
+    m_softwareVersion = softwareVersion;
+    if (m_stream)
+        origins.recordBegun(*m_stream, {m_service, softwareVersion}, now);
+}
+
+} // namespace Gateway
--- a/src/libs/routing/routetable.cpp
+++ b/src/libs/routing/routetable.cpp
@@ -83,4 +83,20 @@
     return route.services.back().service;
 }
 
+Base::Milliseconds RouteTable::longestStream() const
+{
+    Base::Milliseconds longest{0};
+    for (const Route &it : m_configuration.routes)
+        longest = it.isStream() ? std::max(longest, it.timeout) : longest;
+    return longest;
+}
+
+std::uint32_t RouteTable::maxConnections() const
+{
+    std::uint32_t most = 0;
+    for (const Service &it : m_configuration.services)
+        most = std::max(most, it.maxConnections);
+    return most;
+}
+
 } // namespace Routing
--- a/src/libs/routing/routetable.h
+++ b/src/libs/routing/routetable.h
@@ -31,6 +31,11 @@
     /// over requests.
     static const std::string &chooseService(const Route &route, std::uint64_t draw);
 
+    /// Returns the longest time after which a stream is answered.
+    Base::Milliseconds longestStream() const;
+    /// Returns the largest number of connections that any server takes.
+    std::uint32_t maxConnections() const;
+
     std::uint64_t version() const { return m_configuration.version; }
     const RoutingConfiguration &configuration() const { return m_configuration; }
 
--- a/tests/auto/gateway/tst_exchange.cpp
+++ b/tests/auto/gateway/tst_exchange.cpp
@@ -41,6 +41,7 @@
 /// A gateway with one server. It places work when the test tells it to.
 class SingleServerPort final : public ExchangePort,
                                public Routing::ServerLife,
+                               public RequestMemoryListener,
                                public ServerObserver
 {
 public:
@@ -76,24 +77,10 @@
     {
         return {};
     }
-    Routing::Continuation continuation(const std::string &,
-                                       const std::optional<Routing::StreamId> &) override
-    {
-        return {};
-    }
+    RequestMemory &memory() override { return m_memory; }
     void streamResumed(bool, Routing::Continuation::Kind) override {}
-    void streamBegun(Routing::StreamId, const Routing::StreamOrigin &) override {}
+    void reportWanted(bool) override {}
     bool isGone(const Base::ServerId &) const override { return false; }
-    const Routing::CrashHistory &crashes() override { return m_crashes; }
-    void serverMayHaveEnded(const Routing::RequestContent &content,
-                            const Routing::ServerEnd &end) override
-    {
-        m_crashes.recordEnd(content, end, now());
-    }
-    void contentServed(const Routing::RequestContent &content) override
-    {
-        m_crashes.recordServed(content, now());
-    }
     Base::Duration backoffLeft(const Base::ServerId &) override { return {}; }
     Base::Milliseconds backoffRetryAfter(const std::string &) override { return {}; }
     void requestWritten(const Base::ServerId &) override {}
@@ -151,7 +138,8 @@
     int m_null;
     EventLog m_log;
     BackendPool m_pool;
-    Routing::CrashHistory m_crashes{*this};
+    FleetView m_fleet{Base::HostId("h"), Base::ZoneId("z")};
+    RequestMemory m_memory{Base::ZoneId("z"), m_fleet, *this, *this};
 };
 
 } // namespace
