--- a/src/libs/routing/crashhistory.cpp
+++ b/src/libs/routing/crashhistory.cpp
@@ -129,6 +129,13 @@
     return count;
 }
 
+bool CrashHistory::isBlocked(const RequestContent &content, Base::TimePoint now) const
+{
+    const auto found = m_entries.find(content);
+    return found != m_entries.end() && found->second.ends.size() >= maxEnds
+           && ends(content, now) >= maxEnds;
+}
+
 bool CrashHistory::hasEnded(const ServerEnd &end) const
 {
     if (end.isSilence && !m_life->isGone(end.server))
@@ -150,7 +157,7 @@
 {
     std::size_t count = 0;
     for (const auto &[content, entry] : m_entries)
-        count += entry.ends.size() >= maxEnds && isBlocked(content, now) ? 1 : 0;
+        count += isBlocked(content, now) ? 1 : 0;
     return count;
 }
 
--- a/src/libs/routing/crashhistory.h
+++ b/src/libs/routing/crashhistory.h
@@ -93,10 +93,7 @@
     /// Returns how many servers have ended under \a content, one after the other.
     unsigned ends(const RequestContent &content, Base::TimePoint now) const;
     /// Returns whether \a content must not be sent to any server now.
-    bool isBlocked(const RequestContent &content, Base::TimePoint now) const
-    {
-        return ends(content, now) >= maxEnds;
-    }
+    bool isBlocked(const RequestContent &content, Base::TimePoint now) const;
     /// Returns whether nothing is remembered, so that isBlocked() is false for every request.
     bool isEmpty() const { return m_entries.empty(); }
     /// Returns the number of blocked requests.
--- a/src/libs/routing/streamorigins.cpp
+++ b/src/libs/routing/streamorigins.cpp
@@ -125,6 +125,8 @@
 
 void StreamOrigins::repeatReports(Source source, Base::TimePoint now)
 {
+    // Many hosts may start at once, and each of them needs all streams.
+    m_reported.clear();
     for (const auto &[service, versions] : m_versionsSeenAt) {
         if (isMixed(service, now))
             reportAll(source, service, now);
--- a/tests/auto/routing/tst_streamorigins.cpp
+++ b/tests/auto/routing/tst_streamorigins.cpp
@@ -167,7 +167,8 @@
     for (StreamId stream = 1; stream <= 2500; ++stream)
         a.recordBegun(stream, {pool, stream % 2 == 0 ? "v1" : "v2"}, start);
     Base::TimePoint now = start + seconds(5);
-    a.repeatReports(Source::Self, now);
+    for (int i = 0; i < 100; ++i)
+        a.repeatReports(Source::Self, now);
     for (int i = 0; i < 10; ++i) {
         const std::vector<StreamReport> reports = a.reports(Source::Self, now);
         std::size_t count = 0;
