--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -3,7 +3,8 @@
 # time while faults are injected from outside: signals, restarts, a faulty proxy before the store
 # and the servers, revoked and restored keys, servers that leave or restart under their id, that ask
 # for a pause or announce in their answers that they leave, and entries that no server wrote. Servers
-# differ in speed and tell their load. At the end, the answers that callers received and the requests that
+# differ in speed and tell their load. With seeds from 40 on, each start of a server has another
+# software version than the start before it. At the end, the answers that callers received and the requests that
 # servers ran are checked against every guarantee. SEED determines the run except for the timing of
 # processes.
 # usage: soak.sh BUILD_FOLDER SEED SECONDS
@@ -25,6 +26,7 @@
 SERVER_PID=()
 SERVER_ID=()
 SERVER_BORN=()
+SERVER_VERSION=()
 SERVICE=()
 
 cleanup() {
@@ -54,12 +56,14 @@
     SERVER_PID[$slot]=$!
     SERVER_ID[$slot]=$id
     SERVER_BORN[$slot]=$(now_ms)
+    SERVER_VERSION[$slot]=v1
+    [ "$seed" -lt 40 ] || SERVER_VERSION[$slot]=v$((1 + next_id % 2))
     SERVICE[$slot]=$2
     register "$slot" ready
 }
 register() {
-    put servers "${SERVER_ID[$1]}" '{"service":"'"${SERVICE[$1]}"'","zone":"z","version":"v1",
-        "address":"'"$FLEET_IP"':1982'"$1"'","slots":8,"state":"'"$2"'","sequence":1,
+    put servers "${SERVER_ID[$1]}" '{"service":"'"${SERVICE[$1]}"'","zone":"z",
+        "version":"'"${SERVER_VERSION[$1]}"'","address":"'"$FLEET_IP"':1982'"$1"'","slots":8,"state":"'"$2"'","sequence":1,
         "coldRemainingMs":0,"born":'"${SERVER_BORN[$1]}"'}'
 }
 crash_server() {
@@ -173,6 +177,15 @@
             >>"$FLEET_DIR/violations"
 }
 
+# check_versions: reports streams whose events came from servers of several software versions.
+check_versions() {
+    cat "$FLEET_DIR"/gateway-*.out \
+        | jq -r 'select(.events > 0 and (.event == "request.attempt_failed"
+            or (.event == "request.end" and .outcome == "streamed"))) | "\(.request) \(.version)"' \
+        | sort -u | cut -d' ' -f1 | uniq -d \
+        | sed 's/^/a stream has events of two versions: /' >>"$FLEET_DIR/violations"
+}
+
 fleet_standin store rowstorestandin $STORE
 fleet_start proxy "$FLEET_BUILD/tests/soak/faultproxy" "$FLEET_IP" 19800 "19810:$STORE" \
     19821:19711 19822:19712 19823:19713 19824:19714
@@ -208,6 +221,7 @@
     wait "${GATEWAYS[$i]}" || echo "gateway $i exited with status $?" >>"$FLEET_DIR/violations"
 done
 for slot in 1 2 3 4; do remove_server $slot; done
+check_versions
 
 awk -v recovered="$recovered" -v allowed="$REVOCATION_MS" '
     FILENAME ~ /faults$/ { if ($2 == "keys") { n++; at[n] = $1; has[n] = ($0 ~ /key-2/) } next }
