--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -22,6 +22,9 @@
 /// Granularity of all time limits. Each tick costs a wake-up, so it is no finer than callers
 /// notice.
 constexpr Base::Duration tickInterval = milliseconds(25);
+/// The least time between two reports of the leader of a zone that are sent early for what happened
+/// to requests.
+constexpr Base::Duration earlyReportInterval = milliseconds(100);
 constexpr Base::Duration slowCheckInterval = milliseconds(500);
 constexpr std::size_t readBufferBytes = 65536;
 /// Share of a server's connections that all hosts together open. The rest is kept free because
@@ -312,6 +315,7 @@
 
 void Gateway::report(Base::TimePoint time)
 {
+    m_reportedAt = time;
     m_nextReport = time + reportInterval;
     m_entryHosts.setCostFactor(m_backlog.costFactor());
     HostReport own = ownReport(time);
@@ -335,6 +339,11 @@
 
 void Gateway::reportWanted(bool isUrgent)
 {
+    // A report of a leader goes to all hosts of its zone.
+    if (m_fleet.isLarge() && m_fleet.isLeader(now())) {
+        m_nextReport = std::min(m_nextReport, m_reportedAt + earlyReportInterval);
+        return;
+    }
     m_nextReport = Base::TimePoint{};
     if (!isUrgent)
         return;
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -187,6 +187,7 @@
     std::deque<Routing::Decisions> m_decisions;
     ReportIdentity m_identity;
     Routing::WorkId m_lastWorkId = 0;
+    Base::TimePoint m_reportedAt{};
     Base::TimePoint m_nextReport{};
     Base::TimePoint m_nextSlowCheck{};
     std::optional<Base::TimePoint> m_leavingSince;
--- a/src/libs/gateway/requestmemory.cpp
+++ b/src/libs/gateway/requestmemory.cpp
@@ -35,15 +35,14 @@
 {
     const bool relays = m_fleet->isLarge() && m_fleet->isLeader(now);
     const bool isOfOwnZone = report.self.zone == m_zone && report.scope == ReportScope::Host;
-    const bool isCrashNews = m_crashes.apply(report.crashes, now);
+    m_crashes.apply(report.crashes, now);
     m_streamOrigins.apply(report.streams, isOfOwnZone ? Source::OwnZone : Source::OtherZone, relays,
                           now);
-    if (isNewStart) {
-        // Streams that ended hosts began are known to others only.
-        const bool repeatsAll = relays || !m_fleet->isLarge();
-        m_streamOrigins.repeatReports(repeatsAll ? Source::OtherZone : Source::Self, now);
-    }
-    if (isNewStart || (relays && isCrashNews))
+    if (!isNewStart)
+        return;
+    // Streams that ended hosts began are known to others only.
+    const bool repeatsAll = relays || !m_fleet->isLarge();
+    if (m_streamOrigins.repeatReports(repeatsAll ? Source::OtherZone : Source::Self, now))
         m_listener->reportWanted(false);
 }
 
--- a/src/libs/routing/streamorigins.cpp
+++ b/src/libs/routing/streamorigins.cpp
@@ -123,7 +123,7 @@
     }
 }
 
-void StreamOrigins::repeatReports(Source source, Base::TimePoint now)
+bool StreamOrigins::repeatReports(Source source, Base::TimePoint now)
 {
     // Many hosts may start at once, and each of them needs all streams.
     m_reported.clear();
@@ -131,6 +131,7 @@
         if (isMixed(service, now))
             reportAll(source, service, now);
     }
+    return !m_reported.empty();
 }
 
 std::vector<StreamReport> StreamOrigins::reports(Source source, Base::TimePoint now) const
--- a/src/libs/routing/streamorigins.h
+++ b/src/libs/routing/streamorigins.h
@@ -87,7 +87,8 @@
     void apply(const std::vector<StreamReport> &reports, Source source, bool relays,
                Base::TimePoint now);
     /// Reports the streams of all hosts up to \a source anew, since another host has started.
-    void repeatReports(Source source, Base::TimePoint now);
+    /// Returns whether there are any.
+    bool repeatReports(Source source, Base::TimePoint now);
     /// Returns the origins that are due in a report, of the streams of all hosts up to \a source.
     std::vector<StreamReport> reports(Source source, Base::TimePoint now) const;
 
