Read all pages of the rows of hosts

One cause: the store returns at most 500 rows in one answer, and the rows of hosts were read with one call. Beyond 500 hosts, those that come later by name are not found by anybody, so whole zones have no leader and no copies, and each host reads the store for itself.

Fix: the pages are read one after the other, as those of servers are. Test red with the next page left out: "all rows of hosts are read, however many pages they take" (2 of 4 rows after 5 s). The effect on the fleet is not measured in this commit.

--- a/src/libs/gateway/storeclient.cpp
+++ b/src/libs/gateway/storeclient.cpp
@@ -327,7 +327,12 @@
         isFirst || m_isHostDiscoveryEnabled || m_readerRole == ReaderRole::ForZone;
     if (now >= m_nextHostReading && findsHosts) {
         m_nextHostReading = now + (isFirst ? firstHostReadInterval : hostReadInterval);
-        m_readClient->call(m_protocol->readHosts(), readTimeout, now, done);
+        m_readClient->call(m_protocol->readHosts({}), readTimeout, now, done);
+        return true;
+    }
+    if (!m_nextHostPage.empty()) {
+        m_readClient->call(m_protocol->readHosts(std::exchange(m_nextHostPage, {})), readTimeout,
+                           now, done);
         return true;
     }
     if (now < m_nextHostWriting || m_storeTime == Base::Milliseconds(0))
@@ -377,6 +382,7 @@
             m_storeTimeReadAt = bootTimeNow();
             m_hostPause.reset();
             m_listener->hostsRead(reading.hosts);
+            m_nextHostPage = reading.continueFrom;
             return {};
         },
         [&] {
--- a/src/libs/gateway/storeclient.h
+++ b/src/libs/gateway/storeclient.h
@@ -184,6 +184,8 @@
     Base::Milliseconds m_storeTime{0};
     Base::TimePoint m_storeTimeReadAt{};
     Base::TimePoint m_nextHostReading{};
+    /// Where the next page of the rows of hosts begins; empty if all pages were read.
+    std::string m_nextHostPage;
     Base::TimePoint m_nextHostWriting{};
     /// The due rows that are not part of a call yet.
     std::vector<HostRow> m_rowsToWrite;
--- a/src/libs/gateway/storeprotocol.h
+++ b/src/libs/gateway/storeprotocol.h
@@ -106,11 +106,13 @@
     bool operator==(const HostRow &) const = default;
 };
 
-/// Result of reading the rows of gateway hosts.
+/// One page of the rows of gateway hosts.
 struct HostReading
 {
     /// The rows that are not too old.
     std::vector<HostRow> hosts;
+    /// Where the next page begins; empty on the last page.
+    std::string continueFrom;
     /// Current time of the store's own steady clock.
     Base::Milliseconds storeTime{0};
 };
@@ -134,7 +136,8 @@
     virtual HttpCall readServers(const std::string &continueFrom) const = 0;
     virtual Base::Result<ServerReading> servers(const HttpAnswer &answer) const = 0;
 
-    virtual HttpCall readHosts() const = 0;
+    /// Reads the first page if \a continueFrom is empty, else the page that begins there.
+    virtual HttpCall readHosts(const std::string &continueFrom) const = 0;
     /// Leaves out rows that are older than \a freshFor by the store's clock.
     virtual Base::Result<HostReading> hosts(const HttpAnswer &answer,
                                             Base::Milliseconds freshFor) const = 0;
--- a/tests/auto/gateway/fakestore.h
+++ b/tests/auto/gateway/fakestore.h
@@ -3,6 +3,7 @@
 #include "gateway/answersink.h"
 #include "gateway/storeprotocol.h"
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <sstream>
@@ -46,17 +47,28 @@
         reading.servers = entries;
         return reading;
     }
-    HttpCall readHosts() const override { return {"GET", "/hosts", {}}; }
+    HttpCall readHosts(const std::string &continueFrom) const override
+    {
+        return {"GET", "/hosts" + continueFrom, {}};
+    }
     Base::Result<HostReading> hosts(const HttpAnswer &answer, Base::Milliseconds) const override
     {
         BOOST_LEAF_CHECK(checked(answer));
-        HostReading reading{rows, std::chrono::seconds(100)};
+        HostReading reading;
+        reading.hosts = rows;
+        reading.storeTime = std::chrono::seconds(100);
         std::istringstream lines(answer.body);
         std::string host;
         std::string zone;
         std::string address;
         while (lines >> host >> zone >> address)
             reading.hosts.push_back({Base::HostId(host), Base::ZoneId(zone), address});
+        if (!nextHosts.empty()) {
+            reading.hosts.insert(reading.hosts.end(), nextHosts.front().begin(),
+                                 nextHosts.front().end());
+            nextHosts.pop_front();
+            reading.continueFrom = nextHosts.empty() ? "" : "?next";
+        }
         return reading;
     }
     HttpCall writeHosts(const std::vector<HostRow> &written, Base::Milliseconds) const override
@@ -89,6 +101,8 @@
     }
 
     std::vector<HostRow> rows;
+    /// Further rows of hosts, page by page.
+    mutable std::deque<std::vector<HostRow>> nextHosts;
     std::vector<Routing::RegisteredServer> entries;
     std::vector<Routing::EvacuationChange> evacuations;
     std::vector<Routing::RolloutOrderChange> orderedRollouts;
--- a/tests/auto/gateway/tst_storeclient.cpp
+++ b/tests/auto/gateway/tst_storeclient.cpp
@@ -57,10 +57,14 @@
     void storeFailed() override { isStoreLost = true; }
     void unreadableEntriesChanged(const std::set<std::string> &) override {}
     void storeCallFinished(const char *, bool) override {}
-    void hostsRead(const std::vector<HostRow> &) override {}
+    void hostsRead(const std::vector<HostRow> &read) override
+    {
+        hosts.insert(hosts.end(), read.begin(), read.end());
+    }
     std::vector<HostRow> rowsToRefresh() const override { return rows; }
 
     std::vector<HostRow> rows;
+    std::vector<HostRow> hosts;
     std::set<Base::ZoneId> evacuated;
     std::vector<Routing::EvacuationChange> evacuationChanges;
     std::vector<Routing::RolloutOrder> ordered;
@@ -283,3 +287,15 @@
     REQUIRE(fixture.runUntil([&] { return fixture.listener.serverReadings == 2; }));
     CHECK(fixture.listener.wasStoreLost);
 }
+
+TEST_CASE("all rows of hosts are read, however many pages they take", "[gateway]")
+{
+    // Guards against a fleet of which each host knows only the first five hundred hosts by name, so
+    // that whole zones are never found.
+    StoreFixture fixture;
+    const auto row = [](int n) {
+        return HostRow{Base::HostId("h" + std::to_string(n)), Base::ZoneId("z"), "1.2.3.4:5"};
+    };
+    fixture.protocol.nextHosts = {{row(1), row(2)}, {row(3)}, {row(4)}};
+    CHECK(fixture.runUntil([&] { return fixture.listener.hosts.size() == 4; }));
+}
--- a/tests/auto/platformadapter/tst_storecodec.cpp
+++ b/tests/auto/platformadapter/tst_storecodec.cpp
@@ -436,3 +436,25 @@
           })
           == Outcome::Refused);
 }
+
+TEST_CASE("rows of hosts are read page by page", "[platform]")
+{
+    const StoreCodec codec;
+    CHECK(codec.readHosts({}).target == "/-/rows-get?table=routers&part=hosts");
+    CHECK(codec.readHosts("h%201%00").target
+          == "/-/rows-get?table=routers&part=hosts&from=h%201%00");
+    Json page = Json::parse(rowsBody("h 1", R"({"peerAddress":"1.2.3.4:5","zone":"z",)"
+                                            R"("storeTimeMs":51230})"));
+    page["hasMore"] = true;
+    boost::leaf::try_handle_all(
+        [&]() -> Base::Result<void> {
+            BOOST_LEAF_AUTO(first, codec.hosts({200, page.dump()}, Base::Milliseconds(9000)));
+            CHECK(first.hosts.size() == 1);
+            CHECK(first.continueFrom == "h%201%00");
+            page["hasMore"] = false;
+            BOOST_LEAF_AUTO(last, codec.hosts({200, page.dump()}, Base::Milliseconds(9000)));
+            CHECK(last.continueFrom.empty());
+            return {};
+        },
+        [] { FAIL("not read"); });
+}
