Send reports that are larger than a datagram in several parts

A report of a leader on the fleet names all hosts, some 75 bytes each: at 1,000 hosts it is larger than a datagram can be, sending it fails, and no host of the zone hears from its leader, gets proofs or copies, or knows other zones. Each then falls back to the store. At 500 hosts it fits.

Fix: DatagramAssembler splits and joins, with bounds on the parts that are kept.

--- a/src/libs/gateway/reportsocket.cpp
+++ b/src/libs/gateway/reportsocket.cpp
@@ -1,5 +1,6 @@
 #include "gateway/reportsocket.h"
 
+#include "gateway/boottime.h"
 #include "gateway/httplistener.h"
 
 #include <boost/asio/buffer.hpp>
@@ -39,7 +40,8 @@
 {
     if (receivers.empty())
         return 0;
-    const std::string bytes = encodeReport(report);
+    const std::vector<std::string> datagrams =
+        DatagramAssembler::split(encodeReport(report), ++m_lastSent);
     std::size_t sent = 0;
     for (const std::string &receiver : receivers) {
         const auto address = Settings::parseAddress(receiver);
@@ -47,32 +49,41 @@
             continue;
         boost::system::error_code ec;
         const auto ip = boost::asio::ip::make_address_v4(address->ip, ec);
+        if (ec)
+            continue;
         // A report that could not be sent is superseded by the next one.
-        if (!ec)
-            sent += m_socket.send_to(boost::asio::buffer(bytes), udp::endpoint(ip, address->port),
-                                     0, ec);
+        for (const std::string &it : datagrams)
+            sent +=
+                m_socket.send_to(boost::asio::buffer(it), udp::endpoint(ip, address->port), 0, ec);
     }
     return sent;
 }
 
 void ReportSocket::receive()
 {
-    m_socket.async_receive_from(
-        boost::asio::buffer(m_buffer), m_from,
-        [this](const boost::system::error_code &ec, std::size_t n) {
-            if (ec == boost::asio::error::operation_aborted)
-                return;
-            if (!ec) {
-                boost::leaf::try_handle_all(
-                    [&]() -> Base::Result<void> {
-                        BOOST_LEAF_AUTO(report, decodeReport({m_buffer.data(), n}));
-                        m_received(report);
-                        return {};
-                    },
-                    [&] { ++m_malformed; });
-            }
-            receive();
-        });
+    m_socket.async_receive_from(boost::asio::buffer(m_buffer), m_from,
+                                [this](const boost::system::error_code &ec, std::size_t n) {
+                                    if (ec == boost::asio::error::operation_aborted)
+                                        return;
+                                    if (!ec)
+                                        take({m_buffer.data(), n});
+                                    receive();
+                                });
+}
+
+void ReportSocket::take(std::string_view datagram)
+{
+    const std::string sender = m_from.address().to_string() + ":" + std::to_string(m_from.port());
+    const std::optional<std::string> bytes = m_assembler.add(datagram, sender, bootTimeNow());
+    if (!bytes)
+        return;
+    boost::leaf::try_handle_all(
+        [&]() -> Base::Result<void> {
+            BOOST_LEAF_AUTO(report, decodeReport(*bytes));
+            m_received(report);
+            return {};
+        },
+        [&] { ++m_malformed; });
 }
 
 } // namespace Gateway
--- a/src/libs/gateway/reportsocket.h
+++ b/src/libs/gateway/reportsocket.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/result.h"
+#include "gateway/datagramassembler.h"
 #include "gateway/hostreport.h"
 #include "settings/address.h"
 
@@ -11,11 +12,12 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace Gateway {
 
-/// Sends and receives host reports as UDP datagrams.
+/// Sends and receives host reports as UDP datagrams; large ones in several parts.
 class ReportSocket
 {
 public:
@@ -35,10 +37,14 @@
 private:
     ReportSocket(boost::asio::io_context &io, Received received);
     void receive();
+    void take(std::string_view datagram);
 
     boost::asio::ip::udp::socket m_socket;
     boost::asio::ip::udp::endpoint m_from;
     Received m_received;
+    DatagramAssembler m_assembler;
+    /// The number of the last report that was sent, which makes the ids of parts differ.
+    std::uint64_t m_lastSent = 0;
     std::array<char, 65536> m_buffer{};
     std::uint64_t m_malformed = 0;
 };
