Do not let all hosts of a very large fleet report to all when they start

Cause: a host that does not know who leads its zone reports to every host that it knows, five times a second. Hosts that start together know nobody, so the datagrams grow with the square of the fleet: in the model 479 a host at 480 hosts and 959 at 960, in one interval.

Fix: beyond 320 known hosts, an announcement goes to the first four hosts of the zone by name that may be running, of which one is the next leader, and only these tell the whole zone and each other. If they are silent, the next four take their place. Smaller fleets are as before.

Tests: the datagrams of a host at a start are the same at 480 and at 960 hosts (red before: 959 against 479), all hosts know all others and six leaders lead; and a fleet of 360 finds its leaders though the first ten of each zone are down.

--- a/src/libs/gateway/fleetview.cpp
+++ b/src/libs/gateway/fleetview.cpp
@@ -103,13 +103,28 @@
 {
     for (const HostRow &row : hosts) {
         if (row.host != m_self)
-            m_receivers[row.peerAddress] = {row.zone, now + receiverTimeout};
+            addReceiver(row.peerAddress, row.host, row.zone, now);
     }
 }
 
 void FleetView::addAddress(const std::string &peerAddress, Base::TimePoint now)
 {
-    Receiver &receiver = m_receivers[peerAddress];
+    const auto known = m_receivers.find(peerAddress);
+    if (known == m_receivers.end())
+        addReceiver(peerAddress, {}, {}, now);
+    else
+        known->second.until = now + receiverTimeout;
+}
+
+void FleetView::addReceiver(const std::string &peerAddress, const Base::HostId &host,
+                            const Base::ZoneId &zone, Base::TimePoint now)
+{
+    const auto [it, isNew] = m_receivers.try_emplace(peerAddress);
+    Receiver &receiver = it->second;
+    if (isNew || receiver.host != host)
+        receiver.since = now;
+    receiver.host = host;
+    receiver.zone = zone;
     receiver.until = now + receiverTimeout;
 }
 
@@ -122,10 +137,10 @@
     const auto age = [](const HostReport &of) { return std::tie(of.incarnation, of.sequence); };
     if (it != m_hosts.end() && age(report) <= age(it->second.report))
         return false;
-    m_receivers[from.peerAddress] = {from.zone, now + receiverTimeout};
+    addReceiver(from.peerAddress, from.host, from.zone, now);
     for (const MemberState &member : report.members) {
         if (member.host != m_self)
-            m_receivers[member.peerAddress] = {member.zone, now + receiverTimeout};
+            addReceiver(member.peerAddress, member.host, member.zone, now);
     }
     if (isLarge() && isLeader(now) && report.scope != ReportScope::Fleet) {
         appendUses(m_usesForZone, report.load.partUses);
@@ -296,6 +311,51 @@
     return addresses;
 }
 
+std::map<Base::ZoneId, std::vector<std::pair<Base::HostId, std::string>>>
+FleetView::likelyLeaders(Base::TimePoint now) const
+{
+    std::map<Base::ZoneId, std::vector<std::pair<Base::HostId, std::string>>> zones;
+    const std::map<Base::HostId, MemberState> alive = liveMembers(now);
+    for (const auto &[address, receiver] : m_receivers) {
+        const bool isSilent =
+            now - receiver.since >= livenessTimeout && !alive.contains(receiver.host);
+        if (!receiver.host.isEmpty() && !isSilent)
+            zones[receiver.zone].emplace_back(receiver.host, address);
+    }
+    zones[m_zone].emplace_back(m_self, std::string());
+    for (auto &[zone, hosts] : zones) {
+        std::ranges::sort(hosts);
+        hosts.resize(std::min(hosts.size(), likelyLeadersOfZone));
+    }
+    return zones;
+}
+
+std::vector<std::string> FleetView::announceReceivers(Base::TimePoint now) const
+{
+    if (m_receivers.size() <= maxAnnounceReceivers)
+        return allReceivers();
+    const auto zones = likelyLeaders(now);
+    const auto &ownZone = zones.at(m_zone);
+    const bool isLikelyLeader =
+        std::ranges::any_of(ownZone, [this](const auto &it) { return it.first == m_self; });
+    // A host that has heard of the others and leads all the same must tell them.
+    const bool tellsZone = isLikelyLeader || (isLeader(now) && !isCutOffFromZone(now));
+    std::set<std::string> addresses;
+    for (const auto &[zone, hosts] : zones) {
+        if (zone != m_zone && !tellsZone)
+            continue;
+        for (const auto &[host, address] : hosts) {
+            if (!address.empty())
+                addresses.insert(address);
+        }
+    }
+    for (const auto &[address, receiver] : m_receivers) {
+        if (receiver.zone.isEmpty() || (tellsZone && receiver.zone == m_zone))
+            addresses.insert(address);
+    }
+    return {addresses.begin(), addresses.end()};
+}
+
 std::vector<DueReport> FleetView::dueReports(Base::TimePoint now) const
 {
     if (!isLarge())
@@ -304,12 +364,12 @@
         // All hosts must learn at once that this host does not lead any more. Without this report
         // they would notice it only after more than a second without summaries and proofs.
         if (now < m_announceUntil)
-            return {{ReportScope::Host, allReceivers()}};
+            return {{ReportScope::Host, announceReceivers(now)}};
         return {{ReportScope::Host, {leader->peerAddress}}};
     }
     // A summary of only a part of the zone would replace complete ones.
     if (now < m_gatherUntil)
-        return {{ReportScope::Host, allReceivers()}};
+        return {{ReportScope::Host, announceReceivers(now)}};
     std::set<Base::ZoneId> zones;
     for (const auto &[address, receiver] : m_receivers)
         zones.insert(receiver.zone);
--- a/src/libs/gateway/fleetview.h
+++ b/src/libs/gateway/fleetview.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Gateway {
@@ -107,9 +108,12 @@
     };
     struct Receiver
     {
-        /// Empty if the zone is not known.
+        /// Both are empty if they are not known.
+        Base::HostId host;
         Base::ZoneId zone;
         Base::TimePoint until;
+        /// The time since which the receiver is known.
+        Base::TimePoint since;
     };
     struct SentReport
     {
@@ -132,6 +136,17 @@
     /// known.
     std::vector<std::string> receiversIn(const Base::ZoneId &zone) const;
     std::vector<std::string> allReceivers() const;
+    void addReceiver(const std::string &peerAddress, const Base::HostId &host,
+                     const Base::ZoneId &zone, Base::TimePoint now);
+    /// Returns the receivers of a report by which hosts find out who leads their zone, and that a
+    /// leader has changed. In a small fleet these are all. In a very large one they are the first
+    /// few hosts by name of this zone, unless they are silent, and if this host is one of them,
+    /// also all hosts of its zone and the first few of the others: if all hosts that start together
+    /// reported to all, the datagrams would grow with the square of the fleet.
+    std::vector<std::string> announceReceivers(Base::TimePoint now) const;
+    /// Returns the first few hosts by name of each zone that may be running, with this one.
+    std::map<Base::ZoneId, std::vector<std::pair<Base::HostId, std::string>>>
+    likelyLeaders(Base::TimePoint now) const;
     /// Whether other hosts of this zone may exist, but none of them has reported within the
     /// liveness timeout.
     bool isCutOffFromZone(Base::TimePoint now) const;
@@ -149,6 +164,11 @@
 
     /// Number of known other hosts from which on reports go through leaders.
     static constexpr std::size_t largeFleetHosts = 12;
+    /// Number of known other hosts up to which an announcement goes to all.
+    static constexpr std::size_t maxAnnounceReceivers = 320;
+    /// Number of hosts of a zone that are taken for its next leaders. The leader is mostly the
+    /// first one, and several of them may be lost at the same moment.
+    static constexpr std::size_t likelyLeadersOfZone = 4;
 
     Base::HostId m_self;
     Base::ZoneId m_zone;
--- a/tests/auto/gateway/tst_fleetview.cpp
+++ b/tests/auto/gateway/tst_fleetview.cpp
@@ -71,8 +71,9 @@
         std::vector<HostRow> &rows = m_rows;
         for (int zone = 0; zone < zones; ++zone) {
             for (int i = 0; i < hostsOfZone; ++i) {
-                const std::string name = std::to_string(zone) + "-" + std::to_string(i + 10);
+                const std::string name = std::to_string(zone) + "-" + std::to_string(i + 100);
                 m_hosts.push_back({member(name, std::to_string(zone)), {}, 1, 100, false, {}, 0});
+                m_byAddress[m_hosts.back().self.peerAddress] = m_hosts.size() - 1;
                 rows.push_back({m_hosts.back().self.host, m_hosts.back().self.zone,
                                 m_hosts.back().self.peerAddress});
             }
@@ -98,6 +99,17 @@
         }
     }
 
+    /// Returns the datagrams that all hosts would send now, before any of them has arrived.
+    std::size_t dueDatagrams()
+    {
+        std::size_t n = 0;
+        for (const Host &host : m_hosts) {
+            for (const DueReport &order : host.view->dueReports(m_now))
+                n += order.receivers.size();
+        }
+        return n;
+    }
+
     /// Like step(), but each host reports at its own time within the 200 ms.
     void stepStaggered(Base::TimePoint now)
     {
@@ -144,9 +156,9 @@
         if (m_lossPercent > 0
             && std::uniform_int_distribution<int>(0, 99)(m_random) < m_lossPercent)
             return;
-        for (Host &host : m_hosts) {
-            if (host.self.peerAddress != address || host.isDown)
-                continue;
+        const auto found = m_byAddress.find(address);
+        if (found != m_byAddress.end() && !m_hosts[found->second].isDown) {
+            Host &host = m_hosts[found->second];
             if (host.view->receive(it, now))
                 host.receivedUses += it.load.partUses.size();
             return;
@@ -212,6 +224,7 @@
     };
 
     std::vector<Host> m_hosts;
+    std::map<std::string, std::size_t> m_byAddress;
     std::vector<HostRow> m_rows;
     int m_lossPercent = 0;
     std::mt19937 m_random;
@@ -623,3 +636,47 @@
         CHECK(hosts->view(0).isLeader(hosts->now()));
     }
 }
+
+TEST_CASE("the reports of a fleet that starts grow with its hosts and not with their square",
+          "[gateway]")
+{
+    // Guards against a thousand hosts that start at the same moment, each of which reports to all
+    // others five times a second because it does not know yet who leads.
+    std::map<int, double> datagramsOfHost;
+    for (const int hostsOfZone : {80, 160}) {
+        CAPTURE(hostsOfZone);
+        SimulatedFleet hosts(6, hostsOfZone);
+        // Hosts that start together send before they have heard of anybody.
+        std::size_t most = hosts.dueDatagrams();
+        for (int i = 0; i < 15; ++i) {
+            hosts.step(hosts.now() + milliseconds(200));
+            most = std::max({most, hosts.datagrams(), hosts.dueDatagrams()});
+        }
+        datagramsOfHost[hostsOfZone] =
+            static_cast<double>(most) / static_cast<double>(hosts.size());
+        std::size_t leaders = 0;
+        for (std::size_t i = 0; i < hosts.size(); ++i) {
+            leaders += hosts.view(i).isLeader(hosts.now()) ? 1 : 0;
+            CHECK(hosts.view(i).others().hosts == hosts.size());
+        }
+        CHECK(leaders == 6);
+    }
+    CHECK(datagramsOfHost[160] <= 1.1 * datagramsOfHost[80]);
+}
+
+TEST_CASE("a very large fleet finds leaders although the first hosts of each zone are lost",
+          "[gateway]")
+{
+    // Guards against hosts that wait for the hosts that mostly lead, all of which are down.
+    SimulatedFleet hosts(4, 90);
+    for (std::size_t i = 0; i < hosts.size(); ++i) {
+        if (i % 90 < 10)
+            hosts.setDown(i, true);
+    }
+    for (int i = 0; i < 50; ++i)
+        hosts.step(hosts.now() + milliseconds(200));
+    for (std::size_t i = 0; i < hosts.size(); ++i) {
+        if (!hosts.isDown(i))
+            CHECK(hosts.view(i).others().hosts == 320);
+    }
+}
