--- /dev/null
+++ b/src/libs/gateway/exchangeend.cpp
@@ -0,0 +1,71 @@
+// How an exchange ends, and what it logs of its attempts.
+
+#include "gateway/eventlog.h"
+#include "gateway/exchange.h"
+#include "gateway/gatewaymetrics.h"
+
+#include <utility>
+
+namespace Gateway {
+
+using Routing::AttemptOutcome;
+
+void Exchange::fail(Failure failure)
+{
+    failure.mayHaveRun |= m_mayHaveRun;
+    if (m_isStreamStarted) {
+        if (!m_isCallerGone)
+            m_sink->abortAnswer();
+        finish(failureName(failure.type));
+        return;
+    }
+    m_record.status = failureStatus(failure);
+    // Rejected callers mostly come back on a new connection, and keeping this one open would cost a
+    // busy host more than the rejection.
+    if (!failure.mayHaveRun && m_port->isBusy())
+        m_sink->closeAfterAnswer();
+    if (!m_isCallerGone)
+        m_sink->sendAnswer(failureHead(failure), failureBody(failure, m_accepted.requestId));
+    finish(failureName(failure.type));
+}
+
+void Exchange::finish(const char *outcome)
+{
+    if (m_state == State::Finished)
+        return;
+    m_state = State::Finished;
+    logEnd(outcome);
+    m_port->exchangeFinished(m_accepted.id);
+}
+
+void Exchange::logFailedAttempt(AttemptOutcome outcome, bool maybeRan, bool retries)
+{
+    m_port->attemptFailed(outcome);
+    const Base::TimePoint now = m_port->now();
+    if (!m_port->log().tryAcquireRequestLine(true, now))
+        return;
+    const FailedAttempt failed{outcome, maybeRan, retries,
+                               m_port->memory().crashes().ends(content(), now)};
+    m_port->log().write(attemptFailedLine(m_accepted, m_record, failed, content().digest, now),
+                        now);
+}
+
+void Exchange::logEnd(const char *outcome)
+{
+    const Base::TimePoint now = m_port->now();
+    EndedRequest ended{route().name, m_accepted.customer.value(), outcome, std::nullopt,
+                       now - m_accepted.request.readAt};
+    if (m_record.events > 0)
+        ended.first = m_record.firstEventAt - m_accepted.request.readAt;
+    else if (m_record.status != 0 && m_record.status < 500)
+        ended.first = ended.whole;
+    m_port->requestEnded(ended);
+    const bool isFailure = m_record.status >= 500 || (m_record.status == 0 && !m_isCallerGone);
+    if (!m_port->log().tryAcquireRequestLine(isFailure, now))
+        return;
+    LogLine line = requestEndLine(m_accepted, m_record, outcome, content().digest, now);
+    line.add("resumes", field(m_accepted.request.message, m_port->names().resumedRequestId));
+    m_port->log().write(line, now);
+}
+
+} // namespace Gateway
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -10,7 +10,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <csignal>
 #include <utility>
 
 namespace Gateway {
@@ -31,26 +30,13 @@
 /// hosts come and go and a busy server accepts fewer connections.
 constexpr double openConnectionShare = 0.8;
 constexpr std::size_t minConnections = 4;
-/// Shares of the shutdown grace, counted from SIGTERM. From the first one on, requests that may
-/// take long are sent to other hosts. At the second one the process stops, before it would be
-/// killed.
-constexpr double longWorkCutoffShare = 0.35;
-constexpr double forcedStopShare = 0.9;
 /// Another host may take the request at once, while this host has spare processor time again only
 /// when some open streams have ended.
 constexpr Base::Milliseconds overloadRetryAfter{400};
-/// From this share of the shutdown grace on, a process without open requests stops. Before that,
-/// callers may still use an entry list that names this host.
-constexpr double idleStopShare = 0.65;
 /// Labels of metrics: the kinds of notices that servers give in their answers.
 constexpr const char *backoffNotice = "backoff";
 constexpr const char *leavingNotice = "leaving";
 
-Base::Duration fractionOf(Base::Duration whole, double share)
-{
-    return std::chrono::duration_cast<Base::Duration>(whole * share);
-}
-
 } // namespace
 
 Base::Result<std::unique_ptr<Gateway>> Gateway::create(const GatewaySettings &settings,
@@ -173,59 +159,6 @@
     }
 }
 
-void Gateway::watchSignals()
-{
-    m_signals.add(SIGTERM);
-    m_signals.add(SIGINT);
-    m_signals.add(SIGHUP);
-    m_signals.async_wait([this](const boost::system::error_code &ec, int signal) {
-        if (ec)
-            return;
-        if (signal == SIGHUP)
-            reloadIfChanged();
-        else
-            beginShutdown();
-        watchSignals();
-    });
-}
-
-void Gateway::reloadIfChanged()
-{
-    boost::leaf::try_handle_all(
-        [&]() -> Base::Result<void> {
-            BOOST_LEAF_AUTO(settings, m_settingsWatcher.readIfChanged());
-            if (!settings)
-                return {};
-            applySettings(*settings);
-            m_log.write(LogLine("process.reload").add("changed", true), now());
-            return {};
-        },
-        // The settings in force stay, and the next change of the file is tried again.
-        [&](const Settings::SettingsFaults &it) {
-            m_log.write(
-                LogLine("process.reload")
-                    .add("changed", false)
-                    .add("faults", it.faults.size())
-                    .add("first", it.faults.empty() ? std::string() : toString(it.faults.front())),
-                now());
-        },
-        [&] { m_log.write(LogLine("process.reload").add("changed", false), now()); });
-}
-
-void Gateway::applySettings(const GatewaySettings &settings)
-{
-    m_settings.entryListMaxAge = settings.entryListMaxAge;
-    m_settings.shutdownGrace = settings.shutdownGrace;
-    m_settings.keyRevocation = settings.keyRevocation;
-    m_settings.configurationBound = settings.configurationBound;
-    m_settings.leavingBound = settings.leavingBound;
-    m_settings.retries = settings.retries;
-    m_settings.requestLinesPerSecond = settings.requestLinesPerSecond;
-    m_replica->applySettings(m_settings);
-    m_log.setRequestLineLimit(settings.requestLinesPerSecond);
-    m_services->retryAllowanceChanged(settings.retries);
-}
-
 void Gateway::tick()
 {
     m_timer.expires_after(tickInterval);
@@ -393,9 +326,7 @@
     accepted.requestId = std::string(field(accepted.request.message, m_adapter.names.requestId));
     ValidationContext known{m_replica->table(), m_replica->servers().isKnown(), mayUseKeys(),
                             false};
-    known.isLeavingSoon =
-        m_leavingSince
-        && now() - *m_leavingSince >= fractionOf(m_settings.shutdownGrace, longWorkCutoffShare);
+    known.isLeavingSoon = isLeavingSoon();
     std::optional<Failure> failure = m_examiner.validate(accepted, known);
     if (failure)
         m_backlog.recordRefusal(now());
@@ -671,28 +602,4 @@
     return m_replica->isKnown() && !m_leavingSince;
 }
 
-void Gateway::beginShutdown()
-{
-    if (m_leavingSince)
-        return;
-    m_leavingSince = now();
-    m_fleet.setLeaving(now());
-    m_limits.closesAfterAnswer = true;
-    m_directoryLimits.closesAfterAnswer = true;
-    m_replica->leave();
-    m_log.write(LogLine("process.leaving").add("open", m_exchanges.size()), now());
-    report(now());
-}
-
-void Gateway::checkShutdown(Base::TimePoint time)
-{
-    if (!m_leavingSince)
-        return;
-    const Base::Duration age = time - *m_leavingSince;
-    const bool isQuiet =
-        m_exchanges.empty() && age >= fractionOf(m_settings.shutdownGrace, idleStopShare);
-    if (isQuiet || age >= fractionOf(m_settings.shutdownGrace, forcedStopShare))
-        m_io.stop();
-}
-
 } // namespace Gateway
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -187,6 +187,8 @@
     Base::Result<void> listenForMetrics();
     GatewayState state() const;
     void beginShutdown();
+    /// Whether a request that may take long would not end before the process does.
+    bool isLeavingSoon() const;
     /// Stops the event loop when the shutdown is over.
     void checkShutdown(Base::TimePoint now);
 
--- a/src/libs/routing/residency.cpp
+++ b/src/libs/routing/residency.cpp
@@ -12,9 +12,9 @@
     if (regions.empty())
         return residency;
     residency.m_regions = regions;
-    std::ranges::sort(*residency.m_regions);
-    const auto repeated = std::ranges::unique(*residency.m_regions);
-    residency.m_regions->erase(repeated.begin(), repeated.end());
+    std::vector<Base::RegionId> &sorted = *residency.m_regions;
+    std::ranges::sort(sorted);
+    sorted.erase(std::unique(sorted.begin(), sorted.end()), sorted.end());
     return residency;
 }
 
--- a/src/libs/routing/rolloutorders.cpp
+++ b/src/libs/routing/rolloutorders.cpp
@@ -40,7 +40,9 @@
 
 void NewVersions::serversListed(const Versions &servers, std::uint64_t storeVersion)
 {
-    for (const auto &[service, versions] : servers) {
+    for (const auto &it : servers) {
+        const std::string &service = it.first;
+        const std::map<std::string, std::size_t> &versions = it.second;
         std::set<std::string> &seen = m_seen[service];
         const auto most =
             std::ranges::max_element(versions, {}, [](const auto &it) { return it.second; });
@@ -51,7 +53,7 @@
             m_held[{service, version}] = storeVersion;
         }
         // A version that is gone may come again with a roll-out.
-        std::erase_if(seen, [&](const std::string &it) { return !versions.contains(it); });
+        std::erase_if(seen, [&](const std::string &known) { return !versions.contains(known); });
     }
     std::erase_if(m_held, [&](const auto &it) {
         const auto versions = servers.find(it.first.first);
--- a/src/libs/routing/versioncomparison.cpp
+++ b/src/libs/routing/versioncomparison.cpp
@@ -31,7 +31,9 @@
 {
     const double kept =
         std::exp2(-std::chrono::duration<double>(elapsed).count() / usualHalfLifeSeconds);
-    for (const auto &[route, counts] : total.routes) {
+    for (const auto &it : total.routes) {
+        const std::string &route = it.first;
+        const RolloutEvidence::ByVersion &counts = it.second;
         RouteState &state = m_routes[route];
         const AnswerCounts before = counts.before.since(state.seen.before);
         const AnswerCounts after = counts.after.since(state.seen.after);
--- a/tests/auto/gateway/fakestore.h
+++ b/tests/auto/gateway/fakestore.h
@@ -89,7 +89,7 @@
     HttpCall writeRollout(const Routing::RolloutState &state,
                           std::uint64_t previousRevision) const override
     {
-        written.push_back({state, previousRevision});
+        written.emplace_back(state, previousRevision);
         return {"POST", "/rollout", {}};
     }
     /// The answer is the version of the store at which the state was written; 0 if it was not.
--- a/tests/auto/routing/tst_residency.cpp
+++ b/tests/auto/routing/tst_residency.cpp
@@ -219,7 +219,7 @@
     // Fills both servers, so that what follows waits.
     std::map<Base::ServerId, std::vector<WorkId>> running;
     const auto submit = [&](Work it) {
-        const Decisions decisions = dispatcher.submit(std::move(it), now);
+        Decisions decisions = dispatcher.submit(std::move(it), now);
         for (const Placement &placement : decisions.placements)
             running[placement.server].push_back(placement.work);
         return decisions;
--- a/tools/rolloutmodels/rolloutmodel.cpp
+++ b/tools/rolloutmodels/rolloutmodel.cpp
@@ -268,7 +268,7 @@
             for (const Routing::RolloutEvidence &it : m_hosts[i].evidence())
                 input.evidence += it;
         }
-        m_inputs.push_back({m_now, input});
+        m_inputs.emplace_back(m_now, input);
         if (m_now - m_inputs.front().first < reportDelay)
             return;
         const Routing::RolloutInput seen = std::move(m_inputs.front().second);
@@ -279,7 +279,7 @@
             m_result.at = m_now - start;
             m_policy->enter(m_state, m_now);
         }
-        m_states.push_back({m_now, m_state});
+        m_states.emplace_back(m_now, m_state);
         if (m_now - m_states.front().first < reportDelay)
             return;
         for (std::size_t i = 0; i < m_hosts.size(); ++i) {
