Freeze the host that decides on a roll-out in a test

The users ask for a decider that is killed and one that is frozen in the middle; only the kill was tested, and it searched both logs for the deciding host. The first host by name decides, so it is named. Frozen: the other host rolls the bad version back, the first one wakes up, and neither its decision nor its requests reach the new version.

--- a/tests/processes/rollout.sh
+++ b/tests/processes/rollout.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Guards against roll-outs of bad versions that get more than their part of the requests, and of
 # good versions that are not completed or cut answers off.
-# usage: rollout.sh BUILD_FOLDER good|failures|slow|late|killed
+# usage: rollout.sh BUILD_FOLDER good|failures|slow|late|killed|frozen
 set -euo pipefail
 cd "$(dirname "$0")/../.."
 FLEET_BUILD=$1
@@ -56,19 +56,15 @@
 fleet_until "the state of the roll-out" state_is active
 old=(19713 19714 19715)
 new=(19716 19717 19718)
-if [ "$KIND" = late ] || [ "$KIND" = killed ]; then
+if [[ $KIND =~ ^(late|killed|frozen)$ ]]; then
     sleep 4
     all_new '{"mode":"error","count":0}'
 fi
-if [ "$KIND" = killed ]; then
-    # The host that decides is killed before it can have seen enough.
-    for i in 1 2; do
-        if grep -q '"rollout.decided"\|"rollout.phase"' "$FLEET_DIR/gateway-$i.out"; then
-            kill -KILL "${GATEWAYS[i]}"
-            break
-        fi
-    done
-fi
+# The first host by name decides. It is lost before it can have seen enough.
+case $KIND in
+killed) kill -KILL "${GATEWAYS[1]}" ;;
+frozen) kill -STOP "${GATEWAYS[1]}" ;;
+esac
 if [ "$KIND" = good ]; then
     fleet_until "the end of the roll-out" state_is completed
     took=$((($(date +%s%N) - ordered) / 1000000))
@@ -80,6 +76,7 @@
     fleet_until "requests at the new servers" more
 else
     fleet_until "the roll-back" state_is rolled_back
+    [ "$KIND" != frozen ] || kill -CONT "${GATEWAYS[1]}"
     sleep 3
     exposed=$(runs "${new[@]}")
     all=$((exposed + $(runs "${old[@]}")))
@@ -89,5 +86,6 @@
     [ "$exposed" -ge 5 ] || fleet_fail "only $exposed of $all requests tried the new version"
     sleep 1
     expect "requests after the roll-back" "$(runs "${new[@]}")" "$exposed"
+    state_is rolled_back || fleet_fail "the roll-back was taken back"
 fi
 touch "$FLEET_DIR/stop"
