Keep the fingerprint and the versions of a list of servers up to date with each change

A host hashed all servers for each report that it sent or compared, and went through all of them twice a second for their software versions. At ten thousand servers these are milliseconds each time, on every host. Both are sums now that follow each change. tst_routing: the fingerprint costs the same at 1,000 and 10,000 servers, and equals that of a fresh list after any changes.

--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -200,7 +200,7 @@
         if (m_metricsListener)
             m_metricsListener->checkTime(time);
         m_fleet.advance(time);
-        m_memory.advance(m_replica->servers().servers(), time);
+        m_memory.advance(m_replica->servers().versions(), time);
         std::erase_if(m_lastResponses, [this](const auto &it) { return !server(it.first); });
         reloadIfChanged();
     }
@@ -578,7 +578,7 @@
     }
     m_services->serversChanged();
     m_rollouts->serversChanged();
-    m_memory.advance(m_replica->servers().servers(), time);
+    m_memory.advance(m_replica->servers().versions(), time);
 }
 
 void Gateway::unreadableEntriesChanged(const std::set<std::string> &entries)
--- a/src/libs/gateway/requestmemory.cpp
+++ b/src/libs/gateway/requestmemory.cpp
@@ -46,11 +46,10 @@
         m_listener->reportWanted(false);
 }
 
-void RequestMemory::advance(const std::map<Base::ServerId, Routing::RegisteredServer> &servers,
-                            Base::TimePoint now)
+void RequestMemory::advance(const Routing::ServerVersions &versions, Base::TimePoint now)
 {
     m_crashes.advance(now);
-    m_streamOrigins.setServers(servers, now);
+    m_streamOrigins.setVersions(versions, now);
     m_streamOrigins.advance(now);
 }
 
--- a/src/libs/gateway/requestmemory.h
+++ b/src/libs/gateway/requestmemory.h
@@ -42,9 +42,8 @@
     void addTo(HostReport &report, Base::TimePoint now) const;
     /// Takes in a report. If \a isNewStart, its sender has just started and knows nothing.
     void apply(const HostReport &report, bool isNewStart, Base::TimePoint now);
-    /// Notes the servers in use. Must be called when they change, and every second.
-    void advance(const std::map<Base::ServerId, Routing::RegisteredServer> &servers,
-                 Base::TimePoint now);
+    /// Notes the versions of the servers in use. Must be called when they change, and every second.
+    void advance(const Routing::ServerVersions &versions, Base::TimePoint now);
 
 private:
     Base::ZoneId m_zone;
--- a/src/libs/gateway/rolloutdecider.h
+++ b/src/libs/gateway/rolloutdecider.h
@@ -22,7 +22,7 @@
     std::vector<Routing::RolloutOrder> orders;
     std::vector<Routing::RolloutEvidence> evidence;
     /// The number of usable servers of each version of each service.
-    Routing::NewVersions::Versions servers;
+    Routing::ServerVersions servers;
 };
 
 /// Decides on all roll-outs for the fleet and writes the decisions to the store.
--- a/src/libs/gateway/rollouts.cpp
+++ b/src/libs/gateway/rollouts.cpp
@@ -81,7 +81,9 @@
         states, [](const Routing::RolloutState &it) { return !Routing::isFinal(it.phase); });
     if (orders.empty() && !isAnyOpen)
         return;
-    m_decider->advance({orders, m_sums.ofFleet(m_traffic.evidence(), now), serverVersions()}, now);
+    m_decider->advance({orders, m_sums.ofFleet(m_traffic.evidence(), now),
+                        m_replica->servers().versions()},
+                       now);
     if (!m_decider->isReady())
         return;
     for (const Routing::RolloutState &it : states)
@@ -96,20 +98,12 @@
     m_newVersions.ordersKnown(m_replica->operatorVersion());
 }
 
-Routing::NewVersions::Versions Rollouts::serverVersions() const
-{
-    Routing::NewVersions::Versions versions;
-    for (const auto &[id, server] : m_replica->servers().servers())
-        ++versions[server.service][server.softwareVersion];
-    return versions;
-}
-
 void Rollouts::serversChanged()
 {
     if (!isEnabled())
         return;
     m_traffic.setServers(m_replica->servers().servers());
-    m_newVersions.serversListed(serverVersions(), m_replica->serversVersion());
+    m_newVersions.serversListed(m_replica->servers().versions(), m_replica->serversVersion());
 }
 
 void Rollouts::addTo(HostReport &report, Base::TimePoint now) const
--- a/src/libs/gateway/rollouts.h
+++ b/src/libs/gateway/rollouts.h
@@ -54,7 +54,6 @@
     void takeState(const Routing::RolloutState &state, Base::TimePoint confirmedAt);
     /// Whether this host decides for the fleet.
     bool isDeciding(Base::TimePoint now) const;
-    Routing::NewVersions::Versions serverVersions() const;
 
     const StoreReplica *m_replica;
     const FleetView *m_fleet;
--- a/src/libs/routing/rolloutorders.cpp
+++ b/src/libs/routing/rolloutorders.cpp
@@ -38,7 +38,7 @@
     return replace(orders, version);
 }
 
-void NewVersions::serversListed(const Versions &servers, std::uint64_t storeVersion)
+void NewVersions::serversListed(const ServerVersions &servers, std::uint64_t storeVersion)
 {
     for (const auto &it : servers) {
         const std::string &service = it.first;
--- a/src/libs/routing/rolloutorders.h
+++ b/src/libs/routing/rolloutorders.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "routing/rollout.h"
+#include "routing/serverset.h"
 
 #include <cstdint>
 #include <map>
@@ -51,10 +52,8 @@
 class NewVersions
 {
 public:
-    using Versions = std::map<std::string, std::map<std::string, std::size_t>>;
-
     /// Takes the number of servers of each version of each service, as listed at \a storeVersion.
-    void serversListed(const Versions &servers, std::uint64_t storeVersion);
+    void serversListed(const ServerVersions &servers, std::uint64_t storeVersion);
     /// Notes that all orders up to \a storeVersion are known.
     void ordersKnown(std::uint64_t storeVersion);
     /// Returns the versions of \a service that must not get requests yet.
--- a/src/libs/routing/serverset.cpp
+++ b/src/libs/routing/serverset.cpp
@@ -27,6 +27,14 @@
     return server;
 }
 
+/// The part of one server in the fingerprint of a set, which is the sum of them.
+std::uint64_t fingerprintOf(const RegisteredServer &server)
+{
+    const std::uint64_t hash =
+        Base::stableHash(server.address, Base::stableHash(server.id.value()));
+    return Base::stableHash(server.softwareVersion, hash);
+}
+
 } // namespace
 
 Base::ServerId idOf(const ServerStart &start)
@@ -50,15 +58,14 @@
         supersede(server.start, changes);
         present.insert(server.id);
         if (server.isLeaving) {
-            if (m_left.insert(server.id).second && m_servers.erase(server.id) > 0)
+            if (m_left.insert(server.id).second && erase(server.id))
                 changes.leaving.push_back(server.id);
             continue;
         }
         if (m_left.count(server.id) > 0)
             continue;
         const bool hasNewWarmUp = recordEntryWarmUp(server, now);
-        const auto [it, isNew] = m_servers.insert_or_assign(server.id, server);
-        if (isNew)
+        if (insert(server))
             changes.found.push_back(server.id);
         else if (hasNewWarmUp)
             changes.warmingUp.push_back(server.id);
@@ -77,6 +84,7 @@
         }
         // The id may be used again: a server whose heartbeats were delayed registers itself again.
         changes.gone.push_back(it->first);
+        subtractFromSums(it->second);
         it = m_servers.erase(it);
     }
     recordChanges(changes, now);
@@ -125,15 +133,60 @@
     const Base::ServerId &id = change.server.id;
     switch (change.kind) {
     case ServerChange::Kind::Found:
-        return m_left.count(id) == 0 && m_servers.insert_or_assign(id, change.server).second;
+        return m_left.count(id) == 0 && insert(change.server);
     case ServerChange::Kind::Leaving:
-        return m_left.insert(id).second && m_servers.erase(id) > 0;
+        return m_left.insert(id).second && erase(id);
     case ServerChange::Kind::Gone:
-        return m_servers.erase(id) > 0;
+        return erase(id);
     }
     return false;
 }
 
+bool ServerSet::insert(const RegisteredServer &server)
+{
+    const auto [it, isNew] = m_servers.try_emplace(server.id, server);
+    if (isNew) {
+        addToSums(server);
+        return true;
+    }
+    RegisteredServer &known = it->second;
+    // A reading of the store repeats thousands of entries that have not changed.
+    const bool hasSameSums = known.address == server.address && known.service == server.service
+                             && known.softwareVersion == server.softwareVersion;
+    if (!hasSameSums) {
+        subtractFromSums(known);
+        addToSums(server);
+    }
+    known = server;
+    return false;
+}
+
+bool ServerSet::erase(const Base::ServerId &id)
+{
+    const auto it = m_servers.find(id);
+    if (it == m_servers.end())
+        return false;
+    subtractFromSums(it->second);
+    m_servers.erase(it);
+    return true;
+}
+
+void ServerSet::addToSums(const RegisteredServer &server)
+{
+    m_fingerprint += fingerprintOf(server);
+    ++m_versions[server.service][server.softwareVersion];
+}
+
+void ServerSet::subtractFromSums(const RegisteredServer &server)
+{
+    m_fingerprint -= fingerprintOf(server);
+    auto &versions = m_versions[server.service];
+    if (--versions[server.softwareVersion] == 0)
+        versions.erase(server.softwareVersion);
+    if (versions.empty())
+        m_versions.erase(server.service);
+}
+
 bool ServerSet::isOutdated(const ServerStart &start) const
 {
     const auto latest = m_latestStarts.find(start.name);
@@ -147,7 +200,7 @@
         return;
     const Base::ServerId previous = idOf({start.name, latest->second});
     latest->second = start.at;
-    if (m_servers.erase(previous) > 0)
+    if (erase(previous))
         changes.gone.push_back(previous);
 }
 
@@ -257,16 +310,6 @@
     return it == m_servers.end() ? nullptr : &it->second;
 }
 
-std::uint64_t ServerSet::fingerprint() const
-{
-    std::uint64_t hash = m_servers.size();
-    for (const auto &[id, server] : m_servers) {
-        hash = Base::stableHash(server.address, Base::stableHash(id.value(), hash));
-        hash = Base::stableHash(server.softwareVersion, hash);
-    }
-    return hash;
-}
-
 bool ServerSet::isMassExpiry(const std::set<Base::ServerId> &present, Base::TimePoint now) const
 {
     // In a longer outage, this host would notice a part of it itself, or the other host is cut off
--- a/src/libs/routing/serverset.h
+++ b/src/libs/routing/serverset.h
@@ -3,6 +3,7 @@
 #include "base/ids.h"
 #include "base/time.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -65,6 +66,9 @@
     bool operator==(const ServerChange &) const = default;
 };
 
+/// The number of servers of each software version of each service.
+using ServerVersions = std::map<std::string, std::map<std::string, std::size_t>>;
+
 /// The ids of the servers whose state changed by a reading of the store or by a report.
 struct ServerChanges
 {
@@ -122,8 +126,11 @@
     }
     /// Returns the time since which the store does not answer this host, or nothing while it does.
     std::optional<Base::TimePoint> storeUnreachableSince() const;
-    /// Returns a hash that is the same for two sets with the same usable servers.
-    std::uint64_t fingerprint() const;
+    /// Returns a hash that is the same for two sets with the same usable servers. It is kept up to
+    /// date with each change, since it is compared with each report.
+    std::uint64_t fingerprint() const { return m_fingerprint; }
+    /// Returns the numbers of usable servers, which are kept up to date, too.
+    const ServerVersions &versions() const { return m_versions; }
     /// Returns the server with \a id, or null if it is leaving, gone or unknown.
     const RegisteredServer *usable(const Base::ServerId &id) const;
     const std::map<Base::ServerId, RegisteredServer> &servers() const { return m_servers; }
@@ -139,6 +146,12 @@
         Base::TimePoint at;
     };
 
+    /// Adds a usable server, or replaces what is known of it. Returns whether it is new.
+    bool insert(const RegisteredServer &server);
+    /// Returns false if there is no such server.
+    bool erase(const Base::ServerId &id);
+    void addToSums(const RegisteredServer &server);
+    void subtractFromSums(const RegisteredServer &server);
     /// Returns false if \a change has no effect.
     bool applyChange(const ServerChange &change);
     /// Returns whether a later start of the same server is known.
@@ -159,6 +172,8 @@
 
     Base::Duration m_gracePeriod;
     std::map<Base::ServerId, RegisteredServer> m_servers;
+    std::uint64_t m_fingerprint = 0;
+    ServerVersions m_versions;
     /// The ids of all servers that were ever seen leaving.
     std::set<Base::ServerId> m_left;
     /// The latest start that was ever seen of each server, by the server's name.
--- a/src/libs/routing/streamorigins.cpp
+++ b/src/libs/routing/streamorigins.cpp
@@ -48,11 +48,12 @@
     m_memory = std::max(minMemory, time * memoryFactor);
 }
 
-void StreamOrigins::setServers(const std::map<Base::ServerId, RegisteredServer> &servers,
-                               Base::TimePoint now)
+void StreamOrigins::setVersions(const ServerVersions &versions, Base::TimePoint now)
 {
-    for (const auto &[id, server] : servers)
-        recordVersion({server.service, server.softwareVersion}, now);
+    for (const auto &[service, ofService] : versions) {
+        for (const auto &[version, n] : ofService)
+            recordVersion({service, version}, now);
+    }
 }
 
 void StreamOrigins::recordVersion(const StreamOrigin &origin, Base::TimePoint now)
--- a/src/libs/routing/streamorigins.h
+++ b/src/libs/routing/streamorigins.h
@@ -80,7 +80,7 @@
     void setLongestStream(Base::Duration time);
     /// Notes the versions of the servers in use. Must be called when servers change, and every
     /// second.
-    void setServers(const std::map<Base::ServerId, RegisteredServer> &servers, Base::TimePoint now);
+    void setVersions(const ServerVersions &versions, Base::TimePoint now);
     /// Records that the first event of \a stream was forwarded by this host.
     void recordBegun(StreamId stream, const StreamOrigin &origin, Base::TimePoint now);
     /// Takes in what another host reports. If \a relays, this host's reports will contain it too.
--- a/tests/auto/routing/tst_serverset.cpp
+++ b/tests/auto/routing/tst_serverset.cpp
@@ -1,5 +1,6 @@
 #include "routing/configurationlease.h"
 #include "routing/serverset.h"
+#include "support/cputime.h"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
@@ -276,9 +277,33 @@
         now += milliseconds(200);
         other.applyChanges(reader.recentChanges(now), now);
         RC_ASSERT(other.fingerprint() == reader.fingerprint());
+        ServerSet fresh(seconds(2));
+        fresh.applyChanges(reader.asChanges(now), now);
+        RC_ASSERT(fresh.fingerprint() == reader.fingerprint());
     });
 }
 
+TEST_CASE("the fingerprint of a list costs the same whatever the length of the list", "[routing]")
+{
+    // Guards against hosts that spend their processor on comparing lists: each compares them with
+    // every report, many times a second.
+    std::map<int, Base::Duration> times;
+    for (const int n : {1000, 10000}) {
+        std::vector<RegisteredServer> entries;
+        for (int i = 0; i < n; ++i)
+            entries.push_back(server(std::to_string(i)));
+        ServerSet set(seconds(2));
+        set.apply(entries, start);
+        times[n] = leastCpuTime([&] {
+            std::uint64_t sum = 0;
+            for (int i = 0; i < 1000; ++i)
+                sum += set.fingerprint();
+            CHECK(sum == 1000 * set.fingerprint());
+        });
+    }
+    CHECK(times[10000] < 3 * times[1000] + milliseconds(1));
+}
+
 TEST_CASE("a server that left is not usable again, whatever a late report says", "[routing]")
 {
     ServerSet set(seconds(2));
--- a/tests/auto/routing/tst_streamorigins.cpp
+++ b/tests/auto/routing/tst_streamorigins.cpp
@@ -41,10 +41,10 @@
 void setServers(StreamOrigins &origins, const std::vector<std::string> &versions,
                 Base::TimePoint now)
 {
-    std::map<Base::ServerId, RegisteredServer> byId;
+    ServerVersions counts;
     for (const RegisteredServer &it : servers(versions))
-        byId[it.id] = it;
-    origins.setServers(byId, now);
+        ++counts[it.service][it.softwareVersion];
+    origins.setVersions(counts, now);
 }
 
 Work prompt(WorkId id, Base::TimePoint now)
