Do not report a whole list of servers as changes

A reader that starts told all servers as changes to each host of its zone, five times in the first second: 1.3 MB times 164 hosts at the size of the whole fleet. From 500 changes within a second on none are told; the others find that the sets differ and copy the list. tst_routing: at 1,000 and 10,000 servers.

--- a/src/libs/routing/serverset.cpp
+++ b/src/libs/routing/serverset.cpp
@@ -3,6 +3,7 @@
 #include "base/hash.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <utility>
 
 namespace Routing {
@@ -12,6 +13,10 @@
 /// The span covers five reports to the other hosts, of which one or two may be lost.
 constexpr Base::Duration recentChangeSpan = std::chrono::milliseconds(1000);
 
+/// More changes than this are not reported. The other hosts find that their sets differ and copy the
+/// whole set, from each other: a report goes to each host of a zone five times a second.
+constexpr std::size_t maxReportedChanges = 500;
+
 /// Separates a server's name from its start. Names on the platform do not contain it; a name that
 /// did would still be unambiguous, since the start is a number.
 constexpr char startSeparator = '@';
@@ -222,6 +227,10 @@
         for (const Base::ServerId &id : ids)
             m_warmUntil.erase(id);
     }
+    if (m_recent.size() > maxReportedChanges) {
+        m_recent.clear();
+        m_overflowedAt = now;
+    }
 }
 
 bool ServerSet::recordEntryWarmUp(const RegisteredServer &server, Base::TimePoint now)
@@ -277,6 +286,8 @@
 std::vector<ServerChange> ServerSet::recentChanges(Base::TimePoint now) const
 {
     std::vector<ServerChange> changes;
+    if (m_overflowedAt && now - *m_overflowedAt < recentChangeSpan)
+        return changes;
     for (const TimedChange &it : m_recent) {
         if (now - it.at >= recentChangeSpan)
             continue;
--- a/src/libs/routing/serverset.h
+++ b/src/libs/routing/serverset.h
@@ -186,6 +186,8 @@
     Base::TimePoint m_storeRegainedAt = Base::TimePoint::min();
     Base::TimePoint m_peerOutageAt = Base::TimePoint::min();
     std::deque<TimedChange> m_recent;
+    /// Time at which there were more changes than are reported.
+    std::optional<Base::TimePoint> m_overflowedAt;
 };
 
 } // namespace Routing
--- a/tests/auto/routing/tst_serverset.cpp
+++ b/tests/auto/routing/tst_serverset.cpp
@@ -283,6 +283,24 @@
     });
 }
 
+TEST_CASE("the changes that a host reports do not grow with the servers", "[routing]")
+{
+    // Guards against a reader that sends the whole list to each host of its zone, five times a
+    // second, when it starts: a gigabyte a second at ten thousand servers and a thousand hosts.
+    for (const int n : {1000, 10000}) {
+        std::vector<RegisteredServer> entries;
+        for (int i = 0; i < n; ++i)
+            entries.push_back(server(std::to_string(i)));
+        ServerSet set(seconds(2));
+        set.apply(entries, start);
+        CHECK(set.recentChanges(start).size() <= 500);
+        // A few changes later are told.
+        entries.resize(static_cast<std::size_t>(n) - 3);
+        set.apply(entries, start + seconds(2));
+        CHECK(set.recentChanges(start + seconds(2)).size() == 3);
+    }
+}
+
 TEST_CASE("the fingerprint of a list costs the same whatever the length of the list", "[routing]")
 {
     // Guards against hosts that spend their processor on comparing lists: each compares them with
