--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/boottime.h"
 #include "gateway/metricshandler.h"
+#include "gateway/serverchangelog.h"
 #include "gateway/storeintervals.h"
 
 #include <boost/asio/post.hpp>
@@ -566,16 +567,11 @@
     if (notifiesZone)
         m_nextReport = Base::TimePoint{};
     const Base::TimePoint time = now();
-    for (const Base::ServerId &id : changes.found)
-        m_log.write(LogLine("server.found").add("server", id.value()), time);
-    for (const Base::ServerId &id : changes.leaving) {
-        m_log.write(LogLine("server.leaving").add("server", id.value()), time);
+    logServerChanges(m_log, changes, time);
+    for (const Base::ServerId &id : changes.leaving)
         m_pool.closeIdleConnections(id);
-    }
-    for (const Base::ServerId &id : changes.gone) {
-        m_log.write(LogLine("server.gone").add("server", id.value()), time);
+    for (const Base::ServerId &id : changes.gone)
         m_pool.closeIdleConnections(id);
-    }
     m_services->serversChanged();
     m_rollouts->serversChanged();
     m_memory.advance(m_replica->servers().versions(), time);
--- a/tests/auto/gateway/tst_eventlog.cpp
+++ b/tests/auto/gateway/tst_eventlog.cpp
@@ -1,4 +1,5 @@
 #include "gateway/eventlog.h"
+#include "gateway/serverchangelog.h"
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
@@ -6,6 +7,7 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <sstream>
 
@@ -118,3 +120,24 @@
     log.flush();
     CHECK(pipe.read().find("\"answered\"") != std::string::npos);
 }
+
+TEST_CASE("the log lines on servers do not grow with their number", "[gateway]")
+{
+    // Guards against hosts that write megabytes when they start, since they learn of thousands of
+    // servers at once.
+    for (const int n : {1000, 10000}) {
+        Routing::ServerChanges changes;
+        for (int i = 0; i < n; ++i)
+            changes.found.emplace_back("s" + std::to_string(i));
+        changes.gone.emplace_back("gone");
+        Pipe pipe;
+        EventLog log(pipe.writeEnd(), 0);
+        logServerChanges(log, changes, start);
+        log.flush();
+        const std::string text = pipe.read();
+        CHECK(std::count(text.begin(), text.end(), '\n') == 66);
+        CHECK(text.find("\"servers.found\",\"count\":" + std::to_string(n)) != std::string::npos);
+        CHECK(text.find("\"server.gone\",\"server\":\"gone\"") != std::string::npos);
+        CHECK(log.dropped() == 0);
+    }
+}
