Read only the changes of the servers' entries once all have been read

Each zone's reader transferred the whole list each 0.6 to 1.2 seconds, 51 pages and 5 MB at ten thousand servers, and each host that read for itself did so too. An entry changes only when more than its sequence number does, so the store's feed of changes says all that the list would. The version from which it is read follows answers at five seconds' distance, since answers may lack the most recent changes; without history all pages are read again. A host that begins to read goes on from the list that it has from others. Hosts' rows come before servers, and a row that was refused is written again after two seconds: the store writes 200 rows a second, and not all hosts of a thousand need one.

--- a/src/libs/gateway/storeclient.cpp
+++ b/src/libs/gateway/storeclient.cpp
@@ -29,13 +29,16 @@
 constexpr Base::Duration fullReadingInterval = std::chrono::seconds(8);
 /// The rows serve only to discover other hosts at startup; from then on hosts exchange reports.
 constexpr Base::Duration hostReadInterval = std::chrono::seconds(30);
-constexpr Base::Duration firstHostReadInterval = std::chrono::seconds(1);
+constexpr Base::Duration firstHostReadInterval = milliseconds(1200);
 constexpr Base::Duration hostWriteInterval = std::chrono::seconds(20);
 constexpr milliseconds hostRowFreshFor{45000};
 /// Delay between the first reading of the rows and the first writing. A host that receives in this
 /// time a report of another one that refreshes its row need not write the row. Hosts that start
 /// together read the rows once more after that (firstHostReadInterval).
 constexpr Base::Duration firstHostWriteDelay = milliseconds(500);
+/// The pause after a first row was refused. The store writes some hundred rows a second, and hosts
+/// that start together need not all be listed: reports of those that are tell of the others.
+constexpr Base::Duration pauseAfterRefusedRow = std::chrono::seconds(2);
 /// Interval at which a host that refreshes no rows checks whether it has to.
 constexpr Base::Duration hostWriteCheckInterval = std::chrono::seconds(1);
 /// The store accepts at most this many rows in one transaction.
@@ -77,7 +80,8 @@
     // that this host can become a reader again.
     const bool isAfterFailure = !m_isReadAvailable || m_areServersUnconfirmed;
     const bool isDue = isReading() || m_needsServers || isAfterFailure;
-    if (!m_areReadsDeferred && now >= m_nextServerReading && isDue)
+    // The other hosts are found first, since one of them may have the servers.
+    if (!m_areReadsDeferred && now >= m_nextServerReading && isDue && m_nextHostPage.empty())
         readServers(now);
     else
         syncHostRows(now);
@@ -241,13 +245,17 @@
 
 void StoreClient::readServers(Base::TimePoint now)
 {
-    if (m_continueFrom.empty()) {
-        m_pendingServers.clear();
-        m_pendingUnreadableEntries.clear();
+    if (m_entries.isEmpty() && m_mayTakeOver) {
+        if (const std::optional<ListedServers> known = m_listener->knownServers())
+            m_entries.takeOver(*known);
     }
-    m_readClient->call(
-        m_protocol->readServers(m_continueFrom), readTimeout, now,
-        [this, now](const std::optional<HttpAnswer> &answer) { serversAnswered(answer, now); });
+    const std::optional<std::uint64_t> version = m_entries.changesFrom();
+    const HttpCall call = version ? m_protocol->readServerChanges(*version)
+                                  : m_protocol->readServers(m_entries.nextPage());
+    m_readClient->call(call, readTimeout, now,
+                       [this, now](const std::optional<HttpAnswer> &answer) {
+                           serversAnswered(answer, now);
+                       });
 }
 
 void StoreClient::serversAnswered(const std::optional<HttpAnswer> &answer, Base::TimePoint askedAt)
@@ -259,33 +267,15 @@
     boost::leaf::try_handle_all(
         [&]() -> Base::Result<void> {
             BOOST_LEAF_AUTO(reading, m_protocol->servers(*answer));
-            m_nextServerReading = askedAt + m_intervals.serverInterval;
-            m_listener->storeCallFinished("servers", true);
-            m_readPause.reset();
-            logAvailabilityChange(m_isReadAvailable, true, "servers", "");
-            if (reading.storeVersion < m_serversVersion) {
-                m_continueFrom.clear();
-                return {};
-            }
-            m_serversVersion = reading.storeVersion;
-            m_pendingServers.insert(m_pendingServers.end(), reading.servers.begin(),
-                                    reading.servers.end());
-            m_pendingUnreadableEntries.merge(std::set<std::string>(reading.unreadable));
-            m_continueFrom = reading.continueFrom;
-            if (!m_continueFrom.empty()) {
-                m_nextServerReading = Base::TimePoint{};
-                return {};
-            }
-            m_needsServers = false;
-            m_areServersUnconfirmed = false;
-            // The entries are reported only on a change, since the same entry is read again about
-            // twice a second for as long as it is in the store.
-            if (std::exchange(m_unreadableEntries, m_pendingUnreadableEntries)
-                != m_pendingUnreadableEntries)
-                m_listener->unreadableEntriesChanged(m_unreadableEntries);
-            m_listener->serversRead(m_pendingServers, askedAt);
+            takeServers(reading, askedAt);
             return {};
         },
+        [&](const StoreHistoryGone &) {
+            m_log->write(LogLine("servers.history_gone"), bootTimeNow());
+            m_entries.clear();
+            m_mayTakeOver = false;
+            m_nextServerReading = Base::TimePoint{};
+        },
         [&](const StoreRefused &) { serversFailed("refused", FailureScope::Store); },
         [&](const MalformedStoreAnswer &it) {
             serversFailed(it.what.c_str(), FailureScope::Store);
@@ -293,11 +283,35 @@
         [&] { serversFailed("unknown", FailureScope::Store); });
 }
 
+void StoreClient::takeServers(const ServerReading &reading, Base::TimePoint askedAt)
+{
+    m_nextServerReading = askedAt + m_intervals.serverInterval;
+    m_listener->storeCallFinished("servers", true);
+    m_readPause.reset();
+    logAvailabilityChange(m_isReadAvailable, true, "servers", "");
+    if (reading.storeVersion < m_serversVersion) {
+        m_entries.dropPages();
+        return;
+    }
+    m_serversVersion = reading.storeVersion;
+    if (!m_entries.take(reading, askedAt)) {
+        m_nextServerReading = Base::TimePoint{};
+        return;
+    }
+    m_needsServers = false;
+    m_mayTakeOver = true;
+    m_areServersUnconfirmed = false;
+    // The entries are reported only on a change, since they may be in the store for long.
+    if (std::exchange(m_unreadableEntries, m_entries.unreadable()) != m_entries.unreadable())
+        m_listener->unreadableEntriesChanged(m_unreadableEntries);
+    m_listener->serversRead(m_entries.servers(), askedAt);
+}
+
 void StoreClient::serversFailed(const char *why, FailureScope scope)
 {
     m_listener->storeCallFinished("servers", false);
     logAvailabilityChange(m_isReadAvailable, false, "servers", why);
-    m_continueFrom.clear();
+    m_entries.dropPages();
     if (scope == FailureScope::Connection) {
         m_nextServerReading = Base::TimePoint{};
         return;
@@ -359,10 +373,12 @@
         m_storeTime + std::chrono::duration_cast<milliseconds>(now - m_storeTimeReadAt);
     m_readClient->call(m_protocol->writeHosts(rows, storeNow), readTimeout, now,
                        [this](const std::optional<HttpAnswer> &answer) {
-                           if (!answer || answer->status != 200)
-                               m_nextHostWriting = bootTimeNow() + m_hostPause.next();
-                           else
+                           if (answer && answer->status == 200)
                                m_hostPause.reset();
+                           else
+                               m_nextHostWriting =
+                                   bootTimeNow()
+                                   + std::max(m_hostPause.next(), pauseAfterRefusedRow);
                        });
 }
 
@@ -383,6 +399,7 @@
             m_hostPause.reset();
             m_listener->hostsRead(reading.hosts);
             m_nextHostPage = reading.continueFrom;
+            m_hasReadHosts = m_nextHostPage.empty();
             return {};
         },
         [&] {
--- a/src/libs/gateway/storeclient.h
+++ b/src/libs/gateway/storeclient.h
@@ -2,6 +2,7 @@
 
 #include "base/time.h"
 #include "gateway/httpclient.h"
+#include "gateway/serverentries.h"
 #include "gateway/storeintervals.h"
 #include "gateway/storeprotocol.h"
 #include "routing/exponentialbackoff.h"
@@ -44,6 +45,8 @@
     /// The entries of all servers were read; the call for the last page was sent at \a askedAt.
     virtual void serversRead(const std::vector<Routing::RegisteredServer> &servers,
                              Base::TimePoint askedAt) = 0;
+    /// Returns the servers that are known from other hosts; empty if they are not settled.
+    virtual std::optional<ListedServers> knownServers() const = 0;
     /// The store fails calls, or refuses those of this host. Entries of servers may expire
     /// meanwhile although their servers run.
     virtual void storeFailed() = 0;
@@ -64,8 +67,8 @@
 /// for a second at most. Each answer also confirms that the known configuration is current. The
 /// watch starts from the version of the last full reading, or of the last change that a watch
 /// returned, and not from that of the last answer, since the store may answer a watch without the
-/// most recent changes. The entries of servers change all the time with their heartbeats, so they
-/// are polled as a whole.
+/// most recent changes. The entries of servers are read as a whole once, and then only their
+/// changes (ServerEntries), since thousands of entries take megabytes.
 ///
 /// The store is polled only while this host reads it for itself or for others (setReaderRole()).
 /// Otherwise this host reads it once, and again when it is notified of a change. While other hosts
@@ -97,6 +100,8 @@
     void setHostDiscoveryEnabled(bool isEnabled) { m_isHostDiscoveryEnabled = isEnabled; }
     /// While reads are deferred, only the rows of hosts are read and written.
     void setReadsDeferred(bool isDeferred) { m_areReadsDeferred = isDeferred; }
+    /// Whether all rows of hosts that were listed have been read.
+    bool hasReadHosts() const { return m_hasReadHosts; }
     /// Whether the last call for the configuration failed.
     bool isLost() const { return !m_isWatchAvailable; }
     /// Whether the store has answered that there is no configuration yet.
@@ -133,6 +138,7 @@
     void configurationFailed(const char *why, FailureScope scope);
     void readServers(Base::TimePoint now);
     void serversAnswered(const std::optional<HttpAnswer> &answer, Base::TimePoint askedAt);
+    void takeServers(const ServerReading &reading, Base::TimePoint askedAt);
     void serversFailed(const char *why, FailureScope scope);
     /// Scope of a call that got no answer. If the call before it succeeded, only the connection may
     /// be broken; the next call uses a new one.
@@ -168,12 +174,12 @@
     Base::TimePoint m_nextWatch{};
     Base::TimePoint m_nextFullReading{};
 
-    /// What the pages read so far contain, until the last page has been read.
-    std::vector<Routing::RegisteredServer> m_pendingServers;
-    std::set<std::string> m_pendingUnreadableEntries;
+    ServerEntries m_entries;
+    /// Whether entries may be taken over from other hosts; false while the store's history does not
+    /// reach back to their version.
+    bool m_mayTakeOver = true;
     /// Keys of the unreadable entries at the last complete reading of the servers.
     std::set<std::string> m_unreadableEntries;
-    std::string m_continueFrom;
     std::uint64_t m_serversVersion = 0;
     Base::TimePoint m_nextServerReading{};
     Routing::ExponentialBackoff m_watchPause;
@@ -186,6 +192,7 @@
     Base::TimePoint m_nextHostReading{};
     /// Where the next page of the rows of hosts begins; empty if all pages were read.
     std::string m_nextHostPage;
+    bool m_hasReadHosts = false;
     Base::TimePoint m_nextHostWriting{};
     /// The due rows that are not part of a call yet.
     std::vector<HostRow> m_rowsToWrite;
--- a/src/libs/gateway/storeprotocol.h
+++ b/src/libs/gateway/storeprotocol.h
@@ -84,11 +84,16 @@
     std::uint64_t revision = 0;
 };
 
-/// One page of the entries of backend servers.
+/// One page of the entries of backend servers, or the changes of entries since some version.
 struct ServerReading
 {
     std::uint64_t storeVersion = 0;
+    /// Version of the store at which the newest of these entries was written or removed; 0 if there
+    /// are none.
+    std::uint64_t newestEntryVersion = 0;
     std::vector<Routing::RegisteredServer> servers;
+    /// Keys of entries that were removed; empty for a page of entries.
+    std::vector<std::string> removed;
     /// Keys of entries that cannot be parsed or hold values that no server writes; they are not
     /// used.
     std::set<std::string> unreadable;
@@ -134,6 +139,9 @@
 
     /// Reads the first page if \a continueFrom is empty, else the page that begins there.
     virtual HttpCall readServers(const std::string &continueFrom) const = 0;
+    /// Reads the entries of servers that have changed after \a version. An entry that its server
+    /// has only confirmed has not changed.
+    virtual HttpCall readServerChanges(std::uint64_t version) const = 0;
     virtual Base::Result<ServerReading> servers(const HttpAnswer &answer) const = 0;
 
     /// Reads the first page if \a continueFrom is empty, else the page that begins there.
--- a/src/libs/gateway/storereplica.cpp
+++ b/src/libs/gateway/storereplica.cpp
@@ -185,8 +185,10 @@
     const Base::TimePoint provedAt = *askedAt - *store.proofAge;
     if (!isOlder)
         m_lease.confirm(provedAt);
-    if (!hasOtherServers)
-        m_serversProvedAt = std::max(m_serversProvedAt, provedAt);
+    if (hasOtherServers)
+        return;
+    m_serversProvedAt = std::max(m_serversProvedAt, provedAt);
+    m_copiedVersion.record(store.serversVersion, provedAt);
 }
 
 void StoreReplica::setTable(std::shared_ptr<const Routing::RouteTable> table,
@@ -303,6 +305,18 @@
     m_dependencies.listener.serversRead();
 }
 
+std::optional<ListedServers> StoreReplica::knownServers() const
+{
+    // A set that contains servers whose entries are missing would keep them for ever.
+    if (m_copiedVersion.value() == 0 || !m_servers.isAuthoritative(bootTimeNow()))
+        return std::nullopt;
+    ListedServers listed;
+    listed.version = m_copiedVersion.value();
+    for (const auto &[id, server] : m_servers.servers())
+        listed.servers.push_back(server);
+    return listed;
+}
+
 void StoreReplica::storeFailed()
 {
     m_servers.storeFailed(bootTimeNow());
--- a/src/libs/gateway/storereplica.h
+++ b/src/libs/gateway/storereplica.h
@@ -121,6 +121,7 @@
     void operatorRead(std::uint64_t version) override;
     void serversRead(const std::vector<Routing::RegisteredServer> &servers,
                      Base::TimePoint askedAt) override;
+    std::optional<ListedServers> knownServers() const override;
     void storeFailed() override;
     void unreadableEntriesChanged(const std::set<std::string> &entries) override;
     void storeCallFinished(const char *call, bool isGood) override;
@@ -170,6 +171,8 @@
     Routing::RolloutOrders m_rolloutOrders;
     std::uint64_t m_operatorVersion = 0;
     std::uint64_t m_serversVersion = 0;
+    /// Version of the store whose servers this host knows from other hosts.
+    SettledVersion m_copiedVersion;
     Base::TimePoint m_startedAt;
     /// Time of the question whose answer last proved the configuration current to this host's own
     /// store client.
--- a/tests/auto/gateway/fakestore.h
+++ b/tests/auto/gateway/fakestore.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <set>
 #include <sstream>
 #include <string>
 #include <utility>
@@ -38,13 +39,26 @@
             reading.configuration.reset();
         return reading;
     }
-    HttpCall readServers(const std::string &) const override { return {"GET", "/servers", {}}; }
+    HttpCall readServers(const std::string &) const override
+    {
+        ++serverListings;
+        return {"GET", "/servers", {}};
+    }
+    HttpCall readServerChanges(std::uint64_t version) const override
+    {
+        serverChangesAfter.push_back(version);
+        return {"GET", "/servers", {}};
+    }
+    /// All entries are told as changed each time, and all that were ever listed as removed.
     Base::Result<ServerReading> servers(const HttpAnswer &answer) const override
     {
         BOOST_LEAF_CHECK(checked(answer));
         ServerReading reading;
         reading.storeVersion = std::stoull(answer.body);
         reading.servers = entries;
+        reading.removed.assign(m_listedServers.begin(), m_listedServers.end());
+        for (const Routing::RegisteredServer &it : entries)
+            m_listedServers.insert(it.start.name);
         return reading;
     }
     HttpCall readHosts(const std::string &continueFrom) const override
@@ -111,12 +125,19 @@
     mutable std::vector<std::pair<Routing::RolloutState, std::uint64_t>> written;
     /// The versions from which changes were watched.
     mutable std::vector<std::uint64_t> watchedVersions;
+    /// How often all servers were to be listed, and the versions from which changes were to be read.
+    mutable int serverListings = 0;
+    mutable std::vector<std::uint64_t> serverChangesAfter;
     /// At this version of the store, it returns no configuration.
     std::string unchangedConfiguration;
 
 private:
+    mutable std::set<std::string> m_listedServers;
+
     static Base::Result<void> checked(const HttpAnswer &answer)
     {
+        if (answer.status == 410)
+            return boost::leaf::new_error(StoreHistoryGone());
         if (answer.status != 200)
             return boost::leaf::new_error(StoreRefused{answer.status});
         return {};
@@ -138,6 +159,8 @@
         }
         ResponseHead head;
         head.result(refused[path] ? 503U : 200U);
+        if (std::exchange(dropsHistory[path], false))
+            head.result(410U);
         if (path == "/row")
             writtenRows += request.message.body();
         sink.sendAnswer(head, path == "/hosts" ? writtenRows : std::to_string(version));
@@ -149,6 +172,8 @@
     std::string writtenRows;
     std::map<std::string, int> calls;
     std::map<std::string, bool> refused;
+    /// The next call of the path finds that the history does not reach back far enough.
+    std::map<std::string, bool> dropsHistory;
     /// The next call of the path loses its connection without an answer.
     std::map<std::string, bool> dropsNextCall;
 };
--- a/tests/auto/gateway/tst_storeclient.cpp
+++ b/tests/auto/gateway/tst_storeclient.cpp
@@ -54,6 +54,7 @@
         wasStoreLost = std::exchange(isStoreLost, false);
         ++serverReadings;
     }
+    std::optional<ListedServers> knownServers() const override { return std::nullopt; }
     void storeFailed() override { isStoreLost = true; }
     void unreadableEntriesChanged(const std::set<std::string> &) override {}
     void storeCallFinished(const char *, bool) override {}
@@ -299,3 +300,19 @@
     fixture.protocol.nextHosts = {{row(1), row(2)}, {row(3)}, {row(4)}};
     CHECK(fixture.runUntil([&] { return fixture.listener.hosts.size() == 4; }));
 }
+
+TEST_CASE("the servers are listed once, and again only if the store's history is gone", "[gateway]")
+{
+    // Guards against readers that transfer thousands of entries every second.
+    StoreFixture fixture;
+    fixture.client->setReaderRole(StoreClient::ReaderRole::ForZone);
+    REQUIRE(fixture.runUntil([&] { return fixture.listener.serverReadings == 3; }));
+    CHECK(fixture.protocol.serverListings == 1);
+    REQUIRE(fixture.protocol.serverChangesAfter.size() >= 2);
+    CHECK(fixture.protocol.serverChangesAfter.front() == 7);
+    fixture.store.dropsHistory["/servers"] = true;
+    REQUIRE(fixture.runUntil([&] { return fixture.protocol.serverListings == 2; }));
+    CHECK(fixture.runUntil([&] { return fixture.listener.serverReadings == 5; }));
+    CHECK(fixture.protocol.serverListings == 2);
+    CHECK_FALSE(fixture.listener.wasStoreLost);
+}
--- a/tests/auto/platformadapter/tst_storecodec.cpp
+++ b/tests/auto/platformadapter/tst_storecodec.cpp
@@ -279,6 +279,30 @@
     CHECK(codec.servers({200, body.dump()})->continueFrom.empty());
 }
 
+TEST_CASE("the changes of servers are read from a version of the store", "[platform]")
+{
+    // Guards against servers that are gone and stay in the list.
+    const StoreCodec codec;
+    CHECK(codec.readServerChanges(77).target == "/-/rows-feed?table=servers&after=77&waitMs=1");
+    Json body = Json::parse(
+        rowsBody({{"i-1", serverExample}, {"i-2", serverExample}, {"i-3", serverExample}}));
+    body["rows"][0]["ver"] = 80;
+    body["rows"][1] = Json{{"key", "i-2"}, {"removed", true}, {"ver", 83}};
+    body["rows"][2]["ver"] = 82;
+    const auto changes = codec.servers({200, body.dump()});
+    REQUIRE(changes);
+    CHECK(changes->newestEntryVersion == 83);
+    CHECK(changes->removed == std::vector<std::string>{"i-2"});
+    CHECK(changes->servers.size() == 2);
+    // The last of several changes of an entry counts.
+    body["rows"][0]["key"] = "i-2";
+    body["rows"][2] = Json{{"key", "i-2"}, {"removed", true}, {"ver", 84}};
+    const auto repeated = codec.servers({200, body.dump()});
+    REQUIRE(repeated);
+    CHECK(repeated->removed == std::vector<std::string>{"i-2"});
+    CHECK(repeated->servers.empty());
+}
+
 TEST_CASE("the age of hosts' rows is measured by the store's clock", "[platform]")
 {
     const StoreCodec codec;
