Tell hosts of a very large fleet only what they need, and let them copy from each other

From 320 hosts on.

- A report on the fleet names the essential members (next leaders, those that callers may be told of, those that forward) and the numbers of hosts.
Hosts that forward nothing get it without loads, in groups that echo their own reports only.
- Announcements go to the likely leaders from 96 hosts on.
- Copies are taken from a host before one by name, so that each hands out a few; lists are encoded once; a host asks again in place of reading the store; the first host of a zone waits for nobody.

tst_gateway: bytes for each receiver of a leader at 480, 960 and 1,920 hosts within 1.1; loads and strong hosts known where they are needed; no host hands out more than 16 copies in zones of 80, 160 and 320 hosts.

--- a/src/libs/gateway/fleetview.cpp
+++ b/src/libs/gateway/fleetview.cpp
@@ -9,9 +9,6 @@
 
 namespace {
 
-/// Reports are sent five times a second. Three or more in a row are not lost by chance, and a host
-/// that is down must leave the entry list before many callers try it.
-constexpr Base::Duration livenessTimeout = std::chrono::milliseconds(1400);
 /// Reports are still sent to a host that is down or cut off until this time has passed since its
 /// last report or its last listing in the store.
 constexpr Base::Duration receiverTimeout = std::chrono::seconds(45);
@@ -142,7 +139,7 @@
         if (member.host != m_self)
             addReceiver(member.peerAddress, member.host, member.zone, now);
     }
-    if (isLarge() && isLeader(now) && report.scope != ReportScope::Fleet) {
+    if (isLarge() && isLeader(now) && !coversFleet(report.scope)) {
         appendUses(m_usesForZone, report.load.partUses);
         // Another leader sends what it relays to all leaders. Relaying it to them again would make
         // the uses circulate forever and multiply each time.
@@ -152,6 +149,7 @@
     if (report.scope != ReportScope::Host)
         m_summaries[from.host] = {report, now};
     m_hosts[from.host] = {report, now};
+    m_membersCachedAt.reset();
     return true;
 }
 
@@ -164,6 +162,7 @@
 
 void FleetView::advance(Base::TimePoint now)
 {
+    m_membersCachedAt.reset();
     std::erase_if(m_receivers, [now](const auto &it) { return now >= it.second.until; });
     std::erase_if(m_hosts, [now](const auto &it) { return now - it.second.at >= receiverTimeout; });
     std::erase_if(m_summaries,
@@ -196,9 +195,19 @@
     return it != m_hosts.end() && isAlive(it->second, now);
 }
 
-std::map<Base::HostId, MemberState> FleetView::liveMembers(Base::TimePoint now) const
+const Members &FleetView::liveMembers(Base::TimePoint now) const
 {
-    std::map<Base::HostId, MemberState> members;
+    if (m_membersCachedAt != now) {
+        m_cachedMembers = computeLiveMembers(now);
+        m_cachedEssentials.reset();
+        m_membersCachedAt = now;
+    }
+    return m_cachedMembers;
+}
+
+Members FleetView::computeLiveMembers(Base::TimePoint now) const
+{
+    Members members;
     for (const auto &[host, latest] : m_hosts) {
         if (isAlive(latest, now))
             members[host] = latest.report.self;
@@ -277,8 +286,7 @@
 {
     if (m_isLeaving || m_isStoreLost || (isLarge() && !isLeader(now)))
         return false;
-    const std::map<Base::HostId, MemberState> members = liveMembers(now);
-    return std::ranges::none_of(members, [&](const auto &it) {
+    return std::ranges::none_of(liveMembers(now), [&](const auto &it) {
         const MemberState &member = it.second;
         if (member.isLeaving || member.isStoreLost)
             return false;
@@ -287,126 +295,47 @@
     });
 }
 
-std::vector<std::string> FleetView::receiversIn(const Base::ZoneId &zone) const
-{
-    std::vector<std::string> addresses;
-    for (const auto &[address, receiver] : m_receivers) {
-        if (receiver.zone == zone || receiver.zone.isEmpty())
-            addresses.push_back(address);
-    }
-    return addresses;
-}
-
-Base::ZoneId FleetView::zoneOf(const std::string &peerAddress) const
-{
-    const auto it = m_receivers.find(peerAddress);
-    return it == m_receivers.end() ? Base::ZoneId() : it->second.zone;
-}
-
-std::vector<std::string> FleetView::allReceivers() const
-{
-    std::vector<std::string> addresses;
-    for (const auto &[address, receiver] : m_receivers)
-        addresses.push_back(address);
-    return addresses;
-}
-
-std::map<Base::ZoneId, std::vector<std::pair<Base::HostId, std::string>>>
-FleetView::likelyLeaders(Base::TimePoint now) const
-{
-    std::map<Base::ZoneId, std::vector<std::pair<Base::HostId, std::string>>> zones;
-    const std::map<Base::HostId, MemberState> alive = liveMembers(now);
-    for (const auto &[address, receiver] : m_receivers) {
-        const bool isSilent =
-            now - receiver.since >= livenessTimeout && !alive.contains(receiver.host);
-        if (!receiver.host.isEmpty() && !isSilent)
-            zones[receiver.zone].emplace_back(receiver.host, address);
-    }
-    zones[m_zone].emplace_back(m_self, std::string());
-    for (auto &[zone, hosts] : zones) {
-        std::ranges::sort(hosts);
-        hosts.resize(std::min(hosts.size(), likelyLeadersOfZone));
-    }
-    return zones;
-}
-
-std::vector<std::string> FleetView::announceReceivers(Base::TimePoint now) const
-{
-    if (m_receivers.size() <= maxAnnounceReceivers)
-        return allReceivers();
-    const auto zones = likelyLeaders(now);
-    const auto &ownZone = zones.at(m_zone);
-    const bool isLikelyLeader =
-        std::ranges::any_of(ownZone, [this](const auto &it) { return it.first == m_self; });
-    // A host that has heard of the others and leads all the same must tell them.
-    const bool tellsZone = isLikelyLeader || (isLeader(now) && !isCutOffFromZone(now));
-    std::set<std::string> addresses;
-    for (const auto &[zone, hosts] : zones) {
-        if (zone != m_zone && !tellsZone)
-            continue;
-        for (const auto &[host, address] : hosts) {
-            if (!address.empty())
-                addresses.insert(address);
-        }
-    }
-    for (const auto &[address, receiver] : m_receivers) {
-        if (receiver.zone.isEmpty() || (tellsZone && receiver.zone == m_zone))
-            addresses.insert(address);
-    }
-    return {addresses.begin(), addresses.end()};
-}
-
-std::vector<DueReport> FleetView::dueReports(Base::TimePoint now) const
-{
-    if (!isLarge())
-        return {{ReportScope::Host, allReceivers()}};
-    if (const std::optional<MemberState> leader = leaderOf(m_zone, now)) {
-        // All hosts must learn at once that this host does not lead any more. Without this report
-        // they would notice it only after more than a second without summaries and proofs.
-        if (now < m_announceUntil)
-            return {{ReportScope::Host, announceReceivers(now)}};
-        return {{ReportScope::Host, {leader->peerAddress}}};
-    }
-    // A summary of only a part of the zone would replace complete ones.
-    if (now < m_gatherUntil)
-        return {{ReportScope::Host, announceReceivers(now)}};
-    std::set<Base::ZoneId> zones;
-    for (const auto &[address, receiver] : m_receivers)
-        zones.insert(receiver.zone);
-    DueReport toLeaders{ReportScope::Zone, {}};
-    for (const Base::ZoneId &zone : zones) {
-        if (zone == m_zone || zone.isEmpty())
-            continue;
-        if (const std::optional<MemberState> leader = leaderOf(zone, now)) {
-            toLeaders.receivers.push_back(leader->peerAddress);
-            continue;
-        }
-        const std::vector<std::string> all = receiversIn(zone);
-        toLeaders.receivers.insert(toLeaders.receivers.end(), all.begin(), all.end());
-    }
-    return {toLeaders, {ReportScope::Fleet, receiversIn(m_zone)}};
-}
-
-void FleetView::addOtherHosts(HostReport &report, Base::TimePoint now) const
+void FleetView::addOtherHosts(HostReport &report, const std::vector<std::string> &receivers,
+                              Base::TimePoint now) const
 {
     const bool isLeading = isLeader(now);
+    const bool isDigest = report.scope == ReportScope::Digest;
+    const bool isSum = report.scope == ReportScope::Zone || report.scope == ReportScope::Fleet;
     for (const auto &[host, latest] : m_hosts) {
         if (!isAlive(latest, now) || latest.report.self.zone != m_zone)
             continue;
-        if (isLeading)
+        const bool isReceiver =
+            !isDigest
+            || std::ranges::find(receivers, latest.report.self.peerAddress) != receivers.end();
+        if (isLeading && isReceiver)
             report.echoes[host] = latest.report.sequence;
-        if (report.scope != ReportScope::Host && latest.report.scope == ReportScope::Host)
+        if (isSum && latest.report.scope == ReportScope::Host)
             addLoad(report.load, latest.report.load);
     }
     if (report.scope == ReportScope::Host)
         return;
-    for (const auto &[host, member] : liveMembers(now)) {
-        if (report.scope == ReportScope::Fleet || member.zone == m_zone)
-            report.members.push_back(member);
-    }
-    if (report.scope == ReportScope::Zone)
+    addMembers(report, now);
+    if (report.scope == ReportScope::Fleet)
+        addOtherZones(report.load, now);
+    if (isDigest)
+        report.load = Routing::HostLoad();
+}
+
+void FleetView::addMembers(HostReport &report, Base::TimePoint now) const
+{
+    const Members &members = liveMembers(now);
+    if (!coversFleet(report.scope) || !isVeryLarge()) {
+        for (const auto &[host, member] : members) {
+            if (coversFleet(report.scope) || member.zone == m_zone)
+                report.members.push_back(member);
+        }
         return;
-    addOtherZones(report.load, now);
+    }
+    if (!m_cachedEssentials)
+        m_cachedEssentials = essentialMembers(members, m_zone);
+    report.members = *m_cachedEssentials;
+    report.liveHosts = static_cast<std::uint32_t>(liveHosts(now));
+    report.possibleHosts = static_cast<std::uint32_t>(possibleHosts());
 }
 
 std::map<Base::ZoneId, const FleetView::ReceivedReport *>
@@ -486,6 +415,9 @@
 
 std::size_t FleetView::liveHosts(Base::TimePoint now) const
 {
+    const ReceivedReport *fleet = newestFleetReport(now);
+    if (fleet && fleet->report.liveHosts > 0)
+        return fleet->report.liveHosts;
     return liveMembers(now).size() + 1;
 }
 
@@ -493,7 +425,7 @@
 {
     const ReceivedReport *newest = nullptr;
     for (const auto &[host, latest] : m_summaries) {
-        if (latest.report.scope != ReportScope::Fleet || now - latest.at >= summaryLifetime)
+        if (!coversFleet(latest.report.scope) || now - latest.at >= summaryLifetime)
             continue;
         if (!newest || latest.at > newest->at)
             newest = &latest;
@@ -519,7 +451,8 @@
     if (now < m_gatherUntil)
         return;
     std::erase_if(m_summaries,
-                  [](const auto &it) { return it.second.report.scope == ReportScope::Fleet; });
+                  [](const auto &it) { return coversFleet(it.second.report.scope); });
+    m_membersCachedAt.reset();
 }
 
 std::optional<Base::Duration> FleetView::newestReportAge(Base::TimePoint now) const
@@ -559,12 +492,12 @@
     m_others.askedSeconds = sum.askedSeconds;
     m_others.serviceUses = std::move(sum.serviceUses);
     m_others.hosts = liveHosts(now);
-    m_others.possibleHosts = m_receivers.size() + 1;
+    m_others.possibleHosts = possibleHosts();
 }
 
 void FleetView::addRelayedUses(HostReport &report)
 {
-    if (report.scope == ReportScope::Host)
+    if (report.scope == ReportScope::Host || report.scope == ReportScope::Digest)
         return;
     std::vector<Routing::PartUse> &uses =
         report.scope == ReportScope::Zone ? m_usesForLeaders : m_usesForZone;
--- a/src/libs/gateway/fleetview.h
+++ b/src/libs/gateway/fleetview.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/time.h"
+#include "gateway/fleetdigest.h"
 #include "gateway/hostreport.h"
 #include "gateway/storeprotocol.h"
 #include "routing/fleetload.h"
@@ -31,7 +32,8 @@
 /// In a small fleet each host reports to every other host. In a larger fleet this would take
 /// thousands of datagrams a second, so the hosts of an availability zone report to one of them, the
 /// zone's leader. Leaders exchange summaries of their zones and send the summary of the fleet to
-/// the hosts of their own zone. The leader also reads the store for its zone, so that the number of
+/// the hosts of their own zone. In a very large fleet, that summary names the essential hosts only,
+/// and hosts that forward nothing get it without the loads. The leader also reads the store for its zone, so that the number of
 /// store calls does not grow with the number of hosts. The leader is the first live host by name
 /// among those whose calls the store accepts. When the leader changes, the hosts of its zone use
 /// the last summary until the new leader has received reports from all of them.
@@ -65,6 +67,17 @@
     /// Whether reports go through leaders and cover all hosts. In a small fleet a host only
     /// receives reports of hosts that it has found or that have found it.
     bool isLarge() const { return m_receivers.size() >= largeFleetHosts; }
+    /// Whether there are so many hosts that only leaders know all of them, and other hosts must not
+    /// all turn to one host or to the store at the same moment.
+    bool isVeryLarge() const { return possibleHosts() > veryLargeFleetHosts; }
+    /// Whether this host is the first one by name of the hosts of its zone that may be running.
+    bool isFirstOfZone(Base::TimePoint now) const;
+    /// Returns the peer address of the host to ask for a whole copy of the store's data. This is
+    /// \a announcer, which has told of newer data, or, if that is empty, the host that leads this
+    /// zone or may do so. In a very large fleet, if \a inTurns, it is the host of this zone from
+    /// which this one takes copies, so that each host hands them to a few others only. Empty if no
+    /// host is known.
+    std::string copySource(const std::string &announcer, bool inTurns, Base::TimePoint now) const;
     /// Whether this host is the leader of its zone.
     bool isLeader(Base::TimePoint now) const;
     /// Whether this host is the first one by its zone and its name among those that may decide for
@@ -73,9 +86,10 @@
     bool isFirstLeader(Base::TimePoint now) const;
     /// Returns the reports that this host sends in one report interval.
     std::vector<DueReport> dueReports(Base::TimePoint now) const;
-    /// Adds what a report of its scope has beyond the sender's own data: members, echoes and loads
-    /// of other hosts.
-    void addOtherHosts(HostReport &report, Base::TimePoint now) const;
+    /// Adds what a report of its scope to \a receivers has beyond the sender's own data: members,
+    /// echoes and loads of other hosts.
+    void addOtherHosts(HostReport &report, const std::vector<std::string> &receivers,
+                       Base::TimePoint now) const;
     /// Records that this host's own load was sent in the report with \a sequence.
     void recordSentReport(std::uint64_t sequence, const Routing::HostLoad &load,
                           Base::TimePoint now);
@@ -126,8 +140,17 @@
     bool isAlive(const ReceivedReport &latest, Base::TimePoint now) const;
     /// Whether a report of \a host itself was received within the liveness timeout.
     bool hasRecentReport(const Base::HostId &host, Base::TimePoint now) const;
-    /// Returns all other hosts that are alive, by their own reports or by those of a leader.
-    std::map<Base::HostId, MemberState> liveMembers(Base::TimePoint now) const;
+    /// Returns all other hosts that are alive and known, by their own reports or by those of a
+    /// leader. The result is valid until the next report is received.
+    const Members &liveMembers(Base::TimePoint now) const;
+    Members computeLiveMembers(Base::TimePoint now) const;
+    /// Adds to a summary how many hosts there are, and which.
+    void addMembers(HostReport &report, Base::TimePoint now) const;
+    /// Returns the number of hosts that may be running, including this one.
+    std::size_t possibleHosts() const;
+    /// Parts the hosts of this zone into those that need the loads of all hosts, because they
+    /// forward requests or callers may be told of them, and the others.
+    std::vector<DueReport> fleetReports(Base::TimePoint now) const;
     /// Returns the leader of \a zone: the first host by name of those that reach the store, or of
     /// all hosts if none reaches it. Empty if this host is the leader, or no other host of the zone
     /// is known to be alive.
@@ -162,13 +185,24 @@
     /// zone's leader, or else by the reports of the zone's hosts.
     void addOtherZones(Routing::HostLoad &sum, Base::TimePoint now) const;
 
+    /// Reports are sent five times a second. Three or more in a row are not lost by chance, and a
+    /// host that is down must leave the entry list before many callers try it.
+    static constexpr Base::Duration livenessTimeout = std::chrono::milliseconds(1400);
     /// Number of known other hosts from which on reports go through leaders.
     static constexpr std::size_t largeFleetHosts = 12;
     /// Number of known other hosts up to which an announcement goes to all.
-    static constexpr std::size_t maxAnnounceReceivers = 320;
+    static constexpr std::size_t maxAnnounceReceivers = 96;
+    /// Number of hosts that may be running from which on isVeryLarge().
+    static constexpr std::size_t veryLargeFleetHosts = 320;
     /// Number of hosts of a zone that are taken for its next leaders. The leader is mostly the
     /// first one, and several of them may be lost at the same moment.
     static constexpr std::size_t likelyLeadersOfZone = 4;
+    /// Number of the first hosts of a zone by name that take whole copies of the store's data from
+    /// its leader.
+    static constexpr std::size_t copiesOfLeader = 8;
+    /// Number of hosts that get the same digest. It echoes the reports of these hosts only, so that
+    /// its size does not grow with the zone.
+    static constexpr std::size_t receiversOfDigest = 16;
 
     Base::HostId m_self;
     Base::ZoneId m_zone;
@@ -181,6 +215,11 @@
     /// Time of the cached answer of isLeader(), and the answer.
     mutable Base::TimePoint m_leaderCheckedAt = Base::TimePoint::min();
     mutable bool m_isCachedLeader = true;
+    /// The members as of a time and of the last change of reports.
+    mutable Members m_cachedMembers;
+    mutable std::optional<Base::TimePoint> m_membersCachedAt;
+    /// The essential ones of these members, for reports on a very large fleet.
+    mutable std::optional<std::vector<MemberState>> m_cachedEssentials;
     /// The last report of each other host, of any scope.
     std::map<Base::HostId, ReceivedReport> m_hosts;
     /// The last report on a zone or on the fleet from each host that has sent one.
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -267,7 +267,7 @@
         report.sequence = ++m_identity.sequence;
         m_memory.addTo(report, time);
         m_rollouts->addTo(report, time);
-        m_fleet.addOtherHosts(report, time);
+        m_fleet.addOtherHosts(report, order.receivers, time);
         m_fleet.addRelayedUses(report);
         if (order.scope == ReportScope::Host)
             m_fleet.recordSentReport(report.sequence, own.load, time);
--- a/src/libs/gateway/hostreport.cpp
+++ b/src/libs/gateway/hostreport.cpp
@@ -12,7 +12,7 @@
 using Json = nlohmann::json;
 
 /// First element of a report. Reports with another format version are not read.
-constexpr std::uint64_t formatVersion = 13;
+constexpr std::uint64_t formatVersion = 14;
 constexpr double millisecondsPerSecond = 1000;
 /// Numbers of requests are written in hundredths: a small host has only a few recent ones.
 constexpr double hundredths = 100;
@@ -20,7 +20,7 @@
 constexpr double millisecondsOfStartUnit = 10;
 /// The longest sum of start times that is read, of some hours.
 constexpr std::uint64_t maxStartUnits = 1'000'000;
-constexpr std::uint64_t largestScope = static_cast<std::uint64_t>(ReportScope::Fleet);
+constexpr std::uint64_t largestScope = static_cast<std::uint64_t>(ReportScope::Digest);
 
 /// Reads the elements of an array one after the other. After the first element that is missing or
 /// of another type, everything reads as empty and isGood() returns false.
@@ -513,7 +513,9 @@
                        std::move(crashes),
                        std::move(streams),
                        std::move(rollouts),
-                       std::move(evidence)};
+                       std::move(evidence),
+                       report.liveHosts,
+                       report.possibleHosts};
     std::string bytes;
     Json::to_cbor(json, bytes);
     return bytes;
@@ -540,6 +542,8 @@
     reader.forEach([&](ArrayReader &it) { report.streams.push_back(readStreams(it)); });
     reader.forEach([&](ArrayReader &it) { report.rollouts.push_back(readRollout(it)); });
     reader.forEach([&](ArrayReader &it) { report.rolloutEvidence.push_back(readEvidence(it)); });
+    report.liveHosts = static_cast<std::uint32_t>(reader.number());
+    report.possibleHosts = static_cast<std::uint32_t>(reader.number());
     if (!hasKnownFormat || !reader.isGood() || scope > largestScope || report.self.host.isEmpty())
         return boost::leaf::new_error(MalformedReport());
     report.scope = static_cast<ReportScope>(scope);
--- a/src/libs/gateway/hostreport.h
+++ b/src/libs/gateway/hostreport.h
@@ -22,11 +22,18 @@
 
 /// The hosts that a report covers, by its load and its members.
 enum class ReportScope : std::uint8_t {
-    Host,  ///< Only the sender.
-    Zone,  ///< All hosts of the sender's availability zone.
-    Fleet, ///< All hosts.
+    Host,   ///< Only the sender.
+    Zone,   ///< All hosts of the sender's availability zone.
+    Fleet,  ///< All hosts.
+    Digest, ///< All hosts, but without any load, for hosts that forward nothing.
 };
 
+/// Returns whether reports of this scope cover all hosts.
+constexpr bool coversFleet(ReportScope scope)
+{
+    return scope == ReportScope::Fleet || scope == ReportScope::Digest;
+}
+
 /// The state of a gateway host as other hosts and the entry list need it.
 struct MemberState
 {
@@ -102,8 +109,13 @@
     /// The newest sequence received from each host that takes its data of the store from this one
     /// and whose work is part of the load.
     std::map<Base::HostId, std::uint64_t> echoes;
-    /// The hosts of the zone or of the fleet, without the sender; empty in a report on one host.
+    /// The hosts of the zone or of the fleet, without the sender; empty in a report on one host. A
+    /// report on a very large fleet names the essential ones only.
     std::vector<MemberState> members;
+    /// Numbers of the hosts of the fleet that are alive and that may be running, including the
+    /// sender; 0 if the members are all hosts that the sender knows.
+    std::uint32_t liveHosts = 0;
+    std::uint32_t possibleHosts = 0;
     Routing::HostLoad load;
     /// The latest ends of servers and the requests that ran there, as far as the sender knows them.
     std::vector<Routing::CrashReport> crashes;
--- a/src/libs/gateway/rolloutevidencesums.cpp
+++ b/src/libs/gateway/rolloutevidencesums.cpp
@@ -32,7 +32,7 @@
 
 void RolloutEvidenceSums::apply(const HostReport &report, Base::TimePoint now)
 {
-    if (report.scope == ReportScope::Fleet)
+    if (coversFleet(report.scope))
         return;
     if (report.rolloutEvidence.empty()) {
         m_received.erase(report.self.host);
--- a/src/libs/gateway/storecopy.cpp
+++ b/src/libs/gateway/storecopy.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace Gateway {
 
 namespace {
@@ -19,7 +21,7 @@
     return what == StoreData::Configuration ? "/configuration" : "/servers";
 }
 
-std::string encodeCopy(const ConfigurationCopy &copy)
+std::string encodeCopy(const StoreCopy &copy)
 {
     const auto age = static_cast<std::uint64_t>(std::max<std::int64_t>(0, copy.proofAge.count()));
     const Json json = {formatVersion, age, Json::binary({copy.text.begin(), copy.text.end()})};
@@ -28,7 +30,7 @@
     return bytes;
 }
 
-Base::Result<ConfigurationCopy> decodeCopy(std::string_view bytes)
+Base::Result<StoreCopy> decodeCopy(std::string_view bytes)
 {
     Json json;
     try {
@@ -41,7 +43,7 @@
                         && json[1].is_number_unsigned() && json[2].is_binary();
     if (!isCopy)
         return boost::leaf::new_error(MalformedCopy());
-    ConfigurationCopy copy;
+    StoreCopy copy;
     copy.proofAge =
         Base::Milliseconds(static_cast<std::int64_t>(json[1].get<std::uint64_t>() & INT32_MAX));
     const Json::binary_t &text = json[2].get_binary();
--- a/src/libs/gateway/storecopy.h
+++ b/src/libs/gateway/storecopy.h
@@ -2,7 +2,6 @@
 
 #include "base/result.h"
 #include "base/time.h"
-#include "gateway/hostreport.h"
 
 #include <optional>
 #include <string>
@@ -16,13 +15,14 @@
 /// HTTP path of \a what at a host's peer address.
 const char *copyPath(StoreData what);
 
-/// Copy of the configuration that a host has in force.
-struct ConfigurationCopy
+/// Copy of the data of the store that a host uses.
+struct StoreCopy
 {
-    /// Time between the call to the store whose answer confirmed that the configuration was current
-    /// and the answer that carries this copy.
+    /// Time between the call to the store whose answer confirmed that the data was current and the
+    /// answer that carries this copy.
     Base::Milliseconds proofAge{0};
-    /// The store's answer, unchanged.
+    /// The store's answer with the configuration, unchanged; or an encoded report that lists every
+    /// usable server as a change of the kind "found".
     std::string text;
 };
 
@@ -31,9 +31,9 @@
 {};
 
 /// Encodes \a copy as CBOR.
-std::string encodeCopy(const ConfigurationCopy &copy);
+std::string encodeCopy(const StoreCopy &copy);
 /// Decodes a copy. \a bytes may be arbitrary; fails with MalformedCopy.
-Base::Result<ConfigurationCopy> decodeCopy(std::string_view bytes);
+Base::Result<StoreCopy> decodeCopy(std::string_view bytes);
 
 /// Provides the copies of store data that this host hands to other hosts. A copy is empty while
 /// this host has no such data, or none that was confirmed recently; the host that asked then has to
@@ -42,9 +42,7 @@
 {
 public:
     virtual ~StoreCopySource() = default;
-    virtual std::optional<ConfigurationCopy> configurationCopy() const = 0;
-    /// A report that lists every usable server as a change of the kind "found".
-    virtual std::optional<HostReport> serversCopy() const = 0;
+    virtual std::optional<StoreCopy> copyOf(StoreData what) = 0;
 };
 
 } // namespace Gateway
--- a/src/libs/gateway/storecopyclient.cpp
+++ b/src/libs/gateway/storecopyclient.cpp
@@ -3,6 +3,7 @@
 #include "gateway/boottime.h"
 #include "gateway/eventlog.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace Gateway {
@@ -13,7 +14,10 @@
 
 /// A neighbour answers within a few milliseconds. The timeout is short since waiting for one that
 /// is overloaded or down uses up the time within which a change has to be in force.
-constexpr Base::Duration copyTimeout = milliseconds(300);
+constexpr Base::Duration configurationTimeout = milliseconds(300);
+/// A list of ten thousand servers takes over a megabyte. A weak host needs a few hundred
+/// milliseconds to encode it and to send it to several others.
+constexpr Base::Duration serversTimeout = milliseconds(1000);
 /// Minimum interval between two requests for the same data, so that several changes within it are
 /// fetched with one request.
 constexpr Base::Duration copyInterval = milliseconds(150);
@@ -27,11 +31,13 @@
     , m_log(&log)
 {}
 
-void StoreCopyClient::requestCopy(StoreData what, const std::string &peerAddress)
+void StoreCopyClient::requestCopy(StoreData what, const std::string &peerAddress,
+                                  Base::TimePoint earliestAt)
 {
     PendingCopy &pending = m_pendingCopies[what];
     pending.isRequested = true;
     pending.peerAddress = peerAddress;
+    pending.earliestAt = std::max(pending.earliestAt, earliestAt);
 }
 
 void StoreCopyClient::advance(Base::TimePoint now)
@@ -59,7 +65,9 @@
         m_client = std::make_shared<HttpClient>(*m_io, *address);
         m_clientAddress = pending.peerAddress;
     }
-    m_client->call({"GET", copyPath(what), {}}, copyTimeout, now,
+    const Base::Duration timeout =
+        what == StoreData::Configuration ? configurationTimeout : serversTimeout;
+    m_client->call({"GET", copyPath(what), {}}, timeout, now,
                    [this, what, now](const std::optional<HttpAnswer> &answer) {
                        answerReceived(what, answer, now);
                    });
@@ -74,12 +82,16 @@
     }
     boost::leaf::try_handle_all(
         [&]() -> Base::Result<void> {
+            BOOST_LEAF_AUTO(copy, decodeCopy(answer->body));
+            // Reports repeat that there is newer data until it is known. What has become newer
+            // since the request will be told again.
+            m_pendingCopies[what].isRequested = false;
             if (what == StoreData::Configuration) {
-                BOOST_LEAF_AUTO(copy, decodeCopy(answer->body));
                 m_listener->configurationCopied(copy, askedAt);
                 return {};
             }
-            BOOST_LEAF_AUTO(report, decodeReport(answer->body));
+            BOOST_LEAF_AUTO(report, decodeReport(copy.text));
+            report.store.proofAge = copy.proofAge;
             m_listener->serversCopied(report, askedAt);
             return {};
         },
--- a/src/libs/gateway/storecopyclient.h
+++ b/src/libs/gateway/storecopyclient.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/time.h"
+#include "gateway/hostreport.h"
 #include "gateway/httpclient.h"
 #include "gateway/storecopy.h"
 
@@ -18,7 +19,8 @@
 public:
     virtual ~StoreCopyListener() = default;
     /// \a askedAt is when the request to the other host was sent.
-    virtual void configurationCopied(const ConfigurationCopy &copy, Base::TimePoint askedAt) = 0;
+    virtual void configurationCopied(const StoreCopy &copy, Base::TimePoint askedAt) = 0;
+    /// \a report lists all usable servers, with the age of the proof that they are current.
     virtual void serversCopied(const HostReport &report, Base::TimePoint askedAt) = 0;
     /// No usable answer came in time; the data have to be read from the store instead.
     virtual void copyFailed(StoreData what) = 0;
@@ -38,9 +40,10 @@
     /// The arguments must outlive the client.
     StoreCopyClient(boost::asio::io_context &io, StoreCopyListener &listener, EventLog &log);
 
-    /// Schedules a request for \a what to the host at \a peerAddress. Requests for the same data
-    /// are merged until advance() sends one.
-    void requestCopy(StoreData what, const std::string &peerAddress);
+    /// Schedules a request for \a what to the host at \a peerAddress, no earlier than at
+    /// \a earliestAt. Requests for the same data are merged until advance() sends one.
+    void requestCopy(StoreData what, const std::string &peerAddress,
+                     Base::TimePoint earliestAt = Base::TimePoint{});
     /// Sends the requests that are due. Must be called every few tens of milliseconds.
     void advance(Base::TimePoint now);
 
--- a/src/libs/gateway/storecopyhandler.cpp
+++ b/src/libs/gateway/storecopyhandler.cpp
@@ -13,26 +13,26 @@
     sink.sendAnswer(head, body);
 }
 
-template <typename Copy, typename Encode>
-void answerCopy(AnswerSink &sink, const std::optional<Copy> &copy, Encode encode)
+std::optional<StoreData> dataAt(const std::string &path)
 {
-    if (copy)
-        answer(sink, Http::status::ok, encode(*copy));
-    else
-        answer(sink, Http::status::service_unavailable, {});
+    for (const StoreData what : {StoreData::Configuration, StoreData::Servers}) {
+        if (path == copyPath(what))
+            return what;
+    }
+    return std::nullopt;
 }
 
 } // namespace
 
 std::shared_ptr<ActiveRequest> StoreCopyHandler::handle(CallerRequest request, AnswerSink &sink)
 {
-    const std::string path(request.message.target());
-    if (path == copyPath(StoreData::Configuration))
-        answerCopy(sink, m_source->configurationCopy(), encodeCopy);
-    else if (path == copyPath(StoreData::Servers))
-        answerCopy(sink, m_source->serversCopy(), encodeReport);
-    else
+    const std::optional<StoreData> what = dataAt(std::string(request.message.target()));
+    if (!what)
         answer(sink, Http::status::not_found, {});
+    else if (const std::optional<StoreCopy> copy = m_source->copyOf(*what))
+        answer(sink, Http::status::ok, encodeCopy(*copy));
+    else
+        answer(sink, Http::status::service_unavailable, {});
     return nullptr;
 }
 
--- a/src/libs/gateway/storecopyhandler.h
+++ b/src/libs/gateway/storecopyhandler.h
@@ -11,14 +11,14 @@
 {
 public:
     /// \a source must outlive the handler.
-    explicit StoreCopyHandler(const StoreCopySource &source)
+    explicit StoreCopyHandler(StoreCopySource &source)
         : m_source(&source)
     {}
 
     std::shared_ptr<ActiveRequest> handle(CallerRequest request, AnswerSink &sink) override;
 
 private:
-    const StoreCopySource *m_source;
+    StoreCopySource *m_source;
 };
 
 } // namespace Gateway
--- a/src/libs/gateway/storereplica.cpp
+++ b/src/libs/gateway/storereplica.cpp
@@ -19,6 +19,17 @@
 /// before it asks the store. The time covers the second reading of the rows and a report there and
 /// back.
 constexpr Base::Duration soleStartDelay = milliseconds(2000);
+/// Time for which an encoded list of servers is handed out again. The remaining warm-up of servers
+/// in it is too long by its age.
+constexpr Base::Duration encodedServersLifetime = milliseconds(1000);
+/// In a very large fleet, requests for a copy that may fail one after the other before a host reads
+/// the store itself, and the pauses after the first and the last one. They cover the time in which
+/// a zone gets another leader and this one reads the store.
+constexpr unsigned maxFailedCopies = 24;
+/// Of so many requests, one is sent to the leader in place of the host whose turn it is.
+constexpr unsigned requestsUntilLeader = 4;
+constexpr Base::Duration firstCopyPause = milliseconds(150);
+constexpr Base::Duration lastCopyPause = milliseconds(600);
 
 Base::Duration leaseLength(Base::Milliseconds keyRevocation)
 {
@@ -117,6 +128,10 @@
 {
     if (isKnown() || m_hasCopyFailed)
         return false;
+    // The host that will lead its zone has nobody to wait for.
+    if (m_store.hasReadHosts() && m_dependencies.fleet.isVeryLarge()
+        && m_dependencies.fleet.isFirstOfZone(now))
+        return false;
     return !m_dependencies.fleet.isLeader(now) || now - m_startedAt < soleStartDelay;
 }
 
@@ -164,7 +179,7 @@
         return;
     const bool isOlder = version() < store.configurationVersion;
     if (isOlder)
-        m_copyClient.requestCopy(StoreData::Configuration, report.self.peerAddress);
+        requestCopy(StoreData::Configuration, report.self.peerAddress, now);
     // A report on an older reading than this host's own could bring back a server that is gone.
     const bool isNewEnough = store.serversVersion >= m_store.serversVersion();
     if (m_servers.isKnown() && isNewEnough) {
@@ -175,7 +190,7 @@
     const bool hasOtherServers = store.serversFingerprint != m_servers.fingerprint();
     // A leader's own reading is the newest one.
     if (hasOtherServers && isNewEnough && !m_dependencies.fleet.isLeader(now))
-        m_copyClient.requestCopy(StoreData::Servers, report.self.peerAddress);
+        requestCopy(StoreData::Servers, report.self.peerAddress, now);
     // The other host received this host's report before it sent its own. So it asked the store no
     // earlier than the proof's age before this host's report was sent, however long the reports
     // were under way.
@@ -342,8 +357,8 @@
     const HostRow *copySource = preferredCopySource(hosts, m_self);
     if (!copySource)
         return;
-    m_copyClient.requestCopy(StoreData::Configuration, copySource->peerAddress);
-    m_copyClient.requestCopy(StoreData::Servers, copySource->peerAddress);
+    for (const StoreData what : {StoreData::Configuration, StoreData::Servers})
+        requestCopy(what, copySource->peerAddress, Base::TimePoint{});
 }
 
 std::vector<HostRow> StoreReplica::rowsToRefresh() const
@@ -361,11 +376,12 @@
     return rows;
 }
 
-void StoreReplica::configurationCopied(const ConfigurationCopy &copy, Base::TimePoint askedAt)
+void StoreReplica::configurationCopied(const StoreCopy &copy, Base::TimePoint askedAt)
 {
     boost::leaf::try_handle_all(
         [&]() -> Base::Result<void> {
             BOOST_LEAF_AUTO(reading, m_dependencies.protocol.configuration({200, copy.text}));
+            m_failedCopies[StoreData::Configuration] = 0;
             const std::uint64_t copied = reading.configuration ? reading.configuration->version : 0;
             if (copied > version()) {
                 m_store.configurationCopied(copied);
@@ -400,6 +416,7 @@
 
 void StoreReplica::serversCopied(const HostReport &report, Base::TimePoint askedAt)
 {
+    m_failedCopies[StoreData::Servers] = 0;
     const StoreState &store = report.store;
     if (!store.proofAge || store.serversVersion < m_store.serversVersion())
         return;
@@ -421,8 +438,32 @@
     m_dependencies.listener.serversRead();
 }
 
+void StoreReplica::requestCopy(StoreData what, const std::string &announcer,
+                               Base::TimePoint earliestAt)
+{
+    const bool inTurns = m_failedCopies[what] % requestsUntilLeader != requestsUntilLeader - 1;
+    const std::string source =
+        m_dependencies.fleet.copySource(announcer, inTurns, bootTimeNow());
+    if (!source.empty())
+        m_copyClient.requestCopy(what, source, earliestAt);
+}
+
+bool StoreReplica::retryCopy(StoreData what)
+{
+    // Hundreds of hosts that read the whole store at the same moment would wait for it longer than
+    // for the host of their zone that reads it.
+    unsigned &failed = m_failedCopies[what];
+    if (!m_dependencies.fleet.isVeryLarge() || ++failed >= maxFailedCopies)
+        return false;
+    const Base::Duration pause = std::min(firstCopyPause * failed, lastCopyPause);
+    requestCopy(what, {}, bootTimeNow() + pause);
+    return true;
+}
+
 void StoreReplica::copyFailed(StoreData what)
 {
+    if (retryCopy(what))
+        return;
     m_hasCopyFailed = true;
     if (what == StoreData::Configuration)
         m_store.configurationChanged();
@@ -430,15 +471,20 @@
         m_store.serversChanged();
 }
 
-std::optional<ConfigurationCopy> StoreReplica::configurationCopy() const
+std::optional<StoreCopy> StoreReplica::copyOf(StoreData what)
+{
+    return what == StoreData::Configuration ? configurationCopy() : serversCopy();
+}
+
+std::optional<StoreCopy> StoreReplica::configurationCopy() const
 {
     const std::optional<Base::Duration> age = m_lease.age(bootTimeNow());
     if (!m_table || !age || *age >= m_times.fallbackReadAge)
         return std::nullopt;
-    return ConfigurationCopy{std::chrono::ceil<Base::Milliseconds>(*age), m_tableText};
+    return StoreCopy{std::chrono::ceil<Base::Milliseconds>(*age), m_tableText};
 }
 
-std::optional<HostReport> StoreReplica::serversCopy() const
+std::optional<StoreCopy> StoreReplica::serversCopy()
 {
     const Base::TimePoint now = bootTimeNow();
     const Base::Duration age = now - m_serversProvedAt;
@@ -447,16 +493,28 @@
     const bool isWhole = m_servers.isKnown() && m_servers.isAuthoritative(m_serversProvedAt);
     if (!isWhole || age >= m_times.fallbackReadAge || isStoreLost(now))
         return std::nullopt;
+    const EncodedServers *const known = m_encodedServers ? &*m_encodedServers : nullptr;
+    const bool isCurrent = known && known->fingerprint == m_servers.fingerprint()
+                           && known->serversVersion == m_store.serversVersion()
+                           && known->operatorVersion == m_operatorVersion
+                           && now - known->at < encodedServersLifetime;
+    if (!isCurrent)
+        m_encodedServers = encodedServers(now);
+    return StoreCopy{std::chrono::ceil<Base::Milliseconds>(age), m_encodedServers->report};
+}
+
+StoreReplica::EncodedServers StoreReplica::encodedServers(Base::TimePoint now) const
+{
     HostReport report;
     report.self.host = m_self.host;
     report.self.zone = m_self.zone;
     report.store.configurationVersion = version();
     report.store.serversFingerprint = m_servers.fingerprint();
     report.store.serversVersion = m_store.serversVersion();
-    report.store.proofAge = std::chrono::ceil<Base::Milliseconds>(age);
     report.store.serverChanges = m_servers.asChanges(now);
     addOrders(report.store);
-    return report;
+    return {now, m_servers.fingerprint(), m_store.serversVersion(), m_operatorVersion,
+            encodeReport(report)};
 }
 
 } // namespace Gateway
--- a/src/libs/gateway/storereplica.h
+++ b/src/libs/gateway/storereplica.h
@@ -11,6 +11,7 @@
 #include "routing/configurationlease.h"
 #include "routing/serverset.h"
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -128,14 +129,23 @@
     void hostsRead(const std::vector<HostRow> &hosts) override;
     std::vector<HostRow> rowsToRefresh() const override;
 
-    void configurationCopied(const ConfigurationCopy &copy, Base::TimePoint askedAt) override;
+    void configurationCopied(const StoreCopy &copy, Base::TimePoint askedAt) override;
     void serversCopied(const HostReport &report, Base::TimePoint askedAt) override;
     void copyFailed(StoreData what) override;
 
-    std::optional<ConfigurationCopy> configurationCopy() const override;
-    std::optional<HostReport> serversCopy() const override;
+    std::optional<StoreCopy> copyOf(StoreData what) override;
 
 private:
+    /// A report with all servers as it was encoded for other hosts.
+    struct EncodedServers
+    {
+        Base::TimePoint at;
+        std::uint64_t fingerprint = 0;
+        std::uint64_t serversVersion = 0;
+        std::uint64_t operatorVersion = 0;
+        std::string report;
+    };
+
     StoreReplica(const GatewaySettings &settings, const Dependencies &dependencies);
     Base::Result<void> listen(const Settings::Address &peerAddress);
     /// Returns for whom this host has to read the store now.
@@ -144,6 +154,14 @@
     bool waitsForCopy(Base::TimePoint now) const;
     void setTable(std::shared_ptr<const Routing::RouteTable> table, const std::string &text);
     /// Takes the evacuated zones and ordered roll-outs that another host knows.
+    std::optional<StoreCopy> configurationCopy() const;
+    std::optional<StoreCopy> serversCopy();
+    EncodedServers encodedServers(Base::TimePoint now) const;
+    /// Schedules another request for a copy in place of a reading of the store. Returns false if
+    /// the store is to be read, because there are few hosts or several requests have failed.
+    bool retryCopy(StoreData what);
+    /// Asks another host for a copy; \a announcer, if not empty, has told of newer data.
+    void requestCopy(StoreData what, const std::string &announcer, Base::TimePoint earliestAt);
     void takeOrders(const StoreState &store);
     /// Adds the evacuated zones and ordered roll-outs that this host knows.
     void addOrders(StoreState &store) const;
@@ -179,6 +197,9 @@
     std::optional<Base::TimePoint> m_ownProofAt;
     /// Time at which this host's servers were last known to match the store.
     Base::TimePoint m_serversProvedAt{};
+    std::optional<EncodedServers> m_encodedServers;
+    /// Requests for a copy that have failed since the last one that succeeded.
+    std::map<StoreData, unsigned> m_failedCopies;
     bool m_hasReadHosts = false;
     bool m_hasCopyFailed = false;
 };
--- a/tests/auto/gateway/tst_fleetview.cpp
+++ b/tests/auto/gateway/tst_fleetview.cpp
@@ -90,6 +90,7 @@
         m_datagrams = 0;
         m_sentUses = 0;
         for (Host &host : m_hosts) {
+            host.sentBytes = 0;
             if (!host.isDown)
                 sendDue(host, now);
         }
@@ -133,6 +134,11 @@
         own.asked[Base::CustomerId("c")] = askedOfHost;
         own.received[Base::CustomerId("c")] = 5;
         own.partUses = std::exchange(host.newUses, {});
+        for (int i = 0; i < host.work; ++i) {
+            const std::string name = host.self.host.value() + "-" + std::to_string(i);
+            own.servers[Base::ServerId(name)] = {1, 500};
+            own.asked[Base::CustomerId(name)] = 900;
+        }
         for (const DueReport &order : host.view->dueReports(now)) {
             HostReport it;
             it.self = host.self;
@@ -140,11 +146,13 @@
             it.sequence = ++host.sequence;
             it.scope = order.scope;
             it.load = own;
-            host.view->addOtherHosts(it, now);
+            host.view->addOtherHosts(it, order.receivers, now);
             host.view->addRelayedUses(it);
             if (order.scope == ReportScope::Host)
                 host.view->recordSentReport(it.sequence, own, now);
             m_sentUses += it.load.partUses.size() * order.receivers.size();
+            if (m_isCountingBytes)
+                host.sentBytes += encodeReport(it).size() * order.receivers.size();
             for (const std::string &address : order.receivers)
                 deliver(address, it, now);
         }
@@ -175,7 +183,15 @@
     /// Returns the number of uses that all hosts sent to all others in the last step.
     std::size_t sentUses() const { return m_sentUses; }
 
+    /// From now on, counts the bytes that each host sends, which takes most of the time of a step.
+    void countBytes() { m_isCountingBytes = true; }
+    /// Returns the bytes that host \a i sent in the last step.
+    std::size_t sentBytes(std::size_t i) const { return m_hosts[i].sentBytes; }
+
     FleetView &view(std::size_t i) { return *m_hosts[i].view; }
+    MemberState &self(std::size_t i) { return m_hosts[i].self; }
+    /// Host \a i has \a n requests at as many servers, and one of each of as many customers.
+    void setWork(std::size_t i, int n) { m_hosts[i].work = n; }
     /// Sets whether the store rejects host \a i.
     void setStoreLost(std::size_t i, bool isLost)
     {
@@ -221,11 +237,14 @@
         bool isDown = false;
         std::vector<Routing::PartUse> newUses;
         std::size_t receivedUses = 0;
+        std::size_t sentBytes = 0;
+        int work = 0;
     };
 
     std::vector<Host> m_hosts;
     std::map<std::string, std::size_t> m_byAddress;
     std::vector<HostRow> m_rows;
+    bool m_isCountingBytes = false;
     int m_lossPercent = 0;
     std::mt19937 m_random;
     std::size_t m_datagrams = 0;
@@ -547,7 +566,7 @@
         view.updateTotals(now);
         HostReport fleet;
         fleet.scope = ReportScope::Fleet;
-        view.addOtherHosts(fleet, now);
+        view.addOtherHosts(fleet, {}, now);
         CHECK(view.others().asked == fleet.load.asked);
         return fleet.load.asked[Base::CustomerId("c")];
     };
@@ -680,3 +699,100 @@
             CHECK(hosts.view(i).others().hosts == 320);
     }
 }
+
+namespace {
+
+/// A fleet of six zones in which one host in forty is strong, and two strong hosts forward.
+struct ForwardingFleet
+{
+    explicit ForwardingFleet(int hostsOfZone)
+        : hosts(6, hostsOfZone)
+    {
+        for (std::size_t i = 0; i < hosts.size(); ++i)
+            hosts.self(i).load = 0;
+        for (std::size_t i = 20; i < hosts.size(); i += 40)
+            hosts.self(i).capacity = 1000;
+        for (const std::size_t i : {20U, 60U}) {
+            hosts.self(i).load = 200;
+            hosts.setWork(i, 500);
+        }
+        for (int i = 0; i < 15; ++i)
+            hosts.step(hosts.now() + milliseconds(200));
+    }
+
+    SimulatedFleet hosts;
+};
+
+} // namespace
+
+TEST_CASE("what a leader sends grows with the hosts of its zone and not with their square",
+          "[gateway]")
+{
+    // Guards against leaders that send all members and all loads to all hosts of their zones: 129
+    // megabytes a second at a thousand hosts, more than a link carries.
+    std::map<int, double> bytesOfReceiver;
+    for (const int hostsOfZone : {80, 160, 320}) {
+        CAPTURE(hostsOfZone);
+        ForwardingFleet fleet(hostsOfZone);
+        SimulatedFleet &hosts = fleet.hosts;
+        hosts.countBytes();
+        hosts.step(hosts.now() + milliseconds(200));
+        REQUIRE(hosts.view(0).isLeader(hosts.now()));
+        bytesOfReceiver[hostsOfZone] = static_cast<double>(hosts.sentBytes(0)) / hostsOfZone;
+        for (std::size_t i = 0; i < hosts.size(); ++i)
+            CHECK(hosts.view(i).others().hosts == hosts.size());
+    }
+    CHECK(bytesOfReceiver[160] <= 1.1 * bytesOfReceiver[80]);
+    CHECK(bytesOfReceiver[320] <= 1.1 * bytesOfReceiver[160]);
+}
+
+TEST_CASE("hosts that forward know all loads in a very large fleet, and all know whom to name",
+          "[gateway]")
+{
+    // Guards against requests that are placed without knowing what other hosts have placed, and
+    // against callers that are told of weak hosts because the strong ones are not known.
+    ForwardingFleet fleet(90);
+    SimulatedFleet &hosts = fleet.hosts;
+    for (std::size_t i = 0; i < hosts.size(); ++i) {
+        CAPTURE(i);
+        const Routing::PeerLoad &others = hosts.view(i).others();
+        CHECK(others.possibleHosts == hosts.size());
+        if (hosts.self(i).load > 0 || hosts.self(i).capacity == 1000)
+            CHECK(others.servers.size() >= 501);
+        std::size_t strong = hosts.self(i).capacity == 1000 ? 1 : 0;
+        for (const MemberState &it : hosts.view(i).servingMembers(hosts.now()))
+            strong += it.capacity == 1000 ? 1 : 0;
+        CHECK(strong == 13);
+    }
+    // A weak host that a caller uses all the same learns of the loads.
+    const std::size_t weak = 30;
+    CHECK(hosts.view(weak).others().servers.empty());
+    hosts.self(weak).load = 1;
+    for (int i = 0; i < 2; ++i)
+        hosts.step(hosts.now() + milliseconds(200));
+    CHECK(hosts.view(weak).others().servers.size() >= 1001);
+}
+
+TEST_CASE("the hosts of a very large zone take copies from each other in turns", "[gateway]")
+{
+    // Guards against hundreds of hosts that ask one host for megabytes at the same moment.
+    for (const int hostsOfZone : {80, 160, 320}) {
+        CAPTURE(hostsOfZone);
+        SimulatedFleet hosts(6, hostsOfZone);
+        const std::string leader = hosts.self(0).peerAddress;
+        std::map<std::string, int> asked;
+        const auto n = static_cast<std::size_t>(hostsOfZone);
+        for (std::size_t i = 1; i < n; ++i) {
+            const std::string source = hosts.view(i).copySource(leader, true, start);
+            CHECK(source != hosts.self(i).peerAddress);
+            ++asked[source];
+            // A host whose source has no copy turns to the leader.
+            CHECK(hosts.view(i).copySource(leader, false, start) == leader);
+        }
+        // Each copy of a list of ten thousand servers takes a hundredth of a second of a link.
+        for (const auto &[source, count] : asked)
+            CHECK(count <= 16);
+    }
+    SimulatedFleet few(4, 16);
+    CHECK(few.view(9).copySource("announcer", true, start) == "announcer");
+}
--- a/tests/auto/gateway/tst_storecopy.cpp
+++ b/tests/auto/gateway/tst_storecopy.cpp
@@ -10,26 +10,26 @@
 namespace {
 
 /// Decodes \a bytes; returns an empty value if they are no copy.
-std::optional<ConfigurationCopy> decoded(const std::string &bytes)
+std::optional<StoreCopy> decoded(const std::string &bytes)
 {
     return boost::leaf::try_handle_all(
-        [&]() -> Base::Result<std::optional<ConfigurationCopy>> {
+        [&]() -> Base::Result<std::optional<StoreCopy>> {
             BOOST_LEAF_AUTO(copy, decodeCopy(bytes));
             return std::optional(std::move(copy));
         },
-        [](const MalformedCopy &) { return std::optional<ConfigurationCopy>(); },
+        [](const MalformedCopy &) { return std::optional<StoreCopy>(); },
         [] {
             FAIL("another failure");
-            return std::optional<ConfigurationCopy>();
+            return std::optional<StoreCopy>();
         });
 }
 
 } // namespace
 
-TEST_CASE("an encoded copy of the configuration is decoded unchanged", "[gateway]")
+TEST_CASE("an encoded copy is decoded unchanged", "[gateway]")
 {
     rc::prop("any age and text", [] {
-        ConfigurationCopy copy;
+        StoreCopy copy;
         copy.proofAge = Base::Milliseconds(*rc::gen::inRange(0, 100000));
         copy.text = *rc::gen::arbitrary<std::string>();
         const auto read = decoded(encodeCopy(copy));
--- a/tests/auto/gateway/tst_storereplica.cpp
+++ b/tests/auto/gateway/tst_storereplica.cpp
@@ -70,7 +70,7 @@
         return {m_settings.host, m_settings.zone, toString(m_settings.peerAddress)};
     }
     FleetView &view() { return *m_view; }
-    HostReport report(ReportScope scope, Base::TimePoint now)
+    HostReport report(const DueReport &order, Base::TimePoint now)
     {
         HostReport it;
         it.self.host = m_settings.host;
@@ -79,10 +79,10 @@
         it.self.isStoreLost = replica->isStoreLost(now);
         it.incarnation = 1;
         it.sequence = ++m_sequence;
-        it.scope = scope;
+        it.scope = order.scope;
         it.store = replica->storeState(now);
-        m_view->addOtherHosts(it, now);
-        if (scope == ReportScope::Host)
+        m_view->addOtherHosts(it, order.receivers, now);
+        if (order.scope == ReportScope::Host)
             m_view->recordSentReport(it.sequence, it.load, now);
         return it;
     }
@@ -182,7 +182,7 @@
         m_nextReport = now + milliseconds(50);
         for (const auto &from : hosts) {
             for (const DueReport &order : from->view().dueReports(now)) {
-                const HostReport report = from->report(order.scope, now);
+                const HostReport report = from->report(order, now);
                 for (const std::string &address : order.receivers) {
                     for (const auto &to : hosts) {
                         if (to->row().peerAddress == address)
@@ -209,6 +209,23 @@
     std::vector<std::unique_ptr<Host>> hosts;
 };
 
+/// Returns whether the replica has a list of servers for other hosts that is not empty.
+bool handsOutServers(StoreReplica &replica)
+{
+    const std::optional<StoreCopy> copy = replica.copyOf(StoreData::Servers);
+    if (!copy)
+        return false;
+    return boost::leaf::try_handle_all(
+        [&]() -> Base::Result<bool> {
+            BOOST_LEAF_AUTO(report, decodeReport(copy->text));
+            return !report.store.serverChanges.empty();
+        },
+        [] {
+            FAIL("a copy cannot be decoded");
+            return false;
+        });
+}
+
 } // namespace
 
 TEST_CASE("only the hosts that read the store call it for a new configuration", "[gateway]")
@@ -374,9 +391,8 @@
     zone.runUntil(
         [&] {
             for (std::size_t i = 0; i < zone.hosts.size(); ++i) {
-                const StoreReplica &replica = *zone.hosts[i]->replica;
-                const std::optional<HostReport> copy = replica.serversCopy();
-                isHandedOut |= copy && !copy->store.serverChanges.empty();
+                StoreReplica &replica = *zone.hosts[i]->replica;
+                isHandedOut |= handsOutServers(replica);
                 const bool isDropped = replica.servers().servers().empty();
                 isBack |= hasDropped[i] && !isDropped;
                 hasDropped[i] = isDropped;
