Let hosts of a very large fleet that forward nothing wait for the servers' list

A host that forwards nothing copies the list once in five seconds, and does not read the store for it while its leader proves the configuration.

--- a/src/libs/gateway/fleetreceivers.cpp
+++ b/src/libs/gateway/fleetreceivers.cpp
@@ -139,6 +139,12 @@
     return std::max(told, m_receivers.size() + 1);
 }
 
+bool FleetView::receivesLoads(Base::TimePoint now) const
+{
+    const ReceivedReport *fleet = newestFleetReport(now);
+    return fleet && fleet->report.scope == ReportScope::Fleet;
+}
+
 bool FleetView::isFirstOfZone(Base::TimePoint now) const
 {
     return likelyLeaders(now).at(m_zone).front().first == m_self;
@@ -161,9 +167,7 @@
             first = address;
     }
     // Hosts that forward must not wait for others, which have less need of new data.
-    const ReceivedReport *fleet = newestFleetReport(now);
-    const bool needsLoads = fleet && fleet->report.scope == ReportScope::Fleet;
-    if (!isVeryLarge() || !inTurns || needsLoads)
+    if (!isVeryLarge() || !inTurns || receivesLoads(now))
         return first;
     std::erase_if(zone, [this](const auto &it) { return m_self < it.first; });
     std::ranges::sort(zone);
--- a/src/libs/gateway/fleetview.h
+++ b/src/libs/gateway/fleetview.h
@@ -70,6 +70,9 @@
     /// Whether there are so many hosts that only leaders know all of them, and other hosts must not
     /// all turn to one host or to the store at the same moment.
     bool isVeryLarge() const { return possibleHosts() > veryLargeFleetHosts; }
+    /// Whether the leader of this zone sends the loads of all hosts to this one, since it forwards
+    /// requests or callers may be told of it.
+    bool receivesLoads(Base::TimePoint now) const;
     /// Whether this host is the first one by name of the hosts of its zone that may be running.
     bool isFirstOfZone(Base::TimePoint now) const;
     /// Returns the peer address of the host to ask for a whole copy of the store's data. This is
--- a/src/libs/gateway/storereplica.cpp
+++ b/src/libs/gateway/storereplica.cpp
@@ -22,6 +22,9 @@
 /// Time for which an encoded list of servers is handed out again. The remaining warm-up of servers
 /// in it is too long by its age.
 constexpr Base::Duration encodedServersLifetime = milliseconds(1000);
+/// The least time between two copies of the servers for a host of a very large fleet that forwards
+/// nothing. While thousands of servers register or go, the list changes as a whole each second.
+constexpr Base::Duration idleCopyInterval = std::chrono::seconds(5);
 /// In a very large fleet, requests for a copy that may fail one after the other before a host reads
 /// the store itself, and the pauses after the first and the last one. They cover the time in which
 /// a zone gets another leader and this one reads the store.
@@ -143,11 +146,19 @@
     if (m_store.isConfigurationMissing())
         return StoreClient::ReaderRole::None;
     const std::optional<Base::Duration> age = m_lease.age(now);
-    const bool needsOwnReading = !isKnown() || !age || *age >= m_times.fallbackReadAge
-                                 || now - m_serversProvedAt >= m_times.fallbackReadAge;
+    const bool areServersOld =
+        hasUrgentNeedOfServers(now) && now - m_serversProvedAt >= m_times.fallbackReadAge;
+    const bool needsOwnReading =
+        !isKnown() || !age || *age >= m_times.fallbackReadAge || areServersOld;
     return needsOwnReading ? StoreClient::ReaderRole::Self : StoreClient::ReaderRole::None;
 }
 
+bool StoreReplica::hasUrgentNeedOfServers(Base::TimePoint now) const
+{
+    const FleetView &fleet = m_dependencies.fleet;
+    return !fleet.isVeryLarge() || fleet.receivesLoads(now);
+}
+
 StoreState StoreReplica::storeState(Base::TimePoint now) const
 {
     StoreState store;
@@ -189,7 +200,9 @@
     }
     const bool hasOtherServers = store.serversFingerprint != m_servers.fingerprint();
     // A leader's own reading is the newest one.
-    if (hasOtherServers && isNewEnough && !m_dependencies.fleet.isLeader(now))
+    const bool mayWait = m_servers.isKnown() && !hasUrgentNeedOfServers(now)
+                         && now - m_serversCopiedAt < idleCopyInterval;
+    if (hasOtherServers && isNewEnough && !mayWait && !m_dependencies.fleet.isLeader(now))
         requestCopy(StoreData::Servers, report.self.peerAddress, now);
     // The other host received this host's report before it sent its own. So it asked the store no
     // earlier than the proof's age before this host's report was sent, however long the reports
@@ -417,6 +430,7 @@
 void StoreReplica::serversCopied(const HostReport &report, Base::TimePoint askedAt)
 {
     m_failedCopies[StoreData::Servers] = 0;
+    m_serversCopiedAt = bootTimeNow();
     const StoreState &store = report.store;
     if (!store.proofAge || store.serversVersion < m_store.serversVersion())
         return;
--- a/src/libs/gateway/storereplica.h
+++ b/src/libs/gateway/storereplica.h
@@ -148,6 +148,9 @@
 
     StoreReplica(const GatewaySettings &settings, const Dependencies &dependencies);
     Base::Result<void> listen(const Settings::Address &peerAddress);
+    /// Whether this host needs each change of the servers at once. In a very large fleet, a host that
+    /// forwards nothing does not.
+    bool hasUrgentNeedOfServers(Base::TimePoint now) const;
     /// Returns for whom this host has to read the store now.
     StoreClient::ReaderRole readingDuty(Base::TimePoint now) const;
     /// Whether a host that has just started waits for a copy instead of asking the store.
@@ -197,6 +200,8 @@
     std::optional<Base::TimePoint> m_ownProofAt;
     /// Time at which this host's servers were last known to match the store.
     Base::TimePoint m_serversProvedAt{};
+    /// Time of the last copy of the servers.
+    Base::TimePoint m_serversCopiedAt{};
     std::optional<EncodedServers> m_encodedServers;
     /// Requests for a copy that have failed since the last one that succeeded.
     std::map<StoreData, unsigned> m_failedCopies;
--- a/tests/auto/gateway/tst_fleetview.cpp
+++ b/tests/auto/gateway/tst_fleetview.cpp
@@ -757,8 +757,11 @@
         CAPTURE(i);
         const Routing::PeerLoad &others = hosts.view(i).others();
         CHECK(others.possibleHosts == hosts.size());
-        if (hosts.self(i).load > 0 || hosts.self(i).capacity == 1000)
+        const bool needsLoads = hosts.self(i).load > 0 || hosts.self(i).capacity == 1000;
+        if (needsLoads) {
             CHECK(others.servers.size() >= 501);
+            CHECK((hosts.view(i).receivesLoads(hosts.now()) || hosts.view(i).isLeader(hosts.now())));
+        }
         std::size_t strong = hosts.self(i).capacity == 1000 ? 1 : 0;
         for (const MemberState &it : hosts.view(i).servingMembers(hosts.now()))
             strong += it.capacity == 1000 ? 1 : 0;
@@ -767,10 +770,12 @@
     // A weak host that a caller uses all the same learns of the loads.
     const std::size_t weak = 30;
     CHECK(hosts.view(weak).others().servers.empty());
+    CHECK_FALSE(hosts.view(weak).receivesLoads(hosts.now()));
     hosts.self(weak).load = 1;
     for (int i = 0; i < 2; ++i)
         hosts.step(hosts.now() + milliseconds(200));
     CHECK(hosts.view(weak).others().servers.size() >= 1001);
+    CHECK(hosts.view(weak).receivesLoads(hosts.now()));
 }
 
 TEST_CASE("the hosts of a very large zone take copies from each other in turns", "[gateway]")
