--- a/src/libs/gateway/fleetdigest.h
+++ b/src/libs/gateway/fleetdigest.h
@@ -15,8 +15,8 @@
 /// depend on the number of hosts.
 std::set<Base::HostId> entryCandidates(const Members &members);
 
-/// Returns the hosts that each host of \a zone needs to know in a fleet so large that it cannot know
-/// all: the next leaders of each zone, the hosts that callers may be told of, and those that
+/// Returns the hosts that each host of \a zone needs to know in a fleet so large that it cannot
+/// know all: the next leaders of each zone, the hosts that callers may be told of, and those that
 /// forward most requests.
 std::vector<MemberState> essentialMembers(const Members &members, const Base::ZoneId &zone);
 
--- a/src/libs/gateway/fleetreceivers.cpp
+++ b/src/libs/gateway/fleetreceivers.cpp
@@ -162,7 +162,8 @@
     const std::optional<MemberState> leader = leaderOf(m_zone, now);
     if (first.empty() && leader)
         first = leader->peerAddress;
-    for (const auto &[host, address] : likelyLeaders(now).at(m_zone)) {
+    const auto likely = likelyLeaders(now);
+    for (const auto &[host, address] : likely.at(m_zone)) {
         if (first.empty() && host != m_self)
             first = address;
     }
--- a/src/libs/gateway/fleetview.cpp
+++ b/src/libs/gateway/fleetview.cpp
@@ -450,8 +450,7 @@
     m_gatherUntil = std::min(m_gatherUntil, now + gatherPeriod);
     if (now < m_gatherUntil)
         return;
-    std::erase_if(m_summaries,
-                  [](const auto &it) { return coversFleet(it.second.report.scope); });
+    std::erase_if(m_summaries, [](const auto &it) { return coversFleet(it.second.report.scope); });
     m_membersCachedAt.reset();
 }
 
--- a/src/libs/gateway/fleetview.h
+++ b/src/libs/gateway/fleetview.h
@@ -33,10 +33,11 @@
 /// thousands of datagrams a second, so the hosts of an availability zone report to one of them, the
 /// zone's leader. Leaders exchange summaries of their zones and send the summary of the fleet to
 /// the hosts of their own zone. In a very large fleet, that summary names the essential hosts only,
-/// and hosts that forward nothing get it without the loads. The leader also reads the store for its zone, so that the number of
-/// store calls does not grow with the number of hosts. The leader is the first live host by name
-/// among those whose calls the store accepts. When the leader changes, the hosts of its zone use
-/// the last summary until the new leader has received reports from all of them.
+/// and hosts that forward nothing get it without the loads. The leader also reads the store for its
+/// zone, so that the number of store calls does not grow with the number of hosts. The leader is
+/// the first live host by name among those whose calls the store accepts. When the leader changes,
+/// the hosts of its zone use the last summary until the new leader has received reports from all of
+/// them.
 class FleetView
 {
 public:
--- a/src/libs/gateway/rollouts.cpp
+++ b/src/libs/gateway/rollouts.cpp
@@ -81,9 +81,8 @@
         states, [](const Routing::RolloutState &it) { return !Routing::isFinal(it.phase); });
     if (orders.empty() && !isAnyOpen)
         return;
-    m_decider->advance({orders, m_sums.ofFleet(m_traffic.evidence(), now),
-                        m_replica->servers().versions()},
-                       now);
+    m_decider->advance(
+        {orders, m_sums.ofFleet(m_traffic.evidence(), now), m_replica->servers().versions()}, now);
     if (!m_decider->isReady())
         return;
     for (const Routing::RolloutState &it : states)
--- a/src/libs/gateway/storeclient.cpp
+++ b/src/libs/gateway/storeclient.cpp
@@ -252,10 +252,9 @@
     const std::optional<std::uint64_t> version = m_entries.changesFrom();
     const HttpCall call = version ? m_protocol->readServerChanges(*version)
                                   : m_protocol->readServers(m_entries.nextPage());
-    m_readClient->call(call, readTimeout, now,
-                       [this, now](const std::optional<HttpAnswer> &answer) {
-                           serversAnswered(answer, now);
-                       });
+    m_readClient->call(
+        call, readTimeout, now,
+        [this, now](const std::optional<HttpAnswer> &answer) { serversAnswered(answer, now); });
 }
 
 void StoreClient::serversAnswered(const std::optional<HttpAnswer> &answer, Base::TimePoint askedAt)
--- a/src/libs/gateway/storereplica.cpp
+++ b/src/libs/gateway/storereplica.cpp
@@ -456,8 +456,7 @@
                                Base::TimePoint earliestAt)
 {
     const bool inTurns = m_failedCopies[what] % requestsUntilLeader != requestsUntilLeader - 1;
-    const std::string source =
-        m_dependencies.fleet.copySource(announcer, inTurns, bootTimeNow());
+    const std::string source = m_dependencies.fleet.copySource(announcer, inTurns, bootTimeNow());
     if (!source.empty())
         m_copyClient.requestCopy(what, source, earliestAt);
 }
--- a/src/libs/gateway/storereplica.h
+++ b/src/libs/gateway/storereplica.h
@@ -148,8 +148,8 @@
 
     StoreReplica(const GatewaySettings &settings, const Dependencies &dependencies);
     Base::Result<void> listen(const Settings::Address &peerAddress);
-    /// Whether this host needs each change of the servers at once. In a very large fleet, a host that
-    /// forwards nothing does not.
+    /// Whether this host needs each change of the servers at once. In a very large fleet, a host
+    /// that forwards nothing does not.
     bool hasUrgentNeedOfServers(Base::TimePoint now) const;
     /// Returns for whom this host has to read the store now.
     StoreClient::ReaderRole readingDuty(Base::TimePoint now) const;
--- a/src/libs/routing/promptcachemodel.cpp
+++ b/src/libs/routing/promptcachemodel.cpp
@@ -55,8 +55,7 @@
     std::uint32_t read = 0;
     for (const PrefixHash &prefix : prefixes) {
         const auto it = m_entries.find(prefix.hash);
-        if (it == m_entries.end() || now - it->second.usedAt >= lifetime
-            || now < it->second.readBy)
+        if (it == m_entries.end() || now - it->second.usedAt >= lifetime || now < it->second.readBy)
             return read;
         read = prefix.tokensSoFar;
     }
--- a/src/libs/routing/serverchoice.cpp
+++ b/src/libs/routing/serverchoice.cpp
@@ -96,8 +96,8 @@
     index.appendSuccessors(m_ownZone, nextDraw(), sample - otherZones, m_collectedIds);
     index.appendSuccessors(nextDraw(), otherZones, m_collectedIds);
     std::ranges::sort(m_collectedIds);
-    const auto repeated = std::ranges::unique(m_collectedIds);
-    m_collectedIds.erase(repeated.begin(), repeated.end());
+    m_collectedIds.erase(std::unique(m_collectedIds.begin(), m_collectedIds.end()),
+                         m_collectedIds.end());
     for (const Base::ServerId &id : m_collectedIds) {
         if (ServerState *const state = pool.find(id))
             m_collected.push_back(state);
--- a/src/libs/routing/serverchoice.h
+++ b/src/libs/routing/serverchoice.h
@@ -66,8 +66,8 @@
                                              Base::TimePoint now, Admission admission,
                                              bool onlyWithCapacity);
     /// Returns the server that all hosts choose for a beginning that is not cached anywhere.
-    const ServerState *rendezvousServer(ServerPool &pool, const Work &work,
-                                        std::uint64_t beginning, Base::TimePoint now) const;
+    const ServerState *rendezvousServer(ServerPool &pool, const Work &work, std::uint64_t beginning,
+                                        Base::TimePoint now) const;
     /// Returns one of the servers of a plain application, by a hash of the request, in this host's
     /// region while one there has capacity. Dozens of hosts
     /// see the same counts of what runs, half a second old: if they chose the server with the least
--- a/src/libs/routing/serverindex.h
+++ b/src/libs/routing/serverindex.h
@@ -31,8 +31,7 @@
     void appendKeepers(const std::vector<PrefixHash> &prefixes,
                        std::vector<Base::ServerId> &to) const;
     /// Appends the \a n servers that follow \a hash on the ring.
-    void appendSuccessors(std::uint64_t hash, std::size_t n,
-                          std::vector<Base::ServerId> &to) const;
+    void appendSuccessors(std::uint64_t hash, std::size_t n, std::vector<Base::ServerId> &to) const;
     /// Appends the same of the servers of \a zone.
     void appendSuccessors(const Base::ZoneId &zone, std::uint64_t hash, std::size_t n,
                           std::vector<Base::ServerId> &to) const;
--- a/src/libs/routing/serverpool.cpp
+++ b/src/libs/routing/serverpool.cpp
@@ -259,8 +259,7 @@
     return shortest == Base::Duration::max() ? Base::Duration::zero() : shortest;
 }
 
-bool ServerPool::mayKeepAlone(const ServerState &state, const Work &work,
-                              Base::TimePoint now) const
+bool ServerPool::mayKeepAlone(const ServerState &state, const Work &work, Base::TimePoint now) const
 {
     return isCompatible(state, work) && !state.isEvacuated && now >= state.warmUntil
            && wantsRequests(state, now);
--- a/src/libs/routing/serverpool.h
+++ b/src/libs/routing/serverpool.h
@@ -86,8 +86,8 @@
     /// Presumes that the server starts again, although its entry does not say so yet.
     void presumeCold(ServerState &state, Base::TimePoint now) const;
 
-    /// Records that a prompt with the prefix \a hash was sent to the server, which will have read it
-    /// by \a readBy.
+    /// Records that a prompt with the prefix \a hash was sent to the server, which will have read
+    /// it by \a readBy.
     void recordUse(ServerState &state, std::uint64_t hash, Base::TimePoint now,
                    Base::TimePoint readBy);
     /// Forgets expired prompt parts.
--- a/src/libs/routing/serverset.cpp
+++ b/src/libs/routing/serverset.cpp
@@ -13,8 +13,8 @@
 /// The span covers five reports to the other hosts, of which one or two may be lost.
 constexpr Base::Duration recentChangeSpan = std::chrono::milliseconds(1000);
 
-/// More changes than this are not reported. The other hosts find that their sets differ and copy the
-/// whole set, from each other: a report goes to each host of a zone five times a second.
+/// More changes than this are not reported. The other hosts find that their sets differ and copy
+/// the whole set, from each other: a report goes to each host of a zone five times a second.
 constexpr std::size_t maxReportedChanges = 500;
 
 /// Separates a server's name from its start. Names on the platform do not contain it; a name that
--- a/tests/auto/gateway/fakestore.h
+++ b/tests/auto/gateway/fakestore.h
@@ -125,7 +125,8 @@
     mutable std::vector<std::pair<Routing::RolloutState, std::uint64_t>> written;
     /// The versions from which changes were watched.
     mutable std::vector<std::uint64_t> watchedVersions;
-    /// How often all servers were to be listed, and the versions from which changes were to be read.
+    /// How often all servers were to be listed, and the versions from which changes were to be
+    /// read.
     mutable int serverListings = 0;
     mutable std::vector<std::uint64_t> serverChangesAfter;
     /// At this version of the store, it returns no configuration.
--- a/tests/auto/gateway/tst_fleetview.cpp
+++ b/tests/auto/gateway/tst_fleetview.cpp
@@ -760,7 +760,8 @@
         const bool needsLoads = hosts.self(i).load > 0 || hosts.self(i).capacity == 1000;
         if (needsLoads) {
             CHECK(others.servers.size() >= 501);
-            CHECK((hosts.view(i).receivesLoads(hosts.now()) || hosts.view(i).isLeader(hosts.now())));
+            CHECK(
+                (hosts.view(i).receivesLoads(hosts.now()) || hosts.view(i).isLeader(hosts.now())));
         }
         std::size_t strong = hosts.self(i).capacity == 1000 ? 1 : 0;
         for (const MemberState &it : hosts.view(i).servingMembers(hosts.now()))
--- a/tests/auto/gateway/tst_serverentries.cpp
+++ b/tests/auto/gateway/tst_serverentries.cpp
@@ -138,7 +138,8 @@
     CHECK(transferred[10000] == 50);
 }
 
-TEST_CASE("the entries of servers are those of the store, however late its answers are", "[gateway]")
+TEST_CASE("the entries of servers are those of the store, however late its answers are",
+          "[gateway]")
 {
     // Guards against servers that are gone and stay in the list, or are never found, because an
     // answer did not contain the most recent changes.
--- a/tests/auto/routing/tst_largepool.cpp
+++ b/tests/auto/routing/tst_largepool.cpp
@@ -95,8 +95,8 @@
     }
     // What other hosts have sent counts as well.
     const Base::ServerId other("s77");
-    dispatcher.applyPartUses(
-        {{other, sharedPrefixHashes(prompt(0, 43, start).parts).back().hash}}, start);
+    dispatcher.applyPartUses({{other, sharedPrefixHashes(prompt(0, 43, start).parts).back().hash}},
+                             start);
     const Base::TimePoint now = start + seconds(1);
     CHECK(placed(dispatcher, prompt(100, 43, now), now) == other);
 }
