--- a/src/libs/gateway/exchange.h
+++ b/src/libs/gateway/exchange.h
@@ -85,6 +85,8 @@
     virtual Base::Milliseconds backoffRetryAfter(const std::string &service) = 0;
     /// Notes that events of a stream were forwarded to their caller.
     virtual void eventsForwarded(std::size_t count) = 0;
+    /// Returns the time since a newer configuration came into force on this host.
+    virtual Base::Duration configurationAge() = 0;
     /// Counts a request that ended.
     virtual void requestEnded(const EndedRequest &request) = 0;
     /// Releases an exchange that has ended.
--- a/src/libs/gateway/exchangeend.cpp
+++ b/src/libs/gateway/exchangeend.cpp
@@ -14,6 +14,7 @@
 {
     failure.mayHaveRun |= m_mayHaveRun;
     if (m_isStreamStarted) {
+        m_record.isCutOff = !m_isCallerGone;
         if (!m_isCallerGone)
             m_sink->abortAnswer();
         finish(failureName(failure.type));
@@ -54,7 +55,7 @@
 {
     const Base::TimePoint now = m_port->now();
     EndedRequest ended{route().name, m_accepted.customer.value(), outcome, std::nullopt,
-                       now - m_accepted.request.readAt};
+                       now - m_accepted.request.readAt, m_record.isCutOff};
     if (m_record.events > 0)
         ended.first = m_record.firstEventAt - m_accepted.request.readAt;
     else if (m_record.status != 0 && m_record.status < 500)
@@ -63,7 +64,8 @@
     const bool isFailure = m_record.status >= 500 || (m_record.status == 0 && !m_isCallerGone);
     if (!m_port->log().tryAcquireRequestLine(isFailure, now))
         return;
-    LogLine line = requestEndLine(m_accepted, m_record, outcome, content().digest, now);
+    LogLine line = requestEndLine(
+        m_accepted, m_record, {outcome, content().digest, m_port->configurationAge()}, now);
     line.add("resumes", field(m_accepted.request.message, m_port->names().resumedRequestId));
     m_port->log().write(line, now);
 }
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -532,6 +532,7 @@
 void Gateway::configurationApplied()
 {
     m_nextReport = Base::TimePoint{};
+    m_configurationSince = now();
     const Routing::CallerLimits &limits = m_replica->table()->configuration().limits;
     m_limits.headerBytes = limits.headerBytes;
     m_limits.bodyBytes = limits.bodyBytes;
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -134,6 +134,7 @@
     void reportWanted(bool isUrgent) override;
     Base::Duration backoffLeft(const Base::ServerId &server) override;
     Base::Milliseconds backoffRetryAfter(const std::string &service) override;
+    Base::Duration configurationAge() override { return now() - m_configurationSince; }
     void requestEnded(const EndedRequest &request) override;
     void exchangeFinished(Routing::WorkId id) override;
 
@@ -232,6 +233,8 @@
     Base::TimePoint m_reportedAt{};
     Base::TimePoint m_nextReport{};
     Base::TimePoint m_nextSlowCheck{};
+    /// When the configuration in force was applied.
+    Base::TimePoint m_configurationSince{};
     std::optional<Base::TimePoint> m_leavingSince;
     std::size_t m_unreadableEntries = 0;
     bool m_isApplying = false;
--- a/src/libs/gateway/gatewaymetrics.cpp
+++ b/src/libs/gateway/gatewaymetrics.cpp
@@ -34,6 +34,11 @@
                       m_registry.counters({"lagoonmast_gateway_customer_requests_total",
                                            "Requests that ended, by customer and outcome",
                                            {"customer", "outcome"}}));
+    BOOST_LEAF_ASSIGN(m_cutAnswers,
+                      m_registry.counters({"lagoonmast_gateway_cut_answers_total",
+                                           "Requests whose connection was closed before their "
+                                           "answer was complete, by route and outcome",
+                                           {"route", "outcome"}}));
     BOOST_LEAF_ASSIGN(m_failedAttempts,
                       m_registry.counters({"lagoonmast_gateway_failed_attempts_total",
                                            "Attempts at backend servers that failed",
@@ -125,6 +130,8 @@
 {
     m_requests->with({request.route, request.outcome}).increment();
     m_customerRequests->with({request.customer, request.outcome}).increment();
+    if (request.isCutOff)
+        m_cutAnswers->with({request.route, request.outcome}).increment();
     if (request.first)
         m_firstEventTime->with({request.route}).observe(seconds(*request.first));
     m_answerTime->with({request.route}).observe(seconds(request.whole));
--- a/src/libs/gateway/gatewaymetrics.h
+++ b/src/libs/gateway/gatewaymetrics.h
@@ -23,6 +23,8 @@
     std::optional<Base::Duration> first;
     /// Time from the first byte read to the end of the request.
     Base::Duration whole{};
+    /// The caller's connection was closed before its answer was complete.
+    bool isCutOff = false;
 };
 
 /// Values of the gateway's gauges at one moment.
@@ -88,6 +90,7 @@
     Metrics::TextRegistry m_registry;
     Metrics::Family<Metrics::Counter> *m_requests = nullptr;
     Metrics::Family<Metrics::Counter> *m_customerRequests = nullptr;
+    Metrics::Family<Metrics::Counter> *m_cutAnswers = nullptr;
     Metrics::Family<Metrics::Counter> *m_failedAttempts = nullptr;
     Metrics::Family<Metrics::Counter> *m_retries = nullptr;
     Metrics::Family<Metrics::Counter> *m_serverNotices = nullptr;
--- a/src/libs/gateway/requestrecord.cpp
+++ b/src/libs/gateway/requestrecord.cpp
@@ -50,16 +50,18 @@
 }
 
 LogLine requestEndLine(const AcceptedRequest &accepted, const RequestRecord &record,
-                       const char *outcome, std::uint64_t content, Base::TimePoint now)
+                       const RequestEnd &end, Base::TimePoint now)
 {
     const Base::TimePoint readAt = accepted.request.readAt;
     LogLine line("request.end");
     line.add("request", accepted.requestId)
         .add("route", accepted.route->name)
-        .add("content", hexText(content))
+        .add("content", hexText(end.content))
         .add("customer", accepted.customer.value())
         .add("configuration", accepted.table->version())
-        .add("outcome", outcome)
+        .add("configurationAgeMs", end.configurationAge)
+        .add("outcome", end.outcome)
+        .add("cutOff", record.isCutOff)
         .add("status", record.status)
         .add("server", record.server.value())
         .add("version", record.softwareVersion)
--- a/src/libs/gateway/requestrecord.h
+++ b/src/libs/gateway/requestrecord.h
@@ -38,6 +38,8 @@
     /// The number of attempts that may have run, and of all attempts.
     unsigned possibleRuns = 0;
     unsigned sends = 0;
+    /// The caller's connection was closed before its answer was complete.
+    bool isCutOff = false;
 };
 
 /// An attempt without a usable answer.
@@ -56,8 +58,18 @@
 /// Returns the log line of a failed attempt. \a content is the digest of the request's content.
 LogLine attemptFailedLine(const AcceptedRequest &accepted, const RequestRecord &record,
                           const FailedAttempt &failed, std::uint64_t content, Base::TimePoint now);
-/// Returns the log line of the end of a request. \a content is the digest of its content.
+/// What is logged of the end of a request beside its record.
+struct RequestEnd
+{
+    const char *outcome = "";
+    /// The digest of the request's content.
+    std::uint64_t content = 0;
+    /// The time since a newer configuration came into force on this host.
+    Base::Duration configurationAge{};
+};
+
+/// Returns the log line of the end of a request.
 LogLine requestEndLine(const AcceptedRequest &accepted, const RequestRecord &record,
-                       const char *outcome, std::uint64_t content, Base::TimePoint now);
+                       const RequestEnd &end, Base::TimePoint now);
 
 } // namespace Gateway
