--- /dev/null
+++ b/tests/auto/gateway/tst_pausingserver.cpp
@@ -0,0 +1,120 @@
+#include "fakeexchangeport.h"
+
+#include <catch2/catch.hpp>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+using namespace Gateway;
+
+namespace {
+
+/// Longer than a begun stream's server may be silent before another one is asked.
+constexpr Base::Duration longSilence = std::chrono::milliseconds(1500);
+
+std::string eventText(int id)
+{
+    return "id: " + std::to_string(id) + "\ndata: x\n\n";
+}
+
+void write(Tcp::socket &socket, const std::string &text)
+{
+    boost::asio::write(socket, boost::asio::buffer(text));
+}
+
+/// Begins the answer of a stream, which has no length and ends with its connection.
+void beginStream(Tcp::socket &socket)
+{
+    write(socket, "HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\nSignature: s\r\n"
+                  "Content-Type: text/event-stream\r\n\r\n");
+}
+
+Routing::Rejection rejection(Routing::WorkId work)
+{
+    Routing::Rejection it;
+    it.work = work;
+    it.reason = Routing::RejectionReason::TooLate;
+    return it;
+}
+
+/// A resumable stream whose first server has sent one event and then paused for so long that
+/// another server is asked for.
+struct PausedStream
+{
+    explicit PausedStream(int servers)
+        : port(servers)
+        , exchange(port.exchange(sink, Routing::WorkKind::ResumableStream))
+    {
+        exchange->placed(port.placement(1));
+        first.emplace(port.acceptRequest(1));
+        beginStream(*first);
+        write(*first, eventText(1));
+        REQUIRE(port.pollUntil([&] { return !sink.text.empty(); }));
+        pass(longSilence);
+        REQUIRE(port.submissions == 2);
+    }
+    void pass(Base::Duration time)
+    {
+        port.clockOffset += time;
+        exchange->checkTime(port.now());
+    }
+    /// Ends the stream at \a server, after event 2.
+    void end(Tcp::socket &server)
+    {
+        write(server, eventText(2));
+        server.close();
+        port.pollUntil([&] { return exchange->isFinished(); });
+    }
+    bool isWhole() const
+    {
+        return sink.isEnded && !sink.isCutOff && sink.text == eventText(1) + eventText(2);
+    }
+
+    RecordingSink sink;
+    FakeExchangePort port;
+    std::shared_ptr<Exchange> exchange;
+    std::optional<Tcp::socket> first;
+};
+
+} // namespace
+
+// Guards against answers that are cut off although their server only paused.
+TEST_CASE("a begun stream goes on after a pause if it is refused elsewhere", "[gateway][pause]")
+{
+    PausedStream stream(1);
+    stream.exchange->rejected(rejection(stream.port.submitted));
+    REQUIRE_FALSE(stream.sink.isCutOff);
+    stream.end(*stream.first);
+    CHECK(stream.isWhole());
+}
+
+// Guards against answers that are cut off although their server only paused.
+TEST_CASE("a begun stream goes on after a pause if the other server refuses it", "[gateway][pause]")
+{
+    PausedStream stream(2);
+    stream.exchange->placed(stream.port.placement(2));
+    Tcp::socket second = stream.port.acceptRequest(2);
+    LoopbackServer::answer(second, "r-1", "503 Service Unavailable", "Not-Run: full\r\n");
+    const unsigned before = stream.port.submissions;
+    stream.port.pollUntil([&] { return stream.sink.isCutOff || stream.port.submissions > before; });
+    if (stream.port.submissions > before)
+        stream.exchange->rejected(rejection(stream.port.submitted));
+    REQUIRE_FALSE(stream.sink.isCutOff);
+    stream.end(*stream.first);
+    CHECK(stream.isWhole());
+}
+
+// Guards against work that is thrown away when a server goes on before the other one has begun.
+TEST_CASE("a begun stream goes on at its own server if that one is first", "[gateway][pause]")
+{
+    PausedStream stream(2);
+    stream.exchange->placed(stream.port.placement(2));
+    Tcp::socket second = stream.port.acceptRequest(2);
+    stream.end(*stream.first);
+    CHECK(stream.isWhole());
+    // The other server is told to stop, and is not blamed.
+    REQUIRE(
+        stream.port.pollUntil([&] { return LoopbackServer::isReadable(second.native_handle()); }));
+    CHECK(LoopbackServer::readRequest(second).empty());
+}
