Keep the attempt of a silent server until another one has begun

What callers saw: LOST. A stream that had begun was cut off although its server was sound and had only paused. On a busy pool, beside changes of the configuration, that is a whole request that gets neither an answer nor a refusal.

Cause: Exchange::checkTime() cancelled the attempt of a silent server before another server had taken the request. If none did (no room, no server of its version, keys that may not be used just then, a full server, or the same server again), the begun stream could only be cut off.

The silent attempt stays open while another server is asked for; the first one that sends a whole event or a usable whole answer is chosen, and the other is cancelled at once, so no two servers work on a stream that goes on. If no other server answers, the silent one is waited for. Both attempts have a work id of their own, so that the dispatcher counts both. Attempts, sends and the retry budget are counted as before.

--- a/src/libs/gateway/acceptedrequest.h
+++ b/src/libs/gateway/acceptedrequest.h
@@ -10,6 +10,20 @@
 #include <string>
 
 namespace Gateway {
+
+/// A request has two attempts at most at the same time, so each request has two work ids: an even
+/// one, which is that of the request, and the odd one after it.
+constexpr Routing::WorkId otherWorkId(Routing::WorkId id)
+{
+    return id ^ 1U;
+}
+
+/// Returns the id of the request that \a work belongs to.
+constexpr Routing::WorkId requestOfWork(Routing::WorkId work)
+{
+    return work & ~Routing::WorkId(1);
+}
+
 /// A request that passed validation, with the data that validation determined.
 struct AcceptedRequest
 {
--- /dev/null
+++ b/src/libs/gateway/attempt.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "gateway/attemptsampler.h"
+#include "gateway/backendconnection.h"
+#include "gateway/eventsplitter.h"
+#include "gateway/requestrecord.h"
+#include "routing/work.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace Gateway {
+
+class Attempt;
+
+/// Receives the answers to the attempts of one request; see BackendListener.
+class AttemptObserver
+{
+public:
+    virtual ~AttemptObserver() = default;
+    virtual void answerStarted(Attempt &attempt, const ResponseHead &head) = 0;
+    virtual void answerData(Attempt &attempt, std::string_view data) = 0;
+    virtual void answerEnded(Attempt &attempt) = 0;
+    virtual void attemptFailed(Attempt &attempt, const AttemptFailure &failure) = 0;
+};
+
+/// One attempt of a request: its placement, its connection and what has arrived of its answer.
+class Attempt final : public BackendListener, public std::enable_shared_from_this<Attempt>
+{
+public:
+    /// \a work is the id under which the attempt is placed. \a lastEventId is the id of the last
+    /// event that the caller has received. \a observer must outlive the attempt.
+    Attempt(AttemptObserver &observer, Routing::WorkId work,
+            std::optional<std::uint64_t> lastEventId)
+        : work(work)
+        , events(lastEventId)
+        , m_observer(&observer)
+    {}
+    ~Attempt() override { cancel(); }
+    Attempt(const Attempt &) = delete;
+    Attempt &operator=(const Attempt &) = delete;
+
+    /// Closes the connection, which makes the server stop working on the attempt.
+    void cancel()
+    {
+        const std::shared_ptr<BackendConnection> it = std::exchange(connection, nullptr);
+        if (it)
+            it->cancel();
+    }
+
+    void answerStarted(const ResponseHead &head) override
+    {
+        m_observer->answerStarted(*this, head);
+    }
+    void answerData(std::string_view data) override { m_observer->answerData(*this, data); }
+    void answerEnded() override { m_observer->answerEnded(*this); }
+    void attemptFailed(const AttemptFailure &failure) override
+    {
+        m_observer->attemptFailed(*this, failure);
+    }
+
+    const Routing::WorkId work;
+    std::shared_ptr<BackendConnection> connection;
+    AttemptRecord record;
+    AttemptSampler sampler;
+    ResponseHead head;
+    /// What has arrived of an answer that is no stream of events.
+    std::string body;
+    EventSplitter events;
+    /// When something arrived last, or another server was last sought in vain.
+    Base::TimePoint quietSince;
+    /// Whether the dispatcher counts the attempt at its server.
+    bool isPlaced = false;
+    bool isHeadSeen = false;
+    bool isEventStream = false;
+    /// Whether an event has arrived.
+    bool isStarted = false;
+
+private:
+    AttemptObserver *m_observer;
+};
+
+} // namespace Gateway
--- a/src/libs/gateway/exchange.cpp
+++ b/src/libs/gateway/exchange.cpp
@@ -39,10 +39,8 @@
     , m_accepted(std::move(accepted))
     , m_sink(&sink)
     , m_binding(StreamBinding::create(m_accepted, port.names()))
-{
-    const std::string_view lastId = field(m_accepted.request.message, m_port->names().lastEventId);
-    m_events = EventSplitter(parseNumber(lastId));
-}
+    , m_lastEventId(parseNumber(field(m_accepted.request.message, port.names().lastEventId)))
+{}
 
 void Exchange::start()
 {
@@ -66,9 +64,11 @@
 void Exchange::submit()
 {
     m_state = State::Waiting;
-    m_isPlaced = false;
+    const Routing::WorkId id = m_silent ? otherWorkId(m_silent->work) : m_accepted.id;
+    m_current = std::make_shared<Attempt>(*this, id, m_lastEventId);
     m_accepted.work.residency = m_port->residency(m_accepted);
     Routing::Work work = m_accepted.work;
+    work.id = id;
     work.tried = m_tried;
     work.softwareVersion = m_binding.softwareVersion();
     Routing::VersionRule rule = m_port->versionRule(m_accepted, work.softwareVersion);
@@ -84,28 +84,38 @@
 
 void Exchange::placed(const Routing::Placement &placement)
 {
-    if (m_state != State::Waiting)
+    if (m_state != State::Waiting || placement.work != m_current->work) {
+        m_port->workFinished(m_accepted.service, placement.work, AttemptOutcome::Withdrawn);
         return;
-    m_isPlaced = true;
-    m_record.server = placement.server;
-    m_record.inputs = placement.inputs;
-    m_record.fetchFrom = placement.fetchFrom;
-    const Routing::RegisteredServer *target = m_port->server(m_record.server);
+    }
+    const std::shared_ptr<Exchange> self = shared_from_this();
+    Attempt &attempt = *m_current;
+    attempt.isPlaced = true;
+    attempt.record.server = placement.server;
+    attempt.record.inputs = placement.inputs;
+    attempt.record.fetchFrom = placement.fetchFrom;
+    m_record.attempt = attempt.record;
+    // The silent server still has the request.
+    if (m_silent && m_silent->record.server == placement.server) {
+        finishAttempt(attempt, AttemptOutcome::Withdrawn);
+        return resumeSilentAttempt();
+    }
+    const Routing::RegisteredServer *target = m_port->server(placement.server);
     if (!target || !mayRunAt(*target)) {
         ++m_record.sends;
-        finishAttempt(AttemptOutcome::Withdrawn);
-        handleFailedAttempt(AttemptOutcome::Withdrawn, false);
+        finishAttempt(attempt, AttemptOutcome::Withdrawn);
+        handleFailedAttempt(attempt, AttemptOutcome::Withdrawn, false);
         return;
     }
     // The key may have been revoked while the request waited, or this host may have been suspended.
     if (!m_accepted.customer.isEmpty() && !m_port->mayUseKeys()) {
-        finishAttempt(AttemptOutcome::Withdrawn);
+        finishAttempt(attempt, AttemptOutcome::Withdrawn);
         fail({FailureType::NotReady, m_mayHaveRun, defaultRetryAfter});
         return;
     }
     // Servers may have ended under another try of the request while this one waited.
     if (isBlocked()) {
-        finishAttempt(AttemptOutcome::Withdrawn);
+        finishAttempt(attempt, AttemptOutcome::Withdrawn);
         fail(serversEnded);
         return;
     }
@@ -113,7 +123,8 @@
     // work for nobody.
     if (!m_isCallerGone && m_sink->isCallerGone()) {
         m_isCallerGone = true;
-        finishAttempt(AttemptOutcome::Withdrawn);
+        cancelSilentAttempt(AttemptOutcome::Withdrawn);
+        finishAttempt(attempt, AttemptOutcome::Withdrawn);
         finish("caller_gone");
         return;
     }
@@ -134,38 +145,34 @@
 void Exchange::sendTo(const Routing::RegisteredServer &server)
 {
     const Base::TimePoint now = m_port->now();
-    m_sampler.begin(server.softwareVersion, m_port->usualStart(m_accepted.service, m_accepted.id),
-                    now);
+    const std::shared_ptr<Attempt> attempt = m_current;
+    attempt->sampler.begin(server.softwareVersion,
+                           m_port->usualStart(m_accepted.service, attempt->work), now);
     m_port->attemptSent(m_accepted, server.softwareVersion);
     m_state = State::Sent;
-    m_isHeadSeen = false;
-    m_isWorkStarted = false;
-    m_body.clear();
-    m_events.discardPartialEvent();
-    m_record.sentAt = now;
-    m_record.softwareVersion = server.softwareVersion;
-    m_lastDataAt = now;
-    m_record.expectedStart = m_port->expectedStart(m_accepted.service, m_accepted.id);
-    m_record.backoffLeft = m_port->backoffLeft(server.id);
+    attempt->quietSince = now;
+    attempt->record.sentAt = now;
+    attempt->record.softwareVersion = server.softwareVersion;
+    attempt->record.expectedStart = m_port->expectedStart(m_accepted.service, attempt->work);
+    attempt->record.backoffLeft = m_port->backoffLeft(server.id);
+    m_record.attempt = attempt->record;
     ++m_record.sends;
     m_tried.push_back(server.id);
-    OutgoingAttempt attempt;
-    attempt.text =
+    OutgoingAttempt outgoing;
+    outgoing.text =
         forwardedText(m_accepted.request.message, forwardedFields(server), m_port->names());
-    attempt.requestId = m_accepted.requestId;
-    attempt.isHead = m_accepted.request.message.method() == Http::verb::head;
-    const std::shared_ptr<Exchange> self = shared_from_this();
-    const unsigned send = m_record.sends;
+    outgoing.requestId = m_accepted.requestId;
+    outgoing.isHead = m_accepted.request.message.method() == Http::verb::head;
     std::shared_ptr<BackendConnection> connection =
-        m_port->backends().send({server, std::move(attempt), !route().mayRepeat()}, *this, now);
+        m_port->backends().send({server, std::move(outgoing), !route().mayRepeat()}, *attempt, now);
     if (!connection) {
-        finishAttempt(AttemptOutcome::NoRoom);
-        handleFailedAttempt(AttemptOutcome::NoRoom, false);
+        finishAttempt(*attempt, AttemptOutcome::NoRoom);
+        handleFailedAttempt(*attempt, AttemptOutcome::NoRoom, false);
         return;
     }
     // The attempt may have failed within the call, and another one may already be under way.
-    if (m_state == State::Sent && m_record.sends == send)
-        m_connection = std::move(connection);
+    if (m_state == State::Sent && m_current == attempt)
+        attempt->connection = std::move(connection);
 }
 
 ForwardedFields Exchange::forwardedFields(const Routing::RegisteredServer &server) const
@@ -175,16 +182,17 @@
     added.timeLeftMs =
         std::max<std::int64_t>(1, std::chrono::duration_cast<milliseconds>(left).count());
     added.expectedServer = server.start.name;
+    const Base::ServerId &fetchFrom = m_current->record.fetchFrom;
     const Routing::RegisteredServer *fetchSource =
-        m_record.fetchFrom.isEmpty() ? nullptr : m_port->server(m_record.fetchFrom);
+        fetchFrom.isEmpty() ? nullptr : m_port->server(fetchFrom);
     // A server that has left since does not hold the prompt any more, so the target server reads
     // all of it itself.
     if (fetchSource && m_port->isInAllowedRegion(m_accepted, *fetchSource))
         added.fetchFrom = fetchSource->address;
     added.customer = m_accepted.customer.value();
     added.dropsAuthorization = !m_accepted.table->configuration().customers.empty();
-    if (m_record.events > 0 && m_events.lastId())
-        added.lastEventId = std::to_string(*m_events.lastId());
+    if (m_record.events > 0 && m_lastEventId)
+        added.lastEventId = std::to_string(*m_lastEventId);
     return added;
 }
 
@@ -195,7 +203,7 @@
 
 void Exchange::rejected(const Routing::Rejection &why)
 {
-    if (m_state != State::Waiting)
+    if (m_state != State::Waiting || why.work != m_current->work)
         return;
     m_record.rejection = why;
     // The versions that may run it have changed while it waited.
@@ -218,31 +226,28 @@
     if (now >= effectiveDeadline()) {
         if (m_state == State::Sent)
             m_mayHaveRun = true;
+        cancelSilentAttempt(AttemptOutcome::Silent);
         cancelAttempt(AttemptOutcome::Withdrawn);
         fail({FailureType::TimedOut, m_mayHaveRun, std::nullopt});
         return;
     }
     if (!isSilent(now))
         return;
-    recordServerEnd(true);
-    if (!mayRetry(AttemptOutcome::Silent, true))
-        return;
-    logFailedAttempt(AttemptOutcome::Silent, true, true);
-    m_mayHaveRun = true;
-    ++m_record.possibleRuns;
-    cancelAttempt(AttemptOutcome::Silent);
-    submit();
+    recordServerEnd(*m_current, true);
+    if (mayRetry(AttemptOutcome::Silent, true))
+        seekOtherServer();
 }
 
 bool Exchange::isSilent(Base::TimePoint now) const
 {
     if (m_state != State::Sent || !route().mayRepeat() || m_sink->isBlocked())
         return false;
-    if (m_isHeadSeen && !route().isStream())
+    if (m_current->isHeadSeen && !route().isStream())
         return false;
-    SilentAttempt attempt{route(), m_record.expectedStart, m_isWorkStarted, {}, {}};
-    attempt.silence = now - (m_isWorkStarted ? m_lastDataAt : m_record.sentAt);
-    if (const auto lastResponseAt = m_port->lastResponseFrom(m_record.server))
+    const AttemptRecord &record = m_current->record;
+    SilentAttempt attempt{route(), record.expectedStart, m_current->isStarted, {}, {}};
+    attempt.silence = now - m_current->quietSince;
+    if (const auto lastResponseAt = m_port->lastResponseFrom(record.server))
         attempt.serverQuiet = now - *lastResponseAt;
     return isTooSilent(attempt);
 }
@@ -258,114 +263,126 @@
         m_state == State::Sent && !route().mayRepeat() && !route().isStream();
     if (isLeftRunning)
         return;
+    cancelSilentAttempt(AttemptOutcome::Withdrawn);
     cancelAttempt(AttemptOutcome::Withdrawn);
     finish("caller_gone");
 }
 
 void Exchange::outputDrained()
 {
-    if (m_connection)
-        m_connection->resume();
+    if (m_current->connection)
+        m_current->connection->resume();
 }
 
-void Exchange::answerStarted(const ResponseHead &head)
+void Exchange::answerStarted(Attempt &attempt, const ResponseHead &head)
 {
-    m_isHeadSeen = true;
-    m_lastDataAt = m_port->now();
-    m_port->serverResponded(m_record.server);
-    m_head = head;
-    m_isEventStream =
+    attempt.isHeadSeen = true;
+    m_port->serverResponded(attempt.record.server);
+    attempt.head = head;
+    attempt.isEventStream =
         route().isStream() && head.result() == Http::status::ok && isEventStreamHead(head);
 }
 
-void Exchange::answerData(std::string_view data)
+void Exchange::answerData(Attempt &attempt, std::string_view data)
 {
-    m_lastDataAt = m_port->now();
-    m_port->serverResponded(m_record.server);
-    if (!m_isEventStream) {
-        m_body.append(data);
+    m_port->serverResponded(attempt.record.server);
+    if (!attempt.isEventStream) {
+        attempt.body.append(data);
         return;
     }
-    forwardEvents(data);
+    if (attempt.isStarted)
+        attempt.quietSince = m_port->now();
+    const CompleteEvents whole = attempt.events.push(data);
+    if (whole.count > 0)
+        forwardEvents(attempt, whole);
 }
 
-void Exchange::forwardEvents(std::string_view data)
+void Exchange::forwardEvents(Attempt &attempt, const CompleteEvents &whole)
 {
-    const CompleteEvents whole = m_events.push(data);
-    if (whole.count == 0)
-        return;
-    if (!m_isWorkStarted) {
-        m_isWorkStarted = true;
-        m_port->workStarted(m_accepted.service, m_accepted.id);
-    }
-    m_binding.bindBegun(m_port->memory().streamOrigins(), m_record.softwareVersion, m_lastDataAt);
+    const std::shared_ptr<Exchange> self = shared_from_this();
+    const Base::TimePoint now = m_port->now();
+    choose(attempt);
+    if (!std::exchange(attempt.isStarted, true))
+        m_port->workStarted(m_accepted.service, attempt.work);
+    attempt.quietSince = now;
+    m_lastEventId = attempt.events.lastId();
+    m_binding.bindBegun(m_port->memory().streamOrigins(), attempt.record.softwareVersion, now);
     if (m_record.events == 0)
-        m_record.firstEventAt = m_record.lastEventAt = m_lastDataAt;
-    m_record.longestPause = std::max(m_record.longestPause, m_lastDataAt - m_record.lastEventAt);
-    m_record.lastEventAt = m_lastDataAt;
+        m_record.firstEventAt = m_record.lastEventAt = now;
+    m_record.longestPause = std::max(m_record.longestPause, now - m_record.lastEventAt);
+    m_record.lastEventAt = now;
     m_record.events += whole.count;
-    m_sampler.eventsArrived(whole.count, m_lastDataAt);
+    attempt.sampler.eventsArrived(whole.count, now);
     m_port->eventsForwarded(whole.count);
-    const std::shared_ptr<Exchange> self = shared_from_this();
     if (!m_isStreamStarted) {
         m_isStreamStarted = true;
-        m_record.status = m_head.result_int();
-        m_sink->startStream(m_head);
+        m_record.status = attempt.head.result_int();
+        m_sink->startStream(attempt.head);
     }
     m_sink->sendEvents(whole.text);
-    if (m_state == State::Sent && m_sink->isBlocked() && m_connection)
-        m_connection->pause();
+    if (m_state == State::Sent && m_sink->isBlocked() && attempt.connection)
+        attempt.connection->pause();
 }
 
-void Exchange::answerEnded()
+void Exchange::answerEnded(Attempt &attempt)
 {
-    m_connection.reset();
-    if (m_state != State::Sent)
+    const std::shared_ptr<Exchange> self = shared_from_this();
+    const std::shared_ptr<Attempt> ended = attempt.shared_from_this();
+    attempt.connection.reset();
+    if (m_state == State::Finished)
         return;
-    if (m_isEventStream) {
-        if (m_events.hasPartialEvent() || m_record.events == 0) {
-            recordServerEnd(false);
-            finishAttempt(AttemptOutcome::Broken);
-            handleFailedAttempt(AttemptOutcome::Broken, true);
-            return;
-        }
-        finishAttempt(AttemptOutcome::Served);
-        recordServed();
-        m_sink->endStream();
-        finish("streamed");
+    if (!attempt.isEventStream) {
+        handleWholeAnswer(attempt);
         return;
     }
-    handleWholeAnswer();
+    if (attempt.events.hasPartialEvent() || m_record.events == 0) {
+        recordServerEnd(attempt, false);
+        finishAttempt(attempt, AttemptOutcome::Broken);
+        handleFailedAttempt(attempt, AttemptOutcome::Broken, true);
+        return;
+    }
+    choose(attempt);
+    finishAttempt(attempt, AttemptOutcome::Served);
+    recordServed();
+    m_sink->endStream();
+    finish("streamed");
 }
 
-void Exchange::handleWholeAnswer()
+void Exchange::handleWholeAnswer(Attempt &attempt)
 {
-    const unsigned status = m_head.result_int();
-    const bool didNotRun = m_head.count(m_port->names().notRun) > 0 || status == 421;
+    const unsigned status = attempt.head.result_int();
+    const bool didNotRun = attempt.head.count(m_port->names().notRun) > 0 || status == 421;
     if (didNotRun) {
         const AttemptOutcome outcome =
             status == 421 ? AttemptOutcome::WrongServer : AttemptOutcome::NoRoom;
-        finishAttempt(outcome);
-        handleFailedAttempt(outcome, false);
+        finishAttempt(attempt, outcome);
+        handleFailedAttempt(attempt, outcome, false);
         return;
     }
-    if (!isAnswerTrusted()) {
-        finishAttempt(AttemptOutcome::Broken);
-        handleFailedAttempt(AttemptOutcome::Broken, true);
+    if (!isAnswerTrusted(attempt.head)) {
+        finishAttempt(attempt, AttemptOutcome::Broken);
+        handleFailedAttempt(attempt, AttemptOutcome::Broken, true);
         return;
     }
+    // The other server may still answer, or go on with the stream.
+    if (m_silent && (status >= 500 || m_isStreamStarted)) {
+        finishAttempt(attempt, AttemptOutcome::ServerError);
+        handleFailedAttempt(attempt, AttemptOutcome::ServerError, true);
+        return;
+    }
+    choose(attempt);
     recordServed();
     if (status >= 500) {
-        finishAttempt(AttemptOutcome::ServerError);
+        finishAttempt(attempt, AttemptOutcome::ServerError);
         if (!m_isStreamStarted && mayRetry(AttemptOutcome::ServerError, true)) {
-            logFailedAttempt(AttemptOutcome::ServerError, true, true);
+            logFailedAttempt(attempt, AttemptOutcome::ServerError, true, true);
             m_mayHaveRun = true;
             ++m_record.possibleRuns;
             submit();
             return;
         }
     } else {
-        finishAttempt(AttemptOutcome::Served);
+        finishAttempt(attempt, AttemptOutcome::Served);
     }
     if (m_isStreamStarted) {
         // The server was asked to resume a stream, but sent another kind of answer.
@@ -374,38 +391,40 @@
     }
     m_record.status = status;
     if (!m_isCallerGone)
-        m_sink->sendAnswer(m_head, m_body);
+        m_sink->sendAnswer(attempt.head, attempt.body);
     finish("answered");
 }
 
-bool Exchange::isAnswerTrusted() const
+bool Exchange::isAnswerTrusted(const ResponseHead &head) const
 {
     // An answer proves that the request did not run only if it has the field that says so, and it
     // is a success only if it has the server's signature.
-    const unsigned status = m_head.result_int();
+    const unsigned status = head.result_int();
     const bool claimsNotRun = status == 429 || status == 503 || status == 408;
     const bool isSuccess = status >= 200 && status < 300;
     if (claimsNotRun)
         return false;
-    return !isSuccess || !field(m_head, m_port->names().signature).empty();
+    return !isSuccess || !field(head, m_port->names().signature).empty();
 }
 
-void Exchange::attemptFailed(const AttemptFailure &failure)
+void Exchange::attemptFailed(Attempt &attempt, const AttemptFailure &failure)
 {
-    m_connection.reset();
-    if (m_state != State::Sent)
+    const std::shared_ptr<Exchange> self = shared_from_this();
+    const std::shared_ptr<Attempt> failed = attempt.shared_from_this();
+    attempt.connection.reset();
+    if (m_state == State::Finished)
         return;
     if (failure.outcome == AttemptOutcome::Broken && failure.maybeSent)
-        recordServerEnd(false);
-    finishAttempt(failure.outcome);
-    handleFailedAttempt(failure.outcome, failure.maybeSent);
+        recordServerEnd(attempt, false);
+    finishAttempt(attempt, failure.outcome);
+    handleFailedAttempt(attempt, failure.outcome, failure.maybeSent);
 }
 
-void Exchange::recordServerEnd(bool isSilence)
+void Exchange::recordServerEnd(const Attempt &attempt, bool isSilence)
 {
     const Base::TimePoint now = m_port->now();
-    m_port->memory().recordServerEnd(content(), {m_record.server, m_record.sentAt, now, isSilence},
-                                     now);
+    m_port->memory().recordServerEnd(
+        content(), {attempt.record.server, attempt.record.sentAt, now, isSilence}, now);
 }
 
 void Exchange::recordServed()
@@ -428,10 +447,16 @@
     return *m_content;
 }
 
-void Exchange::handleFailedAttempt(AttemptOutcome outcome, bool maybeRan)
+void Exchange::handleFailedAttempt(Attempt &attempt, AttemptOutcome outcome, bool maybeRan)
 {
+    // Another server has been asked for already.
+    if (&attempt == m_silent.get()) {
+        logFailedAttempt(attempt, outcome, maybeRan, false);
+        m_silent.reset();
+        return;
+    }
     const bool retries = mayRetry(outcome, maybeRan);
-    logFailedAttempt(outcome, maybeRan, retries);
+    logFailedAttempt(attempt, outcome, maybeRan, retries);
     if (maybeRan) {
         m_mayHaveRun = true;
         ++m_record.possibleRuns;
@@ -468,29 +493,4 @@
     return m_port->acquireRetry(m_accepted.service);
 }
 
-void Exchange::finishAttempt(AttemptOutcome outcome)
-{
-    if (m_sampler.isRunning()) {
-        m_port->attemptEnded(m_accepted,
-                             {m_record.server, m_sampler.softwareVersion(),
-                              m_sampler.end(outcome, m_port->now()), m_sampler.sentAt()});
-    }
-    if (!std::exchange(m_isPlaced, false))
-        return;
-    m_port->workFinished(m_accepted.service, m_accepted.id, outcome);
-}
-
-void Exchange::cancelAttempt(AttemptOutcome outcome)
-{
-    const std::shared_ptr<BackendConnection> connection = std::move(m_connection);
-    m_connection.reset();
-    if (connection)
-        connection->cancel();
-    if (m_state == State::Waiting)
-        m_port->withdrawWork(m_accepted.service, m_accepted.id);
-    else
-        finishAttempt(outcome);
-    m_state = State::Waiting;
-}
-
 } // namespace Gateway
--- a/src/libs/gateway/exchange.h
+++ b/src/libs/gateway/exchange.h
@@ -2,9 +2,8 @@
 
 #include "gateway/acceptedrequest.h"
 #include "gateway/answersink.h"
-#include "gateway/attemptsampler.h"
+#include "gateway/attempt.h"
 #include "gateway/backendpool.h"
-#include "gateway/eventsplitter.h"
 #include "gateway/failure.h"
 #include "gateway/headernames.h"
 #include "gateway/requestmemory.h"
@@ -98,8 +97,12 @@
 /// Once a byte of an attempt was sent, the attempt may have run, unless the server says that it did
 /// not. A request that may have run is only sent again if its class of work is repeatable, and
 /// within the class's number of attempts and the fleet's retry budget.
+///
+/// A server that has been silent for long may be lost, or may only pause. Another server is asked
+/// for the request meanwhile, and the first one that sends an event or a whole answer is the one
+/// whose answer the caller gets. If no other server answers, the silent one is waited for.
 class Exchange final : public ActiveRequest,
-                       public BackendListener,
+                       public AttemptObserver,
                        public std::enable_shared_from_this<Exchange>
 {
 public:
@@ -114,17 +117,20 @@
     void checkTime(Base::TimePoint now);
     bool isFinished() const { return m_state == State::Finished; }
     bool isStream() const { return route().isStream(); }
+    /// Whether a silent server may still answer while another one is asked for.
+    bool hasSilentAttempt() const { return m_silent != nullptr; }
     const Routing::Work &work() const { return m_accepted.work; }
 
     void callerGone() override;
     void outputDrained() override;
 
-    void answerStarted(const ResponseHead &head) override;
-    void answerData(std::string_view data) override;
-    void answerEnded() override;
-    void attemptFailed(const AttemptFailure &failure) override;
+    void answerStarted(Attempt &attempt, const ResponseHead &head) override;
+    void answerData(Attempt &attempt, std::string_view data) override;
+    void answerEnded(Attempt &attempt) override;
+    void attemptFailed(Attempt &attempt, const AttemptFailure &failure) override;
 
 private:
+    /// Of the current attempt: whether it waits for a server or was sent to one.
     enum class State { Waiting, Sent, Finished };
 
     const Routing::Route &route() const { return *m_accepted.route; }
@@ -133,10 +139,19 @@
     ForwardedFields forwardedFields(const Routing::RegisteredServer &server) const;
     /// Whether \a server may run the request now, although it was allowed when it was chosen.
     bool mayRunAt(const Routing::RegisteredServer &server);
-    void finishAttempt(Routing::AttemptOutcome outcome);
+    void finishAttempt(Attempt &attempt, Routing::AttemptOutcome outcome);
+    /// Withdraws the current attempt if it waits, or cancels it if it was sent.
     void cancelAttempt(Routing::AttemptOutcome outcome);
-    /// Notes that the server of the current attempt may have ended under it.
-    void recordServerEnd(bool isSilence);
+    /// Cancels the silent attempt, if there is one.
+    void cancelSilentAttempt(Routing::AttemptOutcome outcome);
+    /// Makes the current attempt the silent one, and asks for another server.
+    void seekOtherServer();
+    /// Makes the silent attempt the current one again.
+    void resumeSilentAttempt();
+    /// Makes \a attempt the only one, since its answer is passed on.
+    void choose(Attempt &attempt);
+    /// Notes that the server of \a attempt may have ended under it.
+    void recordServerEnd(const Attempt &attempt, bool isSilence);
     /// Notes that a server answered the request.
     void recordServed();
     /// Whether servers have ended under the request so often that it must not be sent any more.
@@ -144,48 +159,45 @@
     const Routing::RequestContent &content();
     /// Handles an attempt that ended without a usable answer: sends the request again, or gives the
     /// final answer.
-    void handleFailedAttempt(Routing::AttemptOutcome outcome, bool maybeRan);
+    void handleFailedAttempt(Attempt &attempt, Routing::AttemptOutcome outcome, bool maybeRan);
     /// Whether the request may be sent again after an attempt with \a outcome. Takes a retry out of
     /// the budget if the retry needs one.
     bool mayRetry(Routing::AttemptOutcome outcome, bool maybeRan);
-    void handleWholeAnswer();
+    void handleWholeAnswer(Attempt &attempt);
     /// Whether the answer may be passed on. An answer that claims without proof that the request
     /// did not run, or a success without the server's signature, may not.
-    bool isAnswerTrusted() const;
-    void forwardEvents(std::string_view data);
+    bool isAnswerTrusted(const ResponseHead &head) const;
+    void forwardEvents(Attempt &attempt, const CompleteEvents &whole);
     /// Whether the request may be sent elsewhere because its server has been silent for too long.
     bool isSilent(Base::TimePoint now) const;
     /// Returns the end of the class's timeout or the caller's deadline, whichever is earlier.
     Base::TimePoint effectiveDeadline() const;
+    /// Gives the final answer, unless a silent server may still answer.
     void fail(Failure failure);
     void finish(const char *outcome);
     void logEnd(const char *outcome);
-    void logFailedAttempt(Routing::AttemptOutcome outcome, bool maybeRan, bool retries);
+    void logFailedAttempt(const Attempt &attempt, Routing::AttemptOutcome outcome, bool maybeRan,
+                          bool retries);
 
     ExchangePort *m_port;
     AcceptedRequest m_accepted;
     AnswerSink *m_sink;
     State m_state = State::Waiting;
-    std::shared_ptr<BackendConnection> m_connection;
+    std::shared_ptr<Attempt> m_current;
+    /// An attempt whose server is silent, while another one is asked for.
+    std::shared_ptr<Attempt> m_silent;
     RequestRecord m_record;
     StreamBinding m_binding;
     /// Computed when it is first needed.
     std::optional<Routing::RequestContent> m_content;
     std::vector<Base::ServerId> m_tried;
-    ResponseHead m_head;
-    std::string m_body;
-    EventSplitter m_events;
-    AttemptSampler m_sampler;
+    /// The id of the last event that the caller has received.
+    std::optional<std::uint64_t> m_lastEventId;
     /// The software version that the last submission put on trial; empty if none.
     std::string m_trialVersion;
-    Base::TimePoint m_lastDataAt;
     bool m_mayHaveRun = false;
-    bool m_isHeadSeen = false;
-    bool m_isEventStream = false;
     bool m_isStreamStarted = false;
-    bool m_isWorkStarted = false;
     bool m_isCallerGone = false;
-    bool m_isPlaced = false;
     /// Whether the request was submitted again because no server had an allowed version.
     bool m_isVersionRetried = false;
 };
--- /dev/null
+++ b/src/libs/gateway/exchangeattempts.cpp
@@ -0,0 +1,79 @@
+// Which attempts of an exchange are open, and whose answer is passed on.
+
+#include "gateway/exchange.h"
+
+#include <utility>
+
+namespace Gateway {
+
+using Routing::AttemptOutcome;
+
+void Exchange::finishAttempt(Attempt &attempt, AttemptOutcome outcome)
+{
+    if (attempt.sampler.isRunning()) {
+        m_port->attemptEnded(m_accepted, {attempt.record.server, attempt.sampler.softwareVersion(),
+                                          attempt.sampler.end(outcome, m_port->now()),
+                                          attempt.sampler.sentAt()});
+    }
+    if (!std::exchange(attempt.isPlaced, false))
+        return;
+    m_port->workFinished(m_accepted.service, attempt.work, outcome);
+}
+
+void Exchange::cancelAttempt(AttemptOutcome outcome)
+{
+    const std::shared_ptr<Attempt> attempt = m_current;
+    attempt->cancel();
+    if (m_state == State::Waiting)
+        m_port->withdrawWork(m_accepted.service, attempt->work);
+    else
+        finishAttempt(*attempt, outcome);
+    m_state = State::Waiting;
+}
+
+void Exchange::cancelSilentAttempt(AttemptOutcome outcome)
+{
+    const std::shared_ptr<Attempt> attempt = std::exchange(m_silent, nullptr);
+    if (!attempt)
+        return;
+    attempt->cancel();
+    finishAttempt(*attempt, outcome);
+}
+
+void Exchange::seekOtherServer()
+{
+    logFailedAttempt(*m_current, AttemptOutcome::Silent, true, true);
+    m_mayHaveRun = true;
+    ++m_record.possibleRuns;
+    if (m_silent)
+        cancelAttempt(AttemptOutcome::Silent);
+    else
+        m_silent = m_current;
+    submit();
+}
+
+void Exchange::resumeSilentAttempt()
+{
+    m_current = std::exchange(m_silent, nullptr);
+    m_state = State::Sent;
+    // Its run is counted when it ends.
+    --m_record.possibleRuns;
+    m_current->quietSince = m_port->now();
+    m_record.attempt = m_current->record;
+}
+
+void Exchange::choose(Attempt &attempt)
+{
+    if (!m_silent)
+        return;
+    if (&attempt != m_silent.get()) {
+        cancelSilentAttempt(AttemptOutcome::Silent);
+        return;
+    }
+    if (m_state == State::Sent)
+        ++m_record.possibleRuns;
+    cancelAttempt(AttemptOutcome::Withdrawn);
+    resumeSilentAttempt();
+}
+
+} // namespace Gateway
--- a/src/libs/gateway/exchangeend.cpp
+++ b/src/libs/gateway/exchangeend.cpp
@@ -12,6 +12,10 @@
 
 void Exchange::fail(Failure failure)
 {
+    if (m_silent) {
+        resumeSilentAttempt();
+        return;
+    }
     failure.mayHaveRun |= m_mayHaveRun;
     if (m_isStreamStarted) {
         m_record.isCutOff = !m_isCallerGone;
@@ -39,8 +43,10 @@
     m_port->exchangeFinished(m_accepted.id);
 }
 
-void Exchange::logFailedAttempt(AttemptOutcome outcome, bool maybeRan, bool retries)
+void Exchange::logFailedAttempt(const Attempt &attempt, AttemptOutcome outcome, bool maybeRan,
+                                bool retries)
 {
+    m_record.attempt = attempt.record;
     m_port->attemptFailed(outcome);
     const Base::TimePoint now = m_port->now();
     if (!m_port->log().tryAcquireRequestLine(true, now))
@@ -54,8 +60,8 @@
 void Exchange::logEnd(const char *outcome)
 {
     const Base::TimePoint now = m_port->now();
-    EndedRequest ended{route().name, m_accepted.customer.value(), outcome, std::nullopt,
-                       now - m_accepted.request.readAt, m_record.isCutOff};
+    EndedRequest ended{route().name, m_accepted.customer.value(),     outcome,
+                       std::nullopt, now - m_accepted.request.readAt, m_record.isCutOff};
     if (m_record.events > 0)
         ended.first = m_record.firstEventAt - m_accepted.request.readAt;
     else if (m_record.status != 0 && m_record.status < 500)
@@ -64,8 +70,8 @@
     const bool isFailure = m_record.status >= 500 || (m_record.status == 0 && !m_isCallerGone);
     if (!m_port->log().tryAcquireRequestLine(isFailure, now))
         return;
-    LogLine line = requestEndLine(
-        m_accepted, m_record, {outcome, content().digest, m_port->configurationAge()}, now);
+    LogLine line = requestEndLine(m_accepted, m_record,
+                                  {outcome, content().digest, m_port->configurationAge()}, now);
     line.add("resumes", field(m_accepted.request.message, m_port->names().resumedRequestId));
     m_port->log().write(line, now);
 }
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -322,7 +322,7 @@
 std::shared_ptr<ActiveRequest> Gateway::handle(CallerRequest request, AnswerSink &sink)
 {
     AcceptedRequest accepted;
-    accepted.id = ++m_lastWorkId;
+    accepted.id = m_lastWorkId += 2;
     accepted.request = std::move(request);
     accepted.requestId = std::string(field(accepted.request.message, m_adapter.names.requestId));
     ValidationContext known{m_replica->table(), m_replica->servers().isKnown(), mayUseKeys(),
@@ -379,16 +379,16 @@
         const Routing::Decisions next = std::move(m_decisions.front());
         m_decisions.pop_front();
         for (const Routing::Placement &it : next.placements) {
-            const auto exchange = m_exchanges.find(it.work);
+            const auto exchange = m_exchanges.find(requestOfWork(it.work));
             if (exchange != m_exchanges.end())
                 std::shared_ptr<Exchange>(exchange->second)->placed(it);
         }
         for (const Routing::Rejection &it : next.rejected) {
-            const auto found = m_exchanges.find(it.work);
+            const auto found = m_exchanges.find(requestOfWork(it.work));
             if (found == m_exchanges.end())
                 continue;
             const std::shared_ptr<Exchange> exchange = found->second;
-            if (exchange->isStream())
+            if (exchange->isStream() && !exchange->hasSilentAttempt())
                 m_backlog.refundStream(exchange->work(), now());
             exchange->rejected(it);
         }
--- a/src/libs/gateway/requestrecord.h
+++ b/src/libs/gateway/requestrecord.h
@@ -14,23 +14,28 @@
 
 namespace Gateway {
 
-/// What has happened to a request so far, for decisions and for the log.
-struct RequestRecord
+/// Where an attempt was sent, and why.
+struct AttemptRecord
 {
-    /// The server of the last placement, and the software version to which the last attempt was
-    /// sent.
     Base::ServerId server;
     std::string softwareVersion;
     Routing::PlacementInputs inputs;
     Base::ServerId fetchFrom;
-    std::optional<Routing::Rejection> rejection;
     Base::TimePoint sentAt;
-    Base::TimePoint firstEventAt;
-    Base::TimePoint lastEventAt;
-    Base::Duration longestPause{};
     Base::Duration expectedStart{};
     /// The server's remaining backoff when the attempt began.
     Base::Duration backoffLeft{};
+};
+
+/// What has happened to a request so far, for decisions and for the log.
+struct RequestRecord
+{
+    /// The attempt whose failure is logged, or that brought the answer.
+    AttemptRecord attempt;
+    std::optional<Routing::Rejection> rejection;
+    Base::TimePoint firstEventAt;
+    Base::TimePoint lastEventAt;
+    Base::Duration longestPause{};
     /// The number of events that were forwarded.
     std::size_t events = 0;
     /// The status that the caller got; 0 if none.
--- a/tests/auto/gateway/fakeexchangeport.h
+++ b/tests/auto/gateway/fakeexchangeport.h
@@ -162,7 +162,12 @@
         return it;
     }
     LoopbackServer &backend(int server = 1) { return *m_backends[server - 1]; }
-    void poll() { m_io.poll(); }
+    void poll()
+    {
+        // A loop that had nothing to wait for has stopped.
+        m_io.restart();
+        m_io.poll();
+    }
     /// Handles events until \a isDone or for a second at most. Returns whether it is.
     bool pollUntil(const std::function<bool()> &isDone)
     {
@@ -177,7 +182,7 @@
     {
         REQUIRE(pollUntil([&] { return backend(server).isCalled(); }));
         Tcp::socket socket = backend(server).accept();
-        poll();
+        REQUIRE(pollUntil([&] { return LoopbackServer::isReadable(socket.native_handle()); }));
         CHECK_FALSE(LoopbackServer::readRequest(socket).empty());
         return socket;
     }
--- a/tests/auto/gateway/tst_pausingserver.cpp
+++ b/tests/auto/gateway/tst_pausingserver.cpp
@@ -105,6 +105,36 @@
     CHECK(stream.isWhole());
 }
 
+// Guards against answers that are cut off although their server only paused.
+TEST_CASE("a begun stream goes on after a pause if the other server sends no events",
+          "[gateway][pause]")
+{
+    PausedStream stream(2);
+    stream.exchange->placed(stream.port.placement(2));
+    Tcp::socket second = stream.port.acceptRequest(2);
+    LoopbackServer::answer(second, "r-1", "400 Bad Request", "");
+    REQUIRE(stream.port.pollUntil([&] { return stream.port.outcomes.size() == 1; }));
+    if (stream.port.submissions > 2)
+        stream.exchange->rejected(rejection(stream.port.submitted));
+    REQUIRE_FALSE(stream.sink.isCutOff);
+    stream.end(*stream.first);
+    CHECK(stream.isWhole());
+}
+
+// Guards against a request that is sent again to the server that still works on it.
+TEST_CASE("a begun stream waits for its server if no other one is found", "[gateway][pause]")
+{
+    PausedStream stream(1);
+    stream.exchange->placed(stream.port.placement(1));
+    stream.port.poll();
+    CHECK_FALSE(stream.port.backend(1).isCalled());
+    // Another server is not asked for at once again.
+    stream.pass(std::chrono::milliseconds(100));
+    CHECK(stream.port.submissions == 2);
+    stream.end(*stream.first);
+    CHECK(stream.isWhole());
+}
+
 // Guards against work that is thrown away when a server goes on before the other one has begun.
 TEST_CASE("a begun stream goes on at its own server if that one is first", "[gateway][pause]")
 {
@@ -114,7 +144,82 @@
     stream.end(*stream.first);
     CHECK(stream.isWhole());
     // The other server is told to stop, and is not blamed.
+    const std::vector outcomes{Routing::AttemptOutcome::Withdrawn, Routing::AttemptOutcome::Served};
+    CHECK(stream.port.outcomes == outcomes);
     REQUIRE(
         stream.port.pollUntil([&] { return LoopbackServer::isReadable(second.native_handle()); }));
     CHECK(LoopbackServer::readRequest(second).empty());
 }
+
+// Guards against a request that two servers work on.
+TEST_CASE("a begun stream leaves its server if another one is first", "[gateway][pause]")
+{
+    PausedStream stream(2);
+    stream.exchange->placed(stream.port.placement(2));
+    Tcp::socket second = stream.port.acceptRequest(2);
+    beginStream(second);
+    stream.end(second);
+    CHECK(stream.isWhole());
+    const std::vector outcomes{Routing::AttemptOutcome::Silent, Routing::AttemptOutcome::Served};
+    CHECK(stream.port.outcomes == outcomes);
+    REQUIRE(stream.port.pollUntil(
+        [&] { return LoopbackServer::isReadable(stream.first->native_handle()); }));
+    CHECK(LoopbackServer::readRequest(*stream.first).empty());
+}
+
+TEST_CASE("a begun stream goes on at the other server if its own one ends", "[gateway][pause]")
+{
+    PausedStream stream(2);
+    write(*stream.first, "id: 2\nda");
+    stream.first->close();
+    REQUIRE(stream.port.pollUntil([&] { return !stream.exchange->hasSilentAttempt(); }));
+    stream.exchange->placed(stream.port.placement(2));
+    Tcp::socket second = stream.port.acceptRequest(2);
+    beginStream(second);
+    stream.end(second);
+    CHECK(stream.isWhole());
+}
+
+// Guards against a second server that works for a caller who has left.
+TEST_CASE("both servers stop when the caller of a paused stream leaves", "[gateway][pause]")
+{
+    PausedStream stream(2);
+    stream.exchange->placed(stream.port.placement(2));
+    Tcp::socket second = stream.port.acceptRequest(2);
+    stream.exchange->callerGone();
+    for (Tcp::socket *socket : {&*stream.first, &second}) {
+        REQUIRE(stream.port.pollUntil(
+            [&] { return LoopbackServer::isReadable(socket->native_handle()); }));
+        CHECK(LoopbackServer::readRequest(*socket).empty());
+    }
+    CHECK(stream.exchange->isFinished());
+}
+
+// Guards against answers that are thrown away although their server only paused.
+TEST_CASE("a whole answer after a pause is passed on if no other server answers",
+          "[gateway][pause]")
+{
+    FakeExchangePort port(2);
+    RecordingSink sink;
+    const std::shared_ptr<Exchange> exchange = port.exchange(sink, Routing::WorkKind::Idempotent);
+    exchange->placed(port.placement(1));
+    Tcp::socket first = port.acceptRequest(1);
+    port.clockOffset += longSilence;
+    exchange->checkTime(port.now());
+    REQUIRE(port.submissions == 2);
+    SECTION("since it is refused elsewhere")
+    {
+        exchange->rejected(rejection(port.submitted));
+    }
+    SECTION("since the other server fails")
+    {
+        exchange->placed(port.placement(2));
+        Tcp::socket second = port.acceptRequest(2);
+        LoopbackServer::answer(second, "r-1", "500 Internal Server Error", "");
+        REQUIRE(port.pollUntil([&] { return port.outcomes.size() == 1; }));
+    }
+    CHECK(sink.statuses.empty());
+    LoopbackServer::answer(first, "r-1");
+    port.pollUntil([&] { return exchange->isFinished(); });
+    CHECK(sink.statuses == std::vector<unsigned>{200});
+}
