--- a/tests/processes/deployment.sh
+++ b/tests/processes/deployment.sh
@@ -28,7 +28,7 @@
 }
 
 # configure VERSION KEYS: writes the configuration. KEYS is a JSON list, the keys of the only
-# customer.
+# customer besides those of MORE_TENANTS.
 configure() {
     put op config '{"version":'"$1"',"routeTable":['"$(route stream streaming pool \
         ',"streamResume":true')"','"$(route once unsafe app '')"','"$(route read safe app '')"'],
@@ -36,7 +36,7 @@
             {"name":"app","maxConnections":'"${MAX_CONNECTIONS:-64}"'}],
         "limits":{"maxHeaderBytes":16384,"maxBodyBytes":65536,"headerTimeoutMs":3000,
             "idleTimeoutMs":15000,"tokensPerS":'"${TOKENS_PER_S:-100000}"'},
-        "tenants":[{"name":"dealer","apiKeys":'"$2"',"priority":1}]}'
+        "tenants":[{"name":"dealer","apiKeys":'"$2"',"priority":1}'"${MORE_TENANTS:-}"']}'
 }
 
 # server N SERVICE STATE: writes the entry of backend server N, with the software version VERSION,
--- a/tests/standins/deployedserverstandin/deployedservice.cpp
+++ b/tests/standins/deployedserverstandin/deployedservice.cpp
@@ -4,6 +4,7 @@
 
 #include <cstdio>
 #include <cstdlib>
+#include <string_view>
 #include <thread>
 #include <utility>
 
@@ -53,6 +54,25 @@
     std::uint64_t m_sent = 0;
 };
 
+/// Ends the process as soon as the head of the answer has been sent.
+class EndingStream final : public BodyStream
+{
+public:
+    std::optional<std::string> next() override { std::_Exit(EXIT_FAILURE); }
+};
+
+/// Whether \a parts, "HASH:TOKENS,HASH:TOKENS", has the hash \a part in front of its last entry.
+bool hasPartBeforeLast(std::string_view parts, std::string_view part)
+{
+    for (std::size_t end = parts.find(','); end != std::string_view::npos; end = parts.find(',')) {
+        const std::string_view entry = parts.substr(0, end);
+        if (entry.substr(0, entry.find(':')) == part)
+            return true;
+        parts.remove_prefix(end + 1);
+    }
+    return false;
+}
+
 } // namespace
 
 std::vector<OptionSpec> DeployedService::optionSpecs()
@@ -63,6 +83,9 @@
         {"events", "8", "number of events in a stream"},
         {"tells-load", "false", "tell in each answer how long work takes on the machine"},
         {"exit-on", "", "path of the requests under which the process ends at once"},
+        {"exit-on-part", "",
+         "hash of the prompt part, other than the last, under which the process ends once it has "
+         "sent the head of the answer"},
         {"print-runs", "false", "print a line for each request that begins to run"}};
 }
 
@@ -77,6 +100,7 @@
     , m_events(static_cast<std::uint64_t>(options.number("events")))
     , m_tellsLoad(options.isSet("tells-load"))
     , m_exitPath(options.text("exit-on"))
+    , m_exitPart(options.text("exit-on-part"))
     , m_isPrintingRuns(options.isSet("print-runs"))
 {}
 
@@ -109,6 +133,8 @@
             response.headers["Retry-After"] = fault.retryAfter;
         return response;
     }
+    if (!m_exitPart.empty() && hasPartBeforeLast(request.header("Prefix-Hash"), m_exitPart))
+        return ending(request);
     return request.header("Token-Count").empty() ? plain(request, fault) : stream(request, fault);
 }
 
@@ -166,6 +192,17 @@
     return response;
 }
 
+HttpResponse DeployedService::ending(const HttpRequest &request)
+{
+    begin(request);
+    std::this_thread::sleep_for(m_workTime);
+    HttpResponse response;
+    response.headers["Content-Type"] = "text/event-stream";
+    response.stream = std::make_unique<EndingStream>();
+    sign(request, response);
+    return response;
+}
+
 void DeployedService::sign(const HttpRequest &request, HttpResponse &response) const
 {
     response.headers["Attempt-Id"] = request.header("Attempt-Id");
--- a/tests/standins/deployedserverstandin/deployedservice.h
+++ b/tests/standins/deployedserverstandin/deployedservice.h
@@ -33,6 +33,8 @@
     HttpResponse notRun(const HttpRequest &request, int status) const;
     HttpResponse plain(const HttpRequest &request, const FaultPlan &fault);
     HttpResponse stream(const HttpRequest &request, const FaultPlan &fault);
+    /// An answer whose head is sent before the process ends.
+    HttpResponse ending(const HttpRequest &request);
     /// Adds the headers that prove which request and which server the answer belongs to.
     void sign(const HttpRequest &request, HttpResponse &response) const;
 
@@ -41,6 +43,7 @@
     std::uint64_t m_events;
     bool m_tellsLoad = false;
     std::string m_exitPath;
+    std::string m_exitPart;
     bool m_isPrintingRuns;
     Faults m_faults;
     Journal m_journal;
