Log the shared prompt parts of failed attempts

No line told what requests have in common under which servers end, so requests that end servers by one part of their prompts look like servers that end by chance. request.attempt_failed names the hashes of the parts that other requests may share.

--- a/src/libs/gateway/requestrecord.cpp
+++ b/src/libs/gateway/requestrecord.cpp
@@ -16,6 +16,18 @@
     return text;
 }
 
+/// Returns the hashes of the parts that other requests may share, which is all but the last one.
+std::string sharedPartsText(const std::vector<Routing::PromptPart> &parts)
+{
+    std::string text;
+    for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
+        if (i > 0)
+            text.append(",");
+        text.append(hexText(parts[i].hash));
+    }
+    return text;
+}
+
 } // namespace
 
 LogLine refusedLine(const AcceptedRequest &accepted, const Failure &failure,
@@ -36,6 +48,7 @@
     line.add("request", accepted.requestId)
         .add("route", accepted.route->name)
         .add("content", hexText(content))
+        .add("parts", sharedPartsText(accepted.work.parts))
         .add("version", record.attempt.softwareVersion)
         .add("server", record.attempt.server.value())
         .add("outcome", Routing::nameOf(failed.outcome))
