Seek another server for a silent request seldom, and blame the silent one at once

- The server that still has the request is not chosen for it (Work::runningAt).
- A retry that was taken and not used is kept for the next search.
- The pause before another search doubles, from 0.5 s.
- The silence counts against the server when it is noted, and once; an attempt that is still silent at the deadline ends as silent and not as withdrawn, so a roll-out sees it.

The test of the exchange that was placed at its own server is replaced by one of the dispatcher, which decides it now, and the time between two searches is checked by "others are sought seldom".

--- a/src/libs/gateway/attempt.h
+++ b/src/libs/gateway/attempt.h
@@ -70,7 +70,7 @@
     /// What has arrived of an answer that is no stream of events.
     std::string body;
     EventSplitter events;
-    /// When something arrived last, or another server was last sought in vain.
+    /// When something arrived last. Later, or in the future, if another server was sought in vain.
     Base::TimePoint quietSince;
     /// Whether the dispatcher counts the attempt at its server.
     bool isPlaced = false;
@@ -78,6 +78,8 @@
     bool isEventStream = false;
     /// Whether an event has arrived.
     bool isStarted = false;
+    /// Whether the server has been silent for too long since something arrived last.
+    bool isSilent = false;
 
 private:
     AttemptObserver *m_observer;
--- a/src/libs/gateway/exchange.cpp
+++ b/src/libs/gateway/exchange.cpp
@@ -3,7 +3,6 @@
 #include "gateway/contentdigest.h"
 #include "gateway/eventlog.h"
 #include "gateway/gatewaymetrics.h"
-#include "gateway/silencelimit.h"
 
 #include <algorithm>
 #include <utility>
@@ -69,6 +68,8 @@
     m_accepted.work.residency = m_port->residency(m_accepted);
     Routing::Work work = m_accepted.work;
     work.id = id;
+    if (m_silent)
+        work.runningAt = m_silent->record.server;
     work.tried = m_tried;
     work.softwareVersion = m_binding.softwareVersion();
     Routing::VersionRule rule = m_port->versionRule(m_accepted, work.softwareVersion);
@@ -95,11 +96,6 @@
     attempt.record.inputs = placement.inputs;
     attempt.record.fetchFrom = placement.fetchFrom;
     m_record.attempt = attempt.record;
-    // The silent server still has the request.
-    if (m_silent && m_silent->record.server == placement.server) {
-        finishAttempt(attempt, AttemptOutcome::Withdrawn);
-        return resumeSilentAttempt();
-    }
     const Routing::RegisteredServer *target = m_port->server(placement.server);
     if (!target || !mayRunAt(*target)) {
         ++m_record.sends;
@@ -156,6 +152,7 @@
     attempt->record.expectedStart = m_port->expectedStart(m_accepted.service, attempt->work);
     attempt->record.backoffLeft = m_port->backoffLeft(server.id);
     m_record.attempt = attempt->record;
+    m_isRetryTaken = false;
     ++m_record.sends;
     m_tried.push_back(server.id);
     OutgoingAttempt outgoing;
@@ -219,39 +216,6 @@
     fail({type, m_mayHaveRun, why.retryAfter});
 }
 
-void Exchange::checkTime(Base::TimePoint now)
-{
-    if (m_state == State::Finished)
-        return;
-    if (now >= effectiveDeadline()) {
-        if (m_state == State::Sent)
-            m_mayHaveRun = true;
-        cancelSilentAttempt(AttemptOutcome::Silent);
-        cancelAttempt(AttemptOutcome::Withdrawn);
-        fail({FailureType::TimedOut, m_mayHaveRun, std::nullopt});
-        return;
-    }
-    if (!isSilent(now))
-        return;
-    recordServerEnd(*m_current, true);
-    if (mayRetry(AttemptOutcome::Silent, true))
-        seekOtherServer();
-}
-
-bool Exchange::isSilent(Base::TimePoint now) const
-{
-    if (m_state != State::Sent || !route().mayRepeat() || m_sink->isBlocked())
-        return false;
-    if (m_current->isHeadSeen && !route().isStream())
-        return false;
-    const AttemptRecord &record = m_current->record;
-    SilentAttempt attempt{route(), record.expectedStart, m_current->isStarted, {}, {}};
-    attempt.silence = now - m_current->quietSince;
-    if (const auto lastResponseAt = m_port->lastResponseFrom(record.server))
-        attempt.serverQuiet = now - *lastResponseAt;
-    return isTooSilent(attempt);
-}
-
 void Exchange::callerGone()
 {
     m_isCallerGone = true;
@@ -305,6 +269,7 @@
     if (!std::exchange(attempt.isStarted, true))
         m_port->workStarted(m_accepted.service, attempt.work);
     attempt.quietSince = now;
+    attempt.isSilent = false;
     m_lastEventId = attempt.events.lastId();
     m_binding.bindBegun(m_port->memory().streamOrigins(), attempt.record.softwareVersion, now);
     if (m_record.events == 0)
@@ -490,7 +455,8 @@
     // retry budget.
     if (outcome == AttemptOutcome::Unreachable || outcome == AttemptOutcome::Withdrawn)
         return true;
-    return m_port->acquireRetry(m_accepted.service);
+    m_isRetryTaken = m_isRetryTaken || m_port->acquireRetry(m_accepted.service);
+    return m_isRetryTaken;
 }
 
 } // namespace Gateway
--- a/src/libs/gateway/exchange.h
+++ b/src/libs/gateway/exchange.h
@@ -33,6 +33,8 @@
     virtual void withdrawWork(const std::string &service, Routing::WorkId id) = 0;
     /// Notes that the first event of the work has arrived.
     virtual void workStarted(const std::string &service, Routing::WorkId id) = 0;
+    /// Notes that the server of placed work has been silent for too long.
+    virtual void workSilent(const std::string &service, Routing::WorkId id) = 0;
     /// Notes that an attempt of placed work has ended with \a outcome.
     virtual void workFinished(const std::string &service, Routing::WorkId id,
                               Routing::AttemptOutcome outcome) = 0;
@@ -130,6 +132,9 @@
     void attemptFailed(Attempt &attempt, const AttemptFailure &failure) override;
 
 private:
+    /// The first pause between two searches for another server. It doubles each time.
+    static constexpr Base::Duration minSeekPause = std::chrono::milliseconds(500);
+
     /// Of the current attempt: whether it waits for a server or was sent to one.
     enum class State { Waiting, Sent, Finished };
 
@@ -195,6 +200,10 @@
     std::optional<std::uint64_t> m_lastEventId;
     /// The software version that the last submission put on trial; empty if none.
     std::string m_trialVersion;
+    /// How long the silent server is waited for before another one is sought again.
+    Base::Duration m_seekPause = minSeekPause;
+    /// Whether a retry was taken out of the budget for an attempt that was not sent yet.
+    bool m_isRetryTaken = false;
     bool m_mayHaveRun = false;
     bool m_isStreamStarted = false;
     bool m_isCallerGone = false;
--- a/src/libs/gateway/exchangeattempts.cpp
+++ b/src/libs/gateway/exchangeattempts.cpp
@@ -1,6 +1,8 @@
-// Which attempts of an exchange are open, and whose answer is passed on.
+// Which attempts of an exchange are open, when another server is sought, and whose answer is passed
+// on.
 
 #include "gateway/exchange.h"
+#include "gateway/silencelimit.h"
 
 #include <utility>
 
@@ -8,6 +10,42 @@
 
 using Routing::AttemptOutcome;
 
+void Exchange::checkTime(Base::TimePoint now)
+{
+    if (m_state == State::Finished)
+        return;
+    if (now >= effectiveDeadline()) {
+        if (m_state == State::Sent)
+            m_mayHaveRun = true;
+        cancelSilentAttempt(AttemptOutcome::Silent);
+        cancelAttempt(m_current->isSilent ? AttemptOutcome::Silent : AttemptOutcome::Withdrawn);
+        fail({FailureType::TimedOut, m_mayHaveRun, std::nullopt});
+        return;
+    }
+    if (!isSilent(now))
+        return;
+    if (!std::exchange(m_current->isSilent, true)) {
+        recordServerEnd(*m_current, true);
+        m_port->workSilent(m_accepted.service, m_current->work);
+    }
+    if (mayRetry(AttemptOutcome::Silent, true))
+        seekOtherServer();
+}
+
+bool Exchange::isSilent(Base::TimePoint now) const
+{
+    if (m_state != State::Sent || !route().mayRepeat() || m_sink->isBlocked())
+        return false;
+    if (m_current->isHeadSeen && !route().isStream())
+        return false;
+    const AttemptRecord &record = m_current->record;
+    SilentAttempt attempt{route(), record.expectedStart, m_current->isStarted, {}, {}};
+    attempt.silence = now - m_current->quietSince;
+    if (const auto lastResponseAt = m_port->lastResponseFrom(record.server))
+        attempt.serverQuiet = now - *lastResponseAt;
+    return isTooSilent(attempt);
+}
+
 void Exchange::finishAttempt(Attempt &attempt, AttemptOutcome outcome)
 {
     if (attempt.sampler.isRunning()) {
@@ -58,7 +96,8 @@
     m_state = State::Sent;
     // Its run is counted when it ends.
     --m_record.possibleRuns;
-    m_current->quietSince = m_port->now();
+    m_current->quietSince = m_port->now() + m_seekPause;
+    m_seekPause *= 2;
     m_record.attempt = m_current->record;
 }
 
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -85,6 +85,10 @@
     void submitWork(const std::string &service, Routing::Work work) override;
     void withdrawWork(const std::string &service, Routing::WorkId id) override;
     void workStarted(const std::string &service, Routing::WorkId id) override;
+    void workSilent(const std::string &service, Routing::WorkId id) override
+    {
+        m_services->service(service).dispatcher.silent(id, now());
+    }
     void workFinished(const std::string &service, Routing::WorkId id,
                       Routing::AttemptOutcome outcome) override;
     Base::Duration expectedStart(const std::string &service, Routing::WorkId id) override;
--- a/src/libs/routing/dispatcher.h
+++ b/src/libs/routing/dispatcher.h
@@ -87,6 +87,9 @@
     void withdraw(WorkId id);
     /// Records that the first event of a placed request came.
     void started(WorkId id, Base::TimePoint now);
+    /// Records that the server of a placed request has been silent for too long. The attempt goes
+    /// on.
+    void silent(WorkId id, Base::TimePoint now);
     /// Records that the attempt is over. Waiting requests may then be placed.
     Decisions finished(WorkId id, AttemptOutcome outcome, Base::TimePoint now);
     /// Reconsiders the waiting requests. Called when time has passed or when servers or loads have
@@ -130,6 +133,8 @@
         /// without the time in the source's queue.
         std::optional<FetchPlan> fetch;
         bool isStarted = false;
+        /// Whether silent() was called, so that the server is not blamed twice.
+        bool isSilent = false;
         Base::TimePoint at;
         Base::Duration expected{};
         /// The same at a server of usual pace.
--- a/src/libs/routing/serverpool.h
+++ b/src/libs/routing/serverpool.h
@@ -118,7 +118,8 @@
         return work.residency.allows(state.region)
                && (!work.softwareVersion || *work.softwareVersion == version)
                && (work.barredVersions.empty() || !work.barredVersions.contains(version))
-               && (!work.onlyServers || work.onlyServers->contains(state.server.id));
+               && (!work.onlyServers || work.onlyServers->contains(state.server.id))
+               && work.runningAt != state.server.id;
     }
     /// Returns whether there is a server that stays and is outside of the evacuated zones.
     bool hasEligibleServer() const;
--- a/src/libs/routing/work.h
+++ b/src/libs/routing/work.h
@@ -58,6 +58,9 @@
     std::vector<PromptPart> parts;
     /// The servers at which earlier attempts of this request failed. Other servers are preferred.
     std::vector<Base::ServerId> tried;
+    /// The server that still has the request while another one is sought; empty if none. It is not
+    /// chosen.
+    Base::ServerId runningAt;
     /// The only software version whose servers may run the request; empty if any may.
     std::optional<std::string> softwareVersion;
     /// The software versions whose servers must not run the request.
--- a/tests/auto/gateway/fakeexchangeport.h
+++ b/tests/auto/gateway/fakeexchangeport.h
@@ -75,6 +75,7 @@
     }
     void withdrawWork(const std::string &, Routing::WorkId id) override { withdrawn.push_back(id); }
     void workStarted(const std::string &, Routing::WorkId) override {}
+    void workSilent(const std::string &, Routing::WorkId) override { ++silences; }
     void workFinished(const std::string &, Routing::WorkId,
                       Routing::AttemptOutcome outcome) override
     {
@@ -82,7 +83,11 @@
     }
     Base::Duration expectedStart(const std::string &, Routing::WorkId) override { return {}; }
     bool isBusy() override { return false; }
-    bool acquireRetry(const std::string &) override { return true; }
+    bool acquireRetry(const std::string &) override
+    {
+        ++retries;
+        return true;
+    }
     const Routing::RegisteredServer *server(const Base::ServerId &id) override
     {
         const auto it = m_entries.find(id);
@@ -189,6 +194,8 @@
 
     Routing::WorkId submitted = 0;
     unsigned submissions = 0;
+    unsigned silences = 0;
+    unsigned retries = 0;
     std::vector<Routing::WorkId> withdrawn;
     std::vector<Routing::AttemptOutcome> outcomes;
     std::vector<std::string> ended;
--- a/tests/auto/gateway/tst_pausingserver.cpp
+++ b/tests/auto/gateway/tst_pausingserver.cpp
@@ -121,18 +121,21 @@
     CHECK(stream.isWhole());
 }
 
-// Guards against a request that is sent again to the server that still works on it.
-TEST_CASE("a begun stream waits for its server if no other one is found", "[gateway][pause]")
+// Guards against silent servers that use up the budget of retries, and that nobody learns of.
+TEST_CASE("a silent server is blamed once, and others are sought seldom", "[gateway][pause]")
 {
     PausedStream stream(1);
-    stream.exchange->placed(stream.port.placement(1));
-    stream.port.poll();
-    CHECK_FALSE(stream.port.backend(1).isCalled());
-    // Another server is not asked for at once again.
-    stream.pass(std::chrono::milliseconds(100));
-    CHECK(stream.port.submissions == 2);
-    stream.end(*stream.first);
-    CHECK(stream.isWhole());
+    for (int i = 0; i < 600 && !stream.exchange->isFinished(); ++i) {
+        if (stream.exchange->hasSilentAttempt())
+            stream.exchange->rejected(rejection(stream.port.submitted));
+        stream.pass(std::chrono::milliseconds(50));
+    }
+    CHECK(stream.exchange->isFinished());
+    CHECK(stream.port.silences == 1);
+    // One retry is taken, which is not used.
+    CHECK(stream.port.retries == 1);
+    CHECK(stream.port.submissions < 8);
+    CHECK(stream.port.outcomes == std::vector{Routing::AttemptOutcome::Silent});
 }
 
 // Guards against work that is thrown away when a server goes on before the other one has begun.
--- a/tests/auto/routing/tst_placement.cpp
+++ b/tests/auto/routing/tst_placement.cpp
@@ -193,6 +193,47 @@
     CHECK(used.count(first) == 1);
 }
 
+// Guards against a request that is sent again to the server that still works on it.
+TEST_CASE("a request is not placed at the server that still has it", "[routing]")
+{
+    Dispatcher dispatcher = engineDispatcher(2);
+    const Base::ServerId first = onlyPlacement(dispatcher.submit(prompt(2, 42, start), start));
+    const Base::TimePoint now = start + seconds(2);
+    dispatcher.silent(2, now);
+    // The other server is full.
+    WorkId id = 10;
+    for (; id < 500; ++id) {
+        Work work = prompt(id, id, now);
+        work.runningAt = first;
+        if (onlyPlacement(dispatcher.submit(std::move(work), now)).isEmpty())
+            break;
+    }
+    REQUIRE(id < 500);
+    Work again = prompt(3, 42, now);
+    again.tried = {first};
+    again.runningAt = first;
+    CHECK(dispatcher.submit(again, now).placements.empty());
+    for (int i = 1; i < 100; ++i)
+        CHECK(dispatcher.advance(now + milliseconds(100) * i).placements.empty());
+}
+
+// Guards against a server that is blamed for one silence at its beginning and again at its end.
+TEST_CASE("a silent attempt counts once against its server", "[routing]")
+{
+    Dispatcher once = engineDispatcher(1);
+    Dispatcher twice = engineDispatcher(1);
+    for (Dispatcher *it : {&once, &twice})
+        onlyPlacement(it->submit(prompt(2, 42, start), start));
+    twice.silent(2, start + seconds(2));
+    for (Dispatcher *it : {&once, &twice}) {
+        it->finished(2, AttemptOutcome::Silent, start + seconds(2));
+        const Decisions decisions =
+            it->submit(prompt(4, 43, start + seconds(2)), start + seconds(2));
+        REQUIRE(decisions.placements.size() == 1);
+        CHECK(decisions.placements.front().inputs.failureShare == Approx(0.2));
+    }
+}
+
 TEST_CASE("a server that fails part of its requests gets few requests", "[routing]")
 {
     // The server's health check passes and it answers fast. Guards against treating it as the least
