Test a request that arrives just as the idle timeout gets shorter: it is reset (known red)

A kept connection has a whole request that has arrived and was not read yet when the check after a shorter idle timeout comes. The check closes it, which resets it as there are unread bytes.

CHECK( loopback.listener->connections() == 1 ) with expansion: 0 == 1 CHECK( ec == boost::asio::error::eof ) with expansion: system:104 == 2 CHECK( answers.find("no room") != answers.rfind("no room") ) with expansion: 55 != 55

System error 104 is a reset, and there is one answer instead of two. The connection beside it, on which nothing has arrived, is closed with its answer whole.

--- a/tests/auto/gateway/tst_httplistener.cpp
+++ b/tests/auto/gateway/tst_httplistener.cpp
@@ -1,5 +1,7 @@
 #include "gateway/httplistener.h"
 
+#include "gateway/boottime.h"
+
 #include <catch2/catch.hpp>
 
 #include <boost/asio/connect.hpp>
@@ -76,6 +78,13 @@
         return text;
     }
     std::size_t poll() { return m_io.poll(); }
+    /// Makes a check find every connection late on which nothing arrives until then: the limit ends
+    /// between now and the time that is returned, which the next activity puts off.
+    Base::TimePoint shortenIdleTimeout()
+    {
+        m_limits.idleTimeout = std::chrono::milliseconds(100);
+        return bootTimeNow() + m_limits.idleTimeout;
+    }
 
 private:
     boost::asio::io_context m_io;
@@ -129,3 +138,23 @@
     loopback.listener->checkTime(Base::TimePoint(std::chrono::hours(1)));
     CHECK(loopback.listener->connections() == 0);
 }
+
+TEST_CASE("a request that has arrived is answered when the idle timeout gets shorter", "[idle]")
+{
+    // Guards against whole requests that are reset unread beside a change of the configuration.
+    Loopback loopback(false);
+    Tcp::socket caller = loopback.caller(requestText);
+    Tcp::socket idle = loopback.caller(requestText);
+    loopback.poll();
+    CHECK(loopback.listener->connections() == 2);
+    boost::asio::write(caller, boost::asio::buffer(requestText.data(), requestText.size()));
+    loopback.listener->checkTime(loopback.shortenIdleTimeout());
+    CHECK(loopback.listener->connections() == 1);
+    boost::system::error_code ec;
+    caller.shutdown(Tcp::socket::shutdown_send, ec);
+    CHECK(!ec);
+    loopback.poll();
+    const std::string answers = Loopback::answerOf(caller);
+    CHECK(answers.find("no room") != answers.rfind("no room"));
+    CHECK(Loopback::answerOf(idle).find("no room") != std::string::npos);
+}
