Read what has arrived before a late connection of a caller is closed

What callers saw: LOST beside a change of the configuration. A whole request on a kept connection got a reset instead of an answer or a refusal.

Cause: CallerConnection::checkTime() went by the limit in force and by what the event loop had read. A shorter idle timeout closes all connections that have been kept longer at the next check, also those on which a request has arrived since the loop last looked; closing with unread bytes is a reset.

The check now reads a connection that is about to be closed, one system call, and closes it only if it is still late. A request that has arrived is dispatched, the beginning of one has the header timeout from then on, and a header or body that is late stays late. A second case guards the latter.

HttpListener::closeIdle() and CallerConnection::closeIfIdle(), which closed in the same way, had no caller and are gone.

--- a/src/libs/gateway/callerconnection.cpp
+++ b/src/libs/gateway/callerconnection.cpp
@@ -42,19 +42,21 @@
 
 void CallerConnection::checkTime(Base::TimePoint now)
 {
-    if (!isOpen() || m_active)
+    if (!isOpen() || m_active || !isLate(now))
         return;
-    const bool isReadingHeader = m_parser && !m_parser->is_header_done();
-    const Base::Duration limit =
-        isReadingHeader ? m_context.limits.headerTimeout : m_context.limits.idleTimeout;
-    if (now - m_lastActivityAt >= limit)
+    // A request may have arrived since the event loop last looked, and a close with unread bytes
+    // resets the connection.
+    readable();
+    if (isOpen() && !m_active && isLate(now))
         close();
 }
 
-void CallerConnection::closeIfIdle()
+bool CallerConnection::isLate(Base::TimePoint now) const
 {
-    if (isOpen() && !isBusy())
-        close();
+    const bool isReadingHeader = m_parser && !m_parser->is_header_done();
+    const Base::Duration limit =
+        isReadingHeader ? m_context.limits.headerTimeout : m_context.limits.idleTimeout;
+    return now - m_lastActivityAt >= limit;
 }
 
 void CallerConnection::waitRead()
--- a/src/libs/gateway/callerconnection.h
+++ b/src/libs/gateway/callerconnection.h
@@ -43,10 +43,9 @@
     CallerConnection(boost::asio::io_context &io, int fd, const ConnectionContext &context);
 
     void start(Base::TimePoint now);
-    /// Closes the connection if its idle timeout or header timeout has passed.
+    /// Closes the connection if its idle timeout or header timeout has passed and what has arrived
+    /// meanwhile, which is read first, is no request.
     void checkTime(Base::TimePoint now);
-    /// Closes the connection if no request is open.
-    void closeIfIdle();
     bool isOpen() const { return m_socket.isOpen(); }
     bool isBusy() const { return m_active || m_parser || !m_output.isEmpty(); }
 
@@ -60,6 +59,7 @@
     bool isBlocked() const override;
 
 private:
+    bool isLate(Base::TimePoint now) const;
     void waitRead();
     void readable();
     void parse();
--- a/src/libs/gateway/httplistener.cpp
+++ b/src/libs/gateway/httplistener.cpp
@@ -93,10 +93,4 @@
     std::erase_if(m_connections, [](const auto &it) { return !it->isOpen() && !it->isBusy(); });
 }
 
-void HttpListener::closeIdle()
-{
-    for (const auto &connection : m_connections)
-        connection->closeIfIdle();
-}
-
 } // namespace Gateway
--- a/src/libs/gateway/httplistener.h
+++ b/src/libs/gateway/httplistener.h
@@ -28,8 +28,6 @@
     /// Closes connections whose timeout has passed, and accepts again if the process had run out of
     /// file descriptors. Must be called a few times a second.
     void checkTime(Base::TimePoint now);
-    /// Closes the connections on which no request is open.
-    void closeIdle();
     std::size_t connections() const { return m_connections.size(); }
 
 private:
--- a/tests/auto/gateway/tst_httplistener.cpp
+++ b/tests/auto/gateway/tst_httplistener.cpp
@@ -158,3 +158,22 @@
     CHECK(answers.find("no room") != answers.rfind("no room"));
     CHECK(Loopback::answerOf(idle).find("no room") != std::string::npos);
 }
+
+TEST_CASE("a header that is late is not saved by further bytes of it", "[idle]")
+{
+    // Guards against callers that keep connections for ever by sending a byte before each check.
+    Loopback loopback(false);
+    Tcp::socket caller = loopback.caller(requestText.substr(0, 9));
+    loopback.poll();
+    const Base::TimePoint late = bootTimeNow() + ConnectionLimits().headerTimeout;
+    loopback.listener->checkTime(late - std::chrono::seconds(1));
+    boost::asio::write(caller, boost::asio::buffer(requestText.substr(9, 4)));
+    caller.non_blocking(true);
+    char byte = 0;
+    boost::system::error_code ec;
+    caller.read_some(boost::asio::buffer(&byte, 1), ec);
+    CHECK(ec == boost::asio::error::would_block);
+    loopback.listener->checkTime(late);
+    caller.read_some(boost::asio::buffer(&byte, 1), ec);
+    CHECK(ec == boost::asio::error::eof);
+}
