--- a/tests/auto/gateway/tst_httplistener.cpp
+++ b/tests/auto/gateway/tst_httplistener.cpp
@@ -177,3 +177,17 @@
     caller.read_some(boost::asio::buffer(&byte, 1), ec);
     CHECK(ec == boost::asio::error::eof);
 }
+
+TEST_CASE("connections that end within a request are forgotten", "[ended]")
+{
+    // Guards against memory and time for checks that grow with each caller that breaks off.
+    Loopback loopback(false);
+    for (int i = 0; i < 10; ++i) {
+        Tcp::socket caller = loopback.caller(requestText.substr(0, 9));
+        loopback.poll();
+        caller.close();
+        loopback.poll();
+    }
+    loopback.listener->checkTime(bootTimeNow());
+    CHECK(loopback.listener->connections() == 0);
+}
