Leave the connection of a lost caller alone when its request fails

What may have happened: a busy host writes to memory that it has freed. Found by reading, not seen in a run of the whole program.

Cause: a request that must not be repeated runs on when its caller is gone. The caller's connection no longer refers to it then, so the listener forgets the connection at its next check. If the request then fails without having run while the host is busy, Exchange::fail() called closeAfterAnswer() on that connection; only the answer itself asked whether the caller is gone.

Both calls now depend on the caller being there. All other uses of the sink on this path do already, or belong to streams, which are cancelled when their caller leaves.

--- a/src/libs/gateway/exchangeend.cpp
+++ b/src/libs/gateway/exchangeend.cpp
@@ -25,12 +25,13 @@
         return;
     }
     m_record.status = failureStatus(failure);
-    // Rejected callers mostly come back on a new connection, and keeping this one open would cost a
-    // busy host more than the rejection.
-    if (!failure.mayHaveRun && m_port->isBusy())
-        m_sink->closeAfterAnswer();
-    if (!m_isCallerGone)
+    if (!m_isCallerGone) {
+        // Rejected callers mostly come back on a new connection, and keeping this one open would
+        // cost a busy host more than the rejection.
+        if (!failure.mayHaveRun && m_port->isBusy())
+            m_sink->closeAfterAnswer();
         m_sink->sendAnswer(failureHead(failure), failureBody(failure, m_accepted.requestId));
+    }
     finish(failureName(failure.type));
 }
 
--- a/tests/auto/gateway/fakeexchangeport.h
+++ b/tests/auto/gateway/fakeexchangeport.h
@@ -32,13 +32,14 @@
     void sendEvents(std::string_view data) override { text.append(data); }
     void endStream() override { isEnded = true; }
     void abortAnswer() override { isCutOff = true; }
-    void closeAfterAnswer() override {}
+    void closeAfterAnswer() override { isClosedAfterAnswer = true; }
     bool isCallerGone() const override { return isGone; }
     bool isBlocked() const override { return false; }
 
     bool isGone = false;
     bool isEnded = false;
     bool isCutOff = false;
+    bool isClosedAfterAnswer = false;
     std::vector<unsigned> statuses;
     /// The body of the answer, or all events of a stream.
     std::string text;
@@ -81,7 +82,7 @@
         outcomes.push_back(outcome);
     }
     Base::Duration expectedStart(const std::string &, Routing::WorkId) override { return {}; }
-    bool isBusy() override { return false; }
+    bool isBusy() override { return isHostBusy; }
     bool acquireRetry(const std::string &) override { return true; }
     const Routing::RegisteredServer *server(const Base::ServerId &id) override
     {
@@ -193,6 +194,7 @@
     std::vector<Routing::AttemptOutcome> outcomes;
     std::vector<std::string> ended;
     Base::Duration clockOffset{};
+    bool isHostBusy = false;
 
 private:
     boost::asio::io_context m_io;
--- a/tests/auto/gateway/tst_exchange.cpp
+++ b/tests/auto/gateway/tst_exchange.cpp
@@ -37,3 +37,22 @@
     CHECK(sink.statuses == std::vector<unsigned>{200});
     CHECK(port.outcomes == std::vector{Routing::AttemptOutcome::Served});
 }
+
+// Guards against the use of connections that are gone, by requests that run on without a caller.
+TEST_CASE("a request that fails on a busy host leaves the connection of a lost caller alone",
+          "[gateway]")
+{
+    FakeExchangePort port;
+    port.isHostBusy = true;
+    RecordingSink sink;
+    const std::shared_ptr<Exchange> exchange =
+        port.exchange(sink, Routing::WorkKind::NotIdempotent);
+    exchange->placed(port.placement());
+    Tcp::socket socket = port.acceptRequest();
+    exchange->callerGone();
+    REQUIRE_FALSE(exchange->isFinished());
+    LoopbackServer::answer(socket, "r-1", "503 Service Unavailable", "Not-Run: full\r\n");
+    CHECK(port.pollUntil([&] { return exchange->isFinished(); }));
+    CHECK_FALSE(sink.isClosedAfterAnswer);
+    CHECK(sink.statuses.empty());
+}
