Forget connections of callers that have ended within a request or an answer

What was seen: nothing by callers. Each connection that ended while a part of a request or of an answer was in its buffers was kept in memory, and checked twice a second or so, until the process ended.

Cause: HttpListener::checkTime() forgets a connection that is closed and not busy, and isBusy() held for a parser or output that nobody will go on with.

A closed connection is now kept only while a request in progress refers to it, which is why closed ones are kept at all. isBusy() had no other caller.

--- a/src/libs/gateway/callerconnection.h
+++ b/src/libs/gateway/callerconnection.h
@@ -47,7 +47,8 @@
     /// meanwhile, which is read first, is no request.
     void checkTime(Base::TimePoint now);
     bool isOpen() const { return m_socket.isOpen(); }
-    bool isBusy() const { return m_active || m_parser || !m_output.isEmpty(); }
+    /// Whether a request is being handled, which refers to this object.
+    bool hasActiveRequest() const { return static_cast<bool>(m_active); }
 
     void sendAnswer(const ResponseHead &head, std::string_view body) override;
     void startStream(const ResponseHead &head) override;
--- a/src/libs/gateway/httplistener.cpp
+++ b/src/libs/gateway/httplistener.cpp
@@ -90,7 +90,8 @@
         accept();
     for (const auto &connection : m_connections)
         connection->checkTime(now);
-    std::erase_if(m_connections, [](const auto &it) { return !it->isOpen() && !it->isBusy(); });
+    std::erase_if(m_connections,
+                  [](const auto &it) { return !it->isOpen() && !it->hasActiveRequest(); });
 }
 
 } // namespace Gateway
