Bound an answer's head in any pieces, and the 1xx answers before it

What callers saw: nothing, until their deadline. A server in trouble that sent a head or 1xx answers without end kept its request, and for a head the gateway's memory grew by all of it.

Cause: the parser's limit of 8 KiB is only for what is left of the head when a piece arrives. It is never reached if each piece ends in the first two bytes of a field. (A head in whole fields or in large pieces was bounded already.) 1xx answers were skipped as late answers, but not counted.

The bytes of an incomplete head are counted over all pieces, and 16 answers with a status 1xx are the most for one attempt. Beyond, the connection is closed and the attempt is broken: 502, or another server if the request may be repeated. `fault` in request.attempt_failed tells why. The port of the tests keeps its log in memory, so that they can check it.

--- a/src/libs/gateway/attempt.h
+++ b/src/libs/gateway/attempt.h
@@ -59,6 +59,7 @@
     void answerEnded() override { m_observer->answerEnded(*this); }
     void attemptFailed(const AttemptFailure &failure) override
     {
+        record.fault = failure.fault;
         m_observer->attemptFailed(*this, failure);
     }
 
--- a/src/libs/gateway/backendconnection.cpp
+++ b/src/libs/gateway/backendconnection.cpp
@@ -60,6 +60,7 @@
     m_isLateAnswer = false;
     m_isPaused = false;
     m_lateAnswers = 0;
+    m_interimAnswers = 0;
     m_parser.reset();
     m_output.clear();
     m_output.append(m_attempt.text);
@@ -192,19 +193,25 @@
         if (!m_parser) {
             m_parser.emplace();
             m_parser->eager(true);
+            m_parser->header_limit(maxAnswerHeadBytes);
             m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
             m_parser->skip(m_attempt.isHead);
             m_isHeadSeen = false;
+            m_headBytes = 0;
         }
         boost::system::error_code ec;
         const std::size_t n = m_parser->put(boost::asio::buffer(m_input), ec);
         m_input.erase(0, n);
         if (ec && ec != Http::error::need_more) {
-            fail(Routing::AttemptOutcome::Broken);
+            const bool isLongHead = ec == Http::error::header_limit;
+            fail(Routing::AttemptOutcome::Broken,
+                 isLongHead ? AnswerFault::LongHead : AnswerFault::Malformed);
             return;
         }
         if (m_parser->is_header_done() && !m_isHeadSeen)
             headParsed();
+        if (m_listener)
+            checkLimits(n);
         if (!m_listener)
             return;
         if (m_isHeadSeen)
@@ -218,6 +225,16 @@
     }
 }
 
+void BackendConnection::checkLimits(std::size_t parsed)
+{
+    if (m_isHeadSeen)
+        return;
+    // The parser's own limit is only for what is left of the head when a piece of it arrives.
+    m_headBytes += parsed;
+    if (m_headBytes + m_input.size() > maxAnswerHeadBytes)
+        fail(Routing::AttemptOutcome::Broken, AnswerFault::LongHead);
+}
+
 void BackendConnection::headParsed()
 {
     m_isHeadSeen = true;
@@ -247,7 +264,9 @@
     const bool isInformational = m_parser->get().result_int() < 200;
     m_parser.reset();
     if (m_isLateAnswer) {
-        if (!isInformational && (!isKeepAlive || ++m_lateAnswers > maxLateAnswers))
+        if (isInformational && ++m_interimAnswers > maxInterimAnswers)
+            fail(Routing::AttemptOutcome::Broken, AnswerFault::ManyInterimAnswers);
+        else if (!isInformational && (!isKeepAlive || ++m_lateAnswers > maxLateAnswers))
             fail(Routing::AttemptOutcome::Broken);
         return;
     }
@@ -286,10 +305,10 @@
     fail(Routing::AttemptOutcome::Broken);
 }
 
-void BackendConnection::fail(Routing::AttemptOutcome outcome)
+void BackendConnection::fail(Routing::AttemptOutcome outcome, AnswerFault fault)
 {
     BackendListener *listener = std::exchange(m_listener, nullptr);
-    const AttemptFailure failure{outcome, m_maybeSent};
+    const AttemptFailure failure{outcome, m_maybeSent, fault};
     const std::shared_ptr<BackendConnection> self = shared_from_this();
     close();
     if (listener)
--- a/src/libs/gateway/backendconnection.h
+++ b/src/libs/gateway/backendconnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/time.h"
+#include "gateway/answerfault.h"
 #include "gateway/headernames.h"
 #include "gateway/httptext.h"
 #include "gateway/outputbuffer.h"
@@ -22,6 +23,7 @@
     Routing::AttemptOutcome outcome = Routing::AttemptOutcome::Broken;
     /// At least one byte of the request was written, so the server may have run it.
     bool maybeSent = false;
+    AnswerFault fault = AnswerFault::None;
 };
 
 /// Receives the answer to one attempt: answerStarted(), any number of answerData() calls, then
@@ -63,6 +65,9 @@
 /// Answers are matched by the request's id, since a server may send a second answer to an older
 /// request, which arrives where the next answer is expected. Such a late answer is skipped. Any
 /// other unsolicited data closes the connection.
+///
+/// An answer is read within the limits of answerfault.h, so that a server that sends without end
+/// takes neither memory nor time without end.
 class BackendConnection final : public std::enable_shared_from_this<BackendConnection>
 {
 public:
@@ -102,11 +107,14 @@
     void waitRead();
     void readable();
     void parse();
+    /// Fails the attempt if a limit of the answer is exceeded. \a parsed is the number of bytes
+    /// that the parser has just taken.
+    void checkLimits(std::size_t parsed);
     void headParsed();
     void deliverBody();
     void answerCompleted();
     void inputEnded(bool isClean);
-    void fail(Routing::AttemptOutcome outcome);
+    void fail(Routing::AttemptOutcome outcome, AnswerFault fault = AnswerFault::None);
 
     Tcp::socket m_socket;
     std::string m_serverKey;
@@ -122,6 +130,9 @@
     Base::TimePoint m_idleUntil = Base::TimePoint::max();
     Base::Duration m_keepAliveTimeout{};
     int m_lateAnswers = 0;
+    int m_interimAnswers = 0;
+    /// The bytes of an incomplete head that the parser has taken.
+    std::size_t m_headBytes = 0;
     bool m_isConnected = false;
     bool m_isUsed = false;
     bool m_maybeSent = false;
--- a/src/libs/gateway/requestrecord.cpp
+++ b/src/libs/gateway/requestrecord.cpp
@@ -39,6 +39,7 @@
         .add("version", record.attempt.softwareVersion)
         .add("server", record.attempt.server.value())
         .add("outcome", Routing::nameOf(failed.outcome))
+        .add("fault", nameOf(record.attempt.fault))
         .add("maybeRan", failed.maybeRan)
         .add("repeats", failed.isRepeated)
         .add("sends", record.sends)
--- a/src/libs/gateway/requestrecord.h
+++ b/src/libs/gateway/requestrecord.h
@@ -3,6 +3,7 @@
 #include "base/ids.h"
 #include "base/time.h"
 #include "gateway/acceptedrequest.h"
+#include "gateway/answerfault.h"
 #include "gateway/eventlog.h"
 #include "gateway/failure.h"
 #include "routing/work.h"
@@ -25,6 +26,8 @@
     Base::Duration expectedStart{};
     /// The server's remaining backoff when the attempt began.
     Base::Duration backoffLeft{};
+    /// Why the answer was given up, if it was.
+    AnswerFault fault = AnswerFault::None;
 };
 
 /// What has happened to a request so far, for decisions and for the log.
--- a/tests/auto/gateway/fakeexchangeport.h
+++ b/tests/auto/gateway/fakeexchangeport.h
@@ -6,7 +6,7 @@
 #include "gateway/gatewaymetrics.h"
 #include "loopbackserver.h"
 
-#include <fcntl.h>
+#include <sys/mman.h>
 #include <unistd.h>
 
 #include <functional>
@@ -53,8 +53,8 @@
 {
 public:
     explicit FakeExchangePort(int servers = 1)
-        : m_null(open("/dev/null", O_WRONLY | O_CLOEXEC))
-        , m_log(m_null, 0)
+        : m_logFile(memfd_create("log", MFD_CLOEXEC))
+        , m_log(m_logFile, 100)
         , m_pool(m_io, m_names, m_buffer, *this)
     {
         for (int i = 1; i <= servers; ++i) {
@@ -64,7 +64,7 @@
             m_entries[entry.id] = entry;
         }
     }
-    ~FakeExchangePort() override { close(m_null); }
+    ~FakeExchangePort() override { close(m_logFile); }
     FakeExchangePort(const FakeExchangePort &) = delete;
     FakeExchangePort &operator=(const FakeExchangePort &) = delete;
 
@@ -187,6 +187,16 @@
         return socket;
     }
 
+    /// What was logged of requests so far.
+    std::string logText()
+    {
+        m_log.flush();
+        std::string text(65536, '\0');
+        const ssize_t n = pread(m_logFile, text.data(), text.size(), 0);
+        text.resize(n > 0 ? static_cast<std::size_t>(n) : 0);
+        return text;
+    }
+
     Routing::WorkId submitted = 0;
     unsigned submissions = 0;
     std::vector<Routing::WorkId> withdrawn;
@@ -200,7 +210,7 @@
     std::map<Base::ServerId, Routing::RegisteredServer> m_entries;
     HeaderNames m_names = LoopbackServer::names();
     std::string m_buffer = std::string(65536, '\0');
-    int m_null;
+    int m_logFile;
     EventLog m_log;
     BackendPool m_pool;
     FleetView m_fleet{Base::HostId("h"), Base::ZoneId("z")};
--- /dev/null
+++ b/tests/auto/gateway/tst_endlessanswers.cpp
@@ -0,0 +1,132 @@
+#include "fakeexchangeport.h"
+
+#include <catch2/catch.hpp>
+
+#include <chrono>
+#include <ctime>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+using namespace Gateway;
+
+namespace {
+
+constexpr std::size_t kibibyte = 1024;
+constexpr std::size_t mebibyte = 1024 * kibibyte;
+const std::string okHead = "HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\nSignature: s\r\n";
+const std::string streamHead = okHead + "Content-Type: text/event-stream\r\n";
+const std::string endlessField = "X-Field: " + std::string(100, 'x') + "\r\n";
+const std::string firstEvent = "id: 1\ndata: x\n\n";
+
+void write(Tcp::socket &socket, const std::string &text)
+{
+    boost::asio::write(socket, boost::asio::buffer(text));
+}
+
+/// Writes \a piece again and again, each time before a call of \a poll, until the other end closes
+/// the connection, \a limit bytes are written or ten seconds have passed. Returns how many were
+/// written.
+std::size_t offer(Tcp::socket &socket, const std::string &piece, std::size_t limit,
+                  const std::function<void()> &poll)
+{
+    socket.non_blocking(true);
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+    std::size_t sum = 0;
+    while (sum < limit && std::chrono::steady_clock::now() < end) {
+        const std::size_t at = sum % piece.size();
+        boost::system::error_code ec;
+        const std::size_t n =
+            socket.write_some(boost::asio::buffer(piece.data() + at, piece.size() - at), ec);
+        poll();
+        if (ec && ec != boost::asio::error::would_block)
+            break;
+        sum += n;
+    }
+    return sum;
+}
+
+/// A request that is under way at the first of two servers.
+struct SentRequest
+{
+    explicit SentRequest(Routing::WorkKind kind)
+        : exchange(port.exchange(sink, kind))
+    {
+        exchange->placed(port.placement(1));
+        server.emplace(port.acceptRequest(1));
+    }
+    std::size_t offer(const std::string &piece, std::size_t limit)
+    {
+        return ::offer(*server, piece, limit, [this] { port.poll(); });
+    }
+    bool isClosed()
+    {
+        server->non_blocking(true);
+        return port.pollUntil([this] {
+            char byte = 0;
+            boost::system::error_code ec;
+            server->read_some(boost::asio::buffer(&byte, 1), ec);
+            return ec && ec != boost::asio::error::would_block;
+        });
+    }
+    /// Whether the log tells that the answer was given up because of \a fault.
+    bool isLogged(const std::string &fault)
+    {
+        return port.logText().find("\"fault\":\"" + fault + "\"") != std::string::npos;
+    }
+    /// Whether the caller was told that the server failed, and nothing of the answer.
+    bool isFailed() const
+    {
+        return sink.statuses == std::vector<unsigned>{502}
+               && sink.text.find("backend_failed") != std::string::npos
+               && sink.text.size() < kibibyte
+               && port.outcomes == std::vector{Routing::AttemptOutcome::Broken};
+    }
+
+    RecordingSink sink;
+    FakeExchangePort port{2};
+    std::shared_ptr<Exchange> exchange;
+    std::optional<Tcp::socket> server;
+};
+
+} // namespace
+
+// Guards against memory that a head without end takes, whichever pieces it comes in.
+TEST_CASE("a head without end fails the attempt", "[gateway][endless]")
+{
+    SentRequest request(Routing::WorkKind::NotIdempotent);
+    write(*request.server, "HTTP/1.1 200 OK\r\n");
+    std::string piece = endlessField;
+    SECTION("in whole fields") {}
+    SECTION("each piece with the first byte of the next field")
+    {
+        write(*request.server, "X");
+        piece = endlessField.substr(1) + "X";
+    }
+    CHECK(request.offer(piece, mebibyte) < mebibyte);
+    CHECK(request.isClosed());
+    CHECK(request.isFailed());
+    CHECK(request.isLogged("head_too_long"));
+}
+
+// Guards against a request that waits for its answer behind 1xx answers without end.
+TEST_CASE("1xx answers without end fail the attempt", "[gateway][endless]")
+{
+    SentRequest request(Routing::WorkKind::NotIdempotent);
+    CHECK(request.offer("HTTP/1.1 102 Processing\r\n\r\n", mebibyte) < mebibyte);
+    CHECK(request.isClosed());
+    CHECK(request.isFailed());
+    CHECK(request.isLogged("too_many_interim_answers"));
+}
+
+// Guards against sound answers that are refused since 1xx answers come before them.
+TEST_CASE("an answer after some 1xx answers is passed on", "[gateway][endless]")
+{
+    SentRequest request(Routing::WorkKind::NotIdempotent);
+    for (int i = 0; i < 8; ++i)
+        write(*request.server, "HTTP/1.1 102 Processing\r\n\r\n");
+    LoopbackServer::answer(*request.server, "r-1");
+    request.port.pollUntil([&] { return request.exchange->isFinished(); });
+    CHECK(request.sink.statuses == std::vector<unsigned>{200});
+}
