Bound late answers and the text between chunks

What callers saw: nothing, until their deadline. A server that sent a second answer to an older request without end, or an extension of a chunk or trailers without end, kept the request; the latter two also grew the gateway's memory, since the parser takes them only when they are whole.

Cause: late answers were bounded in number, not in bytes, and the parser's limits don't count what stands between chunks.

64 MiB of late answers are skipped for one attempt, since a late answer may be as large as any. What the parser leaves after the head is incomplete text between chunks, and 16 KiB of it are kept. Beyond, the connection is closed and the attempt is broken, with `fault` in the log.

Measured: both cases pass; bytes of the late answer were accepted before the close.

--- a/src/libs/gateway/answerfault.cpp
+++ b/src/libs/gateway/answerfault.cpp
@@ -13,6 +13,10 @@
         return "head_too_long";
     case AnswerFault::ManyInterimAnswers:
         return "too_many_interim_answers";
+    case AnswerFault::LongChunkFraming:
+        return "chunk_framing_too_long";
+    case AnswerFault::LongLateAnswers:
+        return "late_answers_too_long";
     }
     return "";
 }
--- a/src/libs/gateway/answerfault.h
+++ b/src/libs/gateway/answerfault.h
@@ -11,6 +11,10 @@
     LongHead,
     /// Too many 1xx answers came before the final one.
     ManyInterimAnswers,
+    /// An extension of a chunk or the trailers were too long.
+    LongChunkFraming,
+    /// The answers to older requests were too long.
+    LongLateAnswers,
 };
 
 /// Returns the name of \a fault for the log; an empty one if there is none.
@@ -20,5 +24,10 @@
 constexpr std::size_t maxAnswerHeadBytes = 8192;
 /// The largest number of 1xx answers to one attempt.
 constexpr int maxInterimAnswers = 16;
+/// The most bytes between the data of two chunks, or after the last one, that are kept for the
+/// rest of them.
+constexpr std::size_t maxChunkFramingBytes = 16384;
+/// The most bytes of answers to older requests that one attempt skips.
+constexpr std::size_t maxLateAnswerBytes = 64 * 1024 * 1024;
 
 } // namespace Gateway
--- a/src/libs/gateway/backendconnection.cpp
+++ b/src/libs/gateway/backendconnection.cpp
@@ -61,6 +61,7 @@
     m_isPaused = false;
     m_lateAnswers = 0;
     m_interimAnswers = 0;
+    m_lateAnswerBytes = 0;
     m_parser.reset();
     m_output.clear();
     m_output.append(m_attempt.text);
@@ -227,12 +228,22 @@
 
 void BackendConnection::checkLimits(std::size_t parsed)
 {
-    if (m_isHeadSeen)
-        return;
-    // The parser's own limit is only for what is left of the head when a piece of it arrives.
-    m_headBytes += parsed;
-    if (m_headBytes + m_input.size() > maxAnswerHeadBytes)
-        fail(Routing::AttemptOutcome::Broken, AnswerFault::LongHead);
+    AnswerFault fault = AnswerFault::None;
+    if (!m_isHeadSeen) {
+        // The parser's own limit is only for what is left of the head when a piece of it arrives.
+        m_headBytes += parsed;
+        if (m_headBytes + m_input.size() > maxAnswerHeadBytes)
+            fault = AnswerFault::LongHead;
+    } else {
+        m_lateAnswerBytes += m_isLateAnswer ? parsed : 0;
+        // Once the head is parsed, the parser leaves nothing but incomplete text between chunks.
+        if (!m_parser->is_done() && m_input.size() > maxChunkFramingBytes)
+            fault = AnswerFault::LongChunkFraming;
+        else if (m_lateAnswerBytes > maxLateAnswerBytes)
+            fault = AnswerFault::LongLateAnswers;
+    }
+    if (fault != AnswerFault::None)
+        fail(Routing::AttemptOutcome::Broken, fault);
 }
 
 void BackendConnection::headParsed()
--- a/src/libs/gateway/backendconnection.h
+++ b/src/libs/gateway/backendconnection.h
@@ -131,6 +131,7 @@
     Base::Duration m_keepAliveTimeout{};
     int m_lateAnswers = 0;
     int m_interimAnswers = 0;
+    std::size_t m_lateAnswerBytes = 0;
     /// The bytes of an incomplete head that the parser has taken.
     std::size_t m_headBytes = 0;
     bool m_isConnected = false;
--- a/tests/auto/gateway/tst_endlessanswers.cpp
+++ b/tests/auto/gateway/tst_endlessanswers.cpp
@@ -15,6 +15,10 @@
 
 constexpr std::size_t kibibyte = 1024;
 constexpr std::size_t mebibyte = 1024 * kibibyte;
+/// More than the largest answer that is passed on, and less than a test may take.
+constexpr std::size_t longAnswerBytes = 80 * mebibyte;
+/// What may be under way in the sockets beyond what the gateway has read.
+constexpr std::size_t socketBytes = 12 * mebibyte;
 const std::string okHead = "HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\nSignature: s\r\n";
 const std::string streamHead = okHead + "Content-Type: text/event-stream\r\n";
 const std::string endlessField = "X-Field: " + std::string(100, 'x') + "\r\n";
@@ -130,3 +134,37 @@
     request.port.pollUntil([&] { return request.exchange->isFinished(); });
     CHECK(request.sink.statuses == std::vector<unsigned>{200});
 }
+
+// Guards against a request that waits for its answer behind a late answer without end.
+TEST_CASE("a late answer without end fails the attempt", "[gateway][endless]")
+{
+    SentRequest request(Routing::WorkKind::NotIdempotent);
+    write(*request.server, "HTTP/1.1 200 OK\r\nRequest-Id: r-0\r\n\r\n");
+    const std::size_t accepted = request.offer(std::string(64 * kibibyte, 'x'), longAnswerBytes);
+    CHECK(accepted >= 60 * mebibyte);
+    CHECK(accepted < 64 * mebibyte + socketBytes);
+    CHECK(request.isClosed());
+    CHECK(request.isFailed());
+    CHECK(request.isLogged("late_answers_too_long"));
+}
+
+// Guards against memory that the text between chunks takes if it has no end.
+TEST_CASE("chunk extensions and trailers without end fail the attempt", "[gateway][endless]")
+{
+    SentRequest request(Routing::WorkKind::NotIdempotent);
+    write(*request.server, okHead + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n");
+    std::string piece = "aaaaaaaa";
+    SECTION("an extension")
+    {
+        write(*request.server, "2;");
+    }
+    SECTION("trailers")
+    {
+        write(*request.server, "0\r\n");
+        piece = endlessField;
+    }
+    CHECK(request.offer(piece, mebibyte) < mebibyte);
+    CHECK(request.isClosed());
+    CHECK(request.isFailed());
+    CHECK(request.isLogged("chunk_framing_too_long"));
+}
