Bound the body of a plain answer

What callers saw: a server in trouble that sent a body without end made the gateway keep all of it until the deadline, or until the server closed; every other request of the host depends on that memory.

Cause: Exchange keeps a plain answer until it is whole, since a broken one may be repeated elsewhere, and had no limit for it.

Beyond 64 MiB the connection is closed, what was kept is dropped, and the attempt is broken: 502 `backend_failed` with `"ran":"unknown"`, or another server if the request may be repeated. Streams of events have no such limit, as they are passed on as they come.

Measured: the cases pass; an answer of 48 MiB and a stream of 80 MiB are passed on whole, as before.

--- a/src/libs/gateway/answerfault.cpp
+++ b/src/libs/gateway/answerfault.cpp
@@ -17,6 +17,8 @@
         return "chunk_framing_too_long";
     case AnswerFault::LongLateAnswers:
         return "late_answers_too_long";
+    case AnswerFault::LongBody:
+        return "body_too_long";
     }
     return "";
 }
--- a/src/libs/gateway/answerfault.h
+++ b/src/libs/gateway/answerfault.h
@@ -15,6 +15,7 @@
     LongChunkFraming,
     /// The answers to older requests were too long.
     LongLateAnswers,
+    LongBody,
 };
 
 /// Returns the name of \a fault for the log; an empty one if there is none.
@@ -27,6 +28,8 @@
 /// The most bytes between the data of two chunks, or after the last one, that are kept for the
 /// rest of them.
 constexpr std::size_t maxChunkFramingBytes = 16384;
+/// The largest body of an answer that is no stream of events. It is kept until it is whole.
+constexpr std::size_t maxAnswerBodyBytes = 64 * 1024 * 1024;
 /// The most bytes of answers to older requests that one attempt skips.
 constexpr std::size_t maxLateAnswerBytes = 64 * 1024 * 1024;
 
--- a/src/libs/gateway/exchange.cpp
+++ b/src/libs/gateway/exchange.cpp
@@ -283,20 +283,6 @@
         route().isStream() && head.result() == Http::status::ok && isEventStreamHead(head);
 }
 
-void Exchange::answerData(Attempt &attempt, std::string_view data)
-{
-    m_port->serverResponded(attempt.record.server);
-    if (!attempt.isEventStream) {
-        attempt.body.append(data);
-        return;
-    }
-    if (attempt.isStarted)
-        attempt.quietSince = m_port->now();
-    const CompleteEvents whole = attempt.events.push(data);
-    if (whole.count > 0)
-        forwardEvents(attempt, whole);
-}
-
 void Exchange::forwardEvents(Attempt &attempt, const CompleteEvents &whole)
 {
     const std::shared_ptr<Exchange> self = shared_from_this();
--- a/src/libs/gateway/exchange.h
+++ b/src/libs/gateway/exchange.h
@@ -148,6 +148,8 @@
     void seekOtherServer();
     /// Makes the silent attempt the current one again.
     void resumeSilentAttempt();
+    /// Closes the connection of an attempt whose answer exceeds a limit, and fails the attempt.
+    void giveUp(Attempt &attempt, AnswerFault fault);
     /// Makes \a attempt the only one, since its answer is passed on.
     void choose(Attempt &attempt);
     /// Notes that the server of \a attempt may have ended under it.
--- a/src/libs/gateway/exchangeattempts.cpp
+++ b/src/libs/gateway/exchangeattempts.cpp
@@ -62,6 +62,32 @@
     m_record.attempt = m_current->record;
 }
 
+void Exchange::answerData(Attempt &attempt, std::string_view data)
+{
+    const std::shared_ptr<Exchange> self = shared_from_this();
+    const std::shared_ptr<Attempt> answering = attempt.shared_from_this();
+    m_port->serverResponded(attempt.record.server);
+    if (!attempt.isEventStream) {
+        if (data.size() > maxAnswerBodyBytes - attempt.body.size())
+            giveUp(attempt, AnswerFault::LongBody);
+        else
+            attempt.body.append(data);
+        return;
+    }
+    if (attempt.isStarted)
+        attempt.quietSince = m_port->now();
+    const CompleteEvents whole = attempt.events.push(data);
+    if (whole.count > 0)
+        forwardEvents(attempt, whole);
+}
+
+void Exchange::giveUp(Attempt &attempt, AnswerFault fault)
+{
+    attempt.cancel();
+    attempt.body = {};
+    attempt.attemptFailed({AttemptOutcome::Broken, true, fault});
+}
+
 void Exchange::choose(Attempt &attempt)
 {
     if (!m_silent)
--- a/tests/auto/gateway/tst_endlessanswers.cpp
+++ b/tests/auto/gateway/tst_endlessanswers.cpp
@@ -135,6 +135,71 @@
     CHECK(request.sink.statuses == std::vector<unsigned>{200});
 }
 
+// Guards against memory that a body without end takes.
+TEST_CASE("a body without end fails the attempt", "[gateway][endless]")
+{
+    SentRequest request(Routing::WorkKind::NotIdempotent);
+    std::string piece(64 * kibibyte, 'x');
+    SECTION("without a length")
+    {
+        write(*request.server, okHead + "\r\n");
+    }
+    SECTION("with a length that is too large")
+    {
+        write(*request.server, okHead + "Content-Length: 1073741824\r\n\r\n");
+    }
+    SECTION("in chunks")
+    {
+        write(*request.server, okHead + "Transfer-Encoding: chunked\r\n\r\n");
+        piece = "10000\r\n" + piece + "\r\n";
+    }
+    CHECK(request.offer(piece, longAnswerBytes) < 64 * mebibyte + socketBytes);
+    CHECK(request.isClosed());
+    CHECK(request.isFailed());
+    CHECK(request.isLogged("body_too_long"));
+}
+
+// Guards against requests that fail although another server may answer them.
+TEST_CASE("a repeatable request is sent elsewhere after a body without end", "[gateway][endless]")
+{
+    SentRequest request(Routing::WorkKind::Idempotent);
+    write(*request.server, okHead + "\r\n");
+    request.offer(std::string(64 * kibibyte, 'x'), longAnswerBytes);
+    REQUIRE(request.port.pollUntil([&] { return request.port.submissions == 2; }));
+    request.exchange->placed(request.port.placement(2));
+    Tcp::socket second = request.port.acceptRequest(2);
+    LoopbackServer::answer(second, "r-1");
+    request.port.pollUntil([&] { return request.exchange->isFinished(); });
+    CHECK(request.sink.statuses == std::vector<unsigned>{200});
+    CHECK(request.sink.text == "ok");
+}
+
+// Guards against large answers that are refused although they end.
+TEST_CASE("an answer of many megabytes is passed on whole", "[gateway][endless]")
+{
+    SentRequest request(Routing::WorkKind::NotIdempotent);
+    constexpr std::size_t size = 48 * mebibyte;
+    write(*request.server, okHead + "Content-Length: " + std::to_string(size) + "\r\n\r\n");
+    CHECK(request.offer(std::string(64 * kibibyte, 'x'), size) == size);
+    REQUIRE(request.port.pollUntil([&] { return request.exchange->isFinished(); }));
+    CHECK(request.sink.statuses == std::vector<unsigned>{200});
+    CHECK(request.sink.text.size() == size);
+}
+
+// Guards against long streams that are cut off although each of their events is short.
+TEST_CASE("a stream may be longer than the largest plain answer", "[gateway][endless]")
+{
+    SentRequest request(Routing::WorkKind::Stream);
+    const std::string event = "data: " + std::string(64 * kibibyte, 'x') + "\n\n";
+    const std::size_t count = longAnswerBytes / event.size();
+    write(*request.server, streamHead + "\r\n");
+    CHECK(request.offer(event, count * event.size()) == count * event.size());
+    request.server->close();
+    REQUIRE(request.port.pollUntil([&] { return request.exchange->isFinished(); }));
+    CHECK(request.sink.isEnded);
+    CHECK(request.sink.text.size() == count * event.size());
+}
+
 // Guards against a request that waits for its answer behind a late answer without end.
 TEST_CASE("a late answer without end fails the attempt", "[gateway][endless]")
 {
