Bound one event of a stream, and search it once

What callers saw: an event without end kept its stream until the deadline. The gateway kept all of it and searched all of it again for each piece, so that it slowed down every request of the host.

Cause: EventSplitter had no limit for an incomplete event and searched it from its start, twice.

An event of more than 1 MiB closes the connection and breaks the attempt: a resumable stream goes on at another server after its last whole event, any other is cut off. Events before it are passed on, the long one isn't, whole or not. The search goes on where it stopped; the ends that it finds are the same as before.

--- a/src/libs/gateway/answerfault.cpp
+++ b/src/libs/gateway/answerfault.cpp
@@ -19,6 +19,8 @@
         return "late_answers_too_long";
     case AnswerFault::LongBody:
         return "body_too_long";
+    case AnswerFault::LongEvent:
+        return "event_too_long";
     }
     return "";
 }
--- a/src/libs/gateway/answerfault.h
+++ b/src/libs/gateway/answerfault.h
@@ -16,6 +16,7 @@
     /// The answers to older requests were too long.
     LongLateAnswers,
     LongBody,
+    LongEvent,
 };
 
 /// Returns the name of \a fault for the log; an empty one if there is none.
@@ -30,6 +31,8 @@
 constexpr std::size_t maxChunkFramingBytes = 16384;
 /// The largest body of an answer that is no stream of events. It is kept until it is whole.
 constexpr std::size_t maxAnswerBodyBytes = 64 * 1024 * 1024;
+/// The largest event of a stream. It is kept until it is whole.
+constexpr std::size_t maxEventBytes = 1024 * 1024;
 /// The most bytes of answers to older requests that one attempt skips.
 constexpr std::size_t maxLateAnswerBytes = 64 * 1024 * 1024;
 
--- a/src/libs/gateway/eventsplitter.cpp
+++ b/src/libs/gateway/eventsplitter.cpp
@@ -1,5 +1,7 @@
 #include "gateway/eventsplitter.h"
 
+#include "gateway/answerfault.h"
+
 #include <algorithm>
 #include <charconv>
 
@@ -10,16 +12,17 @@
 constexpr std::string_view idField = "id:";
 
 /// Returns the position after the first event in \a text, which ends with an empty line of either
-/// kind of line end; npos if no event is complete.
-std::size_t endOfEvent(std::string_view text)
+/// kind of line end; npos if no event is complete. It does not end within the first \a searched
+/// bytes.
+std::size_t endOfEvent(std::string_view text, std::size_t searched)
 {
-    const std::size_t lfSeparator = text.find("\n\n");
-    const std::size_t crlfSeparator = text.find("\r\n\r\n");
-    if (lfSeparator == std::string_view::npos && crlfSeparator == std::string_view::npos)
-        return std::string_view::npos;
-    if (crlfSeparator < lfSeparator)
-        return crlfSeparator + 4;
-    return lfSeparator + 2;
+    for (std::size_t at = text.find('\n', searched); at != std::string_view::npos;
+         at = text.find('\n', at + 1)) {
+        const std::string_view before = text.substr(0, at);
+        if (before.ends_with("\n") || before.ends_with("\r\n\r"))
+            return at + 1;
+    }
+    return std::string_view::npos;
 }
 
 std::optional<std::uint64_t> eventId(std::string_view event)
@@ -47,13 +50,21 @@
 CompleteEvents EventSplitter::push(std::string_view data)
 {
     CompleteEvents complete;
+    if (m_isEventTooLong)
+        return complete;
     m_partialEvent.append(data);
     std::string_view remaining = m_partialEvent;
-    for (std::size_t end = endOfEvent(remaining); end != std::string_view::npos;
-         end = endOfEvent(remaining)) {
+    std::size_t end = endOfEvent(remaining, m_searched);
+    while (end != std::string_view::npos && end <= maxEventBytes) {
         appendEvent(remaining.substr(0, end), complete);
         remaining.remove_prefix(end);
+        end = endOfEvent(remaining, 0);
+    }
+    if (remaining.size() > maxEventBytes) {
+        m_isEventTooLong = true;
+        remaining = {};
     }
+    m_searched = remaining.size();
     m_partialEvent.erase(0, m_partialEvent.size() - remaining.size());
     return complete;
 }
--- a/src/libs/gateway/eventsplitter.h
+++ b/src/libs/gateway/eventsplitter.h
@@ -27,18 +27,28 @@
         : m_lastId(lastId)
     {}
 
-    /// Adds \a data and returns the events that it completes.
+    /// Adds \a data and returns the events that it completes. After an event that is larger than
+    /// maxEventBytes, whole or not, no more events are returned and nothing is kept.
     CompleteEvents push(std::string_view data);
     /// Discards an incomplete event, since another server starts with a complete one.
-    void discardPartialEvent() { m_partialEvent.clear(); }
+    void discardPartialEvent()
+    {
+        m_partialEvent.clear();
+        m_searched = 0;
+    }
 
     std::optional<std::uint64_t> lastId() const { return m_lastId; }
     bool hasPartialEvent() const { return !m_partialEvent.empty(); }
+    /// Whether an event was larger than maxEventBytes.
+    bool isEventTooLong() const { return m_isEventTooLong; }
 
 private:
     void appendEvent(std::string_view event, CompleteEvents &complete);
 
     std::string m_partialEvent;
+    /// The bytes of the incomplete event in which no end was found.
+    std::size_t m_searched = 0;
+    bool m_isEventTooLong = false;
     std::optional<std::uint64_t> m_lastId;
 };
 
--- a/src/libs/gateway/exchangeattempts.cpp
+++ b/src/libs/gateway/exchangeattempts.cpp
@@ -79,6 +79,8 @@
     const CompleteEvents whole = attempt.events.push(data);
     if (whole.count > 0)
         forwardEvents(attempt, whole);
+    if (attempt.events.isEventTooLong())
+        giveUp(attempt, AnswerFault::LongEvent);
 }
 
 void Exchange::giveUp(Attempt &attempt, AnswerFault fault)
--- a/tests/auto/gateway/tst_endlessanswers.cpp
+++ b/tests/auto/gateway/tst_endlessanswers.cpp
@@ -186,6 +186,37 @@
     CHECK(request.sink.text.size() == size);
 }
 
+// Guards against memory that an event without end takes, and a cut stream that looks whole.
+TEST_CASE("an event without end cuts its stream off", "[gateway][endless]")
+{
+    SentRequest request(Routing::WorkKind::Stream);
+    write(*request.server, streamHead + "\r\n" + firstEvent + "id: 2\ndata: ");
+    CHECK(request.offer(std::string(4 * kibibyte, 'x'), 32 * mebibyte) < mebibyte + socketBytes);
+    CHECK(request.isClosed());
+    CHECK(request.sink.isCutOff);
+    CHECK_FALSE(request.sink.isEnded);
+    CHECK(request.sink.text == firstEvent);
+    CHECK(request.isLogged("event_too_long"));
+}
+
+// Guards against streams that are cut off although another server may go on with them.
+TEST_CASE("a resumable stream goes on elsewhere after an event without end", "[gateway][endless]")
+{
+    SentRequest request(Routing::WorkKind::ResumableStream);
+    write(*request.server, streamHead + "\r\n" + firstEvent + "id: 2\ndata: ");
+    request.offer(std::string(4 * kibibyte, 'x'), 32 * mebibyte);
+    REQUIRE(request.port.pollUntil([&] { return request.port.submissions == 2; }));
+    request.exchange->placed(request.port.placement(2));
+    Tcp::socket second = request.port.acceptRequest(2);
+    const std::string secondEvent = "id: 2\ndata: y\n\n";
+    write(second, streamHead + "\r\n" + secondEvent);
+    second.close();
+    request.port.pollUntil([&] { return request.exchange->isFinished(); });
+    CHECK(request.sink.isEnded);
+    CHECK_FALSE(request.sink.isCutOff);
+    CHECK(request.sink.text == firstEvent + secondEvent);
+}
+
 // Guards against long streams that are cut off although each of their events is short.
 TEST_CASE("a stream may be longer than the largest plain answer", "[gateway][endless]")
 {
@@ -200,6 +231,48 @@
     CHECK(request.sink.text.size() == count * event.size());
 }
 
+// Guards against the time that a long event in many pieces takes if each is searched from its
+// start.
+TEST_CASE("a long event in small pieces takes time in proportion to its length",
+          "[gateway][endless]")
+{
+    EventSplitter splitter;
+    const std::clock_t begun = std::clock();
+    for (int i = 0; i < 120000; ++i)
+        splitter.push("12345678");
+    const CompleteEvents whole = splitter.push("\n\n");
+    CHECK(whole.count == 1);
+    CHECK(whole.text.size() == 960002);
+    CHECK(static_cast<double>(std::clock() - begun) / CLOCKS_PER_SEC < 1.0);
+}
+
+// Guards against events that are dropped although the one that is too long comes after them.
+TEST_CASE("events before one that is too long are returned", "[gateway][endless]")
+{
+    const std::string event = "data: x\n\n";
+    const std::string largest = "data: " + std::string(mebibyte - 8, 'x') + "\n\n";
+    EventSplitter splitter;
+    CHECK(splitter.push(event + largest).count == 2);
+    CHECK_FALSE(splitter.isEventTooLong());
+    CHECK(splitter.push(event + "x" + largest + event).count == 1);
+    CHECK(splitter.isEventTooLong());
+    CHECK(splitter.push(event).count == 0);
+}
+
+// Guards against ends of events that are not seen since they come in two pieces.
+TEST_CASE("an event ends where its end comes in pieces", "[gateway][endless]")
+{
+    for (const std::string end : {"\n\n", "\r\n\r\n"}) {
+        const std::string event = "data: x" + end;
+        for (std::size_t i = 1; i < event.size(); ++i) {
+            EventSplitter splitter;
+            CHECK(splitter.push(event.substr(0, i)).count == 0);
+            CHECK(splitter.push(event.substr(i) + event).text == event + event);
+            CHECK_FALSE(splitter.hasPartialEvent());
+        }
+    }
+}
+
 // Guards against a request that waits for its answer behind a late answer without end.
 TEST_CASE("a late answer without end fails the attempt", "[gateway][endless]")
 {
