Refuse an answer whose head tells a length beyond the limit

What callers saw: nothing yet; found by the tests of answers without end. One answer with `Content-Length:` throws std::bad_alloc out of the event loop, with every other request of the host. A smaller length reserves as much memory as it tells, whatever comes.

Cause: the parser reserves the told length as soon as it begins with the body, and had no limit.

Evidence: tst_gateway "a length that no memory holds fails the attempt" on the code before: "due to unexpected exception with message: std::bad_alloc".

The parser stops after the head. An answer of any kind that tells more than 64 MiB is broken at once, without a byte of its body. An answer to HEAD has no body, so its length isn't looked at. The text between chunks is checked only when the parser waits for more of it, since it now also stops where nothing is incomplete.

--- a/src/libs/gateway/answerfault.h
+++ b/src/libs/gateway/answerfault.h
@@ -29,7 +29,8 @@
 /// The most bytes between the data of two chunks, or after the last one, that are kept for the
 /// rest of them.
 constexpr std::size_t maxChunkFramingBytes = 16384;
-/// The largest body of an answer that is no stream of events. It is kept until it is whole.
+/// The largest body of an answer that is no stream of events, which is kept until it is whole, and
+/// the largest length that the head of any answer may tell.
 constexpr std::size_t maxAnswerBodyBytes = 64 * 1024 * 1024;
 /// The largest event of a stream. It is kept until it is whole.
 constexpr std::size_t maxEventBytes = 1024 * 1024;
--- a/src/libs/gateway/backendconnection.cpp
+++ b/src/libs/gateway/backendconnection.cpp
@@ -7,7 +7,6 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
-#include <limits>
 #include <utility>
 
 namespace Gateway {
@@ -193,9 +192,11 @@
     while (m_listener && !m_input.empty()) {
         if (!m_parser) {
             m_parser.emplace();
-            m_parser->eager(true);
+            // The parser stops after the head: for the body, it reserves as many bytes as the head
+            // tells.
+            m_parser->eager(false);
             m_parser->header_limit(maxAnswerHeadBytes);
-            m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+            m_parser->body_limit(boost::none);
             m_parser->skip(m_attempt.isHead);
             m_isHeadSeen = false;
             m_headBytes = 0;
@@ -209,10 +210,12 @@
                  isLongHead ? AnswerFault::LongHead : AnswerFault::Malformed);
             return;
         }
-        if (m_parser->is_header_done() && !m_isHeadSeen)
+        if (m_parser->is_header_done() && !m_isHeadSeen) {
+            m_parser->eager(true);
             headParsed();
+        }
         if (m_listener)
-            checkLimits(n);
+            checkLimits(n, ec == Http::error::need_more);
         if (!m_listener)
             return;
         if (m_isHeadSeen)
@@ -226,7 +229,7 @@
     }
 }
 
-void BackendConnection::checkLimits(std::size_t parsed)
+void BackendConnection::checkLimits(std::size_t parsed, bool needsMore)
 {
     AnswerFault fault = AnswerFault::None;
     if (!m_isHeadSeen) {
@@ -236,8 +239,11 @@
             fault = AnswerFault::LongHead;
     } else {
         m_lateAnswerBytes += m_isLateAnswer ? parsed : 0;
+        const auto bodyLeft = m_parser->content_length_remaining();
+        if (!m_parser->is_done() && bodyLeft && *bodyLeft > maxAnswerBodyBytes)
+            fault = AnswerFault::LongBody;
         // Once the head is parsed, the parser leaves nothing but incomplete text between chunks.
-        if (!m_parser->is_done() && m_input.size() > maxChunkFramingBytes)
+        else if (needsMore && m_input.size() > maxChunkFramingBytes)
             fault = AnswerFault::LongChunkFraming;
         else if (m_lateAnswerBytes > maxLateAnswerBytes)
             fault = AnswerFault::LongLateAnswers;
--- a/src/libs/gateway/backendconnection.h
+++ b/src/libs/gateway/backendconnection.h
@@ -108,8 +108,8 @@
     void readable();
     void parse();
     /// Fails the attempt if a limit of the answer is exceeded. \a parsed is the number of bytes
-    /// that the parser has just taken.
-    void checkLimits(std::size_t parsed);
+    /// that the parser has just taken; it left the rest if it \a needsMore.
+    void checkLimits(std::size_t parsed, bool needsMore);
     void headParsed();
     void deliverBody();
     void answerCompleted();
--- a/tests/auto/gateway/tst_endlessanswers.cpp
+++ b/tests/auto/gateway/tst_endlessanswers.cpp
@@ -159,6 +159,16 @@
     CHECK(request.isLogged("body_too_long"));
 }
 
+// Guards against an end of the process, since the parser reserves as many bytes as the head tells.
+TEST_CASE("a length that no memory holds fails the attempt", "[gateway][endless]")
+{
+    SentRequest request(Routing::WorkKind::NotIdempotent);
+    write(*request.server, okHead + "Content-Length: 4611686018427387904\r\n\r\nx");
+    CHECK(request.isClosed());
+    CHECK(request.isFailed());
+    CHECK(request.isLogged("body_too_long"));
+}
+
 // Guards against requests that fail although another server may answer them.
 TEST_CASE("a repeatable request is sent elsewhere after a body without end", "[gateway][endless]")
 {
