Refuse requests with a part of a prompt that ends servers

Callers got 502 after their requests had ended one server after the other: no two requests were alike, but all had one part in their prompts, and hosts compared whole requests only.

Each exchange now records ends of servers and answers by the parts of its prompt. A request with a blocked part gets 502 servers_ended, with "ran":"no" if no try of it has run; it is not repeated while its servers' ends are too recent to be sure of. The format version of reports is 15, so hosts of the release before do not read them.

There is no process test in this commit.

--- a/src/libs/gateway/attempt.h
+++ b/src/libs/gateway/attempt.h
@@ -72,6 +72,10 @@
     EventSplitter events;
     /// When something arrived last, or another server was last sought in vain.
     Base::TimePoint quietSince;
+    /// When the answer's first event arrived, or its head if it is no stream.
+    std::optional<Base::TimePoint> answerBeganAt;
+    /// Whether the answer shows that the request does not end servers.
+    bool isSound = false;
     /// Whether the dispatcher counts the attempt at its server.
     bool isPlaced = false;
     bool isHeadSeen = false;
--- a/src/libs/gateway/exchange.cpp
+++ b/src/libs/gateway/exchange.cpp
@@ -24,9 +24,6 @@
 /// By then, another host has reported which software version began the stream.
 constexpr Base::Milliseconds unknownStreamRetryAfter{300};
 
-/// Other tries of the request have run.
-const Failure serversEnded{FailureType::ServersEnded, true, std::nullopt};
-
 bool isEventStreamHead(const ResponseHead &head)
 {
     return field(head, "Content-Type").starts_with("text/event-stream");
@@ -45,7 +42,7 @@
 void Exchange::start()
 {
     if (isBlocked()) {
-        fail(serversEnded);
+        failBlocked();
         return;
     }
     if (m_binding.isTakenUp()) {
@@ -116,7 +113,7 @@
     // Servers may have ended under another try of the request while this one waited.
     if (isBlocked()) {
         finishAttempt(attempt, AttemptOutcome::Withdrawn);
-        fail(serversEnded);
+        failBlocked();
         return;
     }
     // On an overloaded host the caller may have left before its request was read. Its server would
@@ -281,6 +278,8 @@
     attempt.head = head;
     attempt.isEventStream =
         route().isStream() && head.result() == Http::status::ok && isEventStreamHead(head);
+    if (!attempt.isEventStream)
+        attempt.answerBeganAt = m_port->now();
 }
 
 void Exchange::answerData(Attempt &attempt, std::string_view data)
@@ -305,6 +304,9 @@
     if (!std::exchange(attempt.isStarted, true))
         m_port->workStarted(m_accepted.service, attempt.work);
     attempt.quietSince = now;
+    if (!attempt.answerBeganAt)
+        attempt.answerBeganAt = now;
+    recordAnswer(attempt, false);
     m_lastEventId = attempt.events.lastId();
     m_binding.bindBegun(m_port->memory().streamOrigins(), attempt.record.softwareVersion, now);
     if (m_record.events == 0)
@@ -344,6 +346,7 @@
     choose(attempt);
     finishAttempt(attempt, AttemptOutcome::Served);
     recordServed();
+    recordAnswer(attempt, true);
     m_sink->endStream();
     finish("streamed");
 }
@@ -372,6 +375,8 @@
     }
     choose(attempt);
     recordServed();
+    if (status >= 200 && status < 300)
+        recordAnswer(attempt, true);
     if (status >= 500) {
         finishAttempt(attempt, AttemptOutcome::ServerError);
         if (!m_isStreamStarted && mayRetry(AttemptOutcome::ServerError, true)) {
@@ -423,8 +428,11 @@
 void Exchange::recordServerEnd(const Attempt &attempt, bool isSilence)
 {
     const Base::TimePoint now = m_port->now();
-    m_port->memory().recordServerEnd(
-        content(), {attempt.record.server, attempt.record.sentAt, now, isSilence}, now);
+    const Routing::ServerEnd end{attempt.record.server, attempt.record.sentAt, now, isSilence};
+    m_port->memory().recordServerEnd(content(), end, now);
+    using Routing::CrashingParts;
+    if (!attempt.answerBeganAt || now - *attempt.answerBeganAt < CrashingParts::proofTime)
+        m_port->memory().recordPartsEnd(m_accepted.work.parts, end, now);
 }
 
 void Exchange::recordServed()
@@ -433,10 +441,31 @@
         m_port->memory().recordServed(content(), m_port->now());
 }
 
+void Exchange::recordAnswer(Attempt &attempt, bool isWhole)
+{
+    const Base::TimePoint now = m_port->now();
+    if (attempt.isSound || !attempt.answerBeganAt
+        || (!isWhole && now - *attempt.answerBeganAt < Routing::CrashingParts::proofTime))
+        return;
+    attempt.isSound = true;
+    m_port->memory().recordPartsSound(m_accepted.work.parts, *attempt.answerBeganAt, now);
+}
+
 bool Exchange::isBlocked()
 {
+    const Base::TimePoint now = m_port->now();
+    m_record.blockedPart = m_port->memory().blockedPart(m_accepted.work.parts, now);
+    if (m_record.blockedPart)
+        return true;
     const Routing::CrashHistory &crashes = m_port->memory().crashes();
-    return !crashes.isEmpty() && crashes.isBlocked(content(), m_port->now());
+    return !crashes.isEmpty() && crashes.isBlocked(content(), now);
+}
+
+void Exchange::failBlocked()
+{
+    // Under a part, servers have ended in other requests. Otherwise, other tries of this one have
+    // run.
+    fail({FailureType::ServersEnded, !m_record.blockedPart, std::nullopt});
 }
 
 const Routing::RequestContent &Exchange::content()
@@ -466,7 +495,7 @@
         return;
     }
     if (isBlocked()) {
-        fail(serversEnded);
+        failBlocked();
         return;
     }
     const bool isNoRoom = outcome == AttemptOutcome::NoRoom;
@@ -480,6 +509,8 @@
         return false;
     if (maybeRan && !route().mayRepeat())
         return false;
+    if (maybeRan && m_port->memory().parts().isSuspect(m_accepted.work.parts, m_port->now()))
+        return false;
     if (m_record.possibleRuns + (maybeRan ? 1 : 0) >= route().maxAttempts)
         return false;
     if (m_isStreamStarted && route().kind != Routing::WorkKind::ResumableStream)
--- a/src/libs/gateway/exchange.h
+++ b/src/libs/gateway/exchange.h
@@ -154,8 +154,14 @@
     void recordServerEnd(const Attempt &attempt, bool isSilence);
     /// Notes that a server answered the request.
     void recordServed();
-    /// Whether servers have ended under the request so often that it must not be sent any more.
+    /// Notes that the answer to \a attempt came whole or still goes on, which shows after a while
+    /// that the request does not end servers.
+    void recordAnswer(Attempt &attempt, bool isWhole);
+    /// Whether servers have ended under the request, or under a part of its prompt, so often that
+    /// it must not be sent any more.
     bool isBlocked();
+    /// Gives the final answer of a blocked request.
+    void failBlocked();
     const Routing::RequestContent &content();
     /// Handles an attempt that ended without a usable answer: sends the request again, or gives the
     /// final answer.
--- a/src/libs/gateway/failure.cpp
+++ b/src/libs/gateway/failure.cpp
@@ -48,11 +48,13 @@
         return 400;
     case FailureType::TimedOut:
         return failure.mayHaveRun ? 504 : 503;
+    case FailureType::ServersEnded:
+        // With 503, callers would come back with it.
+        return 502;
     case FailureType::NotReady:
     case FailureType::Rejection:
     case FailureType::NoServer:
     case FailureType::ServerFailed:
-    case FailureType::ServersEnded:
     case FailureType::UnknownStream:
     case FailureType::ShuttingDown:
     case FailureType::HostOverloaded:
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -124,6 +124,7 @@
     state.costFactor = m_backlog.costFactor();
     state.slowestPace = m_services->slowestPace();
     state.blockedRequests = m_memory.crashes().blocked(time);
+    state.blockedParts = m_memory.parts().blocked(time);
     state.busyTime = m_load.busyTime();
     return state;
 }
@@ -202,6 +203,8 @@
             m_metricsListener->checkTime(time);
         m_fleet.advance(time);
         m_memory.advance(m_replica->servers().versions(), time);
+        for (const std::uint64_t part : m_memory.takeNewlyBlockedParts())
+            m_log.write(LogLine("part.blocked").add("part", hexText(part)), time);
         std::erase_if(m_lastResponses, [this](const auto &it) { return !server(it.first); });
         reloadIfChanged();
     }
--- a/src/libs/gateway/gatewaymetrics.cpp
+++ b/src/libs/gateway/gatewaymetrics.cpp
@@ -112,6 +112,9 @@
     BOOST_LEAF_ASSIGN(m_blockedRequests,
                       gauge("lagoonmast_gateway_blocked_requests",
                             "Requests that are not sent because servers have ended under them"));
+    BOOST_LEAF_ASSIGN(m_blockedParts,
+                      gauge("lagoonmast_gateway_blocked_prompt_parts",
+                            "Parts of prompts that are not sent because servers end under them"));
     BOOST_LEAF_ASSIGN(m_costFactor, gauge("lagoonmast_gateway_cost_factor",
                                           "How many times longer than reckoned its work takes"));
     BOOST_LEAF_ASSIGN(m_busySeconds, m_registry.counters({"lagoonmast_gateway_busy_seconds_total",
@@ -202,6 +205,7 @@
     m_costFactor->set(state.costFactor);
     m_slowestPace->set(state.slowestPace);
     m_blockedRequests->set(static_cast<double>(state.blockedRequests));
+    m_blockedParts->set(static_cast<double>(state.blockedParts));
     Metrics::Counter &busy = m_busySeconds->with({});
     busy.increment(seconds(state.busyTime) - busy.value());
 }
--- a/src/libs/gateway/gatewaymetrics.h
+++ b/src/libs/gateway/gatewaymetrics.h
@@ -49,6 +49,8 @@
     double slowestPace = 1;
     /// Requests that are not sent any more because servers have ended under them.
     std::size_t blockedRequests = 0;
+    /// Parts of prompts with which requests are not sent any more.
+    std::size_t blockedParts = 0;
     /// Time since the start of the process during which work was left to do.
     Base::Duration busyTime{};
 };
@@ -116,6 +118,7 @@
     Metrics::Gauge *m_costFactor = nullptr;
     Metrics::Gauge *m_slowestPace = nullptr;
     Metrics::Gauge *m_blockedRequests = nullptr;
+    Metrics::Gauge *m_blockedParts = nullptr;
     Metrics::Family<Metrics::Counter> *m_busySeconds = nullptr;
 };
 
--- a/src/libs/gateway/hostreport.cpp
+++ b/src/libs/gateway/hostreport.cpp
@@ -12,7 +12,7 @@
 using Json = nlohmann::json;
 
 /// First element of a report. Reports with another format version are not read.
-constexpr std::uint64_t formatVersion = 14;
+constexpr std::uint64_t formatVersion = 15;
 constexpr double millisecondsPerSecond = 1000;
 /// Numbers of requests are written in hundredths: a small host has only a few recent ones.
 constexpr double hundredths = 100;
@@ -20,6 +20,8 @@
 constexpr double millisecondsOfStartUnit = 10;
 /// The longest sum of start times that is read, of some hours.
 constexpr std::uint64_t maxStartUnits = 1'000'000;
+constexpr std::uint64_t largestPartKind =
+    static_cast<std::uint64_t>(Routing::PartReport::Kind::Blocked);
 constexpr std::uint64_t largestScope = static_cast<std::uint64_t>(ReportScope::Digest);
 
 /// Reads the elements of an array one after the other. After the first element that is missing or
@@ -47,6 +49,12 @@
         const Json *json = next();
         return json && check(json->is_boolean()) && json->get<bool>();
     }
+    /// Reads a number of at most \a largest.
+    std::uint64_t number(std::uint64_t largest)
+    {
+        const std::uint64_t value = number();
+        return check(value <= largest) ? value : 0;
+    }
     /// Calls \a read with a reader for each element of an array of arrays.
     template <typename Read>
     void forEach(Read read)
@@ -348,6 +356,28 @@
     return crash;
 }
 
+Json partJson(const Routing::PartReport &part)
+{
+    return {part.part,
+            static_cast<std::uint64_t>(part.kind),
+            part.server.value(),
+            static_cast<std::uint64_t>(part.sentAge.count()),
+            static_cast<std::uint64_t>(part.age.count()),
+            part.isSilence};
+}
+
+Routing::PartReport readPart(ArrayReader &reader)
+{
+    Routing::PartReport part;
+    part.part = reader.number();
+    part.kind = static_cast<Routing::PartReport::Kind>(reader.number(largestPartKind));
+    part.server = Base::ServerId(reader.text());
+    part.sentAge = readMilliseconds(reader);
+    part.age = readMilliseconds(reader);
+    part.isSilence = reader.flag();
+    return part;
+}
+
 Json streamsJson(const Routing::StreamReport &report)
 {
     Json streams = Json::array();
@@ -492,6 +522,9 @@
     Json crashes = Json::array();
     for (const Routing::CrashReport &crash : report.crashes)
         crashes.push_back(crashJson(crash));
+    Json parts = Json::array();
+    for (const Routing::PartReport &it : report.parts)
+        parts.push_back(partJson(it));
     Json streams = Json::array();
     for (const Routing::StreamReport &it : report.streams)
         streams.push_back(streamsJson(it));
@@ -511,6 +544,7 @@
                        std::move(members),
                        Json::array({loadJson(report.load)}),
                        std::move(crashes),
+                       std::move(parts),
                        std::move(streams),
                        std::move(rollouts),
                        std::move(evidence),
@@ -539,6 +573,7 @@
     reader.forEach([&](ArrayReader &it) { report.members.push_back(readMember(it)); });
     reader.forEach([&](ArrayReader &it) { report.load = readLoad(it); });
     reader.forEach([&](ArrayReader &it) { report.crashes.push_back(readCrash(it)); });
+    reader.forEach([&](ArrayReader &it) { report.parts.push_back(readPart(it)); });
     reader.forEach([&](ArrayReader &it) { report.streams.push_back(readStreams(it)); });
     reader.forEach([&](ArrayReader &it) { report.rollouts.push_back(readRollout(it)); });
     reader.forEach([&](ArrayReader &it) { report.rolloutEvidence.push_back(readEvidence(it)); });
--- a/src/libs/gateway/hostreport.h
+++ b/src/libs/gateway/hostreport.h
@@ -5,6 +5,7 @@
 #include "base/time.h"
 #include "routing/answersamples.h"
 #include "routing/crashhistory.h"
+#include "routing/crashingparts.h"
 #include "routing/entryselection.h"
 #include "routing/fleetload.h"
 #include "routing/rollout.h"
@@ -119,6 +120,8 @@
     Routing::HostLoad load;
     /// The latest ends of servers and the requests that ran there, as far as the sender knows them.
     std::vector<Routing::CrashReport> crashes;
+    /// What the sender knows of parts of prompts under which servers end.
+    std::vector<Routing::PartReport> parts;
     /// The latest streams and the software versions that began them.
     std::vector<Routing::StreamReport> streams;
     /// The roll-outs that the sender knows, and what the hosts that the report covers saw of those
--- a/src/libs/gateway/requestmemory.h
+++ b/src/libs/gateway/requestmemory.h
@@ -5,9 +5,14 @@
 #include "gateway/fleetview.h"
 #include "gateway/hostreport.h"
 #include "routing/crashhistory.h"
+#include "routing/crashingparts.h"
 #include "routing/streamorigins.h"
 
+#include <cstdint>
 #include <map>
+#include <optional>
+#include <span>
+#include <vector>
 
 namespace Gateway {
 
@@ -21,7 +26,8 @@
 };
 
 /// What the hosts remember of requests beyond one try of their callers, and tell each other: under
-/// which requests servers have ended, and which software version began each stream.
+/// which requests and parts of prompts servers have ended, and which software version began each
+/// stream.
 class RequestMemory
 {
 public:
@@ -36,6 +42,19 @@
     /// Records that a server answered \a content.
     void recordServed(const Routing::RequestContent &content, Base::TimePoint now);
 
+    const Routing::CrashingParts &parts() const { return m_parts; }
+    /// Returns the part that forbids to send a request with \a parts; empty if none does.
+    std::optional<std::uint64_t> blockedPart(std::span<const Routing::PromptPart> parts,
+                                             Base::TimePoint now);
+    /// Records that a server ended under a request with \a parts, whose answer had hardly begun.
+    void recordPartsEnd(std::span<const Routing::PromptPart> parts, const Routing::ServerEnd &end,
+                        Base::TimePoint now);
+    /// Records that a server did not end under a request with \a parts.
+    void recordPartsSound(std::span<const Routing::PromptPart> parts, Base::TimePoint beganAt,
+                          Base::TimePoint now);
+    /// Returns the parts that were blocked since the last call.
+    std::vector<std::uint64_t> takeNewlyBlockedParts() { return m_parts.takeNewlyBlocked(); }
+
     Routing::StreamOrigins &streamOrigins() { return m_streamOrigins; }
 
     /// Adds to a report what hosts of its scope should know. Its scope must be set.
@@ -50,6 +69,7 @@
     const FleetView *m_fleet;
     RequestMemoryListener *m_listener;
     Routing::CrashHistory m_crashes;
+    Routing::CrashingParts m_parts;
     Routing::StreamOrigins m_streamOrigins;
 };
 
--- a/src/libs/gateway/requestrecord.cpp
+++ b/src/libs/gateway/requestrecord.cpp
@@ -9,15 +9,21 @@
 
 namespace {
 
-std::string hexText(std::uint64_t digest)
+void addBlockedPart(LogLine &line, const RequestRecord &record)
 {
-    char text[17];
-    std::snprintf(text, sizeof(text), "%016" PRIx64, digest);
-    return text;
+    if (record.blockedPart)
+        line.add("part", hexText(*record.blockedPart));
 }
 
 } // namespace
 
+std::string hexText(std::uint64_t hash)
+{
+    char text[17];
+    std::snprintf(text, sizeof(text), "%016" PRIx64, hash);
+    return text;
+}
+
 LogLine refusedLine(const AcceptedRequest &accepted, const Failure &failure,
                     std::uint64_t configurationVersion)
 {
@@ -46,6 +52,7 @@
         .add("afterMs", now - record.attempt.sentAt)
         .add("backoffMs", record.attempt.backoffLeft)
         .add("serverEnds", failed.serverEnds);
+    addBlockedPart(line, record);
     return line;
 }
 
@@ -82,6 +89,7 @@
         .add("firstMs", record.events > 0 ? record.firstEventAt - readAt : Base::Duration(0))
         .add("longestPauseMs", record.longestPause)
         .add("wholeMs", now - readAt);
+    addBlockedPart(line, record);
     if (record.rejection)
         addRejection(line, *record.rejection);
     return line;
--- a/src/libs/gateway/requestrecord.h
+++ b/src/libs/gateway/requestrecord.h
@@ -43,6 +43,8 @@
     /// The number of attempts that may have run, and of all attempts.
     unsigned possibleRuns = 0;
     unsigned sends = 0;
+    /// The part of the prompt for which the request must not be sent.
+    std::optional<std::uint64_t> blockedPart;
     /// The caller's connection was closed before its answer was complete.
     bool isCutOff = false;
 };
@@ -57,6 +59,8 @@
     unsigned serverEnds = 0;
 };
 
+/// Returns a digest or the hash of a part of a prompt as logs name it.
+std::string hexText(std::uint64_t hash);
 /// Returns the log line of a request that was answered without an exchange.
 LogLine refusedLine(const AcceptedRequest &accepted, const Failure &failure,
                     std::uint64_t configurationVersion);
--- a/tests/auto/gateway/tst_fleetview.cpp
+++ b/tests/auto/gateway/tst_fleetview.cpp
@@ -340,6 +340,11 @@
                        milliseconds(20),
                        true},
                       {{Base::CustomerId("c"), 5}, {}, {}, milliseconds(30), false}};
+    using PartKind = Routing::PartReport::Kind;
+    before.parts = {{1ULL << 63, PartKind::End, Base::ServerId("t@9"), milliseconds(120),
+                     milliseconds(20), true},
+                    {6, PartKind::Sound, {}, {}, milliseconds(900), false},
+                    {7, PartKind::Blocked, {}, {}, milliseconds(90'000), false}};
     before.streams = {{{"pool", "v1"}, {1ULL << 63, 7}}, {{"pool", "v2"}, {}}};
     const Routing::RolloutOrder order{"app", "v2", Base::Milliseconds(20000), 31};
     before.store.rollouts = {order};
