Bound the answers of the store and of other hosts

What callers saw: nothing by itself. A store or host in trouble that answered without end grew the memory of every host that asked it, until the call timed out, and one that told a huge length threw std::bad_alloc out of the event loop.

Cause: HttpClient had no limit for a body, none for the text between chunks, and for a head only the parser's, which pieces get around.

64 MiB is the most for an answer as it is sent: a list of ten thousand servers takes over a megabyte, so it leaves room for fleets many times as large, and a host without the store is better than one without memory. Heads and chunks have the limits of servers' answers. Beyond, the call fails, the connection is closed, and store.lost and copy.failed name the fault.

Measured: the five sections pass.

--- a/src/libs/gateway/httpclient.cpp
+++ b/src/libs/gateway/httpclient.cpp
@@ -3,7 +3,6 @@
 #include <boost/asio/ip/address_v4.hpp>
 #include <boost/asio/post.hpp>
 
-#include <limits>
 #include <utility>
 
 namespace Gateway {
@@ -13,6 +12,16 @@
 namespace Http = boost::beast::http;
 
 constexpr std::size_t readChunkSize = 65536;
+/// The largest answer of the store or another host, as it is sent. A list of ten thousand servers
+/// takes over a megabyte.
+constexpr std::size_t maxStoreAnswerBytes = 64 * 1024 * 1024;
+
+AnswerFault faultOf(const boost::system::error_code &ec)
+{
+    if (ec == Http::error::header_limit)
+        return AnswerFault::LongHead;
+    return ec == Http::error::body_limit ? AnswerFault::LongBody : AnswerFault::Malformed;
+}
 
 } // namespace
 
@@ -28,7 +37,10 @@
     m_deadline = now + timeout;
     m_parser.emplace();
     m_parser->eager(true);
-    m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+    m_parser->header_limit(maxAnswerHeadBytes);
+    m_parser->body_limit(maxStoreAnswerBytes);
+    m_answerBytes = 0;
+    m_fault = AnswerFault::None;
     std::string text =
         call.method + " " + call.target + " HTTP/1.1\r\nHost: " + toString(m_address) + "\r\n";
     if (!call.body.empty())
@@ -112,6 +124,7 @@
     const std::size_t n =
         m_socket.read_some(boost::asio::buffer(m_input.data() + oldSize, readChunkSize), ec);
     m_input.resize(oldSize + n);
+    m_answerBytes += n;
     if (ec == boost::asio::error::would_block) {
         waitRead();
         return;
@@ -126,10 +139,14 @@
         if (ec == Http::error::need_more)
             break;
         if (ec) {
-            fail();
+            fail(faultOf(ec));
             return;
         }
     }
+    if (const AnswerFault fault = exceededLimit(); fault != AnswerFault::None) {
+        fail(fault);
+        return;
+    }
     if (!m_parser->is_done()) {
         waitRead();
         return;
@@ -142,8 +159,19 @@
     finish(answer);
 }
 
-void HttpClient::fail()
+AnswerFault HttpClient::exceededLimit() const
 {
+    if (!m_parser->is_header_done())
+        return m_answerBytes > maxAnswerHeadBytes ? AnswerFault::LongHead : AnswerFault::None;
+    // Once the head is parsed, the parser leaves nothing but incomplete text between chunks.
+    if (!m_parser->is_done() && m_input.size() > maxChunkFramingBytes)
+        return AnswerFault::LongChunkFraming;
+    return m_answerBytes > maxStoreAnswerBytes ? AnswerFault::LongBody : AnswerFault::None;
+}
+
+void HttpClient::fail(AnswerFault fault)
+{
+    m_fault = fault;
     close();
     if (m_done)
         finish(std::nullopt);
@@ -165,4 +193,9 @@
     m_socket.close(ec);
 }
 
+const char *nameOfMissing(const HttpClient &client)
+{
+    return client.fault() == AnswerFault::None ? "no answer" : nameOf(client.fault());
+}
+
 } // namespace Gateway
--- a/src/libs/gateway/httpclient.h
+++ b/src/libs/gateway/httpclient.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/time.h"
+#include "gateway/answerfault.h"
 #include "gateway/outputbuffer.h"
 #include "gateway/storeprotocol.h"
 #include "settings/address.h"
@@ -19,7 +20,7 @@
 ///
 /// A connection may stop delivering without ever being reset, and no further answer arrives on a
 /// connection whose answer was lost. Each call therefore has its own timeout, and the call after a
-/// failure opens a new connection.
+/// failure opens a new connection. An answer is read within the limits of answerfault.h.
 class HttpClient final : public std::enable_shared_from_this<HttpClient>
 {
 public:
@@ -33,6 +34,8 @@
     /// Sends \a call; isBusy() must be false. \a done is called exactly once, never from within
     /// this function.
     void call(const HttpCall &call, Base::Duration timeout, Base::TimePoint now, Done done);
+    /// What was wrong with the answer to the last call, if it failed because of that.
+    AnswerFault fault() const { return m_fault; }
     /// Fails the call if its timeout has passed.
     void checkTime(Base::TimePoint now);
 
@@ -41,7 +44,9 @@
     void write();
     void waitRead();
     void readable();
-    void fail();
+    /// Returns which limit the answer exceeds so far.
+    AnswerFault exceededLimit() const;
+    void fail(AnswerFault fault = AnswerFault::None);
     void finish(const std::optional<HttpAnswer> &answer);
     void close();
 
@@ -51,6 +56,9 @@
     std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> m_parser;
     OutputBuffer m_output;
     std::string m_input;
+    /// The bytes that have come since the call, as they were sent.
+    std::size_t m_answerBytes = 0;
+    AnswerFault m_fault = AnswerFault::None;
     Done m_done;
     Base::TimePoint m_deadline;
     bool m_isConnected = false;
@@ -59,4 +67,7 @@
     unsigned m_generation = 0;
 };
 
+/// Returns the name for the log of why the last call of \a client brought no answer.
+const char *nameOfMissing(const HttpClient &client);
+
 } // namespace Gateway
--- a/src/libs/gateway/storeclient.cpp
+++ b/src/libs/gateway/storeclient.cpp
@@ -120,7 +120,7 @@
                                         Base::TimePoint askedAt, bool isWatch)
 {
     if (!answer) {
-        configurationFailed("no answer", failureScope(m_isWatchAvailable));
+        configurationFailed(nameOfMissing(*m_watchClient), failureScope(m_isWatchAvailable));
         return;
     }
     boost::leaf::try_handle_all(
@@ -260,7 +260,7 @@
 void StoreClient::serversAnswered(const std::optional<HttpAnswer> &answer, Base::TimePoint askedAt)
 {
     if (!answer) {
-        serversFailed("no answer", failureScope(m_isReadAvailable));
+        serversFailed(nameOfMissing(*m_readClient), failureScope(m_isReadAvailable));
         return;
     }
     boost::leaf::try_handle_all(
--- a/src/libs/gateway/storecopyclient.cpp
+++ b/src/libs/gateway/storecopyclient.cpp
@@ -77,7 +77,7 @@
                                      Base::TimePoint askedAt)
 {
     if (!answer || answer->status != 200) {
-        reportFailure(what, answer ? "refused" : "no answer");
+        reportFailure(what, answer ? "refused" : nameOfMissing(*m_client));
         return;
     }
     boost::leaf::try_handle_all(
--- a/tests/auto/gateway/tst_endlessanswers.cpp
+++ b/tests/auto/gateway/tst_endlessanswers.cpp
@@ -1,4 +1,5 @@
 #include "fakeexchangeport.h"
+#include "gateway/httpclient.h"
 
 #include <catch2/catch.hpp>
 
@@ -94,6 +95,39 @@
     std::optional<Tcp::socket> server;
 };
 
+/// A call of a client to a server that answers without end.
+struct ClientCall
+{
+    ClientCall()
+        : client(std::make_shared<HttpClient>(io, *Settings::parseAddress(backend.entry().address)))
+    {
+        client->call({"GET", "/x", {}}, std::chrono::seconds(60), bootTimeNow(),
+                     [this](const std::optional<HttpAnswer> &it) {
+                         isDone = true;
+                         answer = it;
+                     });
+        poll();
+        server.emplace(backend.accept());
+        poll();
+    }
+    void poll()
+    {
+        io.restart();
+        io.poll();
+    }
+    std::size_t offer(const std::string &piece, std::size_t limit)
+    {
+        return ::offer(*server, piece, limit, [this] { poll(); });
+    }
+
+    boost::asio::io_context io;
+    LoopbackServer backend{io};
+    std::shared_ptr<HttpClient> client;
+    std::optional<Tcp::socket> server;
+    std::optional<HttpAnswer> answer;
+    bool isDone = false;
+};
+
 } // namespace
 
 // Guards against memory that a head without end takes, whichever pieces it comes in.
@@ -316,3 +350,46 @@
     CHECK(request.isFailed());
     CHECK(request.isLogged("chunk_framing_too_long"));
 }
+
+// Guards against memory that answers without end of the store or another host take.
+TEST_CASE("a call fails whose answer has no end", "[gateway][endless]")
+{
+    ClientCall call;
+    std::string piece(64 * kibibyte, 'x');
+    std::size_t limit = 64 * mebibyte + socketBytes;
+    AnswerFault fault = AnswerFault::LongBody;
+    SECTION("in its body")
+    {
+        write(*call.server, "HTTP/1.1 200 OK\r\n\r\n");
+    }
+    SECTION("in its chunks")
+    {
+        write(*call.server, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        piece = "10000\r\n" + piece + "\r\n";
+    }
+    SECTION("by its length")
+    {
+        write(*call.server, "HTTP/1.1 200 OK\r\nContent-Length: 4611686018427387904\r\n\r\n");
+        limit = mebibyte;
+    }
+    SECTION("in its trailers")
+    {
+        write(*call.server, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n");
+        piece = endlessField;
+        limit = mebibyte;
+        fault = AnswerFault::LongChunkFraming;
+    }
+    SECTION("in its head")
+    {
+        write(*call.server, "HTTP/1.1 200 OK\r\nX");
+        piece = endlessField.substr(1) + "X";
+        limit = mebibyte;
+        fault = AnswerFault::LongHead;
+    }
+    const std::size_t offered = limit == mebibyte ? mebibyte : longAnswerBytes;
+    CHECK(call.offer(piece, offered) < limit);
+    call.poll();
+    CHECK(call.isDone);
+    CHECK_FALSE(call.answer);
+    CHECK(call.client->fault() == fault);
+}
