Give up neither a sound server for an empty answer nor a server that this host does not read

- A second server that sent a head and ended cleanly, without an event, ended the stream as complete and cancelled the first one.
While the first one is open, an attempt without an event is a failure.
- Both servers stayed open until the other one's first event was whole.
The first byte decides now.
- A server whose connection this host had paused for a slow caller was taken for silent, and was not read again after it.
A paused attempt is not silent, and its time begins anew when it is read again.

--- a/src/libs/gateway/attempt.h
+++ b/src/libs/gateway/attempt.h
@@ -43,6 +43,8 @@
     Attempt(const Attempt &) = delete;
     Attempt &operator=(const Attempt &) = delete;
 
+    /// Whether nothing is read of the answer, since the caller is slow.
+    bool isPaused() const { return connection && connection->isPaused(); }
     /// Closes the connection, which makes the server stop working on the attempt.
     void cancel()
     {
--- a/src/libs/gateway/backendconnection.h
+++ b/src/libs/gateway/backendconnection.h
@@ -86,6 +86,7 @@
     void withdrawUnsent();
     /// Stops reading, to apply backpressure to the server while its caller is slow.
     void pause() { m_isPaused = true; }
+    bool isPaused() const { return m_isPaused; }
     /// Reads on after pause().
     void resume();
     /// Fails the attempt if connecting has timed out.
--- a/src/libs/gateway/exchange.cpp
+++ b/src/libs/gateway/exchange.cpp
@@ -231,8 +231,10 @@
 
 void Exchange::outputDrained()
 {
-    if (m_current->connection)
-        m_current->connection->resume();
+    if (!m_current->isPaused())
+        return;
+    m_current->quietSince = m_port->now();
+    m_current->connection->resume();
 }
 
 void Exchange::answerStarted(Attempt &attempt, const ResponseHead &head)
@@ -288,7 +290,9 @@
         handleWholeAnswer(attempt);
         return;
     }
-    if (attempt.events.hasPartialEvent() || m_record.events == 0) {
+    // An empty answer does not show that the stream is over while its server may go on.
+    const bool isEmpty = m_record.events == 0 || (m_silent && !attempt.isStarted);
+    if (attempt.events.hasPartialEvent() || isEmpty) {
         recordServerEnd(attempt, false);
         finishAttempt(attempt, AttemptOutcome::Broken);
         handleFailedAttempt(attempt, AttemptOutcome::Broken, true);
--- a/src/libs/gateway/exchangeattempts.cpp
+++ b/src/libs/gateway/exchangeattempts.cpp
@@ -34,7 +34,7 @@
 
 bool Exchange::isSilent(Base::TimePoint now) const
 {
-    if (m_state != State::Sent || !route().mayRepeat() || m_sink->isBlocked())
+    if (m_state != State::Sent || !route().mayRepeat() || m_current->isPaused())
         return false;
     if (m_current->isHeadSeen && !route().isStream())
         return false;
@@ -113,6 +113,8 @@
             attempt.body.append(data);
         return;
     }
+    // From the first byte of an event on, only one server may work on the request.
+    choose(attempt);
     if (attempt.isStarted)
         attempt.quietSince = m_port->now();
     const CompleteEvents whole = attempt.events.push(data);
--- a/tests/auto/gateway/fakeexchangeport.h
+++ b/tests/auto/gateway/fakeexchangeport.h
@@ -34,9 +34,10 @@
     void abortAnswer() override { isCutOff = true; }
     void closeAfterAnswer() override { isClosedAfterAnswer = true; }
     bool isCallerGone() const override { return isGone; }
-    bool isBlocked() const override { return false; }
+    bool isBlocked() const override { return isFull; }
 
     bool isGone = false;
+    bool isFull = false;
     bool isEnded = false;
     bool isCutOff = false;
     bool isClosedAfterAnswer = false;
--- a/tests/auto/gateway/tst_pausingserver.cpp
+++ b/tests/auto/gateway/tst_pausingserver.cpp
@@ -121,6 +121,37 @@
     CHECK(stream.isWhole());
 }
 
+// Guards against an empty answer that makes a stream look complete while its server goes on.
+TEST_CASE("a begun stream goes on after a pause if the other server answers with no event",
+          "[gateway][pause]")
+{
+    PausedStream stream(2);
+    stream.exchange->placed(stream.port.placement(2));
+    Tcp::socket second = stream.port.acceptRequest(2);
+    beginStream(second);
+    second.close();
+    REQUIRE(stream.port.pollUntil([&] { return stream.port.outcomes.size() == 1; }));
+    if (stream.port.submissions > 2)
+        stream.exchange->rejected(rejection(stream.port.submitted));
+    REQUIRE_FALSE(stream.sink.isEnded);
+    stream.end(*stream.first);
+    CHECK(stream.isWhole());
+}
+
+// Guards against two servers that work on one stream for as long as an event takes to arrive.
+TEST_CASE("a begun stream leaves its server at the first byte of another one", "[gateway][pause]")
+{
+    PausedStream stream(2);
+    stream.exchange->placed(stream.port.placement(2));
+    Tcp::socket second = stream.port.acceptRequest(2);
+    beginStream(second);
+    write(second, "id: 2\n");
+    REQUIRE(stream.port.pollUntil([&] { return !stream.exchange->hasSilentAttempt(); }));
+    REQUIRE(stream.port.pollUntil(
+        [&] { return LoopbackServer::isReadable(stream.first->native_handle()); }));
+    CHECK(LoopbackServer::readRequest(*stream.first).empty());
+}
+
 // Guards against silent servers that use up the budget of retries, and that nobody learns of.
 TEST_CASE("a silent server is blamed once, and others are sought seldom", "[gateway][pause]")
 {
@@ -226,3 +257,30 @@
     port.pollUntil([&] { return exchange->isFinished(); });
     CHECK(sink.statuses == std::vector<unsigned>{200});
 }
+
+// Guards against a slow caller for whose pause its server is blamed.
+TEST_CASE("a server that this host does not read is not taken for silent", "[gateway][pause]")
+{
+    FakeExchangePort port(1);
+    RecordingSink sink;
+    const std::shared_ptr<Exchange> exchange =
+        port.exchange(sink, Routing::WorkKind::ResumableStream);
+    exchange->placed(port.placement(1));
+    Tcp::socket first = port.acceptRequest(1);
+    sink.isFull = true;
+    beginStream(first);
+    write(first, eventText(1));
+    REQUIRE(port.pollUntil([&] { return !sink.text.empty(); }));
+    // The caller has read a part of what is held back.
+    sink.isFull = false;
+    port.clockOffset += longSilence;
+    exchange->checkTime(port.now());
+    CHECK(port.submissions == 1);
+    exchange->outputDrained();
+    exchange->checkTime(port.now());
+    CHECK(port.submissions == 1);
+    write(first, eventText(2));
+    first.close();
+    port.pollUntil([&] { return exchange->isFinished(); });
+    CHECK(sink.text == eventText(1) + eventText(2));
+}
