Do not deny that a request ran whose other try ended servers

Callers of the same request got 502 with "ran":"no" after tries of it had run, since a blocked part of its prompt was found first (requestendsservers.sh, red). The ends under the whole request now count too. That script goes on, and is still red: another request with the same prompt is refused.

--- a/src/libs/gateway/exchange.cpp
+++ b/src/libs/gateway/exchange.cpp
@@ -463,9 +463,9 @@
 
 void Exchange::failBlocked()
 {
-    // Under a part, servers have ended in other requests. Otherwise, other tries of this one have
-    // run.
-    fail({FailureType::ServersEnded, !m_record.blockedPart, std::nullopt});
+    // Under a part of the prompt, servers may have ended in other requests only.
+    const bool hasEnds = m_port->memory().crashes().ends(content(), m_port->now()) > 0;
+    fail({FailureType::ServersEnded, !m_record.blockedPart || hasEnds, std::nullopt});
 }
 
 const Routing::RequestContent &Exchange::content()
