Count the ends of servers under one request once for the parts of its prompt

A request that ends servers by itself, and is tried again and again, had the parts of its prompt blamed: sound requests with the same beginning were refused (processes_gateway_request_ends_servers: "another request: 502, expected 200"). CrashHistory knows such a request. Ends under the same content count once for a part; reports tell the content.

--- a/src/libs/gateway/exchange.cpp
+++ b/src/libs/gateway/exchange.cpp
@@ -383,7 +383,8 @@
 void Exchange::recordServerEnd(const Attempt &attempt, bool isSilence)
 {
     const Base::TimePoint now = m_port->now();
-    const Routing::ServerEnd end{attempt.record.server, attempt.record.sentAt, now, isSilence};
+    const Routing::ServerEnd end{attempt.record.server, attempt.record.sentAt, now, isSilence,
+                                 content().digest};
     m_port->memory().recordServerEnd(content(), end, now);
     using Routing::CrashingParts;
     if (!attempt.answerBeganAt || now - *attempt.answerBeganAt < CrashingParts::proofTime)
--- a/src/libs/gateway/hostreport.cpp
+++ b/src/libs/gateway/hostreport.cpp
@@ -363,7 +363,8 @@
             part.server.value(),
             static_cast<std::uint64_t>(part.sentAge.count()),
             static_cast<std::uint64_t>(part.age.count()),
-            part.isSilence};
+            part.isSilence,
+            part.content};
 }
 
 Routing::PartReport readPart(ArrayReader &reader)
@@ -375,6 +376,7 @@
     part.sentAge = readMilliseconds(reader);
     part.age = readMilliseconds(reader);
     part.isSilence = reader.flag();
+    part.content = reader.number();
     return part;
 }
 
--- a/src/libs/routing/crashhistory.h
+++ b/src/libs/routing/crashhistory.h
@@ -28,6 +28,8 @@
     Base::TimePoint endedAt;
     /// The server fell silent. Otherwise the connection broke.
     bool isSilence = false;
+    /// The digest of what the request asked for; only used by CrashingParts.
+    std::uint64_t content = 0;
 };
 
 /// An entry of CrashHistory as hosts report it to each other, with ages instead of times.
--- a/src/libs/routing/crashingparts.cpp
+++ b/src/libs/routing/crashingparts.cpp
@@ -125,7 +125,7 @@
         const Base::TimePoint at = now - it.age;
         if (it.kind == Kind::End) {
             Entry &known = entry(it.part);
-            addEnd(known, {it.server, now - it.sentAge, at, it.isSilence});
+            addEnd(known, {it.server, now - it.sentAge, at, it.isSilence, it.content});
             if (known.isBlocked(now))
                 m_explained.insert(it.server);
         } else if (it.kind == Kind::Sound) {
@@ -157,7 +157,7 @@
             if (now - it.endedAt < reportedFor)
                 others.push_back({entry.ends.size(),
                                   {part, Kind::End, it.server, age(it.sentAt, now),
-                                   age(it.endedAt, now), it.isSilence}});
+                                   age(it.endedAt, now), it.isSilence, it.content}});
         }
     }
     std::ranges::stable_sort(others, std::ranges::greater(),
@@ -247,13 +247,14 @@
 CrashingParts::countedEnds(const Entry &entry, Base::Duration settleTime, Base::TimePoint now) const
 {
     std::vector<Base::TimePoint> counted;
+    std::set<std::uint64_t> contents;
     for (const ServerEnd &it : entry.ends) {
         if (now - it.endedAt >= memory || m_explained.contains(it.server)
             || !hasEnded(it, settleTime, now))
             continue;
         const bool isCommonCause = !counted.empty() && it.sentAt + reportError < counted.back()
                                    && it.endedAt - counted.back() < commonCauseTime;
-        if (!isCommonCause)
+        if (!isCommonCause && contents.insert(it.content).second)
             counted.push_back(it.endedAt);
     }
     return counted;
--- a/src/libs/routing/crashingparts.h
+++ b/src/libs/routing/crashingparts.h
@@ -32,6 +32,8 @@
     /// Age of the end, of the begin of the answer, or of the decision to block.
     Base::Milliseconds age{0};
     bool isSilence = false;
+    /// The digest of what the request asked for.
+    std::uint64_t content = 0;
 
     bool operator==(const PartReport &) const = default;
 };
@@ -45,6 +47,9 @@
 ///   still in service.
 /// - Ends at nearly the same time, under attempts that ran side by side, have a common cause and
 ///   count as one.
+/// - Ends under one request and its repeats count as one. CrashHistory knows such a request, and
+/// its
+///   parts need not be the cause.
 /// - While most servers end without the part, \a maxOddEnds ends are needed, and so many for a part
 ///   that was answered lately, of which no answer began for \a soundWait.
 /// - An answer to a request with the part clears the ends before that answer began.
@@ -116,7 +121,8 @@
     void setSound(Entry &entry, Base::TimePoint beganAt);
     void setBlocked(std::uint64_t part, Entry &entry, Base::TimePoint at, Base::TimePoint now);
     bool hasEnded(const ServerEnd &end, Base::Duration settleTime, Base::TimePoint now) const;
-    /// Returns the ends of \a entry that count, those of nearly the same time once. An end counts
+    /// Returns the ends of \a entry that count, those of nearly the same time or under the same
+    /// request once. An end counts
     /// when it is \a settleTime old.
     std::vector<Base::TimePoint> countedEnds(const Entry &entry, Base::Duration settleTime,
                                              Base::TimePoint now) const;
--- a/tests/auto/gateway/tst_fleetview.cpp
+++ b/tests/auto/gateway/tst_fleetview.cpp
@@ -342,7 +342,7 @@
                       {{Base::CustomerId("c"), 5}, {}, {}, milliseconds(30), false}};
     using PartKind = Routing::PartReport::Kind;
     before.parts = {{1ULL << 63, PartKind::End, Base::ServerId("t@9"), milliseconds(120),
-                     milliseconds(20), true},
+                     milliseconds(20), true, 1ULL << 63},
                     {6, PartKind::Sound, {}, {}, milliseconds(900), false},
                     {7, PartKind::Blocked, {}, {}, milliseconds(90'000), false}};
     before.streams = {{{"pool", "v1"}, {1ULL << 63, 7}}, {{"pool", "v2"}, {}}};
--- a/tests/auto/routing/tst_crashingparts.cpp
+++ b/tests/auto/routing/tst_crashingparts.cpp
@@ -57,10 +57,12 @@
     KnownLife life;
     CrashingParts parts{life};
 
+    /// Server \a n ends under a request that is like no other one.
     void end(const std::vector<PromptPart> &prompt, int n, Base::TimePoint at,
              bool isSilence = false)
     {
-        parts.recordEnd(prompt, {server(n), at - milliseconds(100), at, isSilence}, at);
+        const auto content = static_cast<std::uint64_t>(n);
+        parts.recordEnd(prompt, {server(n), at - milliseconds(100), at, isSilence, content}, at);
     }
     bool isBlocked(std::uint64_t part, Base::TimePoint now)
     {
@@ -204,7 +206,8 @@
         m_runs.erase(m_runs.begin() + static_cast<std::ptrdiff_t>(at));
         if (m_now - run.beginsAt < CrashingParts::proofTime) {
             m_hosts[run.request.host].parts.recordEnd(
-                run.request.parts, {server(run.id), run.sentAt, m_now, false}, m_now);
+                run.request.parts,
+                {server(run.id), run.sentAt, m_now, false, run.request.parts.back().hash}, m_now);
         }
         Request again = run.request;
         if (!std::exchange(again.isRepeat, true))
@@ -281,6 +284,18 @@
 } // namespace
 
 // Guards against requests that end one server after the other with a part that they share.
+// Guards against sound requests that are refused for a part of one request that is repeated.
+TEST_CASE("the parts of one request that ends servers are not blamed", "[routing]")
+{
+    Host host;
+    for (int n = 0; n < 8; ++n) {
+        const Base::TimePoint at = start + seconds(n);
+        host.parts.recordEnd(prompt({7}, 70), {server(n), at - milliseconds(100), at, false, 5},
+                             at);
+    }
+    CHECK_FALSE(host.isBlocked(7, start + seconds(10)));
+}
+
 TEST_CASE("a part under which three servers ended is blocked at all hosts", "[routing]")
 {
     Host a;
@@ -387,7 +402,7 @@
 }
 
 // Guards against more than three sends of a deadly part, and against sound requests refused for it.
-TEST_CASE("a fleet blocks the deadly part and no part of many sound requests", "[routing][fleet]")
+TEST_CASE("a fleet blocks the deadly part and no part of many sound requests", "[routing][parts]")
 {
     rc::prop("any rates and report intervals", [] {
         Fleet::Load load;
@@ -407,7 +422,8 @@
 }
 
 // Guards against parts that are blocked when servers end for reasons of their own.
-TEST_CASE("a fleet whose servers end for other reasons blocks no part of many requests", "[fleet]")
+TEST_CASE("a fleet whose servers end for other reasons blocks no part of many requests",
+          "[routing][parts]")
 {
     rc::prop("crashes, loss of power and broken answers", [] {
         Fleet::Load load;
