Block a part of prompts that two requests or more have in common with the ends

With the ends under one request counted once, a part that had been answered before needed ends under five different requests, while each request and its repeats end up to four servers. Ends count all now, but not while all of them are under one request. A part that was sound lately is blocked after four ends.

--- a/src/libs/routing/crashingparts.cpp
+++ b/src/libs/routing/crashingparts.cpp
@@ -29,6 +29,8 @@
 constexpr Base::Duration reportError = milliseconds(10);
 /// A part that was answered within this time is sound, as far as is known.
 constexpr Base::Duration soundMemory = std::chrono::minutes(10);
+/// Ends under one request and its repeats do not show which part is the cause.
+constexpr std::size_t minContents = 2;
 constexpr Base::Duration judgeInterval = milliseconds(20);
 
 milliseconds age(Base::TimePoint at, Base::TimePoint now)
@@ -254,9 +256,12 @@
             continue;
         const bool isCommonCause = !counted.empty() && it.sentAt + reportError < counted.back()
                                    && it.endedAt - counted.back() < commonCauseTime;
-        if (!isCommonCause && contents.insert(it.content).second)
+        contents.insert(it.content);
+        if (!isCommonCause)
             counted.push_back(it.endedAt);
     }
+    if (contents.size() < minContents && !entry.wasBlocked())
+        counted.clear();
     return counted;
 }
 
--- a/src/libs/routing/crashingparts.h
+++ b/src/libs/routing/crashingparts.h
@@ -47,9 +47,8 @@
 ///   still in service.
 /// - Ends at nearly the same time, under attempts that ran side by side, have a common cause and
 ///   count as one.
-/// - Ends under one request and its repeats count as one. CrashHistory knows such a request, and
-/// its
-///   parts need not be the cause.
+/// - Ends under one request and its repeats alone do not count, since CrashHistory knows such a
+///   request.
 /// - While most servers end without the part, \a maxOddEnds ends are needed, and so many for a part
 ///   that was answered lately, of which no answer began for \a soundWait.
 /// - An answer to a request with the part clears the ends before that answer began.
@@ -60,7 +59,7 @@
 public:
     static constexpr unsigned maxEnds = 3;
     static constexpr unsigned maxTiedEnds = 4;
-    static constexpr unsigned maxOddEnds = 5;
+    static constexpr unsigned maxOddEnds = 4;
     /// The time for which an answer must go on to show that its request does not end servers.
     static constexpr Base::Duration proofTime = std::chrono::milliseconds(500);
     static constexpr Base::Duration soundWait = std::chrono::seconds(2);
@@ -121,9 +120,8 @@
     void setSound(Entry &entry, Base::TimePoint beganAt);
     void setBlocked(std::uint64_t part, Entry &entry, Base::TimePoint at, Base::TimePoint now);
     bool hasEnded(const ServerEnd &end, Base::Duration settleTime, Base::TimePoint now) const;
-    /// Returns the ends of \a entry that count, those of nearly the same time or under the same
-    /// request once. An end counts
-    /// when it is \a settleTime old.
+    /// Returns the ends of \a entry that count, those of nearly the same time once, and none of one
+    /// request alone. An end counts when it is \a settleTime old.
     std::vector<Base::TimePoint> countedEnds(const Entry &entry, Base::Duration settleTime,
                                              Base::TimePoint now) const;
     bool isKnownSound(const Entry &entry, Base::TimePoint now) const;
