--- a/src/libs/gateway/answerfault.h
+++ b/src/libs/gateway/answerfault.h
@@ -31,10 +31,10 @@
 constexpr std::size_t maxChunkFramingBytes = 16384;
 /// The largest body of an answer that is no stream of events, which is kept until it is whole, and
 /// the largest length that the head of any answer may tell.
-constexpr std::size_t maxAnswerBodyBytes = 64 * 1024 * 1024;
+constexpr std::size_t maxAnswerBodyBytes = 64UL * 1024 * 1024;
 /// The largest event of a stream. It is kept until it is whole.
-constexpr std::size_t maxEventBytes = 1024 * 1024;
+constexpr std::size_t maxEventBytes = 1024UL * 1024;
 /// The most bytes of answers to older requests that one attempt skips.
-constexpr std::size_t maxLateAnswerBytes = 64 * 1024 * 1024;
+constexpr std::size_t maxLateAnswerBytes = 64UL * 1024 * 1024;
 
 } // namespace Gateway
--- a/src/libs/gateway/httpclient.cpp
+++ b/src/libs/gateway/httpclient.cpp
@@ -14,7 +14,7 @@
 constexpr std::size_t readChunkSize = 65536;
 /// The largest answer of the store or another host, as it is sent. A list of ten thousand servers
 /// takes over a megabyte.
-constexpr std::size_t maxStoreAnswerBytes = 64 * 1024 * 1024;
+constexpr std::size_t maxStoreAnswerBytes = 64UL * 1024 * 1024;
 
 AnswerFault faultOf(const boost::system::error_code &ec)
 {
--- a/tests/auto/routing/tst_crashingparts.cpp
+++ b/tests/auto/routing/tst_crashingparts.cpp
@@ -29,7 +29,7 @@
     return Base::ServerId("s-" + std::to_string(n));
 }
 
-std::vector<PromptPart> prompt(std::vector<std::uint64_t> shared, std::uint64_t own)
+std::vector<PromptPart> prompt(const std::vector<std::uint64_t> &shared, std::uint64_t own)
 {
     std::vector<PromptPart> parts;
     for (const std::uint64_t it : shared)
