--- a/src/libs/gateway/requestrecord.cpp
+++ b/src/libs/gateway/requestrecord.cpp
@@ -58,13 +58,13 @@
         .add("version", record.attempt.softwareVersion)
         .add("server", record.attempt.server.value())
         .add("outcome", Routing::nameOf(failed.outcome))
-        .add("fault", nameOf(record.attempt.fault))
         .add("maybeRan", failed.maybeRan)
         .add("repeats", failed.isRepeated)
         .add("sends", record.sends)
         .add("events", record.events)
         .add("afterMs", now - record.attempt.sentAt)
         .add("backoffMs", record.attempt.backoffLeft)
+        .add("fault", nameOf(record.attempt.fault))
         .add("serverEnds", failed.serverEnds);
     addBlockedPart(line, record);
     return line;
