--- a/review/standin/endlessbody.cpp
+++ b/review/standin/endlessbody.cpp
@@ -178,9 +178,7 @@
         const int deadlineMs = isStream ? 5000 : 1500;
         const std::string text =
             isStream ? requestText("POST", "/reply/2f", attempt, deadlineMs,
-                                   "Model: m\r\nToken-Count: 900,80\r\nPrefix-Hash: " + attempt
-                                       + ":600,a" + attempt + ":300\r\n",
-                                   "prompt")
+                                   promptFields(attempt, 80), "prompt")
                      : requestText("POST", "/hold/2f", attempt, deadlineMs, {}, "deposit");
         Message answer;
         Reader::End end = Reader::End::Broken;
--- a/review/standin/mixedversions.cpp
+++ b/review/standin/mixedversions.cpp
@@ -15,6 +15,8 @@
 /// The time between two events; the route's gapTargetMs is 500.
 constexpr long eventMs = 250;
 constexpr int clientCount = 30;
+/// A client's tries for one stream: the first one and a few more.
+constexpr int maxTries = 4;
 /// Pause between two replacements.
 constexpr long gapMs = 1000;
 /// How long a server goes on after the store has accepted that it leaves: drainMs and some seconds.
@@ -137,22 +139,55 @@
     }
 }
 
+/// Asks a daemon where to connect, as clients do; returns a port, or 0 if it does not tell.
+int resolve(const GatewayProcess &daemon, std::mt19937 &random)
+{
+    const int fd = connectTo(loopback(), daemon.directoryPort);
+    if (fd < 0)
+        return 0;
+    Message answer;
+    Reader reader(fd);
+    const bool isGood =
+        sendAll(fd, "GET /-/resolve?name=ficu95.example&region=lower-mainland&zone=abbotsford "
+                    "HTTP/1.1\r\nHost: directory\r\n\r\n")
+        && reader.read(answer, Clock::now() + milliseconds(1000), true) == Reader::End::Whole
+        && answer.status() == 200;
+    close(fd);
+    if (!isGood)
+        return 0;
+    const Json addresses = Json::parse(answer.body, nullptr, false).value("addresses", Json());
+    if (!addresses.is_array() || addresses.empty())
+        return 0;
+    const std::string address = addresses[random() % addresses.size()].get<std::string>();
+    return std::atoi(address.substr(address.find(':') + 1).c_str());
+}
+
+/// Connects to a daemon that the system names; -1 if there is none before \a deadline.
+int connectToSystem(Clock::time_point deadline, std::mt19937 &random)
+{
+    while (Clock::now() + milliseconds(300) < deadline) {
+        const int port = resolve(*processes[random() % processes.size()], random);
+        const int fd = port > 0 ? connectTo(loopback(), port) : -1;
+        if (fd >= 0)
+            return fd;
+        pause(100);
+    }
+    return -1;
+}
+
 void runStream(std::mt19937 &random)
 {
     Stream stream;
+    const std::string prompt = promptFields(newAttemptId(), 160);
     const auto deadline = Clock::now() + milliseconds(10000);
-    for (int tries = 0; tries < 12 && Clock::now() + milliseconds(300) < deadline; ++tries) {
+    for (int tries = 0; tries < maxTries; ++tries) {
+        const int fd = connectToSystem(deadline, random);
+        if (fd < 0)
+            break;
         const auto left =
             std::chrono::duration_cast<milliseconds>(deadline - Clock::now()).count();
-        const int fd =
-            connectTo(loopback(), processes[random() % processes.size()]->callerPort);
-        if (fd < 0) {
-            pause(150);
-            continue;
-        }
         const std::string attempt = newAttemptId();
-        std::string more = "Model: m\r\nToken-Count: 900,160\r\nPrefix-Hash: " + attempt
-                           + ":600,a" + attempt + ":300\r\n";
+        std::string more = prompt;
         if (stream.lastEvent > 0) {
             more += "Last-Event-Id: " + std::to_string(stream.lastEvent)
                     + "\r\nResumes: " + stream.firstAttempt + "\r\n";
--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -779,6 +779,14 @@
     return text + "\r\n" + (method == "POST" ? body : std::string());
 }
 
+/// The fields of a request to a model server whose prompt no other request shares.
+inline std::string promptFields(const std::string &attempt, int outputTokens)
+{
+    const std::string own = attempt.substr(attempt.size() - 7);
+    return "Model: m\r\nToken-Count: 900," + std::to_string(outputTokens) + "\r\nPrefix-Hash: a"
+           + own + ":600,b" + own + ":300\r\n";
+}
+
 inline bool hasTrouble()
 {
     const char *text = std::getenv("TROUBLE");
