--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -124,6 +124,8 @@
 inline std::pair<int, int> listenAnywhere(const std::string &ip)
 {
     const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const int on = 1;
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
     sockaddr_in address = socketAddress(ip, 0);
     socklen_t length = sizeof(address);
     if (bind(fd, reinterpret_cast<sockaddr *>(&address), sizeof(address)) != 0
