--- a/review/standin/crashingparts.cpp
+++ b/review/standin/crashingparts.cpp
@@ -1,6 +1,5 @@
-// A trial of the review, no case: requests with a prompt part that crashes servers come several at a
-// time, every few seconds. See review/REPORT.md, issue 50.
-// usage: crashingparts RECORD
+// A trial of the review, no case: requests with a prompt part that crashes servers come several at
+// a time, every few seconds. See review/REPORT.md, issue 50. usage: crashingparts RECORD
 #include "standin.h"
 
 using namespace Review;
@@ -124,8 +123,8 @@
         }
         pause(150);
         if (!m_isUp
-            || !sendAll(fd, "HTTP/1.1 200 OK\r\nAttempt-Id: " + attempt
-                                + "\r\nServer-Stamp: stamp." + m_id + "." + attempt
+            || !sendAll(fd, "HTTP/1.1 200 OK\r\nAttempt-Id: " + attempt + "\r\nServer-Stamp: stamp."
+                                + m_id + "." + attempt
                                 + "\r\nContent-Type: text/event-stream\r\n"
                                   "Transfer-Encoding: chunked\r\n\r\n"))
             return false;
@@ -196,11 +195,12 @@
     Json reply = route("reply", "streaming", "model-pool", 5000, 1200);
     reply["streamResume"] = false;
     reply["maxAttempts"] = 1;
-    store.put("op", "config",
-              configuration(Json::array({reply}),
-                            Json::array({{{"name", "model-pool"},
-                                          {"maxConnections", 360},
-                                          {"engine", {{"slots", slots}, {"kvCapacity", 542627}}}}})));
+    store.put(
+        "op", "config",
+        configuration(Json::array({reply}),
+                      Json::array({{{"name", "model-pool"},
+                                    {"maxConnections", 360},
+                                    {"engine", {{"slots", slots}, {"kvCapacity", 542627}}}}})));
     std::vector<std::unique_ptr<GatewayProcess>> processes;
     for (int i = 0; i < gatewayCount; ++i) {
         processes.push_back(std::make_unique<GatewayProcess>(
@@ -242,13 +242,14 @@
         it.join();
     const std::lock_guard lock(timesMutex);
     const long from = crashes.size() < 5 ? -1 : crashes[4] + stableWindowMs;
-    const auto late = from < 0 ? 0 : std::ranges::count_if(arrivals, [&](long at) { return at > from; });
+    const auto late =
+        from < 0 ? 0 : std::ranges::count_if(arrivals, [&](long at) { return at > from; });
     char text[300];
-    std::snprintf(text, sizeof(text),
-                  "%zu servers ended under %zu requests with the part; %ld of them reached a server "
-                  "later than stableWindowMs after the fifth end; sound requests: %d served, %d not",
-                  crashes.size(), arrivals.size(), static_cast<long>(late), served.load(),
-                  failed.load());
+    std::snprintf(
+        text, sizeof(text),
+        "%zu servers ended under %zu requests with the part; %ld of them reached a server "
+        "later than stableWindowMs after the fifth end; sound requests: %d served, %d not",
+        crashes.size(), arrivals.size(), static_cast<long>(late), served.load(), failed.load());
     RECORD("%s", text);
     std::printf("%s\n", text);
     if (served < 100)
--- a/review/standin/endlessbody.cpp
+++ b/review/standin/endlessbody.cpp
@@ -104,12 +104,12 @@
                                    + body);
         }
         pause(150);
-        if (!sendAll(fd, head + "Content-Type: text/event-stream\r\n"
-                         "Transfer-Encoding: chunked\r\n\r\n"))
+        if (!sendAll(fd, head
+                             + "Content-Type: text/event-stream\r\n"
+                               "Transfer-Encoding: chunked\r\n\r\n"))
             return false;
         for (int i = 1; i <= 24; ++i) {
-            const std::string event =
-                "id: " + std::to_string(i) + "\ndata: " + attempt + "\n\n";
+            const std::string event = "id: " + std::to_string(i) + "\ndata: " + attempt + "\n\n";
             char size[16];
             std::snprintf(size, sizeof(size), "%zx\r\n", event.size());
             if (isClosed(fd) || !sendAll(fd, size + event + "\r\n"))
@@ -132,8 +132,7 @@
         while (!isOver && !isClosed(fd) && sendAll(fd, block)) {
             sent += static_cast<long>(block.size());
             endlessBytes += static_cast<long>(block.size());
-            const double rate =
-                static_cast<double>(bytesPerS) / std::max(1, connections.load());
+            const double rate = static_cast<double>(bytesPerS) / std::max(1, connections.load());
             next += std::chrono::duration_cast<Clock::duration>(
                 std::chrono::duration<double>(static_cast<double>(block.size()) / rate));
             std::this_thread::sleep_until(next);
@@ -250,12 +249,13 @@
         if (kb <= memoryKb)
             return;
         ++kills;
-        RECORD("platform: gateway %zu uses %ld kB, over memoryMb; killed; it had used %.2f s of "
-               "processor time in %.2f s; the server in trouble has sent %ld bytes to all, and sends "
-               "over %d connections to this one",
-               i + 1, kb, process.processorSeconds(),
-               static_cast<double>(nowMs() - process.startedAtMs) / 1000, endlessBytes.load(),
-               endlessConnections[i].load());
+        RECORD(
+            "platform: gateway %zu uses %ld kB, over memoryMb; killed; it had used %.2f s of "
+            "processor time in %.2f s; the server in trouble has sent %ld bytes to all, and sends "
+            "over %d connections to this one",
+            i + 1, kb, process.processorSeconds(),
+            static_cast<double>(nowMs() - process.startedAtMs) / 1000, endlessBytes.load(),
+            endlessConnections[i].load());
         process.signalProcess(SIGKILL);
     }
 
@@ -284,12 +284,13 @@
     Json reply = route("reply", "streaming", "model-pool", 5000, 1200);
     reply["streamResume"] = false;
     reply["maxAttempts"] = 1;
-    store.put("op", "config",
-              configuration(Json::array({reply, route("hold", "unsafe", "exchange-app", 1500, 300)}),
-                            Json::array({{{"name", "model-pool"},
-                                          {"maxConnections", 360},
-                                          {"engine", {{"slots", 64}, {"kvCapacity", 542627}}}},
-                                         {{"name", "exchange-app"}, {"maxConnections", 96}}})));
+    store.put(
+        "op", "config",
+        configuration(Json::array({reply, route("hold", "unsafe", "exchange-app", 1500, 300)}),
+                      Json::array({{{"name", "model-pool"},
+                                    {"maxConnections", 360},
+                                    {"engine", {{"slots", 64}, {"kvCapacity", 542627}}}},
+                                   {{"name", "exchange-app"}, {"maxConnections", 96}}})));
     std::vector<std::unique_ptr<GatewayProcess>> processes;
     for (int i = 0; i < gatewayCount; ++i) {
         processes.push_back(std::make_unique<GatewayProcess>(
--- a/review/standin/mixedversions.cpp
+++ b/review/standin/mixedversions.cpp
@@ -92,8 +92,7 @@
         for (int i = from; i <= events; ++i) {
             pause(eventMs);
             // What two versions write doesn't fit together; the event tells which one wrote it.
-            const std::string event =
-                "id: " + std::to_string(i) + "\ndata: " + version + "\n\n";
+            const std::string event = "id: " + std::to_string(i) + "\ndata: " + version + "\n\n";
             char size[16];
             std::snprintf(size, sizeof(size), "%zx\r\n", event.size());
             if (m_hasLeft || isClosed(fd) || !sendAll(fd, size + event + "\r\n"))
@@ -184,8 +183,7 @@
         const int fd = connectToSystem(deadline, random);
         if (fd < 0)
             break;
-        const auto left =
-            std::chrono::duration_cast<milliseconds>(deadline - Clock::now()).count();
+        const auto left = std::chrono::duration_cast<milliseconds>(deadline - Clock::now()).count();
         const std::string attempt = newAttemptId();
         std::string more = prompt;
         if (stream.lastEvent > 0) {
@@ -260,12 +258,12 @@
                 it->beat(store);
         }
     }).detach();
-    store.put("op", "config",
-              configuration(
-                  Json::array({route("photo", "streaming", "model-pool", 10000, 1500)}),
-                  Json::array({{{"name", "model-pool"},
-                                {"maxConnections", 360},
-                                {"engine", {{"slots", slots}, {"kvCapacity", 542627}}}}})));
+    store.put(
+        "op", "config",
+        configuration(Json::array({route("photo", "streaming", "model-pool", 10000, 1500)}),
+                      Json::array({{{"name", "model-pool"},
+                                    {"maxConnections", 360},
+                                    {"engine", {{"slots", slots}, {"kvCapacity", 542627}}}}})));
     for (int i = 0; i < gatewayCount; ++i) {
         processes.push_back(std::make_unique<GatewayProcess>(
             scratchFolder(), "gateway-" + std::to_string(i + 1), "abbotsford", store.address()));
--- a/review/standin/repeatedrefusal.cpp
+++ b/review/standin/repeatedrefusal.cpp
@@ -162,8 +162,7 @@
         Message answer;
         const bool isAnswered =
             sendAll(fd, requestText(method, path, attempt, 1500, {}, "deposit"))
-            && reader->read(answer, Clock::now() + milliseconds(2500), true)
-                   == Reader::End::Whole;
+            && reader->read(answer, Clock::now() + milliseconds(2500), true) == Reader::End::Whole;
         {
             const std::lock_guard lock(attemptsMutex);
             attempts[attempt].status = isAnswered ? answer.status() : 0;
--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -369,8 +369,8 @@
     for (std::size_t i = 0; i < text.size(); i += 3) {
         unsigned bits = 0;
         for (std::size_t k = 0; k < 3; ++k)
-            bits = (bits << 8)
-                   | (i + k < text.size() ? static_cast<unsigned char>(text[i + k]) : 0U);
+            bits =
+                (bits << 8) | (i + k < text.size() ? static_cast<unsigned char>(text[i + k]) : 0U);
         for (std::size_t k = 0; k < 4; ++k)
             out += i + k <= text.size() ? digits[(bits >> (18 - 6 * k)) & 63] : '=';
     }
