--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -21,6 +21,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <map>
@@ -663,8 +664,7 @@
 inline std::string &scratchFolder()
 {
     static std::string folder = [] {
-        const char *base = std::getenv("TMPDIR");
-        std::string path = std::string(base ? base : "/tmp") + "/reviewXXXXXX";
+        std::string path = (std::filesystem::temp_directory_path() / "reviewXXXXXX").string();
         if (!mkdtemp(path.data()))
             std::exit(2);
         return path;
