--- a/src/libs/gateway/exchange.cpp
+++ b/src/libs/gateway/exchange.cpp
@@ -47,6 +47,7 @@
     if (m_binding.isTakenUp()) {
         using Kind = Routing::Continuation::Kind;
         const Kind kind = m_binding.bindTakenUp(m_port->memory().streamOrigins(), m_port->now());
+        m_record.continuation = kind;
         m_port->streamResumed(true, kind);
         if (kind == Kind::Unknown) {
             fail({FailureType::UnknownStream, false, unknownStreamRetryAfter});
--- a/src/libs/gateway/requestrecord.cpp
+++ b/src/libs/gateway/requestrecord.cpp
@@ -104,6 +104,8 @@
         .add("longestPauseMs", record.longestPause)
         .add("wholeMs", now - readAt);
     addBlockedPart(line, record);
+    if (record.continuation)
+        line.add("origin", Routing::nameOf(*record.continuation));
     if (record.rejection)
         addRejection(line, *record.rejection);
     return line;
--- a/src/libs/gateway/requestrecord.h
+++ b/src/libs/gateway/requestrecord.h
@@ -6,6 +6,7 @@
 #include "gateway/answerfault.h"
 #include "gateway/eventlog.h"
 #include "gateway/failure.h"
+#include "routing/streamorigins.h"
 #include "routing/work.h"
 
 #include <cstddef>
@@ -48,6 +49,8 @@
     unsigned sends = 0;
     /// The part of the prompt for which the request must not be sent.
     std::optional<std::uint64_t> blockedPart;
+    /// Where a stream may go on that its caller takes up; empty for other requests.
+    std::optional<Routing::Continuation::Kind> continuation;
     /// The caller's connection was closed before its answer was complete.
     bool isCutOff = false;
 };
