Keep in the store which software versions have served

All gateways were killed in a release and started again. Callers took up streams that servers of the old version had begun, and the new version wrote the rest: whole answers of parts that do not fit together.

Cause: StreamOrigins took "no other version is known" for "no other version has served". A host that has just started knows the versions of servers that may get new work now. It does not know those of servers that leave and finish their streams, nor those whose last server is gone.

The entries of the old version were in the store as draining.

Why this works: a host lets a stream of unknown origin go on only if it knows that one version alone can have begun it. It has to know which versions served until just now, from rows that one host keeps in the store, or from a copy by a host that knows; and its own list of servers has to be proved current. Whoever lacks either, after a start, a cut or a suspension, refuses and says that the request has not run. The stream is then bound to that version.

--- a/src/libs/gateway/exchange.cpp
+++ b/src/libs/gateway/exchange.cpp
@@ -45,15 +45,15 @@
         return;
     }
     if (m_binding.isTakenUp()) {
-        using Kind = Routing::Continuation::Kind;
-        const Kind kind = m_binding.bindTakenUp(m_port->memory().streamOrigins(), m_port->now());
-        m_record.continuation = kind;
-        m_port->streamResumed(true, kind);
-        if (kind == Kind::Unknown) {
+        const Routing::Continuation it =
+            m_binding.bindTakenUp(m_port->memory().streamOrigins(), m_port->now());
+        m_record.continuation = it.kind;
+        m_port->streamResumed(true, it.kind);
+        if (!it.isAllowed()) {
             fail({FailureType::UnknownStream, false, unknownStreamRetryAfter});
             return;
         }
-        m_accepted.work.isContinuation = kind == Kind::SameVersion;
+        m_accepted.work.isContinuation = it.kind == Routing::Continuation::Kind::SameVersion;
     }
     submit();
 }
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -68,6 +68,10 @@
     m_services = std::make_unique<Services>(m_settings, *m_replica, m_fleet);
     m_rollouts = std::make_unique<Rollouts>(m_io, m_settings, m_adapter.store, *m_replica, m_fleet,
                                             m_log, *m_metrics, *this);
+    m_versionRows = std::make_unique<VersionRows>(
+        m_settings.storeAddress,
+        VersionRows::Dependencies{m_io, m_adapter.store, m_memory.streamOrigins(), m_log,
+                                  *m_metrics});
     BOOST_LEAF_ASSIGN(m_reports,
                       ReportSocket::create(m_io, m_settings.peerAddress,
                                            [this](const HostReport &it) { reportReceived(it); }));
@@ -178,6 +182,7 @@
     m_isIdleCheckDue = true;
     m_replica->advance(time);
     m_rollouts->advance(time);
+    updateVersions(time);
     std::vector<std::shared_ptr<Exchange>> open;
     open.reserve(m_exchanges.size());
     for (const auto &[id, exchange] : m_exchanges)
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -19,6 +19,7 @@
 #include "gateway/services.h"
 #include "gateway/settingswatcher.h"
 #include "gateway/storereplica.h"
+#include "gateway/versionrows.h"
 #include "routing/streamadmission.h"
 
 #include <boost/asio/io_context.hpp>
@@ -147,6 +148,10 @@
 
     void configurationApplied() override;
     void serversChanged(const Routing::ServerChanges &changes, bool notifiesZone) override;
+    void leavingVersionsRead(const Routing::ServerVersions &versions) override;
+    void versionsCopied(const std::vector<Routing::VersionAge> &versions,
+                        Base::TimePoint currentUntil) override;
+    std::optional<std::vector<Routing::VersionAge>> knownVersions() const override;
     void serversRead() override { m_services->serversRead(); }
     void evacuationsChanged() override;
     void rolloutOrdersChanged() override { m_rollouts->ordersChanged(); }
@@ -182,6 +187,8 @@
     HostReport ownReport(Base::TimePoint now) const;
     void reportReceived(const HostReport &report);
 
+    /// Keeps the history of software versions here and in the store.
+    void updateVersions(Base::TimePoint now);
     /// Logs this host's load, once a second.
     void logLoad(Base::TimePoint now);
     /// Logs a request that was rejected before an exchange was created for it.
@@ -229,6 +236,7 @@
     Base::TimePoint m_busySince{};
     std::unique_ptr<Services> m_services;
     std::unique_ptr<Rollouts> m_rollouts;
+    std::unique_ptr<VersionRows> m_versionRows;
     std::unordered_map<Routing::WorkId, std::shared_ptr<Exchange>> m_exchanges;
     std::unordered_map<Base::ServerId, Base::TimePoint> m_lastResponses;
     std::deque<Routing::Decisions> m_decisions;
--- /dev/null
+++ b/src/libs/gateway/gatewayversions.cpp
@@ -0,0 +1,49 @@
+// What a gateway knows of the software versions that have served.
+
+#include "gateway/boottime.h"
+#include "gateway/gateway.h"
+
+namespace Gateway {
+
+void Gateway::updateVersions(Base::TimePoint time)
+{
+    Routing::StreamOrigins &origins = m_memory.streamOrigins();
+    origins.setServersCurrentUntil(m_replica->serversCurrentUntil(), time);
+    if (!m_replica->isKnown() || m_replica->isStoreLost(time))
+        return;
+    VersionRows::View view;
+    for (const auto &[service, versions] : m_replica->servers().versions()) {
+        for (const auto &[version, n] : versions)
+            view.used.insert({service, version});
+    }
+    const bool isCurrent = origins.areServersCurrent(time);
+    view.needsHistory = isCurrent && m_replica->hasUrgentNeedOfServers(time);
+    view.isWriter = isCurrent && m_replica->ownProofAt() && m_fleet.isFirstLeader(time);
+    m_versionRows->advance(view, time);
+}
+
+void Gateway::leavingVersionsRead(const Routing::ServerVersions &versions)
+{
+    m_memory.streamOrigins().setVersions(versions, now());
+}
+
+void Gateway::versionsCopied(const std::vector<Routing::VersionAge> &versions,
+                             Base::TimePoint currentUntil)
+{
+    const Base::TimePoint time = now();
+    Routing::StreamOrigins &origins = m_memory.streamOrigins();
+    origins.setServersCurrentUntil(currentUntil, time);
+    for (const Routing::VersionAge &it : versions)
+        origins.recordVersion(it.version, time - it.age, time);
+    origins.setHistoryKnown(true);
+}
+
+std::optional<std::vector<Routing::VersionAge>> Gateway::knownVersions() const
+{
+    const Routing::StreamOrigins &origins = m_memory.streamOrigins();
+    if (!origins.isHistoryKnown())
+        return std::nullopt;
+    return origins.versions().ages(bootTimeNow());
+}
+
+} // namespace Gateway
--- a/src/libs/gateway/hostreport.cpp
+++ b/src/libs/gateway/hostreport.cpp
@@ -12,7 +12,7 @@
 using Json = nlohmann::json;
 
 /// First element of a report. Reports with another format version are not read.
-constexpr std::uint64_t formatVersion = 15;
+constexpr std::uint64_t formatVersion = 16;
 constexpr double millisecondsPerSecond = 1000;
 /// Numbers of requests are written in hundredths: a small host has only a few recent ones.
 constexpr double hundredths = 100;
@@ -294,6 +294,25 @@
     return order;
 }
 
+Json versionsJson(const std::vector<Routing::VersionAge> &versions)
+{
+    Json json = Json::array();
+    for (const Routing::VersionAge &it : versions) {
+        json.push_back({it.version.service, it.version.softwareVersion,
+                        static_cast<std::uint64_t>(it.age.count())});
+    }
+    return json;
+}
+
+Routing::VersionAge readVersionAge(ArrayReader &reader)
+{
+    Routing::VersionAge read;
+    read.version.service = reader.text();
+    read.version.softwareVersion = reader.text();
+    read.age = readMilliseconds(reader);
+    return read;
+}
+
 Json storeJson(const StoreState &store)
 {
     Json json{store.configurationVersion, store.serversFingerprint, store.serversVersion};
@@ -314,6 +333,8 @@
     json.push_back(std::move(orders));
     json.push_back(store.rolloutsVersion);
     json.push_back(store.operatorVersion);
+    json.push_back(store.versions.has_value());
+    json.push_back(versionsJson(store.versions.value_or(std::vector<Routing::VersionAge>())));
     return json;
 }
 
@@ -331,6 +352,11 @@
     reader.forEach([&](ArrayReader &it) { store.rollouts.push_back(readOrder(it)); });
     store.rolloutsVersion = reader.number();
     store.operatorVersion = reader.number();
+    const bool areVersionsKnown = reader.flag();
+    std::vector<Routing::VersionAge> versions;
+    reader.forEach([&](ArrayReader &it) { versions.push_back(readVersionAge(it)); });
+    if (areVersionsKnown)
+        store.versions = std::move(versions);
     return store;
 }
 
--- a/src/libs/gateway/hostreport.h
+++ b/src/libs/gateway/hostreport.h
@@ -82,6 +82,9 @@
     std::uint64_t rolloutsVersion = 0;
     /// Version of the store up to which the sender knows what the operator has set.
     std::uint64_t operatorVersion = 0;
+    /// The software versions that have served lately, in a copy of the servers; empty if the sender
+    /// does not know all of them.
+    std::optional<std::vector<Routing::VersionAge>> versions = std::nullopt;
 
     bool operator==(const StoreState &) const = default;
 };
--- a/src/libs/gateway/requestmemory.h
+++ b/src/libs/gateway/requestmemory.h
@@ -56,6 +56,7 @@
     std::vector<std::uint64_t> takeNewlyBlockedParts() { return m_parts.takeNewlyBlocked(); }
 
     Routing::StreamOrigins &streamOrigins() { return m_streamOrigins; }
+    const Routing::StreamOrigins &streamOrigins() const { return m_streamOrigins; }
 
     /// Adds to a report what hosts of its scope should know. Its scope must be set.
     void addTo(HostReport &report, Base::TimePoint now) const;
--- a/src/libs/gateway/storeprotocol.h
+++ b/src/libs/gateway/storeprotocol.h
@@ -7,6 +7,7 @@
 #include "routing/rolloutorders.h"
 #include "routing/routingconfiguration.h"
 #include "routing/serverset.h"
+#include "routing/versionhistory.h"
 
 #include <cstdint>
 #include <optional>
@@ -84,6 +85,52 @@
     std::uint64_t revision = 0;
 };
 
+/// A row that tells that a software version has served.
+struct VersionRow
+{
+    Routing::ServiceVersion version;
+    /// Time of the store's clock at which the version's last server was gone; empty while servers
+    /// may be listed.
+    std::optional<Base::Milliseconds> goneAt;
+    /// The row's key; empty for the one that follows from the version.
+    std::string key;
+    /// Version of the store at which the row was written; 0 if it is not in the store yet.
+    std::uint64_t revision = 0;
+
+    bool operator==(const VersionRow &) const = default;
+};
+
+/// One page of the rows of software versions.
+struct VersionReading
+{
+    std::vector<VersionRow> rows;
+    /// Rows that cannot be parsed; only their keys and revisions are set.
+    std::vector<VersionRow> malformed;
+    /// Where the next page begins; empty on the last page.
+    std::string continueFrom;
+    /// Current time of the store's own steady clock.
+    Base::Milliseconds storeTime{0};
+};
+
+/// Changes of rows of software versions. All of them are written, or none if any of the rows is not
+/// of the revision that is given here.
+struct VersionChanges
+{
+    std::vector<VersionRow> puts;
+    std::vector<VersionRow> removals;
+
+    bool isEmpty() const { return puts.empty() && removals.empty(); }
+};
+
+/// Result of writing rows of software versions.
+struct VersionWriting
+{
+    /// Whether the rows were written; otherwise another host has written meanwhile.
+    bool isWritten = false;
+    /// Version of the store at which they were written.
+    std::uint64_t revision = 0;
+};
+
 /// One page of the entries of backend servers, or the changes of entries since some version.
 struct ServerReading
 {
@@ -161,6 +208,12 @@
     virtual HttpCall writeRollout(const Routing::RolloutState &state,
                                   std::uint64_t previousRevision) const = 0;
     virtual Base::Result<RolloutWriting> rolloutWritten(const HttpAnswer &answer) const = 0;
+
+    /// Reads the first page if \a continueFrom is empty, else the page that begins there.
+    virtual HttpCall readVersions(const std::string &continueFrom) const = 0;
+    virtual Base::Result<VersionReading> versions(const HttpAnswer &answer) const = 0;
+    virtual HttpCall writeVersions(const VersionChanges &changes) const = 0;
+    virtual Base::Result<VersionWriting> versionsWritten(const HttpAnswer &answer) const = 0;
 };
 
 } // namespace Gateway
--- a/src/libs/gateway/storereplica.cpp
+++ b/src/libs/gateway/storereplica.cpp
@@ -34,6 +34,10 @@
 constexpr Base::Duration firstCopyPause = milliseconds(150);
 constexpr Base::Duration lastCopyPause = milliseconds(600);
 
+/// A list of servers counts as current for this multiple of the age at which a host reads the store
+/// itself. The time covers a reading that is not answered and the next one.
+constexpr double currentListFactor = 1.5;
+
 Base::Duration leaseLength(Base::Milliseconds keyRevocation)
 {
     return std::chrono::duration_cast<Base::Duration>(keyRevocation * leaseShare);
@@ -159,6 +163,13 @@
     return !fleet.isVeryLarge() || fleet.receivesLoads(now);
 }
 
+Base::TimePoint StoreReplica::serversCurrentUntil() const
+{
+    return m_serversProvedAt
+           + std::chrono::duration_cast<Base::Duration>(m_times.fallbackReadAge
+                                                        * currentListFactor);
+}
+
 StoreState StoreReplica::storeState(Base::TimePoint now) const
 {
     StoreState store;
@@ -330,6 +341,8 @@
     m_serversVersion = std::max(m_serversVersion, m_store.serversVersion());
     m_serversProvedAt = askedAt;
     m_dependencies.listener.serversChanged(changes, true);
+    if (!m_servers.leavingVersions().empty())
+        m_dependencies.listener.leavingVersionsRead(m_servers.leavingVersions());
     m_dependencies.listener.serversRead();
 }
 
@@ -449,6 +462,8 @@
     }
     if (store.serversFingerprint == m_servers.fingerprint())
         m_serversProvedAt = std::max(m_serversProvedAt, askedAt - *store.proofAge);
+    if (store.versions)
+        m_dependencies.listener.versionsCopied(*store.versions, serversCurrentUntil());
     m_dependencies.listener.serversRead();
 }
 
@@ -525,6 +540,7 @@
     report.store.serversFingerprint = m_servers.fingerprint();
     report.store.serversVersion = m_store.serversVersion();
     report.store.serverChanges = m_servers.asChanges(now);
+    report.store.versions = m_dependencies.listener.knownVersions();
     addOrders(report.store);
     return {now, m_servers.fingerprint(), m_store.serversVersion(), m_operatorVersion,
             encodeReport(report)};
--- a/src/libs/gateway/storereplica.h
+++ b/src/libs/gateway/storereplica.h
@@ -32,6 +32,14 @@
     /// Servers came or went. If \a notifiesZone, this host has read the change from the store
     /// itself, and the other hosts of its zone should be notified at once.
     virtual void serversChanged(const Routing::ServerChanges &changes, bool notifiesZone) = 0;
+    /// This host has read from the store that servers of these versions leave.
+    virtual void leavingVersionsRead(const Routing::ServerVersions &versions) = 0;
+    /// Another host has told which versions have served, with the list of servers, which counts as
+    /// current until \a currentUntil.
+    virtual void versionsCopied(const std::vector<Routing::VersionAge> &versions,
+                                Base::TimePoint currentUntil) = 0;
+    /// Returns which versions have served, for a copy; empty if this host does not know them all.
+    virtual std::optional<std::vector<Routing::VersionAge>> knownVersions() const = 0;
     /// The slots and warm-up times of servers may have changed. No server came or went by this
     /// call.
     virtual void serversRead() = 0;
@@ -98,6 +106,11 @@
     /// Time of the question whose answer last proved to this host itself that the store's data is
     /// current; empty if it does not read the store.
     const std::optional<Base::TimePoint> &ownProofAt() const { return m_ownProofAt; }
+    /// Returns until when this host's list of servers counts as current.
+    Base::TimePoint serversCurrentUntil() const;
+    /// Whether this host needs each change of the servers at once. In a very large fleet, a host
+    /// that forwards nothing does not.
+    bool hasUrgentNeedOfServers(Base::TimePoint now) const;
     /// Whether a configuration, the backend servers and the evacuated zones are known.
     bool isKnown() const { return m_table && m_servers.isKnown() && m_evacuatedZones.isKnown(); }
     /// Whether the store does not take this host's calls, or has come back so recently that entries
@@ -148,9 +161,6 @@
 
     StoreReplica(const GatewaySettings &settings, const Dependencies &dependencies);
     Base::Result<void> listen(const Settings::Address &peerAddress);
-    /// Whether this host needs each change of the servers at once. In a very large fleet, a host
-    /// that forwards nothing does not.
-    bool hasUrgentNeedOfServers(Base::TimePoint now) const;
     /// Returns for whom this host has to read the store now.
     StoreClient::ReaderRole readingDuty(Base::TimePoint now) const;
     /// Whether a host that has just started waits for a copy instead of asking the store.
--- a/src/libs/gateway/streambinding.cpp
+++ b/src/libs/gateway/streambinding.cpp
@@ -20,20 +20,22 @@
     return binding;
 }
 
-Routing::Continuation::Kind StreamBinding::bindTakenUp(const Routing::StreamOrigins &origins,
-                                                       Base::TimePoint now)
+Routing::Continuation StreamBinding::bindTakenUp(const Routing::StreamOrigins &origins,
+                                                 Base::TimePoint now)
 {
     const Routing::Continuation it = origins.continuation(m_service, m_stream, now);
-    if (it.kind == Routing::Continuation::Kind::SameVersion)
+    m_isOriginRecorded = it.kind == Routing::Continuation::Kind::SameVersion;
+    if (m_isOriginRecorded || !it.softwareVersion.empty())
         m_softwareVersion = it.softwareVersion;
-    return it.kind;
+    return it;
 }
 
 void StreamBinding::bindBegun(Routing::StreamOrigins &origins, const std::string &softwareVersion,
                               Base::TimePoint now)
 {
-    if (m_softwareVersion || !m_isResumable)
+    if (m_isOriginRecorded || !m_isResumable)
         return;
+    m_isOriginRecorded = true;
     m_softwareVersion = softwareVersion;
     if (m_stream)
         origins.recordBegun(*m_stream, {m_service, softwareVersion}, now);
--- a/src/libs/gateway/streambinding.h
+++ b/src/libs/gateway/streambinding.h
@@ -19,10 +19,9 @@
 
     /// Whether the caller takes up a stream.
     bool isTakenUp() const { return m_isTakenUp; }
-    /// Binds a stream that its caller takes up, as far as its origin is known. Returns where it may
-    /// go on.
-    Routing::Continuation::Kind bindTakenUp(const Routing::StreamOrigins &origins,
-                                            Base::TimePoint now);
+    /// Binds a stream that its caller takes up to the version that may go on with it, if there is
+    /// one. Returns where it may go on.
+    Routing::Continuation bindTakenUp(const Routing::StreamOrigins &origins, Base::TimePoint now);
     /// Binds the stream to the server that sent its first event, unless it is bound already.
     void bindBegun(Routing::StreamOrigins &origins, const std::string &softwareVersion,
                    Base::TimePoint now);
@@ -42,6 +41,8 @@
     /// Empty if the caller takes up a stream that it does not name.
     std::optional<Routing::StreamId> m_stream;
     std::optional<std::string> m_softwareVersion;
+    /// Whether the hosts are told which version began the stream.
+    bool m_isOriginRecorded = false;
 };
 
 } // namespace Gateway
--- a/src/libs/routing/serverset.cpp
+++ b/src/libs/routing/serverset.cpp
@@ -57,12 +57,14 @@
     }
     ServerChanges changes;
     std::set<Base::ServerId> present;
+    m_leavingVersions.clear();
     for (const RegisteredServer &server : listed) {
         if (isOutdated(server.start))
             continue;
         supersede(server.start, changes);
         present.insert(server.id);
         if (server.isLeaving) {
+            ++m_leavingVersions[server.service][server.softwareVersion];
             if (m_left.insert(server.id).second && erase(server.id))
                 changes.leaving.push_back(server.id);
             continue;
--- a/src/libs/routing/serverset.h
+++ b/src/libs/routing/serverset.h
@@ -131,6 +131,9 @@
     std::uint64_t fingerprint() const { return m_fingerprint; }
     /// Returns the numbers of usable servers, which are kept up to date, too.
     const ServerVersions &versions() const { return m_versions; }
+    /// Returns the numbers of servers that the last list of entries showed as leaving. They get no
+    /// new work, but may still work on open streams.
+    const ServerVersions &leavingVersions() const { return m_leavingVersions; }
     /// Returns the server with \a id, or null if it is leaving, gone or unknown.
     const RegisteredServer *usable(const Base::ServerId &id) const;
     const std::map<Base::ServerId, RegisteredServer> &servers() const { return m_servers; }
@@ -174,6 +177,7 @@
     std::map<Base::ServerId, RegisteredServer> m_servers;
     std::uint64_t m_fingerprint = 0;
     ServerVersions m_versions;
+    ServerVersions m_leavingVersions;
     /// The ids of all servers that were ever seen leaving.
     std::set<Base::ServerId> m_left;
     /// The latest start that was ever seen of each server, by the server's name.
--- a/src/libs/routing/streamorigins.cpp
+++ b/src/libs/routing/streamorigins.cpp
@@ -3,6 +3,7 @@
 #include "base/hash.h"
 
 #include <algorithm>
+#include <map>
 
 namespace Routing {
 
@@ -33,6 +34,10 @@
         return "any_server";
     case Continuation::Kind::SameVersion:
         return "same_version";
+    case Continuation::Kind::NoHistory:
+        return "no_history";
+    case Continuation::Kind::OldServers:
+        return "old_servers";
     case Continuation::Kind::Unknown:
         break;
     }
@@ -40,30 +45,40 @@
 }
 
 StreamOrigins::StreamOrigins()
-    : m_memory(minMemory)
-{}
+{
+    setLongestStream(Base::Duration::zero());
+}
 
 void StreamOrigins::setLongestStream(Base::Duration time)
 {
     m_memory = std::max(minMemory, time * memoryFactor);
+    m_versions.setMemory(m_memory);
 }
 
 void StreamOrigins::setVersions(const ServerVersions &versions, Base::TimePoint now)
 {
     for (const auto &[service, ofService] : versions) {
         for (const auto &[version, n] : ofService)
-            recordVersion({service, version}, now);
+            recordVersion({service, version}, now, now);
     }
 }
 
-void StreamOrigins::recordVersion(const StreamOrigin &origin, Base::TimePoint now)
+void StreamOrigins::recordVersion(const ServiceVersion &version, Base::TimePoint seenAt,
+                                  Base::TimePoint now)
 {
-    const bool wasMixed = isMixed(origin.service, now);
-    m_versionsSeenAt[origin.service][origin.softwareVersion] = now;
-    if (wasMixed || !isMixed(origin.service, now))
+    const bool wasMixed = m_versions.isMixed(version.service, now);
+    m_versions.record(version, seenAt);
+    if (wasMixed || !m_versions.isMixed(version.service, now))
         return;
     // Callers of all open streams may take them up while both versions serve.
-    reportAll(Source::Self, origin.service, now);
+    reportAll(Source::Self, version.service, now);
+}
+
+void StreamOrigins::setServersCurrentUntil(Base::TimePoint until, Base::TimePoint now)
+{
+    if (!areServersCurrent(now))
+        m_isHistoryKnown = false;
+    m_serversCurrentUntil = until;
 }
 
 void StreamOrigins::reportAll(Source source, const std::string &service, Base::TimePoint now)
@@ -79,27 +94,17 @@
     }
 }
 
-bool StreamOrigins::isMixed(const std::string &service, Base::TimePoint now) const
-{
-    const auto versions = m_versionsSeenAt.find(service);
-    if (versions == m_versionsSeenAt.end())
-        return false;
-    return std::ranges::count_if(versions->second,
-                                 [&](const auto &it) { return now - it.second < m_memory; })
-           > 1;
-}
-
-void StreamOrigins::recordBegun(StreamId stream, const StreamOrigin &origin, Base::TimePoint now)
+void StreamOrigins::recordBegun(StreamId stream, const ServiceVersion &origin, Base::TimePoint now)
 {
     add(stream, origin, Source::Self, now);
-    if (isMixed(origin.service, now))
+    if (m_versions.isMixed(origin.service, now))
         m_reported.push_back({stream, now});
 }
 
-void StreamOrigins::add(StreamId stream, const StreamOrigin &origin, Source source,
+void StreamOrigins::add(StreamId stream, const ServiceVersion &origin, Source source,
                         Base::TimePoint now)
 {
-    const StreamOrigin &shared = *m_origins.insert(origin).first;
+    const ServiceVersion &shared = *m_origins.insert(origin).first;
     if (!m_streams.try_emplace(stream, Entry{&shared, source, now}).second)
         return;
     m_byAge.push_back({stream, now});
@@ -113,7 +118,7 @@
                           Base::TimePoint now)
 {
     for (const StreamReport &report : reports) {
-        recordVersion(report.origin, now);
+        recordVersion(report.origin, now, now);
         for (const StreamId stream : report.streams) {
             if (m_streams.count(stream) > 0)
                 continue;
@@ -128,16 +133,14 @@
 {
     // Many hosts may start at once, and each of them needs all streams.
     m_reported.clear();
-    for (const auto &[service, versions] : m_versionsSeenAt) {
-        if (isMixed(service, now))
-            reportAll(source, service, now);
-    }
+    for (const std::string &service : m_versions.mixedServices(now))
+        reportAll(source, service, now);
     return !m_reported.empty();
 }
 
 std::vector<StreamReport> StreamOrigins::reports(Source source, Base::TimePoint now) const
 {
-    std::map<const StreamOrigin *, std::set<StreamId>> byOrigin;
+    std::map<const ServiceVersion *, std::set<StreamId>> byOrigin;
     std::size_t count = 0;
     // The newest streams come first, since the others were in earlier reports.
     for (auto it = m_reported.rbegin(); it != m_reported.rend() && count < maxReported; ++it) {
@@ -161,9 +164,15 @@
     const auto found = stream ? m_streams.find(*stream) : m_streams.end();
     if (found != m_streams.end() && found->second.origin->service == service)
         return {Continuation::Kind::SameVersion, found->second.origin->softwareVersion};
-    if (isMixed(service, now))
+    const std::vector<std::string> versions = m_versions.versions(service, now);
+    if (versions.size() > 1)
         return {Continuation::Kind::Unknown, {}};
-    return {Continuation::Kind::AnyServer, {}};
+    if (!areServersCurrent(now))
+        return {Continuation::Kind::OldServers, {}};
+    if (!m_isHistoryKnown)
+        return {Continuation::Kind::NoHistory, {}};
+    // A stream that waits for a place must not go on at a version that appears meanwhile.
+    return {Continuation::Kind::AnyServer, versions.empty() ? std::string() : versions.front()};
 }
 
 void StreamOrigins::advance(Base::TimePoint now)
@@ -174,6 +183,7 @@
     }
     while (!m_reported.empty() && now - m_reported.front().at >= reportedFor)
         m_reported.pop_front();
+    m_versions.advance(now);
 }
 
 } // namespace Routing
--- a/src/libs/routing/streamorigins.h
+++ b/src/libs/routing/streamorigins.h
@@ -3,11 +3,10 @@
 #include "base/ids.h"
 #include "base/time.h"
 #include "routing/serverset.h"
+#include "routing/versionhistory.h"
 
-#include <compare>
 #include <cstdint>
 #include <deque>
-#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -21,19 +20,10 @@
 
 StreamId streamId(const Base::CustomerId &customer, const std::string &requestId);
 
-/// The service and the software version of the server that began a stream.
-struct StreamOrigin
-{
-    std::string service;
-    std::string softwareVersion;
-
-    auto operator<=>(const StreamOrigin &) const = default;
-};
-
-/// Streams of one origin, as hosts report them to each other.
+/// Streams that servers of one version began, as hosts report them to each other.
 struct StreamReport
 {
-    StreamOrigin origin;
+    ServiceVersion origin;
     std::vector<StreamId> streams;
 
     bool operator==(const StreamReport &) const = default;
@@ -45,11 +35,17 @@
     enum class Kind {
         AnyServer,   ///< The service has had servers of one version only.
         SameVersion, ///< At a server of the version that began the stream.
-        Unknown,     ///< It is not known which version began the stream.
+        Unknown,     ///< Servers of several versions may have begun the stream.
+        NoHistory,   ///< It is not known which versions have served.
+        OldServers,  ///< It is not known which versions serve now.
     };
 
+    /// Whether the stream may go on.
+    bool isAllowed() const { return kind == Kind::AnyServer || kind == Kind::SameVersion; }
+
     Kind kind = Kind::AnyServer;
-    /// Set for Kind::SameVersion.
+    /// The version that goes on with the stream. Empty if the stream may not go on, or if the
+    /// service has had no servers.
     std::string softwareVersion;
 };
 
@@ -62,7 +58,9 @@
 /// not fit together, and servers do not check what they continue. Callers take streams up at any
 /// host, often because the host that began them has ended, so hosts tell each other the origins of
 /// their streams while a service has servers of several versions, and all that they know to a host
-/// that has started. An origin that is not known is never guessed.
+/// that has started. An origin that is not known is never guessed: such a stream only goes on if it
+/// is certain that one version alone can have begun it. For that, this host must know which
+/// versions have served lately, also before its start, and that its list of servers is current.
 class StreamOrigins
 {
 public:
@@ -81,8 +79,19 @@
     /// Notes the versions of the servers in use. Must be called when servers change, and every
     /// second.
     void setVersions(const ServerVersions &versions, Base::TimePoint now);
+    /// Notes that servers of \a version were listed at \a seenAt, by whatever source.
+    void recordVersion(const ServiceVersion &version, Base::TimePoint seenAt, Base::TimePoint now);
+    /// The versions that may have begun open streams, as far as this host knows.
+    const VersionHistory &versions() const { return m_versions; }
+    /// Notes whether all versions are known that served before now.
+    void setHistoryKnown(bool isKnown) { m_isHistoryKnown = isKnown; }
+    bool isHistoryKnown() const { return m_isHistoryKnown; }
+    /// Notes until when this host's list of servers counts as current. If it has not been current
+    /// meanwhile, versions may have come and gone, and the history is not known any more.
+    void setServersCurrentUntil(Base::TimePoint until, Base::TimePoint now);
+    bool areServersCurrent(Base::TimePoint now) const { return now < m_serversCurrentUntil; }
     /// Records that the first event of \a stream was forwarded by this host.
-    void recordBegun(StreamId stream, const StreamOrigin &origin, Base::TimePoint now);
+    void recordBegun(StreamId stream, const ServiceVersion &origin, Base::TimePoint now);
     /// Takes in what another host reports. If \a relays, this host's reports will contain it too.
     void apply(const std::vector<StreamReport> &reports, Source source, bool relays,
                Base::TimePoint now);
@@ -103,7 +112,7 @@
 private:
     struct Entry
     {
-        const StreamOrigin *origin = nullptr;
+        const ServiceVersion *origin = nullptr;
         Source source = Source::Self;
         Base::TimePoint knownAt;
     };
@@ -113,17 +122,16 @@
         Base::TimePoint at;
     };
 
-    void add(StreamId stream, const StreamOrigin &origin, Source source, Base::TimePoint now);
+    void add(StreamId stream, const ServiceVersion &origin, Source source, Base::TimePoint now);
     /// Reports all streams of \a service that hosts up to \a source began, a part at a time.
     void reportAll(Source source, const std::string &service, Base::TimePoint now);
-    /// Returns whether servers of several versions have served in \a service recently.
-    bool isMixed(const std::string &service, Base::TimePoint now) const;
-    void recordVersion(const StreamOrigin &origin, Base::TimePoint now);
 
-    Base::Duration m_memory;
+    Base::Duration m_memory{};
     /// Never shrinks; it has an element for each version of each service.
-    std::set<StreamOrigin> m_origins;
-    std::map<std::string, std::map<std::string, Base::TimePoint>> m_versionsSeenAt;
+    std::set<ServiceVersion> m_origins;
+    VersionHistory m_versions;
+    bool m_isHistoryKnown = false;
+    Base::TimePoint m_serversCurrentUntil = Base::TimePoint::min();
     std::unordered_map<StreamId, Entry> m_streams;
     /// The streams in the order in which they became known.
     std::deque<TimedStream> m_byAge;
--- a/tests/auto/gateway/fakestore.h
+++ b/tests/auto/gateway/fakestore.h
@@ -114,6 +114,32 @@
         return RolloutWriting{revision > 0, revision};
     }
 
+    HttpCall readVersions(const std::string &continueFrom) const override
+    {
+        return {"GET", "/versions" + continueFrom, {}};
+    }
+    Base::Result<VersionReading> versions(const HttpAnswer &answer) const override
+    {
+        BOOST_LEAF_CHECK(checked(answer));
+        return VersionReading{versionRows, malformedVersionRows, {}, std::chrono::seconds(100)};
+    }
+    HttpCall writeVersions(const VersionChanges &changes) const override
+    {
+        versionChanges.push_back(changes);
+        return {"POST", "/version", {}};
+    }
+    /// The answer is the version of the store at which the rows were written; 0 if they were not.
+    Base::Result<VersionWriting> versionsWritten(const HttpAnswer &answer) const override
+    {
+        BOOST_LEAF_CHECK(checked(answer));
+        const std::uint64_t revision = std::stoull(answer.body);
+        return VersionWriting{revision > 0, revision};
+    }
+
+    std::vector<VersionRow> versionRows;
+    std::vector<VersionRow> malformedVersionRows;
+    /// The changes of rows of software versions that were to be written.
+    mutable std::vector<VersionChanges> versionChanges;
     std::vector<HostRow> rows;
     /// Further rows of hosts, page by page.
     mutable std::deque<std::vector<HostRow>> nextHosts;
--- a/tests/auto/gateway/tst_fleetview.cpp
+++ b/tests/auto/gateway/tst_fleetview.cpp
@@ -318,6 +318,7 @@
     before.scope = ReportScope::Fleet;
     before.store = {7,  8,  9, {}, milliseconds(900), milliseconds(300), {Base::ZoneId("y")},
                     31, {}, 0, 0};
+    before.store.versions = {{{"pool", "v1"}, milliseconds(700)}};
     before.store.serverChanges = {{Routing::ServerChange::Kind::Leaving, {}},
                                   {Routing::ServerChange::Kind::Found,
                                    {Base::ServerId("t@9"),
--- a/tests/auto/gateway/tst_storereplica.cpp
+++ b/tests/auto/gateway/tst_storereplica.cpp
@@ -34,6 +34,23 @@
     void rolloutOrdersChanged() override {}
     void unreadableEntriesChanged(const std::set<std::string> &) override {}
     void storeCallFinished(const char *, bool) override {}
+    void leavingVersionsRead(const Routing::ServerVersions &versions) override
+    {
+        leavingVersions = versions;
+    }
+    void versionsCopied(const std::vector<Routing::VersionAge> &versions, Base::TimePoint) override
+    {
+        copiedVersions = versions;
+    }
+    std::optional<std::vector<Routing::VersionAge>> knownVersions() const override
+    {
+        return versions;
+    }
+
+    /// What this host knows, was told by another host, and has read itself.
+    std::optional<std::vector<Routing::VersionAge>> versions;
+    std::optional<std::vector<Routing::VersionAge>> copiedVersions;
+    Routing::ServerVersions leavingVersions;
 };
 
 Settings::Address freeAddress(boost::asio::io_context &io)
@@ -70,6 +87,7 @@
         return {m_settings.host, m_settings.zone, toString(m_settings.peerAddress)};
     }
     FleetView &view() { return *m_view; }
+    IgnoringListener &listener() { return m_listener; }
     HostReport report(const DueReport &order, Base::TimePoint now)
     {
         HostReport it;
@@ -339,6 +357,46 @@
     CHECK(zone.store.calls["/row"] <= 1);
 }
 
+// Guards against streams that go on at another version at a host that has just started beside
+// others.
+TEST_CASE("a copy of the servers tells which versions have served", "[gateway]")
+{
+    const std::vector<Routing::VersionAge> versions{{{"pool", "v1"}, seconds(3)},
+                                                    {{"pool", "v2"}, Base::Milliseconds(0)}};
+    StoreFleet zone;
+    zone.addHosts(1);
+    zone.listHosts();
+    REQUIRE(zone.runUntil([&] { return zone.allHoldVersion(7); }));
+    zone.hosts[0]->listener().versions = versions;
+    zone.runFor(milliseconds(1200));
+    zone.addHosts(1);
+    REQUIRE(zone.runUntil([&] { return zone.allHoldVersion(7); }));
+    CHECK(zone.hosts[1]->listener().copiedVersions == versions);
+    // A host that does not know all versions tells none.
+    zone.hosts[0]->listener().versions.reset();
+    zone.runFor(milliseconds(1200));
+    zone.addHosts(1);
+    REQUIRE(zone.runUntil([&] { return zone.allHoldVersion(7); }));
+    CHECK_FALSE(zone.hosts[2]->listener().copiedVersions);
+}
+
+// Guards against hosts that start without a word of the servers at which open streams began.
+TEST_CASE("a host that reads the store learns the versions of servers that leave", "[gateway]")
+{
+    StoreFleet zone;
+    Routing::RegisteredServer leaving = zone.protocol.entries.front();
+    leaving.id = Base::ServerId("s-2");
+    leaving.start.name = "s-2";
+    leaving.softwareVersion = "v0";
+    leaving.isLeaving = true;
+    zone.protocol.entries.push_back(leaving);
+    zone.addHosts(1);
+    REQUIRE(zone.runUntil([&] { return zone.allHoldVersion(7); }));
+    const Routing::ServerVersions expected{{"pool", {{"v0", 1}}}};
+    CHECK(zone.hosts[0]->listener().leavingVersions == expected);
+    CHECK(zone.hosts[0]->replica->servers().versions().at("pool").count("v0") == 0);
+}
+
 TEST_CASE("hosts that start together find each other, and only one continues to read the store",
           "[gateway]")
 {
--- a/tests/auto/platformadapter/tst_storecodec.cpp
+++ b/tests/auto/platformadapter/tst_storecodec.cpp
@@ -3,6 +3,7 @@
 #include "platform/rowtext.h"
 #include "platform/servertext.h"
 #include "platform/storecodec.h"
+#include "platform/versiontext.h"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
@@ -461,6 +462,63 @@
           == Outcome::Refused);
 }
 
+TEST_CASE("rows of software versions are written and read back", "[platform]")
+{
+    const StoreCodec codec;
+    rc::prop("any names and times", [&] {
+        const auto names = rc::gen::container<std::string>(rc::gen::inRange<char>(1, 127));
+        Gateway::VersionRow row{{*names, *names}, std::nullopt, {}, 3};
+        if (*rc::gen::arbitrary<bool>())
+            row.goneAt = Base::Milliseconds(*rc::gen::inRange(0, 1'000'000));
+        const std::string key = versionKey(row.version);
+        const auto reading = codec.versions({200, rowsBody(key, versionText(row))});
+        RC_ASSERT(reading);
+        row.key = key;
+        RC_ASSERT(reading->rows == std::vector{row});
+        RC_ASSERT(reading->storeTime == Base::Milliseconds(51230));
+    });
+    rc::prop("arbitrary bytes in one row beside a good one", [&](const std::string &bytes) {
+        const Gateway::VersionRow good{{"pool", "v1"}, std::nullopt, {}, 3};
+        const auto reading = codec.versions(
+            {200, rowsBody({{"x", bytes}, {versionKey(good.version), versionText(good)}})});
+        RC_ASSERT(reading);
+        RC_ASSERT(reading->rows.size() == 1);
+        RC_ASSERT(reading->malformed.size() == 1);
+        RC_ASSERT(reading->malformed.front().key == "x");
+        RC_ASSERT(reading->malformed.front().revision == 3);
+    });
+    // A row under the key of another version would be written again and again.
+    const Gateway::VersionRow other{{"pool", "v2"}, std::nullopt, {}, 3};
+    const auto misplaced = codec.versions({200, rowsBody("x", versionText(other))});
+    REQUIRE(misplaced);
+    CHECK(misplaced->rows.empty());
+    CHECK(misplaced->malformed.size() == 1);
+}
+
+TEST_CASE("rows of software versions are written only over those they are based on", "[platform]")
+{
+    const StoreCodec codec;
+    CHECK(codec.readVersions({}).target == "/-/rows-get?table=versions&part=");
+    const Gateway::VersionRow added{{"pool", "v2"}, std::nullopt, {}, 0};
+    const Gateway::VersionRow removed{{}, std::nullopt, "x", 12};
+    const Json body = Json::parse(codec.writeVersions({{added}, {removed}}).body);
+    const std::string key = versionKey(added.version);
+    CHECK(body["expectedRevision"]
+          == Json::array({{{"table", "versions"}, {"part", ""}, {"key", key}, {"ver", 0}},
+                          {{"table", "versions"}, {"part", ""}, {"key", "x"}, {"ver", 12}}}));
+    CHECK(body["puts"][0]["key"] == key);
+    CHECK(body["remove"] == Json::array({{{"table", "versions"}, {"part", ""}, {"key", "x"}}}));
+    const auto written = codec.versionsWritten({200, R"({"ver":44,"nowMs":1})"});
+    REQUIRE(written);
+    CHECK(written->isWritten);
+    CHECK(written->revision == 44);
+    const auto refused = codec.versionsWritten({412, R"({"rows":[]})"});
+    REQUIRE(refused);
+    CHECK_FALSE(refused->isWritten);
+    CHECK(outcomeOf([&] { return codec.versionsWritten({503, ""}); }) == Outcome::Refused);
+    CHECK(outcomeOf([&] { return codec.versionsWritten({200, "{}"}); }) == Outcome::Malformed);
+}
+
 TEST_CASE("rows of hosts are read page by page", "[platform]")
 {
     const StoreCodec codec;
--- a/tests/auto/routing/tst_streamorigins.cpp
+++ b/tests/auto/routing/tst_streamorigins.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -21,6 +22,8 @@
 
 constexpr Base::TimePoint start{seconds(1000)};
 const std::string pool = "pool";
+/// How long the list of a host that is cut off counts as current.
+constexpr Base::Duration listValidity = seconds(2);
 
 /// Returns a server for each element of \a versions.
 std::vector<RegisteredServer> servers(const std::vector<std::string> &versions,
@@ -47,6 +50,13 @@
     origins.setVersions(counts, now);
 }
 
+/// Notes that the host knows everything about versions up to now, and for an hour more.
+void setAllKnown(StreamOrigins &origins, Base::TimePoint now)
+{
+    origins.setServersCurrentUntil(now + std::chrono::hours(1), now);
+    origins.setHistoryKnown(true);
+}
+
 Work prompt(WorkId id, Base::TimePoint now)
 {
     Work work;
@@ -106,6 +116,7 @@
 {
     StreamOrigins origins;
     origins.setLongestStream(seconds(40));
+    setAllKnown(origins, start);
     setServers(origins, {"v1"}, start);
     CHECK(origins.continuation(pool, 1, start).kind == Kind::AnyServer);
     setServers(origins, {"v2"}, start + seconds(1));
@@ -117,6 +128,129 @@
     CHECK(origins.continuation(pool, 1, start + seconds(81)).kind == Kind::AnyServer);
 }
 
+// Guards against streams of the old version that go on at the new one after all hosts were killed.
+TEST_CASE("a host that has just started does not guess which version began a stream", "[routing]")
+{
+    const bool isOldVersionLeaving = GENERATE(false, true);
+    StreamOrigins origins;
+    origins.setLongestStream(seconds(15));
+    setServers(origins, {"v2", "v2"}, start);
+    CHECK(origins.continuation(pool, 1, start).kind == Kind::OldServers);
+    origins.setServersCurrentUntil(start + std::chrono::hours(1), start);
+    CHECK(origins.continuation(pool, 1, start).kind == Kind::NoHistory);
+    // Before the host has read the rows of versions, an entry may tell of a server that leaves.
+    if (isOldVersionLeaving) {
+        origins.setVersions({{pool, {{"v1", 1}}}}, start);
+        CHECK(origins.continuation(pool, 1, start).kind == Kind::Unknown);
+    }
+    origins.recordVersion({pool, "v1"}, start - seconds(5), start);
+    origins.recordVersion({pool, "v2"}, start, start);
+    origins.setHistoryKnown(true);
+    CHECK(origins.continuation(pool, 1, start).kind == Kind::Unknown);
+    CHECK_FALSE(origins.continuation(pool, 1, start).isAllowed());
+    // By then, the old version is too long gone for an open stream.
+    const Base::TimePoint later = start + seconds(isOldVersionLeaving ? 30 : 25);
+    setServers(origins, {"v2"}, later);
+    CHECK(origins.continuation(pool, 1, later).kind == Kind::AnyServer);
+    CHECK(origins.continuation(pool, 1, later).softwareVersion == "v2");
+}
+
+// Guards against streams that go on at a version that a suspended or cut off host takes for the
+// only one.
+TEST_CASE("a host whose list of servers is old does not guess which version began a stream",
+          "[routing]")
+{
+    StreamOrigins origins;
+    setServers(origins, {"v1"}, start);
+    origins.setServersCurrentUntil(start + seconds(2), start);
+    origins.setHistoryKnown(true);
+    CHECK(origins.continuation(pool, 1, start + seconds(1)).isAllowed());
+    // The proofs go on, and then they stop.
+    origins.setServersCurrentUntil(start + seconds(4), start + seconds(1));
+    CHECK(origins.continuation(pool, 1, start + seconds(3)).isAllowed());
+    const Base::TimePoint back = start + seconds(10);
+    CHECK(origins.continuation(pool, 1, back).kind == Kind::OldServers);
+    // A version may have come and gone meanwhile.
+    origins.setServersCurrentUntil(back + seconds(2), back);
+    CHECK(origins.continuation(pool, 1, back).kind == Kind::NoHistory);
+    origins.recordVersion({pool, "v2"}, back - seconds(3), back);
+    origins.setHistoryKnown(true);
+    CHECK(origins.continuation(pool, 1, back).kind == Kind::Unknown);
+    // A stream whose origin is known goes on there, whatever else is not known.
+    origins.recordBegun(2, {pool, "v1"}, start);
+    CHECK(origins.continuation(pool, 2, back + seconds(9)).softwareVersion == "v1");
+}
+
+TEST_CASE("no stream goes on at another version, whenever hosts start and versions come and go",
+          "[routing]")
+{
+    rc::prop("versions are replaced and rolled back, hosts are killed, cut off or told late", [] {
+        struct Host
+        {
+            std::unique_ptr<StreamOrigins> origins = std::make_unique<StreamOrigins>();
+            bool isCutOff = false;
+        };
+        const std::vector<std::string> names{"v1", "v2", "v3"};
+        std::vector<Host> hosts(3);
+        // What the store holds: the versions that are listed, with the time since when, and when
+        // any version was last listed.
+        std::map<std::string, Base::TimePoint> rows{{"v1", start}};
+        std::map<std::string, Base::TimePoint> listed{{"v1", start}};
+        std::map<StreamId, std::pair<std::string, Base::TimePoint>> begun;
+        const auto readStore = [&](Host &host, Base::TimePoint now) {
+            std::vector<std::string> versions;
+            for (const auto &[version, since] : listed)
+                versions.push_back(version);
+            setServers(*host.origins, versions, now);
+            host.origins->setServersCurrentUntil(now + listValidity, now);
+            if (host.origins->isHistoryKnown())
+                return;
+            for (const auto &[version, seenAt] : rows)
+                host.origins->recordVersion({pool, version}, seenAt, now);
+            host.origins->setHistoryKnown(true);
+        };
+        for (StreamId stream = 1; stream < 100; ++stream) {
+            const Base::TimePoint now = start + milliseconds(700) * static_cast<int>(stream);
+            const int event = *rc::gen::inRange(0, 8);
+            const std::string version = *rc::gen::elementOf(names);
+            Host &changed = hosts[*rc::gen::inRange<std::size_t>(0, hosts.size())];
+            if (event == 0)
+                listed.try_emplace(version, now);
+            else if (event == 1 && listed.size() > 1)
+                listed.erase(version);
+            else if (event == 2)
+                changed = {};
+            else if (event == 3)
+                changed.isCutOff = !changed.isCutOff;
+            else if (event == 4)
+                std::ranges::for_each(hosts, [](Host &it) { it = {}; });
+            for (const auto &[it, since] : listed)
+                rows[it] = now;
+            for (Host &host : hosts) {
+                if (!host.isCutOff)
+                    readStore(host, now);
+                host.origins->advance(now);
+            }
+            Host &first = hosts[*rc::gen::inRange<std::size_t>(0, hosts.size())];
+            const auto [chosen, since] =
+                *std::next(listed.begin(), *rc::gen::inRange<int>(0, listed.size()));
+            if (!first.isCutOff && now - since >= listValidity) {
+                begun[stream] = {chosen, now};
+                first.origins->recordBegun(stream, {pool, chosen}, now);
+            }
+            for (const auto &[asked, origin] : begun) {
+                // A stream ends within half of the time for which versions are remembered.
+                if (now - origin.second > seconds(15))
+                    continue;
+                for (const Host &host : hosts) {
+                    const Continuation it = host.origins->continuation(pool, asked, now);
+                    RC_ASSERT(!it.isAllowed() || it.softwareVersion == origin.first);
+                }
+            }
+        }
+    });
+}
+
 TEST_CASE("no host names a wrong version, whatever is lost", "[routing]")
 {
     rc::prop("hosts are killed and reports lost", [] {
--- a/tests/processes/deployment.sh
+++ b/tests/processes/deployment.sh
@@ -145,3 +145,37 @@
         fleet_until "both gateways at $i" lists_gateways "$i" 2
     done
 }
+
+# try GATEWAY N ID CURL_ARGUMENT...: sends a try of stream N with the id. Prints the status.
+try() {
+    local gateway=$1 n=$2 id=$3
+    shift 3
+    curl -s --max-time 15 -o "$FLEET_DIR/body" -w '%{http_code}' \
+        "http://$FLEET_IP:1972$gateway/stream/$n" -H 'Host: cars.example' -H 'Deadline-Ms: 8000' \
+        -H "Attempt-Id: $id" -H 'Authorization: Bearer key-1' -H 'Model: m' \
+        -H 'Token-Count: 700,40' -H "Prefix-Hash: a$n:500,b$n:200" -d 'a question' "$@" || true
+}
+
+# journals PORT...: prints the paths of the requests that the servers ran.
+journals() {
+    local port
+    for port in "$@"; do
+        curl -sf "http://$FLEET_IP:$port/journal" | jq -r '.requests[].path'
+    done | sort -u
+}
+
+# mixed: prints how many streams have run at servers of both versions.
+mixed() {
+    comm -12 <(journals 19711 19712) <(journals 19714 19715) | wc -l
+}
+
+# resumed GATEWAY N: whether the gateway goes on with stream N after its third event.
+resumed() {
+    [ "$(try "$1" "$2" "again-$RANDOM$RANDOM" -H 'Last-Event-Id: 3' -H "Resumes: s-$2")" = 200 ]
+}
+
+# knows N CHANGE COUNT: whether gateway N has logged a change (found, leaving, gone) of COUNT
+# servers since its start.
+knows() {
+    [ "$(grep -c '"server.'"$2"'"' "$FLEET_DIR/gateway-$1.out")" = "$3" ]
+}
--- a/tests/processes/streamversions.sh
+++ b/tests/processes/streamversions.sh
@@ -13,39 +13,10 @@
     fleet_standin "server-$i" deployedserverstandin "1971$i" --id "i-$i" --work-ms 20
     VERSION=v2 server "$i" pool ready
 done
-knows() { [ "$(grep -c '"server.found"' "$FLEET_DIR/gateway-$1.out")" = 5 ]; }
 for i in 1 2; do
-    fleet_until "the new servers at gateway $i" knows "$i"
+    fleet_until "the new servers at gateway $i" knows "$i" found 5
 done
 
-# try GATEWAY N ID CURL_ARGUMENT...: sends a try of stream N with the id. Prints the status.
-try() {
-    local gateway=$1 n=$2 id=$3
-    shift 3
-    curl -s --max-time 15 -o "$FLEET_DIR/body" -w '%{http_code}' \
-        "http://$FLEET_IP:1972$gateway/stream/$n" -H 'Host: cars.example' -H 'Deadline-Ms: 8000' \
-        -H "Attempt-Id: $id" -H 'Authorization: Bearer key-1' -H 'Model: m' \
-        -H 'Token-Count: 700,40' -H "Prefix-Hash: a$n:500,b$n:200" -d 'a question' "$@" || true
-}
-
-# journals PORT...: prints the paths of the requests that the servers ran.
-journals() {
-    local port
-    for port in "$@"; do
-        curl -sf "http://$FLEET_IP:$port/journal" | jq -r '.requests[].path'
-    done | sort -u
-}
-
-# mixed: prints how many streams have run at servers of both versions.
-mixed() {
-    comm -12 <(journals 19711 19712) <(journals 19714 19715) | wc -l
-}
-
-# resumed GATEWAY N: whether the gateway goes on with stream N after its third event.
-resumed() {
-    [ "$(try "$1" "$2" "again-$RANDOM$RANDOM" -H 'Last-Event-Id: 3' -H "Resumes: s-$2")" = 200 ]
-}
-
 # Servers crash in the middle of streams, which the gateway resumes.
 for port in 19711 19712 19714 19715; do
     fault $port '{"mode":"cut","afterEvents":3,"count":4}'
