Log the connection of a failed attempt

Also: calls about versions are repeated each second at the latest while the store fails, as other calls are.

--- a/src/libs/gateway/backendconnection.cpp
+++ b/src/libs/gateway/backendconnection.cpp
@@ -25,6 +25,12 @@
 /// Number of late answers that are skipped before the connection is closed.
 constexpr int maxLateAnswers = 3;
 
+std::uint64_t nextNumber()
+{
+    static std::uint64_t s_last = 0;
+    return ++s_last;
+}
+
 Base::Duration keepAliveTimeout(const ResponseHead &head)
 {
     const std::string_view text = field(head, "Keep-Alive");
@@ -44,6 +50,7 @@
                                      ConnectionOwner &owner)
     : m_socket(io)
     , m_serverKey(std::move(serverKey))
+    , m_number(nextNumber())
     , m_names(&names)
     , m_readBuffer(&readBuffer)
     , m_owner(&owner)
--- a/src/libs/gateway/backendconnection.h
+++ b/src/libs/gateway/backendconnection.h
@@ -97,6 +97,8 @@
     void close();
 
     const std::string &serverKey() const { return m_serverKey; }
+    /// A number that no other connection of this process has.
+    std::uint64_t number() const { return m_number; }
     bool isConnected() const { return m_isConnected; }
     bool isIdle() const { return m_isConnected && !m_listener && m_socket.is_open(); }
     /// When the server may soon close the connection: it must not be reused from then on.
@@ -119,6 +121,7 @@
 
     Tcp::socket m_socket;
     std::string m_serverKey;
+    std::uint64_t m_number;
     const HeaderNames *m_names;
     std::string *m_readBuffer;
     ConnectionOwner *m_owner;
--- a/src/libs/gateway/exchange.cpp
+++ b/src/libs/gateway/exchange.cpp
@@ -165,6 +165,7 @@
         handleFailedAttempt(*attempt, AttemptOutcome::NoRoom, false);
         return;
     }
+    attempt->record.connection = connection->number();
     // The attempt may have failed within the call, and another one may already be under way.
     if (m_state == State::Sent && m_current == attempt)
         attempt->connection = std::move(connection);
--- a/src/libs/gateway/requestrecord.cpp
+++ b/src/libs/gateway/requestrecord.cpp
@@ -57,6 +57,7 @@
         .add("parts", sharedPartsText(accepted.work.parts))
         .add("version", record.attempt.softwareVersion)
         .add("server", record.attempt.server.value())
+        .add("connection", record.attempt.connection)
         .add("outcome", Routing::nameOf(failed.outcome))
         .add("maybeRan", failed.maybeRan)
         .add("repeats", failed.isRepeated)
--- a/src/libs/gateway/requestrecord.h
+++ b/src/libs/gateway/requestrecord.h
@@ -23,6 +23,8 @@
     std::string softwareVersion;
     Routing::PlacementInputs inputs;
     Base::ServerId fetchFrom;
+    /// The number of the connection (BackendConnection::number()); 0 if there was none.
+    std::uint64_t connection = 0;
     Base::TimePoint sentAt;
     Base::Duration expectedStart{};
     /// The server's remaining backoff when the attempt began.
--- a/src/libs/gateway/versionrows.cpp
+++ b/src/libs/gateway/versionrows.cpp
@@ -14,7 +14,7 @@
 
 constexpr Base::Duration callTimeout = milliseconds(1000);
 constexpr Base::Duration firstRetryPause = milliseconds(250);
-constexpr Base::Duration maxRetryPause = milliseconds(4000);
+constexpr Base::Duration maxRetryPause = milliseconds(1000);
 /// A host that becomes the writer relies on rows that it has read this recently.
 constexpr Base::Duration rowsLifetime = milliseconds(2000);
 /// The store accepts 100 entries in one transaction; each change takes two.
