Send no request again on a connection that has carried it

A request that may not be repeated was answered 503, the promise that it has not run and never will, and its server ran it.

Cause: a connection matches an answer by the request's id, which all sendings of a request share. The pool gave the second sending the connection on which the first one was refused, so a second copy of the refusal, which faulty servers send where the next answer is expected, passed for the answer to it. The same holds for copies of a 421, 429, 500 or a whole answer.

Why this works: copies come on the connection of the answer that they repeat, and on each connection only one sending has the id. Mostly another connection is idle, so that nothing is opened; closing connections after refusals would open one for each.

--- a/src/libs/gateway/backendconnection.cpp
+++ b/src/libs/gateway/backendconnection.cpp
@@ -1,5 +1,6 @@
 #include "gateway/backendconnection.h"
 
+#include "base/hash.h"
 #include "gateway/boottime.h"
 
 #include <boost/asio/ip/address_v4.hpp>
@@ -7,6 +8,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace Gateway {
@@ -24,6 +26,9 @@
 constexpr Base::Duration keepAliveMargin = std::chrono::milliseconds(700);
 /// Number of late answers that are skipped before the connection is closed.
 constexpr int maxLateAnswers = 3;
+/// Number of requests whose ids a connection remembers. A busy connection carries fewer in the time
+/// in which a request may be sent again.
+constexpr std::size_t maxCarriedIds = 256;
 
 std::uint64_t nextNumber()
 {
@@ -71,6 +76,9 @@
     m_parser.reset();
     m_output.clear();
     m_output.append(m_attempt.text);
+    m_carriedIds.push_back(Base::stableHash(m_attempt.requestId));
+    if (m_carriedIds.size() > maxCarriedIds)
+        m_carriedIds.pop_front();
     if (m_isConnected) {
         m_isUsed = true;
         m_owner->requestWritten(*this);
@@ -156,6 +164,11 @@
     return n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
+bool BackendConnection::hasCarried(const std::string &requestId) const
+{
+    return std::ranges::count(m_carriedIds, Base::stableHash(requestId)) > 0;
+}
+
 void BackendConnection::waitRead()
 {
     if (m_isWaitingRead || m_isPaused || !m_socket.is_open())
--- a/src/libs/gateway/backendconnection.h
+++ b/src/libs/gateway/backendconnection.h
@@ -10,6 +10,7 @@
 #include <boost/beast/http/parser.hpp>
 
 #include <cstdint>
+#include <deque>
 #include <memory>
 #include <optional>
 #include <string>
@@ -66,6 +67,9 @@
 /// request, which arrives where the next answer is expected. Such a late answer is skipped. Any
 /// other unsolicited data closes the connection.
 ///
+/// The id does not tell several sendings of one request apart. A request must therefore not be sent
+/// on a connection that has carried it before (hasCarried()).
+///
 /// An answer is read within the limits of answerfault.h, so that a server that sends without end
 /// takes neither memory nor time without end.
 class BackendConnection final : public std::enable_shared_from_this<BackendConnection>
@@ -101,6 +105,8 @@
     std::uint64_t number() const { return m_number; }
     bool isConnected() const { return m_isConnected; }
     bool isIdle() const { return m_isConnected && !m_listener && m_socket.is_open(); }
+    /// Whether a request with this id was sent on the connection before.
+    bool hasCarried(const std::string &requestId) const;
     /// When the server may soon close the connection: it must not be reused from then on.
     Base::TimePoint idleUntil() const { return m_idleUntil; }
 
@@ -128,6 +134,8 @@
     BackendListener *m_listener = nullptr;
     std::optional<Http::response_parser<Http::string_body>> m_parser;
     OutgoingAttempt m_attempt;
+    /// Hashes of the ids of the latest requests, the newest one last.
+    std::deque<std::uint64_t> m_carriedIds;
     OutputBuffer m_output;
     std::string m_input;
     Base::TimePoint m_connectDeadline;
--- a/src/libs/gateway/backendpool.cpp
+++ b/src/libs/gateway/backendpool.cpp
@@ -4,6 +4,7 @@
 #include "settings/address.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <utility>
 
 namespace Gateway {
@@ -21,9 +22,11 @@
 {
     const std::string &key = parameters.server.id.value();
     ServerConnections &pooled = m_connections[key];
-    std::shared_ptr<BackendConnection> connection =
-        takeIdleConnection(pooled, parameters.isNotRepeatable, now);
+    std::shared_ptr<BackendConnection> connection = takeIdleConnection(pooled, parameters, now);
     if (!connection) {
+        // The idle connections that are left have carried the request.
+        if (pooled.all.size() >= m_limit && !pooled.idle.empty())
+            pooled.idle.front()->close();
         if (pooled.all.size() >= m_limit)
             return nullptr;
         connection =
@@ -37,15 +40,23 @@
 }
 
 std::shared_ptr<BackendConnection> BackendPool::takeIdleConnection(ServerConnections &pooled,
-                                                                   bool isNotRepeatable,
+                                                                   const SendParameters &parameters,
                                                                    Base::TimePoint now)
 {
-    while (!pooled.idle.empty()) {
-        BackendConnection *connection = pooled.idle.back();
-        pooled.idle.pop_back();
-        if (now < connection->idleUntil() && (!isNotRepeatable || !connection->isStale()))
-            return connection->shared_from_this();
-        connection->close();
+    // Closing a connection removes it from the list.
+    for (std::size_t i = pooled.idle.size(); i-- > 0;) {
+        BackendConnection *connection = pooled.idle[i];
+        // A second copy of the answer to the first sending would pass for the one to the next.
+        if (connection->hasCarried(parameters.attempt.requestId))
+            continue;
+        const bool isUsable = now < connection->idleUntil()
+                              && (!parameters.isNotRepeatable || !connection->isStale());
+        if (!isUsable) {
+            connection->close();
+            continue;
+        }
+        pooled.idle.erase(pooled.idle.begin() + static_cast<std::ptrdiff_t>(i));
+        return connection->shared_from_this();
     }
     return nullptr;
 }
--- a/src/libs/gateway/backendpool.h
+++ b/src/libs/gateway/backendpool.h
@@ -45,9 +45,10 @@
     BackendPool(boost::asio::io_context &io, const HeaderNames &names, std::string &readBuffer,
                 ServerObserver &observer);
 
-    /// Sends on an idle connection or a new one. Returns the connection, which belongs to the
-    /// attempt until that ends. Returns null, and sends nothing, if this host already has as many
-    /// connections to the server as its limit allows.
+    /// Sends on an idle connection that has not carried the request before, or on a new one.
+    /// Returns the connection, which belongs to the attempt until that ends. Returns null, and
+    /// sends nothing, if this host already has as many connections to the server as its limit
+    /// allows, and none of them is idle.
     std::shared_ptr<BackendConnection> send(SendParameters parameters, BackendListener &listener,
                                             Base::TimePoint now);
     /// Sets how many connections this host may have to each server.
@@ -73,8 +74,10 @@
         std::vector<BackendConnection *> idle;
     };
 
-    std::shared_ptr<BackendConnection>
-    takeIdleConnection(ServerConnections &pooled, bool isNotRepeatable, Base::TimePoint now);
+    /// Returns an idle connection on which the request may be sent, or null.
+    std::shared_ptr<BackendConnection> takeIdleConnection(ServerConnections &pooled,
+                                                          const SendParameters &parameters,
+                                                          Base::TimePoint now);
 
     boost::asio::io_context *m_io;
     const HeaderNames *m_names;
--- a/tests/auto/gateway/tst_backendpool.cpp
+++ b/tests/auto/gateway/tst_backendpool.cpp
@@ -3,10 +3,13 @@
 #include "loopbackserver.h"
 
 #include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 using namespace Gateway;
@@ -16,7 +19,10 @@
 class Listener final : public BackendListener
 {
 public:
-    void answerStarted(const ResponseHead &) override {}
+    void answerStarted(const ResponseHead &head) override
+    {
+        lastSignature = std::string(field(head, LoopbackServer::names().signature));
+    }
     void answerData(std::string_view) override {}
     void answerEnded() override { ++answers; }
     void attemptFailed(const AttemptFailure &failure) override
@@ -28,6 +34,7 @@
     int answers = 0;
     int failures = 0;
     AttemptFailure lastFailure;
+    std::string lastSignature;
 };
 
 /// A pool and its server, both on the thread of the test.
@@ -59,12 +66,14 @@
     /// Accepts a new connection and reads one request on it.
     Tcp::socket accept()
     {
+        REQUIRE(server.isCalled());
         Tcp::socket socket = server.accept();
         m_io.poll();
         REQUIRE_FALSE(LoopbackServer::readRequest(socket).empty());
         return socket;
     }
     void poll() { m_io.poll(); }
+    void setConnectionLimit(std::size_t limit) { m_pool.setConnectionLimit(limit); }
     void withdrawUnsent() { m_pool.withdrawUnsent(m_entry.id); }
     void waitForAnswer()
     {
@@ -124,6 +133,107 @@
     CHECK_FALSE(fixture.server.isCalled());
 }
 
+// Guards against a second, late copy of an answer that passes for the answer to the next sending of
+// the same request: a refusal for one that runs.
+TEST_CASE("a request is not sent again on a connection that has carried it", "[gateway]")
+{
+    const std::string status = GENERATE("503 Full", "429 Busy", "421 Misdirected", "500 Failed");
+    const int between = GENERATE(0, 1, 2);
+    PoolFixture fixture;
+    const std::shared_ptr<BackendConnection> first = fixture.send("r-1", true);
+    Tcp::socket socket = fixture.accept();
+    LoopbackServer::answer(socket, "r-1", status, "Signature: first\r\n");
+    fixture.waitForAnswer();
+    for (int i = 0; i < between; ++i) {
+        const std::string other = "other-" + std::to_string(i);
+        REQUIRE(fixture.send(other, true) == first);
+        REQUIRE_FALSE(LoopbackServer::readRequest(socket).empty());
+        LoopbackServer::answer(socket, other);
+        fixture.waitForAnswer();
+    }
+    CHECK(fixture.send("r-1", true) != first);
+    REQUIRE(fixture.server.isCalled());
+    Tcp::socket again = fixture.accept();
+    LoopbackServer::answer(socket, "r-1", status, "Signature: first\r\n");
+    LoopbackServer::answer(again, "r-1", "200 OK", "Signature: second\r\n");
+    fixture.waitForAnswer();
+    CHECK(fixture.listener.lastSignature == "second");
+    CHECK(fixture.listener.failures == 0);
+}
+
+TEST_CASE("a request that is sent again takes the place of a connection that has carried it",
+          "[gateway]")
+{
+    PoolFixture fixture;
+    fixture.setConnectionLimit(2);
+    const std::shared_ptr<BackendConnection> first = fixture.send("r-1", true);
+    Tcp::socket socket = fixture.serve("r-1");
+    const std::shared_ptr<BackendConnection> second = fixture.send("r-1", true);
+    REQUIRE(second);
+    const Tcp::socket other = fixture.serve("r-1");
+    // Both connections that the limit allows have carried it; the one that was idle longest goes.
+    const std::shared_ptr<BackendConnection> third = fixture.send("r-1", true);
+    REQUIRE(third);
+    CHECK(third != first);
+    CHECK(third != second);
+    CHECK_FALSE(first->isIdle());
+    CHECK(second->isIdle());
+    const Tcp::socket last = fixture.serve("r-1");
+    // No connection is closed for a request while the others are at work.
+    REQUIRE(fixture.send("r-2", true) == third);
+    REQUIRE(fixture.send("r-3", true) == second);
+    CHECK_FALSE(fixture.send("r-4", true));
+    CHECK(fixture.listener.failures == 0);
+}
+
+TEST_CASE("each sending of a request gets its own answer, whatever its server repeats", "[gateway]")
+{
+    rc::prop("answers are repeated late, once or several times", [] {
+        PoolFixture fixture;
+        struct Served
+        {
+            Tcp::socket socket;
+            /// Second copies of answers that are still to be sent, as their ids and signatures.
+            std::vector<std::pair<std::string, std::string>> copies;
+        };
+        std::vector<std::unique_ptr<Served>> connections;
+        for (int i = 0; i < 25; ++i) {
+            const std::string id = "r-" + std::to_string(*rc::gen::inRange(0, 4));
+            const std::shared_ptr<BackendConnection> used =
+                fixture.send(id, *rc::gen::arbitrary<bool>());
+            RC_ASSERT(used);
+            Served *serving = nullptr;
+            if (fixture.server.isCalled()) {
+                connections.push_back(std::make_unique<Served>(Served{fixture.accept(), {}}));
+                serving = connections.back().get();
+            }
+            for (const auto &it : connections) {
+                if (!serving && LoopbackServer::isReadable(it->socket.native_handle())
+                    && !LoopbackServer::readRequest(it->socket).empty())
+                    serving = it.get();
+            }
+            RC_ASSERT(serving);
+            const std::string signature = std::to_string(i);
+            const auto answer = [&](const std::string &to, const std::string &signedWith) {
+                LoopbackServer::answer(serving->socket, to, "503 Full",
+                                       "Signature: " + signedWith + "\r\n");
+            };
+            const std::size_t late =
+                std::min<std::size_t>(serving->copies.size(), *rc::gen::inRange(0, 3));
+            for (std::size_t n = 0; n < late; ++n) {
+                answer(serving->copies.front().first, serving->copies.front().second);
+                serving->copies.erase(serving->copies.begin());
+            }
+            answer(id, signature);
+            fixture.waitForAnswer();
+            RC_ASSERT(fixture.listener.lastSignature == signature);
+            for (int n = *rc::gen::inRange(0, 3); n > 0; --n)
+                serving->copies.emplace_back(id, signature);
+        }
+        RC_ASSERT(fixture.listener.failures == 0);
+    });
+}
+
 TEST_CASE("a notice of a server is noticed on answers to any request", "[gateway]")
 {
     // Guards against the notice of an answer that belongs to no open request: the server counts the
--- a/tests/auto/gateway/tst_exchange.cpp
+++ b/tests/auto/gateway/tst_exchange.cpp
@@ -56,3 +56,31 @@
     CHECK_FALSE(sink.isClosedAfterAnswer);
     CHECK(sink.statuses.empty());
 }
+
+// Guards against a promise that a request has not run, which its server runs: the second copy of a
+// refusal passes for the answer to the next sending.
+TEST_CASE("a request that was refused and then runs is not answered by the refusal's copy",
+          "[gateway]")
+{
+    const bool isRepeatable = GENERATE(false, true);
+    FakeExchangePort port;
+    RecordingSink sink;
+    const std::shared_ptr<Exchange> exchange = port.exchange(
+        sink, isRepeatable ? Routing::WorkKind::Idempotent : Routing::WorkKind::NotIdempotent);
+    exchange->placed(port.placement());
+    Tcp::socket first = port.acceptRequest();
+    const auto refuse = [&] {
+        LoopbackServer::answer(first, "r-1", "503 Service Unavailable", "Not-Run: full\r\n");
+    };
+    refuse();
+    REQUIRE(port.pollUntil([&] { return port.submissions == 2; }));
+    exchange->placed(port.placement());
+    Tcp::socket second = port.acceptRequest();
+    refuse();
+    port.poll();
+    CHECK_FALSE(exchange->isFinished());
+    LoopbackServer::answer(second, "r-1");
+    REQUIRE(port.pollUntil([&] { return exchange->isFinished(); }));
+    CHECK(sink.statuses == std::vector<unsigned>{200});
+    CHECK(port.submissions == 2);
+}
