--- a/src/libs/gateway/requestrecord.cpp
+++ b/src/libs/gateway/requestrecord.cpp
@@ -57,7 +57,6 @@
         .add("parts", sharedPartsText(accepted.work.parts))
         .add("version", record.attempt.softwareVersion)
         .add("server", record.attempt.server.value())
-        .add("connection", record.attempt.connection)
         .add("outcome", Routing::nameOf(failed.outcome))
         .add("maybeRan", failed.maybeRan)
         .add("repeats", failed.isRepeated)
@@ -65,6 +64,7 @@
         .add("events", record.events)
         .add("afterMs", now - record.attempt.sentAt)
         .add("backoffMs", record.attempt.backoffLeft)
+        .add("connection", record.attempt.connection)
         .add("fault", nameOf(record.attempt.fault))
         .add("serverEnds", failed.serverEnds);
     addBlockedPart(line, record);
