Keep in the store which version began each stream while versions are mixed

Cause: what tells a stream's version was kept by hosts only. The rows of versions rightly say that several may have begun a stream, so that each one of unknown origin is refused.

The first leader, which hears all origins in reports, now writes a row with the new ones each 100 ms while a service has several remembered versions, and removes rows when no stream of theirs can be open. A host that starts, or was cut off, reads them before it calls an origin unknown; until then it answers the same 503 with origin=unread. Two writers at once use keys of their own.

--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -72,6 +72,10 @@
         m_settings.storeAddress,
         VersionRows::Dependencies{m_io, m_adapter.store, m_memory.streamOrigins(), m_log,
                                   *m_metrics});
+    m_streamRows = std::make_unique<StreamRows>(
+        m_settings.storeAddress, m_identity.nameFor(m_settings.host),
+        StreamRows::Dependencies{m_io, m_adapter.store, m_memory.streamOrigins(), m_log,
+                                 *m_metrics});
     BOOST_LEAF_ASSIGN(m_reports,
                       ReportSocket::create(m_io, m_settings.peerAddress,
                                            [this](const HostReport &it) { reportReceived(it); }));
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -19,6 +19,7 @@
 #include "gateway/services.h"
 #include "gateway/settingswatcher.h"
 #include "gateway/storereplica.h"
+#include "gateway/streamrows.h"
 #include "gateway/versionrows.h"
 #include "routing/streamadmission.h"
 
@@ -237,6 +238,7 @@
     std::unique_ptr<Services> m_services;
     std::unique_ptr<Rollouts> m_rollouts;
     std::unique_ptr<VersionRows> m_versionRows;
+    std::unique_ptr<StreamRows> m_streamRows;
     std::unordered_map<Routing::WorkId, std::shared_ptr<Exchange>> m_exchanges;
     std::unordered_map<Base::ServerId, Base::TimePoint> m_lastResponses;
     std::deque<Routing::Decisions> m_decisions;
--- a/src/libs/gateway/gatewayversions.cpp
+++ b/src/libs/gateway/gatewayversions.cpp
@@ -20,6 +20,7 @@
     view.needsHistory = isCurrent && m_replica->hasUrgentNeedOfServers(time);
     view.isWriter = isCurrent && m_replica->ownProofAt() && m_fleet.isFirstLeader(time);
     m_versionRows->advance(view, time);
+    m_streamRows->advance({view.needsHistory, view.isWriter}, time);
 }
 
 void Gateway::leavingVersionsRead(const Routing::ServerVersions &versions)
--- a/src/libs/gateway/reportidentity.cpp
+++ b/src/libs/gateway/reportidentity.cpp
@@ -1,6 +1,10 @@
 #include "gateway/reportidentity.h"
 
+#include "base/hash.h"
+
 #include <chrono>
+#include <cinttypes>
+#include <cstdio>
 #include <random>
 
 namespace Gateway {
@@ -16,4 +20,11 @@
     return identity;
 }
 
+std::string ReportIdentity::nameFor(const Base::HostId &host) const
+{
+    char name[17];
+    std::snprintf(name, sizeof(name), "%016" PRIx64, Base::stableHash(host.value(), incarnation));
+    return name;
+}
+
 } // namespace Gateway
--- a/src/libs/gateway/reportidentity.h
+++ b/src/libs/gateway/reportidentity.h
@@ -3,6 +3,7 @@
 #include "base/ids.h"
 
 #include <cstdint>
+#include <string>
 
 namespace Gateway {
 
@@ -18,6 +19,8 @@
     /// Returns the identity of a start that begins now. The sequence has a random start, since an
     /// echo of an earlier start's report proves nothing.
     static ReportIdentity create();
+    /// Returns a name of 16 letters and digits for this start of \a host.
+    std::string nameFor(const Base::HostId &host) const;
 };
 
 } // namespace Gateway
--- a/src/libs/gateway/storeprotocol.h
+++ b/src/libs/gateway/storeprotocol.h
@@ -7,6 +7,7 @@
 #include "routing/rolloutorders.h"
 #include "routing/routingconfiguration.h"
 #include "routing/serverset.h"
+#include "routing/streamorigins.h"
 #include "routing/versionhistory.h"
 
 #include <cstdint>
@@ -131,6 +132,40 @@
     std::uint64_t revision = 0;
 };
 
+/// A row that tells which streams servers of which versions have begun.
+struct StreamRow
+{
+    /// Keys grow with the time at which their rows were written. No key is used twice.
+    std::string key;
+    /// Time of the store's clock at which the row was written.
+    Base::Milliseconds writtenAt{0};
+    std::vector<Routing::StreamReport> begun;
+
+    bool operator==(const StreamRow &) const = default;
+};
+
+/// One page of the rows of streams.
+struct StreamReading
+{
+    std::vector<StreamRow> rows;
+    /// Keys of rows that cannot be parsed.
+    std::vector<std::string> malformed;
+    /// Where the next page begins; empty on the last page.
+    std::string continueFrom;
+    /// Current time of the store's own steady clock.
+    Base::Milliseconds storeTime{0};
+};
+
+/// Changes of rows of streams, which are written in one transaction.
+struct StreamChanges
+{
+    std::vector<StreamRow> puts;
+    /// Keys of the rows that are removed.
+    std::vector<std::string> removals;
+
+    bool isEmpty() const { return puts.empty() && removals.empty(); }
+};
+
 /// One page of the entries of backend servers, or the changes of entries since some version.
 struct ServerReading
 {
@@ -214,6 +249,12 @@
     virtual Base::Result<VersionReading> versions(const HttpAnswer &answer) const = 0;
     virtual HttpCall writeVersions(const VersionChanges &changes) const = 0;
     virtual Base::Result<VersionWriting> versionsWritten(const HttpAnswer &answer) const = 0;
+
+    /// Reads the first page if \a continueFrom is empty, else the page that begins there.
+    virtual HttpCall readStreams(const std::string &continueFrom) const = 0;
+    virtual Base::Result<StreamReading> streams(const HttpAnswer &answer) const = 0;
+    virtual HttpCall writeStreams(const StreamChanges &changes) const = 0;
+    virtual Base::Result<void> streamsWritten(const HttpAnswer &answer) const = 0;
 };
 
 } // namespace Gateway
--- a/src/libs/gateway/streamrows.cpp
+++ b/src/libs/gateway/streamrows.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cinttypes>
 #include <cstdio>
+#include <span>
 #include <utility>
 
 namespace Gateway {
@@ -21,15 +22,24 @@
 /// A host that becomes the writer relies on rows that it has read this recently.
 constexpr Base::Duration rowsLifetime = milliseconds(2000);
 /// The least time between two calls of the writer.
-constexpr Base::Duration writeInterval = milliseconds(250);
-/// A row of these takes 27 kilobytes, besides the names of its service and version.
-constexpr std::size_t maxStreamsOfRow = 3000;
-/// Together with the names, less than the store takes for one row.
-constexpr std::size_t maxNamesBytes = 16384;
-constexpr std::size_t maxStreamsOfCall = 6 * maxStreamsOfRow;
+constexpr Base::Duration writeInterval = milliseconds(100);
+/// The store takes rows of 65,536 bytes.
+constexpr std::size_t maxRowBytes = 48UL * 1024;
+constexpr std::size_t maxNamesBytes = 16UL * 1024;
+/// One stream in an encoded row.
+constexpr std::size_t maxStreamBytes = 9;
+/// Beside the names of a service and a version in an encoded row.
+constexpr std::size_t namesFramingBytes = 64;
+/// They fit into a call, which the store takes up to a megabyte.
+constexpr std::size_t maxStreamsOfCall = 20'000;
 /// The store accepts 100 entries in one transaction.
 constexpr std::size_t maxRemovalsOfCall = 80;
 
+std::size_t namesBytes(const Routing::ServiceVersion &origin)
+{
+    return origin.service.size() + origin.softwareVersion.size() + namesFramingBytes;
+}
+
 /// Returns a key that is greater than those of all rows written earlier.
 std::string rowKey(Base::Milliseconds storeTime, const std::string &writer, std::uint64_t number)
 {
@@ -106,8 +116,10 @@
     Routing::StreamOrigins &origins = m_dependencies.origins;
     for (const StreamRow &row : reading.rows) {
         m_rows[row.key] = row.writtenAt;
-        if (reading.storeTime - row.writtenAt < origins.memory())
-            origins.applyStored(row.begun, now);
+        if (reading.storeTime - row.writtenAt >= origins.memory())
+            continue;
+        for (const Routing::StreamReport &begun : row.begun)
+            origins.applyStored(begun, now);
     }
     // The writer removes them with the rows that are too old.
     for (const std::string &key : reading.malformed)
@@ -128,20 +140,14 @@
 {
     StreamChanges changes;
     const Base::Milliseconds time = storeTime(now);
-    for (Routing::StreamReport &begun : m_dependencies.origins.unstored(maxStreamsOfCall, now)) {
-        const Routing::ServiceVersion &origin = begun.origin;
-        if (origin.service.size() + origin.softwareVersion.size() > maxNamesBytes) {
+    for (const Routing::StreamReport &begun :
+         m_dependencies.origins.unstored(maxStreamsOfCall, now)) {
+        if (namesBytes(begun.origin) > maxNamesBytes) {
             // No row takes them, and they must not keep others from being stored.
             m_dependencies.origins.recordStored(begun.streams);
             continue;
         }
-        for (std::size_t i = 0; i < begun.streams.size(); i += maxStreamsOfRow) {
-            const auto first = begun.streams.begin() + static_cast<std::ptrdiff_t>(i);
-            const auto count = std::min(maxStreamsOfRow, begun.streams.size() - i);
-            changes.puts.push_back({rowKey(time, m_writer, ++m_lastRow),
-                                    time,
-                                    {origin, {first, first + static_cast<std::ptrdiff_t>(count)}}});
-        }
+        addTo(changes, begun, time);
     }
     for (const auto &[key, writtenAt] : m_rows) {
         if (changes.removals.size() == maxRemovalsOfCall)
@@ -152,6 +158,26 @@
     return changes;
 }
 
+void StreamRows::addTo(StreamChanges &changes, const Routing::StreamReport &begun,
+                       Base::Milliseconds time)
+{
+    std::span<const Routing::StreamId> left(begun.streams);
+    while (!left.empty()) {
+        const std::size_t names = namesBytes(begun.origin);
+        std::size_t room = m_rowBytesLeft > names ? (m_rowBytesLeft - names) / maxStreamBytes : 0;
+        if (changes.puts.empty() || room == 0) {
+            changes.puts.push_back({rowKey(time, m_writer, ++m_lastRow), time, {}});
+            m_rowBytesLeft = maxRowBytes;
+            room = (m_rowBytesLeft - names) / maxStreamBytes;
+        }
+        const std::size_t count = std::min(room, left.size());
+        const auto first = left.first(count);
+        changes.puts.back().begun.push_back({begun.origin, {first.begin(), first.end()}});
+        m_rowBytesLeft -= names + count * maxStreamBytes;
+        left = left.subspan(count);
+    }
+}
+
 void StreamRows::write(Base::TimePoint now)
 {
     m_nextCall = now + writeInterval;
@@ -183,8 +209,10 @@
     std::size_t streams = 0;
     for (const StreamRow &row : changes.puts) {
         m_rows[row.key] = row.writtenAt;
-        m_dependencies.origins.recordStored(row.begun.streams);
-        streams += row.begun.streams.size();
+        for (const Routing::StreamReport &begun : row.begun) {
+            m_dependencies.origins.recordStored(begun.streams);
+            streams += begun.streams.size();
+        }
     }
     for (const std::string &key : changes.removals)
         m_rows.erase(key);
--- a/src/libs/gateway/streamrows.h
+++ b/src/libs/gateway/streamrows.h
@@ -21,8 +21,8 @@
 /// Keeps in the store which software version began each stream, so that streams go on after all
 /// hosts have ended. This costs nothing while each service has servers of one version only.
 ///
-/// One host writes for the fleet, several times a second, a row for each version with the streams
-/// that have begun since. It learns of the others' streams from their reports. Hosts may disagree
+/// One host writes for the fleet, several times a second, a row with the streams that have begun
+/// since. It learns of the others' streams from their reports. Hosts may disagree
 /// on which one it is: both then write, each with keys of its own, and what is stored twice does no
 /// harm. A host that has started, or that was cut off, reads all rows while versions are mixed.
 class StreamRows
@@ -62,6 +62,8 @@
     void write(Base::TimePoint now);
     void written(const StreamChanges &changes);
     StreamChanges dueChanges(Base::TimePoint now);
+    /// Adds \a begun to the last row of \a changes, and to new ones for what does not fit.
+    void addTo(StreamChanges &changes, const Routing::StreamReport &begun, Base::Milliseconds time);
     void callFailed(const char *why);
     Base::Milliseconds storeTime(Base::TimePoint now) const;
 
@@ -70,6 +72,8 @@
     std::string m_writer;
     /// Numbers the rows of this host.
     std::uint64_t m_lastRow = 0;
+    /// What may still be added to the row that is being made.
+    std::size_t m_rowBytesLeft = 0;
     /// When the known rows were written, by the store's clock.
     std::map<std::string, Base::Milliseconds> m_rows;
     std::size_t m_malformedRows = 0;
--- a/src/libs/routing/streamorigins.cpp
+++ b/src/libs/routing/streamorigins.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <map>
+#include <utility>
 
 namespace Routing {
 
@@ -34,6 +35,8 @@
         return "any_server";
     case Continuation::Kind::SameVersion:
         return "same_version";
+    case Continuation::Kind::Unread:
+        return "unread";
     case Continuation::Kind::NoHistory:
         return "no_history";
     case Continuation::Kind::OldServers:
@@ -71,13 +74,16 @@
     if (wasMixed || !m_versions.isMixed(version.service, now))
         return;
     // Callers of all open streams may take them up while both versions serve.
+    m_skippedByStoring = 0;
     reportAll(Source::Self, version.service, now);
 }
 
 void StreamOrigins::setServersCurrentUntil(Base::TimePoint until, Base::TimePoint now)
 {
-    if (!areServersCurrent(now))
+    if (!areServersCurrent(now)) {
         m_isHistoryKnown = false;
+        m_isStoredKnown = false;
+    }
     m_serversCurrentUntil = until;
 }
 
@@ -110,10 +116,59 @@
     if (!m_streams.try_emplace(stream, Entry{&shared, source, now}).second)
         return;
     m_byAge.push_back({stream, now});
-    if (m_byAge.size() <= maxStreams)
-        return;
+    if (m_byAge.size() > maxStreams)
+        removeOldest();
+}
+
+void StreamOrigins::removeOldest()
+{
     m_streams.erase(m_byAge.front().stream);
     m_byAge.pop_front();
+    if (m_skippedByStoring > 0)
+        --m_skippedByStoring;
+}
+
+void StreamOrigins::applyStored(const StreamReport &stored, Base::TimePoint now)
+{
+    for (const StreamId stream : stored.streams)
+        add(stream, stored.origin, Source::Store, now);
+    recordStored(stored.streams);
+}
+
+std::vector<StreamReport> StreamOrigins::unstored(std::size_t maxStreams, Base::TimePoint now)
+{
+    const std::vector<std::string> mixed = m_versions.mixedServices(now);
+    if (mixed.empty())
+        return {};
+    const auto isToBeStored = [&](const TimedStream &it) {
+        const auto found = m_streams.find(it.stream);
+        return found != m_streams.end() && !found->second.isStored
+               && std::ranges::find(mixed, found->second.origin->service) != mixed.end();
+    };
+    while (m_skippedByStoring < m_byAge.size() && !isToBeStored(m_byAge[m_skippedByStoring]))
+        ++m_skippedByStoring;
+    std::map<const ServiceVersion *, std::vector<StreamId>> byOrigin;
+    std::size_t count = 0;
+    for (std::size_t i = m_skippedByStoring; i < m_byAge.size() && count < maxStreams; ++i) {
+        if (!isToBeStored(m_byAge[i]))
+            continue;
+        const StreamId stream = m_byAge[i].stream;
+        byOrigin[m_streams.at(stream).origin].push_back(stream);
+        ++count;
+    }
+    std::vector<StreamReport> unstored;
+    for (auto &[origin, streams] : byOrigin)
+        unstored.push_back({*origin, std::move(streams)});
+    return unstored;
+}
+
+void StreamOrigins::recordStored(const std::vector<StreamId> &streams)
+{
+    for (const StreamId stream : streams) {
+        const auto found = m_streams.find(stream);
+        if (found != m_streams.end())
+            found->second.isStored = true;
+    }
 }
 
 void StreamOrigins::apply(const std::vector<StreamReport> &reports, Source source, bool relays,
@@ -168,7 +223,7 @@
         return {Continuation::Kind::SameVersion, found->second.origin->softwareVersion};
     const std::vector<std::string> versions = m_versions.versions(service, now);
     if (versions.size() > 1)
-        return {Continuation::Kind::Unknown, {}};
+        return {m_isStoredKnown ? Continuation::Kind::Unknown : Continuation::Kind::Unread, {}};
     if (!areServersCurrent(now))
         return {Continuation::Kind::OldServers, {}};
     if (!m_isHistoryKnown)
@@ -179,10 +234,8 @@
 
 void StreamOrigins::advance(Base::TimePoint now)
 {
-    while (!m_byAge.empty() && now - m_byAge.front().at >= m_memory) {
-        m_streams.erase(m_byAge.front().stream);
-        m_byAge.pop_front();
-    }
+    while (!m_byAge.empty() && now - m_byAge.front().at >= m_memory)
+        removeOldest();
     while (!m_reported.empty() && now - m_reported.front().at >= reportedFor)
         m_reported.pop_front();
     m_versions.advance(now);
--- a/src/libs/routing/streamorigins.h
+++ b/src/libs/routing/streamorigins.h
@@ -36,6 +36,7 @@
         AnyServer,   ///< The service has had servers of one version only.
         SameVersion, ///< At a server of the version that began the stream.
         Unknown,     ///< Servers of several versions may have begun the stream.
+        Unread,      ///< The same, but the store may know which one did.
         NoHistory,   ///< It is not known which versions have served.
         OldServers,  ///< It is not known which versions serve now.
     };
@@ -61,6 +62,9 @@
 /// that has started. An origin that is not known is never guessed: such a stream only goes on if it
 /// is certain that one version alone can have begun it. For that, this host must know which
 /// versions have served lately, also before its start, and that its list of servers is current.
+///
+/// All hosts may end at once, so the origins are also kept in the store while a service has servers
+/// of several versions. \sa Gateway::StreamRows
 class StreamOrigins
 {
 public:
@@ -71,11 +75,14 @@
         Self,
         OwnZone,
         OtherZone,
+        Store, ///< Any host; those that start read the store themselves.
     };
 
     /// Sets the longest time that a caller may wait for the end of a stream. Origins and versions
     /// are remembered for longer than that.
     void setLongestStream(Base::Duration time);
+    /// For how long origins and versions are remembered.
+    Base::Duration memory() const { return m_memory; }
     /// Notes the versions of the servers in use. Must be called when servers change, and every
     /// second.
     void setVersions(const ServerVersions &versions, Base::TimePoint now);
@@ -90,6 +97,21 @@
     /// meanwhile, versions may have come and gone, and the history is not known any more.
     void setServersCurrentUntil(Base::TimePoint until, Base::TimePoint now);
     bool areServersCurrent(Base::TimePoint now) const { return now < m_serversCurrentUntil; }
+    /// Notes whether this host knows all origins that the store had when it was last cut off or
+    /// started.
+    void setStoredKnown(bool isKnown) { m_isStoredKnown = isKnown; }
+    /// Whether origins may be in the store that this host needs and does not know.
+    bool needsStored(Base::TimePoint now) const { return !m_isStoredKnown && isAnyMixed(now); }
+    /// Whether a service has several remembered versions.
+    bool isAnyMixed(Base::TimePoint now) const { return !m_versions.mixedServices(now).empty(); }
+    /// Takes in what the store has.
+    void applyStored(const StreamReport &stored, Base::TimePoint now);
+    /// Returns at most \a maxStreams origins that the store does not have, as far as this host
+    /// knows, the oldest first. Only streams of services with several remembered versions are
+    /// stored.
+    std::vector<StreamReport> unstored(std::size_t maxStreams, Base::TimePoint now);
+    /// Records that the store has the origins of \a streams.
+    void recordStored(const std::vector<StreamId> &streams);
     /// Records that the first event of \a stream was forwarded by this host. Returns whether other
     /// hosts should be told at once: the service has several versions, and this host has not begun
     /// a stream at this one before.
@@ -117,6 +139,7 @@
         const ServiceVersion *origin = nullptr;
         Source source = Source::Self;
         Base::TimePoint knownAt;
+        bool isStored = false;
     };
     struct TimedStream
     {
@@ -125,6 +148,7 @@
     };
 
     void add(StreamId stream, const ServiceVersion &origin, Source source, Base::TimePoint now);
+    void removeOldest();
     /// Reports all streams of \a service that hosts up to \a source began, a part at a time.
     void reportAll(Source source, const std::string &service, Base::TimePoint now);
 
@@ -135,10 +159,13 @@
     /// The remembered versions at which this host has begun streams.
     std::set<ServiceVersion> m_begunVersions;
     bool m_isHistoryKnown = false;
+    bool m_isStoredKnown = false;
     Base::TimePoint m_serversCurrentUntil = Base::TimePoint::min();
     std::unordered_map<StreamId, Entry> m_streams;
     /// The streams in the order in which they became known.
     std::deque<TimedStream> m_byAge;
+    /// How many of the oldest elements of m_byAge need not be stored.
+    std::size_t m_skippedByStoring = 0;
     /// The streams that are reported, with the time from which on.
     std::deque<TimedStream> m_reported;
 };
--- a/tests/auto/gateway/fakestore.h
+++ b/tests/auto/gateway/fakestore.h
@@ -136,6 +136,37 @@
         return VersionWriting{revision > 0, revision};
     }
 
+    HttpCall readStreams(const std::string &continueFrom) const override
+    {
+        return {"GET", "/streams" + continueFrom, {}};
+    }
+    Base::Result<StreamReading> streams(const HttpAnswer &answer) const override
+    {
+        BOOST_LEAF_CHECK(checked(answer));
+        StreamReading reading{streamRows, malformedStreamRows, {}, std::chrono::seconds(100)};
+        if (!nextStreams.empty()) {
+            reading.rows = nextStreams.front();
+            nextStreams.pop_front();
+            reading.continueFrom = nextStreams.empty() ? "" : "?next";
+        }
+        return reading;
+    }
+    HttpCall writeStreams(const StreamChanges &changes) const override
+    {
+        streamChanges.push_back(changes);
+        return {"POST", "/stream", {}};
+    }
+    Base::Result<void> streamsWritten(const HttpAnswer &answer) const override
+    {
+        return checked(answer);
+    }
+
+    std::vector<StreamRow> streamRows;
+    std::vector<std::string> malformedStreamRows;
+    /// In place of streamRows, page by page.
+    mutable std::deque<std::vector<StreamRow>> nextStreams;
+    /// The changes of rows of streams that were to be written.
+    mutable std::vector<StreamChanges> streamChanges;
     std::vector<VersionRow> versionRows;
     std::vector<VersionRow> malformedVersionRows;
     /// The changes of rows of software versions that were to be written.
