--- a/tests/auto/gateway/tst_versionrows.cpp
+++ b/tests/auto/gateway/tst_versionrows.cpp
@@ -1,17 +1,10 @@
 #include "gateway/versionrows.h"
 
-#include "fakestore.h"
 #include "gateway/boottime.h"
-#include "gateway/eventlog.h"
-#include "gateway/gatewaymetrics.h"
-#include "gateway/httplistener.h"
+#include "loopbackstore.h"
 
 #include <catch2/catch.hpp>
 
-#include <fcntl.h>
-#include <unistd.h>
-
-#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -29,24 +22,10 @@
 constexpr milliseconds storeNow = seconds(100);
 
 /// The rows of a host and their store, on loopback. The host's clock can be moved.
-class RowsFixture
+class RowsFixture : public LoopbackStore
 {
 public:
-    RowsFixture()
-    {
-        boost::leaf::try_handle_all(
-            [&]() -> Base::Result<void> {
-                BOOST_LEAF_ASSIGN(
-                    m_server, HttpListener::create(m_io, m_address, {store, m_limits, m_buffer}));
-                BOOST_LEAF_ASSIGN(m_metrics, GatewayMetrics::create());
-                return {};
-            },
-            [] { FAIL("cannot listen"); });
-        restart();
-    }
-    ~RowsFixture() { close(m_null); }
-    RowsFixture(const RowsFixture &) = delete;
-    RowsFixture &operator=(const RowsFixture &) = delete;
+    RowsFixture() { restart(); }
 
     /// The host starts again and knows nothing.
     void restart()
@@ -69,9 +48,7 @@
             for (const Routing::ServiceVersion &it : view.used)
                 origins.recordVersion(it, now, now);
             m_rows->advance(view, now);
-            m_io.restart();
-            m_io.poll();
-            usleep(1000);
+            poll();
         }
     }
     /// The versions that may have begun a stream that is open now.
@@ -81,27 +58,11 @@
     }
     int reads() { return store.calls["/versions"]; }
 
-    FakeStoreProtocol protocol;
-    FakeStore store;
     Routing::StreamOrigins origins;
     VersionRows::View view;
     Base::Duration clockOffset{};
 
 private:
-    static Settings::Address freeAddress(boost::asio::io_context &io)
-    {
-        Tcp::acceptor probe(io, {boost::asio::ip::make_address_v4("127.0.0.1"), 0});
-        return {"127.0.0.1", probe.local_endpoint().port()};
-    }
-
-    boost::asio::io_context m_io;
-    int m_null = open("/dev/null", O_WRONLY | O_CLOEXEC);
-    EventLog m_log{m_null, 0};
-    ConnectionLimits m_limits;
-    std::string m_buffer = std::string(65536, '\0');
-    Settings::Address m_address = freeAddress(m_io);
-    std::unique_ptr<HttpListener> m_server;
-    std::unique_ptr<GatewayMetrics> m_metrics;
     std::unique_ptr<VersionRows> m_rows;
 };
 
