Test that streams go on at their version after all hosts have ended

A pair of checks: no stream goes on at another version (ORDER), and enough go on (LOST). In the model, three hosts end alone or together, the store is away, writes are lost, performed or not, two hosts write, and reports are lost. A stream that began a second before all hosts ended, that its host had reason to tell others for that second, with a store in reach, no version new and at most one other disruption meanwhile, must go on.

Not demanded: a stream that began while one version served, and whose host ended before a second version was listed. Nothing tells it then, and it is refused.

--- a/tests/auto/platformadapter/tst_storecodec.cpp
+++ b/tests/auto/platformadapter/tst_storecodec.cpp
@@ -3,11 +3,14 @@
 #include "platform/rowtext.h"
 #include "platform/servertext.h"
 #include "platform/storecodec.h"
+#include "platform/streamtext.h"
 #include "platform/versiontext.h"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
 
+#include <limits>
+
 using namespace Platform;
 
 namespace {
@@ -540,3 +543,136 @@
         },
         [] { FAIL("not read"); });
 }
+
+TEST_CASE("rows of streams are written and read back", "[platform]")
+{
+    const StoreCodec codec;
+    rc::prop("any names and ids", [&] {
+        Gateway::StreamRow row{"k", Base::Milliseconds(*rc::gen::inRange(0, 1'000'000)), {}};
+        for (int left = *rc::gen::inRange(0, 4); left > 0; --left) {
+            row.begun.push_back(
+                {{*rc::gen::arbitrary<std::string>(), *rc::gen::arbitrary<std::string>()},
+                 *rc::gen::container<std::vector<Routing::StreamId>>(
+                     rc::gen::arbitrary<Routing::StreamId>())});
+        }
+        const auto reading = codec.streams({200, rowsBody(row.key, streamText(row))});
+        RC_ASSERT(reading);
+        RC_ASSERT(reading->rows == std::vector{row});
+        RC_ASSERT(reading->malformed.empty());
+        RC_ASSERT(reading->storeTime == Base::Milliseconds(51230));
+    });
+    rc::prop("arbitrary bytes in one row beside a good one", [&] {
+        const Gateway::StreamRow good{"good", Base::Milliseconds(7), {{{"pool", "v1"}, {1, 2}}}};
+        std::string bytes = *rc::gen::arbitrary<std::string>();
+        if (*rc::gen::arbitrary<bool>()) {
+            bytes = streamText(good);
+            bytes[*rc::gen::inRange<std::size_t>(0, bytes.size())] = *rc::gen::arbitrary<char>();
+        }
+        const auto reading =
+            codec.streams({200, rowsBody({{"x", bytes}, {"good", streamText(good)}})});
+        RC_ASSERT(reading);
+        RC_ASSERT(reading->rows.size() + reading->malformed.size() == 2);
+        RC_ASSERT(reading->rows.back() == good);
+        RC_ASSERT(reading->rows.front().key == "x"
+                  || reading->malformed == std::vector<std::string>{"x"});
+    });
+}
+
+// Guards against a stream of another version, read from a damaged row.
+TEST_CASE("a row of streams with a field of another type is malformed as a whole", "[platform]")
+{
+    const StoreCodec codec;
+    const Json report{{"service", "pool"}, {"version", "v1"}, {"streams", {1U, 2U}}};
+    const Json good{{"writtenAtMs", 7U}, {"begun", {report}}};
+    const auto isMalformed = [&](const Json &json) {
+        const std::vector<std::uint8_t> bytes = Json::to_cbor(json);
+        const auto reading = codec.streams({200, rowsBody("x", {bytes.begin(), bytes.end()})});
+        return reading && reading->rows.empty()
+               && reading->malformed == std::vector<std::string>{"x"};
+    };
+    CHECK_FALSE(isMalformed(good));
+    for (const Json &wrong : {Json(), Json(-1), Json("1"), Json::array(), Json::object()}) {
+        CAPTURE(wrong.dump());
+        for (const char *field : {"writtenAtMs", "begun"}) {
+            Json changed = good;
+            changed[field] = wrong;
+            CHECK(isMalformed(changed) == !(wrong.is_array() && changed["begun"] == wrong));
+            changed.erase(field);
+            CHECK(isMalformed(changed));
+        }
+        for (const char *field : {"service", "version", "streams"}) {
+            Json changed = good;
+            // The report before is sound, and is not used either.
+            changed["begun"].push_back(report);
+            changed["begun"][1][field] = wrong;
+            const bool isText = std::string(field) != "streams" && wrong.is_string();
+            const bool isList = std::string(field) == "streams" && wrong.is_array();
+            CHECK(isMalformed(changed) == !(isText || isList));
+            changed["begun"][1].erase(field);
+            CHECK(isMalformed(changed));
+        }
+        Json changed = good;
+        changed["begun"][0]["streams"][1] = wrong;
+        CHECK(isMalformed(changed));
+    }
+    Json fraction = good;
+    fraction["begun"][0]["streams"][1] = 1.5;
+    CHECK(isMalformed(fraction));
+    CHECK(isMalformed(Json::array({good})));
+    // Bytes after the value, and a list that is shorter than it says.
+    CHECK(codec.streams({200, rowsBody("x", streamText({}) + "x")})->malformed.size() == 1);
+    CHECK(codec.streams({200, rowsBody("x", "\x9b\x7f\xff\xff\xff\xff\xff\xff\xff")})
+              ->malformed.size()
+          == 1);
+}
+
+TEST_CASE("rows of streams are read page by page", "[platform]")
+{
+    const StoreCodec codec;
+    CHECK(codec.readStreams({}).target == "/-/rows-get?table=streams&part=streams");
+    // A malformed row is passed as well, so that no page is read twice.
+    Json page = Json::parse(rowsBody({{"a", streamText({})}, {"b&", "malformed"}}));
+    CHECK(codec.streams({200, page.dump()})->continueFrom.empty());
+    page["hasMore"] = true;
+    const auto reading = codec.streams({200, page.dump()});
+    REQUIRE(reading);
+    CHECK(reading->continueFrom == "b%26%00");
+    CHECK(codec.readStreams(reading->continueFrom).target
+          == "/-/rows-get?table=streams&part=streams&from=b%26%00");
+    CHECK(outcomeOf([&] { return codec.streams({503, ""}); }) == Outcome::Refused);
+    CHECK(outcomeOf([&] { return codec.streams({200, "[]"}); }) == Outcome::Malformed);
+}
+
+TEST_CASE("rows of streams are written and removed unconditionally in their own part", "[platform]")
+{
+    const StoreCodec codec;
+    const Gateway::StreamRow row{"k", Base::Milliseconds(7), {{{"pool", "v1"}, {1}}}};
+    const Gateway::HttpCall call = codec.writeStreams({{row}, {"old"}});
+    CHECK(call.target == "/-/rows-tx");
+    const Json body = Json::parse(call.body);
+    CHECK(body["expectedRevision"].empty());
+    CHECK(body["puts"]
+          == Json::array({{{"table", "streams"},
+                           {"part", "streams"},
+                           {"key", "k"},
+                           {"value", encodeBase64(streamText(row))}}}));
+    CHECK(body["remove"]
+          == Json::array({{{"table", "streams"}, {"part", "streams"}, {"key", "old"}}}));
+    CHECK(codec.streamsWritten({200, R"({"ver":44,"nowMs":1})"}));
+    CHECK(outcomeOf([&] { return codec.streamsWritten({503, ""}); }) == Outcome::Refused);
+    CHECK(outcomeOf([&] { return codec.streamsWritten({200, "{}"}); }) == Outcome::Malformed);
+}
+
+// Guards against rows that the store refuses since they are larger than the gateway reckons.
+TEST_CASE("a stream takes nine bytes of a row, beside the names", "[platform]")
+{
+    constexpr Routing::StreamId largest = std::numeric_limits<Routing::StreamId>::max();
+    Gateway::StreamRow row{"k", Base::Milliseconds(std::numeric_limits<std::int64_t>::max()), {}};
+    std::size_t reckoned = 0;
+    for (const std::size_t streams : {5'000U, 0U, 300U, 1U}) {
+        const std::string name(reckoned == 0 ? 300 : 3, 'v');
+        row.begun.push_back({{name, name}, std::vector<Routing::StreamId>(streams, largest)});
+        reckoned += 2 * name.size() + 64 + 9 * streams;
+        CHECK(streamText(row).size() <= reckoned);
+    }
+}
--- a/tests/auto/routing/tst_streamorigins.cpp
+++ b/tests/auto/routing/tst_streamorigins.cpp
@@ -5,8 +5,10 @@
 #include <rapidcheck/catch.h>
 
 #include <algorithm>
+#include <limits>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -57,6 +59,19 @@
     origins.setHistoryKnown(true);
 }
 
+using Told = std::map<StreamId, std::string>;
+
+/// Returns the version of each stream of \a reports.
+Told toldOf(const std::vector<StreamReport> &reports)
+{
+    Told told;
+    for (const StreamReport &report : reports) {
+        for (const StreamId stream : report.streams)
+            told[stream] = report.origin.softwareVersion;
+    }
+    return told;
+}
+
 Work prompt(WorkId id, Base::TimePoint now)
 {
     Work work;
@@ -316,6 +331,328 @@
     CHECK(b.size() == 2500);
 }
 
+TEST_CASE("streams of services with several versions are to be stored, the oldest first",
+          "[routing]")
+{
+    StreamOrigins origins;
+    setServers(origins, {"v1"}, start);
+    for (StreamId stream = 1; stream <= 5; ++stream) {
+        origins.recordBegun(stream, {pool, "v1"}, start);
+        origins.recordBegun(100 + stream, {"other", "v1"}, start);
+    }
+    CHECK(origins.unstored(100, start).empty());
+    // What was begun before the second version counts as well.
+    const Base::TimePoint now = start + seconds(1);
+    setServers(origins, {"v1", "v2"}, now);
+    origins.recordBegun(6, {pool, "v2"}, now);
+    const std::vector<StreamReport> two{{{pool, "v1"}, {1, 2}}};
+    CHECK(origins.unstored(2, now) == two);
+    // What was not stored is returned again.
+    CHECK(origins.unstored(2, now) == two);
+    origins.recordStored({1, 2, 4});
+    CHECK(toldOf(origins.unstored(100, now)) == Told{{3, "v1"}, {5, "v1"}, {6, "v2"}});
+    // An origin that the store had is known, and is not stored again.
+    origins.applyStored({{pool, "v1"}, {3, 7}}, now);
+    CHECK(origins.continuation(pool, 7, now).softwareVersion == "v1");
+    CHECK(toldOf(origins.unstored(100, now)) == Told{{5, "v1"}, {6, "v2"}});
+    origins.recordStored({5, 6});
+    CHECK(origins.unstored(100, now).empty());
+    // The other service gets its second version when the streams around its own are stored.
+    origins.recordBegun(8, {"other", "v1"}, now);
+    origins.recordVersion({"other", "v1"}, now, now);
+    origins.recordVersion({"other", "v2"}, now, now);
+    CHECK(toldOf(origins.unstored(100, now))
+          == Told{{8, "v1"}, {101, "v1"}, {102, "v1"}, {103, "v1"}, {104, "v1"}, {105, "v1"}});
+    // Streams that are forgotten meanwhile keep no others from being stored.
+    setServers(origins, {"v1", "v2"}, start + seconds(20));
+    const Base::TimePoint later = start + seconds(32);
+    origins.recordBegun(9, {pool, "v1"}, later);
+    origins.advance(later);
+    origins.recordStored({101, 102});
+    CHECK(toldOf(origins.unstored(100, later)) == Told{{9, "v1"}});
+}
+
+namespace {
+
+/// Hosts, their store and the callers of streams, in rounds of 100 ms. The first hosts that are up
+/// write what all of them report.
+class StoredStreams
+{
+public:
+    /// Streams that were taken up after all hosts had ended.
+    struct Counts
+    {
+        int asked = 0;
+        int allowed = 0;
+        int certain = 0;
+    };
+
+    explicit StoredStreams(Counts &counts)
+        : m_counts(counts)
+    {}
+
+    void list(const std::string &version)
+    {
+        if (m_listed.try_emplace(version, m_now).second)
+            m_lastListed = m_now;
+    }
+    void unlist(const std::string &version)
+    {
+        if (m_listed.size() > 1)
+            m_listed.erase(version);
+    }
+    /// The host ends and is back after three rounds.
+    void kill(std::size_t index)
+    {
+        m_hosts[index] = Host();
+        m_hosts[index].upAt = m_now + milliseconds(300);
+        m_disruptions.push_back(m_now);
+        const bool areOthersCurrent = !isRecent(m_lastListed) && !isRecent(m_storeAwayAt);
+        for (Begun &it : m_begun) {
+            const bool isReported = areOthersCurrent && it.isTold && !isRecent(it.at);
+            it.isKept = it.isKept && (it.host != index || isReported);
+        }
+    }
+    void killAll()
+    {
+        const bool isStoreCurrent =
+            !isRecent(m_lastListed) && !isRecent(m_storeAwayAt)
+            && std::ranges::count_if(m_disruptions, [&](auto at) { return isRecent(at); }) <= 1;
+        for (Begun &it : m_begun)
+            it.isKept = it.isKept && isStoreCurrent && it.isTold && !isRecent(it.at);
+        for (Host &host : m_hosts) {
+            host = Host();
+            host.upAt = m_now + milliseconds(300);
+        }
+        m_allKilledAt = m_now;
+    }
+    void loseStore(Base::Duration time) { m_storeBackAt = std::max(m_storeBackAt, m_now + time); }
+    void letTwoWrite(Base::Duration time) { m_twoWritersUntil = m_now + time; }
+    /// The next write is not answered. It may have been performed, and the writer may end.
+    void loseWrite(bool isPerformed, bool endsWriter) { m_lostWrite = {isPerformed, endsWriter}; }
+    void begin(std::size_t index, std::size_t version)
+    {
+        const auto &[chosen, since] = *std::next(m_listed.begin(), version % m_listed.size());
+        Host &host = m_hosts[index];
+        // A host that does not know a version does not know that its list is current, either.
+        if (!isUp(host) || !host.origins->areServersCurrent(m_now) || m_now - since < listValidity)
+            return;
+        m_begun.push_back({++m_lastStream, chosen, index, m_now});
+        host.origins->recordBegun(m_lastStream, {pool, chosen}, m_now);
+    }
+    /// In the round's report, the one of the pair of hosts \a lostPair is lost.
+    void finishRound(std::size_t lostPair)
+    {
+        for (const auto &[version, since] : m_listed)
+            m_versionRows[version] = m_now;
+        if (m_now < m_storeBackAt)
+            m_storeAwayAt = m_now;
+        for (Host &host : m_hosts) {
+            if (isUp(host))
+                readStore(host);
+        }
+        if (m_round++ % 2 == 0)
+            report(lostPair);
+        write();
+        std::erase_if(m_begun, [&](const Begun &it) { return m_now - it.at > seconds(14); });
+        for (Host &host : m_hosts) {
+            if (isUp(host))
+                takeUp(host);
+        }
+        m_now += milliseconds(100);
+    }
+
+private:
+    struct Host
+    {
+        std::unique_ptr<StreamOrigins> origins = std::make_unique<StreamOrigins>();
+        Base::TimePoint upAt = start;
+        bool wasUp = false;
+        bool areRowsKnown = false;
+        bool isAsked = false;
+    };
+    struct Begun
+    {
+        StreamId stream = 0;
+        std::string version;
+        std::size_t host = 0;
+        Base::TimePoint at;
+        /// Whether its host had reason to tell the others.
+        bool isTold = false;
+        /// Whether other hosts or the store had a second to learn of it before its hosts ended.
+        bool isKept = true;
+    };
+    struct LostWrite
+    {
+        bool isPerformed = false;
+        bool endsWriter = false;
+    };
+
+    bool isUp(const Host &host) const { return m_now >= host.upAt; }
+    bool isStoreAway() const { return m_now < m_storeBackAt; }
+    bool isRecent(Base::TimePoint at) const { return m_now - at < seconds(1); }
+
+    void readStore(Host &host)
+    {
+        StreamOrigins &origins = *host.origins;
+        if (!std::exchange(host.wasUp, true)) {
+            for (const Host &other : m_hosts)
+                other.origins->repeatReports(Source::OtherZone, m_now);
+        }
+        origins.advance(m_now);
+        if (isStoreAway())
+            return;
+        origins.setServersCurrentUntil(m_now + listValidity, m_now);
+        for (const auto &[version, since] : m_listed)
+            origins.recordVersion({pool, version}, m_now, m_now);
+        if (!origins.isHistoryKnown()) {
+            for (const auto &[version, seenAt] : m_versionRows)
+                origins.recordVersion({pool, version}, seenAt, m_now);
+            origins.setHistoryKnown(true);
+        }
+        if (!origins.isAnyMixed(m_now))
+            origins.setStoredKnown(true);
+        if (origins.needsStored(m_now))
+            readRows(host);
+    }
+    void readRows(Host &host)
+    {
+        for (const auto &[at, row] : m_rows) {
+            for (const StreamReport &it : row)
+                host.origins->applyStored(it, m_now);
+        }
+        host.origins->setStoredKnown(true);
+        host.areRowsKnown = true;
+    }
+    /// No two reports in a row are lost between two hosts.
+    void report(std::size_t lostPair)
+    {
+        if (lostPair == std::exchange(m_lostPair, lostPair))
+            m_lostPair = std::numeric_limits<std::size_t>::max();
+        for (Begun &it : m_begun)
+            it.isTold = it.isTold || m_hosts[it.host].origins->isAnyMixed(m_now);
+        for (std::size_t from = 0; from < m_hosts.size(); ++from) {
+            const auto reports = m_hosts[from].origins->reports(Source::OtherZone, m_now);
+            for (std::size_t to = 0; to < m_hosts.size(); ++to) {
+                if (from != to && isUp(m_hosts[to]) && from * m_hosts.size() + to != m_lostPair)
+                    m_hosts[to].origins->apply(reports, Source::OtherZone, false, m_now);
+            }
+        }
+    }
+    void write()
+    {
+        int writers = m_now < m_twoWritersUntil ? 2 : 1;
+        for (std::size_t index = 0; index < m_hosts.size() && !isStoreAway(); ++index) {
+            if (!isUp(m_hosts[index]))
+                continue;
+            if (writers-- == 0)
+                return;
+            writeAt(index);
+        }
+    }
+    void writeAt(std::size_t index)
+    {
+        Host &host = m_hosts[index];
+        if (!host.areRowsKnown) {
+            readRows(host);
+            return;
+        }
+        const Base::Duration memory = host.origins->memory();
+        std::erase_if(m_rows, [&](const auto &it) { return m_now - it.first >= memory; });
+        const std::vector<StreamReport> begun = host.origins->unstored(1000, m_now);
+        if (begun.empty())
+            return;
+        const std::optional<LostWrite> lost = std::exchange(m_lostWrite, std::nullopt);
+        if (!lost || lost->isPerformed)
+            m_rows.emplace_back(m_now, begun);
+        if (!lost) {
+            for (const StreamReport &it : begun)
+                host.origins->recordStored(it.streams);
+            return;
+        }
+        host.areRowsKnown = false;
+        if (lost->endsWriter)
+            kill(index);
+        else
+            m_disruptions.push_back(m_now);
+    }
+    void takeUp(Host &host)
+    {
+        const StreamOrigins &origins = *host.origins;
+        const bool isReady = origins.areServersCurrent(m_now) && origins.isHistoryKnown()
+                             && !origins.needsStored(m_now);
+        const bool isAsked = m_allKilledAt && isReady && !std::exchange(host.isAsked, true);
+        if (!isAsked && m_round % 4 != 0)
+            return;
+        for (const Begun &it : m_begun) {
+            const Continuation found = origins.continuation(pool, it.stream, m_now);
+            RC_ASSERT(!found.isAllowed() || found.softwareVersion == it.version);
+            if (!isAsked || it.at >= *m_allKilledAt)
+                continue;
+            ++m_counts.asked;
+            m_counts.allowed += found.isAllowed() ? 1 : 0;
+            const bool isCertain = it.isKept || !origins.isAnyMixed(m_now);
+            m_counts.certain += isCertain ? 1 : 0;
+            RC_ASSERT(found.isAllowed() || !isCertain);
+        }
+    }
+
+    Counts &m_counts;
+    Base::TimePoint m_now = start;
+    int m_round = 0;
+    std::vector<Host> m_hosts = std::vector<Host>(3);
+    /// The listed versions, with the time since when.
+    std::map<std::string, Base::TimePoint> m_listed{{"v1", start - seconds(10)}};
+    Base::TimePoint m_lastListed = start;
+    /// When versions were last listed.
+    std::map<std::string, Base::TimePoint> m_versionRows;
+    std::vector<std::pair<Base::TimePoint, std::vector<StreamReport>>> m_rows;
+    std::vector<Begun> m_begun;
+    StreamId m_lastStream = 0;
+    std::size_t m_lostPair = 0;
+    Base::TimePoint m_storeBackAt = start;
+    Base::TimePoint m_storeAwayAt = start;
+    Base::TimePoint m_twoWritersUntil = start;
+    std::optional<LostWrite> m_lostWrite;
+    std::vector<Base::TimePoint> m_disruptions;
+    std::optional<Base::TimePoint> m_allKilledAt;
+};
+
+} // namespace
+
+// Guards against streams that are refused, or go on at another version, after all hosts have ended.
+TEST_CASE("streams go on at their version after all hosts have ended", "[routing]")
+{
+    StoredStreams::Counts counts;
+    rc::prop("hosts are killed, the store is away, writes are lost and writers disagree", [&] {
+        StoredStreams model(counts);
+        const auto randomHost = [] { return *rc::gen::inRange<std::size_t>(0, 3); };
+        for (int round = 0; round < 400; ++round) {
+            const int event = *rc::gen::inRange(0, 80);
+            if (event < 2)
+                model.list(*rc::gen::element<std::string>("v1", "v2"));
+            else if (event == 2)
+                model.unlist(*rc::gen::element<std::string>("v1", "v2"));
+            else if (event == 3)
+                model.kill(randomHost());
+            else if (event == 4)
+                model.killAll();
+            else if (event == 5)
+                model.loseStore(milliseconds(*rc::gen::inRange(100, 4000)));
+            else if (event == 6)
+                model.letTwoWrite(seconds(2));
+            else if (event < 9)
+                model.loseWrite(*rc::gen::arbitrary<bool>(), event == 7);
+            for (int count = *rc::gen::inRange(-2, 4); count > 0; --count)
+                model.begin(randomHost(), *rc::gen::inRange<std::size_t>(0, 2));
+            model.finishRound(*rc::gen::inRange<std::size_t>(0, 30));
+        }
+    });
+    CAPTURE(counts.asked, counts.allowed, counts.certain);
+    CHECK(counts.certain > 1000);
+    CHECK(counts.allowed * 2 >= counts.asked);
+}
+
 // Guards against a customer that takes up other customers' streams, or its own under their ids.
 TEST_CASE("the id of a stream depends on its customer", "[routing]")
 {
