Refuse requests whose end recipients may read in several ways

Callers saw: a Transfer-Encoding that does not end with chunked was taken for no body, and the bytes after the head ran as a request that nobody sent. Equal lengths in a list or in two fields, folded lines, two Host fields and LF within a quoted chunk extension were taken too, trailers were added to the head, and absolute targets found no route.

Cause: Beast reports no error for a coding that it does not know and leaves the decisions on the whole head to its user; the gateway took that for a clear message.

The parsed head now decides before the body is read: 400 or 501, Connection: close, and nothing after it is read.

--- a/src/libs/gateway/callerconnection.cpp
+++ b/src/libs/gateway/callerconnection.cpp
@@ -15,7 +15,7 @@
 /// Answer bytes that a slow caller may leave unread before backpressure is applied to its server.
 constexpr std::size_t blockedOutputBytes = 256U << 10;
 
-int statusFor(const boost::system::error_code &ec)
+unsigned statusFor(const boost::system::error_code &ec)
 {
     if (ec == Http::error::header_limit)
         return 431;
@@ -107,27 +107,49 @@
         m_parser.emplace();
         m_parser->header_limit(static_cast<std::uint32_t>(m_context.limits.headerBytes));
         m_parser->body_limit(m_context.limits.bodyBytes);
-        m_parser->eager(true);
+        // The parser stops after the head, which decides whether the body is read.
+        m_parser->eager(false);
         m_lastActivityAt = bootTimeNow();
     }
     while (!m_input.empty() && !m_parser->is_done()) {
+        const bool isHead = !m_parser->is_header_done();
         boost::system::error_code ec;
         const std::size_t n = m_parser->put(boost::asio::buffer(m_input), ec);
+        const bool isFolded = isHead && hasFoldedLine(std::string_view(m_input).substr(0, n));
         m_input.erase(0, n);
-        if (ec == Http::error::need_more)
-            return false;
-        if (ec) {
-            rejectInput(ec);
+        if ((ec && ec != Http::error::need_more) || isFolded) {
+            rejectInput(statusFor(ec));
             return false;
         }
+        if (isHead && m_parser->is_header_done() && !acceptHead())
+            return false;
+        if (ec == Http::error::need_more)
+            return false;
     }
     return m_parser->is_done();
 }
 
-void CallerConnection::rejectInput(const boost::system::error_code &ec)
+bool CallerConnection::acceptHead()
+{
+    RequestHead &head = m_parser->get().base();
+    const Framing framing = requestFraming(head);
+    if (framing != Framing::Clear || !takeAbsoluteTarget(head)) {
+        rejectInput(framingStatus(framing));
+        return false;
+    }
+    m_parser->eager(true);
+    if (m_parser->chunked()) {
+        m_parser->on_chunk_header(checkChunkExtensions);
+        m_head = std::move(head);
+    }
+    return true;
+}
+
+void CallerConnection::rejectInput(unsigned status)
 {
     ResponseHead head;
-    head.result(static_cast<unsigned>(statusFor(ec)));
+    head.result(status);
+    m_head.reset();
     m_parser.reset();
     m_input.clear();
     m_isAnswering = true;
@@ -139,6 +161,8 @@
 {
     CallerRequest request{m_parser->release(), m_lastActivityAt};
     m_parser.reset();
+    if (m_head)
+        request.message.base() = *std::exchange(m_head, std::nullopt);
     m_isHead = request.message.method() == Http::verb::head;
     m_closesAfterAnswer = !request.message.keep_alive();
     m_isAnswering = true;
--- a/src/libs/gateway/callerconnection.h
+++ b/src/libs/gateway/callerconnection.h
@@ -3,6 +3,7 @@
 #include "base/time.h"
 #include "gateway/answersink.h"
 #include "gateway/callersocket.h"
+#include "gateway/messageframing.h"
 #include "gateway/outputbuffer.h"
 
 #include <boost/beast/http/parser.hpp>
@@ -66,7 +67,10 @@
     void parse();
     /// Parses input until a request is complete; returns whether one is.
     bool parseOne();
-    void rejectInput(const boost::system::error_code &ec);
+    /// Decides on the parsed head before any of the body is read; returns whether the request is
+    /// read on.
+    bool acceptHead();
+    void rejectInput(unsigned status);
     void dispatch();
     void finishAnswer();
     void flush();
@@ -77,6 +81,8 @@
     CallerSocket m_socket;
     ConnectionContext m_context;
     std::optional<Http::request_parser<Http::string_body>> m_parser;
+    /// The head while chunks are read, out of reach of the parser, which adds trailers to the head.
+    std::optional<RequestHead> m_head;
     std::string m_input;
     OutputBuffer m_output;
     std::shared_ptr<ActiveRequest> m_active;
