Take no answer of a server whose end recipients may read in several ways

Callers saw: an answer whose Transfer-Encoding the gateway did not know came as if it had none, with the bytes of its chunks as the body, and with 200.

Cause: as for requests; what the parser did not report was taken for clear.

The parsed head of each answer is decided on by the same function, before any of the body is delivered; an unclear one fails the attempt as broken with the fault malformed.

--- a/src/libs/gateway/backendconnection.cpp
+++ b/src/libs/gateway/backendconnection.cpp
@@ -2,6 +2,7 @@
 
 #include "base/hash.h"
 #include "gateway/boottime.h"
+#include "gateway/messageframing.h"
 
 #include <boost/asio/ip/address_v4.hpp>
 
@@ -223,17 +224,17 @@
         }
         boost::system::error_code ec;
         const std::size_t n = m_parser->put(boost::asio::buffer(m_input), ec);
+        const bool isFolded =
+            !m_isHeadSeen && hasFoldedLine(std::string_view(m_input).substr(0, n));
         m_input.erase(0, n);
-        if (ec && ec != Http::error::need_more) {
+        if ((ec && ec != Http::error::need_more) || isFolded) {
             const bool isLongHead = ec == Http::error::header_limit;
             fail(Routing::AttemptOutcome::Broken,
                  isLongHead ? AnswerFault::LongHead : AnswerFault::Malformed);
             return;
         }
-        if (m_parser->is_header_done() && !m_isHeadSeen) {
-            m_parser->eager(true);
+        if (m_parser->is_header_done() && !m_isHeadSeen)
             headParsed();
-        }
         if (m_listener)
             checkLimits(n, ec == Http::error::need_more);
         if (!m_listener)
@@ -276,6 +277,12 @@
 {
     m_isHeadSeen = true;
     const ResponseHead &head = m_parser->get().base();
+    if (answerFraming(head) != Framing::Clear) {
+        fail(Routing::AttemptOutcome::Broken, AnswerFault::Malformed);
+        return;
+    }
+    m_parser->eager(true);
+    m_parser->on_chunk_header(checkChunkExtensions);
     m_owner->headReceived(*this, head);
     const std::string_view id = field(head, m_names->requestId);
     m_isLateAnswer = id != m_attempt.requestId;
