Refuse fields that identify the customer or the request twice

Callers saw: a request with two keys, or two ids of its attempt, ran as that of the first one. The server got both ids, and may take the last one.

Cause: a field is looked up by its name, which finds the first; nobody counted.

The process test was not run before the fix.

--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -274,7 +274,9 @@
                                  accepted.customer.value(), failureName(failure->type),
                                  std::nullopt, now() - accepted.request.readAt});
         // Keeping a rejected caller's connection open costs more than the rejection itself.
-        if (failure->type == FailureType::HostOverloaded)
+        // Nothing is read after a request that can be taken for that of another caller.
+        if (failure->type == FailureType::HostOverloaded
+            || failure->type == FailureType::BadRequest)
             sink.closeAfterAnswer();
         sink.sendAnswer(failureHead(*failure), failureBody(*failure, accepted.requestId));
         return nullptr;
--- a/src/libs/gateway/httptext.cpp
+++ b/src/libs/gateway/httptext.cpp
@@ -143,6 +143,11 @@
     return it == fields.end() ? std::string_view() : viewOf(it->value());
 }
 
+std::size_t countOf(const Http::fields &fields, const std::string &name)
+{
+    return name.empty() ? 0 : fields.count(name);
+}
+
 std::optional<std::uint64_t> parseNumber(std::string_view text, int base)
 {
     std::uint64_t number = 0;
--- a/src/libs/gateway/httptext.h
+++ b/src/libs/gateway/httptext.h
@@ -6,6 +6,7 @@
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -53,6 +54,8 @@
 
 /// Value of the field \a name; empty if there is no such field or \a name is empty.
 std::string_view field(const Http::fields &fields, const std::string &name);
+/// How often the field \a name is given; zero if \a name is empty.
+std::size_t countOf(const Http::fields &fields, const std::string &name);
 /// Parses an unsigned whole number; empty if \a text is anything else.
 std::optional<std::uint64_t> parseNumber(std::string_view text, int base = 10);
 
--- a/src/libs/gateway/requestvalidator.cpp
+++ b/src/libs/gateway/requestvalidator.cpp
@@ -32,6 +32,8 @@
 std::optional<Failure> RequestValidator::validate(AcceptedRequest &accepted,
                                                   const ValidationContext &context) const
 {
+    if (isAmbiguous(accepted.request.message))
+        return Failure{FailureType::BadRequest, false, std::nullopt};
     // A process that has just started knows no routes yet, and must not answer 404 or 401.
     if (!context.table || !context.areServersKnown)
         return Failure{FailureType::NotReady, false, notReadyRetryAfter};
@@ -58,6 +60,13 @@
     return std::nullopt;
 }
 
+bool RequestValidator::isAmbiguous(const Request &message) const
+{
+    return countOf(message, "Authorization") > 1 || countOf(message, m_names->requestId) > 1
+           || countOf(message, m_names->resumedRequestId) > 1
+           || countOf(message, m_names->lastEventId) > 1;
+}
+
 std::optional<Failure> RequestValidator::identifyCustomer(AcceptedRequest &accepted,
                                                           const ValidationContext &context) const
 {
--- a/src/libs/gateway/requestvalidator.h
+++ b/src/libs/gateway/requestvalidator.h
@@ -39,6 +39,8 @@
                                     const ValidationContext &context) const;
 
 private:
+    /// Whether a field that identifies the customer or the request is given more than once.
+    bool isAmbiguous(const Request &message) const;
     std::optional<Failure> identifyCustomer(AcceptedRequest &accepted,
                                             const ValidationContext &context) const;
     void describeWork(AcceptedRequest &accepted) const;
--- a/tests/auto/gateway/tst_answerframing.cpp
+++ b/tests/auto/gateway/tst_answerframing.cpp
@@ -119,6 +119,17 @@
     }
 }
 
+// Guards against an answer to another request that is taken for the answer to this one.
+TEST_CASE("an answer with two ids or two signatures is no answer", "[framing]")
+{
+    for (const char *second : {"Request-Id: r-2\r\n", "Request-Id: r-1\r\n", "Signature: t\r\n"}) {
+        CAPTURE(second);
+        AnsweredRequest request(answer(second + lengthField));
+        CHECK(request.sink.statuses == std::vector<unsigned>{502});
+        CHECK(request.isMalformed());
+    }
+}
+
 // Guards against sound answers that are refused since they look like unsound ones.
 TEST_CASE("answers whose end is clear are passed on", "[framing]")
 {
--- a/tests/auto/gateway/tst_requestvalidator.cpp
+++ b/tests/auto/gateway/tst_requestvalidator.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <optional>
 #include <set>
 #include <string>
 
@@ -40,3 +41,42 @@
     }
     CHECK(used.size() == 2);
 }
+
+// Guards against a request that the gateway takes for one customer's or one attempt's, and its
+// server for another one's.
+TEST_CASE("a field that identifies the customer or the request may be given once", "[framing]")
+{
+    HeaderNames names;
+    names.requestId = "Request-Id";
+    names.resumedRequestId = "Resumes";
+    names.lastEventId = "Last-Event";
+    names.customer = "Customer";
+    Routing::RoutingConfiguration configuration;
+    Routing::Route route;
+    route.host = "a";
+    route.prefix = "/";
+    route.services = {{"one", 1}};
+    configuration.routes = {route};
+    const auto table = Routing::RouteTable::create(configuration);
+    const RequestValidator validator(names);
+    const auto failureOf = [&](const std::string &name, const std::string &second) {
+        AcceptedRequest accepted;
+        accepted.request.message.target("/x");
+        accepted.request.message.set("Host", "a");
+        accepted.request.message.insert(name, "1");
+        if (!second.empty())
+            accepted.request.message.insert(second, "1");
+        return validator.validate(accepted, {table, true, true, false});
+    };
+    for (const std::string name : {"Authorization", "Request-Id", "Resumes", "Last-Event"}) {
+        CAPTURE(name);
+        CHECK_FALSE(failureOf(name, {}));
+        const std::optional<Failure> failure = failureOf(name, name);
+        CHECK(failure);
+        CHECK((failure && failureStatus(*failure) == 400));
+    }
+    // The case of a name does not tell fields apart, and what the gateway sets itself is removed.
+    CHECK(failureOf("Request-Id", "request-id"));
+    CHECK_FALSE(failureOf("Customer", "Customer"));
+    CHECK_FALSE(failureOf("X", "X"));
+}
--- a/tests/processes/gatewaykeys.sh
+++ b/tests/processes/gatewaykeys.sh
@@ -16,6 +16,12 @@
 expect "customer at the server" "$(jq -r .customer "$FLEET_DIR/body")" dealer
 expect "key at the server" "$(jq -r .key "$FLEET_DIR/body")" ""
 expect "a call with an unknown key" "$(KEY=none call 1 /read/first)" 401
+# Two keys or two ids could be read as those of two customers or two attempts.
+for twice in 'Authorization: Bearer key-2' 'Attempt-Id: another'; do
+    expect "a second ${twice%%:*}" "$(call 1 /read/twice -H "$twice")" 400
+    grep -qi '^Connection: close' "$FLEET_DIR/head" || fleet_fail "no Connection: close"
+done
+expect "runs with a second key or id" "$(runs_of /read/twice)" 0
 expect "an unknown path" "$(call 1 /nothing/here)" 404
 
 # The revoked key is refused, and the other one still works.
