Test what a fleet that was killed whole does about deadly prompt parts

What callers see: when servers end under two parts of prompts that come in the same requests, each gateway that knows of four such ends ends itself. In CrashingParts::blockWorst() the first of the tied parts is blocked, its ends then explain those of the second one, and front() is taken of no counted ends (SIGSEGV at crashingparts.cpp:332, by gdb).

Evidence, on the code as it is: tst_routing_tiedparts ends with SIGSEGV; requestpartendsservers.sh with a second part ended both gateways with status 139 after two of 20 requests, in two of two runs; without it one run passes (4 servers ended). No test had tied parts.

--- a/tests/auto/routing/tst_crashingparts.cpp
+++ b/tests/auto/routing/tst_crashingparts.cpp
@@ -86,6 +86,8 @@
         int powerLoss = 0;
         milliseconds powerLossStep{0};
         milliseconds reportInterval{250};
+        /// When all hosts are killed.
+        std::vector<seconds> kills;
     };
 
     Fleet(std::uint32_t seed, const Load &load)
@@ -99,6 +101,10 @@
     void run(seconds length)
     {
         for (m_now = start; m_now < start + length; m_now += tick) {
+            for (const seconds at : m_load.kills) {
+                if (m_now == start + at)
+                    killHosts();
+            }
             if (happens(m_load.sound))
                 send({pick(8), soundPrompt(), false});
             const bool isTrouble = m_now > start + seconds(5);
@@ -127,6 +133,9 @@
     int sentLate = 0;
     int soundAsked = 0;
     int soundRefused = 0;
+    /// Those at hosts in touch, long after the fifth end.
+    int soundAskedLate = 0;
+    int soundRefusedLate = 0;
     int ended = 0;
     std::size_t blocked(Base::TimePoint now)
     {
@@ -139,6 +148,8 @@
 
 private:
     static constexpr milliseconds tick{5};
+    static constexpr seconds stableWindow{3};
+    static constexpr seconds downTime{2};
 
     struct Request
     {
@@ -175,14 +186,32 @@
         return pick(5) == 0 ? prompt({second}, ++m_own) : prompt({common, second}, ++m_own);
     }
 
+    /// All hosts forget what they know and are back after some time.
+    void killHosts()
+    {
+        m_runs.clear();
+        for (Host &it : m_hosts) {
+            it.life = KnownLife();
+            it.parts = CrashingParts(it.life);
+        }
+        m_hostsBackAt = m_now + downTime;
+    }
+
     void send(const Request &request)
     {
+        if (m_now < m_hostsBackAt)
+            return;
         Host &host = m_hosts[request.host];
-        soundAsked += !request.isDeadly && !request.isRepeat ? 1 : 0;
+        const bool isInTouch = m_now > m_hostsBackAt + stableWindow;
+        const bool isSound = !request.isDeadly && !request.isRepeat;
+        const bool isLate = isInTouch && m_fifthEnd && m_now > *m_fifthEnd + 2 * stableWindow;
+        soundAsked += isSound ? 1 : 0;
+        soundAskedLate += isSound && isLate ? 1 : 0;
         const bool isRefused = host.parts.blockedPart(request.parts, m_now).has_value()
                                || (request.isRepeat && host.parts.isSuspect(request.parts, m_now));
         if (isRefused) {
-            soundRefused += !request.isDeadly && !request.isRepeat ? 1 : 0;
+            soundRefused += isSound ? 1 : 0;
+            soundRefusedLate += isSound && isLate ? 1 : 0;
             return;
         }
         std::vector<std::size_t> up;
@@ -193,7 +222,7 @@
         if (up.empty())
             return;
         const std::size_t place = up[pick(up.size())];
-        if (request.isDeadly && m_fifthEnd && m_now > *m_fifthEnd + seconds(3))
+        if (request.isDeadly && isInTouch && m_fifthEnd && m_now > *m_fifthEnd + stableWindow)
             ++sentLate;
         const Base::TimePoint begins = m_now + between(40, 250);
         m_runs.push_back({request, place, m_servers[place].id, m_now, begins,
@@ -276,6 +305,7 @@
     std::vector<Server> m_servers;
     std::vector<Run> m_runs;
     Base::TimePoint m_now;
+    Base::TimePoint m_hostsBackAt = start - stableWindow;
     std::optional<Base::TimePoint> m_fifthEnd;
     std::uint64_t m_own = 1'000'000;
     int m_nextServer = 0;
@@ -421,6 +451,42 @@
     });
 }
 
+// Guards against hosts that end themselves when servers end under two parts that come together.
+TEST_CASE("two parts under which the same four servers ended are both blocked",
+          "[routing][tiedparts]")
+{
+    Host host;
+    for (int n = 1; n <= 4; ++n)
+        host.end(prompt({deadly, deadly + 1}, std::uint64_t(n)), n, start + n * seconds(1));
+    const Base::TimePoint now = start + seconds(5);
+    CHECK(host.isBlocked(deadly, now));
+    CHECK(host.isBlocked(deadly + 1, now));
+    CHECK_FALSE(host.isBlocked(common, now));
+}
+
+// Guards against a deadly part that reaches servers anew each time all hosts were killed, and
+// against a sound part that is blocked since they forgot that it is sound.
+TEST_CASE("a fleet that was killed whole blocks the deadly part and no part of many requests",
+          "[routing][killedparts]")
+{
+    rc::prop("any rates, and one to three kills", [] {
+        Fleet::Load load;
+        load.sound = *rc::gen::inRange(10, 80);
+        load.deadly = 0.5 * *rc::gen::inRange(1, 21);
+        load.reportInterval = milliseconds(5 * *rc::gen::inRange(20, 101));
+        const int kills = *rc::gen::inRange(1, 4);
+        for (int n = 1; n <= kills; ++n)
+            load.kills.emplace_back(13 * n);
+        Fleet fleet(*rc::gen::arbitrary<std::uint32_t>(), load);
+        fleet.run(seconds(55));
+        RC_LOG() << "ended " << fleet.ended << ", sent late " << fleet.sentLate
+                 << ", sound refused late " << fleet.soundRefusedLate << " of "
+                 << fleet.soundAskedLate;
+        RC_ASSERT(fleet.sentLate <= 3);
+        RC_ASSERT(fleet.soundAskedLate < 20 || 2 * fleet.soundRefusedLate <= fleet.soundAskedLate);
+    });
+}
+
 // Guards against parts that are blocked when servers end for reasons of their own.
 TEST_CASE("a fleet whose servers end for other reasons blocks no part of many requests",
           "[routing][parts]")
--- a/tests/processes/requestpartendsservers.sh
+++ b/tests/processes/requestpartendsservers.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Guards against requests that differ in all but one prompt part and end one server after the other.
-# usage: requestpartendsservers.sh BUILD_FOLDER
+# usage: requestpartendsservers.sh BUILD_FOLDER [PART]
+# PART is one more part that comes in the same requests.
 set -euo pipefail
 cd "$(dirname "$0")/../.."
 FLEET_BUILD=$1
@@ -9,6 +10,7 @@
 deployment_up
 
 deadly=dead
+also=${2:-}
 requests=20
 # Five servers may end until the part is known, and three more by what is sent after that.
 max_ended=8
@@ -54,7 +56,7 @@
         -H "Prefix-Hash: $3" -d "question $2"
 }
 # ask_deadly GATEWAY N, ask_sound GATEWAY N: requests that are alike but for one part.
-ask_deadly() { ask "$1" "$2" "a$2:300,$deadly:200,c$2:200"; }
+ask_deadly() { ask "$1" "$2" "a$2:300,$deadly:200${also:+,$also:200},c$2:200"; }
 ask_sound() { ask "$1" "$2" "a$2:300,c$2:200"; }
 
 for n in "${slots[@]}"; do
