Test that streams go on in roll-outs, and that a killed move goes on

Three cases in which a roll-out keeps its bound on exposure by refusing streams, or forgets how far it was:

- Streams at a version whose order was withdrawn are refused for good, though it was not found bad and its servers serve (tst_routing_withdrawn).

--- a/tests/auto/routing/tst_rollout.cpp
+++ b/tests/auto/routing/tst_rollout.cpp
@@ -4,7 +4,13 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
 
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <random>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 using namespace Routing;
@@ -71,6 +77,157 @@
     return n;
 }
 
+/// Callers' streams at hosts that try a version out, one of whose servers ends after some seconds.
+class TrialStreams
+{
+public:
+    TrialStreams(std::size_t hosts, int perSecond, milliseconds length, std::uint32_t seed)
+        : m_perSecond(perSecond)
+        , m_length(length)
+        , m_random(seed)
+        , m_hosts(hosts, RolloutTraffic(RolloutBounds()))
+    {
+        for (RolloutTraffic &it : m_hosts) {
+            it.setHosts(hosts);
+            it.setServers(servers(9, 9));
+            it.setOrders({testing().order});
+        }
+    }
+
+    void run()
+    {
+        for (milliseconds time{0}; time < seconds(8); time += milliseconds(1)) {
+            const Base::TimePoint now = start + time;
+            if (time % reportInterval == milliseconds(0)) {
+                for (RolloutTraffic &it : m_hosts)
+                    it.setState(testing(), now, now);
+            }
+            if (static_cast<int>(m_random() % 1000) < m_perSecond)
+                begin(now);
+            if (time == seconds(6))
+                endServer(now);
+            takeUp(now);
+        }
+    }
+
+    int requests = 0;
+    int exposed = 0;
+    int takenUp = 0;
+    int wentOn = 0;
+
+private:
+    static constexpr milliseconds reportInterval{250};
+    static constexpr milliseconds retryAfter{300};
+    static constexpr int maxTries = 4;
+
+    struct Broken
+    {
+        Base::TimePoint at;
+        int tries = 0;
+    };
+
+    RolloutTraffic &anyHost() { return m_hosts[m_random() % m_hosts.size()]; }
+    void send(RolloutTraffic &host, const std::string &version)
+    {
+        host.recordSent("pool", "r", version);
+        ++requests;
+        exposed += version == "v2" ? 1 : 0;
+    }
+
+    void begin(Base::TimePoint now)
+    {
+        RolloutTraffic &host = anyHost();
+        const bool isOnTrial = host.rule("pool", "r", m_random(), now).trial.has_value();
+        send(host, isOnTrial ? "v2" : "v1");
+        if (isOnTrial)
+            m_ends.push_back(now + m_length);
+    }
+
+    /// All trials run at one server.
+    void endServer(Base::TimePoint now)
+    {
+        for (const Base::TimePoint end : m_ends) {
+            if (end > now)
+                m_broken.push_back({now + milliseconds(m_random() % 300)});
+        }
+        takenUp = static_cast<int>(m_broken.size());
+    }
+
+    void takeUp(Base::TimePoint now)
+    {
+        for (Broken &it : m_broken) {
+            if (it.at != now)
+                continue;
+            RolloutTraffic &host = anyHost();
+            if (host.mayContinue("pool", "v2", now)) {
+                send(host, "v2");
+                ++wentOn;
+            } else if (++it.tries < maxTries) {
+                it.at += retryAfter;
+            }
+        }
+    }
+
+    int m_perSecond;
+    milliseconds m_length;
+    std::mt19937_64 m_random;
+    std::vector<RolloutTraffic> m_hosts;
+    /// When the streams at the new version end.
+    std::vector<Base::TimePoint> m_ends;
+    std::vector<Broken> m_broken;
+};
+
+/// Plays the second half of a good roll-out's time at hosts that are all killed for two seconds at
+/// \a killedAt, or not at all. Returns how many requests run at old servers when these stop.
+std::uint64_t cutAtEnd(std::optional<Base::TimePoint> killedAt)
+{
+    RolloutState state = testing();
+    state.phase = RolloutPhase::Moving;
+    ++state.revision;
+    const Base::TimePoint movingAt = start + seconds(10);
+    std::mt19937_64 random(1);
+    std::vector<RolloutTraffic> hosts(4, traffic(testing()));
+    std::deque<std::pair<Base::TimePoint, std::pair<std::size_t, std::string>>> running;
+    RolloutDecision decision(state, start, movingAt);
+    for (Base::TimePoint now = movingAt; now < start + seconds(20); now += milliseconds(1)) {
+        if (killedAt && now == *killedAt) {
+            hosts.assign(4, RolloutTraffic(RolloutBounds()));
+            running.clear();
+            now += seconds(2);
+            for (RolloutTraffic &it : hosts) {
+                it.setServers(servers(4, 4));
+                it.setOrders({state.order});
+            }
+            decision = RolloutDecision(state, start, movingAt);
+        }
+        if ((now - movingAt) % milliseconds(100) == Base::Duration::zero()) {
+            for (RolloutTraffic &it : hosts)
+                it.setState(state, now, now);
+        }
+        const std::size_t n = random() % hosts.size();
+        if (random() % 5 == 0) {
+            const std::string version =
+                hosts[n].rule("pool", "r", random(), now).trial ? "v2" : "v1";
+            hosts[n].recordSent("pool", "r", version);
+            running.push_back({now + milliseconds(500), {n, version}});
+        }
+        while (!running.empty() && running.front().first <= now) {
+            const auto &[host, version] = running.front().second;
+            hosts[host].recordEnded("pool", version);
+            running.pop_front();
+        }
+        RolloutInput it = input();
+        it.evidence.runningBefore = 0;
+        for (const RolloutTraffic &host : hosts)
+            it.evidence.runningBefore += host.runningAtOldVersions(state);
+        const std::optional<RolloutStep> step = decision.advance(it, now);
+        if (step && step->phase == RolloutPhase::Completed)
+            return it.evidence.runningBefore;
+    }
+    FAIL("not completed");
+    return 0;
+}
+
 } // namespace
 
 TEST_CASE("a bad version never gets more than it may, however it is bad", "[routing]")
@@ -272,6 +429,51 @@
     CHECK(step->fault->bad == 20);
 }
 
+// Guards against streams at a version on trial that nobody takes up after one of its servers ended.
+TEST_CASE("streams at a version on trial go on within its bound", "[routing][trialstreams]")
+{
+    const std::size_t hosts = GENERATE(1, 8, 40);
+    const int perSecond = GENERATE(100, 400);
+    const milliseconds length = GENERATE(seconds(3), seconds(5));
+    const RolloutBounds bounds;
+    for (std::uint32_t seed = 1; seed <= 10; ++seed) {
+        TrialStreams trial(hosts, perSecond, length, seed);
+        trial.run();
+        CAPTURE(hosts, perSecond, length.count(), seed, trial.takenUp, trial.wentOn);
+        CHECK(trial.exposed <= bounds.exposureShare * trial.requests + bounds.exposureSlack);
+        // All new streams begin, and eight servers of the version serve.
+        CHECK((trial.takenUp < 12 || 2 * trial.wentOn >= trial.takenUp));
+    }
+}
+
+// Guards against streams of a good version that nobody takes up after its roll-out was withdrawn.
+TEST_CASE("streams go on at a version whose roll-out was withdrawn", "[routing][withdrawn]")
+{
+    RolloutState state = testing();
+    state.phase = RolloutPhase::Moving;
+    RolloutTraffic it = traffic(state);
+    REQUIRE(it.mayContinue("pool", "v2", start + milliseconds(100)));
+    RolloutDecision decision(state, start, start);
+    RolloutInput seen = input();
+    seen.isOrdered = false;
+    const std::optional<RolloutStep> step = decision.advance(seen, start + seconds(1));
+    REQUIRE(step);
+    it.setOrders({});
+    state.phase = step->phase;
+    ++state.revision;
+    it.setState(state, start + seconds(1), start + seconds(1));
+    CHECK(it.rule("pool", "r", 0, start + seconds(2)).barred == std::set<std::string>{"v2"});
+    CHECK(it.mayContinue("pool", "v2", start + seconds(2)));
+}
+
+// Guards against a move that begins anew when all hosts were killed, so that old servers stop under
+// most requests.
+TEST_CASE("nothing runs at old servers when a good roll-out is complete", "[routing][killedmove]")
+{
+    CHECK(cutAtEnd(std::nullopt) == 0);
+    CHECK(cutAtEnd(start + seconds(15)) == 0);
+}
+
 TEST_CASE("servers of a version wait until it is known whether a roll-out was ordered", "[routing]")
 {
     // Guards against a host that learns of new servers before it learns of the order, and sends
