Block tied prompt parts before their ends are explained

When four servers had ended under two prompt parts that come in the same requests, each gateway that knew of the ends ended itself (SIGSEGV); two of 20 requests sufficed.

CrashingParts::blockWorst() blocked the first of the tied parts, whose ends then explained those of the second one, and took front() of no counted ends. Now it decides on all tied parts before it blocks the first.

--- a/src/libs/routing/crashingparts.cpp
+++ b/src/libs/routing/crashingparts.cpp
@@ -325,7 +325,8 @@
         worst.push_back(it);
     }
     const bool isTied = worst.size() > 1;
-    bool isNews = false;
+    // A part that is blocked explains its ends, which then count for no other part.
+    std::vector<decltype(worst)::value_type> guilty;
     for (const auto &it : worst) {
         if (most < maxEnds && !it->second.wasBlocked())
             continue;
@@ -335,10 +336,11 @@
             required = maxOddEnds;
         if (most < required && !it->second.wasBlocked())
             continue;
-        setBlocked(it->first, it->second, now, now);
-        isNews = true;
+        guilty.push_back(it);
     }
-    return isNews;
+    for (const auto &it : guilty)
+        setBlocked(it->first, it->second, now, now);
+    return !guilty.empty();
 }
 
 } // namespace Routing
