--- a/src/libs/routing/streamorigins.cpp
+++ b/src/libs/routing/streamorigins.cpp
@@ -54,8 +54,26 @@
 
 void StreamOrigins::setLongestStream(Base::Duration time)
 {
-    m_memory = std::max(minMemory, time * memoryFactor);
-    m_versions.setMemory(m_memory);
+    m_newMemory = std::max(minMemory, time * memoryFactor);
+    if (m_newMemory >= m_memory)
+        setMemory(m_newMemory);
+}
+
+void StreamOrigins::setMemory(Base::Duration memory)
+{
+    m_memory = memory;
+    m_versions.setMemory(memory);
+    m_shortenAt.reset();
+}
+
+void StreamOrigins::updateMemory(Base::TimePoint now)
+{
+    if (m_newMemory == m_memory)
+        return;
+    if (!m_shortenAt)
+        m_shortenAt = now + m_memory;
+    if (now >= *m_shortenAt)
+        setMemory(m_newMemory);
 }
 
 void StreamOrigins::setVersions(const ServerVersions &versions, Base::TimePoint now)
@@ -128,8 +146,9 @@
         --m_skippedByStoring;
 }
 
-void StreamOrigins::applyStored(const StreamReport &stored, Base::TimePoint now)
+void StreamOrigins::applyStored(const StreamReport &stored, Base::Duration age, Base::TimePoint now)
 {
+    recordVersion(stored.origin, now - age, now);
     for (const StreamId stream : stored.streams)
         add(stream, stored.origin, Source::Store, now);
     recordStored(stored.streams);
@@ -234,6 +253,7 @@
 
 void StreamOrigins::advance(Base::TimePoint now)
 {
+    updateMemory(now);
     while (!m_byAge.empty() && now - m_byAge.front().at >= m_memory)
         removeOldest();
     while (!m_reported.empty() && now - m_reported.front().at >= reportedFor)
--- a/src/libs/routing/streamorigins.h
+++ b/src/libs/routing/streamorigins.h
@@ -79,7 +79,8 @@
     };
 
     /// Sets the longest time that a caller may wait for the end of a stream. Origins and versions
-    /// are remembered for longer than that.
+    /// are remembered for longer than that. A shorter time counts once the streams that began
+    /// before have ended.
     void setLongestStream(Base::Duration time);
     /// For how long origins and versions are remembered.
     Base::Duration memory() const { return m_memory; }
@@ -149,10 +150,17 @@
 
     void add(StreamId stream, const ServiceVersion &origin, Source source, Base::TimePoint now);
     void removeOldest();
+    void setMemory(Base::Duration memory);
+    /// Shortens the memory when it is time to.
+    void updateMemory(Base::TimePoint now);
     /// Reports all streams of \a service that hosts up to \a source began, a part at a time.
     void reportAll(Source source, const std::string &service, Base::TimePoint now);
 
     Base::Duration m_memory{};
+    /// What the memory is to be for streams that begin now.
+    Base::Duration m_newMemory{};
+    /// When the memory may be shortened to the new one.
+    std::optional<Base::TimePoint> m_shortenAt;
     /// Never shrinks; it has an element for each version of each service.
     std::set<ServiceVersion> m_origins;
     VersionHistory m_versions;
