Read the rows of streams at each start, and count the versions that they name

Rows of streams now count as servers of their version seen at that time, and a host that has started or was cut off reads them before it lets a stream of unknown origin go on, unless another host tells it that one version alone has served. That is one more reading for a host that starts alone.

Tests: tst_routing, tst_gateway.

--- a/src/libs/gateway/gatewayversions.cpp
+++ b/src/libs/gateway/gatewayversions.cpp
@@ -37,12 +37,15 @@
     for (const Routing::VersionAge &it : versions)
         origins.recordVersion(it.version, time - it.age, time);
     origins.setHistoryKnown(true);
+    // All open streams were begun by the only version that has served.
+    if (!origins.isAnyMixed(time))
+        origins.setStoredKnown(true);
 }
 
 std::optional<std::vector<Routing::VersionAge>> Gateway::knownVersions() const
 {
     const Routing::StreamOrigins &origins = m_memory.streamOrigins();
-    if (!origins.isHistoryKnown())
+    if (!origins.isHistoryKnown() || !origins.isStoredKnown())
         return std::nullopt;
     return origins.versions().ages(bootTimeNow());
 }
--- a/src/libs/gateway/streamrows.cpp
+++ b/src/libs/gateway/streamrows.cpp
@@ -21,6 +21,8 @@
 constexpr Base::Duration maxRetryPause = milliseconds(1000);
 /// A host that becomes the writer relies on rows that it has read this recently.
 constexpr Base::Duration rowsLifetime = milliseconds(2000);
+/// A host's estimate of the store's clock may be off by this much.
+constexpr Base::Milliseconds maxClockError{1000};
 /// The least time between two calls of the writer.
 constexpr Base::Duration writeInterval = milliseconds(100);
 /// The store takes rows of 65,536 bytes.
@@ -61,10 +63,6 @@
 void StreamRows::advance(const View &view, Base::TimePoint now)
 {
     m_client->checkTime(now);
-    Routing::StreamOrigins &origins = m_dependencies.origins;
-    // All streams of a service were then begun by the only version that has served.
-    if (origins.isHistoryKnown() && !origins.isAnyMixed(now))
-        origins.setStoredKnown(true);
     const bool wasWriter = std::exchange(m_wasWriter, view.isWriter);
     const bool isNewWriter = view.isWriter && !wasWriter;
     // Another host may have written since.
@@ -73,7 +71,7 @@
     if (m_client->isBusy() || now < m_nextCall)
         return;
     const bool isReading = !m_nextPage.empty();
-    const bool needsOrigins = view.needsOrigins && origins.needsStored(now);
+    const bool needsOrigins = view.needsOrigins && !m_dependencies.origins.isStoredKnown();
     if (isReading || needsOrigins || (view.isWriter && !m_areRowsKnown))
         read(now);
     else if (view.isWriter)
@@ -115,11 +113,13 @@
     m_nextPage = reading.continueFrom;
     Routing::StreamOrigins &origins = m_dependencies.origins;
     for (const StreamRow &row : reading.rows) {
-        m_rows[row.key] = row.writtenAt;
-        if (reading.storeTime - row.writtenAt >= origins.memory())
+        const Base::Milliseconds age = reading.storeTime - row.writtenAt;
+        // The store's clock may have begun anew. Such a row is never too old, so it is removed.
+        m_rows[row.key] = age < -maxClockError ? Base::Milliseconds(0) : row.writtenAt;
+        if (age >= origins.memory() || age < -maxClockError)
             continue;
         for (const Routing::StreamReport &begun : row.begun)
-            origins.applyStored(begun, now);
+            origins.applyStored(begun, std::max(Base::Milliseconds(0), age), now);
     }
     // The writer removes them with the rows that are too old.
     for (const std::string &key : reading.malformed)
--- a/src/libs/gateway/streamrows.h
+++ b/src/libs/gateway/streamrows.h
@@ -22,9 +22,10 @@
 /// hosts have ended. This costs nothing while each service has servers of one version only.
 ///
 /// One host writes for the fleet, several times a second, a row with the streams that have begun
-/// since. It learns of the others' streams from their reports. Hosts may disagree
-/// on which one it is: both then write, each with keys of its own, and what is stored twice does no
-/// harm. A host that has started, or that was cut off, reads all rows while versions are mixed.
+/// since. It learns of the others' streams from their reports. Hosts may disagree on which one it
+/// is: both then write, each with keys of its own, and what is stored twice does no harm. A host
+/// that has started, or that was cut off, reads all rows, unless another host has told it that one
+/// version alone has served.
 class StreamRows
 {
 public:
--- a/src/libs/routing/streamorigins.cpp
+++ b/src/libs/routing/streamorigins.cpp
@@ -196,9 +196,14 @@
     for (const StreamReport &report : reports) {
         recordVersion(report.origin, now, now);
         for (const StreamId stream : report.streams) {
-            if (m_streams.count(stream) > 0)
+            const auto known = m_streams.find(stream);
+            // Other hosts may not have read what this one has from the store.
+            if (known != m_streams.end() && known->second.source != Source::Store)
                 continue;
-            add(stream, report.origin, source, now);
+            if (known != m_streams.end())
+                known->second.source = source;
+            else
+                add(stream, report.origin, source, now);
             if (relays)
                 m_reported.push_back({stream, now});
         }
@@ -247,6 +252,8 @@
         return {Continuation::Kind::OldServers, {}};
     if (!m_isHistoryKnown)
         return {Continuation::Kind::NoHistory, {}};
+    if (!m_isStoredKnown)
+        return {Continuation::Kind::Unread, {}};
     // A stream that waits for a place must not go on at a version that appears meanwhile.
     return {Continuation::Kind::AnyServer, versions.empty() ? std::string() : versions.front()};
 }
--- a/src/libs/routing/streamorigins.h
+++ b/src/libs/routing/streamorigins.h
@@ -36,7 +36,7 @@
         AnyServer,   ///< The service has had servers of one version only.
         SameVersion, ///< At a server of the version that began the stream.
         Unknown,     ///< Servers of several versions may have begun the stream.
-        Unread,      ///< The same, but the store may know which one did.
+        Unread,      ///< The store may know which version began the stream.
         NoHistory,   ///< It is not known which versions have served.
         OldServers,  ///< It is not known which versions serve now.
     };
@@ -101,12 +101,12 @@
     /// Notes whether this host knows all origins that the store had when it was last cut off or
     /// started.
     void setStoredKnown(bool isKnown) { m_isStoredKnown = isKnown; }
-    /// Whether origins may be in the store that this host needs and does not know.
-    bool needsStored(Base::TimePoint now) const { return !m_isStoredKnown && isAnyMixed(now); }
+    bool isStoredKnown() const { return m_isStoredKnown; }
     /// Whether a service has several remembered versions.
     bool isAnyMixed(Base::TimePoint now) const { return !m_versions.mixedServices(now).empty(); }
-    /// Takes in what the store has.
-    void applyStored(const StreamReport &stored, Base::TimePoint now);
+    /// Takes in what was stored \a age ago. A version that began streams may have no row of its
+    /// own, if all hosts ended just then.
+    void applyStored(const StreamReport &stored, Base::Duration age, Base::TimePoint now);
     /// Returns at most \a maxStreams origins that the store does not have, as far as this host
     /// knows, the oldest first. Only streams of services with several remembered versions are
     /// stored.
--- a/tests/auto/gateway/tst_requestmemory.cpp
+++ b/tests/auto/gateway/tst_requestmemory.cpp
@@ -56,6 +56,7 @@
         it->memory.advance({{"pool", {{"v1", 2}}}}, start);
         it->memory.streamOrigins().setServersCurrentUntil(start + seconds(2), start);
         it->memory.streamOrigins().setHistoryKnown(true);
+        it->memory.streamOrigins().setStoredKnown(true);
     }
     a.memory.recordStreamBegun(1, {"pool", "v1"}, start);
     CHECK(a.wantedReports.empty());
--- a/tests/auto/gateway/tst_streamrows.cpp
+++ b/tests/auto/gateway/tst_streamrows.cpp
@@ -127,6 +127,8 @@
     const auto host = fixture.started("a");
     host->view.needsOrigins = true;
     host->origins.recordBegun(1, v1, fixture.now());
+    // Another host has told it.
+    host->origins.setStoredKnown(true);
     fixture.run(*host);
     CHECK(fixture.reads() == 0);
     host->view.isWriter = true;
--- a/tests/auto/gateway/tst_versionrows.cpp
+++ b/tests/auto/gateway/tst_versionrows.cpp
@@ -79,6 +79,8 @@
     CHECK(host.reads() == 1);
     CHECK(host.versions() == std::vector<std::string>{"v1", "v2"});
     const Base::TimePoint now = bootTimeNow();
+    CHECK(host.origins.continuation("pool", 1, now).kind == Kind::Unread);
+    host.origins.setStoredKnown(true);
     CHECK(host.origins.continuation("pool", 1, now).kind == Kind::Unknown);
     // A version whose end no host has seen may have served until just now.
     host.protocol.versionRows.front().goneAt.reset();
@@ -91,6 +93,7 @@
     host.protocol.versionRows.front().goneAt = storeNow - seconds(40);
     host.restart();
     host.run();
+    host.origins.setStoredKnown(true);
     CHECK(host.origins.continuation("pool", 1, bootTimeNow()).softwareVersion == "v2");
     CHECK(host.protocol.versionChanges.empty());
 }
--- a/tests/auto/routing/tst_streamorigins.cpp
+++ b/tests/auto/routing/tst_streamorigins.cpp
@@ -57,6 +57,7 @@
 {
     origins.setServersCurrentUntil(now + std::chrono::hours(1), now);
     origins.setHistoryKnown(true);
+    origins.setStoredKnown(true);
 }
 
 using Told = std::map<StreamId, std::string>;
@@ -101,8 +102,10 @@
 {
     StreamOrigins a;
     StreamOrigins b;
-    for (StreamOrigins *it : {&a, &b})
+    for (StreamOrigins *it : {&a, &b}) {
+        it->setStoredKnown(true);
         setServers(*it, {"v1"}, start);
+    }
     a.recordBegun(1, {pool, "v1"}, start);
     CHECK(a.reports(Source::Self, start).empty());
     // A second version appears while the first stream is open.
@@ -156,11 +159,13 @@
     // Before the host has read the rows of versions, an entry may tell of a server that leaves.
     if (isOldVersionLeaving) {
         origins.setVersions({{pool, {{"v1", 1}}}}, start);
-        CHECK(origins.continuation(pool, 1, start).kind == Kind::Unknown);
+        CHECK(origins.continuation(pool, 1, start).kind == Kind::Unread);
     }
     origins.recordVersion({pool, "v1"}, start - seconds(5), start);
     origins.recordVersion({pool, "v2"}, start, start);
     origins.setHistoryKnown(true);
+    CHECK(origins.continuation(pool, 1, start).kind == Kind::Unread);
+    origins.setStoredKnown(true);
     CHECK(origins.continuation(pool, 1, start).kind == Kind::Unknown);
     CHECK_FALSE(origins.continuation(pool, 1, start).isAllowed());
     // By then, the old version is too long gone for an open stream.
@@ -179,6 +184,7 @@
     setServers(origins, {"v1"}, start);
     origins.setServersCurrentUntil(start + seconds(2), start);
     origins.setHistoryKnown(true);
+    origins.setStoredKnown(true);
     CHECK(origins.continuation(pool, 1, start + seconds(1)).isAllowed());
     // The proofs go on, and then they stop.
     origins.setServersCurrentUntil(start + seconds(4), start + seconds(1));
@@ -190,6 +196,8 @@
     CHECK(origins.continuation(pool, 1, back).kind == Kind::NoHistory);
     origins.recordVersion({pool, "v2"}, back - seconds(3), back);
     origins.setHistoryKnown(true);
+    CHECK(origins.continuation(pool, 1, back).kind == Kind::Unread);
+    origins.setStoredKnown(true);
     CHECK(origins.continuation(pool, 1, back).kind == Kind::Unknown);
     // A stream whose origin is known goes on there, whatever else is not known.
     origins.recordBegun(2, {pool, "v1"}, start);
@@ -223,6 +231,7 @@
             for (const auto &[version, seenAt] : rows)
                 host.origins->recordVersion({pool, version}, seenAt, now);
             host.origins->setHistoryKnown(true);
+            host.origins->setStoredKnown(true);
         };
         for (StreamId stream = 1; stream < 100; ++stream) {
             const Base::TimePoint now = start + milliseconds(700) * static_cast<int>(stream);
@@ -274,6 +283,7 @@
         const auto started = [&](Base::TimePoint now) {
             auto host = std::make_unique<StreamOrigins>();
             setServers(*host, versions, now);
+            host->setStoredKnown(true);
             return host;
         };
         for (int i = 0; i < 4; ++i)
@@ -352,7 +362,7 @@
     origins.recordStored({1, 2, 4});
     CHECK(toldOf(origins.unstored(100, now)) == Told{{3, "v1"}, {5, "v1"}, {6, "v2"}});
     // An origin that the store had is known, and is not stored again.
-    origins.applyStored({{pool, "v1"}, {3, 7}}, now);
+    origins.applyStored({{pool, "v1"}, {3, 7}}, seconds(2), now);
     CHECK(origins.continuation(pool, 7, now).softwareVersion == "v1");
     CHECK(toldOf(origins.unstored(100, now)) == Told{{5, "v1"}, {6, "v2"}});
     origins.recordStored({5, 6});
@@ -510,16 +520,14 @@
                 origins.recordVersion({pool, version}, seenAt, m_now);
             origins.setHistoryKnown(true);
         }
-        if (!origins.isAnyMixed(m_now))
-            origins.setStoredKnown(true);
-        if (origins.needsStored(m_now))
+        if (!origins.isStoredKnown())
             readRows(host);
     }
     void readRows(Host &host)
     {
         for (const auto &[at, row] : m_rows) {
             for (const StreamReport &it : row)
-                host.origins->applyStored(it, m_now);
+                host.origins->applyStored(it, m_now - at, m_now);
         }
         host.origins->setStoredKnown(true);
         host.areRowsKnown = true;
@@ -579,8 +587,8 @@
     void takeUp(Host &host)
     {
         const StreamOrigins &origins = *host.origins;
-        const bool isReady = origins.areServersCurrent(m_now) && origins.isHistoryKnown()
-                             && !origins.needsStored(m_now);
+        const bool isReady =
+            origins.areServersCurrent(m_now) && origins.isHistoryKnown() && origins.isStoredKnown();
         const bool isAsked = m_allKilledAt && isReady && !std::exchange(host.isAsked, true);
         if (!isAsked && m_round % 4 != 0)
             return;
@@ -763,3 +771,52 @@
     CHECK(shareOfNew > 0);
     CHECK(shareOfTakenUp >= 0.5 * shareOfNew);
 }
+
+// Guards against streams that go on at another version since the operator has shortened the longest
+// time of a stream, while their callers still have the old one.
+TEST_CASE("a shorter time of streams counts when the older streams have ended", "[routing]")
+{
+    StreamOrigins origins;
+    origins.setLongestStream(seconds(60));
+    setAllKnown(origins, start);
+    setServers(origins, {"v1"}, start);
+    origins.recordBegun(1, {pool, "v1"}, start);
+    setServers(origins, {"v2"}, start + seconds(1));
+    const Base::TimePoint changed = start + seconds(32);
+    origins.setLongestStream(seconds(6));
+    for (const seconds later : {seconds(0), seconds(1), seconds(87)}) {
+        setServers(origins, {"v2"}, changed + later);
+        origins.advance(changed + later);
+        CHECK(origins.continuation(pool, 1, changed + later).softwareVersion == "v1");
+        CHECK(origins.continuation(pool, 2, changed + later).kind == Kind::Unknown);
+    }
+    setServers(origins, {"v2"}, changed + seconds(120));
+    origins.advance(changed + seconds(120));
+    CHECK(origins.memory() == seconds(30));
+    CHECK(origins.continuation(pool, 2, changed + seconds(120)).softwareVersion == "v2");
+}
+
+// Guards against hosts of a zone that are never told of a stream that its leader has read.
+TEST_CASE("a stream that is read from the store is still told to others", "[routing]")
+{
+    StreamOrigins leader;
+    setServers(leader, {"v1", "v2"}, start);
+    leader.applyStored({{pool, "v1"}, {1}}, seconds(0), start);
+    CHECK(leader.reports(Source::OtherZone, start).empty());
+    leader.apply({{{pool, "v1"}, {1}}}, Source::OtherZone, true, start);
+    CHECK(toldOf(leader.reports(Source::OtherZone, start)) == Told{{1, "v1"}});
+}
+
+// Guards against streams of a version that had no row yet when all hosts ended.
+TEST_CASE("a stored stream tells that its version has served", "[routing]")
+{
+    StreamOrigins origins;
+    setServers(origins, {"v1"}, start);
+    origins.setServersCurrentUntil(start + seconds(2), start);
+    origins.setHistoryKnown(true);
+    CHECK(origins.continuation(pool, 2, start).kind == Kind::Unread);
+    origins.applyStored({{pool, "v2"}, {1}}, seconds(3), start);
+    origins.setStoredKnown(true);
+    CHECK(origins.continuation(pool, 1, start).softwareVersion == "v2");
+    CHECK(origins.continuation(pool, 2, start).kind == Kind::Unknown);
+}
