--- a/src/libs/gateway/messageframing.cpp
+++ b/src/libs/gateway/messageframing.cpp
@@ -133,7 +133,8 @@
     if (host.empty() || host.find('@') != std::string::npos)
         return false;
     const bool hasPath = rest.substr(end).starts_with('/');
-    const std::string path = (hasPath ? "" : "/") + std::string(rest.substr(end));
+    std::string path(hasPath ? "" : "/");
+    path += rest.substr(end);
     head.target(path);
     head.set(Http::field::host, host);
     return true;
