--- a/cmake/lagoonmast.cmake
+++ b/cmake/lagoonmast.cmake
@@ -19,7 +19,7 @@
 endfunction()
 
 # lagoonmast_test(LIB [LINK target...] [LONG tag...]): adds a test program for the library LIB, of
-# every .cpp file in the current folder. Test cases with a LONG tag simulate minutes each; they run
+# every .cpp file in the current folder. Test cases with a LONG tag take long or stand alone; they run
 # as a separate test with 40 instead of 200 random cases per property.
 function(lagoonmast_test lib)
     cmake_parse_arguments(ARG "" "" "LINK;LONG" ${ARGN})
