Tell in the log which answers end with their connection

A stream that ends too early with its server's process is logged like any whole one ("streamed"). The lines of attempts and of requests now tell whether the answer had neither a length nor chunks, which tells the first hypothesis of docs/incidents/ended-servers.md from the others.

--- a/src/libs/gateway/exchange.cpp
+++ b/src/libs/gateway/exchange.cpp
@@ -3,6 +3,7 @@
 #include "gateway/contentdigest.h"
 #include "gateway/eventlog.h"
 #include "gateway/gatewaymetrics.h"
+#include "gateway/messageframing.h"
 
 #include <algorithm>
 #include <utility>
@@ -244,6 +245,9 @@
     attempt.isHeadSeen = true;
     m_port->serverResponded(attempt.record.server);
     attempt.head = head;
+    attempt.record.endsWithConnection = endsWithConnection(head);
+    if (&attempt == m_current.get())
+        m_record.attempt = attempt.record;
     attempt.isEventStream =
         route().isStream() && head.result() == Http::status::ok && isEventStreamHead(head);
     if (!attempt.isEventStream)
--- a/src/libs/gateway/messageframing.cpp
+++ b/src/libs/gateway/messageframing.cpp
@@ -106,6 +106,12 @@
     return framingOf(head, framingFields(head), head.version());
 }
 
+bool endsWithConnection(const ResponseHead &head)
+{
+    return head.count(Http::field::content_length) == 0
+           && head.count(Http::field::transfer_encoding) == 0;
+}
+
 unsigned framingStatus(Framing framing)
 {
     return framing == Framing::UnknownCoding ? 501 : 400;
--- a/src/libs/gateway/messageframing.h
+++ b/src/libs/gateway/messageframing.h
@@ -22,6 +22,8 @@
 /// in several ways none is clear, also where the RFC allows it to be read.
 Framing requestFraming(const RequestHead &head);
 Framing answerFraming(const ResponseHead &head);
+/// Whether the answer with \a head has neither a length nor chunks.
+bool endsWithConnection(const ResponseHead &head);
 /// HTTP status with which a request is refused whose framing is not clear.
 unsigned framingStatus(Framing framing);
 
--- a/src/libs/gateway/requestrecord.cpp
+++ b/src/libs/gateway/requestrecord.cpp
@@ -66,6 +66,7 @@
         .add("backoffMs", record.attempt.backoffLeft)
         .add("connection", record.attempt.connection)
         .add("fault", nameOf(record.attempt.fault))
+        .add("endsWithConnection", record.attempt.endsWithConnection)
         .add("serverEnds", failed.serverEnds);
     addBlockedPart(line, record);
     return line;
@@ -87,6 +88,7 @@
         .add("cutOff", record.isCutOff)
         .add("server", record.attempt.server.value())
         .add("version", record.attempt.softwareVersion)
+        .add("endsWithConnection", record.attempt.endsWithConnection)
         .add("sends", record.sends)
         .add("runs", record.possibleRuns)
         .add("events", record.events)
--- a/src/libs/gateway/requestrecord.h
+++ b/src/libs/gateway/requestrecord.h
@@ -31,6 +31,8 @@
     Base::Duration backoffLeft{};
     /// Why the answer was given up, if it was.
     AnswerFault fault = AnswerFault::None;
+    /// The answer has neither a length nor chunks.
+    bool endsWithConnection = false;
 };
 
 /// What has happened to a request so far, for decisions and for the log.
