Settle whether an answer without a length is whole, or its server has ended

Cause: an answer with neither a length nor chunks ends with its connection, and the kernel of a killed process ends all its connections in the same orderly way, also between two events.

The end of such an answer now waits for 20 ms. It is whole if another connection to the server is still open, or if a new one can be opened, which then takes the next request. Else the attempt is broken off.

FakeExchangePort::poll() now also checks the pool's times, as the gateway's loop does, since ends are settled there.

--- a/src/libs/gateway/answerfault.h
+++ b/src/libs/gateway/answerfault.h
@@ -4,7 +4,7 @@
 
 namespace Gateway {
 
-/// What was wrong with an answer that was given up while its connection was sound.
+/// What was wrong with an answer that was given up.
 enum class AnswerFault {
     None,
     Malformed,
@@ -17,6 +17,8 @@
     LongLateAnswers,
     LongBody,
     LongEvent,
+    /// The answer ended with its connection, and its server has ended too.
+    ServerEnded,
 };
 
 /// Returns the name of \a fault for the log; an empty one if there is none.
--- a/src/libs/gateway/backendconnection.cpp
+++ b/src/libs/gateway/backendconnection.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/ip/address_v4.hpp>
 
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -86,19 +87,34 @@
         write();
         return;
     }
-    m_connectDeadline = now + connectTimeout;
     boost::system::error_code ec;
-    const auto address = boost::asio::ip::make_address_v4(ip, ec);
-    m_socket.async_connect({address, port},
-                           [self = shared_from_this()](const boost::system::error_code &result) {
-                               self->connected(result);
-                           });
+    m_server = {boost::asio::ip::make_address_v4(ip, ec), port};
+    connect(now);
+}
+
+void BackendConnection::open(const Tcp::endpoint &server, Base::TimePoint now)
+{
+    m_isOpening = true;
+    m_server = server;
+    connect(now);
+}
+
+void BackendConnection::connect(Base::TimePoint now)
+{
+    m_connectDeadline = now + connectTimeout;
+    m_socket.async_connect(
+        m_server,
+        [self = shared_from_this()](const boost::system::error_code &ec) { self->connected(ec); });
 }
 
 void BackendConnection::connected(const boost::system::error_code &ec)
 {
-    if (!m_listener)
+    if (!m_listener && !m_isOpening)
+        return;
+    if (ec && m_isOpening) {
+        opened(false);
         return;
+    }
     if (ec) {
         fail(Routing::AttemptOutcome::Unreachable);
         return;
@@ -109,11 +125,27 @@
     const int limit = unacknowledgedTimeoutMs;
     setsockopt(m_socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof(limit));
     m_isConnected = true;
+    if (m_isOpening) {
+        waitRead();
+        opened(true);
+        return;
+    }
     m_owner->requestWritten(*this);
     write();
     waitRead();
 }
 
+void BackendConnection::opened(bool isOpen)
+{
+    m_isOpening = false;
+    const std::shared_ptr<BackendConnection> self = shared_from_this();
+    if (isOpen)
+        m_owner->connectionIdle(*this);
+    else
+        close();
+    m_owner->connectionOpened(*this, isOpen);
+}
+
 void BackendConnection::write()
 {
     boost::system::error_code ec;
@@ -154,7 +186,11 @@
 
 void BackendConnection::checkTime(Base::TimePoint now)
 {
-    if (m_listener && !m_isConnected && now >= m_connectDeadline)
+    if (m_isConnected || now < m_connectDeadline)
+        return;
+    if (m_isOpening)
+        opened(false);
+    else if (m_listener)
         fail(Routing::AttemptOutcome::Unreachable);
 }
 
@@ -165,6 +201,12 @@
     return n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
+bool BackendConnection::isEnded()
+{
+    pollfd it{m_socket.native_handle(), POLLRDHUP, 0};
+    return poll(&it, 1, 0) != 0;
+}
+
 bool BackendConnection::hasCarried(const std::string &requestId) const
 {
     return std::ranges::count(m_carriedIds, Base::stableHash(requestId)) > 0;
@@ -343,13 +385,27 @@
         boost::system::error_code ec;
         m_parser->put_eof(ec);
         if (!ec && m_parser->is_done()) {
-            answerCompleted();
+            m_isEndInDoubt = true;
+            const std::shared_ptr<BackendConnection> self = shared_from_this();
+            close();
+            m_owner->endDoubted(*this);
             return;
         }
     }
     fail(Routing::AttemptOutcome::Broken);
 }
 
+void BackendConnection::settleEnd(bool isWhole)
+{
+    if (!isEndInDoubt())
+        return;
+    m_isEndInDoubt = false;
+    if (isWhole)
+        answerCompleted();
+    else
+        fail(Routing::AttemptOutcome::Broken, AnswerFault::ServerEnded);
+}
+
 void BackendConnection::fail(Routing::AttemptOutcome outcome, AnswerFault fault)
 {
     BackendListener *listener = std::exchange(m_listener, nullptr);
--- a/src/libs/gateway/backendconnection.h
+++ b/src/libs/gateway/backendconnection.h
@@ -41,7 +41,8 @@
 };
 
 /// Is notified when a request is written to a connection, when the head of any answer arrives on
-/// it, and when it becomes idle, and can take another request, or is closed.
+/// it, and when it becomes idle, and can take another request, or is closed. Decides whether an
+/// answer is whole that has ended with its connection.
 class ConnectionOwner
 {
 public:
@@ -50,6 +51,11 @@
     virtual void headReceived(class BackendConnection &connection, const ResponseHead &head) = 0;
     virtual void connectionIdle(class BackendConnection &connection) = 0;
     virtual void connectionClosed(class BackendConnection &connection) = 0;
+    /// An answer with neither a length nor chunks has ended with \a connection. The owner calls
+    /// settleEnd() later.
+    virtual void endDoubted(class BackendConnection &connection) = 0;
+    /// BackendConnection::open() has ended.
+    virtual void connectionOpened(class BackendConnection &connection, bool isOpen) = 0;
 };
 
 /// One attempt, serialized for sending.
@@ -72,6 +78,9 @@
 ///
 /// An answer is read within the limits of answerfault.h, so that a server that sends without end
 /// takes neither memory nor time without end.
+///
+/// The end of a connection does not tell a whole answer without a length from one whose server has
+/// ended: the kernel of a killed process closes its connections in the same way. The owner decides.
 class BackendConnection final : public std::enable_shared_from_this<BackendConnection>
 {
 public:
@@ -84,6 +93,10 @@
     /// \a listener must outlive the attempt.
     void send(OutgoingAttempt attempt, const std::string &ip, std::uint16_t port,
               BackendListener &listener, Base::TimePoint now);
+    /// Connects to \a server without a request. The connection is idle then.
+    void open(const Tcp::endpoint &server, Base::TimePoint now);
+    /// Ends an answer whose end was in doubt: as whole, or as broken off.
+    void settleEnd(bool isWhole);
     /// Cancels the attempt by closing the connection, which makes the server stop working on it.
     void cancel();
     /// Fails the attempt as withdrawn if it still waits for the connection to be established.
@@ -93,14 +106,20 @@
     bool isPaused() const { return m_isPaused; }
     /// Reads on after pause().
     void resume();
-    /// Fails the attempt if connecting has timed out.
+    /// Fails the attempt, or open(), if connecting has timed out.
     void checkTime(Base::TimePoint now);
     /// Whether the server has closed the idle connection or sent unsolicited data on it. Costs a
     /// system call; called before a request is sent that must not run twice.
     bool isStale();
+    /// Whether the other end has closed the connection, also while data are still unread.
+    bool isEnded();
     void close();
 
     const std::string &serverKey() const { return m_serverKey; }
+    /// The address that the connection was made to.
+    const Tcp::endpoint &server() const { return m_server; }
+    /// Whether the end of an answer is in doubt for which somebody still waits.
+    bool isEndInDoubt() const { return m_isEndInDoubt && m_listener; }
     /// A number that no other connection of this process has.
     std::uint64_t number() const { return m_number; }
     bool isConnected() const { return m_isConnected; }
@@ -111,7 +130,10 @@
     Base::TimePoint idleUntil() const { return m_idleUntil; }
 
 private:
+    void connect(Base::TimePoint now);
     void connected(const boost::system::error_code &ec);
+    /// Ends open().
+    void opened(bool isOpen);
     void write();
     void waitRead();
     void readable();
@@ -126,6 +148,7 @@
     void fail(Routing::AttemptOutcome outcome, AnswerFault fault = AnswerFault::None);
 
     Tcp::socket m_socket;
+    Tcp::endpoint m_server;
     std::string m_serverKey;
     std::uint64_t m_number;
     const HeaderNames *m_names;
@@ -147,6 +170,8 @@
     /// The bytes of an incomplete head that the parser has taken.
     std::size_t m_headBytes = 0;
     bool m_isConnected = false;
+    bool m_isOpening = false;
+    bool m_isEndInDoubt = false;
     bool m_isUsed = false;
     bool m_maybeSent = false;
     bool m_isHeadSeen = false;
--- a/src/libs/gateway/backendpool.cpp
+++ b/src/libs/gateway/backendpool.cpp
@@ -9,6 +9,13 @@
 
 namespace Gateway {
 
+namespace {
+
+/// By then, the kernel of a server process that has ended has closed all its connections.
+constexpr Base::Duration endSettleTime = std::chrono::milliseconds(20);
+
+} // namespace
+
 BackendPool::BackendPool(boost::asio::io_context &io, const HeaderNames &names,
                          std::string &readBuffer, ServerObserver &observer)
     : m_io(&io)
@@ -78,6 +85,50 @@
         else
             connection->checkTime(now);
     }
+    settleEnds(now);
+}
+
+void BackendPool::settleEnds(Base::TimePoint now)
+{
+    // Settling an end may bring about others.
+    std::vector<DoubtedEnd> doubted = std::exchange(m_doubtedEnds, {});
+    std::erase_if(doubted, [](const DoubtedEnd &it) { return !it.connection->isEndInDoubt(); });
+    for (DoubtedEnd &it : doubted) {
+        if (!it.settleAt)
+            it.settleAt = now + endSettleTime;
+        if (now < *it.settleAt || it.opened) {
+            m_doubtedEnds.push_back(std::move(it));
+            continue;
+        }
+        if (hasOpenConnection(*it.connection)) {
+            it.connection->settleEnd(true);
+            continue;
+        }
+        it.opened = openedFor(*it.connection, now);
+        m_doubtedEnds.push_back(std::move(it));
+    }
+}
+
+const BackendConnection *BackendPool::openedFor(const BackendConnection &connection,
+                                                Base::TimePoint now)
+{
+    for (const DoubtedEnd &it : m_doubtedEnds) {
+        if (it.opened && it.connection->serverKey() == connection.serverKey())
+            return it.opened;
+    }
+    const auto opened = std::make_shared<BackendConnection>(*m_io, connection.serverKey(), *m_names,
+                                                            *m_readBuffer, *this);
+    m_connections[connection.serverKey()].all.push_back(opened);
+    opened->open(connection.server(), now);
+    return opened.get();
+}
+
+bool BackendPool::hasOpenConnection(const BackendConnection &connection) const
+{
+    const auto it = m_connections.find(connection.serverKey());
+    return it != m_connections.end() && std::ranges::any_of(it->second.all, [](const auto &other) {
+               return other->isConnected() && !other->isEnded();
+           });
 }
 
 void BackendPool::closeIdleConnections(const Base::ServerId &server)
@@ -127,4 +178,20 @@
     std::erase_if(pooled.all, [&](const auto &held) { return held.get() == &connection; });
 }
 
+void BackendPool::endDoubted(BackendConnection &connection)
+{
+    m_doubtedEnds.push_back({connection.shared_from_this(), std::nullopt, nullptr});
+}
+
+void BackendPool::connectionOpened(BackendConnection &connection, bool isOpen)
+{
+    std::vector<std::shared_ptr<BackendConnection>> settled;
+    for (const DoubtedEnd &it : m_doubtedEnds) {
+        if (it.opened == &connection)
+            settled.push_back(it.connection);
+    }
+    for (const std::shared_ptr<BackendConnection> &it : settled)
+        it->settleEnd(isOpen);
+}
+
 } // namespace Gateway
--- a/src/libs/gateway/backendpool.h
+++ b/src/libs/gateway/backendpool.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_set>
 #include <vector>
@@ -53,8 +54,8 @@
                                             Base::TimePoint now);
     /// Sets how many connections this host may have to each server.
     void setConnectionLimit(std::size_t limit) { m_limit = limit; }
-    /// Closes idle connections whose keep-alive has expired and fails connection attempts that have
-    /// timed out.
+    /// Closes idle connections whose keep-alive has expired, fails connection attempts that have
+    /// timed out, and settles the ends of answers that are in doubt.
     void checkTime(Base::TimePoint now);
     /// Closes the idle connections to \a server, which has gone.
     void closeIdleConnections(const Base::ServerId &server);
@@ -65,8 +66,21 @@
     void headReceived(BackendConnection &connection, const ResponseHead &head) override;
     void connectionIdle(BackendConnection &connection) override;
     void connectionClosed(BackendConnection &connection) override;
+    void endDoubted(BackendConnection &connection) override;
+    void connectionOpened(BackendConnection &connection, bool isOpen) override;
 
 private:
+    /// An answer that has ended with its connection.
+    struct DoubtedEnd
+    {
+        std::shared_ptr<BackendConnection> connection;
+        /// When the connections of a server that has ended are closed too; empty until the next
+        /// checkTime().
+        std::optional<Base::TimePoint> settleAt;
+        /// The connection that is opened to see whether the server is still there.
+        const BackendConnection *opened = nullptr;
+    };
+
     struct ServerConnections
     {
         std::vector<std::shared_ptr<BackendConnection>> all;
@@ -79,11 +93,20 @@
                                                           const SendParameters &parameters,
                                                           Base::TimePoint now);
 
+    /// Settles the ends of answers whose time has come.
+    void settleEnds(Base::TimePoint now);
+    /// Returns the connection that is opened to see whether the server of \a connection is still
+    /// there; opens one if there is none.
+    const BackendConnection *openedFor(const BackendConnection &connection, Base::TimePoint now);
+    /// Whether an open connection shows that the server of \a connection has not ended.
+    bool hasOpenConnection(const BackendConnection &connection) const;
+
     boost::asio::io_context *m_io;
     const HeaderNames *m_names;
     std::string *m_readBuffer;
     ServerObserver *m_observer;
     std::map<std::string, ServerConnections> m_connections;
+    std::vector<DoubtedEnd> m_doubtedEnds;
     std::size_t m_limit = 64;
 };
 
--- a/tests/auto/gateway/fakeexchangeport.h
+++ b/tests/auto/gateway/fakeexchangeport.h
@@ -174,6 +174,7 @@
         // A loop that had nothing to wait for has stopped.
         m_io.restart();
         m_io.poll();
+        m_pool.checkTime(now());
     }
     /// Handles events until \a isDone or for a second at most. Returns whether it is.
     bool pollUntil(const std::function<bool()> &isDone)
--- a/tests/auto/gateway/loopbackserver.h
+++ b/tests/auto/gateway/loopbackserver.h
@@ -52,6 +52,8 @@
     /// Whether a connection is pending.
     bool isCalled() { return isReadable(m_acceptor.native_handle()); }
     Tcp::socket accept() { return m_acceptor.accept(); }
+    /// Listens no more, as a server whose process has ended.
+    void end() { m_acceptor.close(); }
     /// Reads a request without a body. Returns an empty text if the other end has closed the
     /// connection.
     static std::string readRequest(Tcp::socket &socket)
