--- a/tests/soak/streamserver.cpp
+++ b/tests/soak/streamserver.cpp
@@ -269,7 +269,7 @@
                 char buf[32];
                 std::snprintf(buf, sizeof(buf), "%zx\r\n", eventBytes);
                 size = buf;
-                text = size + text + "\r\n";
+                text.insert(0, size).append("\r\n");
             }
             if (n - from == plan.faultAfter) {
                 if (plan.fault == Fault::Pause)
