Take no connection to another address as a sign that a server lives

Callers could still get a stream that ends as complete before its last event if its server was killed and started again under its id at another address: connections are kept under the id, so one to the new address passed for a sign that the server at the old one still lives.

The addresses are compared now.

FakeExchangePort::moveServer() is new; no test or check was changed.

--- a/src/libs/gateway/backendpool.cpp
+++ b/src/libs/gateway/backendpool.cpp
@@ -126,8 +126,9 @@
 bool BackendPool::hasOpenConnection(const BackendConnection &connection) const
 {
     const auto it = m_connections.find(connection.serverKey());
-    return it != m_connections.end() && std::ranges::any_of(it->second.all, [](const auto &other) {
-               return other->isConnected() && !other->isEnded();
+    return it != m_connections.end() && std::ranges::any_of(it->second.all, [&](const auto &other) {
+               return other->isConnected() && other->server() == connection.server()
+                      && !other->isEnded();
            });
 }
 
--- a/tests/auto/gateway/fakeexchangeport.h
+++ b/tests/auto/gateway/fakeexchangeport.h
@@ -168,6 +168,11 @@
         it.server = Base::ServerId("s-" + std::to_string(server));
         return it;
     }
+    /// Enters the first server at the address of the second one.
+    void moveServer()
+    {
+        m_entries[Base::ServerId("s-1")].address = m_entries[Base::ServerId("s-2")].address;
+    }
     LoopbackServer &backend(int server = 1) { return *m_backends[server - 1]; }
     void poll()
     {
--- a/tests/auto/gateway/tst_endedservers.cpp
+++ b/tests/auto/gateway/tst_endedservers.cpp
@@ -134,3 +134,19 @@
     CHECK(it.port.ended == std::vector<std::string>{"caller_gone"});
     CHECK_FALSE(it.sink.isEnded);
 }
+
+// Guards against a server's new address as a proof of life of what ran at the old one.
+TEST_CASE("a server that has started again elsewhere under its id has ended", "[gateway]")
+{
+    BegunStream it(Routing::WorkKind::Stream);
+    it.port.moveServer();
+    RecordingSink sink;
+    const std::shared_ptr<Exchange> other = it.port.exchange(sink, Routing::WorkKind::Idempotent);
+    other->placed(it.port.placement());
+    const Tcp::socket open = it.port.acceptRequest(2);
+    it.port.backend().end();
+    it.socket->close();
+    REQUIRE(it.port.pollUntil([&] { return it.exchange->isFinished(); }));
+    CHECK(it.sink.isCutOff);
+    CHECK_FALSE(it.sink.isEnded);
+}
