Tell a server that has ended from its successor at the same address

Callers could still get streams that end as complete before their last event if another process listened at the address of a killed server soon after.

Cause: whether the server still lives was asked 20 to 45 ms after the end of the answer, with any connection that was open or could be opened then. One to a successor answered for the server that had ended. And a connection that the kernel of an ending process still took up settled the end at once.

Only connections that were open when the answer ended count now, or one that is opened at once when none of them is left, and only if they stay open until the end is settled. The time limit of such a connection begins with the next check, so a host that was suspended meanwhile does not count its own pause.

Limit: a successor that listens before this host has read the end of the connection (a suspended or very slow host) still passes for the server, if no other connection was open.

LoopbackServer::restart() is new; no test or check was changed.

--- a/src/libs/gateway/backendconnection.cpp
+++ b/src/libs/gateway/backendconnection.cpp
@@ -89,19 +89,19 @@
     }
     boost::system::error_code ec;
     m_server = {boost::asio::ip::make_address_v4(ip, ec), port};
-    connect(now);
+    m_connectDeadline = now + connectTimeout;
+    connect();
 }
 
-void BackendConnection::open(const Tcp::endpoint &server, Base::TimePoint now)
+void BackendConnection::open(const Tcp::endpoint &server)
 {
     m_isOpening = true;
     m_server = server;
-    connect(now);
+    connect();
 }
 
-void BackendConnection::connect(Base::TimePoint now)
+void BackendConnection::connect()
 {
-    m_connectDeadline = now + connectTimeout;
     m_socket.async_connect(
         m_server,
         [self = shared_from_this()](const boost::system::error_code &ec) { self->connected(ec); });
@@ -138,12 +138,10 @@
 void BackendConnection::opened(bool isOpen)
 {
     m_isOpening = false;
-    const std::shared_ptr<BackendConnection> self = shared_from_this();
     if (isOpen)
         m_owner->connectionIdle(*this);
     else
         close();
-    m_owner->connectionOpened(*this, isOpen);
 }
 
 void BackendConnection::write()
@@ -186,7 +184,9 @@
 
 void BackendConnection::checkTime(Base::TimePoint now)
 {
-    if (m_isConnected || now < m_connectDeadline)
+    if (m_isOpening && !m_connectDeadline)
+        m_connectDeadline = now + connectTimeout;
+    if (m_isConnected || !m_connectDeadline || now < *m_connectDeadline)
         return;
     if (m_isOpening)
         opened(false);
@@ -204,7 +204,7 @@
 bool BackendConnection::isEnded()
 {
     pollfd it{m_socket.native_handle(), POLLRDHUP, 0};
-    return poll(&it, 1, 0) != 0;
+    return !m_socket.is_open() || poll(&it, 1, 0) != 0;
 }
 
 bool BackendConnection::hasCarried(const std::string &requestId) const
--- a/src/libs/gateway/backendconnection.h
+++ b/src/libs/gateway/backendconnection.h
@@ -54,8 +54,6 @@
     /// An answer with neither a length nor chunks has ended with \a connection. The owner calls
     /// settleEnd() later.
     virtual void endDoubted(class BackendConnection &connection) = 0;
-    /// BackendConnection::open() has ended.
-    virtual void connectionOpened(class BackendConnection &connection, bool isOpen) = 0;
 };
 
 /// One attempt, serialized for sending.
@@ -93,8 +91,8 @@
     /// \a listener must outlive the attempt.
     void send(OutgoingAttempt attempt, const std::string &ip, std::uint16_t port,
               BackendListener &listener, Base::TimePoint now);
-    /// Connects to \a server without a request. The connection is idle then.
-    void open(const Tcp::endpoint &server, Base::TimePoint now);
+    /// Connects to \a server without a request. The connection is idle then, or closed.
+    void open(const Tcp::endpoint &server);
     /// Ends an answer whose end was in doubt: as whole, or as broken off.
     void settleEnd(bool isWhole);
     /// Cancels the attempt by closing the connection, which makes the server stop working on it.
@@ -111,7 +109,7 @@
     /// Whether the server has closed the idle connection or sent unsolicited data on it. Costs a
     /// system call; called before a request is sent that must not run twice.
     bool isStale();
-    /// Whether the other end has closed the connection, also while data are still unread.
+    /// Whether either end has closed the connection, also while data are still unread.
     bool isEnded();
     void close();
 
@@ -123,6 +121,7 @@
     /// A number that no other connection of this process has.
     std::uint64_t number() const { return m_number; }
     bool isConnected() const { return m_isConnected; }
+    bool isOpening() const { return m_isOpening; }
     bool isIdle() const { return m_isConnected && !m_listener && m_socket.is_open(); }
     /// Whether a request with this id was sent on the connection before.
     bool hasCarried(const std::string &requestId) const;
@@ -130,7 +129,7 @@
     Base::TimePoint idleUntil() const { return m_idleUntil; }
 
 private:
-    void connect(Base::TimePoint now);
+    void connect();
     void connected(const boost::system::error_code &ec);
     /// Ends open().
     void opened(bool isOpen);
@@ -161,7 +160,8 @@
     std::deque<std::uint64_t> m_carriedIds;
     OutputBuffer m_output;
     std::string m_input;
-    Base::TimePoint m_connectDeadline;
+    /// Empty until the first checkTime() after open().
+    std::optional<Base::TimePoint> m_connectDeadline;
     Base::TimePoint m_idleUntil = Base::TimePoint::max();
     Base::Duration m_keepAliveTimeout{};
     int m_lateAnswers = 0;
--- a/src/libs/gateway/backendpool.cpp
+++ b/src/libs/gateway/backendpool.cpp
@@ -90,46 +90,53 @@
 
 void BackendPool::settleEnds(Base::TimePoint now)
 {
+    std::vector<std::pair<std::shared_ptr<BackendConnection>, bool>> settled;
+    std::erase_if(m_doubtedEnds, [&](DoubtedEnd &it) {
+        if (!it.connection->isEndInDoubt())
+            return true;
+        const std::optional<bool> verdict = isWhole(it, now);
+        if (verdict)
+            settled.emplace_back(it.connection, *verdict);
+        return verdict.has_value();
+    });
     // Settling an end may bring about others.
-    std::vector<DoubtedEnd> doubted = std::exchange(m_doubtedEnds, {});
-    std::erase_if(doubted, [](const DoubtedEnd &it) { return !it.connection->isEndInDoubt(); });
-    for (DoubtedEnd &it : doubted) {
-        if (!it.settleAt)
-            it.settleAt = now + endSettleTime;
-        if (now < *it.settleAt || it.opened) {
-            m_doubtedEnds.push_back(std::move(it));
-            continue;
-        }
-        if (hasOpenConnection(*it.connection)) {
-            it.connection->settleEnd(true);
-            continue;
-        }
-        it.opened = openedFor(*it.connection, now);
-        m_doubtedEnds.push_back(std::move(it));
-    }
+    for (const auto &[connection, verdict] : settled)
+        connection->settleEnd(verdict);
 }
 
-const BackendConnection *BackendPool::openedFor(const BackendConnection &connection,
-                                                Base::TimePoint now)
+std::optional<bool> BackendPool::isWhole(DoubtedEnd &end, Base::TimePoint now)
 {
-    for (const DoubtedEnd &it : m_doubtedEnds) {
-        if (it.opened && it.connection->serverKey() == connection.serverKey())
-            return it.opened;
-    }
-    const auto opened = std::make_shared<BackendConnection>(*m_io, connection.serverKey(), *m_names,
-                                                            *m_readBuffer, *this);
-    m_connections[connection.serverKey()].all.push_back(opened);
-    opened->open(connection.server(), now);
-    return opened.get();
+    if (std::ranges::any_of(end.witnesses, [](const auto &it) { return it->isOpening(); }))
+        return std::nullopt;
+    if (!end.settleAt)
+        end.settleAt = now + endSettleTime;
+    if (now < *end.settleAt && !end.witnesses.empty())
+        return std::nullopt;
+    if (std::ranges::any_of(end.witnesses, [](const auto &it) { return !it->isEnded(); }))
+        return true;
+    if (end.isProbed)
+        return false;
+    probe(end);
+    end.settleAt.reset();
+    return std::nullopt;
 }
 
-bool BackendPool::hasOpenConnection(const BackendConnection &connection) const
+void BackendPool::probe(DoubtedEnd &end)
 {
-    const auto it = m_connections.find(connection.serverKey());
-    return it != m_connections.end() && std::ranges::any_of(it->second.all, [&](const auto &other) {
-               return other->isConnected() && other->server() == connection.server()
-                      && !other->isEnded();
-           });
+    end.isProbed = true;
+    auto &all = m_connections[end.connection->serverKey()].all;
+    const auto opening = std::ranges::find_if(all, [&](const auto &it) {
+        return it->isOpening() && it->server() == end.connection->server();
+    });
+    if (opening != all.end()) {
+        end.witnesses.push_back(*opening);
+        return;
+    }
+    const auto opened = std::make_shared<BackendConnection>(*m_io, end.connection->serverKey(),
+                                                            *m_names, *m_readBuffer, *this);
+    all.push_back(opened);
+    end.witnesses.push_back(opened);
+    opened->open(end.connection->server());
 }
 
 void BackendPool::closeIdleConnections(const Base::ServerId &server)
@@ -176,23 +183,24 @@
         return;
     ServerConnections &pooled = it->second;
     std::erase(pooled.idle, &connection);
-    std::erase_if(pooled.all, [&](const auto &held) { return held.get() == &connection; });
+    const auto isClosed = [&](const auto &held) { return held.get() == &connection; };
+    std::erase_if(pooled.all, isClosed);
+    for (DoubtedEnd &end : m_doubtedEnds) {
+        if (std::erase_if(end.witnesses, isClosed) > 0 && end.witnesses.empty() && !end.isProbed)
+            probe(end);
+    }
 }
 
 void BackendPool::endDoubted(BackendConnection &connection)
 {
-    m_doubtedEnds.push_back({connection.shared_from_this(), std::nullopt, nullptr});
-}
-
-void BackendPool::connectionOpened(BackendConnection &connection, bool isOpen)
-{
-    std::vector<std::shared_ptr<BackendConnection>> settled;
-    for (const DoubtedEnd &it : m_doubtedEnds) {
-        if (it.opened == &connection)
-            settled.push_back(it.connection);
+    DoubtedEnd &end = m_doubtedEnds.emplace_back();
+    end.connection = connection.shared_from_this();
+    for (const auto &it : m_connections[connection.serverKey()].all) {
+        if (it->isConnected() && it->server() == connection.server() && !it->isEnded())
+            end.witnesses.push_back(it);
     }
-    for (const std::shared_ptr<BackendConnection> &it : settled)
-        it->settleEnd(isOpen);
+    if (end.witnesses.empty())
+        probe(end);
 }
 
 } // namespace Gateway
--- a/src/libs/gateway/backendpool.h
+++ b/src/libs/gateway/backendpool.h
@@ -67,18 +67,20 @@
     void connectionIdle(BackendConnection &connection) override;
     void connectionClosed(BackendConnection &connection) override;
     void endDoubted(BackendConnection &connection) override;
-    void connectionOpened(BackendConnection &connection, bool isOpen) override;
 
 private:
-    /// An answer that has ended with its connection.
+    /// An answer that has ended with its connection. It is whole if another connection stays open
+    /// that was made before, or at once: a later one may lead to a successor of the server.
     struct DoubtedEnd
     {
         std::shared_ptr<BackendConnection> connection;
-        /// When the connections of a server that has ended are closed too; empty until the next
-        /// checkTime().
+        /// The other connections that are still open.
+        std::vector<std::shared_ptr<BackendConnection>> witnesses;
+        /// When the connections of a server that has ended are closed too; empty until the first
+        /// checkTime() at which all witnesses are connected.
         std::optional<Base::TimePoint> settleAt;
-        /// The connection that is opened to see whether the server is still there.
-        const BackendConnection *opened = nullptr;
+        /// Whether a connection was opened as a witness.
+        bool isProbed = false;
     };
 
     struct ServerConnections
@@ -95,11 +97,10 @@
 
     /// Settles the ends of answers whose time has come.
     void settleEnds(Base::TimePoint now);
-    /// Returns the connection that is opened to see whether the server of \a connection is still
-    /// there; opens one if there is none.
-    const BackendConnection *openedFor(const BackendConnection &connection, Base::TimePoint now);
-    /// Whether an open connection shows that the server of \a connection has not ended.
-    bool hasOpenConnection(const BackendConnection &connection) const;
+    /// Returns whether the answer is whole; empty if it is too early to tell.
+    std::optional<bool> isWhole(DoubtedEnd &end, Base::TimePoint now);
+    /// Opens a connection to the server of \a end as a witness, unless one is being opened.
+    void probe(DoubtedEnd &end);
 
     boost::asio::io_context *m_io;
     const HeaderNames *m_names;
--- a/tests/auto/gateway/loopbackserver.h
+++ b/tests/auto/gateway/loopbackserver.h
@@ -26,6 +26,7 @@
 public:
     explicit LoopbackServer(boost::asio::io_context &io)
         : m_acceptor(io, {boost::asio::ip::make_address_v4("127.0.0.1"), 0})
+        , m_endpoint(m_acceptor.local_endpoint())
     {}
 
     /// Names of the header fields that the server uses.
@@ -54,6 +55,8 @@
     Tcp::socket accept() { return m_acceptor.accept(); }
     /// Listens no more, as a server whose process has ended.
     void end() { m_acceptor.close(); }
+    /// Listens again, as the successor of a server that has ended.
+    void restart() { m_acceptor = Tcp::acceptor(m_acceptor.get_executor(), m_endpoint); }
     /// Reads a request without a body. Returns an empty text if the other end has closed the
     /// connection.
     static std::string readRequest(Tcp::socket &socket)
@@ -92,6 +95,7 @@
 
 private:
     Tcp::acceptor m_acceptor;
+    Tcp::endpoint m_endpoint;
 };
 
 } // namespace Gateway
--- a/tests/auto/gateway/tst_endedservers.cpp
+++ b/tests/auto/gateway/tst_endedservers.cpp
@@ -150,3 +150,64 @@
     CHECK(it.sink.isCutOff);
     CHECK_FALSE(it.sink.isEnded);
 }
+
+// Guards against a successor at the same address that passes for the server that has ended.
+TEST_CASE("a successor at the address of a server does not make its answer whole", "[gateway]")
+{
+    BegunStream it(Routing::WorkKind::Stream);
+    it.port.backend().end();
+    it.socket->close();
+    it.port.poll();
+    it.port.backend().restart();
+    REQUIRE(it.port.pollUntil([&] { return it.exchange->isFinished(); }));
+    CHECK(it.sink.isCutOff);
+    CHECK_FALSE(it.sink.isEnded);
+}
+
+// Guards against the same with a connection of another request to the successor.
+TEST_CASE("a later connection does not make an answer whole", "[gateway]")
+{
+    BegunStream it(Routing::WorkKind::Stream);
+    it.port.backend().end();
+    it.socket->close();
+    it.port.poll();
+    it.port.backend().restart();
+    RecordingSink sink;
+    const std::shared_ptr<Exchange> other = it.port.exchange(sink, Routing::WorkKind::Idempotent);
+    other->placed(it.port.placement());
+    REQUIRE(it.port.pollUntil([&] { return it.exchange->isFinished(); }));
+    CHECK(it.sink.isCutOff);
+    CHECK_FALSE(it.sink.isEnded);
+}
+
+// Guards against a connection that the kernel of an ending server still takes up.
+TEST_CASE("a connection that ends at once does not make an answer whole", "[gateway]")
+{
+    BegunStream it(Routing::WorkKind::Stream);
+    it.socket->close();
+    REQUIRE(it.port.pollUntil([&] { return it.port.backend().isCalled(); }));
+    it.port.poll();
+    it.port.backend().end();
+    REQUIRE(it.port.pollUntil([&] { return it.exchange->isFinished(); }));
+    CHECK(it.sink.isCutOff);
+    CHECK_FALSE(it.sink.isEnded);
+}
+
+// Guards against connections that end one after the other.
+TEST_CASE("an answer is not whole if all connections to its server end", "[gateway]")
+{
+    BegunStream it(Routing::WorkKind::Stream);
+    RecordingSink sink;
+    const std::shared_ptr<Exchange> other = it.port.exchange(sink, Routing::WorkKind::Idempotent);
+    other->placed(it.port.placement());
+    Tcp::socket open = it.port.acceptRequest();
+    it.port.backend().end();
+    it.socket->close();
+    it.port.poll();
+    open.close();
+    it.port.poll();
+    it.port.backend().restart();
+    REQUIRE(it.port.pollUntil([&] { return it.exchange->isFinished(); }));
+    CHECK(it.sink.isCutOff);
+    CHECK_FALSE(it.sink.isEnded);
+}
