End a stream that is broken off within an event at once

A stream that ends within an event is known to be broken off. Since its end was in doubt too, so it went on elsewhere some 50 ms later, and a connection was made for nothing.

The listener of an answer now tells whether it is incomplete; only the others are in doubt.

No test was changed.

--- a/src/libs/gateway/attempt.h
+++ b/src/libs/gateway/attempt.h
@@ -64,6 +64,7 @@
         record.fault = failure.fault;
         m_observer->attemptFailed(*this, failure);
     }
+    bool isIncomplete() const override { return isEventStream && events.hasPartialEvent(); }
 
     const Routing::WorkId work;
     std::shared_ptr<BackendConnection> connection;
--- a/src/libs/gateway/backendconnection.cpp
+++ b/src/libs/gateway/backendconnection.cpp
@@ -384,7 +384,7 @@
     if (isClean && m_parser && m_isHeadSeen && !m_isLateAnswer) {
         boost::system::error_code ec;
         m_parser->put_eof(ec);
-        if (!ec && m_parser->is_done()) {
+        if (!ec && m_parser->is_done() && !m_listener->isIncomplete()) {
             m_isEndInDoubt = true;
             const std::shared_ptr<BackendConnection> self = shared_from_this();
             close();
--- a/src/libs/gateway/backendconnection.h
+++ b/src/libs/gateway/backendconnection.h
@@ -38,6 +38,8 @@
     virtual void answerData(std::string_view data) = 0;
     virtual void answerEnded() = 0;
     virtual void attemptFailed(const AttemptFailure &failure) = 0;
+    /// Whether the answer is broken off if nothing more arrives.
+    virtual bool isIncomplete() const { return false; }
 };
 
 /// Is notified when a request is written to a connection, when the head of any answer arrives on
