Doubt the end of an answer while its caller is still slow to read it

Callers who read slowly could still get a stream that ends as complete before its last event: reading from the server pauses, and its end was asked about only when the caller had caught up. By then a successor may listen at the address of the server that was killed long before.

The end of a connection that is paused behind an answer without a length is now noticed at the next check and settled at that time; the verdict holds when the rest is read.

Limit: an end behind more bytes than the kernel buffers is not seen earlier.

No test was changed.

--- a/src/libs/gateway/backendconnection.cpp
+++ b/src/libs/gateway/backendconnection.cpp
@@ -207,6 +207,12 @@
     return !m_socket.is_open() || poll(&it, 1, 0) != 0;
 }
 
+bool BackendConnection::isEndUnread()
+{
+    return m_isPaused && isEndUnsettled() && m_parser && m_isHeadSeen && !m_isLateAnswer
+           && m_parser->need_eof() && isEnded();
+}
+
 bool BackendConnection::hasCarried(const std::string &requestId) const
 {
     return std::ranges::count(m_carriedIds, Base::stableHash(requestId)) > 0;
@@ -385,10 +391,12 @@
         boost::system::error_code ec;
         m_parser->put_eof(ec);
         if (!ec && m_parser->is_done() && !m_listener->isIncomplete()) {
-            m_isEndInDoubt = true;
             const std::shared_ptr<BackendConnection> self = shared_from_this();
             close();
-            m_owner->endDoubted(*this);
+            if (m_isEndWhole)
+                settleEnd(*m_isEndWhole);
+            else
+                m_owner->endDoubted(*this);
             return;
         }
     }
@@ -397,9 +405,9 @@
 
 void BackendConnection::settleEnd(bool isWhole)
 {
-    if (!isEndInDoubt())
+    m_isEndWhole = isWhole;
+    if (!m_listener || m_socket.is_open())
         return;
-    m_isEndInDoubt = false;
     if (isWhole)
         answerCompleted();
     else
--- a/src/libs/gateway/backendconnection.h
+++ b/src/libs/gateway/backendconnection.h
@@ -95,7 +95,7 @@
               BackendListener &listener, Base::TimePoint now);
     /// Connects to \a server without a request. The connection is idle then, or closed.
     void open(const Tcp::endpoint &server);
-    /// Ends an answer whose end was in doubt: as whole, or as broken off.
+    /// Ends an answer whose end was in doubt, as whole or as broken off, once all of it is read.
     void settleEnd(bool isWhole);
     /// Cancels the attempt by closing the connection, which makes the server stop working on it.
     void cancel();
@@ -118,8 +118,12 @@
     const std::string &serverKey() const { return m_serverKey; }
     /// The address that the connection was made to.
     const Tcp::endpoint &server() const { return m_server; }
-    /// Whether the end of an answer is in doubt for which somebody still waits.
-    bool isEndInDoubt() const { return m_isEndInDoubt && m_listener; }
+    /// Whether an answer without a length is open for which somebody still waits, and whose end was
+    /// not settled.
+    bool isEndUnsettled() const { return m_listener && !m_isEndWhole; }
+    /// Whether the connection has ended behind an answer without a length that is not read, since
+    /// its caller is slow.
+    bool isEndUnread();
     /// A number that no other connection of this process has.
     std::uint64_t number() const { return m_number; }
     bool isConnected() const { return m_isConnected; }
@@ -171,9 +175,10 @@
     std::size_t m_lateAnswerBytes = 0;
     /// The bytes of an incomplete head that the parser has taken.
     std::size_t m_headBytes = 0;
+    /// How the end of the answer was settled.
+    std::optional<bool> m_isEndWhole;
     bool m_isConnected = false;
     bool m_isOpening = false;
-    bool m_isEndInDoubt = false;
     bool m_isUsed = false;
     bool m_maybeSent = false;
     bool m_isHeadSeen = false;
--- a/src/libs/gateway/backendpool.cpp
+++ b/src/libs/gateway/backendpool.cpp
@@ -72,11 +72,14 @@
 {
     std::erase_if(m_connections, [](const auto &it) { return it.second.all.empty(); });
     std::vector<std::shared_ptr<BackendConnection>> toCheck;
+    std::vector<std::shared_ptr<BackendConnection>> unread;
     for (const auto &[key, pooled] : m_connections) {
         for (const auto &connection : pooled.all) {
             const bool isExpired = connection->isIdle() && now >= connection->idleUntil();
             if (isExpired || !connection->isConnected())
                 toCheck.push_back(connection);
+            if (connection->isEndUnread())
+                unread.push_back(connection);
         }
     }
     for (const auto &connection : toCheck) {
@@ -85,6 +88,8 @@
         else
             connection->checkTime(now);
     }
+    for (const auto &connection : unread)
+        doubtEnd(connection);
     settleEnds(now);
 }
 
@@ -92,7 +97,7 @@
 {
     std::vector<std::pair<std::shared_ptr<BackendConnection>, bool>> settled;
     std::erase_if(m_doubtedEnds, [&](DoubtedEnd &it) {
-        if (!it.connection->isEndInDoubt())
+        if (!it.connection->isEndUnsettled())
             return true;
         const std::optional<bool> verdict = isWhole(it, now);
         if (verdict)
@@ -193,10 +198,17 @@
 
 void BackendPool::endDoubted(BackendConnection &connection)
 {
+    doubtEnd(connection.shared_from_this());
+}
+
+void BackendPool::doubtEnd(const std::shared_ptr<BackendConnection> &connection)
+{
+    if (std::ranges::count(m_doubtedEnds, connection, &DoubtedEnd::connection) > 0)
+        return;
     DoubtedEnd &end = m_doubtedEnds.emplace_back();
-    end.connection = connection.shared_from_this();
-    for (const auto &it : m_connections[connection.serverKey()].all) {
-        if (it->isConnected() && it->server() == connection.server() && !it->isEnded())
+    end.connection = connection;
+    for (const auto &it : m_connections[connection->serverKey()].all) {
+        if (it->isConnected() && it->server() == connection->server() && !it->isEnded())
             end.witnesses.push_back(it);
     }
     if (end.witnesses.empty())
--- a/src/libs/gateway/backendpool.h
+++ b/src/libs/gateway/backendpool.h
@@ -95,6 +95,7 @@
                                                           const SendParameters &parameters,
                                                           Base::TimePoint now);
 
+    void doubtEnd(const std::shared_ptr<BackendConnection> &connection);
     /// Settles the ends of answers whose time has come.
     void settleEnds(Base::TimePoint now);
     /// Returns whether the answer is whole; empty if it is too early to tell.
--- a/tests/auto/gateway/tst_endedservers.cpp
+++ b/tests/auto/gateway/tst_endedservers.cpp
@@ -180,6 +180,27 @@
     CHECK_FALSE(it.sink.isEnded);
 }
 
+// Guards against the same while the end has not been read yet, since the caller is slow.
+TEST_CASE("a successor does not make the answer to a slow caller whole", "[gateway]")
+{
+    BegunStream it(Routing::WorkKind::Stream);
+    it.sink.isFull = true;
+    write(*it.socket, eventText(3));
+    REQUIRE(it.port.pollUntil([&] { return it.sink.text.ends_with(eventText(3)); }));
+    it.port.backend().end();
+    it.socket->close();
+    for (int i = 0; i < 100; ++i) {
+        it.port.poll();
+        usleep(1000);
+    }
+    it.port.backend().restart();
+    it.sink.isFull = false;
+    it.exchange->outputDrained();
+    REQUIRE(it.port.pollUntil([&] { return it.exchange->isFinished(); }));
+    CHECK(it.sink.isCutOff);
+    CHECK_FALSE(it.sink.isEnded);
+}
+
 // Guards against a connection that the kernel of an ending server still takes up.
 TEST_CASE("a connection that ends at once does not make an answer whole", "[gateway]")
 {
