--- a/src/libs/gateway/backendconnection.h
+++ b/src/libs/gateway/backendconnection.h
@@ -38,6 +38,8 @@
     virtual void answerData(std::string_view data) = 0;
     virtual void answerEnded() = 0;
     virtual void attemptFailed(const AttemptFailure &failure) = 0;
+    /// Whether the answer is broken off if nothing more arrives.
+    virtual bool isIncomplete() const { return false; }
 };
 
 /// Is notified when a request is written to a connection, when the head of any answer arrives on
@@ -54,8 +56,6 @@
     /// An answer with neither a length nor chunks has ended with \a connection. The owner calls
     /// settleEnd() later.
     virtual void endDoubted(class BackendConnection &connection) = 0;
-    /// BackendConnection::open() has ended.
-    virtual void connectionOpened(class BackendConnection &connection, bool isOpen) = 0;
 };
 
 /// One attempt, serialized for sending.
@@ -93,9 +93,9 @@
     /// \a listener must outlive the attempt.
     void send(OutgoingAttempt attempt, const std::string &ip, std::uint16_t port,
               BackendListener &listener, Base::TimePoint now);
-    /// Connects to \a server without a request. The connection is idle then.
-    void open(const Tcp::endpoint &server, Base::TimePoint now);
-    /// Ends an answer whose end was in doubt: as whole, or as broken off.
+    /// Connects to \a server without a request. The connection is idle then, or closed.
+    void open(const Tcp::endpoint &server);
+    /// Ends an answer whose end was in doubt, as whole or as broken off, once all of it is read.
     void settleEnd(bool isWhole);
     /// Cancels the attempt by closing the connection, which makes the server stop working on it.
     void cancel();
@@ -111,18 +111,23 @@
     /// Whether the server has closed the idle connection or sent unsolicited data on it. Costs a
     /// system call; called before a request is sent that must not run twice.
     bool isStale();
-    /// Whether the other end has closed the connection, also while data are still unread.
+    /// Whether either end has closed the connection, also while data are still unread.
     bool isEnded();
     void close();
 
     const std::string &serverKey() const { return m_serverKey; }
     /// The address that the connection was made to.
     const Tcp::endpoint &server() const { return m_server; }
-    /// Whether the end of an answer is in doubt for which somebody still waits.
-    bool isEndInDoubt() const { return m_isEndInDoubt && m_listener; }
+    /// Whether an answer without a length is open for which somebody still waits, and whose end was
+    /// not settled.
+    bool isEndUnsettled() const { return m_listener && !m_isEndWhole; }
+    /// Whether the connection has ended behind an answer without a length that is not read, since
+    /// its caller is slow.
+    bool isEndUnread();
     /// A number that no other connection of this process has.
     std::uint64_t number() const { return m_number; }
     bool isConnected() const { return m_isConnected; }
+    bool isOpening() const { return m_isOpening; }
     bool isIdle() const { return m_isConnected && !m_listener && m_socket.is_open(); }
     /// Whether a request with this id was sent on the connection before.
     bool hasCarried(const std::string &requestId) const;
@@ -130,7 +135,7 @@
     Base::TimePoint idleUntil() const { return m_idleUntil; }
 
 private:
-    void connect(Base::TimePoint now);
+    void connect();
     void connected(const boost::system::error_code &ec);
     /// Ends open().
     void opened(bool isOpen);
@@ -161,7 +166,8 @@
     std::deque<std::uint64_t> m_carriedIds;
     OutputBuffer m_output;
     std::string m_input;
-    Base::TimePoint m_connectDeadline;
+    /// Empty until the first checkTime() after open().
+    std::optional<Base::TimePoint> m_connectDeadline;
     Base::TimePoint m_idleUntil = Base::TimePoint::max();
     Base::Duration m_keepAliveTimeout{};
     int m_lateAnswers = 0;
@@ -169,9 +175,10 @@
     std::size_t m_lateAnswerBytes = 0;
     /// The bytes of an incomplete head that the parser has taken.
     std::size_t m_headBytes = 0;
+    /// How the end of the answer was settled.
+    std::optional<bool> m_isEndWhole;
     bool m_isConnected = false;
     bool m_isOpening = false;
-    bool m_isEndInDoubt = false;
     bool m_isUsed = false;
     bool m_maybeSent = false;
     bool m_isHeadSeen = false;
