Routers read bodies, chunks, rows and orders with limits

A caller's chat body, and a chunk of a model server, with 200,000 levels ended a router with SIGSEGV: dump() and copying a value recurse. Rows of claims, orders, changes, stored answers and the store's answers were parsed at any depth. All use the limited reader; also the settings reader, whose text a target's body reaches, and `explain`, which reads logs.

--- a/src/app/explain.cpp
+++ b/src/app/explain.cpp
@@ -1,6 +1,7 @@
 #include "explain.h"
 
 #include "settingsfile.h"
+#include "untrusted/jsonbytes.h"
 
 #include <nlohmann/json.hpp>
 
@@ -28,8 +29,7 @@
     const std::size_t begin = line.find('{');
     if (begin == std::string::npos)
         return Json();
-    return Json::parse(line.begin() + static_cast<std::ptrdiff_t>(begin), line.end(), nullptr,
-                       false);
+    return Untrusted::readOrderedJson(std::string_view(line).substr(begin));
 }
 
 void readLines(const std::string &text, const std::string &request, std::vector<LoggedLine> &found)
--- a/src/libs/claims/claimrow.cpp
+++ b/src/libs/claims/claimrow.cpp
@@ -1,5 +1,7 @@
 #include "claims/claimrow.h"
 
+#include "untrusted/jsonbytes.h"
+
 #include <nlohmann/json.hpp>
 
 #include <optional>
@@ -110,7 +112,7 @@
 
 Base::Result<ClaimRow> decodeClaim(const std::string &value)
 {
-    const Json json = Json::parse(value, nullptr, false);
+    const Json json = Untrusted::readJson(value);
     if (!json.is_object())
         return boost::leaf::new_error(MalformedClaimRow{});
     const auto state = stateOf(text(json, "state").value_or(std::string()));
--- a/src/libs/coordination/orderrows.cpp
+++ b/src/libs/coordination/orderrows.cpp
@@ -1,5 +1,7 @@
 #include "coordination/orderrows.h"
 
+#include "untrusted/jsonbytes.h"
+
 #include <nlohmann/json.hpp>
 
 namespace Coordination {
@@ -37,7 +39,7 @@
 
 std::optional<DesiredRow> decodeDesired(const std::string &text)
 {
-    const Json json = Json::parse(text, nullptr, false);
+    const Json json = Untrusted::readJson(text);
     if (!json.is_object())
         return std::nullopt;
     const std::string kind = stringValue(json, "order");
@@ -63,7 +65,7 @@
 
 std::optional<OrderLeaseRow> decodeOrderLease(const std::string &text)
 {
-    const Json json = Json::parse(text, nullptr, false);
+    const Json json = Untrusted::readJson(text);
     if (!json.is_object())
         return std::nullopt;
     OrderLeaseRow row;
--- a/src/libs/daemon/chatbody.cpp
+++ b/src/libs/daemon/chatbody.cpp
@@ -3,6 +3,7 @@
 #include "base/hash.h"
 #include "daemon/daemonconstants.h"
 #include "daemon/requestparser.h"
+#include "untrusted/jsonbytes.h"
 
 #include <nlohmann/json.hpp>
 
@@ -35,7 +36,7 @@
 
 Base::Result<ChatBody> parseChatBody(const std::string &body)
 {
-    Json json = Json::parse(body, nullptr, false);
+    Json json = Untrusted::readOrderedJson(body);
     if (!json.is_object())
         return boost::leaf::new_error(BadRequest{RequestFault::MalformedBody});
     const auto model = json.find("model");
--- a/src/libs/daemon/chunkunits.cpp
+++ b/src/libs/daemon/chunkunits.cpp
@@ -1,6 +1,7 @@
 #include "daemon/chunkunits.h"
 
 #include "node/nodeconstants.h"
+#include "untrusted/jsonbytes.h"
 
 #include <nlohmann/json.hpp>
 
@@ -48,7 +49,7 @@
 
 Base::ServiceUnits chunkUnits(const std::string &chunk)
 {
-    const Json json = Json::parse(chunk, nullptr, false);
+    const Json json = Untrusted::readJson(chunk);
     if (!json.is_object())
         return 0;
     Base::ServiceUnits units = generatedTokens(json) * Node::generatedTokenWeight;
--- a/src/libs/daemon/completionassembler.cpp
+++ b/src/libs/daemon/completionassembler.cpp
@@ -1,12 +1,14 @@
 #include "daemon/completionassembler.h"
 
+#include "untrusted/jsonbytes.h"
+
 namespace Daemon {
 
 using Json = nlohmann::json;
 
 void CompletionAssembler::add(const std::string &chunk)
 {
-    const Json json = Json::parse(chunk, nullptr, false);
+    const Json json = Untrusted::readJson(chunk);
     if (!json.is_object())
         return;
     if (m_firstChunk.is_null()) {
--- a/src/libs/daemon/httpbackendclient.cpp
+++ b/src/libs/daemon/httpbackendclient.cpp
@@ -1,6 +1,7 @@
 #include "daemon/httpbackendclient.h"
 
 #include "daemon/daemonconstants.h"
+#include "untrusted/jsonbytes.h"
 
 #include <nlohmann/json.hpp>
 
@@ -107,7 +108,7 @@
     m_pendingPolls.erase(server);
     Node::BackendLoad load;
     load.server = server;
-    const Json json = Json::parse(answer.body, nullptr, false);
+    const Json json = Untrusted::readJson(answer.body);
     load.isReachable = answer.isComplete() && answer.status == 200 && json.is_object();
     if (load.isReachable) {
         load.report.running = countOf(json, "running");
--- a/src/libs/daemon/platformcodec.cpp
+++ b/src/libs/daemon/platformcodec.cpp
@@ -1,5 +1,7 @@
 #include "daemon/platformcodec.h"
 
+#include "untrusted/jsonbytes.h"
+
 #include <nlohmann/json.hpp>
 
 #include <optional>
@@ -79,7 +81,7 @@
 
 Result<std::vector<Storage::TableRow>> decodeRows(const std::string &text)
 {
-    const Json json = Json::parse(text, nullptr, false);
+    const Json json = Untrusted::readJson(text);
     if (!json.is_object() || !json.contains("rows") || !json["rows"].is_array())
         return malformed();
     std::vector<Storage::TableRow> rows;
@@ -93,7 +95,7 @@
 
 Result<Storage::HostListing> decodeListing(const std::string &text)
 {
-    const Json json = Json::parse(text, nullptr, false);
+    const Json json = Untrusted::readJson(text);
     if (!json.is_object() || !json.contains("hosts") || !json["hosts"].is_array())
         return malformed();
     Storage::HostListing listing;
--- a/src/libs/daemon/requestparser.cpp
+++ b/src/libs/daemon/requestparser.cpp
@@ -3,6 +3,7 @@
 #include "daemon/chatbody.h"
 #include "daemon/daemonconstants.h"
 #include "daemon/keydigest.h"
+#include "untrusted/jsonbytes.h"
 
 #include <nlohmann/json.hpp>
 
@@ -144,7 +145,7 @@
     const std::optional<std::uint64_t> version = parseNumber(etag);
     if (!version || name.empty())
         return badRequest(RequestFault::MalformedTarget);
-    const Json json = Json::parse(request.body, nullptr, false);
+    const Json json = Untrusted::readJson(request.body);
     if (!json.is_object())
         return badRequest(RequestFault::MalformedBody);
     for (const auto &[key, value] : json.items()) {
--- a/src/libs/node/storedanswer.cpp
+++ b/src/libs/node/storedanswer.cpp
@@ -1,5 +1,7 @@
 #include "node/storedanswer.h"
 
+#include "untrusted/jsonbytes.h"
+
 #include <nlohmann/json.hpp>
 
 namespace Node {
@@ -17,7 +19,7 @@
 
 Base::Result<StoredAnswer> decodeAnswer(const std::string &text)
 {
-    const Json json = Json::parse(text, nullptr, false);
+    const Json json = Untrusted::readJson(text);
     const bool isWellFormed = json.is_object() && json.contains("status") && json.contains("parts")
                               && json["status"].is_number_integer() && json["parts"].is_array();
     if (!isWellFormed)
--- a/src/libs/settings/changecodec.cpp
+++ b/src/libs/settings/changecodec.cpp
@@ -1,5 +1,7 @@
 #include "settings/changecodec.h"
 
+#include "untrusted/jsonbytes.h"
+
 #include <nlohmann/json.hpp>
 
 #include <charconv>
@@ -114,14 +116,14 @@
 
 std::string tokenOf(const std::string &text)
 {
-    const Json json = Json::parse(text, nullptr, false);
+    const Json json = Untrusted::readJson(text);
     return json.is_object() ? stringMember(json, "token") : std::string();
 }
 
 Base::Result<ConfigurationChange> decodeChange(ConfigurationVersion version,
                                                const std::string &text)
 {
-    return decodeChangeJson(version, Json::parse(text, nullptr, false));
+    return decodeChangeJson(version, Untrusted::readJson(text));
 }
 
 std::string encodeConfiguration(const Configuration &configuration)
@@ -136,7 +138,7 @@
 
 Base::Result<Configuration> decodeConfiguration(const std::string &text)
 {
-    const Json json = Json::parse(text, nullptr, false);
+    const Json json = Untrusted::readJson(text);
     const std::optional<ConfigurationVersion> version = versionMember(json);
     if (!version || !json.contains("entries") || !json["entries"].is_array())
         return boost::leaf::new_error(MalformedChange{});
--- a/src/libs/settings/jsonreader.cpp
+++ b/src/libs/settings/jsonreader.cpp
@@ -1,5 +1,7 @@
 #include "settings/jsonreader.h"
 
+#include "untrusted/jsonbytes.h"
+
 #include <algorithm>
 #include <cstdio>
 #include <set>
@@ -115,21 +117,25 @@
 std::optional<Json> parseJson(std::string_view text, SettingsFaults &faults)
 {
     DuplicateKeyDetector detector(faults);
-    // nlohmann-json reports the position of a syntax error only with its exception.
-    try {
-        return Json::parse(
-            text,
-            [&detector](int, Json::parse_event_t event, Json &parsed) {
-                return detector(event, parsed);
-            },
-            true, true);
-    } catch (const Json::parse_error &ec) {
-        faults.faults.push_back(
-            {"", "JSON, comments allowed", "a syntax error at byte " + std::to_string(ec.byte)});
-    } catch (const Json::exception &) {
-        faults.faults.push_back({"", "JSON, comments allowed", "a number that is out of range"});
-    }
-    return std::nullopt;
+    const auto addFault = [&](const std::string &found) {
+        faults.faults.push_back({"", "JSON, comments allowed", found});
+        return std::optional<Json>();
+    };
+    return boost::leaf::try_handle_all(
+        [&]() -> Base::Result<std::optional<Json>> {
+            BOOST_LEAF_AUTO(json, Untrusted::readCommentedJson(
+                                      text, [&](int, Json::parse_event_t event, Json &parsed) {
+                                          return detector(event, parsed);
+                                      }));
+            return std::optional(std::move(json));
+        },
+        [&](const Untrusted::JsonSyntaxError &ec) {
+            return addFault("a syntax error at byte " + std::to_string(ec.byte));
+        },
+        [&](const Untrusted::NumberOutOfRange &) {
+            return addFault("a number that is out of range");
+        },
+        [&] { return addFault("too many levels, values or bytes"); });
 }
 
 std::string describe(const Json &json)
