--- a/tests/auto/daemon/tst_backendclient.cpp
+++ b/tests/auto/daemon/tst_backendclient.cpp
@@ -1,6 +1,7 @@
 #include "scriptedserver.h"
 
 #include "daemon/httpbackendclient.h"
+#include "support/oddbytes.h"
 
 #include <catch2/catch.hpp>
 
@@ -320,6 +321,20 @@
     CHECK(fixture.expect<Node::BackendFinished>().parts == events);
 }
 
+// Guards against a server's load with odd values that is used, or ends the router.
+TEST_CASE("A load with too many levels or too large a number counts as unreachable")
+{
+    for (const std::string &odd : {deepText(manyLevels), std::string("1e999")}) {
+        const ScriptedServer server([&](ScriptedConnection &it) {
+            while (!it.readRequest().empty())
+                it.write(fixedAnswer("HTTP/1.1 200 OK\r\n", withMember(R"({"running":1})", odd)));
+        });
+        Fixture fixture;
+        fixture.client().pollLoad(Base::ServerId("m1"), server.address());
+        CHECK_FALSE(fixture.expect<Node::BackendLoad>().isReachable);
+    }
+}
+
 TEST_CASE("A load poll reports an unreachable server")
 {
     Fixture fixture;
