Entries with an address or a name that no server has name no server

What callers saw: attempts at 0.0.0.0, at groups and at broadcast addresses, which only cost them time; a version of 200,000 characters became a row that the store refuses each time, and a part of every report.

Cause: the reader of an entry checked the form of the address and whether names are empty, nothing else. An id or service with control characters went into headers and keys as it was.

Evidence: both tests were red before: `tst_platformadapter "[odd]"` accepted six addresses, each name of 201 or 200,000 bytes or with a control character, and two ids.

Such an entry is now malformed like any other: it names no server and the others hold. The longest name is the longest key of the store.

--- a/src/libs/settings/address.cpp
+++ b/src/libs/settings/address.cpp
@@ -26,6 +26,20 @@
     return Address{ip, port};
 }
 
+std::optional<Address> parseUnicastAddress(std::string_view text)
+{
+    // The first byte; 0 is "this network" (RFC 791), 224 and above are groups, reserved addresses
+    // and the broadcast (RFC 1112).
+    constexpr std::uint32_t firstOfGroups = 224;
+    constexpr unsigned bitsAfterFirst = 24;
+    std::optional<Address> address = parseAddress(text);
+    in_addr parsed{};
+    if (!address || inet_pton(AF_INET, address->ip.c_str(), &parsed) != 1)
+        return std::nullopt;
+    const std::uint32_t first = ntohl(parsed.s_addr) >> bitsAfterFirst;
+    return first > 0 && first < firstOfGroups ? address : std::nullopt;
+}
+
 std::string toString(const Address &address)
 {
     return address.ip + ":" + std::to_string(address.port);
--- a/src/libs/settings/address.h
+++ b/src/libs/settings/address.h
@@ -18,6 +18,9 @@
 
 /// Parses "IP:PORT" with a port from 1 to 65535. Returns nothing for any other text.
 std::optional<Address> parseAddress(std::string_view text);
+/// Parses the address of another process, to which packets can be sent. Returns nothing for the
+/// unspecified address, for those of groups and broadcasts, and for reserved ones.
+std::optional<Address> parseUnicastAddress(std::string_view text);
 /// Returns "IP:PORT".
 std::string toString(const Address &address);
 
--- /dev/null
+++ b/tests/auto/platformadapter/tst_oddvalues.cpp
@@ -0,0 +1,94 @@
+#include "platform/rowtext.h"
+#include "platform/servertext.h"
+#include "platform/storecodec.h"
+#include "platform/streamtext.h"
+#include "platform/versiontext.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Platform;
+
+namespace {
+
+struct Entry
+{
+    std::string key;
+    std::string value;
+    std::string part = {};
+};
+
+Gateway::HttpAnswer answerWith(const std::vector<Entry> &entries)
+{
+    Json rows = Json::array();
+    for (const Entry &it : entries) {
+        rows.push_back(
+            {{"key", it.key}, {"part", it.part}, {"value", encodeBase64(it.value)}, {"ver", 3}});
+    }
+    return {200, Json{{"rows", rows}, {"ver", 9}, {"nowMs", 51230}}.dump()};
+}
+
+Json server()
+{
+    return {{"service", "pool"},
+            {"address", "10.128.0.9:8080"},
+            {"zone", "z"},
+            {"version", "v1"},
+            {"slots", 64},
+            {"state", "ready"},
+            {"coldRemainingMs", 250},
+            {"sequence", 4},
+            {"born", 1764700000123}};
+}
+
+std::string serverWith(const char *field, const Json &value)
+{
+    Json json = server();
+    json[field] = value;
+    return json.dump();
+}
+
+/// Returns the ids of the servers that are read from \a entries.
+std::set<std::string> idsOf(const std::vector<Entry> &entries)
+{
+    const auto reading = StoreCodec().servers(answerWith(entries));
+    REQUIRE(reading);
+    std::set<std::string> ids;
+    for (const Routing::RegisteredServer &it : reading->servers)
+        ids.insert(it.start.name);
+    return ids;
+}
+
+const std::string longName(200'000, 'v');
+
+
+} // namespace
+
+// Guards against attempts at addresses that no server can have.
+TEST_CASE("an entry with an address that is not a host's is malformed", "[platform][odd]")
+{
+    for (const char *address :
+         {"0.0.0.0:8080", "0.1.2.3:8080", "224.0.0.1:8080", "239.255.255.255:80",
+          "255.255.255.255:8080", "240.0.0.1:80", "10.0.0.1:0", "10.0.0.1:65536", "10.0.0.1:-1"}) {
+        INFO(address);
+        CHECK(idsOf({{"i-1", server().dump()}, {"i-2", serverWith("address", address)}})
+              == std::set<std::string>{"i-1"});
+    }
+    CHECK(idsOf({{"i-1", serverWith("address", "127.0.0.1:65535")}}).size() == 1);
+}
+
+// Guards against rows and reports that nobody accepts, written again and again.
+TEST_CASE("an entry with a name that is no name is malformed", "[platform][odd]")
+{
+    for (const char *field : {"service", "version", "zone"}) {
+        for (const std::string &name :
+             {longName, std::string(201, 'v'), std::string("v\0", 2), std::string("v\n1")}) {
+            INFO(field << " of " << name.size() << " bytes");
+            CHECK(idsOf({{"i-1", server().dump()}, {"i-2", serverWith(field, name)}})
+                  == std::set<std::string>{"i-1"});
+        }
+        CHECK(idsOf({{"i-1", serverWith(field, std::string(200, 'v'))}}).size() == 1);
+    }
+    for (const std::string &id : {std::string("i\r\nX: 1"), std::string("i\0", 2)})
+        CHECK(idsOf({{"i-1", server().dump()}, {id, server().dump()}}).size() == 1);
+}
+
