Texts that are not UTF-8 no longer end a gateway

What callers saw: a gateway that ended by itself, at each report of the kind.

Cause: texts of a CBOR report are any bytes. A host's name or address, or an order's version, was then written as JSON for the store or for callers, and the library throws for bytes that are not UTF-8; nobody catches that.

--- a/src/libs/gateway/hostreport.cpp
+++ b/src/libs/gateway/hostreport.cpp
@@ -1,5 +1,8 @@
 #include "gateway/hostreport.h"
 
+#include "base/text.h"
+#include "settings/address.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -37,7 +40,11 @@
     std::string text()
     {
         const Json *json = next();
-        return json && check(json->is_string()) ? json->get<std::string>() : std::string();
+        if (!json || !check(json->is_string()))
+            return {};
+        // CBOR states no encoding; a text that is not UTF-8 cannot be written as JSON.
+        const auto &text = json->get_ref<const std::string &>();
+        return check(Base::isUtf8(text)) ? text : std::string();
     }
     std::uint64_t number()
     {
--- a/tests/auto/platformadapter/tst_oddvalues.cpp
+++ b/tests/auto/platformadapter/tst_oddvalues.cpp
@@ -10,6 +10,8 @@
 
 namespace {
 
+constexpr Base::Milliseconds freshFor{2000};
+
 struct Entry
 {
     std::string key;
@@ -92,3 +94,15 @@
         CHECK(idsOf({{"i-1", server().dump()}, {id, server().dump()}}).size() == 1);
 }
 
+// Guards against an uncaught exception, which ends the process.
+TEST_CASE("texts that are not UTF-8 can be written to the store", "[platform][odd]")
+{
+    const StoreCodec codec;
+    CHECK_FALSE(codec.writeHosts({{Base::HostId("\xFF"), Base::ZoneId("\xFF"), "\xFF"}}, freshFor)
+                    .body.empty());
+    CHECK_FALSE(codec.removeHost(Base::HostId("\xFF")).body.empty());
+    Routing::RolloutState state;
+    state.order = {"\xFF", "\xFF", Base::Milliseconds(1), 1};
+    CHECK_FALSE(codec.writeRollout(state, 0).body.empty());
+}
+
