Rows of other parts do not stand for entries

What callers saw: a server that nobody sends to although its entry holds.

Cause: a watch tells of changes in all parts of a table, the entries and the configuration are in the empty one. A row of the same key in another part replaced or removed the entry, or made the whole reading of the configuration fail.

--- a/tests/auto/platformadapter/tst_oddvalues.cpp
+++ b/tests/auto/platformadapter/tst_oddvalues.cpp
@@ -94,6 +94,24 @@
         CHECK(idsOf({{"i-1", server().dump()}, {id, server().dump()}}).size() == 1);
 }
 
+// Guards against a row of the same key in another part that takes a server's place.
+TEST_CASE("rows of other parts do not change servers or the configuration", "[platform][odd]")
+{
+    const StoreCodec codec;
+    CHECK(idsOf({{"i-1", server().dump()}, {"i-1", "odd", "x"}}).size() == 1);
+    Json removal = Json::parse(answerWith({{"i-1", server().dump()}}).body);
+    removal["rows"].push_back({{"key", "i-1"}, {"part", "x"}, {"removed", true}, {"ver", 5}});
+    const auto reading = codec.servers({200, removal.dump()});
+    REQUIRE(reading);
+    CHECK(reading->servers.size() == 1);
+    CHECK(reading->removed.empty());
+    const auto configuration = codec.configuration(answerWith(
+        {{"config", R"({"version":7})"}, {"config", "{", "x"}, {"evacuate/z", "", "x"}}));
+    REQUIRE(configuration);
+    CHECK(configuration->configuration->version == 7);
+    CHECK(configuration->evacuations.empty());
+}
+
 // Guards against an uncaught exception, which ends the process.
 TEST_CASE("texts that are not UTF-8 can be written to the store", "[platform][odd]")
 {
