--- a/tests/auto/platformadapter/tst_oddvalues.cpp
+++ b/tests/auto/platformadapter/tst_oddvalues.cpp
@@ -112,6 +112,18 @@
     CHECK(configuration->evacuations.empty());
 }
 
+// Guards against a watch that fails for ever though the operator has corrected the row.
+TEST_CASE("a configuration replaces a malformed one before it", "[platform][odd]")
+{
+    const StoreCodec codec;
+    const auto reading = codec.configuration(
+        answerWith({{"config", "{"}, {"evacuate/z", ""}, {"config", R"({"version":8})"}}));
+    REQUIRE(reading);
+    CHECK(reading->configuration->version == 8);
+    CHECK(reading->evacuations.size() == 1);
+    CHECK_FALSE(codec.configuration(answerWith({{"config", R"({"version":8})"}, {"config", "{"}})));
+}
+
 // Guards against an uncaught exception, which ends the process.
 TEST_CASE("texts that are not UTF-8 can be written to the store", "[platform][odd]")
 {
