Reports do not bring servers or versions that no entry may name

Cause: a host that takes servers from another one's report or copy read them without the checks of an entry, and one long version grew the reports of all hosts.

Evidence: the tests were red before (`tst_gateway "[odd]"`): each of six odd servers was taken.

What is odd is left out; the rest of the report holds.

--- a/src/libs/gateway/hostreport.cpp
+++ b/src/libs/gateway/hostreport.cpp
@@ -258,6 +258,22 @@
     return change;
 }
 
+/// Returns whether the store may name \a version. Longer names would grow the reports of all hosts.
+bool isSound(const Routing::ServiceVersion &version)
+{
+    return !version.service.empty() && Base::isPlainName(version.service)
+           && Base::isPlainName(version.softwareVersion);
+}
+
+/// Returns whether an entry of the store may name \a server.
+bool isSound(const Routing::RegisteredServer &server)
+{
+    return isSound(Routing::ServiceVersion{server.service, server.softwareVersion})
+           && !server.start.name.empty() && Base::isPlainName(server.start.name)
+           && Base::isPlainName(server.zone.value()) && server.id == idOf(server.start)
+           && server.slots > 0 && Settings::parseUnicastAddress(server.address);
+}
+
 /// Writes the age as two elements, so that no number has to stand for a missing age.
 void pushAge(Json &to, const std::optional<Base::Milliseconds> &age)
 {
@@ -353,15 +369,27 @@
     store.serversVersion = reader.number();
     store.proofAge = readAge(reader);
     store.outageAge = readAge(reader);
-    reader.forEach([&](ArrayReader &it) { store.serverChanges.push_back(readChange(it)); });
+    reader.forEach([&](ArrayReader &it) {
+        Routing::ServerChange change = readChange(it);
+        if (change.kind != Routing::ServerChange::Kind::Found || isSound(change.server))
+            store.serverChanges.push_back(std::move(change));
+    });
     reader.forEach([&](ArrayReader &it) { store.evacuatedZones.emplace_back(it.text()); });
     store.evacuationVersion = reader.number();
-    reader.forEach([&](ArrayReader &it) { store.rollouts.push_back(readOrder(it)); });
+    reader.forEach([&](ArrayReader &it) {
+        Routing::RolloutOrder order = readOrder(it);
+        if (isSound({order.service, order.version}))
+            store.rollouts.push_back(std::move(order));
+    });
     store.rolloutsVersion = reader.number();
     store.operatorVersion = reader.number();
     const bool areVersionsKnown = reader.flag();
     std::vector<Routing::VersionAge> versions;
-    reader.forEach([&](ArrayReader &it) { versions.push_back(readVersionAge(it)); });
+    reader.forEach([&](ArrayReader &it) {
+        Routing::VersionAge age = readVersionAge(it);
+        if (isSound(age.version))
+            versions.push_back(std::move(age));
+    });
     if (areVersionsKnown)
         store.versions = std::move(versions);
     return store;
@@ -609,8 +637,17 @@
     reader.forEach([&](ArrayReader &it) { report.load = readLoad(it); });
     reader.forEach([&](ArrayReader &it) { report.crashes.push_back(readCrash(it)); });
     reader.forEach([&](ArrayReader &it) { report.parts.push_back(readPart(it)); });
-    reader.forEach([&](ArrayReader &it) { report.streams.push_back(readStreams(it)); });
-    reader.forEach([&](ArrayReader &it) { report.rollouts.push_back(readRollout(it)); });
+    reader.forEach([&](ArrayReader &it) {
+        Routing::StreamReport streams = readStreams(it);
+        if (isSound(streams.origin))
+            report.streams.push_back(std::move(streams));
+    });
+    reader.forEach([&](ArrayReader &it) {
+        RolloutReport rollout = readRollout(it);
+        const Routing::RolloutOrder &order = rollout.state.order;
+        if (isSound({order.service, order.version}))
+            report.rollouts.push_back(std::move(rollout));
+    });
     reader.forEach([&](ArrayReader &it) { report.rolloutEvidence.push_back(readEvidence(it)); });
     report.liveHosts = static_cast<std::uint32_t>(reader.number());
     report.possibleHosts = static_cast<std::uint32_t>(reader.number());
--- a/tests/auto/gateway/tst_oddreports.cpp
+++ b/tests/auto/gateway/tst_oddreports.cpp
@@ -22,6 +22,19 @@
     return report;
 }
 
+Routing::ServerChange foundServer()
+{
+    Routing::ServerChange change;
+    change.server.id = Base::ServerId("t@9");
+    change.server.start = {"t", Milliseconds(9)};
+    change.server.service = "pool";
+    change.server.address = "10.2.0.1:80";
+    change.server.zone = Base::ZoneId("z");
+    change.server.softwareVersion = "v1";
+    change.server.slots = 64;
+    return change;
+}
+
 } // namespace
 
 // Guards against an uncaught exception where a text of the report is written as JSON.
@@ -37,3 +50,43 @@
     CHECK_FALSE(decodeReport(encodeReport(report)));
 }
 
+// Guards against servers that another host passes on though no entry may name them.
+TEST_CASE("a found server with odd values is left out of a report", "[gateway][odd]")
+{
+    using Spoil = void (*)(Routing::RegisteredServer &);
+    for (const Spoil spoil : std::vector<Spoil>{
+             [](auto &it) { it.address = "255.255.255.255:80"; },
+             [](auto &it) { it.address = "10.0.0.1:0"; },
+             [](auto &it) { it.service.clear(); },
+             [](auto &it) { it.softwareVersion = std::string(200'000, 'v'); },
+             [](auto &it) { it.id = Base::ServerId("other"); },
+             [](auto &it) { it.slots = 0; },
+         }) {
+        HostReport report = soundReport();
+        report.store.serverChanges = {foundServer(), foundServer()};
+        spoil(report.store.serverChanges[0].server);
+        const auto read = decodeReport(encodeReport(report));
+        REQUIRE(read);
+        CHECK(read->store.serverChanges == std::vector{foundServer()});
+    }
+}
+
+// Guards against reports that grow with names that no row or datagram has room for.
+TEST_CASE("versions with odd names are left out of a report", "[gateway][odd]")
+{
+    const Routing::ServiceVersion odd{"pool", std::string(200'000, 'v')};
+    const Routing::ServiceVersion sound{"pool", "v1"};
+    HostReport report = soundReport();
+    report.store.versions = {{odd, Milliseconds(1)}, {sound, Milliseconds(1)}};
+    report.streams = {{odd, {7}}, {sound, {8}}};
+    report.store.rollouts = {{odd.service, odd.softwareVersion, Milliseconds(1), 1}};
+    report.rollouts.resize(1);
+    report.rollouts[0].state.order = report.store.rollouts[0];
+    const auto read = decodeReport(encodeReport(report));
+    REQUIRE(read);
+    CHECK(read->store.versions->size() == 1);
+    CHECK(read->streams.size() == 1);
+    CHECK(read->store.rollouts.empty());
+    CHECK(read->rollouts.empty());
+}
+
