Numbers of reports that are too large are cut, not wrapped

Cause: ages were masked to 31 bits, so that an age of 2^31 ms passed for a new proof. Other numbers were cast to 32 bits, and sums of amounts went beyond what a cast to a whole number may hold.

Evidence: the tests were red before (`tst_gateway "[odd]"`): three ages were 0, and forty hosts' amounts summed up to 4e19, more than 2^64.

A larger number is read as the largest one, which is the safe side for an age.

--- a/src/libs/gateway/hostreport.cpp
+++ b/src/libs/gateway/hostreport.cpp
@@ -23,6 +23,13 @@
 constexpr double millisecondsOfStartUnit = 10;
 /// The longest sum of start times that is read, of some hours.
 constexpr std::uint64_t maxStartUnits = 1'000'000;
+/// The largest amount of tokens or requests that is read. Sums over all hosts fit into the number
+/// that a report has for them.
+constexpr std::uint64_t maxAmount = 1'000'000'000'000;
+/// The longest age or span that is read, of 24 days.
+constexpr std::uint64_t maxSpanMs = INT32_MAX;
+/// The beginning of the year 2100 in Unix milliseconds; in nanoseconds, much later times overflow.
+constexpr std::uint64_t maxTimeMs = 4'102'444'800'000;
 constexpr std::uint64_t largestPartKind =
     static_cast<std::uint64_t>(Routing::PartReport::Kind::Blocked);
 constexpr std::uint64_t largestScope = static_cast<std::uint64_t>(ReportScope::Digest);
@@ -62,6 +69,9 @@
         const std::uint64_t value = number();
         return check(value <= largest) ? value : 0;
     }
+    /// Reads a number; a larger one is read as \a largest.
+    std::uint64_t atMost(std::uint64_t largest) { return std::min(number(), largest); }
+    std::uint32_t number32() { return static_cast<std::uint32_t>(atMost(UINT32_MAX)); }
     /// Calls \a read with a reader for each element of an array of arrays.
     template <typename Read>
     void forEach(Read read)
@@ -127,8 +137,8 @@
     member.isLeaving = reader.flag();
     member.isServing = reader.flag();
     member.isStoreLost = reader.flag();
-    member.capacity = static_cast<Routing::MilliCores>(reader.number());
-    member.load = static_cast<Routing::MilliCores>(reader.number());
+    member.capacity = reader.number32();
+    member.load = reader.number32();
     return member;
 }
 
@@ -146,7 +156,7 @@
 {
     reader.forEach([&](ArrayReader &it) {
         const Base::CustomerId customer(it.text());
-        amounts[customer] = static_cast<double>(it.number());
+        amounts[customer] = static_cast<double>(it.atMost(maxAmount));
     });
 }
 
@@ -182,7 +192,7 @@
 /// Bounds what any report may claim, so that sums of reports can be written again.
 double readStartTime(ArrayReader &reader)
 {
-    return static_cast<double>(std::min(reader.number(), maxStartUnits)) * millisecondsOfStartUnit;
+    return static_cast<double>(reader.atMost(maxStartUnits)) * millisecondsOfStartUnit;
 }
 
 Routing::HostLoad readLoad(ArrayReader &reader)
@@ -190,10 +200,10 @@
     Routing::HostLoad load;
     reader.forEach([&](ArrayReader &it) {
         const Base::ServerId id(it.text());
-        const auto running = static_cast<std::uint32_t>(it.number());
+        const auto running = it.number32();
         Routing::ServerLoad &server = load.servers[id];
         server.running = running;
-        server.unreadTokens = static_cast<std::uint32_t>(it.number());
+        server.unreadTokens = it.number32();
         // Hosts that take servers for alike leave the rest out.
         if (!it.hasMore())
             return;
@@ -203,7 +213,7 @@
     readAmounts(reader, load.asked);
     readAmounts(reader, load.received);
     readAmounts(reader, load.begun);
-    load.askedSeconds = static_cast<double>(reader.number()) / millisecondsPerSecond;
+    load.askedSeconds = static_cast<double>(reader.atMost(maxAmount)) / millisecondsPerSecond;
     reader.forEach([&](ArrayReader &it) {
         Routing::PartUse use;
         use.server = Base::ServerId(it.text());
@@ -213,8 +223,8 @@
     reader.forEach([&](ArrayReader &it) {
         const std::string service = it.text();
         Routing::ServiceUse &use = load.serviceUses[service];
-        use.arrivals = static_cast<double>(it.number()) / hundredths;
-        use.answers = static_cast<double>(it.number()) / hundredths;
+        use.arrivals = static_cast<double>(it.atMost(maxAmount)) / hundredths;
+        use.answers = static_cast<double>(it.atMost(maxAmount)) / hundredths;
     });
     return load;
 }
@@ -247,14 +257,14 @@
     change.server.id = Base::ServerId(reader.text());
     change.server.start.name = reader.text();
     change.server.start.at =
-        Base::Milliseconds(static_cast<std::int64_t>(reader.number() & INT64_MAX));
+        Base::Milliseconds(static_cast<std::int64_t>(reader.atMost(maxTimeMs)));
     change.server.service = reader.text();
     change.server.address = reader.text();
     change.server.zone = Base::ZoneId(reader.text());
     change.server.softwareVersion = reader.text();
-    change.server.slots = static_cast<std::uint32_t>(reader.number());
+    change.server.slots = reader.number32();
     change.server.warmingUp =
-        Base::Milliseconds(static_cast<std::int64_t>(reader.number() & INT32_MAX));
+        Base::Milliseconds(static_cast<std::int64_t>(reader.atMost(maxSpanMs)));
     return change;
 }
 
@@ -287,18 +297,18 @@
     const std::uint64_t age = reader.number();
     if (!isSet)
         return std::nullopt;
-    return Base::Milliseconds(static_cast<std::int64_t>(age & INT32_MAX));
+    return Base::Milliseconds(static_cast<std::int64_t>(std::min(age, maxSpanMs)));
 }
 
 /// Reads a time of the store's clock, which may be large.
 Base::Milliseconds readStoreTime(ArrayReader &reader)
 {
-    return Base::Milliseconds(static_cast<std::int64_t>(reader.number() & INT64_MAX));
+    return Base::Milliseconds(static_cast<std::int64_t>(reader.atMost(maxTimeMs)));
 }
 
 Base::Milliseconds readMilliseconds(ArrayReader &reader)
 {
-    return Base::Milliseconds(static_cast<std::int64_t>(reader.number() & INT32_MAX));
+    return Base::Milliseconds(static_cast<std::int64_t>(reader.atMost(maxSpanMs)));
 }
 
 Json orderJson(const Routing::RolloutOrder &order)
@@ -506,7 +516,7 @@
 {
     reader.forEach([&](ArrayReader &it) {
         const std::uint64_t bucket = it.number();
-        const auto count = static_cast<std::uint32_t>(it.number());
+        const auto count = it.number32();
         if (bucket < Routing::LogHistogram::bucketCount)
             histogram.add(static_cast<std::size_t>(bucket), count);
     });
@@ -523,8 +533,8 @@
 Routing::AnswerCounts readCounts(ArrayReader &reader)
 {
     Routing::AnswerCounts counts;
-    counts.answers = static_cast<std::uint32_t>(reader.number());
-    counts.failures = static_cast<std::uint32_t>(reader.number());
+    counts.answers = reader.number32();
+    counts.failures = reader.number32();
     readHistogram(reader, counts.starts);
     readHistogram(reader, counts.events);
     return counts;
@@ -649,8 +659,8 @@
             report.rollouts.push_back(std::move(rollout));
     });
     reader.forEach([&](ArrayReader &it) { report.rolloutEvidence.push_back(readEvidence(it)); });
-    report.liveHosts = static_cast<std::uint32_t>(reader.number());
-    report.possibleHosts = static_cast<std::uint32_t>(reader.number());
+    report.liveHosts = reader.number32();
+    report.possibleHosts = reader.number32();
     if (!hasKnownFormat || !reader.isGood() || scope > largestScope || report.self.host.isEmpty())
         return boost::leaf::new_error(MalformedReport());
     report.scope = static_cast<ReportScope>(scope);
--- a/src/libs/gateway/storecopy.cpp
+++ b/src/libs/gateway/storecopy.cpp
@@ -13,6 +13,8 @@
 /// First element of an encoded copy; a copy with another version is rejected.
 constexpr std::uint64_t formatVersion = 1;
 constexpr std::size_t elementCount = 3;
+/// Older data is used by nobody.
+constexpr std::uint64_t maxAgeMs = INT32_MAX;
 
 } // namespace
 
@@ -44,8 +46,8 @@
     if (!isCopy)
         return boost::leaf::new_error(MalformedCopy());
     StoreCopy copy;
-    copy.proofAge =
-        Base::Milliseconds(static_cast<std::int64_t>(json[1].get<std::uint64_t>() & INT32_MAX));
+    copy.proofAge = Base::Milliseconds(
+        static_cast<std::int64_t>(std::min(json[1].get<std::uint64_t>(), maxAgeMs)));
     const Json::binary_t &text = json[2].get_binary();
     copy.text.assign(text.begin(), text.end());
     return copy;
--- a/tests/auto/gateway/tst_oddreports.cpp
+++ b/tests/auto/gateway/tst_oddreports.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+/// The longest age that a report states.
+constexpr Milliseconds maxAge{INT32_MAX};
+
 HostReport soundReport()
 {
     HostReport report;
@@ -90,3 +93,36 @@
     CHECK(read->rollouts.empty());
 }
 
+// Guards against an old proof that passes for a new one because its age wraps around.
+TEST_CASE("an age beyond the range is the longest one", "[gateway][odd]")
+{
+    HostReport report = soundReport();
+    report.store.proofAge = maxAge + Milliseconds(1);
+    report.store.versions = {{{"pool", "v1"}, maxAge + Milliseconds(1)}};
+    const auto read = decodeReport(encodeReport(report));
+    REQUIRE(read);
+    CHECK(read->store.proofAge == maxAge);
+    CHECK(read->store.versions->front().age == maxAge);
+    const auto copy = decodeCopy(encodeCopy({maxAge + Milliseconds(1), "text"}));
+    REQUIRE(copy);
+    CHECK(copy->proofAge == maxAge);
+}
+
+// Guards against sums of reported amounts that no report can hold.
+TEST_CASE("sums of the largest amounts can be reported again", "[gateway][odd]")
+{
+    HostReport report = soundReport();
+    report.load.asked[Base::CustomerId("c")] = 1e18;
+    report.load.askedSeconds = 1e15;
+    report.load.serviceUses["pool"] = {1e16, 1e16};
+    FleetView view(Base::HostId("self"), Base::ZoneId("z"));
+    for (int i = 0; i < 40; ++i) {
+        report.self.host = Base::HostId("h" + std::to_string(i));
+        const auto read = decodeReport(encodeReport(report));
+        REQUIRE(read);
+        view.receive(*read, Base::TimePoint(std::chrono::seconds(1)));
+    }
+    view.updateTotals(Base::TimePoint(std::chrono::seconds(1)));
+    CHECK(view.others().asked.at(Base::CustomerId("c")) < 1e18);
+    CHECK(view.others().serviceUses.at("pool").arrivals < 1e16);
+}
