The time of a Keep-Alive field cannot overflow

What callers saw: nothing; found by reading, and no test shows it.

Cause: the seconds that a server states were converted to nanoseconds as they are; from 2^34 on that overflows, which is undefined, and the connection would look expired at once.

--- a/src/libs/gateway/backendconnection.cpp
+++ b/src/libs/gateway/backendconnection.cpp
@@ -25,6 +25,8 @@
 /// A connection is no longer reused this long before the server would close it, so that no request
 /// is sent while the server closes it.
 constexpr Base::Duration keepAliveMargin = std::chrono::milliseconds(700);
+/// Longer times are cut; in nanoseconds, the longest that a server can state overflow.
+constexpr std::uint64_t maxKeepAliveS = 86'400;
 /// Number of late answers that are skipped before the connection is closed.
 constexpr int maxLateAnswers = 3;
 /// Number of requests whose ids a connection remembers. A busy connection carries fewer in the time
@@ -46,7 +48,8 @@
         return Base::Duration::zero();
     std::string_view number = text.substr(at + key.size());
     number = number.substr(0, number.find_first_not_of("0123456789"));
-    return std::chrono::seconds(parseNumber(number).value_or(0));
+    const std::uint64_t seconds = parseNumber(number).value_or(0);
+    return std::chrono::seconds(static_cast<std::int64_t>(std::min(seconds, maxKeepAliveS)));
 }
 
 } // namespace
