Answer no exchange that was given up with an empty 200

At the product's own routers, a caller that closed its sending side, or any caller at the end of the daemon, read "200 OK" with Content-Length: 0.

Cause: HttpServer::serveEvent() and assembleAnswer() left the response unset when CallerSession::take() returned nothing, and the HTTP library sends an unset response as an empty 200.

Red before: tst_daemon "An exchange that is given up has no whole answer", 24 of 54 assertions failed: six of eight cases, all but the streams of which a part had been sent. With the fix the test passed in five of five runs: the response is set on each path, to a 503 with "ran":"unknown".

--- a/src/libs/daemon/httpserver.cpp
+++ b/src/libs/daemon/httpserver.cpp
@@ -241,6 +241,8 @@
     const std::optional<SessionItem> item = session->take();
     if (item)
         respondWithItem(session, *item, isStreaming, response);
+    else
+        respondGivenUp(response);
     if (!response.stream_callback)
         closeSession(*session, socket);
 }
@@ -301,6 +303,17 @@
         setHeader(response, "X-Request-Id", head.requestId);
         return;
     }
+    respondGivenUp(response);
+}
+
+void HttpServer::respondGivenUp(_u_response &response)
+{
+    Node::Failure failure;
+    failure.type = Node::FailureType::ShuttingDown;
+    failure.message = "the caller's or this host's side was closed before the answer was complete";
+    failure.ran = Node::Ran::Unknown;
+    failure.requestId = nextRequestId();
+    respondFailure(response, failure);
 }
 
 void HttpServer::refuse(RequestFault fault, _u_response &response)
--- a/src/libs/daemon/httpserver.h
+++ b/src/libs/daemon/httpserver.h
@@ -78,6 +78,9 @@
                      bool isStreaming, _u_response &response);
     void assembleAnswer(const std::shared_ptr<CallerSession> &session, const Node::AnswerHead &head,
                         _u_response &response);
+    /// Answers an exchange that was given up. A response that is left unset would be sent as an
+    /// empty 200.
+    void respondGivenUp(_u_response &response);
     void refuse(RequestFault fault, _u_response &response);
     void refuseConnection(_u_response &response);
     void closeSession(const CallerSession &session, int socket);
--- a/tests/auto/daemon/tst_httpserver.cpp
+++ b/tests/auto/daemon/tst_httpserver.cpp
@@ -7,6 +7,7 @@
 
 #include <map>
 
+#include <sys/socket.h>
 #include <unistd.h>
 
 namespace {
@@ -229,6 +230,41 @@
     CHECK(fixture.expect<Node::CallerDisconnected>().caller == asked.caller);
 }
 
+// Guards against an answer that looks whole, though the caller's exchange was given up.
+TEST_CASE("An exchange that is given up has no whole answer")
+{
+    Fixture fixture;
+    const bool isStreaming = GENERATE(true, false);
+    const bool isBegun = GENERATE(true, false);
+    const bool isHalfClosed = GENERATE(true, false);
+    const int socket = connectTo(fixture.port());
+    writeTo(socket, chat(isStreaming));
+    const auto asked = fixture.expect<Node::CallerRequest>();
+    if (isBegun) {
+        fixture.sessions().startAnswer(asked.caller, chatHead);
+        fixture.sessions().appendAnswer(asked.caller, chunk("a"));
+    }
+    const bool isPartSent = isStreaming && isBegun;
+    std::string answer = isPartSent ? readFrom(socket, "}]}") : "";
+    if (isHalfClosed)
+        ::shutdown(socket, SHUT_WR);
+    else
+        fixture.sessions().hangUpAll();
+    answer += readFrom(socket);
+    ::close(socket);
+    CAPTURE(isStreaming, isBegun, isHalfClosed, answer);
+    if (isPartSent) {
+        CHECK(statusOf(answer) == 200);
+        CHECK(answer.find("\r\n0\r\n") == std::string::npos);
+        CHECK(answer.find("[DONE]") == std::string::npos);
+        return;
+    }
+    CHECK(statusOf(answer) == 503);
+    CHECK(typeOf(answer) == "shutting_down");
+    CHECK(answer.find("\"ran\":\"unknown\"") != std::string::npos);
+    CHECK(answer.find("X-Request-Id: r1-1-x") != std::string::npos);
+}
+
 // Guards against a caller that makes the process grow or blocks other callers. It opens a stream
 // and reads nothing while its answer arrives; an unbounded buffer, or one thread for all callers,
 // would cause either.
