Fail transfers whose connection ends within the head

At the product's own routers, callers of a service got 200 and an empty body that ended properly when the server had closed in the middle of its answer's head. An object of the platform was read as empty for the same reason.

Cause: libcurl takes the end of the connection within the head for the end of an answer without a length (CURLE_OK), and nothing looked whether the head was complete.

The fix holds the transfer's end against the empty line of the final head, which libcurl passes on as a line.

--- a/src/libs/daemon/backendtransfer.h
+++ b/src/libs/daemon/backendtransfer.h
@@ -33,9 +33,9 @@
     /// Stops reading the answer; no idle timeout applies until resume().
     void pause();
     void resume();
-    void finished(CURLcode code) override;
 
 private:
+    void finished(CURLcode code) override;
     void receiveHeader(std::string_view name, std::string_view value) override;
     bool receiveBody(std::string_view bytes) override;
     bool receiveEvents(std::string_view bytes);
--- a/src/libs/daemon/bufferedtransfer.h
+++ b/src/libs/daemon/bufferedtransfer.h
@@ -31,9 +31,8 @@
     /// maxAnswerBytes.
     BufferedTransfer(const TransferRequest &request, std::size_t maxAnswerBytes, Done done);
 
-    void finished(CURLcode code) override;
-
 private:
+    void finished(CURLcode code) override;
     void receiveHeader(std::string_view name, std::string_view value) override;
     bool receiveBody(std::string_view bytes) override;
 
--- a/src/libs/daemon/httptransfer.cpp
+++ b/src/libs/daemon/httptransfer.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+constexpr int firstFinalStatus = 200;
+
 std::string_view trimmed(std::string_view text)
 {
     const std::size_t begin = text.find_first_not_of(" \t");
@@ -27,6 +29,11 @@
     return status;
 }
 
+bool isLineEnd(std::string_view line)
+{
+    return line == "\r\n" || line == "\n";
+}
+
 } // namespace
 
 struct HttpTransfer::Callbacks
@@ -39,6 +46,10 @@
             self.m_status = status;
             return size;
         }
+        if (isLineEnd(line)) {
+            self.m_isHeadComplete |= self.m_status >= firstFinalStatus;
+            return size;
+        }
         const std::size_t colon = line.find(':');
         if (colon != std::string_view::npos)
             self.receiveHeader(line.substr(0, colon), trimmed(line.substr(colon + 1)));
@@ -79,6 +90,11 @@
 
 HttpTransfer::~HttpTransfer() = default;
 
+void HttpTransfer::end(CURLcode code)
+{
+    finished(code == CURLE_OK && !m_isHeadComplete ? CURLE_WEIRD_SERVER_REPLY : code);
+}
+
 void HttpTransfer::setOptions(const TransferRequest &request)
 {
     curl_slist *headers = curl_slist_append(nullptr, "Expect:");
--- a/src/libs/daemon/httptransfer.h
+++ b/src/libs/daemon/httptransfer.h
@@ -43,13 +43,17 @@
     bool isExpired(Base::TimePoint now) const { return now >= m_deadline; }
 
     /// Called once when the transfer ends, with the library's result \a code. A transfer that is
-    /// dropped from its loop gets no call.
-    virtual void finished(CURLcode code) = 0;
+    /// dropped from its loop gets no call. The library takes the end of the connection within the
+    /// head for the end of an answer without a length; here such a transfer fails.
+    void end(CURLcode code);
 
 protected:
     explicit HttpTransfer(const TransferRequest &request);
 
-    /// Called for each header line; \a value is trimmed and never spans several lines.
+    /// Called by end(). With CURLE_OK, the answer is complete.
+    virtual void finished(CURLcode code) = 0;
+    /// Called for each field of any head, also of a 1xx answer and of the trailers; \a value is
+    /// trimmed and never spans several lines.
     virtual void receiveHeader(std::string_view name, std::string_view value) = 0;
     /// Called for each piece of the body. Returns whether to continue; false fails the transfer.
     virtual bool receiveBody(std::string_view bytes) = 0;
@@ -74,6 +78,8 @@
     Base::TimePoint m_deadline;
     int m_status = 0;
     bool m_isSent = false;
+    /// Whether the empty line after the head of the final answer has arrived.
+    bool m_isHeadComplete = false;
 };
 
 } // namespace Daemon
--- a/src/libs/daemon/transferloop.cpp
+++ b/src/libs/daemon/transferloop.cpp
@@ -53,7 +53,7 @@
     CURL *const handle = transfer->handle();
     const bool isAdded = handle && curl_multi_add_handle(m_multi, handle) == CURLM_OK;
     if (!isAdded) {
-        transfer->finished(CURLE_FAILED_INIT);
+        transfer->end(CURLE_FAILED_INIT);
         return;
     }
     m_transfers[handle] = std::move(transfer);
@@ -117,7 +117,7 @@
 {
     const std::unique_ptr<HttpTransfer> transfer = remove(handle);
     if (transfer)
-        transfer->finished(code);
+        transfer->end(code);
 }
 
 std::unique_ptr<HttpTransfer> TransferLoop::remove(CURL *handle)
--- a/tests/auto/daemon/tst_backendclient.cpp
+++ b/tests/auto/daemon/tst_backendclient.cpp
@@ -177,6 +177,40 @@
     CHECK(failsAfterOne("data: " + std::string(2000000, 'x')));
 }
 
+// Guards against a service's answer that is cut off and is passed on as whole.
+TEST_CASE("A service's answer that is cut off fails, wherever it is cut")
+{
+    const std::string sized = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
+                              "Content-Length: 5\r\n\r\nhello";
+    // The library needs no LF after the last CR. No byte of the body can be missing then.
+    const std::string chunked = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
+                                "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r";
+    const std::string interim = "HTTP/1.1 102 Processing\r\n\r\n";
+    for (const std::string &whole : {sized, chunked, interim + sized, interim + chunked}) {
+        for (std::size_t n = 0; n < whole.size(); ++n) {
+            for (const bool isReset : {false, true}) {
+                const std::string sent = whole.substr(0, n);
+                CAPTURE(sent, isReset);
+                const ScriptedServer server([&](ScriptedConnection &it) {
+                    it.readRequest();
+                    it.write(sent);
+                    if (isReset)
+                        it.reset();
+                });
+                Fixture fixture;
+                Node::BackendRequest request = requestTo(server.address());
+                request.kind = Node::WorkKind::ServiceCall;
+                fixture.client().send(request);
+                Node::Event last = fixture.next();
+                while (std::holds_alternative<Node::BackendHead>(last)
+                       || std::holds_alternative<Node::BackendPart>(last))
+                    last = fixture.next();
+                CHECK(std::holds_alternative<Node::BackendFailed>(last));
+            }
+        }
+    }
+}
+
 // Guards against running a call twice, such as holding a deposit twice. A call goes out on an idle
 // connection that the library has kept, and the server reads it and dies before it answers. The
 // library then takes the connection for one that was already dead, and sends the call again on a
--- a/tests/auto/daemon/tst_platformclient.cpp
+++ b/tests/auto/daemon/tst_platformclient.cpp
@@ -68,6 +68,32 @@
     CHECK(writeAnswered("500 Broken", "{}") == TableStatus::Unknown);
 }
 
+// Guards against a list that is cut off and is taken for an empty or short one.
+TEST_CASE("An answer of the platform that is cut off brings nothing, wherever it is cut")
+{
+    const std::string body = R"({"rows":[]})";
+    // The library needs no LF after the last CR. No byte of the body can be missing then.
+    const std::string chunked =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nb\r\n" + body + "\r\n0\r\n\r";
+    for (const std::string &whole : {httpAnswer("200 OK", body), chunked}) {
+        for (std::size_t n = 0; n < whole.size(); ++n) {
+            CAPTURE(whole.substr(0, n));
+            const ScriptedServer server([&](ScriptedConnection &it) {
+                it.readRequest();
+                it.write(whole.substr(0, n));
+            });
+            EventRing ring(16);
+            auto client = PlatformClient::create(server.address(), ring);
+            REQUIRE(client);
+            (*client)->get(5, "k");
+            const auto event = ring.popFor(std::chrono::seconds(20));
+            REQUIRE(event);
+            CHECK(std::get<Storage::ObjectOutcome>(*event).status
+                  == Storage::ObjectStatus::Unknown);
+        }
+    }
+}
+
 TEST_CASE("Any answer of the platform is decoded or refused")
 {
     rc::prop("arbitrary bytes", [](const std::string &bytes) {
