Take fields of the final head only, and "not run" from a whole one

By a trial with a scripted server: X-Not-Run in a 1xx answer, in the trailers or in a head that was cut off made a request count as not run that may have run, so a call could be sent twice.

Cause: libcurl passes the fields of all heads and of the trailers to one callback, and BackendTransfer took them all.

Now fields count only between the final status line and its empty line.

--- a/src/libs/daemon/backendtransfer.cpp
+++ b/src/libs/daemon/backendtransfer.cpp
@@ -97,6 +97,8 @@
 void BackendTransfer::receiveHeader(std::string_view name, std::string_view value)
 {
     extendDeadline();
+    if (!isInFinalHead())
+        return;
     if (equalsIgnoringCase(name, "Content-Type"))
         m_head.contentType = value;
     if (equalsIgnoringCase(name, "X-Stream-Name"))
@@ -185,7 +187,7 @@
     Node::BackendFailed failed;
     failed.attempt = m_attempt;
     failed.sent = isSent() ? Node::SendState::MaybeRan : Node::SendState::NeverSent;
-    if (m_isNotRun)
+    if (m_isNotRun && isHeadComplete())
         failed.sent = Node::SendState::Refused;
     failed.status = status();
     failed.retryAfter = m_retryAfter;
--- a/src/libs/daemon/httptransfer.cpp
+++ b/src/libs/daemon/httptransfer.cpp
@@ -90,6 +90,11 @@
 
 HttpTransfer::~HttpTransfer() = default;
 
+bool HttpTransfer::isInFinalHead() const
+{
+    return m_status >= firstFinalStatus && !m_isHeadComplete;
+}
+
 void HttpTransfer::end(CURLcode code)
 {
     finished(code == CURLE_OK && !m_isHeadComplete ? CURLE_WEIRD_SERVER_REPLY : code);
--- a/src/libs/daemon/httptransfer.h
+++ b/src/libs/daemon/httptransfer.h
@@ -57,6 +57,9 @@
     virtual void receiveHeader(std::string_view name, std::string_view value) = 0;
     /// Called for each piece of the body. Returns whether to continue; false fails the transfer.
     virtual bool receiveBody(std::string_view bytes) = 0;
+    /// Whether the fields that arrive now belong to the head of the final answer.
+    bool isInFinalHead() const;
+    bool isHeadComplete() const { return m_isHeadComplete; }
     void setDeadline(Base::TimePoint deadline) { m_deadline = deadline; }
 
 private:
--- a/tests/auto/daemon/tst_backendclient.cpp
+++ b/tests/auto/daemon/tst_backendclient.cpp
@@ -211,6 +211,23 @@
     }
 }
 
+// Guards against a repeat of work that ran, since a field elsewhere says that it did not run.
+TEST_CASE("Only the whole head of the final answer says that a request did not run")
+{
+    for (const char *answer : {"HTTP/1.1 103 Early Hints\r\nX-Not-Run: yes\r\n\r\n"
+                               "HTTP/1.1 500 Broken\r\nContent-Length: 1\r\n\r\nx",
+                               "HTTP/1.1 500 Broken\r\nTransfer-Encoding: chunked\r\n\r\n"
+                               "1\r\nx\r\n0\r\nX-Not-Run: yes\r\n\r\n",
+                               "HTTP/1.1 409 Conflict\r\nX-Not-Run: yes\r\nContent-"}) {
+        CAPTURE(answer);
+        const Node::BackendFailed failed = failureWith([&](ScriptedConnection &it) {
+            it.readRequest();
+            it.write(answer);
+        });
+        CHECK(failed.sent == SendState::MaybeRan);
+    }
+}
+
 // Guards against running a call twice, such as holding a deposit twice. A call goes out on an idle
 // connection that the library has kept, and the server reads it and dies before it answers. The
 // library then takes the connection for one that was already dead, and sends the call again on a
