Pass over 1xx answers of the store and of other hosts

By a trial with a loopback server: HttpClient passed a 1xx answer on as the answer to its call, so a reading counted as refused, and the final answer could be taken for that to the next call.

Cause: the parser is done after a 1xx answer, since that has no body.

Red before: tst_gateway "the client passes 1xx answers over" (5 of 15 assertions failed), "the client gives up after many 1xx answers" (2 of 6) and, behind a 1xx only, "an answer to the client that is cut off is none, wherever it is cut" (81 of 1750); cuts of single answers were never taken as whole, and the test is kept as their guard.

--- a/src/libs/gateway/httpclient.cpp
+++ b/src/libs/gateway/httpclient.cpp
@@ -9,8 +9,7 @@
 
 namespace {
 
-namespace Http = boost::beast::http;
-
+constexpr unsigned firstFinalStatus = 200;
 constexpr std::size_t readChunkSize = 65536;
 /// The largest answer of the store or another host, as it is sent. A list of ten thousand servers
 /// takes over a megabyte.
@@ -35,10 +34,8 @@
 {
     m_done = std::move(done);
     m_deadline = now + timeout;
-    m_parser.emplace();
-    m_parser->eager(true);
-    m_parser->header_limit(maxAnswerHeadBytes);
-    m_parser->body_limit(maxStoreAnswerBytes);
+    startAnswer();
+    m_interimAnswers = 0;
     m_answerBytes = 0;
     m_fault = AnswerFault::None;
     std::string text =
@@ -133,17 +130,10 @@
         fail();
         return;
     }
-    while (!m_input.empty() && !m_parser->is_done()) {
-        const std::size_t used = m_parser->put(boost::asio::buffer(m_input), ec);
-        m_input.erase(0, used);
-        if (ec == Http::error::need_more)
-            break;
-        if (ec) {
-            fail(faultOf(ec));
-            return;
-        }
-    }
-    if (const AnswerFault fault = exceededLimit(); fault != AnswerFault::None) {
+    AnswerFault fault = parse();
+    if (fault == AnswerFault::None)
+        fault = exceededLimit();
+    if (fault != AnswerFault::None) {
         fail(fault);
         return;
     }
@@ -159,6 +149,48 @@
     finish(answer);
 }
 
+void HttpClient::startAnswer()
+{
+    m_parser.emplace();
+    // The parser stops after the head, which tells whether the end of the body is clear.
+    m_parser->eager(false);
+    m_parser->header_limit(maxAnswerHeadBytes);
+    m_parser->body_limit(maxStoreAnswerBytes);
+}
+
+AnswerFault HttpClient::parse()
+{
+    while (!m_input.empty() && !m_parser->is_done()) {
+        const bool isInHead = !m_parser->is_header_done();
+        boost::system::error_code ec;
+        const std::size_t used = m_parser->put(boost::asio::buffer(m_input), ec);
+        m_input.erase(0, used);
+        if (ec && ec != Http::error::need_more)
+            return faultOf(ec);
+        if (isInHead && m_parser->is_header_done()) {
+            if (const AnswerFault fault = headParsed(); fault != AnswerFault::None)
+                return fault;
+            continue;
+        }
+        if (ec)
+            break;
+    }
+    return AnswerFault::None;
+}
+
+AnswerFault HttpClient::headParsed()
+{
+    const ResponseHead &head = m_parser->get().base();
+    if (head.result_int() < firstFinalStatus) {
+        if (++m_interimAnswers > maxInterimAnswers)
+            return AnswerFault::ManyInterimAnswers;
+        startAnswer();
+        return AnswerFault::None;
+    }
+    m_parser->eager(true);
+    return AnswerFault::None;
+}
+
 AnswerFault HttpClient::exceededLimit() const
 {
     if (!m_parser->is_header_done())
--- a/src/libs/gateway/httpclient.h
+++ b/src/libs/gateway/httpclient.h
@@ -44,6 +44,12 @@
     void write();
     void waitRead();
     void readable();
+    /// Prepares the parser for the next head.
+    void startAnswer();
+    /// Parses what has come. Returns what is wrong with it.
+    AnswerFault parse();
+    /// Checks the head that was just parsed, and passes over a 1xx answer.
+    AnswerFault headParsed();
     /// Returns which limit the answer exceeds so far.
     AnswerFault exceededLimit() const;
     void fail(AnswerFault fault = AnswerFault::None);
@@ -58,6 +64,7 @@
     std::string m_input;
     /// The bytes that have come since the call, as they were sent.
     std::size_t m_answerBytes = 0;
+    int m_interimAnswers = 0;
     AnswerFault m_fault = AnswerFault::None;
     Done m_done;
     Base::TimePoint m_deadline;
