Take no answer of the store or another host whose end is unclear

By a trial with a loopback server: five of eight forms of which recipients may disagree where the answer ends were taken as answers by HttpClient: a length twice, a list of lengths, two folded lines, and LF in a quoted extension of a chunk.

Cause: HttpClient did not use the checks of messageframing.h, which the gateway uses for answers of servers.

Red before: tst_gateway "an answer to the client whose end is unclear is none", 5 of 8 forms.

--- a/src/libs/gateway/httpclient.cpp
+++ b/src/libs/gateway/httpclient.cpp
@@ -1,8 +1,11 @@
 #include "gateway/httpclient.h"
 
+#include "gateway/messageframing.h"
+
 #include <boost/asio/ip/address_v4.hpp>
 #include <boost/asio/post.hpp>
 
+#include <string_view>
 #include <utility>
 
 namespace Gateway {
@@ -164,9 +167,12 @@
         const bool isInHead = !m_parser->is_header_done();
         boost::system::error_code ec;
         const std::size_t used = m_parser->put(boost::asio::buffer(m_input), ec);
+        const bool isFolded = isInHead && hasFoldedLine(std::string_view(m_input).substr(0, used));
         m_input.erase(0, used);
         if (ec && ec != Http::error::need_more)
             return faultOf(ec);
+        if (isFolded)
+            return AnswerFault::Malformed;
         if (isInHead && m_parser->is_header_done()) {
             if (const AnswerFault fault = headParsed(); fault != AnswerFault::None)
                 return fault;
@@ -181,12 +187,15 @@
 AnswerFault HttpClient::headParsed()
 {
     const ResponseHead &head = m_parser->get().base();
+    if (answerFraming(head) != Framing::Clear)
+        return AnswerFault::Malformed;
     if (head.result_int() < firstFinalStatus) {
         if (++m_interimAnswers > maxInterimAnswers)
             return AnswerFault::ManyInterimAnswers;
         startAnswer();
         return AnswerFault::None;
     }
+    m_parser->on_chunk_header(checkChunkExtensions);
     m_parser->eager(true);
     return AnswerFault::None;
 }
--- a/tests/auto/gateway/tst_httpclient.cpp
+++ b/tests/auto/gateway/tst_httpclient.cpp
@@ -115,6 +115,23 @@
     CHECK(bodyOf(okLine + "\r\n[]") == "none");
 }
 
+// Guards against an answer whose end is unclear, which may be cut off or another one's.
+TEST_CASE("an answer to the client whose end is unclear is none", "[gateway][client]")
+{
+    const std::string lengthField = "Content-Length: 2\r\n";
+    for (const std::string &text :
+         {okLine + chunkedField + lengthField + "\r\n" + listInChunks,
+          okLine + lengthField + chunkedField + "\r\n" + listInChunks,
+          okLine + lengthField + lengthField + "\r\n[]",
+          okLine + lengthField + "Transfer-Encoding: gzip\r\n\r\n[]",
+          okLine + "Content-Length:\r\n 2\r\n\r\n[]", okLine + lengthField + "X: a\r\n b\r\n\r\n[]",
+          okLine + "Content-Length: 2, 2\r\n\r\n[]",
+          okLine + chunkedField + "\r\n2;a=\"\n\"\r\n[]\r\n0\r\n\r\n"}) {
+        CAPTURE(text);
+        CHECK(bodyOf(text) == "none");
+    }
+}
+
 // Guards against a 1xx answer that is taken for the final one.
 TEST_CASE("the client passes 1xx answers over", "[gateway][client]")
 {
