Take no answer of the store or another host that came before its call

By a trial with a loopback server: a second answer to an older call, which waited in the socket of a kept connection, was taken for the answer to the next call, whatever that asked for.

Cause: HttpClient wrote its call on a kept connection without looking whether anything had come on it.

Red before: tst_gateway "the client takes no answer that came before its call": no new connection was made. Now a call closes a connection with unread data, or one that the other end has closed, and opens a new one.

--- a/src/libs/gateway/httpclient.cpp
+++ b/src/libs/gateway/httpclient.cpp
@@ -5,6 +5,9 @@
 #include <boost/asio/ip/address_v4.hpp>
 #include <boost/asio/post.hpp>
 
+#include <sys/socket.h>
+
+#include <cerrno>
 #include <string_view>
 #include <utility>
 
@@ -35,6 +38,9 @@
 
 void HttpClient::call(const HttpCall &call, Base::Duration timeout, Base::TimePoint now, Done done)
 {
+    // What has come before the call does not answer it.
+    if (m_isConnected && isStale())
+        close();
     m_done = std::move(done);
     m_deadline = now + timeout;
     startAnswer();
@@ -200,6 +206,13 @@
     return AnswerFault::None;
 }
 
+bool HttpClient::isStale()
+{
+    char byte = 0;
+    return recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0
+           || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 AnswerFault HttpClient::exceededLimit() const
 {
     if (!m_parser->is_header_done())
--- a/src/libs/gateway/httpclient.h
+++ b/src/libs/gateway/httpclient.h
@@ -50,6 +50,8 @@
     AnswerFault parse();
     /// Checks the head that was just parsed, and passes over a 1xx answer.
     AnswerFault headParsed();
+    /// Whether the other end has closed the connection or sent data that no call asked for.
+    bool isStale();
     /// Returns which limit the answer exceeds so far.
     AnswerFault exceededLimit() const;
     void fail(AnswerFault fault = AnswerFault::None);
--- a/tests/auto/gateway/tst_httpclient.cpp
+++ b/tests/auto/gateway/tst_httpclient.cpp
@@ -170,6 +170,24 @@
     CHECK(server.fault() == AnswerFault::ManyInterimAnswers);
 }
 
+// Guards against a second answer to an older call that is taken for the answer to the next one.
+TEST_CASE("the client takes no answer that came before its call", "[gateway][client]")
+{
+    CalledServer server;
+    server.call();
+    Tcp::socket first = server.accept();
+    write(first, sized("[1]"));
+    REQUIRE(server.body() == "[1]");
+    // The bytes are in the client's socket once they are acknowledged, and it does not look yet.
+    write(first, sized("[1]"));
+    for (int unsent = 1; unsent > 0;)
+        REQUIRE(::ioctl(first.native_handle(), TIOCOUTQ, &unsent) == 0);
+    server.call();
+    Tcp::socket second = server.accept();
+    write(second, sized("[2]"));
+    CHECK(server.body() == "[2]");
+}
+
 // Guards against calls that each open a connection of their own.
 TEST_CASE("the client calls again on its connection", "[gateway][client]")
 {
