Pass over 1xx answers of servers, also with the request's id

By a trial with a loopback server: the gateway passed a 1xx answer with the request's id on as the final answer, without a body.

Cause: BackendConnection told the answers that it skips by their id only.

Cuts on a kept connection and behind a late copy failed the attempt before as well and are kept as guards. A 1xx answer now is skipped like a late one, and counted against the same limit as before.

--- a/src/libs/gateway/backendconnection.cpp
+++ b/src/libs/gateway/backendconnection.cpp
@@ -31,6 +31,11 @@
 /// in which a request may be sent again.
 constexpr std::size_t maxCarriedIds = 256;
 
+bool isInformational(const ResponseHead &head)
+{
+    return Http::to_status_class(head.result_int()) == Http::status_class::informational;
+}
+
 std::uint64_t nextNumber()
 {
     static std::uint64_t s_last = 0;
@@ -286,7 +291,7 @@
     m_parser->on_chunk_header(checkChunkExtensions);
     m_owner->headReceived(*this, head);
     const std::string_view id = field(head, m_names->requestId);
-    m_isLateAnswer = id != m_attempt.requestId;
+    m_isLateAnswer = isInformational(head) || id != m_attempt.requestId;
     if (m_isLateAnswer)
         return;
     m_keepAliveTimeout = keepAliveTimeout(head);
@@ -306,12 +311,12 @@
 void BackendConnection::answerCompleted()
 {
     const bool isKeepAlive = m_parser->keep_alive();
-    const bool isInformational = m_parser->get().result_int() < 200;
+    const bool isInterim = isInformational(m_parser->get().base());
     m_parser.reset();
     if (m_isLateAnswer) {
-        if (isInformational && ++m_interimAnswers > maxInterimAnswers)
+        if (isInterim && ++m_interimAnswers > maxInterimAnswers)
             fail(Routing::AttemptOutcome::Broken, AnswerFault::ManyInterimAnswers);
-        else if (!isInformational && (!isKeepAlive || ++m_lateAnswers > maxLateAnswers))
+        else if (!isInterim && (!isKeepAlive || ++m_lateAnswers > maxLateAnswers))
             fail(Routing::AttemptOutcome::Broken);
         return;
     }
--- a/src/libs/gateway/backendconnection.h
+++ b/src/libs/gateway/backendconnection.h
@@ -64,8 +64,8 @@
 /// A connection to a backend server that carries one request at a time.
 ///
 /// Answers are matched by the request's id, since a server may send a second answer to an older
-/// request, which arrives where the next answer is expected. Such a late answer is skipped. Any
-/// other unsolicited data closes the connection.
+/// request, which arrives where the next answer is expected. Such a late answer is skipped, and so
+/// is a 1xx answer. Any other unsolicited data closes the connection.
 ///
 /// The id does not tell several sendings of one request apart. A request must therefore not be sent
 /// on a connection that has carried it before (hasCarried()).
@@ -150,7 +150,7 @@
     bool m_isUsed = false;
     bool m_maybeSent = false;
     bool m_isHeadSeen = false;
-    /// The answer being read belongs to an older request.
+    /// The answer being read belongs to an older request, or is not the final one.
     bool m_isLateAnswer = false;
     bool m_isPaused = false;
     bool m_isWaitingRead = false;
--- a/tests/auto/gateway/tst_backendpool.cpp
+++ b/tests/auto/gateway/tst_backendpool.cpp
@@ -21,6 +21,7 @@
 public:
     void answerStarted(const ResponseHead &head) override
     {
+        ++started;
         lastSignature = std::string(field(head, LoopbackServer::names().signature));
     }
     void answerData(std::string_view) override {}
@@ -31,6 +32,7 @@
         lastFailure = failure;
     }
 
+    int started = 0;
     int answers = 0;
     int failures = 0;
     AttemptFailure lastFailure;
@@ -270,3 +272,51 @@
     fixture.waitForAnswer();
     CHECK(fixture.listener.failures == 1);
 }
+
+// Guards against a 1xx answer that is passed on as the final one.
+TEST_CASE("a 1xx answer with the request's id is passed over", "[gateway]")
+{
+    PoolFixture fixture;
+    const std::shared_ptr<BackendConnection> connection = fixture.send("r-1", true);
+    Tcp::socket socket = fixture.accept();
+    const std::string interim = "HTTP/1.1 103 Early Hints\r\nRequest-Id: r-1\r\n\r\n";
+    boost::asio::write(socket, boost::asio::buffer(interim + interim));
+    LoopbackServer::answer(socket, "r-1");
+    fixture.waitForAnswer();
+    CHECK(fixture.listener.started == 1);
+    CHECK(fixture.listener.lastSignature == "s");
+    CHECK(fixture.listener.failures == 0);
+    CHECK(connection->isIdle());
+}
+
+// Guards against a cut answer on a kept connection that is passed on as whole.
+TEST_CASE("an answer that is cut off behind other answers fails", "[gateway]")
+{
+    const std::string late = "HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\nContent-Length: 2\r\n\r\nok";
+    const std::string interim = "HTTP/1.1 103 Early Hints\r\nRequest-Id: r-2\r\n\r\n";
+    const std::string sized = "HTTP/1.1 200 OK\r\nRequest-Id: r-2\r\nContent-Length: 2\r\n\r\nok";
+    const std::string before = GENERATE_COPY(std::string(), late, interim, late + interim);
+    const bool isReset = GENERATE(false, true);
+    for (std::size_t n = 0; n < sized.size(); ++n) {
+        std::string sent = before;
+        sent.append(sized, 0, n);
+        CAPTURE(sent, isReset);
+        PoolFixture fixture;
+        const std::shared_ptr<BackendConnection> connection = fixture.send("r-1", true);
+        fixture.poll();
+        Tcp::socket socket = fixture.serve("r-1");
+        REQUIRE(fixture.send("r-2", true) == connection);
+        fixture.poll();
+        REQUIRE_FALSE(LoopbackServer::readRequest(socket).empty());
+        boost::asio::write(socket, boost::asio::buffer(sent));
+        if (isReset)
+            socket.set_option(boost::asio::socket_base::linger(true, 0));
+        socket.close();
+        for (int i = 0; i < 1000 && fixture.listener.failures == 0; ++i) {
+            fixture.poll();
+            usleep(1000);
+        }
+        CHECK(fixture.listener.failures == 1);
+        CHECK(fixture.listener.answers == 1);
+    }
+}
