--- a/src/libs/gateway/httpclient.cpp
+++ b/src/libs/gateway/httpclient.cpp
@@ -15,7 +15,6 @@
 
 namespace {
 
-constexpr unsigned firstFinalStatus = 200;
 constexpr std::size_t readChunkSize = 65536;
 /// The largest answer of the store or another host, as it is sent. A list of ten thousand servers
 /// takes over a megabyte.
@@ -195,7 +194,7 @@
     const ResponseHead &head = m_parser->get().base();
     if (answerFraming(head) != Framing::Clear)
         return AnswerFault::Malformed;
-    if (head.result_int() < firstFinalStatus) {
+    if (Http::to_status_class(head.result_int()) == Http::status_class::informational) {
         if (++m_interimAnswers > maxInterimAnswers)
             return AnswerFault::ManyInterimAnswers;
         startAnswer();
--- a/tests/auto/gateway/tst_httpclient.cpp
+++ b/tests/auto/gateway/tst_httpclient.cpp
@@ -11,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 using namespace Gateway;
 
@@ -119,14 +120,16 @@
 TEST_CASE("an answer to the client whose end is unclear is none", "[gateway][client]")
 {
     const std::string lengthField = "Content-Length: 2\r\n";
-    for (const std::string &text :
-         {okLine + chunkedField + lengthField + "\r\n" + listInChunks,
-          okLine + lengthField + chunkedField + "\r\n" + listInChunks,
-          okLine + lengthField + lengthField + "\r\n[]",
-          okLine + lengthField + "Transfer-Encoding: gzip\r\n\r\n[]",
-          okLine + "Content-Length:\r\n 2\r\n\r\n[]", okLine + lengthField + "X: a\r\n b\r\n\r\n[]",
-          okLine + "Content-Length: 2, 2\r\n\r\n[]",
-          okLine + chunkedField + "\r\n2;a=\"\n\"\r\n[]\r\n0\r\n\r\n"}) {
+    const std::vector<std::string> forms = {
+        okLine + chunkedField + lengthField + "\r\n" + listInChunks,
+        okLine + lengthField + chunkedField + "\r\n" + listInChunks,
+        okLine + lengthField + lengthField + "\r\n[]",
+        okLine + lengthField + "Transfer-Encoding: gzip\r\n\r\n[]",
+        okLine + "Content-Length:\r\n 2\r\n\r\n[]",
+        okLine + lengthField + "X: a\r\n b\r\n\r\n[]",
+        okLine + "Content-Length: 2, 2\r\n\r\n[]",
+        okLine + chunkedField + "\r\n2;a=\"\n\"\r\n[]\r\n0\r\n\r\n"};
+    for (const std::string &text : forms) {
         CAPTURE(text);
         CHECK(bodyOf(text) == "none");
     }
