Take no object of the platform whose end nothing tells

By a trial with a scripted server: an object whose answer had neither a length nor chunks was read as whole when the connection ended, also where it was cut off, empty in the worst case.

Cause: PlatformClient took every 200 that libcurl ended without an error.

Red before: tst_daemon "An object without a length or chunks is unknown", 2 of 15 assertions failed. A 200 of the platform now counts only if its head has a length or chunks; otherwise the call's outcome is unknown.

--- a/src/libs/daemon/backendtransfer.cpp
+++ b/src/libs/daemon/backendtransfer.cpp
@@ -7,18 +7,10 @@
 #include <charconv>
 #include <utility>
 
-#include <strings.h>
-
 namespace Daemon {
 
 namespace {
 
-bool equalsIgnoringCase(std::string_view name, std::string_view wanted)
-{
-    return name.size() == wanted.size()
-           && strncasecmp(name.data(), wanted.data(), wanted.size()) == 0;
-}
-
 std::optional<std::uint64_t> parseNumber(std::string_view text)
 {
     std::uint64_t number = 0;
--- a/src/libs/daemon/bufferedtransfer.cpp
+++ b/src/libs/daemon/bufferedtransfer.cpp
@@ -13,10 +13,17 @@
 
 void BufferedTransfer::finished(CURLcode code)
 {
-    m_done({code, isSent(), status(), std::move(m_answerBody)});
+    m_done({code, isSent(), status(), m_isDelimited, std::move(m_answerBody)});
 }
 
-void BufferedTransfer::receiveHeader(std::string_view, std::string_view) {}
+void BufferedTransfer::receiveHeader(std::string_view name, std::string_view value)
+{
+    if (!isInFinalHead())
+        return;
+    m_isDelimited |=
+        equalsIgnoringCase(name, "Content-Length")
+        || (equalsIgnoringCase(name, "Transfer-Encoding") && equalsIgnoringCase(value, "chunked"));
+}
 
 bool BufferedTransfer::receiveBody(std::string_view bytes)
 {
--- a/src/libs/daemon/bufferedtransfer.h
+++ b/src/libs/daemon/bufferedtransfer.h
@@ -15,6 +15,9 @@
     bool isSent = false;
     /// HTTP status; 0 if no head of an answer arrived.
     int status = 0;
+    /// Whether the head told where the body ends. Otherwise it ends with the connection, and a body
+    /// that was cut off looks whole.
+    bool isDelimited = false;
     std::string body;
 
     /// Whether the complete answer has arrived, with whatever status.
@@ -39,6 +42,7 @@
     std::size_t m_maxAnswerBytes;
     Done m_done;
     std::string m_answerBody;
+    bool m_isDelimited = false;
 };
 
 } // namespace Daemon
--- a/src/libs/daemon/httptransfer.cpp
+++ b/src/libs/daemon/httptransfer.cpp
@@ -4,6 +4,8 @@
 
 #include <charconv>
 
+#include <strings.h>
+
 namespace Daemon {
 
 namespace {
@@ -36,6 +38,12 @@
 
 } // namespace
 
+bool equalsIgnoringCase(std::string_view text, std::string_view wanted)
+{
+    return text.size() == wanted.size()
+           && strncasecmp(text.data(), wanted.data(), wanted.size()) == 0;
+}
+
 struct HttpTransfer::Callbacks
 {
     static std::size_t header(char *data, std::size_t, std::size_t size, void *transfer)
--- a/src/libs/daemon/httptransfer.h
+++ b/src/libs/daemon/httptransfer.h
@@ -26,6 +26,9 @@
     Base::TimePoint deadline;
 };
 
+/// Compares names or values of header fields.
+bool equalsIgnoringCase(std::string_view text, std::string_view wanted);
+
 /// One outgoing HTTP request and its answer. It runs on the thread of a TransferLoop.
 class HttpTransfer
 {
--- a/src/libs/daemon/platformclient.cpp
+++ b/src/libs/daemon/platformclient.cpp
@@ -50,6 +50,7 @@
         return answer.isSent ? PlatformCallStatus::Unknown : PlatformCallStatus::NotDone;
     switch (answer.status) {
     case 200:
+        return answer.isDelimited ? PlatformCallStatus::Answered : PlatformCallStatus::Unknown;
     case 204:
         return PlatformCallStatus::Answered;
     case 404:
--- a/tests/auto/daemon/tst_platformclient.cpp
+++ b/tests/auto/daemon/tst_platformclient.cpp
@@ -94,6 +94,31 @@
     }
 }
 
+// Guards against an object that is cut off where nothing tells its length, and is taken for whole.
+TEST_CASE("An object without a length or chunks is unknown")
+{
+    const auto statusOf = [](const std::string &answer) {
+        const ScriptedServer server([&](ScriptedConnection &it) {
+            it.readRequest();
+            it.write(answer);
+        });
+        EventRing ring(16);
+        auto client = PlatformClient::create(server.address(), ring);
+        REQUIRE(client);
+        (*client)->get(5, "k");
+        const auto event = ring.popFor(std::chrono::seconds(20));
+        REQUIRE(event);
+        return std::get<Storage::ObjectOutcome>(*event).status;
+    };
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    CHECK(statusOf(head + "\r\nval") == Storage::ObjectStatus::Unknown);
+    CHECK(statusOf(head + "\r\n") == Storage::ObjectStatus::Unknown);
+    CHECK(statusOf(head + "Content-Length: 0\r\n\r\n") == Storage::ObjectStatus::Done);
+    CHECK(statusOf(head + "Transfer-Encoding: Chunked\r\n\r\n1\r\nv\r\n0\r\n\r\n")
+          == Storage::ObjectStatus::Done);
+    CHECK(statusOf("HTTP/1.1 204 No Content\r\n\r\n") == Storage::ObjectStatus::Done);
+}
+
 TEST_CASE("Any answer of the platform is decoded or refused")
 {
     rc::prop("arbitrary bytes", [](const std::string &bytes) {
