--- a/tests/auto/daemon/scriptedserver.cpp
+++ b/tests/auto/daemon/scriptedserver.cpp
@@ -6,6 +6,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -91,6 +92,14 @@
         ignored.clear();
 }
 
+void ScriptedConnection::waitUntilReceived()
+{
+    for (int unsent = 1; unsent > 0;) {
+        if (::ioctl(m_socket, TIOCOUTQ, &unsent) != 0)
+            return;
+    }
+}
+
 void ScriptedConnection::reset()
 {
     const linger now{1, 0};
--- a/tests/auto/daemon/scriptedserver.h
+++ b/tests/auto/daemon/scriptedserver.h
@@ -24,6 +24,8 @@
     bool write(const std::string &bytes);
     /// Waits until the other side closes the connection.
     void waitForClose();
+    /// Waits until the other side's system has received all that was sent.
+    void waitUntilReceived();
     /// Makes the connection end with a reset, so that bytes in transit are lost.
     void reset();
 
--- a/tests/auto/daemon/tst_backendclient.cpp
+++ b/tests/auto/daemon/tst_backendclient.cpp
@@ -256,6 +256,35 @@
     CHECK(calls == 1);
 }
 
+// Guards against a second answer to an older request that is taken for the answer to the next one.
+TEST_CASE("An answer that came before its request is not taken for its answer")
+{
+    Base::BoundedRing<int> repeated(4);
+    std::atomic<int> calls = 0;
+    const ScriptedServer server([&](ScriptedConnection &it) {
+        const bool isFirst = calls == 0;
+        for (const std::string body = isFirst ? "old" : "new"; !it.readRequest().empty(); ++calls) {
+            it.write(fixedAnswer("HTTP/1.1 200 OK\r\n", body));
+            if (!isFirst)
+                continue;
+            it.write(fixedAnswer("HTTP/1.1 200 OK\r\n", body));
+            it.waitUntilReceived();
+            repeated.push(1);
+        }
+    });
+    Fixture fixture;
+    for (const char *body : {"old", "new"}) {
+        Node::BackendRequest request = requestTo(server.address());
+        request.kind = Node::WorkKind::ServiceCall;
+        fixture.client().send(request);
+        fixture.expect<Node::BackendHead>();
+        CHECK(fixture.expect<Node::BackendPart>().payload == body);
+        fixture.expect<Node::BackendFinished>();
+        if (body == std::string("old"))
+            REQUIRE(repeated.popFor(std::chrono::seconds(20)));
+    }
+}
+
 TEST_CASE("Work that is not repeatable gets a connection of its own")
 {
     const ScriptedServer server([&](ScriptedConnection &it) {
