--- a/src/libs/daemon/httptransfer.cpp
+++ b/src/libs/daemon/httptransfer.cpp
@@ -4,10 +4,14 @@
 
 #include <charconv>
 
+#include <strings.h>
+
 namespace Daemon {
 
 namespace {
 
+constexpr int firstFinalStatus = 200;
+
 std::string_view trimmed(std::string_view text)
 {
     const std::size_t begin = text.find_first_not_of(" \t");
@@ -27,8 +31,19 @@
     return status;
 }
 
+bool isLineEnd(std::string_view line)
+{
+    return line == "\r\n" || line == "\n";
+}
+
 } // namespace
 
+bool equalsIgnoringCase(std::string_view text, std::string_view wanted)
+{
+    return text.size() == wanted.size()
+           && strncasecmp(text.data(), wanted.data(), wanted.size()) == 0;
+}
+
 struct HttpTransfer::Callbacks
 {
     static std::size_t header(char *data, std::size_t, std::size_t size, void *transfer)
@@ -39,6 +54,10 @@
             self.m_status = status;
             return size;
         }
+        if (isLineEnd(line)) {
+            self.m_isHeadComplete |= self.m_status >= firstFinalStatus;
+            return size;
+        }
         const std::size_t colon = line.find(':');
         if (colon != std::string_view::npos)
             self.receiveHeader(line.substr(0, colon), trimmed(line.substr(colon + 1)));
@@ -79,6 +98,16 @@
 
 HttpTransfer::~HttpTransfer() = default;
 
+bool HttpTransfer::isInFinalHead() const
+{
+    return m_status >= firstFinalStatus && !m_isHeadComplete;
+}
+
+void HttpTransfer::end(CURLcode code)
+{
+    finished(code == CURLE_OK && !m_isHeadComplete ? CURLE_WEIRD_SERVER_REPLY : code);
+}
+
 void HttpTransfer::setOptions(const TransferRequest &request)
 {
     curl_slist *headers = curl_slist_append(nullptr, "Expect:");
--- a/src/libs/gateway/httpclient.cpp
+++ b/src/libs/gateway/httpclient.cpp
@@ -1,16 +1,20 @@
 #include "gateway/httpclient.h"
 
+#include "gateway/messageframing.h"
+
 #include <boost/asio/ip/address_v4.hpp>
 #include <boost/asio/post.hpp>
 
+#include <sys/socket.h>
+
+#include <cerrno>
+#include <string_view>
 #include <utility>
 
 namespace Gateway {
 
 namespace {
 
-namespace Http = boost::beast::http;
-
 constexpr std::size_t readChunkSize = 65536;
 /// The largest answer of the store or another host, as it is sent. A list of ten thousand servers
 /// takes over a megabyte.
@@ -33,12 +37,13 @@
 
 void HttpClient::call(const HttpCall &call, Base::Duration timeout, Base::TimePoint now, Done done)
 {
+    // What has come before the call does not answer it.
+    if (m_isConnected && isStale())
+        close();
     m_done = std::move(done);
     m_deadline = now + timeout;
-    m_parser.emplace();
-    m_parser->eager(true);
-    m_parser->header_limit(maxAnswerHeadBytes);
-    m_parser->body_limit(maxStoreAnswerBytes);
+    startAnswer();
+    m_interimAnswers = 0;
     m_answerBytes = 0;
     m_fault = AnswerFault::None;
     std::string text =
@@ -133,17 +138,10 @@
         fail();
         return;
     }
-    while (!m_input.empty() && !m_parser->is_done()) {
-        const std::size_t used = m_parser->put(boost::asio::buffer(m_input), ec);
-        m_input.erase(0, used);
-        if (ec == Http::error::need_more)
-            break;
-        if (ec) {
-            fail(faultOf(ec));
-            return;
-        }
-    }
-    if (const AnswerFault fault = exceededLimit(); fault != AnswerFault::None) {
+    AnswerFault fault = parse();
+    if (fault == AnswerFault::None)
+        fault = exceededLimit();
+    if (fault != AnswerFault::None) {
         fail(fault);
         return;
     }
@@ -159,6 +157,61 @@
     finish(answer);
 }
 
+void HttpClient::startAnswer()
+{
+    m_parser.emplace();
+    // The parser stops after the head, which tells whether the end of the body is clear.
+    m_parser->eager(false);
+    m_parser->header_limit(maxAnswerHeadBytes);
+    m_parser->body_limit(maxStoreAnswerBytes);
+}
+
+AnswerFault HttpClient::parse()
+{
+    while (!m_input.empty() && !m_parser->is_done()) {
+        const bool isInHead = !m_parser->is_header_done();
+        boost::system::error_code ec;
+        const std::size_t used = m_parser->put(boost::asio::buffer(m_input), ec);
+        const bool isFolded = isInHead && hasFoldedLine(std::string_view(m_input).substr(0, used));
+        m_input.erase(0, used);
+        if (ec && ec != Http::error::need_more)
+            return faultOf(ec);
+        if (isFolded)
+            return AnswerFault::Malformed;
+        if (isInHead && m_parser->is_header_done()) {
+            if (const AnswerFault fault = headParsed(); fault != AnswerFault::None)
+                return fault;
+            continue;
+        }
+        if (ec)
+            break;
+    }
+    return AnswerFault::None;
+}
+
+AnswerFault HttpClient::headParsed()
+{
+    const ResponseHead &head = m_parser->get().base();
+    if (answerFraming(head) != Framing::Clear)
+        return AnswerFault::Malformed;
+    if (Http::to_status_class(head.result_int()) == Http::status_class::informational) {
+        if (++m_interimAnswers > maxInterimAnswers)
+            return AnswerFault::ManyInterimAnswers;
+        startAnswer();
+        return AnswerFault::None;
+    }
+    m_parser->on_chunk_header(checkChunkExtensions);
+    m_parser->eager(true);
+    return AnswerFault::None;
+}
+
+bool HttpClient::isStale()
+{
+    char byte = 0;
+    return recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0
+           || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 AnswerFault HttpClient::exceededLimit() const
 {
     if (!m_parser->is_header_done())
--- a/tests/auto/daemon/tst_backendclient.cpp
+++ b/tests/auto/daemon/tst_backendclient.cpp
@@ -178,6 +178,57 @@
     CHECK(failsAfterOne("data: " + std::string(2000000, 'x')));
 }
 
+// Guards against a service's answer that is cut off and is passed on as whole.
+TEST_CASE("A service's answer that is cut off fails, wherever it is cut")
+{
+    const std::string sized = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
+                              "Content-Length: 5\r\n\r\nhello";
+    // The library needs no LF after the last CR. No byte of the body can be missing then.
+    const std::string chunked = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
+                                "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r";
+    const std::string interim = "HTTP/1.1 102 Processing\r\n\r\n";
+    for (const std::string &whole : {sized, chunked, interim + sized, interim + chunked}) {
+        for (std::size_t n = 0; n < whole.size(); ++n) {
+            for (const bool isReset : {false, true}) {
+                const std::string sent = whole.substr(0, n);
+                CAPTURE(sent, isReset);
+                const ScriptedServer server([&](ScriptedConnection &it) {
+                    it.readRequest();
+                    it.write(sent);
+                    if (isReset)
+                        it.reset();
+                });
+                Fixture fixture;
+                Node::BackendRequest request = requestTo(server.address());
+                request.kind = Node::WorkKind::ServiceCall;
+                fixture.client().send(request);
+                Node::Event last = fixture.next();
+                while (std::holds_alternative<Node::BackendHead>(last)
+                       || std::holds_alternative<Node::BackendPart>(last))
+                    last = fixture.next();
+                CHECK(std::holds_alternative<Node::BackendFailed>(last));
+            }
+        }
+    }
+}
+
+// Guards against a repeat of work that ran, since a field elsewhere says that it did not run.
+TEST_CASE("Only the whole head of the final answer says that a request did not run")
+{
+    for (const char *answer : {"HTTP/1.1 103 Early Hints\r\nX-Not-Run: yes\r\n\r\n"
+                               "HTTP/1.1 500 Broken\r\nContent-Length: 1\r\n\r\nx",
+                               "HTTP/1.1 500 Broken\r\nTransfer-Encoding: chunked\r\n\r\n"
+                               "1\r\nx\r\n0\r\nX-Not-Run: yes\r\n\r\n",
+                               "HTTP/1.1 409 Conflict\r\nX-Not-Run: yes\r\nContent-"}) {
+        CAPTURE(answer);
+        const Node::BackendFailed failed = failureWith([&](ScriptedConnection &it) {
+            it.readRequest();
+            it.write(answer);
+        });
+        CHECK(failed.sent == SendState::MaybeRan);
+    }
+}
+
 // Guards against running a call twice, such as holding a deposit twice. A call goes out on an idle
 // connection that the library has kept, and the server reads it and dies before it answers. The
 // library then takes the connection for one that was already dead, and sends the call again on a
@@ -206,6 +257,35 @@
     CHECK(calls == 1);
 }
 
+// Guards against a second answer to an older request that is taken for the answer to the next one.
+TEST_CASE("An answer that came before its request is not taken for its answer")
+{
+    Base::BoundedRing<int> repeated(4);
+    std::atomic<int> calls = 0;
+    const ScriptedServer server([&](ScriptedConnection &it) {
+        const bool isFirst = calls == 0;
+        for (const std::string body = isFirst ? "old" : "new"; !it.readRequest().empty(); ++calls) {
+            it.write(fixedAnswer("HTTP/1.1 200 OK\r\n", body));
+            if (!isFirst)
+                continue;
+            it.write(fixedAnswer("HTTP/1.1 200 OK\r\n", body));
+            it.waitUntilReceived();
+            repeated.push(1);
+        }
+    });
+    Fixture fixture;
+    for (const char *body : {"old", "new"}) {
+        Node::BackendRequest request = requestTo(server.address());
+        request.kind = Node::WorkKind::ServiceCall;
+        fixture.client().send(request);
+        fixture.expect<Node::BackendHead>();
+        CHECK(fixture.expect<Node::BackendPart>().payload == body);
+        fixture.expect<Node::BackendFinished>();
+        if (body == std::string("old"))
+            REQUIRE(repeated.popFor(std::chrono::seconds(20)));
+    }
+}
+
 TEST_CASE("Work that is not repeatable gets a connection of its own")
 {
     const ScriptedServer server([&](ScriptedConnection &it) {
--- a/tests/auto/daemon/tst_platformclient.cpp
+++ b/tests/auto/daemon/tst_platformclient.cpp
@@ -68,6 +68,57 @@
     CHECK(writeAnswered("500 Broken", "{}") == TableStatus::Unknown);
 }
 
+// Guards against a list that is cut off and is taken for an empty or short one.
+TEST_CASE("An answer of the platform that is cut off brings nothing, wherever it is cut")
+{
+    const std::string body = R"({"rows":[]})";
+    // The library needs no LF after the last CR. No byte of the body can be missing then.
+    const std::string chunked =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nb\r\n" + body + "\r\n0\r\n\r";
+    for (const std::string &whole : {httpAnswer("200 OK", body), chunked}) {
+        for (std::size_t n = 0; n < whole.size(); ++n) {
+            CAPTURE(whole.substr(0, n));
+            const ScriptedServer server([&](ScriptedConnection &it) {
+                it.readRequest();
+                it.write(whole.substr(0, n));
+            });
+            EventRing ring(16);
+            auto client = PlatformClient::create(server.address(), ring);
+            REQUIRE(client);
+            (*client)->get(5, "k");
+            const auto event = ring.popFor(std::chrono::seconds(20));
+            REQUIRE(event);
+            CHECK(std::get<Storage::ObjectOutcome>(*event).status
+                  == Storage::ObjectStatus::Unknown);
+        }
+    }
+}
+
+// Guards against an object that is cut off where nothing tells its length, and is taken for whole.
+TEST_CASE("An object without a length or chunks is unknown")
+{
+    const auto statusOf = [](const std::string &answer) {
+        const ScriptedServer server([&](ScriptedConnection &it) {
+            it.readRequest();
+            it.write(answer);
+        });
+        EventRing ring(16);
+        auto client = PlatformClient::create(server.address(), ring);
+        REQUIRE(client);
+        (*client)->get(5, "k");
+        const auto event = ring.popFor(std::chrono::seconds(20));
+        REQUIRE(event);
+        return std::get<Storage::ObjectOutcome>(*event).status;
+    };
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    CHECK(statusOf(head + "\r\nval") == Storage::ObjectStatus::Unknown);
+    CHECK(statusOf(head + "\r\n") == Storage::ObjectStatus::Unknown);
+    CHECK(statusOf(head + "Content-Length: 0\r\n\r\n") == Storage::ObjectStatus::Done);
+    CHECK(statusOf(head + "Transfer-Encoding: Chunked\r\n\r\n1\r\nv\r\n0\r\n\r\n")
+          == Storage::ObjectStatus::Done);
+    CHECK(statusOf("HTTP/1.1 204 No Content\r\n\r\n") == Storage::ObjectStatus::Done);
+}
+
 TEST_CASE("Any answer of the platform is decoded or refused")
 {
     rc::prop("arbitrary bytes", [](const std::string &bytes) {
