--- a/tests/auto/daemon/tst_backendclient.cpp
+++ b/tests/auto/daemon/tst_backendclient.cpp
@@ -260,10 +260,11 @@
 TEST_CASE("An answer that came before its request is not taken for its answer")
 {
     Base::BoundedRing<int> repeated(4);
-    std::atomic<int> calls = 0;
+    std::atomic<int> connections = 0;
     const ScriptedServer server([&](ScriptedConnection &it) {
-        const bool isFirst = calls == 0;
-        for (const std::string body = isFirst ? "old" : "new"; !it.readRequest().empty(); ++calls) {
+        const bool isFirst = connections++ == 0;
+        const std::string body = isFirst ? "old" : "new";
+        while (!it.readRequest().empty()) {
             it.write(fixedAnswer("HTTP/1.1 200 OK\r\n", body));
             if (!isFirst)
                 continue;
