Skip interim answers that repeat the id of their request

A server that sends a 1xx answer with the id of the request, as all its answers have, had that passed on to the caller as the final answer; the real one was thrown away with the connection.

Cause: interim answers were skipped only since they mostly name no request and so passed for late answers to another one.

The limit of interim answers holds as before. No test was changed.

--- a/src/libs/gateway/backendconnection.cpp
+++ b/src/libs/gateway/backendconnection.cpp
@@ -334,7 +334,7 @@
     m_parser->on_chunk_header(checkChunkExtensions);
     m_owner->headReceived(*this, head);
     const std::string_view id = field(head, m_names->requestId);
-    m_isLateAnswer = id != m_attempt.requestId;
+    m_isLateAnswer = id != m_attempt.requestId || head.result_int() < 200;
     if (m_isLateAnswer)
         return;
     m_keepAliveTimeout = keepAliveTimeout(head);
--- a/src/libs/gateway/backendconnection.h
+++ b/src/libs/gateway/backendconnection.h
@@ -182,7 +182,7 @@
     bool m_isUsed = false;
     bool m_maybeSent = false;
     bool m_isHeadSeen = false;
-    /// The answer being read belongs to an older request.
+    /// The answer being read is an interim one, or belongs to an older request.
     bool m_isLateAnswer = false;
     bool m_isPaused = false;
     bool m_isWaitingRead = false;
--- a/tests/auto/gateway/tst_endedservers.cpp
+++ b/tests/auto/gateway/tst_endedservers.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <unistd.h>
+
 #include <memory>
 #include <string>
 #include <vector>
@@ -232,3 +234,17 @@
     CHECK(it.sink.isCutOff);
     CHECK_FALSE(it.sink.isEnded);
 }
+
+// Guards against an interim answer that passes for the answer since it repeats the request's id.
+TEST_CASE("an interim answer that names its request is not the answer", "[gateway]")
+{
+    FakeExchangePort port;
+    RecordingSink sink;
+    const std::shared_ptr<Exchange> exchange = port.exchange(sink, Routing::WorkKind::Idempotent);
+    exchange->placed(port.placement());
+    Tcp::socket socket = port.acceptRequest();
+    write(socket, "HTTP/1.1 103 Early Hints\r\nRequest-Id: r-1\r\n\r\n");
+    LoopbackServer::answer(socket, "r-1");
+    REQUIRE(port.pollUntil([&] { return exchange->isFinished(); }));
+    CHECK(sink.statuses == std::vector<unsigned>{200});
+}
