Forget connections whose socket could not be opened

A host that was out of descriptors for a moment lost room for connections for good: each try to connect stayed in the list of its server and counted towards the limit, until the server was refused as full ("no_room").

Cause: close() told the owner only of connections whose socket was open.

Evidence: "a connection that could not be opened does not count" of tst_gateway was red before (outcomes unreachable and no_room, one run), and passes with the fix (three runs); the 14 cases of tst_endedservers.cpp pass (one run). No test was changed.

--- a/src/libs/gateway/backendconnection.cpp
+++ b/src/libs/gateway/backendconnection.cpp
@@ -426,7 +426,7 @@
 
 void BackendConnection::close()
 {
-    if (!m_socket.is_open())
+    if (std::exchange(m_isClosed, true))
         return;
     const std::shared_ptr<BackendConnection> self = shared_from_this();
     boost::system::error_code ec;
--- a/src/libs/gateway/backendconnection.h
+++ b/src/libs/gateway/backendconnection.h
@@ -179,6 +179,8 @@
     std::optional<bool> m_isEndWhole;
     bool m_isConnected = false;
     bool m_isOpening = false;
+    /// Also of a connection whose socket could not be opened.
+    bool m_isClosed = false;
     bool m_isUsed = false;
     bool m_maybeSent = false;
     bool m_isHeadSeen = false;
--- a/tests/auto/gateway/tst_endedservers.cpp
+++ b/tests/auto/gateway/tst_endedservers.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include <memory>
@@ -248,3 +249,25 @@
     REQUIRE(port.pollUntil([&] { return exchange->isFinished(); }));
     CHECK(sink.statuses == std::vector<unsigned>{200});
 }
+
+// Guards against connections that count for ever since no descriptor was left to open them.
+TEST_CASE("a connection that could not be opened does not count", "[gateway]")
+{
+    FakeExchangePort port;
+    port.backends().setConnectionLimit(1);
+    RecordingSink sink;
+    const std::shared_ptr<Exchange> failed = port.exchange(sink, Routing::WorkKind::Idempotent);
+    const int lowest = dup(STDIN_FILENO);
+    close(lowest);
+    rlimit limit{};
+    getrlimit(RLIMIT_NOFILE, &limit);
+    const rlimit none{static_cast<rlim_t>(lowest), limit.rlim_max};
+    setrlimit(RLIMIT_NOFILE, &none);
+    failed->placed(port.placement());
+    port.poll();
+    setrlimit(RLIMIT_NOFILE, &limit);
+    CHECK(port.outcomes == std::vector{Routing::AttemptOutcome::Unreachable});
+    failed->placed(port.placement());
+    CHECK(port.outcomes == std::vector{Routing::AttemptOutcome::Unreachable});
+    port.acceptRequest();
+}
