--- a/tests/auto/gateway/tst_endedservers.cpp
+++ b/tests/auto/gateway/tst_endedservers.cpp
@@ -2,6 +2,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <sys/resource.h>
+#include <unistd.h>
+
 #include <memory>
 #include <string>
 #include <vector>
@@ -232,3 +235,39 @@
     CHECK(it.sink.isCutOff);
     CHECK_FALSE(it.sink.isEnded);
 }
+
+// Guards against an interim answer that passes for the answer since it repeats the request's id.
+TEST_CASE("an interim answer that names its request is not the answer", "[gateway]")
+{
+    FakeExchangePort port;
+    RecordingSink sink;
+    const std::shared_ptr<Exchange> exchange = port.exchange(sink, Routing::WorkKind::Idempotent);
+    exchange->placed(port.placement());
+    Tcp::socket socket = port.acceptRequest();
+    write(socket, "HTTP/1.1 103 Early Hints\r\nRequest-Id: r-1\r\n\r\n");
+    LoopbackServer::answer(socket, "r-1");
+    REQUIRE(port.pollUntil([&] { return exchange->isFinished(); }));
+    CHECK(sink.statuses == std::vector<unsigned>{200});
+}
+
+// Guards against connections that count for ever since no descriptor was left to open them.
+TEST_CASE("a connection that could not be opened does not count", "[gateway]")
+{
+    FakeExchangePort port;
+    port.backends().setConnectionLimit(1);
+    RecordingSink sink;
+    const std::shared_ptr<Exchange> failed = port.exchange(sink, Routing::WorkKind::Idempotent);
+    const int lowest = dup(STDIN_FILENO);
+    close(lowest);
+    rlimit limit{};
+    getrlimit(RLIMIT_NOFILE, &limit);
+    const rlimit none{static_cast<rlim_t>(lowest), limit.rlim_max};
+    setrlimit(RLIMIT_NOFILE, &none);
+    failed->placed(port.placement());
+    port.poll();
+    setrlimit(RLIMIT_NOFILE, &limit);
+    CHECK(port.outcomes == std::vector{Routing::AttemptOutcome::Unreachable});
+    failed->placed(port.placement());
+    CHECK(port.outcomes == std::vector{Routing::AttemptOutcome::Unreachable});
+    port.acceptRequest();
+}
