--- a/src/libs/daemon/backendtransfer.cpp
+++ b/src/libs/daemon/backendtransfer.cpp
@@ -7,18 +7,10 @@
 #include <charconv>
 #include <utility>
 
-#include <strings.h>
-
 namespace Daemon {
 
 namespace {
 
-bool equalsIgnoringCase(std::string_view name, std::string_view wanted)
-{
-    return name.size() == wanted.size()
-           && strncasecmp(name.data(), wanted.data(), wanted.size()) == 0;
-}
-
 std::optional<std::uint64_t> parseNumber(std::string_view text)
 {
     std::uint64_t number = 0;
@@ -97,6 +89,8 @@
 void BackendTransfer::receiveHeader(std::string_view name, std::string_view value)
 {
     extendDeadline();
+    if (!isInFinalHead())
+        return;
     if (equalsIgnoringCase(name, "Content-Type"))
         m_head.contentType = value;
     if (equalsIgnoringCase(name, "X-Stream-Name"))
@@ -185,7 +179,7 @@
     Node::BackendFailed failed;
     failed.attempt = m_attempt;
     failed.sent = isSent() ? Node::SendState::MaybeRan : Node::SendState::NeverSent;
-    if (m_isNotRun)
+    if (m_isNotRun && isHeadComplete())
         failed.sent = Node::SendState::Refused;
     failed.status = status();
     failed.retryAfter = m_retryAfter;
--- a/src/libs/daemon/bufferedtransfer.h
+++ b/src/libs/daemon/bufferedtransfer.h
@@ -15,6 +15,9 @@
     bool isSent = false;
     /// HTTP status; 0 if no head of an answer arrived.
     int status = 0;
+    /// Whether the head told where the body ends. Otherwise it ends with the connection, and a body
+    /// that was cut off looks whole.
+    bool isDelimited = false;
     std::string body;
 
     /// Whether the complete answer has arrived, with whatever status.
@@ -31,15 +34,15 @@
     /// maxAnswerBytes.
     BufferedTransfer(const TransferRequest &request, std::size_t maxAnswerBytes, Done done);
 
-    void finished(CURLcode code) override;
-
 private:
+    void finished(CURLcode code) override;
     void receiveHeader(std::string_view name, std::string_view value) override;
     bool receiveBody(std::string_view bytes) override;
 
     std::size_t m_maxAnswerBytes;
     Done m_done;
     std::string m_answerBody;
+    bool m_isDelimited = false;
 };
 
 } // namespace Daemon
--- a/src/libs/daemon/httptransfer.h
+++ b/src/libs/daemon/httptransfer.h
@@ -26,6 +26,9 @@
     Base::TimePoint deadline;
 };
 
+/// Compares names or values of header fields.
+bool equalsIgnoringCase(std::string_view text, std::string_view wanted);
+
 /// One outgoing HTTP request and its answer. It runs on the thread of a TransferLoop.
 class HttpTransfer
 {
@@ -43,16 +46,23 @@
     bool isExpired(Base::TimePoint now) const { return now >= m_deadline; }
 
     /// Called once when the transfer ends, with the library's result \a code. A transfer that is
-    /// dropped from its loop gets no call.
-    virtual void finished(CURLcode code) = 0;
+    /// dropped from its loop gets no call. The library takes the end of the connection within the
+    /// head for the end of an answer without a length; here such a transfer fails.
+    void end(CURLcode code);
 
 protected:
     explicit HttpTransfer(const TransferRequest &request);
 
-    /// Called for each header line; \a value is trimmed and never spans several lines.
+    /// Called by end(). With CURLE_OK, the answer is complete.
+    virtual void finished(CURLcode code) = 0;
+    /// Called for each field of any head, also of a 1xx answer and of the trailers; \a value is
+    /// trimmed and never spans several lines.
     virtual void receiveHeader(std::string_view name, std::string_view value) = 0;
     /// Called for each piece of the body. Returns whether to continue; false fails the transfer.
     virtual bool receiveBody(std::string_view bytes) = 0;
+    /// Whether the fields that arrive now belong to the head of the final answer.
+    bool isInFinalHead() const;
+    bool isHeadComplete() const { return m_isHeadComplete; }
     void setDeadline(Base::TimePoint deadline) { m_deadline = deadline; }
 
 private:
@@ -74,6 +84,8 @@
     Base::TimePoint m_deadline;
     int m_status = 0;
     bool m_isSent = false;
+    /// Whether the empty line after the head of the final answer has arrived.
+    bool m_isHeadComplete = false;
 };
 
 } // namespace Daemon
--- a/src/libs/gateway/backendconnection.cpp
+++ b/src/libs/gateway/backendconnection.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/ip/address_v4.hpp>
 
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -25,12 +26,19 @@
 /// A connection is no longer reused this long before the server would close it, so that no request
 /// is sent while the server closes it.
 constexpr Base::Duration keepAliveMargin = std::chrono::milliseconds(700);
+/// Longer times are cut; in nanoseconds, the longest that a server can state overflow.
+constexpr std::uint64_t maxKeepAliveS = 86'400;
 /// Number of late answers that are skipped before the connection is closed.
 constexpr int maxLateAnswers = 3;
 /// Number of requests whose ids a connection remembers. A busy connection carries fewer in the time
 /// in which a request may be sent again.
 constexpr std::size_t maxCarriedIds = 256;
 
+bool isInformational(const ResponseHead &head)
+{
+    return Http::to_status_class(head.result_int()) == Http::status_class::informational;
+}
+
 std::uint64_t nextNumber()
 {
     static std::uint64_t s_last = 0;
@@ -46,7 +54,8 @@
         return Base::Duration::zero();
     std::string_view number = text.substr(at + key.size());
     number = number.substr(0, number.find_first_not_of("0123456789"));
-    return std::chrono::seconds(parseNumber(number).value_or(0));
+    const std::uint64_t seconds = parseNumber(number).value_or(0);
+    return std::chrono::seconds(static_cast<std::int64_t>(std::min(seconds, maxKeepAliveS)));
 }
 
 } // namespace
@@ -86,19 +95,34 @@
         write();
         return;
     }
-    m_connectDeadline = now + connectTimeout;
     boost::system::error_code ec;
-    const auto address = boost::asio::ip::make_address_v4(ip, ec);
-    m_socket.async_connect({address, port},
-                           [self = shared_from_this()](const boost::system::error_code &result) {
-                               self->connected(result);
-                           });
+    m_server = {boost::asio::ip::make_address_v4(ip, ec), port};
+    m_connectDeadline = now + connectTimeout;
+    connect();
+}
+
+void BackendConnection::open(const Tcp::endpoint &server)
+{
+    m_isOpening = true;
+    m_server = server;
+    connect();
+}
+
+void BackendConnection::connect()
+{
+    m_socket.async_connect(
+        m_server,
+        [self = shared_from_this()](const boost::system::error_code &ec) { self->connected(ec); });
 }
 
 void BackendConnection::connected(const boost::system::error_code &ec)
 {
-    if (!m_listener)
+    if (!m_listener && !m_isOpening)
         return;
+    if (ec && m_isOpening) {
+        opened(false);
+        return;
+    }
     if (ec) {
         fail(Routing::AttemptOutcome::Unreachable);
         return;
@@ -109,11 +133,25 @@
     const int limit = unacknowledgedTimeoutMs;
     setsockopt(m_socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof(limit));
     m_isConnected = true;
+    if (m_isOpening) {
+        waitRead();
+        opened(true);
+        return;
+    }
     m_owner->requestWritten(*this);
     write();
     waitRead();
 }
 
+void BackendConnection::opened(bool isOpen)
+{
+    m_isOpening = false;
+    if (isOpen)
+        m_owner->connectionIdle(*this);
+    else
+        close();
+}
+
 void BackendConnection::write()
 {
     boost::system::error_code ec;
@@ -154,7 +192,13 @@
 
 void BackendConnection::checkTime(Base::TimePoint now)
 {
-    if (m_listener && !m_isConnected && now >= m_connectDeadline)
+    if (m_isOpening && !m_connectDeadline)
+        m_connectDeadline = now + connectTimeout;
+    if (m_isConnected || !m_connectDeadline || now < *m_connectDeadline)
+        return;
+    if (m_isOpening)
+        opened(false);
+    else if (m_listener)
         fail(Routing::AttemptOutcome::Unreachable);
 }
 
@@ -165,6 +209,18 @@
     return n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
+bool BackendConnection::isEnded()
+{
+    pollfd it{m_socket.native_handle(), POLLRDHUP, 0};
+    return !m_socket.is_open() || poll(&it, 1, 0) != 0;
+}
+
+bool BackendConnection::isEndUnread()
+{
+    return m_isPaused && isEndUnsettled() && m_parser && m_isHeadSeen && !m_isLateAnswer
+           && m_parser->need_eof() && isEnded();
+}
+
 bool BackendConnection::hasCarried(const std::string &requestId) const
 {
     return std::ranges::count(m_carriedIds, Base::stableHash(requestId)) > 0;
@@ -286,7 +342,7 @@
     m_parser->on_chunk_header(checkChunkExtensions);
     m_owner->headReceived(*this, head);
     const std::string_view id = field(head, m_names->requestId);
-    m_isLateAnswer = id != m_attempt.requestId;
+    m_isLateAnswer = isInformational(head) || id != m_attempt.requestId;
     if (m_isLateAnswer)
         return;
     m_keepAliveTimeout = keepAliveTimeout(head);
@@ -306,12 +362,12 @@
 void BackendConnection::answerCompleted()
 {
     const bool isKeepAlive = m_parser->keep_alive();
-    const bool isInformational = m_parser->get().result_int() < 200;
+    const bool isInterim = isInformational(m_parser->get().base());
     m_parser.reset();
     if (m_isLateAnswer) {
-        if (isInformational && ++m_interimAnswers > maxInterimAnswers)
+        if (isInterim && ++m_interimAnswers > maxInterimAnswers)
             fail(Routing::AttemptOutcome::Broken, AnswerFault::ManyInterimAnswers);
-        else if (!isInformational && (!isKeepAlive || ++m_lateAnswers > maxLateAnswers))
+        else if (!isInterim && (!isKeepAlive || ++m_lateAnswers > maxLateAnswers))
             fail(Routing::AttemptOutcome::Broken);
         return;
     }
@@ -342,14 +398,30 @@
     if (isClean && m_parser && m_isHeadSeen && !m_isLateAnswer) {
         boost::system::error_code ec;
         m_parser->put_eof(ec);
-        if (!ec && m_parser->is_done()) {
-            answerCompleted();
+        if (!ec && m_parser->is_done() && !m_listener->isIncomplete()) {
+            const std::shared_ptr<BackendConnection> self = shared_from_this();
+            close();
+            if (m_isEndWhole)
+                settleEnd(*m_isEndWhole);
+            else
+                m_owner->endDoubted(*this);
             return;
         }
     }
     fail(Routing::AttemptOutcome::Broken);
 }
 
+void BackendConnection::settleEnd(bool isWhole)
+{
+    m_isEndWhole = isWhole;
+    if (!m_listener || m_socket.is_open())
+        return;
+    if (isWhole)
+        answerCompleted();
+    else
+        fail(Routing::AttemptOutcome::Broken, AnswerFault::ServerEnded);
+}
+
 void BackendConnection::fail(Routing::AttemptOutcome outcome, AnswerFault fault)
 {
     BackendListener *listener = std::exchange(m_listener, nullptr);
@@ -362,7 +434,7 @@
 
 void BackendConnection::close()
 {
-    if (!m_socket.is_open())
+    if (std::exchange(m_isClosed, true))
         return;
     const std::shared_ptr<BackendConnection> self = shared_from_this();
     boost::system::error_code ec;
--- a/src/libs/gateway/backendpool.h
+++ b/src/libs/gateway/backendpool.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_set>
 #include <vector>
@@ -53,8 +54,8 @@
                                             Base::TimePoint now);
     /// Sets how many connections this host may have to each server.
     void setConnectionLimit(std::size_t limit) { m_limit = limit; }
-    /// Closes idle connections whose keep-alive has expired and fails connection attempts that have
-    /// timed out.
+    /// Closes idle connections whose keep-alive has expired, fails connection attempts that have
+    /// timed out, and settles the ends of answers that are in doubt.
     void checkTime(Base::TimePoint now);
     /// Closes the idle connections to \a server, which has gone.
     void closeIdleConnections(const Base::ServerId &server);
@@ -65,8 +66,23 @@
     void headReceived(BackendConnection &connection, const ResponseHead &head) override;
     void connectionIdle(BackendConnection &connection) override;
     void connectionClosed(BackendConnection &connection) override;
+    void endDoubted(BackendConnection &connection) override;
 
 private:
+    /// An answer that has ended with its connection. It is whole if another connection stays open
+    /// that was made before, or at once: a later one may lead to a successor of the server.
+    struct DoubtedEnd
+    {
+        std::shared_ptr<BackendConnection> connection;
+        /// The other connections that are still open.
+        std::vector<std::shared_ptr<BackendConnection>> witnesses;
+        /// When the connections of a server that has ended are closed too; empty until the first
+        /// checkTime() at which all witnesses are connected.
+        std::optional<Base::TimePoint> settleAt;
+        /// Whether a connection was opened as a witness.
+        bool isProbed = false;
+    };
+
     struct ServerConnections
     {
         std::vector<std::shared_ptr<BackendConnection>> all;
@@ -79,11 +95,20 @@
                                                           const SendParameters &parameters,
                                                           Base::TimePoint now);
 
+    void doubtEnd(const std::shared_ptr<BackendConnection> &connection);
+    /// Settles the ends of answers whose time has come.
+    void settleEnds(Base::TimePoint now);
+    /// Returns whether the answer is whole; empty if it is too early to tell.
+    std::optional<bool> isWhole(DoubtedEnd &end, Base::TimePoint now);
+    /// Opens a connection to the server of \a end as a witness, unless one is being opened.
+    void probe(DoubtedEnd &end);
+
     boost::asio::io_context *m_io;
     const HeaderNames *m_names;
     std::string *m_readBuffer;
     ServerObserver *m_observer;
     std::map<std::string, ServerConnections> m_connections;
+    std::vector<DoubtedEnd> m_doubtedEnds;
     std::size_t m_limit = 64;
 };
 
--- a/src/libs/gateway/storecopy.cpp
+++ b/src/libs/gateway/storecopy.cpp
@@ -1,5 +1,7 @@
 #include "gateway/storecopy.h"
 
+#include "untrusted/jsonbytes.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -13,6 +15,8 @@
 /// First element of an encoded copy; a copy with another version is rejected.
 constexpr std::uint64_t formatVersion = 1;
 constexpr std::size_t elementCount = 3;
+/// Older data is used by nobody.
+constexpr std::uint64_t maxAgeMs = INT32_MAX;
 
 } // namespace
 
@@ -32,20 +36,14 @@
 
 Base::Result<StoreCopy> decodeCopy(std::string_view bytes)
 {
-    Json json;
-    try {
-        json = Json::from_cbor(bytes.begin(), bytes.end(), true, false);
-    } catch (const Json::exception &) {
-        // The parser throws on a length beyond any memory, although exceptions are disabled.
-        return boost::leaf::new_error(MalformedCopy());
-    }
+    const Json json = Untrusted::readCbor(bytes);
     const bool isCopy = json.is_array() && json.size() == elementCount && json[0] == formatVersion
                         && json[1].is_number_unsigned() && json[2].is_binary();
     if (!isCopy)
         return boost::leaf::new_error(MalformedCopy());
     StoreCopy copy;
-    copy.proofAge =
-        Base::Milliseconds(static_cast<std::int64_t>(json[1].get<std::uint64_t>() & INT32_MAX));
+    copy.proofAge = Base::Milliseconds(
+        static_cast<std::int64_t>(std::min(json[1].get<std::uint64_t>(), maxAgeMs)));
     const Json::binary_t &text = json[2].get_binary();
     copy.text.assign(text.begin(), text.end());
     return copy;
--- a/tests/auto/gateway/fakeexchangeport.h
+++ b/tests/auto/gateway/fakeexchangeport.h
@@ -168,12 +168,18 @@
         it.server = Base::ServerId("s-" + std::to_string(server));
         return it;
     }
+    /// Enters the first server at the address of the second one.
+    void moveServer()
+    {
+        m_entries[Base::ServerId("s-1")].address = m_entries[Base::ServerId("s-2")].address;
+    }
     LoopbackServer &backend(int server = 1) { return *m_backends[server - 1]; }
     void poll()
     {
         // A loop that had nothing to wait for has stopped.
         m_io.restart();
         m_io.poll();
+        m_pool.checkTime(now());
     }
     /// Handles events until \a isDone or for a second at most. Returns whether it is.
     bool pollUntil(const std::function<bool()> &isDone)
