--- a/tests/auto/platformadapter/tst_oddvalues.cpp
+++ b/tests/auto/platformadapter/tst_oddvalues.cpp
@@ -188,7 +188,7 @@
 // Guards against a row of a version that stays in the store or makes later times overflow.
 TEST_CASE("rows of versions and streams with odd names or times are malformed", "[platform][odd]")
 {
-    const auto isVersion = [](Gateway::VersionRow row) {
+    const auto isVersion = [](const Gateway::VersionRow &row) {
         Row read;
         read.key = versionKey(row.version);
         read.value = versionText(row);
@@ -263,7 +263,7 @@
         const auto read =
             codec.streams(answerWith({{"a", cborText(spoilt(streams))}, {"b", cborText(streams)}}));
         RC_ASSERT(read);
-        RC_ASSERT(read->rows.size() + read->malformed.size() == 2U && read->rows.size() >= 1U);
+        RC_ASSERT(read->rows.size() + read->malformed.size() == 2U && !read->rows.empty());
         const auto rollouts =
             codec.rollouts(answerWith({{"app", spoilt(rollout).dump()}, {"pool", rollout.dump()}}));
         RC_ASSERT(rollouts);
