Soak: end a server before its place is taken by another one

Eight servers of earlier runs still ran after the soak of streams had ended: where two faults had replaced one server, the first successor was forgotten.

--- a/tests/soak/streamcaller.cpp
+++ b/tests/soak/streamcaller.cpp
@@ -90,7 +90,6 @@
     {
         m_isFirstOfAttempt = true;
         m_partial.clear();
-        m_server.clear();
     }
 
     /// \a stamp is the signature of the attempt's answer.
@@ -173,7 +172,6 @@
     std::uint64_t m_last = 0;
     std::uint64_t m_total = 0;
     std::string m_run;
-    std::string m_server;
     std::string m_framing;
     std::set<std::string> m_versions;
     std::set<std::string> m_faults;
--- a/tests/soak/streamsoak.sh
+++ b/tests/soak/streamsoak.sh
@@ -87,6 +87,7 @@
 # start_server SLOT VERSION [ID]: starts the server again under the id, or at another port under a
 # new one, since the address of a server that has ended is not used by another one at once.
 start_server() {
+    [ -z "${SERVER_PID[$1]:-}" ] || end_server "$1"
     next_id=$((next_id + 1))
     [ -n "${3:-}" ] || SERVER_AT[$1]=$((SERVER_PORT + next_id % 400))
     SERVER_ID[$1]=${3:-i-$next_id}
