--- a/src/libs/gateway/callerconnection.h
+++ b/src/libs/gateway/callerconnection.h
@@ -50,6 +50,8 @@
     bool isOpen() const { return m_socket.isOpen(); }
     /// Whether a request is being handled, which refers to this object.
     bool hasActiveRequest() const { return static_cast<bool>(m_active); }
+    /// Whether part of an answer has not been written yet.
+    bool hasOutput() const { return isOpen() && !m_output.isEmpty(); }
 
     void sendAnswer(const ResponseHead &head, std::string_view body) override;
     void startStream(const ResponseHead &head) override;
--- a/src/libs/gateway/exchange.h
+++ b/src/libs/gateway/exchange.h
@@ -119,6 +119,9 @@
     void checkTime(Base::TimePoint now);
     bool isFinished() const { return m_state == State::Finished; }
     bool isStream() const { return route().isStream(); }
+    /// Whether the request was passed on to a server and is not answered yet.
+    bool isSent() const { return m_state == State::Sent; }
+    Base::TimePoint readAt() const { return m_accepted.request.readAt; }
     /// Whether a silent server may still answer while another one is asked for.
     bool hasSilentAttempt() const { return m_silent != nullptr; }
     const Routing::Work &work() const { return m_accepted.work; }
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -144,7 +144,7 @@
     m_backlog.recordIdle(now());
     tick();
     loop();
-    m_log.write(LogLine("process.stop").add("open", m_exchanges.size()), now());
+    logOpenRequests("process.stop");
     m_log.flush();
 }
 
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -204,6 +204,8 @@
     bool isLeavingSoon() const;
     /// Stops the event loop when the shutdown is over.
     void checkShutdown(Base::TimePoint now);
+    /// Logs which requests are open, and how long they have been.
+    void logOpenRequests(const char *event);
 
     GatewaySettings m_settings;
     DeploymentAdapter m_adapter;
--- a/src/libs/gateway/gatewaylifecycle.cpp
+++ b/src/libs/gateway/gatewaylifecycle.cpp
@@ -3,6 +3,7 @@
 #include "gateway/boottime.h"
 #include "gateway/gateway.h"
 
+#include <algorithm>
 #include <csignal>
 
 namespace Gateway {
@@ -87,7 +88,7 @@
     m_limits.closesAfterAnswer = true;
     m_directoryLimits.closesAfterAnswer = true;
     m_replica->leave();
-    m_log.write(LogLine("process.leaving").add("open", m_exchanges.size()), now());
+    logOpenRequests("process.leaving");
     report(now());
 }
 
@@ -102,6 +103,29 @@
         m_io.stop();
 }
 
+void Gateway::logOpenRequests(const char *event)
+{
+    const Base::TimePoint time = now();
+    std::size_t sent = 0;
+    std::size_t streams = 0;
+    Base::TimePoint oldest = time;
+    Base::TimePoint newest = Base::TimePoint::min();
+    for (const auto &[id, exchange] : m_exchanges) {
+        sent += exchange->isSent() ? 1 : 0;
+        streams += exchange->isStream() ? 1 : 0;
+        oldest = std::min(oldest, exchange->readAt());
+        newest = std::max(newest, exchange->readAt());
+    }
+    LogLine line(event);
+    line.add("open", m_exchanges.size())
+        .add("sent", sent)
+        .add("streams", streams)
+        .add("unwritten", m_callers->unwrittenAnswers());
+    if (!m_exchanges.empty())
+        line.add("oldestMs", time - oldest).add("newestMs", time - newest);
+    m_log.write(line, time);
+}
+
 bool Gateway::isLeavingSoon() const
 {
     return m_leavingSince
--- a/src/libs/gateway/httplistener.cpp
+++ b/src/libs/gateway/httplistener.cpp
@@ -6,6 +6,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <utility>
 
@@ -84,6 +85,12 @@
     return true;
 }
 
+std::size_t HttpListener::unwrittenAnswers() const
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(m_connections, [](const auto &it) { return it->hasOutput(); }));
+}
+
 void HttpListener::checkTime(Base::TimePoint now)
 {
     if (std::exchange(m_isOutOfDescriptors, false))
--- a/src/libs/gateway/httplistener.h
+++ b/src/libs/gateway/httplistener.h
@@ -29,6 +29,8 @@
     /// file descriptors. Must be called a few times a second.
     void checkTime(Base::TimePoint now);
     std::size_t connections() const { return m_connections.size(); }
+    /// Returns the number of connections with an answer of which a part has not been written yet.
+    std::size_t unwrittenAnswers() const;
 
 private:
     HttpListener(boost::asio::io_context &io, const ConnectionContext &context);
--- a/tests/processes/deployment.sh
+++ b/tests/processes/deployment.sh
@@ -32,7 +32,7 @@
 configure() {
     put op config '{"version":'"$1"',"routeTable":['"$(route stream streaming pool \
         ',"streamResume":true')"','"$(route once unsafe app '')"','"$(route read safe app '')"'],
-        "services":[{"name":"pool","maxConnections":'"${MAX_CONNECTIONS:-64}"',"engine":{"slots":8,"kvCapacity":100000}},
+        "services":[{"name":"pool","maxConnections":'"${MAX_CONNECTIONS:-64}"',"engine":{"slots":'"${SLOTS:-8}"',"kvCapacity":100000}},
             {"name":"app","maxConnections":'"${MAX_CONNECTIONS:-64}"'}],
         "limits":{"maxHeaderBytes":16384,"maxBodyBytes":65536,"headerTimeoutMs":3000,
             "idleTimeoutMs":15000,"tokensPerS":'"${TOKENS_PER_S:-100000}"'},
@@ -43,7 +43,7 @@
 # in the availability zone ZONE.
 server() {
     put servers "i-$1" '{"service":"'"$2"'","address":"'"$FLEET_IP"':1971'"$1"'","zone":"'"${ZONE:-z}"'",
-        "version":"'"${VERSION:-v1}"'","slots":8,"state":"'"$3"'","sequence":1,"coldRemainingMs":0,
+        "version":"'"${VERSION:-v1}"'","slots":'"${SLOTS:-8}"',"state":"'"$3"'","sequence":1,"coldRemainingMs":0,
         "born":1764700000000}'
 }
 
@@ -54,7 +54,7 @@
  "readinessAddress":"$FLEET_IP:1973$1","discoveryAddress":"$FLEET_IP:1974$1",
  "peerAddress":"$FLEET_IP:1975$1","metricsAddress":"$FLEET_IP:1976$1",
  "log":{"requestLinesPerSecond":${LOG_LINES:-150}},"storeAddress":"$FLEET_IP:$STORE",
- "bounds":{"shutdownGraceS":8,"keyRevocationMs":3000,"retryRatio":0.2,"retrySlack":50,
+ "bounds":{"shutdownGraceS":8,"keyRevocationMs":${REVOCATION_MS:-3000},"retryRatio":0.2,"retrySlack":50,
            "retryWindowS":10}}
 EOF
     fleet_start "gateway-$1" "$FLEET_BUILD/src/app/lagoonmast" serve \
