End every request before a gateway stops, however many callers stay

What callers saw: around the SIGTERM of a gateway, requests that servers had run ended with a closed connection and without an answer.

Cause: the process stopped at 0.9 of the grace whatever was open, while plain requests were taken until then. Under load there is no moment at which nothing is open, so it never stopped earlier, and a work time's worth of requests was cut each time. The class: a stop by deadline that never stops taking.

Now ShutdownSchedule decides: from 0.35 of the grace on, a request is taken only if it ends in time (its timeout, or for plain requests twice the longest of the last answers on its route); from 0.65 on everything new is refused with 503, and the process stops once nothing is open and all answers are written; what is open at 0.9 gets a final answer that says whether it may have run. Requests that have arrived in sockets and in the accept queue are answered before the connections close.

Why it works: whatever is taken late ends by itself or is ended by an answer, and nothing is taken from a moment on that leaves time for both.

--- a/src/libs/gateway/callerconnection.cpp
+++ b/src/libs/gateway/callerconnection.cpp
@@ -51,6 +51,16 @@
         close();
 }
 
+void CallerConnection::finish()
+{
+    if (!isOpen() || m_active)
+        return;
+    // A request that was sent before the caller could know of the end gets an answer.
+    readable();
+    if (isOpen() && !m_active && m_output.isEmpty())
+        close();
+}
+
 bool CallerConnection::isLate(Base::TimePoint now) const
 {
     const bool isReadingHeader = m_parser && !m_parser->is_header_done();
--- a/src/libs/gateway/callerconnection.h
+++ b/src/libs/gateway/callerconnection.h
@@ -47,6 +47,8 @@
     /// Closes the connection if its idle timeout or header timeout has passed and what has arrived
     /// meanwhile, which is read first, is no request.
     void checkTime(Base::TimePoint now);
+    /// Handles what has arrived, and closes the connection unless an answer is still to be written.
+    void finish();
     bool isOpen() const { return m_socket.isOpen(); }
     /// Whether a request is being handled, which refers to this object.
     bool hasActiveRequest() const { return static_cast<bool>(m_active); }
--- a/src/libs/gateway/exchange.cpp
+++ b/src/libs/gateway/exchange.cpp
@@ -358,7 +358,7 @@
     m_record.status = status;
     if (!m_isCallerGone)
         m_sink->sendAnswer(attempt.head, attempt.body);
-    finish("answered");
+    finish(answeredOutcome);
 }
 
 bool Exchange::isAnswerTrusted(const ResponseHead &head) const
--- a/src/libs/gateway/exchange.h
+++ b/src/libs/gateway/exchange.h
@@ -117,6 +117,8 @@
     void rejected(const Routing::Rejection &why);
     /// Checks the request's time limits.
     void checkTime(Base::TimePoint now);
+    /// Gives the final answer, since the process stops.
+    void endForShutdown();
     bool isFinished() const { return m_state == State::Finished; }
     bool isStream() const { return route().isStream(); }
     /// Whether the request was passed on to a server and is not answered yet.
@@ -137,6 +139,8 @@
 private:
     /// The first pause between two searches for another server. It doubles each time.
     static constexpr Base::Duration minSeekPause = std::chrono::milliseconds(500);
+    /// The outcome of a request whose server's whole answer was passed on.
+    static constexpr const char *answeredOutcome = "answered";
 
     /// Of the current attempt: whether it waits for a server or was sent to one.
     enum class State { Waiting, Sent, Finished };
--- a/src/libs/gateway/exchangeend.cpp
+++ b/src/libs/gateway/exchangeend.cpp
@@ -4,6 +4,7 @@
 #include "gateway/exchange.h"
 #include "gateway/gatewaymetrics.h"
 
+#include <string_view>
 #include <utility>
 
 namespace Gateway {
@@ -35,6 +36,17 @@
     finish(failureName(failure.type));
 }
 
+void Exchange::endForShutdown()
+{
+    if (m_state == State::Finished)
+        return;
+    const std::shared_ptr<Exchange> self = shared_from_this();
+    m_mayHaveRun |= m_state == State::Sent;
+    cancelSilentAttempt(AttemptOutcome::Withdrawn);
+    cancelAttempt(AttemptOutcome::Withdrawn);
+    fail({FailureType::ShuttingDown, m_mayHaveRun, std::nullopt});
+}
+
 void Exchange::finish(const char *outcome)
 {
     if (m_state == State::Finished)
@@ -67,6 +79,7 @@
         ended.first = m_record.firstEventAt - m_accepted.request.readAt;
     else if (m_record.status != 0 && m_record.status < 500)
         ended.first = ended.whole;
+    ended.isAnswered = std::string_view(outcome) == answeredOutcome;
     m_port->requestEnded(ended);
     const bool isFailure = m_record.status >= 500 || (m_record.status == 0 && !m_isCallerGone);
     if (!m_port->log().tryAcquireRequestLine(isFailure, now))
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -9,6 +9,8 @@
 
 #include <algorithm>
 #include <chrono>
+#include <set>
+#include <string>
 #include <utility>
 
 namespace Gateway {
@@ -144,6 +146,7 @@
     m_backlog.recordIdle(now());
     tick();
     loop();
+    finishConnections();
     logOpenRequests("process.stop");
     m_log.flush();
 }
@@ -254,10 +257,10 @@
     accepted.id = m_lastWorkId += 2;
     accepted.request = std::move(request);
     accepted.requestId = std::string(field(accepted.request.message, m_adapter.names.requestId));
-    ValidationContext known{m_replica->table(), m_replica->servers().isKnown(), mayUseKeys(),
-                            false};
-    known.isLeavingSoon = isLeavingSoon();
-    std::optional<Failure> failure = m_examiner.validate(accepted, known);
+    std::optional<Failure> failure = m_examiner.validate(
+        accepted, {m_replica->table(), m_replica->servers().isKnown(), mayUseKeys()});
+    if (!failure)
+        failure = shutdownFailure(accepted);
     if (failure)
         m_backlog.recordRefusal(now());
     else if (!accepted.route->isStream())
@@ -447,6 +450,8 @@
 
 void Gateway::requestEnded(const EndedRequest &request)
 {
+    if (request.isAnswered)
+        m_durations.record(request.route, request.whole);
     m_metrics->requestEnded(request);
 }
 
@@ -470,6 +475,10 @@
     m_limits.headerTimeout = limits.headerTimeout;
     m_limits.idleTimeout = limits.idleTimeout;
     m_services->configurationChanged();
+    std::set<std::string> routes;
+    for (const Routing::Route &it : m_replica->table()->configuration().routes)
+        routes.insert(it.name);
+    m_durations.keepOnly(routes);
     logUnknownRegions();
     m_memory.streamOrigins().setLongestStream(m_replica->table()->longestStream());
 }
@@ -527,7 +536,7 @@
 
 bool Gateway::isReady() const
 {
-    return m_replica->isKnown() && !m_leavingSince;
+    return m_replica->isKnown() && !m_shutdown;
 }
 
 } // namespace Gateway
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -16,8 +16,10 @@
 #include "gateway/requestresidency.h"
 #include "gateway/requestvalidator.h"
 #include "gateway/rollouts.h"
+#include "gateway/routedurations.h"
 #include "gateway/services.h"
 #include "gateway/settingswatcher.h"
+#include "gateway/shutdownschedule.h"
 #include "gateway/storereplica.h"
 #include "gateway/streamrows.h"
 #include "gateway/versionrows.h"
@@ -200,10 +202,15 @@
     Base::Result<void> listenForMetrics();
     GatewayState state() const;
     void beginShutdown();
-    /// Whether a request that may take long would not end before the process does.
-    bool isLeavingSoon() const;
-    /// Stops the event loop when the shutdown is over.
+    /// Returns the failure to answer if this host is leaving and does not take \a accepted any more.
+    std::optional<Failure> shutdownFailure(const AcceptedRequest &accepted) const;
+    /// Ends open requests and stops the event loop when it is time to.
     void checkShutdown(Base::TimePoint now);
+    /// Gives all open requests their final answers.
+    void endOpenRequests();
+    /// Answers the requests that have arrived since the event loop has stopped, and closes all
+    /// connections.
+    void finishConnections();
     /// Logs which requests are open, and how long they have been.
     void logOpenRequests(const char *event);
 
@@ -251,7 +258,9 @@
     Base::TimePoint m_nextSlowCheck{};
     /// When the configuration in force was applied.
     Base::TimePoint m_configurationSince{};
-    std::optional<Base::TimePoint> m_leavingSince;
+    RouteDurations m_durations;
+    /// Set once the process was told to stop.
+    std::optional<ShutdownSchedule> m_shutdown;
     std::size_t m_unreadableEntries = 0;
     bool m_isApplying = false;
     bool m_isIdleCheckDue = false;
--- a/src/libs/gateway/gatewaylifecycle.cpp
+++ b/src/libs/gateway/gatewaylifecycle.cpp
@@ -5,24 +5,15 @@
 
 #include <algorithm>
 #include <csignal>
+#include <memory>
+#include <vector>
 
 namespace Gateway {
 
 namespace {
 
-/// Shares of the shutdown grace, counted from SIGTERM. From the first one on, requests that may
-/// take long are sent to other hosts. At the second one the process stops, before it would be
-/// killed.
-constexpr double longWorkCutoffShare = 0.35;
-constexpr double forcedStopShare = 0.9;
-/// From this share of the shutdown grace on, a process without open requests stops. Before that,
-/// callers may still use an entry list that names this host.
-constexpr double idleStopShare = 0.65;
-
-Base::Duration fractionOf(Base::Duration whole, double share)
-{
-    return std::chrono::duration_cast<Base::Duration>(whole * share);
-}
+/// Another host can take the request at once.
+constexpr Base::Milliseconds leavingRetryAfter{50};
 
 } // namespace
 
@@ -81,9 +72,9 @@
 
 void Gateway::beginShutdown()
 {
-    if (m_leavingSince)
+    if (m_shutdown)
         return;
-    m_leavingSince = now();
+    m_shutdown.emplace(now(), m_settings.shutdownGrace);
     m_fleet.setLeaving(now());
     m_limits.closesAfterAnswer = true;
     m_directoryLimits.closesAfterAnswer = true;
@@ -92,17 +83,45 @@
     report(now());
 }
 
+std::optional<Failure> Gateway::shutdownFailure(const AcceptedRequest &accepted) const
+{
+    if (!m_shutdown)
+        return std::nullopt;
+    const ExpectedWork work{accepted.work.deadline, m_durations.longest(accepted.route->name),
+                            accepted.route->isStream()};
+    if (m_shutdown->accepts(work, bootTimeNow()))
+        return std::nullopt;
+    return Failure{FailureType::ShuttingDown, false, leavingRetryAfter};
+}
+
 void Gateway::checkShutdown(Base::TimePoint time)
 {
-    if (!m_leavingSince)
+    if (!m_shutdown)
         return;
-    const Base::Duration age = time - *m_leavingSince;
-    const bool isQuiet =
-        m_exchanges.empty() && age >= fractionOf(m_settings.shutdownGrace, idleStopShare);
-    if (isQuiet || age >= fractionOf(m_settings.shutdownGrace, forcedStopShare))
+    if (!m_exchanges.empty() && m_shutdown->endsOpenRequests(time))
+        endOpenRequests();
+    const bool isQuiet = m_exchanges.empty() && m_callers->unwrittenAnswers() == 0;
+    if (m_shutdown->isOver(isQuiet, time))
         m_io.stop();
 }
 
+void Gateway::endOpenRequests()
+{
+    logOpenRequests("process.requests_ended");
+    std::vector<std::shared_ptr<Exchange>> open;
+    open.reserve(m_exchanges.size());
+    for (const auto &[id, exchange] : m_exchanges)
+        open.push_back(exchange);
+    for (const auto &exchange : open)
+        exchange->endForShutdown();
+}
+
+void Gateway::finishConnections()
+{
+    for (HttpListener *listener : {m_callers.get(), m_readiness.get(), m_discovery.get()})
+        listener->finish();
+}
+
 void Gateway::logOpenRequests(const char *event)
 {
     const Base::TimePoint time = now();
@@ -126,11 +145,4 @@
     m_log.write(line, time);
 }
 
-bool Gateway::isLeavingSoon() const
-{
-    return m_leavingSince
-           && bootTimeNow() - *m_leavingSince
-                  >= fractionOf(m_settings.shutdownGrace, longWorkCutoffShare);
-}
-
 } // namespace Gateway
--- a/src/libs/gateway/gatewaymetrics.h
+++ b/src/libs/gateway/gatewaymetrics.h
@@ -25,6 +25,8 @@
     Base::Duration whole{};
     /// The caller's connection was closed before its answer was complete.
     bool isCutOff = false;
+    /// A server's answer was passed on as a whole.
+    bool isAnswered = false;
 };
 
 /// Values of the gateway's gauges at one moment.
--- a/src/libs/gateway/gatewayreports.cpp
+++ b/src/libs/gateway/gatewayreports.cpp
@@ -25,7 +25,7 @@
     self.zone = m_settings.zone;
     self.peerAddress = toString(m_settings.peerAddress);
     self.callerAddress = toString(m_settings.callerAddress);
-    self.isLeaving = m_leavingSince.has_value();
+    self.isLeaving = m_shutdown.has_value();
     self.isServing = isReady() && m_replica->lease().isHeld(time);
     self.isStoreLost = m_replica->isStoreLost(time);
     self.capacity = m_settings.processor;
--- a/src/libs/gateway/httplistener.cpp
+++ b/src/libs/gateway/httplistener.cpp
@@ -91,6 +91,17 @@
         std::ranges::count_if(m_connections, [](const auto &it) { return it->hasOutput(); }));
 }
 
+void HttpListener::finish()
+{
+    int left = acceptBacklog;
+    while (left > 0 && acceptOne())
+        --left;
+    boost::system::error_code ec;
+    m_acceptor.close(ec);
+    for (const auto &connection : m_connections)
+        connection->finish();
+}
+
 void HttpListener::checkTime(Base::TimePoint now)
 {
     if (std::exchange(m_isOutOfDescriptors, false))
--- a/src/libs/gateway/httplistener.h
+++ b/src/libs/gateway/httplistener.h
@@ -29,6 +29,9 @@
     /// file descriptors. Must be called a few times a second.
     void checkTime(Base::TimePoint now);
     std::size_t connections() const { return m_connections.size(); }
+    /// Accepts nothing more, answers what has arrived, and closes the connections that no answer is
+    /// being written to.
+    void finish();
     /// Returns the number of connections with an answer of which a part has not been written yet.
     std::size_t unwrittenAnswers() const;
 
--- a/src/libs/gateway/requestvalidator.cpp
+++ b/src/libs/gateway/requestvalidator.cpp
@@ -18,7 +18,6 @@
 /// sums of times small.
 constexpr std::uint64_t maxDeadlineMs = 1U << 30;
 constexpr milliseconds notReadyRetryAfter{400};
-constexpr milliseconds leavingRetryAfter{50};
 
 std::string bearerToken(const Request &message)
 {
@@ -49,8 +48,6 @@
     }
     if (std::optional<Failure> failure = identifyCustomer(accepted, context))
         return failure;
-    if (context.isLeavingSoon && accepted.route->isStream())
-        return Failure{FailureType::ShuttingDown, false, leavingRetryAfter};
     // A stream that its caller takes up stays with the service that began it.
     const std::string_view resumed = field(message, m_names->resumedRequestId);
     accepted.service = Routing::RouteTable::chooseService(
--- a/src/libs/gateway/requestvalidator.h
+++ b/src/libs/gateway/requestvalidator.h
@@ -19,8 +19,6 @@
     /// Whether the lease on the configuration is held, that is, whether the configuration was
     /// confirmed to be current recently enough.
     bool isLeaseHeld = false;
-    /// Whether this process exits before a stream would end; new streams are then refused.
-    bool isLeavingSoon = false;
 };
 
 /// Validates a request against the configuration and fills in its route, customer, service and
--- a/tests/auto/gateway/tst_exchange.cpp
+++ b/tests/auto/gateway/tst_exchange.cpp
@@ -84,3 +84,31 @@
     CHECK(sink.statuses == std::vector<unsigned>{200});
     CHECK(port.submissions == 2);
 }
+
+// Guards against requests that end without an answer since the process stops.
+TEST_CASE("an open request gets a final answer that tells whether it may have run", "[gateway]")
+{
+    FakeExchangePort port;
+    RecordingSink sink;
+    const std::shared_ptr<Exchange> exchange =
+        port.exchange(sink, Routing::WorkKind::NotIdempotent);
+    SECTION("it was not sent yet")
+    {
+        exchange->endForShutdown();
+        CHECK(sink.statuses == std::vector<unsigned>{503});
+        CHECK(sink.text.find(R"("ran":"no")") != std::string::npos);
+    }
+    SECTION("it was sent")
+    {
+        exchange->placed(port.placement());
+        const Tcp::socket socket = port.acceptRequest();
+        exchange->endForShutdown();
+        CHECK(sink.statuses == std::vector<unsigned>{502});
+        CHECK(sink.text.find(R"("ran":"unknown")") != std::string::npos);
+        CHECK(port.outcomes == std::vector{Routing::AttemptOutcome::Withdrawn});
+    }
+    CHECK(exchange->isFinished());
+    CHECK_FALSE(sink.isCutOff);
+    exchange->endForShutdown();
+    CHECK(sink.statuses.size() == 1);
+}
--- a/tests/auto/gateway/tst_httplistener.cpp
+++ b/tests/auto/gateway/tst_httplistener.cpp
@@ -191,3 +191,21 @@
     loopback.listener->checkTime(bootTimeNow());
     CHECK(loopback.listener->connections() == 0);
 }
+
+// Guards against requests that end without an answer since they arrive while the process stops.
+TEST_CASE("requests that have arrived when the process stops get an answer", "[gateway]")
+{
+    Loopback loopback(true);
+    Tcp::socket kept = loopback.caller("");
+    loopback.poll();
+    REQUIRE(loopback.listener->connections() == 1);
+    boost::asio::write(kept, boost::asio::buffer(requestText));
+    Tcp::socket unaccepted = loopback.caller(requestText);
+    Tcp::socket idle = loopback.caller("");
+    loopback.listener->finish();
+    for (Tcp::socket *caller : {&kept, &unaccepted})
+        CHECK(Loopback::answerOf(*caller).find("HTTP/1.1 503") == 0);
+    CHECK(Loopback::answerOf(idle).empty());
+    // Nobody listens any more.
+    CHECK_THROWS(loopback.caller(requestText));
+}
--- a/tests/auto/gateway/tst_requestvalidator.cpp
+++ b/tests/auto/gateway/tst_requestvalidator.cpp
@@ -30,7 +30,7 @@
         accepted.request.message.set("Host", "a");
         if (!resumed.empty())
             accepted.request.message.set("Resumes", resumed);
-        REQUIRE_FALSE(validator.validate(accepted, {table, true, true, false}));
+        REQUIRE_FALSE(validator.validate(accepted, {table, true, true}));
         return accepted.service;
     };
     std::set<std::string> used;
@@ -66,7 +66,7 @@
         accepted.request.message.insert(name, "1");
         if (!second.empty())
             accepted.request.message.insert(second, "1");
-        return validator.validate(accepted, {table, true, true, false});
+        return validator.validate(accepted, {table, true, true});
     };
     for (const std::string name : {"Authorization", "Request-Id", "Resumes", "Last-Event"}) {
         CAPTURE(name);
