Let a stream of unknown origin go on only after a proof that was asked for since it came

Cause: StreamOrigins::continuation() took "one version is known and the list was current 2.1 s ago" for "no other version has begun this stream". The class: what was known lately is taken for what is so now.

Evidence: 22 of 22 streams that began at the new version were mixed at a gateway that stood still, and 22 of 22 at one that was cut off, all logged as origin=any_server; with over 2.1 s in between none. While the store was away for 4 s, 0 of 40 went on though nobody had joined (old_servers).

Now such a stream waits, for a second at most, until the store has answered a question that was sent after the stream came, or every host that may be running has reported since then that it knows the same servers; then it goes on, or is refused with 503 if another version has joined or there is no proof. One question serves all streams that wait, ten a second at most. Hosts that have lost the store echo each other's reports, and while all agree their lists stay current.

Why it works: whatever had begun the stream was in the store, and read by some host, before the stream came, so an answer to a later question shows it.

A reading of the servers in pages now counts from its first page.

--- a/src/libs/gateway/exchange.cpp
+++ b/src/libs/gateway/exchange.cpp
@@ -21,8 +21,6 @@
 /// Another attempt cannot end in time if less time than this is left.
 constexpr Base::Duration minTimeLeft = milliseconds(40);
 constexpr Base::Milliseconds defaultRetryAfter{300};
-/// By then, another host has reported which software version began the stream.
-constexpr Base::Milliseconds unknownStreamRetryAfter{300};
 
 bool isEventStreamHead(const ResponseHead &head)
 {
@@ -46,15 +44,8 @@
         return;
     }
     if (m_binding.isTakenUp()) {
-        const Routing::Continuation it =
-            m_binding.bindTakenUp(m_port->memory().streamOrigins(), m_port->now());
-        m_record.continuation = it.kind;
-        m_port->streamResumed(true, it.kind);
-        if (!it.isAllowed()) {
-            fail({FailureType::UnknownStream, false, unknownStreamRetryAfter});
-            return;
-        }
-        m_accepted.work.isContinuation = it.kind == Routing::Continuation::Kind::SameVersion;
+        takeUp();
+        return;
     }
     submit();
 }
@@ -234,7 +225,7 @@
 
 void Exchange::outputDrained()
 {
-    if (!m_current->isPaused())
+    if (!m_current || !m_current->isPaused())
         return;
     m_current->quietSince = m_port->now();
     m_current->connection->resume();
--- a/src/libs/gateway/exchange.h
+++ b/src/libs/gateway/exchange.h
@@ -67,6 +67,9 @@
     virtual bool mayUseKeys() = 0;
     /// Returns what the hosts remember of requests beyond this try.
     virtual RequestMemory &memory() = 0;
+    /// Finds out whether this host knows all versions at which streams had begun by \a time, which
+    /// takes a moment. Exchange::checkTakeUp() is called afterwards.
+    virtual void proveVersions(Base::TimePoint time) = 0;
     /// Counts a stream that its caller takes up, or that goes on within its answer.
     virtual void streamResumed(bool isByCaller, Routing::Continuation::Kind kind) = 0;
     virtual BackendPool &backends() = 0;
@@ -115,12 +118,16 @@
     void placed(const Routing::Placement &placement);
     /// Answers the request with a failure, since the dispatcher has rejected it.
     void rejected(const Routing::Rejection &why);
+    /// Goes on with a stream that was taken up, if it is certain now where it may go on.
+    void checkTakeUp();
     /// Checks the request's time limits.
     void checkTime(Base::TimePoint now);
     /// Gives the final answer, since the process stops.
     void endForShutdown();
     bool isFinished() const { return m_state == State::Finished; }
     bool isStream() const { return route().isStream(); }
+    /// Whether it is not certain yet where the stream may go on that the request takes up.
+    bool waitsForProof() const { return m_state == State::Proving; }
     /// Whether the request was passed on to a server and is not answered yet.
     bool isSent() const { return m_state == State::Sent; }
     Base::TimePoint readAt() const { return m_accepted.request.readAt; }
@@ -142,10 +149,13 @@
     /// The outcome of a request whose server's whole answer was passed on.
     static constexpr const char *answeredOutcome = "answered";
 
-    /// Of the current attempt: whether it waits for a server or was sent to one.
-    enum class State { Waiting, Sent, Finished };
+    /// Whether it is not yet certain which version began the stream, or whether the current attempt
+    /// waits for a server or was sent to one.
+    enum class State { Proving, Waiting, Sent, Finished };
 
     const Routing::Route &route() const { return *m_accepted.route; }
+    /// Submits a request that takes up a stream, unless it has to wait or must not go on.
+    void takeUp();
     void submit();
     void sendTo(const Routing::RegisteredServer &server);
     ForwardedFields forwardedFields(const Routing::RegisteredServer &server) const;
--- a/src/libs/gateway/exchangeattempts.cpp
+++ b/src/libs/gateway/exchangeattempts.cpp
@@ -14,6 +14,10 @@
 {
     if (m_state == State::Finished)
         return;
+    if (m_state == State::Proving) {
+        checkTakeUp();
+        return;
+    }
     if (now >= effectiveDeadline()) {
         if (m_state == State::Sent)
             m_mayHaveRun = true;
@@ -60,6 +64,11 @@
 
 void Exchange::cancelAttempt(AttemptOutcome outcome)
 {
+    // There is no attempt yet.
+    if (m_state == State::Proving) {
+        m_state = State::Waiting;
+        return;
+    }
     const std::shared_ptr<Attempt> attempt = m_current;
     attempt->cancel();
     if (m_state == State::Waiting)
--- a/src/libs/gateway/fleetview.cpp
+++ b/src/libs/gateway/fleetview.cpp
@@ -301,8 +301,14 @@
     const bool isLeading = isLeader(now);
     const bool isDigest = report.scope == ReportScope::Digest;
     const bool isSum = report.scope == ReportScope::Zone || report.scope == ReportScope::Fleet;
+    // Without the store, hosts prove to each other that they know the same servers.
+    const bool echoesAll = m_isStoreLost && !isLarge() && report.scope == ReportScope::Host;
     for (const auto &[host, latest] : m_hosts) {
-        if (!isAlive(latest, now) || latest.report.self.zone != m_zone)
+        if (!isAlive(latest, now))
+            continue;
+        if (echoesAll)
+            report.echoes[host] = latest.report.sequence;
+        if (latest.report.self.zone != m_zone)
             continue;
         const bool isReceiver =
             !isDigest
@@ -389,6 +395,25 @@
     return std::nullopt;
 }
 
+std::optional<Base::TimePoint> FleetView::agreedSince(std::uint64_t fingerprint,
+                                                      Base::TimePoint now) const
+{
+    std::optional<Base::TimePoint> since;
+    for (const auto &[address, receiver] : m_receivers) {
+        if (now >= receiver.until)
+            continue;
+        const auto known = m_hosts.find(receiver.host);
+        if (isLarge() || known == m_hosts.end())
+            return std::nullopt;
+        const HostReport &report = known->second.report;
+        const std::optional<Base::TimePoint> at = echoedSendTime(report);
+        if (!at || report.store.serversFingerprint != fingerprint)
+            return std::nullopt;
+        since = std::min(since.value_or(*at), *at);
+    }
+    return since;
+}
+
 std::vector<MemberState> FleetView::servingMembers(Base::TimePoint now) const
 {
     std::vector<MemberState> serving;
--- a/src/libs/gateway/fleetview.h
+++ b/src/libs/gateway/fleetview.h
@@ -101,6 +101,12 @@
     /// or one that is no longer remembered.
     std::optional<Base::TimePoint> echoedSendTime(const HostReport &report) const;
 
+    /// Returns a time at or after which each other host that may be running has reported that it
+    /// knows the servers of \a fingerprint. Empty if there is none, if this host knows no other one,
+    /// and in a large fleet, where reports of hosts are summed up.
+    std::optional<Base::TimePoint> agreedSince(std::uint64_t fingerprint,
+                                               Base::TimePoint now) const;
+
     /// Returns the other hosts that are alive, serve and are not leaving. If none of them serves,
     /// returns all that are alive and not leaving.
     std::vector<MemberState> servingMembers(Base::TimePoint now) const;
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -135,6 +135,7 @@
     std::optional<Base::TimePoint> lastResponseFrom(const Base::ServerId &server) const override;
     bool isGone(const Base::ServerId &server) const override;
     RequestMemory &memory() override { return m_memory; }
+    void proveVersions(Base::TimePoint time) override;
     void streamResumed(bool isByCaller, Routing::Continuation::Kind kind) override
     {
         m_metrics->streamResumed(isByCaller, Routing::nameOf(kind));
@@ -155,7 +156,7 @@
     void versionsCopied(const std::vector<Routing::VersionAge> &versions,
                         Base::TimePoint currentUntil) override;
     std::optional<std::vector<Routing::VersionAge>> knownVersions() const override;
-    void serversRead() override { m_services->serversRead(); }
+    void serversRead() override;
     void evacuationsChanged() override;
     void rolloutOrdersChanged() override { m_rollouts->ordersChanged(); }
     /// The other hosts should learn of it at once.
--- a/src/libs/gateway/gatewayversions.cpp
+++ b/src/libs/gateway/gatewayversions.cpp
@@ -3,12 +3,16 @@
 #include "gateway/boottime.h"
 #include "gateway/gateway.h"
 
+#include <memory>
+#include <vector>
+
 namespace Gateway {
 
 void Gateway::updateVersions(Base::TimePoint time)
 {
     Routing::StreamOrigins &origins = m_memory.streamOrigins();
-    origins.setServersCurrentUntil(m_replica->serversCurrentUntil(), time);
+    origins.setServersCurrentUntil(m_replica->serversCurrentUntil(time), time);
+    origins.setVersionsProvedAt(m_replica->serversProvedAt(time));
     if (!m_replica->isKnown() || m_replica->isStoreLost(time))
         return;
     VersionRows::View view;
@@ -23,6 +27,24 @@
     m_streamRows->advance({view.needsHistory, view.isWriter}, time);
 }
 
+void Gateway::proveVersions(Base::TimePoint time)
+{
+    m_replica->proveServers(time, now());
+}
+
+void Gateway::serversRead()
+{
+    m_services->serversRead();
+    m_memory.streamOrigins().setVersionsProvedAt(m_replica->serversProvedAt(now()));
+    std::vector<std::shared_ptr<Exchange>> waiting;
+    for (const auto &[id, exchange] : m_exchanges) {
+        if (exchange->waitsForProof())
+            waiting.push_back(exchange);
+    }
+    for (const auto &exchange : waiting)
+        exchange->checkTakeUp();
+}
+
 void Gateway::leavingVersionsRead(const Routing::ServerVersions &versions)
 {
     m_memory.streamOrigins().setVersions(versions, now());
--- a/src/libs/gateway/storeclient.cpp
+++ b/src/libs/gateway/storeclient.cpp
@@ -32,6 +32,8 @@
 constexpr Base::Duration firstHostReadInterval = milliseconds(1200);
 constexpr Base::Duration hostWriteInterval = std::chrono::seconds(20);
 constexpr milliseconds hostRowFreshFor{45000};
+/// The least time between two readings of the servers that streams wait for.
+constexpr Base::Duration minWantedInterval = milliseconds(100);
 /// Delay between the first reading of the rows and the first writing. A host that receives in this
 /// time a report of another one that refreshes its row need not write the row. Hosts that start
 /// together read the rows once more after that (firstHostReadInterval).
@@ -81,7 +83,8 @@
     const bool isAfterFailure = !m_isReadAvailable || m_areServersUnconfirmed;
     const bool isDue = isReading() || m_needsServers || isAfterFailure;
     // The other hosts are found first, since one of them may have the servers.
-    if (!m_areReadsDeferred && now >= m_nextServerReading && isDue && m_nextHostPage.empty())
+    const bool isTimely = (now >= m_nextServerReading && isDue) || isServerReadingWanted(now);
+    if (!m_areReadsDeferred && isTimely && m_nextHostPage.empty())
         readServers(now);
     else
         syncHostRows(now);
@@ -243,8 +246,22 @@
     return pause.next(m_readerRole == ReaderRole::ForZone ? maxRetryPauseForZone : maxRetryPause);
 }
 
+bool StoreClient::isServerReadingWanted(Base::TimePoint now) const
+{
+    if (m_serversReadSince >= m_serversWantedAfter)
+        return false;
+    // A store that fails is not asked more often than for any other reason.
+    const Base::TimePoint earliest =
+        m_isReadAvailable ? std::min(m_nextServerReading, m_readingSince + minWantedInterval)
+                          : m_nextServerReading;
+    return now >= earliest;
+}
+
 void StoreClient::readServers(Base::TimePoint now)
 {
+    // Entries of the first page may change while the others are read.
+    if (m_entries.nextPage().empty())
+        m_readingSince = now;
     if (m_entries.isEmpty() && m_mayTakeOver) {
         if (const std::optional<ListedServers> known = m_listener->knownServers())
             m_entries.takeOver(*known);
@@ -303,7 +320,8 @@
     // The entries are reported only on a change, since they may be in the store for long.
     if (std::exchange(m_unreadableEntries, m_entries.unreadable()) != m_entries.unreadable())
         m_listener->unreadableEntriesChanged(m_unreadableEntries);
-    m_listener->serversRead(m_entries.servers(), askedAt);
+    m_serversReadSince = m_readingSince;
+    m_listener->serversRead(m_entries.servers(), m_readingSince);
 }
 
 void StoreClient::serversFailed(const char *why, FailureScope scope)
--- a/src/libs/gateway/storeclient.h
+++ b/src/libs/gateway/storeclient.h
@@ -8,6 +8,7 @@
 #include "routing/exponentialbackoff.h"
 #include "routing/routetable.h"
 
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <set>
@@ -117,6 +118,12 @@
     /// they are read from the store.
     void configurationChanged() { m_needsReading = true; }
     void serversChanged() { m_needsServers = true; }
+    /// The servers are read once more, unless they were read by a call that was sent at \a time or
+    /// later. The store is asked at most ten times a second for this.
+    void readServersAfter(Base::TimePoint time)
+    {
+        m_serversWantedAfter = std::max(m_serversWantedAfter, time);
+    }
     /// A copy was received from another host. \a version is that of the configuration, or that of
     /// the store when the servers were read.
     void configurationCopied(std::uint64_t version);
@@ -146,6 +153,8 @@
     {
         return wasGood ? FailureScope::Connection : FailureScope::Store;
     }
+    /// Whether the servers are to be read now, whether or not another host reads for this one.
+    bool isServerReadingWanted(Base::TimePoint now) const;
     bool syncHostRows(Base::TimePoint now);
     void writeHosts(Base::TimePoint now);
     void hostsAnswered(const std::optional<HttpAnswer> &answer);
@@ -182,6 +191,11 @@
     std::set<std::string> m_unreadableEntries;
     std::uint64_t m_serversVersion = 0;
     Base::TimePoint m_nextServerReading{};
+    Base::TimePoint m_serversWantedAfter = Base::TimePoint::min();
+    /// When the first call of the current reading of the servers was sent, and of the last one that
+    /// was completed.
+    Base::TimePoint m_readingSince{};
+    Base::TimePoint m_serversReadSince = Base::TimePoint::min();
     Routing::ExponentialBackoff m_watchPause;
     Routing::ExponentialBackoff m_readPause;
     Routing::ExponentialBackoff m_hostPause;
--- a/src/libs/gateway/storereplica.cpp
+++ b/src/libs/gateway/storereplica.cpp
@@ -163,9 +163,22 @@
     return !fleet.isVeryLarge() || fleet.receivesLoads(now);
 }
 
-Base::TimePoint StoreReplica::serversCurrentUntil() const
+Base::TimePoint StoreReplica::serversProvedAt(Base::TimePoint now) const
 {
-    return m_serversProvedAt
+    const std::optional<Base::TimePoint> agreedAt =
+        m_dependencies.fleet.agreedSince(m_servers.fingerprint(), now);
+    return agreedAt ? std::max(m_serversProvedAt, *agreedAt) : m_serversProvedAt;
+}
+
+void StoreReplica::proveServers(Base::TimePoint time, Base::TimePoint now)
+{
+    m_store.readServersAfter(time);
+    m_store.advance(now);
+}
+
+Base::TimePoint StoreReplica::serversCurrentUntil(Base::TimePoint now) const
+{
+    return serversProvedAt(now)
            + std::chrono::duration_cast<Base::Duration>(m_times.fallbackReadAge
                                                         * currentListFactor);
 }
@@ -463,7 +476,7 @@
     if (store.serversFingerprint == m_servers.fingerprint())
         m_serversProvedAt = std::max(m_serversProvedAt, askedAt - *store.proofAge);
     if (store.versions)
-        m_dependencies.listener.versionsCopied(*store.versions, serversCurrentUntil());
+        m_dependencies.listener.versionsCopied(*store.versions, serversCurrentUntil(now));
     m_dependencies.listener.serversRead();
 }
 
--- a/src/libs/gateway/storereplica.h
+++ b/src/libs/gateway/storereplica.h
@@ -106,8 +106,13 @@
     /// Time of the question whose answer last proved to this host itself that the store's data is
     /// current; empty if it does not read the store.
     const std::optional<Base::TimePoint> &ownProofAt() const { return m_ownProofAt; }
+    /// Returns the time at which this host's list of servers was last known to be that of the store,
+    /// or the one that all hosts had.
+    Base::TimePoint serversProvedAt(Base::TimePoint now) const;
     /// Returns until when this host's list of servers counts as current.
-    Base::TimePoint serversCurrentUntil() const;
+    Base::TimePoint serversCurrentUntil(Base::TimePoint now) const;
+    /// Asks the store for a proof that this host's list of servers is that of \a time or later.
+    void proveServers(Base::TimePoint time, Base::TimePoint now);
     /// Whether this host needs each change of the servers at once. In a very large fleet, a host
     /// that forwards nothing does not.
     bool hasUrgentNeedOfServers(Base::TimePoint now) const;
--- a/src/libs/gateway/streambinding.cpp
+++ b/src/libs/gateway/streambinding.cpp
@@ -21,9 +21,9 @@
 }
 
 Routing::Continuation StreamBinding::bindTakenUp(const Routing::StreamOrigins &origins,
-                                                 Base::TimePoint now)
+                                                 Base::TimePoint takenUpAt, Base::TimePoint now)
 {
-    Routing::Continuation it = origins.continuation(m_service, m_stream, now);
+    Routing::Continuation it = origins.takeUp(m_service, m_stream, takenUpAt, now);
     m_isOriginRecorded = it.kind == Routing::Continuation::Kind::SameVersion;
     if (m_isOriginRecorded || !it.softwareVersion.empty())
         m_softwareVersion = it.softwareVersion;
--- a/src/libs/gateway/streambinding.h
+++ b/src/libs/gateway/streambinding.h
@@ -20,9 +20,10 @@
 
     /// Whether the caller takes up a stream.
     bool isTakenUp() const { return m_isTakenUp; }
-    /// Binds a stream that its caller takes up to the version that may go on with it, if there is
-    /// one. Returns where it may go on.
-    Routing::Continuation bindTakenUp(const Routing::StreamOrigins &origins, Base::TimePoint now);
+    /// Binds a stream that its caller took up at \a takenUpAt to the version that may go on with it,
+    /// if there is one. Returns where it may go on.
+    Routing::Continuation bindTakenUp(const Routing::StreamOrigins &origins,
+                                      Base::TimePoint takenUpAt, Base::TimePoint now);
     /// Binds the stream to the server that sent its first event, unless it is bound already.
     void bindBegun(RequestMemory &memory, const std::string &softwareVersion, Base::TimePoint now);
     /// The only version that may go on; empty if any may.
--- a/src/libs/routing/streamorigins.cpp
+++ b/src/libs/routing/streamorigins.cpp
@@ -37,6 +37,8 @@
         return "same_version";
     case Continuation::Kind::Unread:
         return "unread";
+    case Continuation::Kind::Unproven:
+        return "unproven";
     case Continuation::Kind::NoHistory:
         return "no_history";
     case Continuation::Kind::OldServers:
@@ -258,6 +260,16 @@
     return {Continuation::Kind::AnyServer, versions.empty() ? std::string() : versions.front()};
 }
 
+Continuation StreamOrigins::takeUp(const std::string &service,
+                                   const std::optional<StreamId> &stream,
+                                   Base::TimePoint takenUpAt, Base::TimePoint now) const
+{
+    const Continuation it = continuation(service, stream, now);
+    if (it.kind == Continuation::Kind::AnyServer && m_versionsProvedAt < takenUpAt)
+        return {Continuation::Kind::Unproven, {}};
+    return it;
+}
+
 void StreamOrigins::advance(Base::TimePoint now)
 {
     updateMemory(now);
--- a/src/libs/routing/streamorigins.h
+++ b/src/libs/routing/streamorigins.h
@@ -5,6 +5,7 @@
 #include "routing/serverset.h"
 #include "routing/versionhistory.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <optional>
@@ -37,6 +38,7 @@
         SameVersion, ///< At a server of the version that began the stream.
         Unknown,     ///< Servers of several versions may have begun the stream.
         Unread,      ///< The store may know which version began the stream.
+        Unproven,    ///< A version may have begun it that this host has not heard of yet.
         NoHistory,   ///< It is not known which versions have served.
         OldServers,  ///< It is not known which versions serve now.
     };
@@ -98,6 +100,11 @@
     /// meanwhile, versions may have come and gone, and the history is not known any more.
     void setServersCurrentUntil(Base::TimePoint until, Base::TimePoint now);
     bool areServersCurrent(Base::TimePoint now) const { return now < m_serversCurrentUntil; }
+    /// Notes that this host knows each version at which a stream began before \a time.
+    void setVersionsProvedAt(Base::TimePoint time)
+    {
+        m_versionsProvedAt = std::max(m_versionsProvedAt, time);
+    }
     /// Notes whether this host knows all origins that the store had when it was last cut off or
     /// started.
     void setStoredKnown(bool isKnown) { m_isStoredKnown = isKnown; }
@@ -126,8 +133,13 @@
     /// Returns the origins that are due in a report, of the streams of all hosts up to \a source.
     std::vector<StreamReport> reports(Source source, Base::TimePoint now) const;
 
-    /// Returns where \a stream of \a service may go on; \a stream is empty if the caller does not
-    /// name it.
+    /// Returns where \a stream of \a service may go on that its caller took up at \a takenUpAt. A
+    /// version of which this host has not heard may have begun it, unless all that had begun streams
+    /// by then are known: that they were known shortly before proves nothing.
+    Continuation takeUp(const std::string &service, const std::optional<StreamId> &stream,
+                        Base::TimePoint takenUpAt, Base::TimePoint now) const;
+    /// Returns where \a stream of \a service may go on as far as this host knows; \a stream is empty
+    /// if the caller does not name it.
     Continuation continuation(const std::string &service, const std::optional<StreamId> &stream,
                               Base::TimePoint now) const;
     /// Forgets what is too old.
@@ -169,6 +181,7 @@
     bool m_isHistoryKnown = false;
     bool m_isStoredKnown = false;
     Base::TimePoint m_serversCurrentUntil = Base::TimePoint::min();
+    Base::TimePoint m_versionsProvedAt = Base::TimePoint::min();
     std::unordered_map<StreamId, Entry> m_streams;
     /// The streams in the order in which they became known.
     std::deque<TimedStream> m_byAge;
--- a/tests/auto/gateway/fakeexchangeport.h
+++ b/tests/auto/gateway/fakeexchangeport.h
@@ -65,6 +65,11 @@
             entry.id = Base::ServerId("s-" + std::to_string(i));
             m_entries[entry.id] = entry;
         }
+        m_names.resumedRequestId = "Resumes";
+        Routing::StreamOrigins &origins = m_memory.streamOrigins();
+        origins.setServersCurrentUntil(Base::TimePoint::max(), now());
+        origins.setHistoryKnown(true);
+        origins.setStoredKnown(true);
     }
     ~FakeExchangePort() override { close(m_logFile); }
     FakeExchangePort(const FakeExchangePort &) = delete;
@@ -120,6 +125,7 @@
         return {};
     }
     RequestMemory &memory() override { return m_memory; }
+    void proveVersions(Base::TimePoint time) override { proofWantedFor = time; }
     void streamResumed(bool, Routing::Continuation::Kind) override {}
     void reportWanted(bool) override {}
     bool isGone(const Base::ServerId &) const override { return false; }
@@ -133,7 +139,9 @@
     void exchangeFinished(Routing::WorkId) override {}
 
     /// Starts a request of \a kind.
-    std::shared_ptr<Exchange> exchange(RecordingSink &sink, Routing::WorkKind kind)
+    /// \a resumed is the stream that the request takes up, if it is not empty.
+    std::shared_ptr<Exchange> exchange(RecordingSink &sink, Routing::WorkKind kind,
+                                       const std::string &resumed = {})
     {
         AcceptedRequest accepted;
         accepted.id = 2;
@@ -141,6 +149,8 @@
         accepted.request.message.method(Http::verb::get);
         accepted.request.message.target("/read/x");
         accepted.request.readAt = now();
+        if (!resumed.empty())
+            accepted.request.message.set(m_names.resumedRequestId, resumed);
         Routing::RoutingConfiguration configuration;
         configuration.version = 1;
         Routing::Route route;
@@ -210,6 +220,8 @@
         return text;
     }
 
+    /// The last time for which a proof of the versions was asked.
+    std::optional<Base::TimePoint> proofWantedFor;
     Routing::WorkId submitted = 0;
     unsigned submissions = 0;
     unsigned silences = 0;
--- a/tests/auto/gateway/tst_fleetview.cpp
+++ b/tests/auto/gateway/tst_fleetview.cpp
@@ -18,6 +18,8 @@
 namespace {
 
 constexpr Base::TimePoint start{seconds(1000)};
+/// Of the servers that hosts know.
+constexpr std::uint64_t fingerprint = 77;
 
 MemberState member(const std::string &host, const std::string &zone = "z")
 {
@@ -462,6 +464,55 @@
     CHECK_FALSE(view.echoedSendTime(proof));
 }
 
+// Guards against streams that go on at another version at a host that is cut off from those that know
+// it, and against streams that end with the store though all hosts agree.
+TEST_CASE("hosts agree on the servers only if every one has said so since", "[gateway]")
+{
+    FleetView view = viewOf("self");
+    const auto receive = [&](const std::string &host, std::uint64_t sequence, std::uint64_t echoed,
+                             std::uint64_t servers = fingerprint) {
+        HostReport it = report(host, sequence);
+        it.echoes[Base::HostId("self")] = echoed;
+        it.store.serversFingerprint = servers;
+        view.receive(it, start + seconds(2));
+    };
+    view.recordSentReport(41, {}, start);
+    view.recordSentReport(42, {}, start + seconds(1));
+    const Base::TimePoint now = start + seconds(2);
+    // A host that knows no other one may be cut off from all of them.
+    CHECK_FALSE(view.agreedSince(fingerprint, now));
+    receive("a", 1, 42);
+    CHECK(view.agreedSince(fingerprint, now) == start + seconds(1));
+    receive("b", 1, 41);
+    CHECK(view.agreedSince(fingerprint, now) == start);
+    receive("b", 2, 42, fingerprint + 1);
+    CHECK_FALSE(view.agreedSince(fingerprint, now));
+    receive("b", 3, 42);
+    CHECK(view.agreedSince(fingerprint, now) == start + seconds(1));
+    // A host that has gone silent may know other servers for as long as it may be running.
+    CHECK(view.agreedSince(fingerprint, now + seconds(40)) == start + seconds(1));
+    view.addHostRows({{Base::HostId("c"), Base::ZoneId("z"), "c:7000"}}, now);
+    CHECK_FALSE(view.agreedSince(fingerprint, now));
+    CHECK(view.agreedSince(fingerprint, now + seconds(46)) == std::nullopt);
+}
+
+TEST_CASE("hosts that have lost the store tell all others what they have heard from them",
+          "[gateway]")
+{
+    FleetView view = viewOf("self", "z");
+    HostReport other = report("a", 7);
+    other.self.zone = Base::ZoneId("y");
+    view.receive(other, start);
+    view.receive(report("b", 9), start);
+    HostReport own;
+    view.addOtherHosts(own, {}, start);
+    CHECK_FALSE(own.echoes.contains(Base::HostId("a")));
+    view.setStoreLost(true, start);
+    view.addOtherHosts(own, {}, start);
+    CHECK(own.echoes.at(Base::HostId("a")) == 7);
+    CHECK(own.echoes.at(Base::HostId("b")) == 9);
+}
+
 TEST_CASE("in a large fleet every host knows the whole load with few datagrams", "[gateway]")
 {
     SimulatedFleet hosts(4, 16);
--- a/tests/auto/gateway/tst_storeclient.cpp
+++ b/tests/auto/gateway/tst_storeclient.cpp
@@ -49,8 +49,10 @@
         rolloutChanges = changes;
     }
     void operatorRead(std::uint64_t version) override { operatorVersion = version; }
-    void serversRead(const std::vector<Routing::RegisteredServer> &, Base::TimePoint) override
+    void serversRead(const std::vector<Routing::RegisteredServer> &,
+                     Base::TimePoint askedAt) override
     {
+        serversReadSince = askedAt;
         wasStoreLost = std::exchange(isStoreLost, false);
         ++serverReadings;
     }
@@ -71,6 +73,7 @@
     std::vector<Routing::RolloutOrder> ordered;
     std::vector<Routing::RolloutOrderChange> rolloutChanges;
     std::uint64_t operatorVersion = 0;
+    Base::TimePoint serversReadSince{};
     int configurations = 0;
     int confirmations = 0;
     int serverReadings = 0;
@@ -316,3 +319,29 @@
     CHECK(fixture.protocol.serverListings == 2);
     CHECK_FALSE(fixture.listener.wasStoreLost);
 }
+
+// Guards against streams that wait in vain for a proof, and against a store that is asked for each.
+TEST_CASE("a host for which another one reads asks once for all streams that wait for a proof",
+          "[gateway]")
+{
+    StoreFixture fixture;
+    fixture.client->setReaderRole(StoreClient::ReaderRole::None);
+    REQUIRE(fixture.runUntil([&] { return fixture.listener.serverReadings == 1; }));
+    const auto never = [] { return false; };
+    fixture.runUntil(never, milliseconds(300));
+    CHECK(fixture.listener.serverReadings == 1);
+    const Base::TimePoint wantedAt = bootTimeNow();
+    for (int i = 0; i < 20; ++i)
+        fixture.client->readServersAfter(wantedAt);
+    REQUIRE(fixture.runUntil([&] { return fixture.listener.serverReadings == 2; }));
+    CHECK(fixture.listener.serversReadSince >= wantedAt);
+    fixture.runUntil(never, milliseconds(300));
+    CHECK(fixture.listener.serverReadings == 2);
+    // Streams that come one after the other share readings, too.
+    for (int i = 0; i < 50; ++i) {
+        fixture.client->readServersAfter(bootTimeNow());
+        fixture.runUntil(never, milliseconds(10));
+    }
+    CHECK(fixture.listener.serverReadings >= 4);
+    CHECK(fixture.listener.serverReadings <= 9);
+}
--- a/tests/auto/routing/tst_streamorigins.cpp
+++ b/tests/auto/routing/tst_streamorigins.cpp
@@ -226,6 +226,7 @@
                 versions.push_back(version);
             setServers(*host.origins, versions, now);
             host.origins->setServersCurrentUntil(now + listValidity, now);
+            host.origins->setVersionsProvedAt(now);
             if (host.origins->isHistoryKnown())
                 return;
             for (const auto &[version, seenAt] : rows)
@@ -256,9 +257,9 @@
                 host.origins->advance(now);
             }
             Host &first = hosts[*rc::gen::inRange<std::size_t>(0, hosts.size())];
-            const auto [chosen, since] =
-                *std::next(listed.begin(), *rc::gen::inRange<int>(0, listed.size()));
-            if (!first.isCutOff && now - since >= listValidity) {
+            const std::string chosen =
+                std::next(listed.begin(), *rc::gen::inRange<int>(0, listed.size()))->first;
+            if (!first.isCutOff) {
                 begun[stream] = {chosen, now};
                 first.origins->recordBegun(stream, {pool, chosen}, now);
             }
@@ -267,7 +268,7 @@
                 if (now - origin.second > seconds(15))
                     continue;
                 for (const Host &host : hosts) {
-                    const Continuation it = host.origins->continuation(pool, asked, now);
+                    const Continuation it = host.origins->takeUp(pool, asked, now, now);
                     RC_ASSERT(!it.isAllowed() || it.softwareVersion == origin.first);
                 }
             }
@@ -275,6 +276,44 @@
     });
 }
 
+// Guards against streams that go on at another version since a host that stood still, or was cut off,
+// takes the list of a second ago for that of now.
+TEST_CASE("a stream goes on at the only known version if no other one has joined until it was taken up",
+          "[routing]")
+{
+    StreamOrigins origins;
+    setServers(origins, {"v1"}, start);
+    setAllKnown(origins, start);
+    origins.setVersionsProvedAt(start);
+    const Base::TimePoint takenUpAt = start + milliseconds(200);
+    CHECK(origins.takeUp(pool, 1, takenUpAt, takenUpAt).kind == Kind::Unproven);
+    CHECK_FALSE(origins.takeUp(pool, 1, takenUpAt, takenUpAt).isAllowed());
+    // A proof that is older than the question proves nothing, however late it arrives.
+    const Base::TimePoint now = start + milliseconds(400);
+    origins.setVersionsProvedAt(start + milliseconds(199));
+    CHECK(origins.takeUp(pool, 1, takenUpAt, now).kind == Kind::Unproven);
+    SECTION("no version has joined")
+    {
+        origins.setVersionsProvedAt(takenUpAt);
+        CHECK(origins.takeUp(pool, 1, takenUpAt, now).kind == Kind::AnyServer);
+        CHECK(origins.takeUp(pool, 1, takenUpAt, now).softwareVersion == "v1");
+        // An older proof takes nothing back.
+        origins.setVersionsProvedAt(start);
+        CHECK(origins.takeUp(pool, 1, takenUpAt, now).isAllowed());
+    }
+    SECTION("a version has joined")
+    {
+        setServers(origins, {"v1", "v2"}, now);
+        origins.setVersionsProvedAt(takenUpAt);
+        CHECK(origins.takeUp(pool, 1, takenUpAt, now).kind == Kind::Unknown);
+    }
+    SECTION("the origin is known")
+    {
+        origins.recordBegun(1, {pool, "v1"}, now);
+        CHECK(origins.takeUp(pool, 1, takenUpAt, now).kind == Kind::SameVersion);
+    }
+}
+
 TEST_CASE("no host names a wrong version, whatever is lost", "[routing]")
 {
     rc::prop("hosts are killed and reports lost", [] {
