Refuse waiting requests first when a stopping gateway ends what is open

A request that waits would otherwise be sent to the server that an ended one has freed, only to be ended in the same turn: its caller would be told that it may have run.

--- a/src/libs/gateway/exchange.h
+++ b/src/libs/gateway/exchange.h
@@ -122,8 +122,9 @@
     void checkTakeUp();
     /// Checks the request's time limits.
     void checkTime(Base::TimePoint now);
-    /// Gives the final answer, since the process stops.
-    void endForShutdown();
+    /// Gives the final answer, since the process stops. A caller whose request has not run may come
+    /// back after \a retryAfter.
+    void endForShutdown(Base::Milliseconds retryAfter);
     bool isFinished() const { return m_state == State::Finished; }
     bool isStream() const { return route().isStream(); }
     /// Whether it is not certain yet where the stream may go on that the request takes up.
--- a/src/libs/gateway/exchangeend.cpp
+++ b/src/libs/gateway/exchangeend.cpp
@@ -36,7 +36,7 @@
     finish(failureName(failure.type));
 }
 
-void Exchange::endForShutdown()
+void Exchange::endForShutdown(Base::Milliseconds retryAfter)
 {
     if (m_state == State::Finished)
         return;
@@ -44,7 +44,7 @@
     m_mayHaveRun |= m_state == State::Sent;
     cancelSilentAttempt(AttemptOutcome::Withdrawn);
     cancelAttempt(AttemptOutcome::Withdrawn);
-    fail({FailureType::ShuttingDown, m_mayHaveRun, std::nullopt});
+    fail({FailureType::ShuttingDown, m_mayHaveRun, retryAfter});
 }
 
 void Exchange::finish(const char *outcome)
--- a/src/libs/gateway/fleetview.h
+++ b/src/libs/gateway/fleetview.h
@@ -102,8 +102,8 @@
     std::optional<Base::TimePoint> echoedSendTime(const HostReport &report) const;
 
     /// Returns a time at or after which each other host that may be running has reported that it
-    /// knows the servers of \a fingerprint. Empty if there is none, if this host knows no other one,
-    /// and in a large fleet, where reports of hosts are summed up.
+    /// knows the servers of \a fingerprint. Empty if there is none, if this host knows no other
+    /// one, and in a large fleet, where reports of hosts are summed up.
     std::optional<Base::TimePoint> agreedSince(std::uint64_t fingerprint,
                                                Base::TimePoint now) const;
 
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -203,7 +203,8 @@
     Base::Result<void> listenForMetrics();
     GatewayState state() const;
     void beginShutdown();
-    /// Returns the failure to answer if this host is leaving and does not take \a accepted any more.
+    /// Returns the failure to answer if this host is leaving and does not take \a accepted any
+    /// more.
     std::optional<Failure> shutdownFailure(const AcceptedRequest &accepted) const;
     /// Ends open requests and stops the event loop when it is time to.
     void checkShutdown(Base::TimePoint now);
--- a/src/libs/gateway/gatewaylifecycle.cpp
+++ b/src/libs/gateway/gatewaylifecycle.cpp
@@ -112,8 +112,10 @@
     open.reserve(m_exchanges.size());
     for (const auto &[id, exchange] : m_exchanges)
         open.push_back(exchange);
+    // Requests that wait come first: otherwise they would be sent to the servers that become free.
+    std::ranges::stable_partition(open, [](const auto &it) { return !it->isSent(); });
     for (const auto &exchange : open)
-        exchange->endForShutdown();
+        exchange->endForShutdown(leavingRetryAfter);
 }
 
 void Gateway::finishConnections()
--- a/src/libs/gateway/shutdownschedule.h
+++ b/src/libs/gateway/shutdownschedule.h
@@ -22,8 +22,8 @@
 /// that may last longer than the process is sent to other hosts from some moment on: a refusal is a
 /// whole answer and says that the request did not run, while a connection that closes says nothing.
 /// Before the platform ends the process, everything new is refused, so that what is open can end
-/// however many callers stay. What is open even then gets a final answer, and the process waits only
-/// until its answers are written.
+/// however many callers stay. What is open even then gets a final answer, and the process waits
+/// only until its answers are written.
 class ShutdownSchedule
 {
 public:
--- a/src/libs/gateway/storereplica.h
+++ b/src/libs/gateway/storereplica.h
@@ -106,8 +106,8 @@
     /// Time of the question whose answer last proved to this host itself that the store's data is
     /// current; empty if it does not read the store.
     const std::optional<Base::TimePoint> &ownProofAt() const { return m_ownProofAt; }
-    /// Returns the time at which this host's list of servers was last known to be that of the store,
-    /// or the one that all hosts had.
+    /// Returns the time at which this host's list of servers was last known to be that of the
+    /// store, or the one that all hosts had.
     Base::TimePoint serversProvedAt(Base::TimePoint now) const;
     /// Returns until when this host's list of servers counts as current.
     Base::TimePoint serversCurrentUntil(Base::TimePoint now) const;
--- a/src/libs/gateway/streambinding.h
+++ b/src/libs/gateway/streambinding.h
@@ -20,8 +20,8 @@
 
     /// Whether the caller takes up a stream.
     bool isTakenUp() const { return m_isTakenUp; }
-    /// Binds a stream that its caller took up at \a takenUpAt to the version that may go on with it,
-    /// if there is one. Returns where it may go on.
+    /// Binds a stream that its caller took up at \a takenUpAt to the version that may go on with
+    /// it, if there is one. Returns where it may go on.
     Routing::Continuation bindTakenUp(const Routing::StreamOrigins &origins,
                                       Base::TimePoint takenUpAt, Base::TimePoint now);
     /// Binds the stream to the server that sent its first event, unless it is bound already.
--- a/src/libs/routing/streamorigins.cpp
+++ b/src/libs/routing/streamorigins.cpp
@@ -261,8 +261,8 @@
 }
 
 Continuation StreamOrigins::takeUp(const std::string &service,
-                                   const std::optional<StreamId> &stream,
-                                   Base::TimePoint takenUpAt, Base::TimePoint now) const
+                                   const std::optional<StreamId> &stream, Base::TimePoint takenUpAt,
+                                   Base::TimePoint now) const
 {
     const Continuation it = continuation(service, stream, now);
     if (it.kind == Continuation::Kind::AnyServer && m_versionsProvedAt < takenUpAt)
--- a/src/libs/routing/streamorigins.h
+++ b/src/libs/routing/streamorigins.h
@@ -134,12 +134,12 @@
     std::vector<StreamReport> reports(Source source, Base::TimePoint now) const;
 
     /// Returns where \a stream of \a service may go on that its caller took up at \a takenUpAt. A
-    /// version of which this host has not heard may have begun it, unless all that had begun streams
-    /// by then are known: that they were known shortly before proves nothing.
+    /// version of which this host has not heard may have begun it, unless all that had begun
+    /// streams by then are known: that they were known shortly before proves nothing.
     Continuation takeUp(const std::string &service, const std::optional<StreamId> &stream,
                         Base::TimePoint takenUpAt, Base::TimePoint now) const;
-    /// Returns where \a stream of \a service may go on as far as this host knows; \a stream is empty
-    /// if the caller does not name it.
+    /// Returns where \a stream of \a service may go on as far as this host knows; \a stream is
+    /// empty if the caller does not name it.
     Continuation continuation(const std::string &service, const std::optional<StreamId> &stream,
                               Base::TimePoint now) const;
     /// Forgets what is too old.
--- a/tests/auto/gateway/tst_exchange.cpp
+++ b/tests/auto/gateway/tst_exchange.cpp
@@ -94,7 +94,7 @@
         port.exchange(sink, Routing::WorkKind::NotIdempotent);
     SECTION("it was not sent yet")
     {
-        exchange->endForShutdown();
+        exchange->endForShutdown(Base::Milliseconds(50));
         CHECK(sink.statuses == std::vector<unsigned>{503});
         CHECK(sink.text.find(R"("ran":"no")") != std::string::npos);
     }
@@ -102,13 +102,13 @@
     {
         exchange->placed(port.placement());
         const Tcp::socket socket = port.acceptRequest();
-        exchange->endForShutdown();
+        exchange->endForShutdown(Base::Milliseconds(50));
         CHECK(sink.statuses == std::vector<unsigned>{502});
         CHECK(sink.text.find(R"("ran":"unknown")") != std::string::npos);
         CHECK(port.outcomes == std::vector{Routing::AttemptOutcome::Withdrawn});
     }
     CHECK(exchange->isFinished());
     CHECK_FALSE(sink.isCutOff);
-    exchange->endForShutdown();
+    exchange->endForShutdown(Base::Milliseconds(50));
     CHECK(sink.statuses.size() == 1);
 }
--- a/tests/auto/gateway/tst_fleetview.cpp
+++ b/tests/auto/gateway/tst_fleetview.cpp
@@ -464,8 +464,8 @@
     CHECK_FALSE(view.echoedSendTime(proof));
 }
 
-// Guards against streams that go on at another version at a host that is cut off from those that know
-// it, and against streams that end with the store though all hosts agree.
+// Guards against streams that go on at another version at a host that is cut off from those that
+// know it, and against streams that end with the store though all hosts agree.
 TEST_CASE("hosts agree on the servers only if every one has said so since", "[gateway]")
 {
     FleetView view = viewOf("self");
--- a/tests/auto/gateway/tst_shutdownschedule.cpp
+++ b/tests/auto/gateway/tst_shutdownschedule.cpp
@@ -51,7 +51,9 @@
     Fates fates;
     std::vector<std::optional<Base::TimePoint>> endsAt(static_cast<std::size_t>(callers));
     for (Base::TimePoint now = signalledAt; now < signalledAt + grace; now += step) {
-        const auto open = [&] { return std::ranges::count_if(endsAt, [](auto &it) { return !!it; }); };
+        const auto open = [&] {
+            return std::ranges::count_if(endsAt, [](auto &it) { return !!it; });
+        };
         for (auto &it : endsAt) {
             if (it && now >= *it) {
                 it.reset();
--- a/tests/auto/gateway/tst_takenupstreams.cpp
+++ b/tests/auto/gateway/tst_takenupstreams.cpp
@@ -71,7 +71,7 @@
     }
     SECTION("the process may stop meanwhile")
     {
-        exchange->endForShutdown();
+        exchange->endForShutdown(Base::Milliseconds(50));
         CHECK(sink.statuses == std::vector<unsigned>{503});
         CHECK(exchange->isFinished());
     }
--- a/tests/auto/routing/tst_streamorigins.cpp
+++ b/tests/auto/routing/tst_streamorigins.cpp
@@ -276,10 +276,11 @@
     });
 }
 
-// Guards against streams that go on at another version since a host that stood still, or was cut off,
-// takes the list of a second ago for that of now.
-TEST_CASE("a stream goes on at the only known version if no other one has joined until it was taken up",
-          "[routing]")
+// Guards against streams that go on at another version since a host that stood still, or was cut
+// off, takes the list of a second ago for that of now.
+TEST_CASE(
+    "a stream goes on at the only known version if no other one has joined until it was taken up",
+    "[routing]")
 {
     StreamOrigins origins;
     setServers(origins, {"v1"}, start);
