Refuse new work at a router once no list of entry hosts names it any more

What callers saw: none reported it. The search for the class of the gateway's fault (a shutdown that never stops taking) found it at the product's own routers: a router that was told to stop took requests for as long as callers sent them, so under load it never ended, and only SIGKILL, which cuts off what is open, would have ended it.

Now Daemon::advanceShutdown() lets the HTTP server refuse new work with 503 shutting_down from then on.

--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -40,7 +40,7 @@
 {
     const timespec interval{
         std::chrono::floor<std::chrono::seconds>(Daemon::hostListInterval).count(), 0};
-    while (!daemon.isFinished(Base::Clock::now())) {
+    while (!daemon.advanceShutdown(Base::Clock::now())) {
         const int signal = sigtimedwait(&signals, nullptr, &interval);
         if (signal > 0)
             daemon.beginShutdown(Base::Clock::now());
--- a/src/libs/daemon/daemon.cpp
+++ b/src/libs/daemon/daemon.cpp
@@ -59,12 +59,13 @@
     m_ring.push(Node::ShutdownRequested{});
 }
 
-bool Daemon::isFinished(Base::TimePoint now) const
+bool Daemon::advanceShutdown(Base::TimePoint now)
 {
     if (!m_leavingSince)
         return false;
     const bool areListsExpired =
         now >= *m_leavingSince + nodeSettings().entryListMaxAge + shutdownMargin;
+    m_state.refusesWork = areListsExpired;
     return areListsExpired && m_core->isDrained() && m_sessions.size() == 0;
 }
 
--- a/src/libs/daemon/daemon.h
+++ b/src/libs/daemon/daemon.h
@@ -47,8 +47,10 @@
     /// Starts to leave the fleet. May be called on any thread. New work is still accepted while
     /// callers may hold an old list of entry hosts. Further calls have no effect.
     void beginShutdown(Base::TimePoint now);
-    /// Whether the process may exit without cutting off a caller.
-    bool isFinished(Base::TimePoint now) const;
+    /// Goes on with the shutdown, if it has begun: refuses new work once no caller's list of entry
+    /// hosts names this host any more, since callers that stay would keep it from ending. Returns
+    /// whether the process may exit without cutting off a caller.
+    bool advanceShutdown(Base::TimePoint now);
     /// Requests the host list from the platform. Must be called every hostListInterval.
     void pollHosts();
 
--- a/src/libs/daemon/daemonconstants.h
+++ b/src/libs/daemon/daemonconstants.h
@@ -21,6 +21,9 @@
 inline constexpr std::size_t maxStreamBlockBytes = 4096;
 /// The Retry-After of callers that are refused because too many are connected.
 inline constexpr Base::Milliseconds connectionLimitRetryAfter{1000};
+/// Retry-After of a host that has shut down but for its open requests: other hosts take the work at
+/// once.
+inline constexpr Base::Milliseconds shutdownRetryAfter{50};
 /// Longest header value that is accepted from a caller, in bytes.
 inline constexpr std::size_t maxHeaderValueBytes = 512;
 /// Bytes at the start of a prompt that its prefix hash is computed from.
--- a/src/libs/daemon/httpserver.cpp
+++ b/src/libs/daemon/httpserver.cpp
@@ -210,6 +210,8 @@
                 servePage(*page, response);
             else if (m_connections > m_settings.connections)
                 refuseConnection(response);
+            else if (m_state.refusesWork)
+                refuseLate(response);
             else
                 serveEvent(std::move(std::get<Node::Event>(parsed)), response);
             return {};
@@ -336,6 +338,17 @@
     setHeader(response, "Connection", "close");
 }
 
+void HttpServer::refuseLate(_u_response &response)
+{
+    Node::Failure failure;
+    failure.type = Node::FailureType::ShuttingDown;
+    failure.message = "this host shuts down and is in no list of entry hosts any more";
+    failure.retryAfter = shutdownRetryAfter;
+    failure.requestId = nextRequestId();
+    respondFailure(response, failure);
+    setHeader(response, "Connection", "close");
+}
+
 void HttpServer::closeSession(const CallerSession &session, int socket)
 {
     m_watcher->unwatch(socket);
--- a/src/libs/daemon/httpserver.h
+++ b/src/libs/daemon/httpserver.h
@@ -83,6 +83,8 @@
     void respondGivenUp(_u_response &response);
     void refuse(RequestFault fault, _u_response &response);
     void refuseConnection(_u_response &response);
+    /// Refuses work that comes after the lists of entry hosts with this host have expired.
+    void refuseLate(_u_response &response);
     void closeSession(const CallerSession &session, int socket);
     std::string nextRequestId();
 
--- a/src/libs/daemon/processstate.h
+++ b/src/libs/daemon/processstate.h
@@ -10,6 +10,8 @@
 {
     std::atomic<bool> isReady = false;
     std::atomic<bool> isLeaving = false;
+    /// New work is refused: no caller's list of entry hosts names this host any more.
+    std::atomic<bool> refusesWork = false;
 };
 
 /// Provides the text of /metrics. Called on any thread.
--- a/src/libs/gateway/gatewaylifecycle.cpp
+++ b/src/libs/gateway/gatewaylifecycle.cpp
@@ -113,7 +113,7 @@
     for (const auto &[id, exchange] : m_exchanges)
         open.push_back(exchange);
     // Requests that wait come first: otherwise they would be sent to the servers that become free.
-    std::ranges::stable_partition(open, [](const auto &it) { return !it->isSent(); });
+    std::stable_partition(open.begin(), open.end(), [](const auto &it) { return !it->isSent(); });
     for (const auto &exchange : open)
         exchange->endForShutdown(leavingRetryAfter);
 }
--- a/src/libs/routing/streamorigins.cpp
+++ b/src/libs/routing/streamorigins.cpp
@@ -264,7 +264,7 @@
                                    const std::optional<StreamId> &stream, Base::TimePoint takenUpAt,
                                    Base::TimePoint now) const
 {
-    const Continuation it = continuation(service, stream, now);
+    Continuation it = continuation(service, stream, now);
     if (it.kind == Continuation::Kind::AnyServer && m_versionsProvedAt < takenUpAt)
         return {Continuation::Kind::Unproven, {}};
     return it;
