--- a/tests/processes/hostoutofstep.sh
+++ b/tests/processes/hostoutofstep.sh
@@ -112,6 +112,7 @@
     take_up_all ;;
 storeaway)
     fault $STORE '{"mode":"down"}'
+    # Longer than a list of servers counts as current without any proof.
     sleep 4
     begin_all
     take_up_all ;;
