Show that crowds of clients take a process past its memory or all of its descriptors

The tests run the program on loopback with lowered limits: bodies of 512 KiB, a host of 48 MB and 400 descriptors, 200 clients (600 idle ones); at the routers of examples/quickstart 100 clients, bodies of 1 MiB, 96 MB. They check that the process lives, its peak memory, its open descriptors, and an ordinary request beside the crowd and after it. Crowd and bounds are fixed here, before any change of the product.

--- a/tests/processes/deployment.sh
+++ b/tests/processes/deployment.sh
@@ -34,8 +34,8 @@
         ',"streamResume":true')"','"$(route once unsafe app '')"','"$(route read safe app '')"'],
         "services":[{"name":"pool","maxConnections":'"${MAX_CONNECTIONS:-64}"',"engine":{"slots":'"${SLOTS:-8}"',"kvCapacity":100000}},
             {"name":"app","maxConnections":'"${MAX_CONNECTIONS:-64}"'}],
-        "limits":{"maxHeaderBytes":16384,"maxBodyBytes":65536,"headerTimeoutMs":3000,
-            "idleTimeoutMs":15000,"tokensPerS":'"${TOKENS_PER_S:-100000}"'},
+        "limits":{"maxHeaderBytes":16384,"maxBodyBytes":'"${MAX_BODY_BYTES:-65536}"',"headerTimeoutMs":3000,
+            "idleTimeoutMs":'"${IDLE_TIMEOUT_MS:-15000}"',"tokensPerS":'"${TOKENS_PER_S:-100000}"'},
         "tenants":[{"name":"dealer","apiKeys":'"$2"',"priority":1}'"${MORE_TENANTS:-}"']}'
 }
 
