Bound what all callers together take of a gateway's memory and descriptors

Cause: each limit was one request's or one connection's, none was the sum's. A body was held up to three times, buffers and the allocator kept the memory of large ones, the body was read before the head was looked at, and pages without a body read one.

Now callers' requests reserve what they hold from one budget of the process, on all listeners, before it grows; the incomplete request gives way that has held most bytes for longest. Callers get three quarters of the descriptors, and a new connection takes the place of an idle one. What the head decides is answered before the body; the rest is discarded for a while, so that the refusal arrives.

Why it works: nothing that a caller sends is kept without a reservation, so the sum is bounded whatever the pieces are; a request that gets on has had little for short, so a crowd that stands still cannot keep it out.

--- a/src/libs/gateway/answersink.h
+++ b/src/libs/gateway/answersink.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "base/memorybudget.h"
 #include "base/time.h"
 #include "gateway/httptext.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -36,6 +38,15 @@
     Request message;
     /// The time at which the first byte of the request was read.
     Base::TimePoint readAt;
+    /// The memory of the request, until it is destroyed.
+    Base::MemoryBudget::Reservation memory = {};
+};
+
+/// The answer to a request that is refused before its body has arrived.
+struct EarlyRefusal
+{
+    ResponseHead head;
+    std::string body;
 };
 
 /// A request that has no final answer yet.
@@ -56,6 +67,13 @@
 public:
     virtual ~RequestHandler() = default;
     virtual std::shared_ptr<ActiveRequest> handle(CallerRequest request, AnswerSink &sink) = 0;
+    /// Decides on a request whose body has not arrived yet, so that no memory is used for a body
+    /// that nobody will read. Returns nothing if the body is to be read.
+    virtual std::optional<EarlyRefusal> refuseEarly(const RequestHead & /*head*/,
+                                                    Base::TimePoint /*readAt*/)
+    {
+        return std::nullopt;
+    }
 };
 
 } // namespace Gateway
--- a/src/libs/gateway/backendconnection.cpp
+++ b/src/libs/gateway/backendconnection.cpp
@@ -85,7 +85,9 @@
     m_lateAnswerBytes = 0;
     m_parser.reset();
     m_output.clear();
-    m_output.append(m_attempt.text);
+    m_output.append(std::exchange(m_attempt.text, {}));
+    if (m_attempt.body)
+        m_output.appendShared(std::exchange(m_attempt.body, nullptr));
     m_carriedIds.push_back(Base::stableHash(m_attempt.requestId));
     if (m_carriedIds.size() > maxCarriedIds)
         m_carriedIds.pop_front();
@@ -439,6 +441,7 @@
     const std::shared_ptr<BackendConnection> self = shared_from_this();
     boost::system::error_code ec;
     m_socket.close(ec);
+    m_output.clear();
     m_owner->connectionClosed(*this);
 }
 
--- a/src/libs/gateway/backendconnection.h
+++ b/src/libs/gateway/backendconnection.h
@@ -61,7 +61,10 @@
 /// One attempt, serialized for sending.
 struct OutgoingAttempt
 {
+    /// The head, and the body if it is short.
     std::string text;
+    /// A longer body, which all attempts share; null if there is none.
+    std::shared_ptr<const std::string> body;
     /// Id that the answer must repeat; an answer with another id belongs to another attempt.
     std::string requestId;
     bool isHead = false;
--- a/src/libs/gateway/callerconnection.cpp
+++ b/src/libs/gateway/callerconnection.cpp
@@ -4,14 +4,24 @@
 
 #include <boost/beast/http/error.hpp>
 
+#include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace Gateway {
 
 namespace {
 
-/// Bytes of pipelined requests that are buffered while a request is open; reading stops beyond it.
-constexpr std::size_t maxPipelinedBytes = 65536;
+/// Unparsed bytes beyond which reading stops.
+constexpr std::size_t maxInputBytes = 65536;
+/// The same while a request is open, and the memory that an empty input buffer keeps.
+constexpr std::size_t maxPipelinedBytes = 4096;
+/// How much is discarded of a request that was refused before its end, in multiples of the largest
+/// body, and for how long. A caller that writes all of its request before it reads is answered.
+constexpr std::size_t maxDiscardedBodies = 2;
+constexpr Base::Duration discardTimeout = std::chrono::seconds(2);
+/// Retry-After of a request for which there is no memory.
+constexpr const char *memoryRetryAfterSeconds = "1";
 /// Answer bytes that a slow caller may leave unread before backpressure is applied to its server.
 constexpr std::size_t blockedOutputBytes = 256U << 10;
 
@@ -30,7 +40,9 @@
                                    const ConnectionContext &context)
     : m_socket(io, fd)
     , m_context(context)
-{}
+{
+    ++m_context.share.connections;
+}
 
 void CallerConnection::start(Base::TimePoint now)
 {
@@ -42,7 +54,9 @@
 
 void CallerConnection::checkTime(Base::TimePoint now)
 {
-    if (!isOpen() || m_active || !isLate(now))
+    if (m_discardsUntil && now >= *m_discardsUntil)
+        close();
+    if (!isOpen() || m_discardsUntil || m_active || !isLate(now))
         return;
     // A request may have arrived since the event loop last looked, and a close with unread bytes
     // resets the connection.
@@ -61,6 +75,23 @@
         close();
 }
 
+bool CallerConnection::closesBefore(const CallerConnection &other) const
+{
+    const auto rank = [](const CallerConnection &it) {
+        return std::tuple(!it.m_discardsUntil, it.m_parser.has_value(), it.m_lastActivityAt);
+    };
+    return rank(*this) < rank(other);
+}
+
+bool CallerConnection::closeIfIdle()
+{
+    if (isIdle())
+        readable();
+    if (isIdle())
+        close();
+    return !isOpen();
+}
+
 bool CallerConnection::isLate(Base::TimePoint now) const
 {
     const bool isReadingHeader = m_parser && !m_parser->is_header_done();
@@ -85,9 +116,14 @@
 {
     if (!isOpen())
         return;
+    if (m_discardsUntil) {
+        discardInput();
+        return;
+    }
     std::string &buf = m_context.readBuffer;
     boost::system::error_code ec;
-    const std::size_t n = m_socket.read(buf, ec);
+    const std::size_t limit = m_isAnswering ? maxPipelinedBytes : buf.size();
+    const std::size_t n = m_socket.read(buf, limit, ec);
     if (ec == boost::asio::error::would_block) {
         waitRead();
         return;
@@ -98,7 +134,7 @@
     }
     m_input.append(buf, 0, n);
     parse();
-    if (isOpen() && m_input.size() < maxPipelinedBytes)
+    if (isOpen() && m_input.size() < (m_isAnswering ? maxPipelinedBytes : maxInputBytes))
         waitRead();
 }
 
@@ -106,9 +142,11 @@
 {
     while (isOpen() && !m_isAnswering && !m_closesAfterAnswer && !m_input.empty()) {
         if (!parseOne())
-            return;
+            break;
         dispatch();
     }
+    if (m_input.empty() && m_input.capacity() > maxPipelinedBytes)
+        m_input.shrink_to_fit();
 }
 
 bool CallerConnection::parseOne()
@@ -120,13 +158,20 @@
         // The parser stops after the head, which decides whether the body is read.
         m_parser->eager(false);
         m_lastActivityAt = bootTimeNow();
+        m_headBytes = 0;
+        m_isHeadAccepted = false;
     }
     while (!m_input.empty() && !m_parser->is_done()) {
         const bool isHead = !m_parser->is_header_done();
+        if (!isHead && m_head && !growBody()) {
+            refuseForMemory();
+            return false;
+        }
         boost::system::error_code ec;
         const std::size_t n = m_parser->put(boost::asio::buffer(m_input), ec);
         const bool isFolded = isHead && hasFoldedLine(std::string_view(m_input).substr(0, n));
         m_input.erase(0, n);
+        m_headBytes += isHead ? n : 0;
         if ((ec && ec != Http::error::need_more) || isFolded) {
             rejectInput(statusFor(ec));
             return false;
@@ -134,9 +179,45 @@
         if (isHead && m_parser->is_header_done() && !acceptHead())
             return false;
         if (ec == Http::error::need_more)
+            break;
+    }
+    return m_parser->is_done() || acceptIncomplete();
+}
+
+bool CallerConnection::acceptIncomplete()
+{
+    const bool isHeadDone = m_parser->is_header_done();
+    if (isHeadDone && !std::exchange(m_isHeadAccepted, true)) {
+        const RequestHead &head = m_head ? *m_head : m_parser->get().base();
+        if (const auto refusal = m_context.handler.refuseEarly(head, m_lastActivityAt)) {
+            refuse(refusal->head, refusal->body);
             return false;
+        }
     }
-    return m_parser->is_done();
+    const std::size_t announced = isHeadDone ? m_parser->content_length().value_or(0) : 0;
+    if (!reserve(std::max<std::size_t>(announced, m_parser->get().body().capacity())))
+        refuseForMemory();
+    return false;
+}
+
+bool CallerConnection::reserve(std::size_t bodyBytes)
+{
+    if (m_memory.isEmpty())
+        m_memory = {m_context.share.memory, *this, m_lastActivityAt};
+    return m_memory.resize(m_headBytes + bodyBytes + m_input.capacity(), bootTimeNow());
+}
+
+bool CallerConnection::growBody()
+{
+    std::string &body = m_parser->get().body();
+    const std::size_t needed = body.size() + m_input.size();
+    if (needed <= body.capacity())
+        return true;
+    const std::size_t grown = std::max(needed, std::min(2 * needed, m_context.limits.bodyBytes));
+    if (!reserve(grown))
+        return false;
+    body.reserve(grown);
+    return true;
 }
 
 bool CallerConnection::acceptHead()
@@ -159,17 +240,64 @@
 {
     ResponseHead head;
     head.result(status);
+    refuse(head, {});
+}
+
+void CallerConnection::refuseForMemory()
+{
+    ResponseHead head;
+    head.result(Http::status::service_unavailable);
+    head.set(Http::field::retry_after, memoryRetryAfterSeconds);
+    refuse(head, {});
+}
+
+void CallerConnection::refuse(const ResponseHead &head, std::string_view body)
+{
     m_head.reset();
     m_parser.reset();
-    m_input.clear();
+    m_input = {};
+    m_memory.release();
     m_isAnswering = true;
     m_closesAfterAnswer = true;
-    sendAnswer(head, {});
+    m_isRefused = true;
+    m_isHead = false;
+    sendAnswer(head, body);
+}
+
+bool CallerConnection::giveWay()
+{
+    m_head.reset();
+    m_parser.reset();
+    m_input = {};
+    // Nothing more of the request is parsed.
+    m_isAnswering = true;
+    boost::asio::post(m_socket.executor(), [self = shared_from_this()] {
+        if (self->isOpen())
+            self->refuseForMemory();
+    });
+    return true;
+}
+
+void CallerConnection::discardInput()
+{
+    boost::system::error_code ec;
+    m_discardedBytes += m_socket.read(m_context.readBuffer, m_context.readBuffer.size(), ec);
+    const bool isAtEnd = ec && ec != boost::asio::error::would_block;
+    if (isAtEnd
+        || m_discardedBytes > maxDiscardedBodies * m_context.limits.bodyBytes + maxInputBytes)
+        close();
+    else
+        waitRead();
 }
 
 void CallerConnection::dispatch()
 {
-    CallerRequest request{m_parser->release(), m_lastActivityAt};
+    if (!reserve(m_parser->get().body().capacity())) {
+        refuseForMemory();
+        return;
+    }
+    m_memory.keep();
+    CallerRequest request{m_parser->release(), m_lastActivityAt, std::move(m_memory)};
     m_parser.reset();
     if (m_head)
         request.message.base() = *std::exchange(m_head, std::nullopt);
@@ -263,8 +391,15 @@
     }
     if (std::exchange(m_wasBlocked, false) && m_active)
         m_active->outputDrained();
-    if (m_closesAfterAnswer && !m_isAnswering)
+    if (!m_closesAfterAnswer || m_isAnswering)
+        return;
+    if (!m_isRefused) {
         close();
+        return;
+    }
+    m_socket.shutdownOutput();
+    m_discardsUntil = bootTimeNow() + discardTimeout;
+    waitRead();
 }
 
 void CallerConnection::waitWrite()
@@ -289,7 +424,16 @@
 
 void CallerConnection::close()
 {
+    if (!isOpen())
+        return;
     m_socket.close();
+    --m_context.share.connections;
+    m_head.reset();
+    m_parser.reset();
+    m_input = {};
+    m_output.clear();
+    m_memory.release();
+    m_discardsUntil.reset();
 }
 
 } // namespace Gateway
--- a/src/libs/gateway/callersocket.cpp
+++ b/src/libs/gateway/callersocket.cpp
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 
 namespace Gateway {
@@ -20,9 +21,10 @@
 
 } // namespace
 
-std::size_t CallerSocket::read(std::string &buffer, boost::system::error_code &ec) const
+std::size_t CallerSocket::read(std::string &buffer, std::size_t limit,
+                               boost::system::error_code &ec) const
 {
-    const ssize_t n = recv(m_fd, buffer.data(), buffer.size(), 0);
+    const ssize_t n = recv(m_fd, buffer.data(), std::min(buffer.size(), limit), 0);
     if (n > 0)
         return static_cast<std::size_t>(n);
     ec = n == 0 ? boost::system::error_code(boost::asio::error::eof) : lastError();
@@ -62,6 +64,11 @@
     m_socket.set_option(Tcp::no_delay(true), ec);
 }
 
+void CallerSocket::shutdownOutput() const
+{
+    ::shutdown(m_fd, SHUT_WR);
+}
+
 void CallerSocket::close()
 {
     if (m_fd < 0)
--- a/src/libs/gateway/callersocket.h
+++ b/src/libs/gateway/callersocket.h
@@ -30,9 +30,9 @@
     bool isOpen() const { return m_fd >= 0; }
     boost::asio::any_io_executor executor() { return m_socket.get_executor(); }
 
-    /// Reads what is available into \a buffer and returns its size. Fails with would_block if
-    /// nothing is available and with eof at the end of input.
-    std::size_t read(std::string &buffer, boost::system::error_code &ec) const;
+    /// Reads what is available into \a buffer, up to \a limit bytes, and returns its size. Fails
+    /// with would_block if nothing is available and with eof at the end of input.
+    std::size_t read(std::string &buffer, std::size_t limit, boost::system::error_code &ec) const;
     /// Whether the caller has closed the connection and all its data have been read. Costs a system
     /// call.
     bool isAtEnd() const;
@@ -48,6 +48,8 @@
     {
         wait(Tcp::socket::wait_write, std::move(handler));
     }
+    /// Ends the output; input can still be read.
+    void shutdownOutput() const;
     void close();
 
 private:
--- a/src/libs/gateway/exchange.cpp
+++ b/src/libs/gateway/exchange.cpp
@@ -21,6 +21,8 @@
 /// Another attempt cannot end in time if less time than this is left.
 constexpr Base::Duration minTimeLeft = milliseconds(40);
 constexpr Base::Milliseconds defaultRetryAfter{300};
+/// Bodies up to this size are written together with their head, in one system call.
+constexpr std::size_t maxCopiedBodyBytes = 16384;
 
 bool isEventStreamHead(const ResponseHead &head)
 {
@@ -32,6 +34,8 @@
 Exchange::Exchange(ExchangePort &port, AcceptedRequest accepted, AnswerSink &sink)
     : m_port(&port)
     , m_accepted(std::move(accepted))
+    , m_body(
+          std::make_shared<const std::string>(std::exchange(m_accepted.request.message.body(), {})))
     , m_sink(&sink)
     , m_binding(StreamBinding::create(m_accepted, port.names()))
     , m_lastEventId(parseNumber(field(m_accepted.request.message, port.names().lastEventId)))
@@ -146,8 +150,12 @@
     ++m_record.sends;
     m_tried.push_back(server.id);
     OutgoingAttempt outgoing;
-    outgoing.text =
-        forwardedText(m_accepted.request.message, forwardedFields(server), m_port->names());
+    outgoing.text = forwardedHead(m_accepted.request.message, m_body->size(),
+                                  forwardedFields(server), m_port->names());
+    if (m_body->size() <= maxCopiedBodyBytes)
+        outgoing.text.append(*m_body);
+    else
+        outgoing.body = m_body;
     outgoing.requestId = m_accepted.requestId;
     outgoing.isHead = m_accepted.request.message.method() == Http::verb::head;
     std::shared_ptr<BackendConnection> connection =
@@ -425,7 +433,7 @@
 {
     if (!m_content)
         m_content = {m_accepted.customer,
-                     contentDigest(m_accepted.request.message, m_port->names())};
+                     contentDigest(m_accepted.request.message, *m_body, m_port->names())};
     return *m_content;
 }
 
--- a/src/libs/gateway/exchange.h
+++ b/src/libs/gateway/exchange.h
@@ -212,6 +212,8 @@
 
     ExchangePort *m_port;
     AcceptedRequest m_accepted;
+    /// The body of the request, moved out of m_accepted.
+    std::shared_ptr<const std::string> m_body;
     AnswerSink *m_sink;
     State m_state = State::Waiting;
     std::shared_ptr<Attempt> m_current;
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -5,10 +5,12 @@
 #include "gateway/serverchangelog.h"
 #include "gateway/storeintervals.h"
 
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <chrono>
+#include <limits>
 #include <set>
 #include <string>
 #include <utility>
@@ -24,6 +26,10 @@
 constexpr Base::Duration tickInterval = milliseconds(25);
 constexpr Base::Duration slowCheckInterval = milliseconds(500);
 constexpr std::size_t readBufferBytes = 65536;
+/// One part in so many of the process's memory is for callers' requests.
+constexpr std::size_t callerMemoryPart = 3;
+/// One part in so many of the process's file descriptors is for its own connections.
+constexpr std::size_t ownDescriptorPart = 4;
 /// Share of a server's connections that all hosts together open. The rest is kept free because
 /// hosts come and go and a busy server accepts fewer connections.
 constexpr double openConnectionShare = 0.8;
@@ -61,12 +67,28 @@
     , m_entryHosts(m_residency.zones())
     , m_backlog(settings.processor)
     , m_identity(ReportIdentity::create())
-{}
+{
+    m_directoryLimits.bodyBytes = maxIgnoredBodyBytes;
+    limitCallers();
+}
+
+void Gateway::limitCallers()
+{
+    m_callerShare.memory.setBytes(m_settings.memoryBytes / callerMemoryPart);
+    rlimit limit{};
+    std::size_t descriptors = std::numeric_limits<std::size_t>::max();
+    if (getrlimit(RLIMIT_NOFILE, &limit) == 0)
+        descriptors = limit.rlim_cur;
+    if (m_settings.fileDescriptors > 0)
+        descriptors = std::min(descriptors, m_settings.fileDescriptors);
+    m_callerShare.maxConnections = descriptors - descriptors / ownDescriptorPart;
+}
 
 Base::Result<void> Gateway::listen()
 {
-    BOOST_LEAF_ASSIGN(m_replica, StoreReplica::create(m_settings, {m_io, m_adapter.store, m_fleet,
-                                                                   m_log, m_readBuffer, *this}));
+    BOOST_LEAF_ASSIGN(m_replica,
+                      StoreReplica::create(m_settings, {m_io, m_adapter.store, m_fleet, m_log,
+                                                        m_readBuffer, m_callerShare, *this}));
     m_services = std::make_unique<Services>(m_settings, *m_replica, m_fleet);
     m_rollouts = std::make_unique<Rollouts>(m_io, m_settings, m_adapter.store, *m_replica, m_fleet,
                                             m_log, *m_metrics, *this);
@@ -84,13 +106,15 @@
     m_reportSender = std::make_unique<ReportSender>(m_settings, m_residency.zones(), m_fleet,
                                                     *m_reports, *m_metrics);
     m_directoryHandler = m_adapter.directoryHandler(*this);
-    const ConnectionContext directory{*m_directoryHandler, m_directoryLimits, m_readBuffer};
+    const ConnectionContext directory{*m_directoryHandler, m_directoryLimits, m_readBuffer,
+                                      m_callerShare};
     BOOST_LEAF_ASSIGN(m_readiness,
                       HttpListener::create(m_io, m_settings.readinessAddress, directory));
     BOOST_LEAF_ASSIGN(m_discovery,
                       HttpListener::create(m_io, m_settings.discoveryAddress, directory));
-    BOOST_LEAF_ASSIGN(m_callers, HttpListener::create(m_io, m_settings.callerAddress,
-                                                      {*this, m_limits, m_readBuffer}));
+    BOOST_LEAF_ASSIGN(m_callers,
+                      HttpListener::create(m_io, m_settings.callerAddress,
+                                           {*this, m_limits, m_readBuffer, m_callerShare}));
     for (const std::string &ip : m_settings.seeds) {
         if (ip != m_settings.peerAddress.ip)
             m_fleet.addAddress(toString(Settings::Address{ip, m_settings.peerAddress.port}), now());
@@ -106,9 +130,9 @@
         m_metrics->updateGauges(state());
         return m_metrics->text();
     });
-    BOOST_LEAF_ASSIGN(m_metricsListener,
-                      HttpListener::create(m_io, *m_settings.metricsAddress,
-                                           {*m_metricsHandler, m_directoryLimits, m_readBuffer}));
+    BOOST_LEAF_ASSIGN(m_metricsListener, HttpListener::create(m_io, *m_settings.metricsAddress,
+                                                              {*m_metricsHandler, m_directoryLimits,
+                                                               m_readBuffer, m_callerShare}));
     return {};
 }
 
@@ -131,6 +155,11 @@
     state.blockedRequests = m_memory.crashes().blocked(time);
     state.blockedParts = m_memory.parts().blocked(time);
     state.busyTime = m_load.busyTime();
+    state.callerMemory = m_callerShare.memory.usedBytes();
+    state.memoryRefusals = m_callerShare.memory.refusals();
+    state.memoryYields = m_callerShare.memory.yields();
+    state.callerConnections = m_callerShare.connections;
+    state.closedIdleConnections = m_callerShare.closedIdle;
     return state;
 }
 
@@ -253,14 +282,8 @@
 
 std::shared_ptr<ActiveRequest> Gateway::handle(CallerRequest request, AnswerSink &sink)
 {
-    AcceptedRequest accepted;
-    accepted.id = m_lastWorkId += 2;
-    accepted.request = std::move(request);
-    accepted.requestId = std::string(field(accepted.request.message, m_adapter.names.requestId));
-    std::optional<Failure> failure = m_examiner.validate(
-        accepted, {m_replica->table(), m_replica->servers().isKnown(), mayUseKeys()});
-    if (!failure)
-        failure = shutdownFailure(accepted);
+    AcceptedRequest accepted = acceptedRequest(std::move(request));
+    std::optional<Failure> failure = headFailure(accepted);
     if (failure)
         m_backlog.recordRefusal(now());
     else if (!accepted.route->isStream())
@@ -271,11 +294,7 @@
         failure = Failure{FailureType::HostOverloaded, false, overloadRetryAfter};
     }
     if (failure) {
-        m_load.addRefusal();
-        logRefusal(accepted, *failure);
-        m_metrics->requestEnded({accepted.route ? accepted.route->name : std::string(),
-                                 accepted.customer.value(), failureName(failure->type),
-                                 std::nullopt, now() - accepted.request.readAt});
+        recordRefusal(accepted, *failure);
         // Keeping a rejected caller's connection open costs more than the rejection itself.
         // Nothing is read after a request that can be taken for that of another caller.
         if (failure->type == FailureType::HostOverloaded
@@ -294,6 +313,45 @@
     return exchange;
 }
 
+std::optional<EarlyRefusal> Gateway::refuseEarly(const RequestHead &head, Base::TimePoint readAt)
+{
+    CallerRequest request;
+    request.message.base() = head;
+    request.readAt = readAt;
+    AcceptedRequest accepted = acceptedRequest(std::move(request));
+    const std::optional<Failure> failure = headFailure(accepted);
+    if (!failure)
+        return std::nullopt;
+    m_backlog.recordRefusal(now());
+    recordRefusal(accepted, *failure);
+    return EarlyRefusal{failureHead(*failure), failureBody(*failure, accepted.requestId)};
+}
+
+AcceptedRequest Gateway::acceptedRequest(CallerRequest request)
+{
+    AcceptedRequest accepted;
+    accepted.id = m_lastWorkId += 2;
+    accepted.request = std::move(request);
+    accepted.requestId = std::string(field(accepted.request.message, m_adapter.names.requestId));
+    return accepted;
+}
+
+std::optional<Failure> Gateway::headFailure(AcceptedRequest &accepted)
+{
+    std::optional<Failure> failure = m_examiner.validate(
+        accepted, {m_replica->table(), m_replica->servers().isKnown(), mayUseKeys()});
+    return failure ? failure : shutdownFailure(accepted);
+}
+
+void Gateway::recordRefusal(const AcceptedRequest &accepted, const Failure &failure)
+{
+    m_load.addRefusal();
+    logRefusal(accepted, failure);
+    m_metrics->requestEnded({accepted.route ? accepted.route->name : std::string(),
+                             accepted.customer.value(), failureName(failure.type), std::nullopt,
+                             now() - accepted.request.readAt});
+}
+
 void Gateway::logRefusal(const AcceptedRequest &accepted, const Failure &failure)
 {
     const Base::TimePoint time = now();
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -85,6 +85,8 @@
     void run();
 
     std::shared_ptr<ActiveRequest> handle(CallerRequest request, AnswerSink &sink) override;
+    std::optional<EarlyRefusal> refuseEarly(const RequestHead &head,
+                                            Base::TimePoint readAt) override;
 
     void submitWork(const std::string &service, Routing::Work work) override;
     void withdrawWork(const std::string &service, Routing::WorkId id) override;
@@ -195,8 +197,14 @@
     void updateVersions(Base::TimePoint now);
     /// Logs this host's load, once a second.
     void logLoad(Base::TimePoint now);
-    /// Logs a request that was rejected before an exchange was created for it.
+    AcceptedRequest acceptedRequest(CallerRequest request);
+    /// Returns why the request is refused whatever its body is; empty if it is not.
+    std::optional<Failure> headFailure(AcceptedRequest &accepted);
+    /// Counts and logs a request that was refused before an exchange was created for it.
+    void recordRefusal(const AcceptedRequest &accepted, const Failure &failure);
     void logRefusal(const AcceptedRequest &accepted, const Failure &failure);
+    /// Sets what callers may take of this process to what the settings allow.
+    void limitCallers();
     /// Passes decisions on to their exchanges, one after the other.
     void apply(const Routing::Decisions &decisions);
 
@@ -221,6 +229,8 @@
     RequestValidator m_examiner;
     RequestResidency m_residency;
     SettingsWatcher m_settingsWatcher;
+    // Declared before the event loop, whose handlers refer to connections.
+    CallerShare m_callerShare;
     boost::asio::io_context m_io{BOOST_ASIO_CONCURRENCY_HINT_UNSAFE};
     boost::asio::steady_timer m_timer{m_io};
     boost::asio::signal_set m_signals{m_io};
--- a/src/libs/gateway/gatewaylifecycle.cpp
+++ b/src/libs/gateway/gatewaylifecycle.cpp
@@ -65,6 +65,9 @@
     m_settings.leavingBound = settings.leavingBound;
     m_settings.retries = settings.retries;
     m_settings.requestLinesPerSecond = settings.requestLinesPerSecond;
+    m_settings.memoryBytes = settings.memoryBytes;
+    m_settings.fileDescriptors = settings.fileDescriptors;
+    limitCallers();
     m_replica->applySettings(m_settings);
     m_log.setRequestLineLimit(settings.requestLinesPerSecond);
     m_services->retryAllowanceChanged(settings.retries);
--- a/src/libs/gateway/gatewaymetrics.cpp
+++ b/src/libs/gateway/gatewaymetrics.cpp
@@ -120,6 +120,19 @@
     BOOST_LEAF_ASSIGN(m_busySeconds, m_registry.counters({"lagoonmast_gateway_busy_seconds_total",
                                                           "Time with work left to do, in seconds",
                                                           {}}));
+    BOOST_LEAF_ASSIGN(m_callerMemory, gauge("lagoonmast_gateway_caller_memory_bytes",
+                                            "Memory reserved for callers' requests, in bytes"));
+    BOOST_LEAF_ASSIGN(m_callerConnections, gauge("lagoonmast_gateway_caller_connections",
+                                                 "Open connections of callers"));
+    BOOST_LEAF_ASSIGN(m_memoryRefusals,
+                      m_registry.counters({"lagoonmast_gateway_caller_memory_refusals_total",
+                                           "Requests that there was no memory for, and incomplete "
+                                           "ones that gave way",
+                                           {"what"}}));
+    BOOST_LEAF_ASSIGN(m_closedIdle, m_registry.counters(
+                                        {"lagoonmast_gateway_caller_idle_connections_closed_total",
+                                         "Connections closed since descriptors were short",
+                                         {}}));
     return {};
 }
 
@@ -208,6 +221,14 @@
     m_blockedParts->set(static_cast<double>(state.blockedParts));
     Metrics::Counter &busy = m_busySeconds->with({});
     busy.increment(seconds(state.busyTime) - busy.value());
+    m_callerMemory->set(static_cast<double>(state.callerMemory));
+    m_callerConnections->set(static_cast<double>(state.callerConnections));
+    const auto raise = [](Metrics::Counter &counter, std::uint64_t value) {
+        counter.increment(static_cast<double>(value) - counter.value());
+    };
+    raise(m_memoryRefusals->with({"refused"}), state.memoryRefusals);
+    raise(m_memoryRefusals->with({"gave_way"}), state.memoryYields);
+    raise(m_closedIdle->with({}), state.closedIdleConnections);
 }
 
 } // namespace Gateway
--- a/src/libs/gateway/gatewaymetrics.h
+++ b/src/libs/gateway/gatewaymetrics.h
@@ -55,6 +55,15 @@
     std::size_t blockedParts = 0;
     /// Time since the start of the process during which work was left to do.
     Base::Duration busyTime{};
+    /// Memory that is reserved for callers' requests, in bytes.
+    std::size_t callerMemory = 0;
+    /// Requests for which there was no memory, and incomplete ones that gave way to others, since
+    /// the start.
+    std::uint64_t memoryRefusals = 0;
+    std::uint64_t memoryYields = 0;
+    std::size_t callerConnections = 0;
+    /// Idle connections closed since the start because descriptors were short.
+    std::uint64_t closedIdleConnections = 0;
 };
 
 /// Counters, histograms and gauges of one gateway process.
@@ -122,6 +131,10 @@
     Metrics::Gauge *m_blockedRequests = nullptr;
     Metrics::Gauge *m_blockedParts = nullptr;
     Metrics::Family<Metrics::Counter> *m_busySeconds = nullptr;
+    Metrics::Gauge *m_callerMemory = nullptr;
+    Metrics::Gauge *m_callerConnections = nullptr;
+    Metrics::Family<Metrics::Counter> *m_memoryRefusals = nullptr;
+    Metrics::Family<Metrics::Counter> *m_closedIdle = nullptr;
 };
 
 } // namespace Gateway
--- a/src/libs/gateway/gatewaysettings.cpp
+++ b/src/libs/gateway/gatewaysettings.cpp
@@ -25,6 +25,11 @@
 constexpr double maxRetrySlack = 1e6;
 constexpr std::int64_t maxRequestLines = 100'000;
 constexpr double maxExposureSlack = 1e6;
+constexpr double minMemoryMb = 32;
+constexpr double maxMemoryMb = 1e6;
+constexpr std::int64_t minFileDescriptors = 100;
+constexpr std::int64_t maxFileDescriptors = 10'000'000;
+constexpr double bytesPerMb = 1e6;
 constexpr std::int64_t minReportBytes = 1000;
 constexpr std::int64_t maxReportBytes = 1'000'000'000;
 
@@ -131,6 +136,12 @@
     const double cores = reader.number("processorCores", 0, maxCores, 1);
     const double share = reader.number("processorShare", 0, 1, 1);
     settings.processor = static_cast<Routing::MilliCores>(std::llround(1000 * cores * share));
+    const double memoryMb = reader.number("memoryMb", minMemoryMb, maxMemoryMb,
+                                          static_cast<double>(settings.memoryBytes) / bytesPerMb);
+    settings.memoryBytes = static_cast<std::size_t>(memoryMb * bytesPerMb);
+    settings.fileDescriptors = static_cast<std::size_t>(
+        reader.integer("fileDescriptors", minFileDescriptors, maxFileDescriptors,
+                       static_cast<std::int64_t>(settings.fileDescriptors)));
     readSeeds(reader, settings.seeds);
     if (const Json *bounds = reader.optional("bounds")) {
         ObjectReader inner(*bounds, reader.pointerTo("bounds"), faults);
--- a/src/libs/gateway/gatewaysettings.h
+++ b/src/libs/gateway/gatewaysettings.h
@@ -35,6 +35,11 @@
     std::optional<Settings::Address> metricsAddress;
     /// Processor capacity that this process may use, in thousandths of a core.
     Routing::MilliCores processor = 1000;
+    /// Memory that this process may use, in bytes. A third of it is for callers' requests.
+    std::size_t memoryBytes = 256'000'000;
+    /// File descriptors that this process may open; a quarter is kept for its own connections. 0 if
+    /// only the limit of the operating system holds.
+    std::size_t fileDescriptors = 0;
     /// IP addresses of other hosts that may be running. They are contacted at this host's own peer
     /// port; the ports in the settings are ignored.
     std::vector<std::string> seeds;
--- a/src/libs/gateway/httplistener.cpp
+++ b/src/libs/gateway/httplistener.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/ip/address_v4.hpp>
 
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -52,7 +53,9 @@
     : m_io(&io)
     , m_acceptor(io)
     , m_context(context)
-{}
+{
+    m_context.share.add(*this);
+}
 
 void HttpListener::accept()
 {
@@ -70,6 +73,14 @@
 
 bool HttpListener::acceptOne()
 {
+    if (m_context.share.isFull()) {
+        pollfd pending{m_acceptor.native_handle(), POLLIN, 0};
+        if (poll(&pending, 1, 0) <= 0)
+            return false;
+        m_isOutOfDescriptors = !m_context.share.makeRoom();
+        if (m_isOutOfDescriptors)
+            return false;
+    }
     const int fd =
         accept4(m_acceptor.native_handle(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (fd < 0) {
@@ -85,6 +96,33 @@
     return true;
 }
 
+std::shared_ptr<CallerConnection> HttpListener::longestIdle() const
+{
+    std::shared_ptr<CallerConnection> longest;
+    for (const auto &it : m_connections) {
+        if (it->isIdle() && (!longest || it->closesBefore(*longest)))
+            longest = it;
+    }
+    return longest;
+}
+
+bool CallerShare::makeRoom()
+{
+    while (isFull()) {
+        std::shared_ptr<CallerConnection> longest;
+        for (const HttpListener *it : m_listeners) {
+            const std::shared_ptr<CallerConnection> idle = it->longestIdle();
+            if (idle && (!longest || idle->closesBefore(*longest)))
+                longest = idle;
+        }
+        if (!longest)
+            return false;
+        if (longest->closeIfIdle())
+            ++closedIdle;
+    }
+    return true;
+}
+
 std::size_t HttpListener::unwrittenAnswers() const
 {
     return static_cast<std::size_t>(
--- a/src/libs/gateway/httplistener.h
+++ b/src/libs/gateway/httplistener.h
@@ -24,10 +24,15 @@
     static Base::Result<std::unique_ptr<HttpListener>> create(boost::asio::io_context &io,
                                                               const Settings::Address &address,
                                                               const ConnectionContext &context);
+    ~HttpListener() { m_context.share.remove(*this); }
+    HttpListener(const HttpListener &) = delete;
+    HttpListener &operator=(const HttpListener &) = delete;
 
     /// Closes connections whose timeout has passed, and accepts again if the process had run out of
     /// file descriptors. Must be called a few times a second.
     void checkTime(Base::TimePoint now);
+    /// Returns the idle connection to close first if there are too many; null if none is idle.
+    std::shared_ptr<CallerConnection> longestIdle() const;
     std::size_t connections() const { return m_connections.size(); }
     /// Accepts nothing more, answers what has arrived, and closes the connections that no answer is
     /// being written to.
--- a/src/libs/gateway/httptext.cpp
+++ b/src/libs/gateway/httptext.cpp
@@ -73,11 +73,11 @@
 
 } // namespace
 
-std::string forwardedText(const Request &request, const ForwardedFields &added,
-                          const HeaderNames &names)
+std::string forwardedHead(const Request &request, std::size_t bodyBytes,
+                          const ForwardedFields &added, const HeaderNames &names)
 {
     std::string text;
-    text.reserve(512 + request.body().size());
+    text.reserve(512);
     text.append(viewOf(request.method_string())).append(" ");
     text.append(viewOf(request.target())).append(" HTTP/1.1\r\n");
     for (const auto &it : request) {
@@ -95,12 +95,11 @@
         append(text, names.customer, added.customer);
     if (!added.lastEventId.empty())
         append(text, names.lastEventId, added.lastEventId);
-    const bool hasBody = !request.body().empty() || request.count(Http::field::content_length) > 0
+    const bool hasBody = bodyBytes > 0 || request.count(Http::field::content_length) > 0
                          || request.count(Http::field::transfer_encoding) > 0;
     if (hasBody)
-        append(text, "Content-Length", std::to_string(request.body().size()));
-    text.append("\r\n").append(request.body());
-    return text;
+        append(text, "Content-Length", std::to_string(bodyBytes));
+    return text.append("\r\n");
 }
 
 std::string answerHeadText(const ResponseHead &head, BodyFraming framing, std::size_t length,
--- a/src/libs/gateway/httptext.h
+++ b/src/libs/gateway/httptext.h
@@ -17,6 +17,7 @@
 
 namespace Http = boost::beast::http;
 using Request = Http::request<Http::string_body>;
+using RequestHead = Http::request_header<>;
 using ResponseHead = Http::response_header<>;
 
 /// Fields that are added to a caller's request, or replaced in it, when it is sent to a server.
@@ -34,11 +35,11 @@
     bool dropsAuthorization = true;
 };
 
-/// Serializes \a request for a server. Method, target and body are unchanged, hop-by-hop fields are
-/// removed, and the field with the length of the body is recomputed, which prevents request
-/// smuggling.
-std::string forwardedText(const Request &request, const ForwardedFields &added,
-                          const HeaderNames &names);
+/// Serializes the head of \a request for a server. Method and target are unchanged, hop-by-hop
+/// fields are removed, and the field with the length of the body, \a bodyBytes, is recomputed,
+/// which prevents request smuggling.
+std::string forwardedHead(const Request &request, std::size_t bodyBytes,
+                          const ForwardedFields &added, const HeaderNames &names);
 
 /// How the end of a body is marked.
 enum class BodyFraming { Length, Chunked };
--- a/src/libs/gateway/messageframing.h
+++ b/src/libs/gateway/messageframing.h
@@ -7,8 +7,6 @@
 
 namespace Gateway {
 
-using RequestHead = Http::request_header<>;
-
 /// What the head of a message tells about where the message ends.
 enum class Framing {
     Clear,
--- a/src/libs/gateway/outputbuffer.h
+++ b/src/libs/gateway/outputbuffer.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -14,29 +17,36 @@
 {
 public:
     void append(std::string_view data) { m_text.append(data); }
+    /// Appends \a data without a copy. Nothing else may be appended before all is written.
+    void appendShared(std::shared_ptr<const std::string> data) { m_shared = std::move(data); }
     /// Writes as much as the socket accepts without blocking and returns the number of bytes
     /// written. \a ec is set if the connection is broken.
     std::size_t flush(Tcp::socket &socket, boost::system::error_code &ec)
     {
         std::size_t sum = 0;
         while (!isEmpty()) {
-            const std::size_t n = socket.write_some(
-                boost::asio::buffer(m_text.data() + m_at, m_text.size() - m_at), ec);
+            const std::string_view next = text();
+            const std::size_t n =
+                socket.write_some(boost::asio::buffer(next.data(), next.size()), ec);
             if (ec == boost::asio::error::would_block) {
                 ec = {};
                 break;
             }
             if (ec)
                 return sum;
-            m_at += n;
+            consume(n);
             sum += n;
         }
-        if (isEmpty())
-            clear();
         return sum;
     }
-    /// The bytes that are still to be written.
-    std::string_view text() const { return std::string_view(m_text).substr(m_at); }
+    /// The next bytes that are still to be written; empty if there are none.
+    std::string_view text() const
+    {
+        if (m_at < m_text.size())
+            return std::string_view(m_text).substr(m_at);
+        return m_shared ? std::string_view(*m_shared).substr(m_at - m_text.size())
+                        : std::string_view();
+    }
     /// Removes the first \a count bytes of text(), which have been written.
     void consume(std::size_t count)
     {
@@ -47,13 +57,21 @@
     void clear()
     {
         m_text.clear();
+        if (m_text.capacity() > keptBytes)
+            m_text.shrink_to_fit();
+        m_shared.reset();
         m_at = 0;
     }
-    bool isEmpty() const { return m_at >= m_text.size(); }
-    std::size_t size() const { return m_text.size() - m_at; }
+    bool isEmpty() const { return size() == 0; }
+    std::size_t size() const { return m_text.size() + (m_shared ? m_shared->size() : 0) - m_at; }
 
 private:
+    /// Memory that an empty buffer keeps for the next bytes.
+    static constexpr std::size_t keptBytes = 16384;
+
     std::string m_text;
+    std::shared_ptr<const std::string> m_shared;
+    /// How many bytes of both have been written.
     std::size_t m_at = 0;
 };
 
--- a/src/libs/gateway/storereplica.cpp
+++ b/src/libs/gateway/storereplica.cpp
@@ -88,6 +88,7 @@
     , m_servers(returnGrace)
     , m_startedAt(bootTimeNow())
 {
+    m_limits.bodyBytes = maxIgnoredBodyBytes;
     m_store.setIntervals(m_times);
 }
 
@@ -95,7 +96,8 @@
 {
     BOOST_LEAF_ASSIGN(m_peerListener,
                       HttpListener::create(m_dependencies.io, peerAddress,
-                                           {m_handler, m_limits, m_dependencies.readBuffer}));
+                                           {m_handler, m_limits, m_dependencies.readBuffer,
+                                            m_dependencies.callers}));
     return {};
 }
 
--- a/src/libs/gateway/storereplica.h
+++ b/src/libs/gateway/storereplica.h
@@ -75,6 +75,7 @@
         FleetView &fleet;
         EventLog &log;
         std::string &readBuffer;
+        CallerShare &callers;
         StoreReplicaListener &listener;
     };
 
--- a/tests/auto/gateway/loopbackstore.h
+++ b/tests/auto/gateway/loopbackstore.h
@@ -24,7 +24,8 @@
         boost::leaf::try_handle_all(
             [&]() -> Base::Result<void> {
                 BOOST_LEAF_ASSIGN(
-                    m_server, HttpListener::create(m_io, m_address, {store, m_limits, m_buffer}));
+                    m_server,
+                    HttpListener::create(m_io, m_address, {store, m_limits, m_buffer, m_share}));
                 BOOST_LEAF_ASSIGN(m_metrics, GatewayMetrics::create());
                 return {};
             },
@@ -46,6 +47,7 @@
         usleep(1000);
     }
 
+    CallerShare m_share;
     boost::asio::io_context m_io;
     int m_null = open("/dev/null", O_WRONLY | O_CLOEXEC);
     EventLog m_log{m_null, 0};
--- a/tests/auto/gateway/tst_httplistener.cpp
+++ b/tests/auto/gateway/tst_httplistener.cpp
@@ -53,8 +53,9 @@
         probe.close();
         boost::leaf::try_handle_all(
             [&]() -> Base::Result<void> {
-                BOOST_LEAF_ASSIGN(listener, HttpListener::create(m_io, {"127.0.0.1", m_port},
-                                                                 {m_handler, m_limits, m_buffer}));
+                BOOST_LEAF_ASSIGN(listener,
+                                  HttpListener::create(m_io, {"127.0.0.1", m_port},
+                                                       {m_handler, m_limits, m_buffer, m_share}));
                 return {};
             },
             [] { FAIL("cannot listen"); });
@@ -87,6 +88,7 @@
     }
 
 private:
+    CallerShare m_share;
     boost::asio::io_context m_io;
     boost::asio::io_context m_callers;
     RefusingHandler m_handler;
--- a/tests/auto/gateway/tst_messageframing.cpp
+++ b/tests/auto/gateway/tst_messageframing.cpp
@@ -99,8 +99,9 @@
         probe.close();
         boost::leaf::try_handle_all(
             [&]() -> Base::Result<void> {
-                BOOST_LEAF_ASSIGN(m_listener, HttpListener::create(m_io, {"127.0.0.1", port},
-                                                                   {handler, m_limits, m_buffer}));
+                BOOST_LEAF_ASSIGN(m_listener,
+                                  HttpListener::create(m_io, {"127.0.0.1", port},
+                                                       {handler, m_limits, m_buffer, m_share}));
                 return {};
             },
             [] { FAIL("cannot listen"); });
@@ -140,6 +141,7 @@
     RecordingHandler handler;
 
 private:
+    CallerShare m_share;
     boost::asio::io_context m_io;
     boost::asio::io_context m_callers;
     ConnectionLimits m_limits;
--- a/tests/auto/gateway/tst_storeclient.cpp
+++ b/tests/auto/gateway/tst_storeclient.cpp
@@ -95,8 +95,9 @@
         probe.close();
         boost::leaf::try_handle_all(
             [&]() -> Base::Result<void> {
-                BOOST_LEAF_ASSIGN(m_server,
-                                  HttpListener::create(m_io, address, {store, m_limits, m_buffer}));
+                BOOST_LEAF_ASSIGN(
+                    m_server,
+                    HttpListener::create(m_io, address, {store, m_limits, m_buffer, m_share}));
                 return {};
             },
             [] { FAIL("cannot listen"); });
@@ -123,6 +124,7 @@
 
 private:
     // Declared before the members with sockets of it, so that it is destroyed after them.
+    CallerShare m_share;
     boost::asio::io_context m_io;
 
 public:
--- a/tests/auto/gateway/tst_storereplica.cpp
+++ b/tests/auto/gateway/tst_storereplica.cpp
@@ -65,7 +65,7 @@
 public:
     Host(int number, const std::string &zone, const Settings::Address &store,
          boost::asio::io_context &io, const StoreProtocol &protocol, EventLog &log,
-         std::string &buffer)
+         std::string &buffer, CallerShare &share)
     {
         m_settings.host = Base::HostId("host-" + std::to_string(100 + number));
         m_settings.zone = Base::ZoneId(zone);
@@ -76,7 +76,7 @@
             [&]() -> Base::Result<void> {
                 BOOST_LEAF_ASSIGN(replica,
                                   StoreReplica::create(m_settings, {io, protocol, *m_view, log,
-                                                                    buffer, m_listener}));
+                                                                    buffer, share, m_listener}));
                 return {};
             },
             [] { FAIL("cannot listen"); });
@@ -138,8 +138,9 @@
         protocol.entries = {server};
         boost::leaf::try_handle_all(
             [&]() -> Base::Result<void> {
-                BOOST_LEAF_ASSIGN(m_server, HttpListener::create(m_io, m_storeAddress,
-                                                                 {store, m_limits, m_buffer}));
+                BOOST_LEAF_ASSIGN(m_server,
+                                  HttpListener::create(m_io, m_storeAddress,
+                                                       {store, m_limits, m_buffer, m_share}));
                 return {};
             },
             [] { FAIL("cannot listen"); });
@@ -153,7 +154,7 @@
         for (int i = 0; i < count; ++i) {
             const int number = static_cast<int>(hosts.size());
             hosts.push_back(std::make_unique<Host>(number, zone, m_storeAddress, m_io, protocol,
-                                                   m_log, m_buffer));
+                                                   m_log, m_buffer, m_share));
         }
     }
     /// Lists the rows of all hosts in the store.
@@ -212,6 +213,7 @@
     }
 
     // Declared before the members that own sockets of it.
+    CallerShare m_share;
     boost::asio::io_context m_io;
     int m_null;
     EventLog m_log;
--- a/tests/auto/gateway/tst_texts.cpp
+++ b/tests/auto/gateway/tst_texts.cpp
@@ -38,6 +38,13 @@
     return parser.release();
 }
 
+/// The head and the body as a server gets them.
+std::string forwardedText(const Request &request, const ForwardedFields &added,
+                          const HeaderNames &headerNames)
+{
+    return forwardedHead(request, request.body().size(), added, headerNames) + request.body();
+}
+
 } // namespace
 
 TEST_CASE("fields that only the gateway may set are not taken from callers", "[gateway]")
@@ -59,7 +66,7 @@
     const auto digest = [](const std::string &head, const std::string &body) {
         return contentDigest(parsed("POST " + head + "\r\nContent-Length: "
                                     + std::to_string(body.size()) + "\r\n\r\n" + body),
-                             names());
+                             body, names());
     };
     const std::string head = "/cars/1 HTTP/1.1\r\nHost: a\r\nPrompt-Parts: ab:5\r\n";
     const std::uint64_t first = digest(head + "Request-Id: 1\r\nTime-Left: 9000", "abc");
--- a/tests/processes/crowd.cpp
+++ b/tests/processes/crowd.cpp
@@ -99,7 +99,10 @@
         : m_announced(announced)
         , m_left(sent)
     {}
-    std::string framing() const override { return "Content-Length: " + std::to_string(m_announced); }
+    std::string framing() const override
+    {
+        return "Content-Length: " + std::to_string(m_announced);
+    }
     std::string next() override
     {
         const std::uint64_t n = std::min<std::uint64_t>(m_left, blockBytes);
--- a/tests/processes/crowd.sh
+++ b/tests/processes/crowd.sh
@@ -18,6 +18,7 @@
 descriptors=400
 MAX_BODY_BYTES=524288
 IDLE_TIMEOUT_MS=60000
+MORE_SETTINGS='"memoryMb":'$memory_mb,
 crowd=200
 [ "$kind" != idle ] || crowd=600
 declare -A ports=([caller]=19721 [readiness]=19731 [discovery]=19741 [peer]=19751 [metrics]=19761)
