Let whole requests go before incomplete ones when callers' memory is short

Cause: a whole request reserves more at once (its copies at a router, its text at a gateway), so with bytes multiplied by time it may count as the one that occupies most although it is the only one that can be served.

--- a/src/libs/base/memorybudget.h
+++ b/src/libs/base/memorybudget.h
@@ -99,7 +99,8 @@
     /// Reserves \a bytes in all. Fails without a change if they do not fit; a smaller size always
     /// does.
     bool resize(std::size_t bytes, TimePoint now);
-    /// From now on the holder does not give way.
+    /// From now on the holder does not give way, and any other one gives way to it: its request is
+    /// whole and is about to be handled.
     void keep();
     void release();
     bool isEmpty() const { return !m_budget; }
--- a/src/libs/gateway/callerconnection.cpp
+++ b/src/libs/gateway/callerconnection.cpp
@@ -201,10 +201,15 @@
 }
 
 bool CallerConnection::reserve(std::size_t bodyBytes)
+{
+    startReservation();
+    return m_memory.resize(m_headBytes + bodyBytes + m_input.capacity(), bootTimeNow());
+}
+
+void CallerConnection::startReservation()
 {
     if (m_memory.isEmpty())
         m_memory = {m_context.share.memory, *this, m_lastActivityAt};
-    return m_memory.resize(m_headBytes + bodyBytes + m_input.capacity(), bootTimeNow());
 }
 
 bool CallerConnection::growBody()
@@ -292,11 +297,12 @@
 
 void CallerConnection::dispatch()
 {
+    startReservation();
+    m_memory.keep();
     if (!reserve(m_parser->get().body().capacity())) {
         refuseForMemory();
         return;
     }
-    m_memory.keep();
     CallerRequest request{m_parser->release(), m_lastActivityAt, std::move(m_memory)};
     m_parser.reset();
     if (m_head)
--- a/src/libs/gateway/callerconnection.h
+++ b/src/libs/gateway/callerconnection.h
@@ -131,6 +131,7 @@
     bool acceptHead();
     /// Decides whether an incomplete request is read on.
     bool acceptIncomplete();
+    void startReservation();
     /// Reserves memory for what has arrived of the current request, with \a bodyBytes for its body.
     bool reserve(std::size_t bodyBytes);
     /// Makes room in a chunked body for all that has arrived; returns whether there is memory.
--- a/tests/auto/base/tst_memorybudget.cpp
+++ b/tests/auto/base/tst_memorybudget.cpp
@@ -100,6 +100,17 @@
     CHECK(next.reservation.resize(2 * megabyte, at(5000)));
 }
 
+TEST_CASE("a whole request goes before incomplete ones", "[base]")
+{
+    MemoryBudget budget(8 * megabyte);
+    Request young(budget, 90);
+    REQUIRE(young.reservation.resize(6 * megabyte, at(100)));
+    Request whole(budget, 0);
+    whole.reservation.keep();
+    CHECK(whole.reservation.resize(4 * megabyte, at(100)));
+    CHECK(young.hasYielded);
+}
+
 TEST_CASE("large requests leave memory to small ones", "[base]")
 {
     // Guards against a host at which nobody is served, since whole bodies wait for slow servers.
