Bound what all callers together take of a router's memory and connections

Cause: the HTTP library keeps each body until it is whole, and calls nobody before; its limits are those of one body and of the number of connections.

Now the block of a body reserves memory as it grows, through the library's replaceable allocation functions, from the budget that gateways have; who gives way is closed, and its thread frees the memory before the newer one goes on. A whole request reserves its copies or gets 503. A body of over twice its limit is closed. A caller beyond the limit of connections takes the place of the longest idle one, and the limit leaves a quarter of the descriptors to the process.

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -53,19 +53,21 @@
 
 # fleet_answers ADDRESS: whether the router knows the model servers and answers a request.
 fleet_answers() {
-    curl -sf -o "$FLEET_DIR/answers" "http://$1/v1/chat/completions" \
+    curl -sf --max-time 15 -o "$FLEET_DIR/answers" "http://$1/v1/chat/completions" \
         -H 'Authorization: Bearer example-key-dealer' -H 'X-Lagoonmast-Class: buyer-replies' \
         -H 'Content-Type: application/json' \
         -d '{"model":"condition-writer","max_tokens":1,
              "messages":[{"role":"user","content":"Are you there?"}]}'
 }
 
-# fleet_up: starts the stand-ins and the three routers of examples/quickstart, and waits until they
-# answer.
+# fleet_up: starts the stand-ins and the three routers of examples/quickstart, with FLEET_LIMITS as
+# their limits if it is set, and waits until they answer.
 fleet_up() {
     local file i
     for file in examples/quickstart/*.json; do
         sed "s/127\.0\.0\.1/$FLEET_IP/g" "$file" >"$FLEET_DIR/$(basename "$file")"
+        [ -z "${FLEET_LIMITS:-}" ] \
+            || sed -i "s/\"log\":/\"limits\": {$FLEET_LIMITS}, \"log\":/" "$FLEET_DIR/$(basename "$file")"
     done
     fleet_standin platform platformstandin 18700 --seed "$FLEET_DIR/seed.json"
     fleet_standin model-1 modelserverstandin 18731 --check-fences true
--- a/src/app/settingsfile.cpp
+++ b/src/app/settingsfile.cpp
@@ -47,6 +47,7 @@
         converted.seeds.push_back({seed.host, toString(seed.peerAddress)});
     converted.limits.connections = settings.limits.connections;
     converted.limits.bodyBytes = settings.limits.bodyBytes;
+    converted.limits.memoryBytes = settings.limits.memoryBytes;
     converted.limits.streamBufferBytes = settings.limits.streamBufferBytes;
     converted.logLevel = levelName(settings.logLevel);
     converted.traceFile = settings.traceFile;
--- a/src/libs/daemon/daemon.cpp
+++ b/src/libs/daemon/daemon.cpp
@@ -90,6 +90,7 @@
     httpSettings.address = m_settings.callerAddress;
     httpSettings.connections = m_settings.limits.connections;
     httpSettings.bodyBytes = m_settings.limits.bodyBytes;
+    httpSettings.callerMemoryBytes = m_settings.limits.memoryBytes / callerMemoryPart;
     httpSettings.requestIdPrefix =
         m_settings.host.value() + '-' + std::to_string(m_incarnation) + "-x";
     BOOST_LEAF_ASSIGN(m_httpServer, HttpServer::create(httpSettings, m_sessions, m_ring, m_state,
--- a/src/libs/daemon/daemonconstants.h
+++ b/src/libs/daemon/daemonconstants.h
@@ -14,6 +14,18 @@
 inline constexpr std::size_t reservedConnections = 64;
 /// Stack of a connection's thread in bytes; 1,000 streams must fit on a small host.
 inline constexpr std::size_t connectionStackBytes = 131072;
+/// One part in so many of the process's memory is for callers' requests.
+inline constexpr std::size_t callerMemoryPart = 3;
+/// One part in so many of the process's file descriptors is for its own connections.
+inline constexpr std::size_t ownDescriptorPart = 4;
+/// Copies of a body that exist while its request is handled: the HTTP library's, the one that is
+/// parsed, the parsed one, and the one that is sent to a backend server.
+inline constexpr std::size_t bodyCopies = 4;
+/// The Retry-After of callers for whose requests there is no memory.
+inline constexpr Base::Milliseconds memoryRetryAfter{1000};
+/// Pieces of a body beyond its limit, of some kilobytes each, that are read before the connection
+/// is closed. A caller that sends little more than the limit is answered.
+inline constexpr int maxExcessPieces = 64;
 /// A connection that neither sends nor has a request in progress is closed after this time, so that
 /// a slow sender cannot hold a connection forever.
 inline constexpr std::chrono::seconds idleConnectionTimeout{30};
--- a/src/libs/daemon/daemonsettings.h
+++ b/src/libs/daemon/daemonsettings.h
@@ -26,6 +26,8 @@
     std::size_t bodyBytes = 1048576;
     /// Bytes of one answer that may be buffered for a slow caller before its stream is paused.
     std::size_t streamBufferBytes = 262144;
+    /// Memory that the process may use, in bytes.
+    std::size_t memoryBytes = 512'000'000;
 };
 
 /// The settings that one router process is started with. All addresses are "IP:PORT".
--- a/src/libs/daemon/httpserver.cpp
+++ b/src/libs/daemon/httpserver.cpp
@@ -2,13 +2,16 @@
 
 #include "daemon/address.h"
 #include "daemon/answerstream.h"
+#include "daemon/bodymemory.h"
 #include "daemon/completionassembler.h"
 #include "daemon/daemonconstants.h"
 #include "daemon/httpresponse.h"
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
+#include <sys/resource.h>
 #include <sys/socket.h>
 
 namespace Daemon {
@@ -22,15 +25,30 @@
 constexpr unsigned int mhdFlags =
     MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL;
 
-int currentSocket()
+int socketOf(MHD_Connection *connection)
 {
-    if (!currentConnection)
-        return -1;
     const MHD_ConnectionInfo *info =
-        MHD_get_connection_info(currentConnection, MHD_CONNECTION_INFO_CONNECTION_FD);
+        connection ? MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)
+                   : nullptr;
     return info ? static_cast<int>(info->connect_fd) : -1;
 }
 
+int currentSocket()
+{
+    return socketOf(currentConnection);
+}
+
+/// Connections of callers for which the process has file descriptors.
+std::size_t possibleConnections(std::size_t wanted)
+{
+    rlimit limit{};
+    if (getrlimit(RLIMIT_NOFILE, &limit) != 0)
+        return wanted;
+    const auto descriptors = static_cast<std::size_t>(limit.rlim_cur);
+    const std::size_t callers = descriptors - descriptors / ownDescriptorPart;
+    return std::min(wanted, callers - std::min(callers / 2, reservedConnections));
+}
+
 void setIdleTimeout(std::chrono::seconds timeout)
 {
     if (currentConnection)
@@ -73,6 +91,12 @@
         event);
 }
 
+HttpServerSettings withPossibleConnections(HttpServerSettings settings)
+{
+    settings.connections = possibleConnections(settings.connections);
+    return settings;
+}
+
 bool isStreamWanted(const Node::Event &event)
 {
     const auto *asked = std::get_if<Node::CallerRequest>(&event);
@@ -98,18 +122,34 @@
 
     static void *recordConnection(void *closure, const char *uri, MHD_Connection *connection)
     {
+        auto &server = *static_cast<HttpServer *>(closure);
         currentConnection = connection;
         setIdleTimeout(idleConnectionTimeout);
-        return ulfius_uri_logger(closure, uri);
+        server.m_idle.remove(currentSocket());
+        BodyMemory::begin(server.m_memory, server.m_settings.bodyBytes, connection);
+        return ulfius_uri_logger(nullptr, uri);
+    }
+
+    static void endRequest(void *closure, MHD_Connection *connection, void **context,
+                           MHD_RequestTerminationCode code)
+    {
+        mhd_request_completed(closure, connection, context, code);
+        BodyMemory::end();
+        static_cast<HttpServer *>(closure)->m_idle.add(socketOf(connection));
     }
 
-    static void countConnection(void *server, MHD_Connection *, void **,
+    static void countConnection(void *closure, MHD_Connection *connection, void **,
                                 MHD_ConnectionNotificationCode code)
     {
-        if (code == MHD_CONNECTION_NOTIFY_STARTED)
-            ++static_cast<HttpServer *>(server)->m_connections;
-        else
-            --static_cast<HttpServer *>(server)->m_connections;
+        auto &server = *static_cast<HttpServer *>(closure);
+        if (code != MHD_CONNECTION_NOTIFY_STARTED) {
+            --server.m_connections;
+            server.m_idle.remove(socketOf(connection));
+            return;
+        }
+        if (++server.m_connections > server.m_settings.connections)
+            server.m_idle.shutDownLongest();
+        server.m_idle.add(socketOf(connection));
     }
 
     static ssize_t readStream(void *stream, std::uint64_t, char *buf, std::size_t size)
@@ -133,7 +173,8 @@
 
 HttpServer::HttpServer(const HttpServerSettings &settings, CallerSessions &sessions,
                        EventRing &ring, const ProcessState &state, MetricsPage &metrics)
-    : m_settings(settings)
+    : m_settings(withPossibleConnections(settings))
+    , m_memory(settings.callerMemoryBytes)
     , m_sessions(sessions)
     , m_ring(ring)
     , m_state(state)
@@ -154,6 +195,7 @@
     BOOST_LEAF_AUTO(address, parseAddress(m_settings.address));
     BOOST_LEAF_ASSIGN(m_watcher, HangupWatcher::create(
                                      [this](Node::CallerId caller) { m_sessions.hangUp(caller); }));
+    BodyMemory::install();
     // Ulfius does not accept port 0. It gets port 1 instead, and MHD_OPTION_SOCK_ADDR sets the real
     // address.
     m_instance.reset(new _u_instance);
@@ -166,9 +208,10 @@
                                this);
     const auto limit = static_cast<intptr_t>(m_settings.connections + reservedConnections);
     std::array<MHD_OptionItem, 9> options{{
-        {MHD_OPTION_NOTIFY_COMPLETED, reinterpret_cast<intptr_t>(&mhd_request_completed), nullptr},
+        {MHD_OPTION_NOTIFY_COMPLETED, reinterpret_cast<intptr_t>(&HttpServerCallbacks::endRequest),
+         this},
         {MHD_OPTION_URI_LOG_CALLBACK,
-         reinterpret_cast<intptr_t>(&HttpServerCallbacks::recordConnection), nullptr},
+         reinterpret_cast<intptr_t>(&HttpServerCallbacks::recordConnection), this},
         {MHD_OPTION_NOTIFY_CONNECTION,
          reinterpret_cast<intptr_t>(&HttpServerCallbacks::countConnection), this},
         {MHD_OPTION_SOCK_ADDR, 0, &address},
@@ -202,6 +245,10 @@
 {
     // From here on the caller waits for this process, so the idle timeout does not apply.
     setIdleTimeout(std::chrono::seconds(0));
+    if (!BodyMemory::keep(request.binary_body_length * bodyCopies)) {
+        refuseForMemory(response);
+        return;
+    }
     const HttpRequest read = readRequest(request);
     boost::leaf::try_handle_all(
         [&]() -> Base::Result<void> {
@@ -338,6 +385,17 @@
     setHeader(response, "Connection", "close");
 }
 
+void HttpServer::refuseForMemory(_u_response &response)
+{
+    Node::Failure failure;
+    failure.type = Node::FailureType::NoCapacity;
+    failure.message = "this host has no memory left for the request";
+    failure.retryAfter = memoryRetryAfter;
+    failure.requestId = nextRequestId();
+    respondFailure(response, failure);
+    setHeader(response, "Connection", "close");
+}
+
 void HttpServer::refuseLate(_u_response &response)
 {
     Node::Failure failure;
--- a/src/libs/daemon/httpserver.h
+++ b/src/libs/daemon/httpserver.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "base/memorybudget.h"
 #include "base/result.h"
 #include "daemon/callersessions.h"
 #include "daemon/eventring.h"
 #include "daemon/hangupwatcher.h"
 #include "daemon/httprequest.h"
+#include "daemon/idleconnections.h"
 #include "daemon/processstate.h"
 #include "daemon/requestparser.h"
 
@@ -34,6 +36,8 @@
     std::size_t connections = 2000;
     /// Largest accepted request body in bytes.
     std::size_t bodyBytes = 1048576;
+    /// Memory for the requests of all callers, in bytes.
+    std::size_t callerMemoryBytes = 256'000'000;
     /// Prefix of the ids of requests that are refused before they reach the node.
     std::string requestIdPrefix;
 };
@@ -41,9 +45,14 @@
 /// The HTTP server for callers and operators. One thread per connection reads the request, passes
 /// it to the core as an event and writes the answer.
 ///
-/// Callers beyond the connection limit are told to retry later, on connections that are reserved
-/// for such answers. Without them the HTTP library would close the connection, which a caller
+/// A caller beyond the connection limit takes the place of the connection that has been idle for
+/// longest. If none is idle, it is told to retry later, on connections that are reserved for such
+/// answers. Without them the HTTP library would close the connection, which a caller
 /// cannot tell from a crash.
+///
+/// The HTTP library keeps each body until it is whole. Its memory is reserved from a budget of the
+/// process (BodyMemory); whoever does not fit into it is disconnected, or refused once the body is
+/// whole.
 class HttpServer
 {
 public:
@@ -83,17 +92,21 @@
     void respondGivenUp(_u_response &response);
     void refuse(RequestFault fault, _u_response &response);
     void refuseConnection(_u_response &response);
+    /// Refuses a whole request for whose copies there is no memory.
+    void refuseForMemory(_u_response &response);
     /// Refuses work that comes after the lists of entry hosts with this host have expired.
     void refuseLate(_u_response &response);
     void closeSession(const CallerSession &session, int socket);
     std::string nextRequestId();
 
     HttpServerSettings m_settings;
+    Base::MemoryBudget m_memory;
     CallerSessions &m_sessions;
     EventRing &m_ring;
     const ProcessState &m_state;
     MetricsPage &m_metrics;
     std::atomic<std::size_t> m_connections = 0;
+    IdleConnections m_idle;
     std::atomic<std::uint64_t> m_lastRequestNumber = 0;
     std::unique_ptr<HangupWatcher> m_watcher;
     std::unique_ptr<_u_instance, InstanceDeleter> m_instance;
--- a/src/libs/settings/processsettings.cpp
+++ b/src/libs/settings/processsettings.cpp
@@ -18,6 +18,9 @@
 constexpr std::int64_t maxBodyBytes = 64LL << 20;
 constexpr std::int64_t minStreamBufferBytes = 4096;
 constexpr std::int64_t maxStreamBufferBytes = 16LL << 20;
+constexpr std::int64_t minMemoryMb = 64;
+constexpr std::int64_t maxMemoryMb = 1'000'000;
+constexpr std::size_t bytesPerMb = 1'000'000;
 
 /// Calls \a read with a reader of the object \a member, which is at \a key in \a reader. Does
 /// nothing if \a member is null.
@@ -45,6 +48,9 @@
     limits.bodyBytes = readLimit(reader, "bodyBytes", minBodyBytes, maxBodyBytes, limits.bodyBytes);
     limits.streamBufferBytes = readLimit(reader, "streamBufferBytes", minStreamBufferBytes,
                                          maxStreamBufferBytes, limits.streamBufferBytes);
+    limits.memoryBytes =
+        bytesPerMb
+        * readLimit(reader, "memoryMb", minMemoryMb, maxMemoryMb, limits.memoryBytes / bytesPerMb);
 }
 
 void readSeeds(ObjectReader &reader, std::vector<SeedHost> &seeds, SettingsFaults &faults)
--- a/src/libs/settings/processsettings.h
+++ b/src/libs/settings/processsettings.h
@@ -33,6 +33,8 @@
     std::size_t bodyBytes = 1U << 20;
     /// Maximum size of the part of one answer that its caller has not read yet, in bytes.
     std::size_t streamBufferBytes = 256U << 10;
+    /// Memory that the process may use, in bytes. A third of it is for callers' requests.
+    std::size_t memoryBytes = 512'000'000;
 
     bool operator==(const ProcessLimits &) const = default;
 };
--- a/tests/auto/daemon/tst_httpserver.cpp
+++ b/tests/auto/daemon/tst_httpserver.cpp
@@ -27,7 +27,8 @@
 class Fixture
 {
 public:
-    explicit Fixture(std::size_t connections = 100)
+    explicit Fixture(std::size_t connections = 100, std::size_t bodyBytes = 1000,
+                     std::size_t callerMemoryBytes = 1'000'000)
         : m_ring(256)
         , m_sessions(10000, m_ring)
     {
@@ -35,7 +36,8 @@
         HttpServerSettings settings;
         settings.address = "127.0.0.1:0";
         settings.connections = connections;
-        settings.bodyBytes = 1000;
+        settings.bodyBytes = bodyBytes;
+        settings.callerMemoryBytes = callerMemoryBytes;
         settings.requestIdPrefix = "r1-1-x";
         auto created = HttpServer::create(settings, m_sessions, m_ring, m_state, m_page);
         REQUIRE(created);
@@ -321,6 +323,63 @@
     }
 }
 
+TEST_CASE("A caller takes the place of the connection that has been idle for longest")
+{
+    // Guards against silent connections that keep everybody else out until their idle timeout.
+    Fixture fixture(2);
+    const int silent = connectTo(fixture.port());
+    while (fixture.openConnections() < 1)
+        usleep(1000);
+    const int younger = connectTo(fixture.port());
+    while (fixture.openConnections() < 2)
+        usleep(1000);
+    const int caller = connectTo(fixture.port());
+    CHECK(readFrom(silent).empty());
+    while (fixture.openConnections() > 2)
+        usleep(1000);
+    for (const int it : {younger, caller}) {
+        writeTo(it, get("/healthz"));
+        CHECK(statusOf(readFrom(it)) == 200);
+    }
+    for (const int it : {silent, younger, caller})
+        ::close(it);
+}
+
+TEST_CASE("Incomplete bodies together stay within the memory for callers")
+{
+    // Guards against a crowd whose bodies are each within their limit and end the process together.
+    constexpr std::size_t bodyBytes = 200'000;
+    Fixture fixture(100, bodyBytes, 1'200'000);
+    std::vector<int> crowd;
+    for (int i = 0; i < 20; ++i) {
+        crowd.push_back(connectTo(fixture.port()));
+        const std::string whole = post("/v1/chat/completions", std::string(bodyBytes, 'x'));
+        writeTo(crowd.back(), whole.substr(0, whole.size() - 1));
+    }
+    // The oldest ones have given way.
+    CHECK(readFrom(crowd.front()).empty());
+    const int caller = connectTo(fixture.port());
+    writeTo(caller, post("/v1/chat/completions", std::string(bodyBytes, 'x')));
+    CHECK(statusOf(readFrom(caller)) == 400);
+    for (const int it : crowd)
+        ::close(it);
+    ::close(caller);
+}
+
+TEST_CASE("A whole request for whose copies there is no memory is told to retry")
+{
+    constexpr std::size_t bodyBytes = 200'000;
+    Fixture fixture(100, bodyBytes, 600'000);
+    const int socket = connectTo(fixture.port());
+    writeTo(socket, post("/v1/chat/completions", std::string(bodyBytes, 'x')));
+    const std::string answer = readFrom(socket);
+    CHECK(statusOf(answer) == 503);
+    CHECK(typeOf(answer) == "no_capacity");
+    CHECK(answer.find("Retry-After: 1") != std::string::npos);
+    ::close(socket);
+    CHECK(fixture.hasNoEvents());
+}
+
 TEST_CASE("Bad requests get a typed answer and never reach the node")
 {
     Fixture fixture;
--- a/tests/auto/settings/tst_processsettings.cpp
+++ b/tests/auto/settings/tst_processsettings.cpp
@@ -15,7 +15,8 @@
   "callerAddress": "10.0.0.1:8080", "peerAddress": "10.0.0.1:9090",
   "platform": {"address": "10.0.9.1:7000"},
   "seeds": [{"host": "entry-2", "peerAddress": "10.0.0.2:9090"}],
-  "limits": {"connections": 500, "bodyBytes": 65536, "streamBufferBytes": 8192},
+  "limits": {"connections": 500, "bodyBytes": 65536, "streamBufferBytes": 8192,
+             "memoryMb": 100},
   "log": {"level": "debug"}, "trace": {"file": "/dev/stderr"}
 })";
 
@@ -43,7 +44,7 @@
     CHECK(toString(settings->platformAddress) == "10.0.9.1:7000");
     REQUIRE(settings->seeds.size() == 1);
     CHECK(settings->seeds[0].host.value() == "entry-2");
-    CHECK(settings->limits == Settings::ProcessLimits{500, 65536, 8192});
+    CHECK(settings->limits == Settings::ProcessLimits{500, 65536, 8192, 100'000'000});
     CHECK(settings->logLevel == Settings::LogLevel::Debug);
     CHECK(settings->traceFile == "/dev/stderr");
 }
--- a/tests/processes/crowdrouter.sh
+++ b/tests/processes/crowdrouter.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
-# Guards against a crowd of clients that takes a router past its memory, or that it reads from
-# without end: requests that stop short of their end, bodies over the limit.
+# Guards against a crowd of clients that takes a router past its memory, that it reads from without
+# end, or that takes all of its connections: requests that stop short of their end, bodies over the
+# limit, silent connections.
 # usage: crowdrouter.sh BUILD_FOLDER KIND [TARGET]
 # KIND is one of the program crowd.
 set -euo pipefail
@@ -12,18 +13,27 @@
 
 memory_mb=96
 body_bytes=1048576
+descriptors=400
 crowd=100
+[ "$kind" != idle ] || crowd=600
 
+FLEET_LIMITS='"bodyBytes":'$body_bytes',"memoryMb":'$memory_mb
+# The limit is that of the routers and the stand-ins alone.
+limit=$(ulimit -Sn)
+ulimit -Sn "$descriptors"
 fleet_up
+ulimit -Sn "$limit"
 router=$(router_pid 1)
 
 # check_process WHEN: fails unless the router lives within its memory.
 check_process() {
     kill -0 "$router" 2>/dev/null || fleet_fail "$1 the router has ended"
-    local peak
+    local peak open
+    open=$(ls "/proc/$router/fd" | wc -l)
     peak=$(awk '$1 == "VmHWM:" { print $2 }' "/proc/$router/status")
-    echo "$1: peak $peak kB, $(ls "/proc/$router/fd" | wc -l) descriptors"
+    echo "$1: peak $peak kB, $open descriptors"
     [ "$peak" -le $((memory_mb * 1024)) ] || fleet_fail "$1 the peak is $peak kB of $memory_mb MB"
+    [ "$open" -lt "$descriptors" ] || fleet_fail "$1 all $descriptors descriptors are open"
 }
 
 check_process "before the crowd"
