Keep nothing of what a refused caller sends while its refusal waits

A caller that pipelines a request behind an answer that it does not read, and is refused, kept up to 128 KiB of unparsed input, without a reservation, until its output was read or its idle time was over.

Cause: the rest of a refused request was discarded only once the refusal was written.

"what a refused caller sends is not kept, although it reads nothing" of tst_gateway is red without the change (reading stops, of 32 MiB offered not all is taken) and passes with it.

--- a/src/libs/gateway/callerconnection.cpp
+++ b/src/libs/gateway/callerconnection.cpp
@@ -132,7 +132,9 @@
         connectionLost();
         return;
     }
-    m_input.append(buf, 0, n);
+    // The refusal may still wait for the caller to read earlier answers.
+    if (!m_isRefused)
+        m_input.append(buf, 0, n);
     parse();
     if (isOpen() && m_input.size() < (m_isAnswering ? maxPipelinedBytes : maxInputBytes))
         waitRead();
--- a/tests/auto/gateway/tst_callershare.cpp
+++ b/tests/auto/gateway/tst_callershare.cpp
@@ -43,7 +43,7 @@
             return std::make_shared<Held>(std::move(request));
         ResponseHead head;
         head.result(200);
-        sink.sendAnswer(head, "served");
+        sink.sendAnswer(head, answer);
         return nullptr;
     }
     std::optional<EarlyRefusal> refuseEarly(const RequestHead &head, Base::TimePoint) override
@@ -58,6 +58,7 @@
     }
 
     std::vector<std::size_t> bodies;
+    std::string answer = "served";
     int earlyLooks = 0;
     bool holdsRequests = false;
 };
@@ -127,13 +128,14 @@
         m_io.restart();
         m_io.poll();
     }
-    /// Sends all of \a text, whatever comes back.
-    void send(Caller &caller, std::string text)
+    /// Sends \a text, whatever comes back; returns whether all was sent.
+    bool send(Caller &caller, std::string text)
     {
         for (int i = 0; i < 100'000 && !text.empty() && !caller.isReset; ++i) {
             caller.send(text);
             poll();
         }
+        return text.empty();
     }
     /// Reads until the caller has an answer, or its connection ends.
     void receive(Caller &caller)
@@ -203,6 +205,19 @@
     CHECK(caller->isReset);
 }
 
+TEST_CASE("what a refused caller sends is not kept, although it reads nothing", "[gateway]")
+{
+    // Guards against input without a reservation while the refusal waits behind earlier answers.
+    Loopback loopback;
+    loopback.handler.answer.assign(16U << 20, 'a');
+    const auto caller = loopback.caller();
+    loopback.send(*caller, lengthHead(5) + "small");
+    loopback.send(*caller, lengthHead(largestBody, "/refused") + std::string(largestBody, 'x'));
+    CHECK(loopback.handler.earlyLooks == 1);
+    CHECK(loopback.share.memory.usedBytes() == 0);
+    CHECK(loopback.send(*caller, std::string(32U << 20, 'x')));
+}
+
 TEST_CASE("the largest body arrives in pieces of any size", "[gateway]")
 {
     // Guards against limits that a single caller meets in calm.
