Bound what answers together take of a gateway's memory

An answer that is no stream of events is kept until it is whole, up to 64 MiB, and no sum bounded all of them; then each was copied into its caller's output.

Now answers reserve from a budget of their own, a third of the process's memory, as they grow. The one that has held most bytes for longest is given up as broken (fault=no_memory), which blames its server as any answer without end. A whole answer goes to its caller without a copy.

A limit that no caller meets: it bounds servers.

--- a/src/libs/gateway/answerfault.cpp
+++ b/src/libs/gateway/answerfault.cpp
@@ -21,6 +21,8 @@
         return "body_too_long";
     case AnswerFault::LongEvent:
         return "event_too_long";
+    case AnswerFault::NoMemory:
+        return "no_memory";
     case AnswerFault::ServerEnded:
         return "server_ended";
     }
--- a/src/libs/gateway/answerfault.h
+++ b/src/libs/gateway/answerfault.h
@@ -17,6 +17,9 @@
     LongLateAnswers,
     LongBody,
     LongEvent,
+    /// The answers to all open requests did not fit into the memory for them, and this one had
+    /// occupied most of it.
+    NoMemory,
     /// The answer ended with its connection, and its server has ended too.
     ServerEnded,
 };
--- a/src/libs/gateway/answersink.h
+++ b/src/libs/gateway/answersink.h
@@ -18,6 +18,11 @@
 public:
     virtual ~AnswerSink() = default;
     virtual void sendAnswer(const ResponseHead &head, std::string_view body) = 0;
+    /// The same with a body that is not copied. It is released once the caller has read it.
+    virtual void sendLargeAnswer(const ResponseHead &head, std::shared_ptr<const std::string> body)
+    {
+        sendAnswer(head, *body);
+    }
     virtual void startStream(const ResponseHead &head) = 0;
     virtual void sendEvents(std::string_view data) = 0;
     virtual void endStream() = 0;
--- a/src/libs/gateway/attempt.h
+++ b/src/libs/gateway/attempt.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/memorybudget.h"
 #include "gateway/attemptsampler.h"
 #include "gateway/backendconnection.h"
 #include "gateway/eventsplitter.h"
@@ -27,8 +28,17 @@
     virtual void attemptFailed(Attempt &attempt, const AttemptFailure &failure) = 0;
 };
 
+/// A body together with its memory.
+struct HeldBody
+{
+    std::string text;
+    Base::MemoryBudget::Reservation memory;
+};
+
 /// One attempt of a request: its placement, its connection and what has arrived of its answer.
-class Attempt final : public BackendListener, public std::enable_shared_from_this<Attempt>
+class Attempt final : public BackendListener,
+                      public Base::MemoryHolder,
+                      public std::enable_shared_from_this<Attempt>
 {
 public:
     /// \a work is the id under which the attempt is placed. \a lastEventId is the id of the last
@@ -66,13 +76,24 @@
     }
     bool isIncomplete() const override { return isEventStream && events.hasPartialEvent(); }
 
+    /// Appends \a data to the body; returns whether \a budget has memory for it.
+    bool appendBody(std::string_view data, Base::MemoryBudget &budget, Base::TimePoint now);
+    /// Whether the body was given up since others needed its memory.
+    bool hasGivenWay() const { return m_hasGivenWay; }
+    bool giveWay() override
+    {
+        body.text = {};
+        m_hasGivenWay = true;
+        return true;
+    }
+
     const Routing::WorkId work;
     std::shared_ptr<BackendConnection> connection;
     AttemptRecord record;
     AttemptSampler sampler;
     ResponseHead head;
     /// What has arrived of an answer that is no stream of events.
-    std::string body;
+    HeldBody body;
     EventSplitter events;
     /// When something arrived last. Later, or in the future, if another server was sought in vain.
     Base::TimePoint quietSince;
@@ -91,6 +112,7 @@
 
 private:
     AttemptObserver *m_observer;
+    bool m_hasGivenWay = false;
 };
 
 } // namespace Gateway
--- a/src/libs/gateway/callerconnection.cpp
+++ b/src/libs/gateway/callerconnection.cpp
@@ -328,6 +328,16 @@
     finishAnswer();
 }
 
+void CallerConnection::sendLargeAnswer(const ResponseHead &head,
+                                       std::shared_ptr<const std::string> body)
+{
+    m_closesAfterAnswer |= m_context.limits.closesAfterAnswer;
+    m_output.append(answerHeadText(head, BodyFraming::Length, body->size(), m_closesAfterAnswer));
+    if (!m_isHead)
+        m_output.appendShared(std::move(body));
+    finishAnswer();
+}
+
 void CallerConnection::startStream(const ResponseHead &head)
 {
     m_closesAfterAnswer |= m_context.limits.closesAfterAnswer;
--- a/src/libs/gateway/callerconnection.h
+++ b/src/libs/gateway/callerconnection.h
@@ -109,6 +109,8 @@
     bool hasOutput() const { return isOpen() && !m_output.isEmpty(); }
 
     void sendAnswer(const ResponseHead &head, std::string_view body) override;
+    void sendLargeAnswer(const ResponseHead &head,
+                         std::shared_ptr<const std::string> body) override;
     void startStream(const ResponseHead &head) override;
     void sendEvents(std::string_view data) override;
     void endStream() override;
--- a/src/libs/gateway/exchange.cpp
+++ b/src/libs/gateway/exchange.cpp
@@ -21,7 +21,7 @@
 /// Another attempt cannot end in time if less time than this is left.
 constexpr Base::Duration minTimeLeft = milliseconds(40);
 constexpr Base::Milliseconds defaultRetryAfter{300};
-/// Bodies up to this size are written together with their head, in one system call.
+/// Bodies up to this size are copied behind their head, and written in one system call.
 constexpr std::size_t maxCopiedBodyBytes = 16384;
 
 bool isEventStreamHead(const ResponseHead &head)
@@ -291,6 +291,10 @@
     attempt.connection.reset();
     if (m_state == State::Finished)
         return;
+    if (attempt.hasGivenWay()) {
+        giveUp(attempt, AnswerFault::NoMemory);
+        return;
+    }
     if (!attempt.isEventStream) {
         handleWholeAnswer(attempt);
         return;
@@ -356,10 +360,21 @@
     }
     m_record.status = status;
     if (!m_isCallerGone)
-        m_sink->sendAnswer(attempt.head, attempt.body);
+        sendWholeAnswer(attempt);
     finish(answeredOutcome);
 }
 
+void Exchange::sendWholeAnswer(Attempt &attempt)
+{
+    if (attempt.body.text.size() <= maxCopiedBodyBytes) {
+        m_sink->sendAnswer(attempt.head, attempt.body.text);
+        return;
+    }
+    attempt.body.memory.keep();
+    const auto held = std::make_shared<HeldBody>(std::move(attempt.body));
+    m_sink->sendLargeAnswer(attempt.head, {held, &held->text});
+}
+
 bool Exchange::isAnswerTrusted(const ResponseHead &head) const
 {
     // An answer proves that the request did not run only if it has the field that says so, and it
--- a/src/libs/gateway/exchange.h
+++ b/src/libs/gateway/exchange.h
@@ -72,6 +72,9 @@
     virtual void proveVersions(Base::TimePoint time) = 0;
     /// Counts a stream that its caller takes up, or that goes on within its answer.
     virtual void streamResumed(bool isByCaller, Routing::Continuation::Kind kind) = 0;
+    /// The memory for answers that are kept until they are whole, and until their callers have read
+    /// them.
+    virtual Base::MemoryBudget &answerMemory() = 0;
     virtual BackendPool &backends() = 0;
     virtual const HeaderNames &names() = 0;
     virtual EventLog &log() = 0;
@@ -195,6 +198,7 @@
     /// the budget if the retry needs one.
     bool mayRetry(Routing::AttemptOutcome outcome, bool maybeRan);
     void handleWholeAnswer(Attempt &attempt);
+    void sendWholeAnswer(Attempt &attempt);
     /// Whether the answer may be passed on. An answer that claims without proof that the request
     /// did not run, or a success without the server's signature, may not.
     bool isAnswerTrusted(const ResponseHead &head) const;
--- a/src/libs/gateway/exchangeattempts.cpp
+++ b/src/libs/gateway/exchangeattempts.cpp
@@ -116,10 +116,11 @@
     const std::shared_ptr<Attempt> answering = attempt.shared_from_this();
     m_port->serverResponded(attempt.record.server);
     if (!attempt.isEventStream) {
-        if (data.size() > maxAnswerBodyBytes - attempt.body.size())
+        if (data.size() > maxAnswerBodyBytes - attempt.body.text.size())
             giveUp(attempt, AnswerFault::LongBody);
-        else
-            attempt.body.append(data);
+        else if (attempt.hasGivenWay()
+                 || !attempt.appendBody(data, m_port->answerMemory(), m_port->now()))
+            giveUp(attempt, AnswerFault::NoMemory);
         return;
     }
     // From the first byte of an event on, only one server may work on the request.
@@ -136,7 +137,7 @@
 void Exchange::giveUp(Attempt &attempt, AnswerFault fault)
 {
     attempt.cancel();
-    attempt.body = {};
+    attempt.body = HeldBody();
     attempt.attemptFailed({AttemptOutcome::Broken, true, fault});
 }
 
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -28,6 +28,8 @@
 constexpr std::size_t readBufferBytes = 65536;
 /// One part in so many of the process's memory is for callers' requests.
 constexpr std::size_t callerMemoryPart = 3;
+/// One part in so many of it is for answers that are kept until they are whole and read.
+constexpr std::size_t answerMemoryPart = 3;
 /// One part in so many of the process's file descriptors is for its own connections.
 constexpr std::size_t ownDescriptorPart = 4;
 /// Share of a server's connections that all hosts together open. The rest is kept free because
@@ -69,12 +71,13 @@
     , m_identity(ReportIdentity::create())
 {
     m_directoryLimits.bodyBytes = maxIgnoredBodyBytes;
-    limitCallers();
+    limitMemory();
 }
 
-void Gateway::limitCallers()
+void Gateway::limitMemory()
 {
     m_callerShare.memory.setBytes(m_settings.memoryBytes / callerMemoryPart);
+    m_answerMemory.setBytes(m_settings.memoryBytes / answerMemoryPart);
     rlimit limit{};
     std::size_t descriptors = std::numeric_limits<std::size_t>::max();
     if (getrlimit(RLIMIT_NOFILE, &limit) == 0)
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -128,6 +128,7 @@
         return m_services->service(service).dispatcher.usualStart(id);
     }
     bool mayUseKeys() override;
+    Base::MemoryBudget &answerMemory() override { return m_answerMemory; }
     BackendPool &backends() override { return m_pool; }
     const HeaderNames &names() override { return m_adapter.names; }
     EventLog &log() override { return m_log; }
@@ -203,8 +204,8 @@
     /// Counts and logs a request that was refused before an exchange was created for it.
     void recordRefusal(const AcceptedRequest &accepted, const Failure &failure);
     void logRefusal(const AcceptedRequest &accepted, const Failure &failure);
-    /// Sets what callers may take of this process to what the settings allow.
-    void limitCallers();
+    /// Sets what callers and answers may take of this process to what the settings allow.
+    void limitMemory();
     /// Passes decisions on to their exchanges, one after the other.
     void apply(const Routing::Decisions &decisions);
 
@@ -231,6 +232,7 @@
     SettingsWatcher m_settingsWatcher;
     // Declared before the event loop, whose handlers refer to connections.
     CallerShare m_callerShare;
+    Base::MemoryBudget m_answerMemory{0};
     boost::asio::io_context m_io{BOOST_ASIO_CONCURRENCY_HINT_UNSAFE};
     boost::asio::steady_timer m_timer{m_io};
     boost::asio::signal_set m_signals{m_io};
--- a/src/libs/gateway/gatewaylifecycle.cpp
+++ b/src/libs/gateway/gatewaylifecycle.cpp
@@ -67,7 +67,7 @@
     m_settings.requestLinesPerSecond = settings.requestLinesPerSecond;
     m_settings.memoryBytes = settings.memoryBytes;
     m_settings.fileDescriptors = settings.fileDescriptors;
-    limitCallers();
+    limitMemory();
     m_replica->applySettings(m_settings);
     m_log.setRequestLineLimit(settings.requestLinesPerSecond);
     m_services->retryAllowanceChanged(settings.retries);
--- a/src/libs/gateway/gatewaysettings.h
+++ b/src/libs/gateway/gatewaysettings.h
@@ -35,7 +35,8 @@
     std::optional<Settings::Address> metricsAddress;
     /// Processor capacity that this process may use, in thousandths of a core.
     Routing::MilliCores processor = 1000;
-    /// Memory that this process may use, in bytes. A third of it is for callers' requests.
+    /// Memory that this process may use, in bytes. A third of it is for callers' requests, and a
+    /// third for answers.
     std::size_t memoryBytes = 256'000'000;
     /// File descriptors that this process may open; a quarter is kept for its own connections. 0 if
     /// only the limit of the operating system holds.
--- a/src/libs/gateway/outputbuffer.h
+++ b/src/libs/gateway/outputbuffer.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace Gateway {
 
@@ -16,9 +17,17 @@
 class OutputBuffer
 {
 public:
-    void append(std::string_view data) { m_text.append(data); }
-    /// Appends \a data without a copy. Nothing else may be appended before all is written.
-    void appendShared(std::shared_ptr<const std::string> data) { m_shared = std::move(data); }
+    void append(std::string_view data)
+    {
+        copyShared();
+        m_text.append(data);
+    }
+    /// Appends \a data without a copy, unless more is appended before it is written.
+    void appendShared(std::shared_ptr<const std::string> data)
+    {
+        copyShared();
+        m_shared = std::move(data);
+    }
     /// Writes as much as the socket accepts without blocking and returns the number of bytes
     /// written. \a ec is set if the connection is broken.
     std::size_t flush(Tcp::socket &socket, boost::system::error_code &ec)
@@ -69,6 +78,13 @@
     /// Memory that an empty buffer keeps for the next bytes.
     static constexpr std::size_t keptBytes = 16384;
 
+    /// Makes room for what follows the shared bytes.
+    void copyShared()
+    {
+        if (m_shared)
+            m_text.append(*std::exchange(m_shared, nullptr));
+    }
+
     std::string m_text;
     std::shared_ptr<const std::string> m_shared;
     /// How many bytes of both have been written.
--- a/tests/auto/gateway/fakeexchangeport.h
+++ b/tests/auto/gateway/fakeexchangeport.h
@@ -54,6 +54,8 @@
                                public ServerObserver
 {
 public:
+    Base::MemoryBudget answers{128U << 20};
+
     explicit FakeExchangePort(int servers = 1)
         : m_logFile(memfd_create("log", MFD_CLOEXEC))
         , m_log(m_logFile, 100)
@@ -114,6 +116,7 @@
     void attemptEnded(const AcceptedRequest &, const ComparedAttempt &) override {}
     Base::Duration usualStart(const std::string &, Routing::WorkId) override { return {}; }
     bool mayUseKeys() override { return true; }
+    Base::MemoryBudget &answerMemory() override { return answers; }
     BackendPool &backends() override { return m_pool; }
     const HeaderNames &names() override { return m_names; }
     EventLog &log() override { return m_log; }
--- a/tests/auto/gateway/tst_endlessanswers.cpp
+++ b/tests/auto/gateway/tst_endlessanswers.cpp
@@ -130,6 +130,73 @@
 
 } // namespace
 
+namespace {
+
+/// An answer that holds memory of the same budget.
+class OtherAnswer final : public Base::MemoryHolder
+{
+public:
+    OtherAnswer(Base::MemoryBudget &budget, std::size_t bytes, Base::Duration age)
+        : reservation(budget, *this, bootTimeNow() - age)
+    {
+        CHECK(reservation.resize(bytes, bootTimeNow()));
+    }
+    bool giveWay() override
+    {
+        hasGivenWay = true;
+        return true;
+    }
+
+    bool hasGivenWay = false;
+    Base::MemoryBudget::Reservation reservation;
+};
+
+} // namespace
+
+// Guards against answers that are each within their limit and end the process together.
+TEST_CASE("an answer beyond the memory for answers fails its attempt", "[gateway][endless]")
+{
+    SentRequest request(Routing::WorkKind::NotIdempotent);
+    request.port.answers.setBytes(8 * mebibyte);
+    write(*request.server, okHead + "\r\n");
+    CHECK(request.offer(std::string(kibibyte, 'x'), longAnswerBytes) < 8 * mebibyte + socketBytes);
+    CHECK(request.isClosed());
+    CHECK(request.isFailed());
+    CHECK(request.isLogged("no_memory"));
+    CHECK(request.port.answers.usedBytes() == 0);
+}
+
+TEST_CASE("the answer that has occupied most memory gives way", "[gateway][endless]")
+{
+    SentRequest request(Routing::WorkKind::NotIdempotent);
+    request.port.answers.setBytes(8 * mebibyte);
+    const std::string body(4 * mebibyte, 'x');
+    SECTION("another one")
+    {
+        OtherAnswer other(request.port.answers, 6 * mebibyte, std::chrono::hours(1));
+        write(*request.server,
+              okHead + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n");
+        request.offer(body, body.size());
+        CHECK(request.port.pollUntil([&] { return !request.sink.statuses.empty(); }));
+        CHECK(other.hasGivenWay);
+        CHECK(request.sink.statuses == std::vector<unsigned>{200});
+        CHECK(request.sink.text == body);
+    }
+    SECTION("this one, which then ends")
+    {
+        write(*request.server,
+              okHead + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n");
+        request.offer(body.substr(1), body.size() - 1);
+        request.port.pollUntil([&] { return request.port.answers.usedBytes() > 3 * mebibyte; });
+        OtherAnswer other(request.port.answers, 1, std::chrono::seconds(0));
+        other.reservation.keep();
+        CHECK(other.reservation.resize(6 * mebibyte, bootTimeNow()));
+        write(*request.server, "x");
+        CHECK(request.port.pollUntil([&] { return !request.sink.statuses.empty(); }));
+        CHECK(request.isFailed());
+    }
+}
+
 // Guards against memory that a head without end takes, whichever pieces it comes in.
 TEST_CASE("a head without end fails the attempt", "[gateway][endless]")
 {
