--- a/src/libs/gateway/answersink.h
+++ b/src/libs/gateway/answersink.h
@@ -19,7 +19,8 @@
     virtual ~AnswerSink() = default;
     virtual void sendAnswer(const ResponseHead &head, std::string_view body) = 0;
     /// The same with a body that is not copied. It is released once the caller has read it.
-    virtual void sendLargeAnswer(const ResponseHead &head, std::shared_ptr<const std::string> body)
+    virtual void sendLargeAnswer(const ResponseHead &head,
+                                 const std::shared_ptr<const std::string> &body)
     {
         sendAnswer(head, *body);
     }
--- a/src/libs/gateway/callerconnection.cpp
+++ b/src/libs/gateway/callerconnection.cpp
@@ -329,12 +329,12 @@
 }
 
 void CallerConnection::sendLargeAnswer(const ResponseHead &head,
-                                       std::shared_ptr<const std::string> body)
+                                       const std::shared_ptr<const std::string> &body)
 {
     m_closesAfterAnswer |= m_context.limits.closesAfterAnswer;
     m_output.append(answerHeadText(head, BodyFraming::Length, body->size(), m_closesAfterAnswer));
     if (!m_isHead)
-        m_output.appendShared(std::move(body));
+        m_output.appendShared(body);
     finishAnswer();
 }
 
--- a/src/libs/gateway/callerconnection.h
+++ b/src/libs/gateway/callerconnection.h
@@ -110,7 +110,7 @@
 
     void sendAnswer(const ResponseHead &head, std::string_view body) override;
     void sendLargeAnswer(const ResponseHead &head,
-                         std::shared_ptr<const std::string> body) override;
+                         const std::shared_ptr<const std::string> &body) override;
     void startStream(const ResponseHead &head) override;
     void sendEvents(std::string_view data) override;
     void endStream() override;
--- a/tests/processes/crowd.cpp
+++ b/tests/processes/crowd.cpp
@@ -53,7 +53,7 @@
 class LargeChunk : public Body
 {
 public:
-    explicit LargeChunk(std::size_t size, std::string rest = {})
+    explicit LargeChunk(std::size_t size, const std::string &rest = {})
         : m_text(chunkOf(size) + rest)
     {}
     std::string next() override { return std::exchange(m_text, {}); }
