Move the limits of memory and the sending of whole answers to the files of their duties

No change of behaviour: limitMemory() to gatewaylifecycle.cpp, beside the other settings that may change while the process runs; sendWholeAnswer() to exchangeend.cpp, "how an exchange ends". Found on the read- through: gateway.cpp and exchange.cpp had grown past what one reads at once.

--- a/src/libs/gateway/exchange.cpp
+++ b/src/libs/gateway/exchange.cpp
@@ -21,8 +21,6 @@
 /// Another attempt cannot end in time if less time than this is left.
 constexpr Base::Duration minTimeLeft = milliseconds(40);
 constexpr Base::Milliseconds defaultRetryAfter{300};
-/// Bodies up to this size are copied behind their head, and written in one system call.
-constexpr std::size_t maxCopiedBodyBytes = 16384;
 
 bool isEventStreamHead(const ResponseHead &head)
 {
@@ -364,17 +362,6 @@
     finish(answeredOutcome);
 }
 
-void Exchange::sendWholeAnswer(Attempt &attempt)
-{
-    if (attempt.body.text.size() <= maxCopiedBodyBytes) {
-        m_sink->sendAnswer(attempt.head, attempt.body.text);
-        return;
-    }
-    attempt.body.memory.keep();
-    const auto held = std::make_shared<HeldBody>(std::move(attempt.body));
-    m_sink->sendLargeAnswer(attempt.head, {held, &held->text});
-}
-
 bool Exchange::isAnswerTrusted(const ResponseHead &head) const
 {
     // An answer proves that the request did not run only if it has the field that says so, and it
--- a/src/libs/gateway/exchange.h
+++ b/src/libs/gateway/exchange.h
@@ -150,6 +150,8 @@
 private:
     /// The first pause between two searches for another server. It doubles each time.
     static constexpr Base::Duration minSeekPause = std::chrono::milliseconds(500);
+    /// Bodies up to this size are copied behind their head, and written in one system call.
+    static constexpr std::size_t maxCopiedBodyBytes = 16384;
     /// The outcome of a request whose server's whole answer was passed on.
     static constexpr const char *answeredOutcome = "answered";
 
--- a/src/libs/gateway/exchangeend.cpp
+++ b/src/libs/gateway/exchangeend.cpp
@@ -11,6 +11,17 @@
 
 using Routing::AttemptOutcome;
 
+void Exchange::sendWholeAnswer(Attempt &attempt)
+{
+    if (attempt.body.text.size() <= maxCopiedBodyBytes) {
+        m_sink->sendAnswer(attempt.head, attempt.body.text);
+        return;
+    }
+    attempt.body.memory.keep();
+    const auto held = std::make_shared<HeldBody>(std::move(attempt.body));
+    m_sink->sendLargeAnswer(attempt.head, {held, &held->text});
+}
+
 void Exchange::fail(Failure failure)
 {
     if (m_silent) {
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -5,12 +5,10 @@
 #include "gateway/serverchangelog.h"
 #include "gateway/storeintervals.h"
 
-#include <sys/resource.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <chrono>
-#include <limits>
 #include <set>
 #include <string>
 #include <utility>
@@ -26,12 +24,6 @@
 constexpr Base::Duration tickInterval = milliseconds(25);
 constexpr Base::Duration slowCheckInterval = milliseconds(500);
 constexpr std::size_t readBufferBytes = 65536;
-/// One part in so many of the process's memory is for callers' requests.
-constexpr std::size_t callerMemoryPart = 3;
-/// One part in so many of it is for answers that are kept until they are whole and read.
-constexpr std::size_t answerMemoryPart = 3;
-/// One part in so many of the process's file descriptors is for its own connections.
-constexpr std::size_t ownDescriptorPart = 4;
 /// Share of a server's connections that all hosts together open. The rest is kept free because
 /// hosts come and go and a busy server accepts fewer connections.
 constexpr double openConnectionShare = 0.8;
@@ -74,19 +66,6 @@
     limitMemory();
 }
 
-void Gateway::limitMemory()
-{
-    m_callerShare.memory.setBytes(m_settings.memoryBytes / callerMemoryPart);
-    m_answerMemory.setBytes(m_settings.memoryBytes / answerMemoryPart);
-    rlimit limit{};
-    std::size_t descriptors = std::numeric_limits<std::size_t>::max();
-    if (getrlimit(RLIMIT_NOFILE, &limit) == 0)
-        descriptors = limit.rlim_cur;
-    if (m_settings.fileDescriptors > 0)
-        descriptors = std::min(descriptors, m_settings.fileDescriptors);
-    m_callerShare.maxConnections = descriptors - descriptors / ownDescriptorPart;
-}
-
 Base::Result<void> Gateway::listen()
 {
     BOOST_LEAF_ASSIGN(m_replica,
--- a/src/libs/gateway/gatewaylifecycle.cpp
+++ b/src/libs/gateway/gatewaylifecycle.cpp
@@ -3,8 +3,11 @@
 #include "gateway/boottime.h"
 #include "gateway/gateway.h"
 
+#include <sys/resource.h>
+
 #include <algorithm>
 #include <csignal>
+#include <limits>
 #include <memory>
 #include <vector>
 
@@ -14,6 +17,12 @@
 
 /// Another host can take the request at once.
 constexpr Base::Milliseconds leavingRetryAfter{50};
+/// One part in so many of the process's memory is for callers' requests.
+constexpr std::size_t callerMemoryPart = 3;
+/// One part in so many of it is for answers that are kept until they are whole and read.
+constexpr std::size_t answerMemoryPart = 3;
+/// One part in so many of the process's file descriptors is for its own connections.
+constexpr std::size_t ownDescriptorPart = 4;
 
 } // namespace
 
@@ -73,6 +82,19 @@
     m_services->retryAllowanceChanged(settings.retries);
 }
 
+void Gateway::limitMemory()
+{
+    m_callerShare.memory.setBytes(m_settings.memoryBytes / callerMemoryPart);
+    m_answerMemory.setBytes(m_settings.memoryBytes / answerMemoryPart);
+    rlimit limit{};
+    std::size_t descriptors = std::numeric_limits<std::size_t>::max();
+    if (getrlimit(RLIMIT_NOFILE, &limit) == 0)
+        descriptors = limit.rlim_cur;
+    if (m_settings.fileDescriptors > 0)
+        descriptors = std::min(descriptors, m_settings.fileDescriptors);
+    m_callerShare.maxConnections = descriptors - descriptors / ownDescriptorPart;
+}
+
 void Gateway::beginShutdown()
 {
     if (m_shutdown)
