Refuse answers whose status HTTP does not have

Callers of a gateway got "HTTP/1.1 0", "1" or "99" with the server's body, and 600 or 999, as answers of servers in trouble, for streams too. The client of the store and of other hosts took them as well, and a late answer with such a status was skipped.

Cause: the parser takes any three digits as a status, and each reader only compared the ranges that it cares for. A 2xx needs the server's signature, any other status was passed on.

Broken names of fields failed in all places before; that test is kept.

isAnswerHead() is now the only check of a head and is called where heads are taken in, at both readers, so nothing of a broken one is used: the server counts as failed, and another try is made only where the request may be repeated. A 101, which nobody asks for, is refused too; it was skipped as an interim answer.

--- a/src/libs/gateway/backendconnection.cpp
+++ b/src/libs/gateway/backendconnection.cpp
@@ -335,7 +335,7 @@
 {
     m_isHeadSeen = true;
     const ResponseHead &head = m_parser->get().base();
-    if (answerFraming(head) != Framing::Clear || countOf(head, m_names->requestId) > 1
+    if (!isAnswerHead(head) || countOf(head, m_names->requestId) > 1
         || countOf(head, m_names->signature) > 1) {
         fail(Routing::AttemptOutcome::Broken, AnswerFault::Malformed);
         return;
--- a/src/libs/gateway/httpclient.cpp
+++ b/src/libs/gateway/httpclient.cpp
@@ -192,7 +192,7 @@
 AnswerFault HttpClient::headParsed()
 {
     const ResponseHead &head = m_parser->get().base();
-    if (answerFraming(head) != Framing::Clear)
+    if (!isAnswerHead(head))
         return AnswerFault::Malformed;
     if (Http::to_status_class(head.result_int()) == Http::status_class::informational) {
         if (++m_interimAnswers > maxInterimAnswers)
--- a/src/libs/gateway/messageframing.cpp
+++ b/src/libs/gateway/messageframing.cpp
@@ -1,5 +1,7 @@
 #include "gateway/messageframing.h"
 
+#include "untrusted/answerhead.h"
+
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
 
@@ -101,9 +103,10 @@
     return found.hosts > 1 ? Framing::Malformed : framingOf(head, found, head.version());
 }
 
-Framing answerFraming(const ResponseHead &head)
+bool isAnswerHead(const ResponseHead &head)
 {
-    return framingOf(head, framingFields(head), head.version());
+    return Untrusted::isAnswerStatus(head.result_int())
+           && framingOf(head, framingFields(head), head.version()) == Framing::Clear;
 }
 
 bool endsWithConnection(const ResponseHead &head)
--- a/src/libs/gateway/messageframing.h
+++ b/src/libs/gateway/messageframing.h
@@ -19,7 +19,10 @@
 /// Decides by RFC 9112 whether the end of a message is clear. Of the forms that recipients may read
 /// in several ways none is clear, also where the RFC allows it to be read.
 Framing requestFraming(const RequestHead &head);
-Framing answerFraming(const ResponseHead &head);
+/// Whether \a head has a status of HTTP and tells by the same rules where its answer ends. Any
+/// other head is no answer. Called by everyone who reads answers, before anything else of a head is
+/// used.
+bool isAnswerHead(const ResponseHead &head);
 /// Whether the answer with \a head has neither a length nor chunks.
 bool endsWithConnection(const ResponseHead &head);
 /// HTTP status with which a request is refused whose framing is not clear.
--- a/tests/auto/gateway/fakeexchangeport.h
+++ b/tests/auto/gateway/fakeexchangeport.h
@@ -144,13 +144,15 @@
     /// Starts a request of \a kind.
     /// \a resumed is the stream that the request takes up, if it is not empty.
     std::shared_ptr<Exchange> exchange(RecordingSink &sink, Routing::WorkKind kind,
-                                       const std::string &resumed = {})
+                                       const std::string &resumed = {},
+                                       const std::string &body = {})
     {
         AcceptedRequest accepted;
         accepted.id = 2;
         accepted.requestId = "r-1";
         accepted.request.message.method(Http::verb::get);
         accepted.request.message.target("/read/x");
+        accepted.request.message.body() = body;
         accepted.request.readAt = now();
         if (!resumed.empty())
             accepted.request.message.set(m_names.resumedRequestId, resumed);
@@ -203,13 +205,17 @@
         }
         return isDone();
     }
-    /// Accepts the connection that is made to the server, and reads the request on it.
-    Tcp::socket acceptRequest(int server = 1)
+    /// Accepts the connection that is made to the server, and reads the head of the request on it.
+    /// \a text becomes what was read, the begin of a body included.
+    Tcp::socket acceptRequest(int server = 1, std::string *text = nullptr)
     {
         REQUIRE(pollUntil([&] { return backend(server).isCalled(); }));
         Tcp::socket socket = backend(server).accept();
         REQUIRE(pollUntil([&] { return LoopbackServer::isReadable(socket.native_handle()); }));
-        CHECK_FALSE(LoopbackServer::readRequest(socket).empty());
+        const std::string read = LoopbackServer::readRequest(socket);
+        CHECK_FALSE(read.empty());
+        if (text)
+            *text = read;
         return socket;
     }
 
