Refuse broken heads that the routers' HTTP library takes

Callers of the product's own routers got a 200 from heads that are none: a blank, a tab or a control byte in the name of a field, before the colon too, an empty name, folded lines, bare LF, control bytes in a value or behind the status, HTTP/2.0, 600 and 999, and the body behind a 101. A length or a coding in such a line was ignored. Answers of the platform were taken as well.

Cause: libcurl takes these lines, and the callback that it reports them to skipped what it did not know.

AnswerHeadReader reads each line of all heads and trailers by RFC 9112 and fails the transfer at the first broken one, before its body is used. It uses the same rule for a status as the gateways. All transfers of the routers go through HttpTransfer, so calls, chat, loads, cancels and the platform are covered at once.

--- a/src/libs/daemon/httptransfer.cpp
+++ b/src/libs/daemon/httptransfer.cpp
@@ -2,42 +2,10 @@
 
 #include "daemon/daemonconstants.h"
 
-#include <charconv>
-
 #include <strings.h>
 
 namespace Daemon {
 
-namespace {
-
-constexpr int firstFinalStatus = 200;
-
-std::string_view trimmed(std::string_view text)
-{
-    const std::size_t begin = text.find_first_not_of(" \t");
-    if (begin == std::string_view::npos)
-        return {};
-    return text.substr(begin, text.find_last_not_of(" \t\r\n") - begin + 1);
-}
-
-/// Returns the status of a line such as "HTTP/1.1 200 OK", or 0 if it is no status line.
-int parseStatusLine(std::string_view line)
-{
-    const std::size_t blank = line.find(' ');
-    if (line.rfind("HTTP/", 0) != 0 || blank == std::string_view::npos)
-        return 0;
-    int status = 0;
-    std::from_chars(line.data() + blank + 1, line.data() + line.size(), status);
-    return status;
-}
-
-bool isLineEnd(std::string_view line)
-{
-    return line == "\r\n" || line == "\n";
-}
-
-} // namespace
-
 bool equalsIgnoringCase(std::string_view text, std::string_view wanted)
 {
     return text.size() == wanted.size()
@@ -49,18 +17,11 @@
     static std::size_t header(char *data, std::size_t, std::size_t size, void *transfer)
     {
         auto &self = *static_cast<HttpTransfer *>(transfer);
-        const std::string_view line(data, size);
-        if (const int status = parseStatusLine(line)) {
-            self.m_status = status;
-            return size;
-        }
-        if (isLineEnd(line)) {
-            self.m_isHeadComplete |= self.m_status >= firstFinalStatus;
-            return size;
-        }
-        const std::size_t colon = line.find(':');
-        if (colon != std::string_view::npos)
-            self.receiveHeader(line.substr(0, colon), trimmed(line.substr(colon + 1)));
+        // Any other count than that of the bytes fails the transfer.
+        if (!self.m_head.read({data, size}))
+            return 0;
+        if (const auto &field = self.m_head.field())
+            self.receiveHeader(field->name, field->value);
         return size;
     }
 
@@ -98,14 +59,9 @@
 
 HttpTransfer::~HttpTransfer() = default;
 
-bool HttpTransfer::isInFinalHead() const
-{
-    return m_status >= firstFinalStatus && !m_isHeadComplete;
-}
-
 void HttpTransfer::end(CURLcode code)
 {
-    finished(code == CURLE_OK && !m_isHeadComplete ? CURLE_WEIRD_SERVER_REPLY : code);
+    finished(code == CURLE_OK && !isHeadComplete() ? CURLE_WEIRD_SERVER_REPLY : code);
 }
 
 void HttpTransfer::setOptions(const TransferRequest &request)
--- a/src/libs/daemon/httptransfer.h
+++ b/src/libs/daemon/httptransfer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/time.h"
+#include "untrusted/answerheadreader.h"
 
 #include <cstddef>
 #include <memory>
@@ -29,7 +30,8 @@
 /// Compares names or values of header fields.
 bool equalsIgnoringCase(std::string_view text, std::string_view wanted);
 
-/// One outgoing HTTP request and its answer. It runs on the thread of a TransferLoop.
+/// One outgoing HTTP request and its answer. It runs on the thread of a TransferLoop. It fails if a
+/// line of a head or of the trailers is broken.
 class HttpTransfer
 {
 public:
@@ -42,7 +44,7 @@
     /// Whether a byte of the request has left this process, on any connection.
     bool isSent() const { return m_isSent; }
     /// HTTP status of the answer; 0 until its head arrives.
-    int status() const { return m_status; }
+    int status() const { return m_head.status(); }
     bool isExpired(Base::TimePoint now) const { return now >= m_deadline; }
 
     /// Called once when the transfer ends, with the library's result \a code. A transfer that is
@@ -56,13 +58,13 @@
     /// Called by end(). With CURLE_OK, the answer is complete.
     virtual void finished(CURLcode code) = 0;
     /// Called for each field of any head, also of a 1xx answer and of the trailers; \a value is
-    /// trimmed and never spans several lines.
+    /// trimmed.
     virtual void receiveHeader(std::string_view name, std::string_view value) = 0;
     /// Called for each piece of the body. Returns whether to continue; false fails the transfer.
     virtual bool receiveBody(std::string_view bytes) = 0;
     /// Whether the fields that arrive now belong to the head of the final answer.
-    bool isInFinalHead() const;
-    bool isHeadComplete() const { return m_isHeadComplete; }
+    bool isInFinalHead() const { return m_head.isInFinalHead(); }
+    bool isHeadComplete() const { return m_head.isComplete(); }
     void setDeadline(Base::TimePoint deadline) { m_deadline = deadline; }
 
 private:
@@ -82,10 +84,9 @@
     std::unique_ptr<curl_slist, ListDeleter> m_headers;
     std::string m_body;
     Base::TimePoint m_deadline;
-    int m_status = 0;
+    /// The library takes many broken lines, and reports all of them here.
+    Untrusted::AnswerHeadReader m_head;
     bool m_isSent = false;
-    /// Whether the empty line after the head of the final answer has arrived.
-    bool m_isHeadComplete = false;
 };
 
 } // namespace Daemon
--- a/tests/auto/daemon/scriptedserver.cpp
+++ b/tests/auto/daemon/scriptedserver.cpp
@@ -72,6 +72,12 @@
     return request;
 }
 
+void ScriptedConnection::readBegin()
+{
+    char byte = 0;
+    ::recv(m_socket, &byte, 1, 0);
+}
+
 bool ScriptedConnection::write(const std::string &bytes)
 {
     std::size_t written = 0;
@@ -100,6 +106,11 @@
     }
 }
 
+void ScriptedConnection::closeSending()
+{
+    ::shutdown(m_socket, SHUT_WR);
+}
+
 void ScriptedConnection::reset()
 {
     const linger now{1, 0};
--- a/tests/auto/daemon/scriptedserver.h
+++ b/tests/auto/daemon/scriptedserver.h
@@ -20,12 +20,16 @@
     /// Returns the head and the body of the next request, or nothing if the other side has closed
     /// the connection.
     std::string readRequest();
+    /// Waits for the first bytes of a request, and leaves most of them unread.
+    void readBegin();
     /// Sends \a bytes. Returns whether the system has accepted all of them.
     bool write(const std::string &bytes);
     /// Waits until the other side closes the connection.
     void waitForClose();
     /// Waits until the other side's system has received all that was sent.
     void waitUntilReceived();
+    /// Ends the answer, as a server does that goes on reading.
+    void closeSending();
     /// Makes the connection end with a reset, so that bytes in transit are lost.
     void reset();
 
--- a/tests/auto/daemon/tst_backendclient.cpp
+++ b/tests/auto/daemon/tst_backendclient.cpp
@@ -1,6 +1,6 @@
+#include "clientfixture.h"
 #include "scriptedserver.h"
 
-#include "daemon/httpbackendclient.h"
 #include "support/oddbytes.h"
 
 #include <catch2/catch.hpp>
@@ -20,62 +20,9 @@
            + content + "\"}}]}\n\n";
 }
 
-std::string fixedAnswer(const std::string &head, const std::string &body)
-{
-    return head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-}
-
-Node::BackendRequest requestTo(const std::string &address)
-{
-    Node::BackendRequest request;
-    request.attempt = {{Base::HostId("r1"), 7, 3}, 1};
-    request.server = Base::ServerId("m1");
-    request.address = address;
-    request.path = "/v1/chat/completions";
-    request.contentType = "application/json";
-    request.body = R"({"model":"m"})";
-    return request;
-}
-
-/// A client, and the events that it pushes for the node.
-class Fixture
-{
-public:
-    explicit Fixture(std::size_t ringCapacity = 64)
-        : m_ring(ringCapacity)
-    {
-        auto created = HttpBackendClient::create(m_ring);
-        REQUIRE(created);
-        m_client = std::move(*created);
-    }
-
-    HttpBackendClient &client() { return *m_client; }
-    EventRing &ring() { return m_ring; }
-
-    /// Returns the next event. The time limit only keeps a failing test from hanging.
-    Node::Event next()
-    {
-        const auto event = m_ring.popFor(std::chrono::seconds(20));
-        REQUIRE(event);
-        return *event;
-    }
-
-    template <typename Event>
-    Event expect()
-    {
-        const Node::Event event = next();
-        REQUIRE(std::holds_alternative<Event>(event));
-        return std::get<Event>(event);
-    }
-
-private:
-    EventRing m_ring;
-    std::unique_ptr<HttpBackendClient> m_client;
-};
-
 Node::BackendFailed failureAt(const std::string &address)
 {
-    Fixture fixture;
+    ClientFixture fixture;
     fixture.client().send(requestTo(address));
     return fixture.expect<Node::BackendFailed>();
 }
@@ -106,7 +53,7 @@
                  + "id: 2\ndata: {\"lagoonmast_tokens\":5,\"usage\":{\"prompt_tokens\":9}}\n\n"
                    "data: [DONE]\n\n");
     });
-    Fixture fixture;
+    ClientFixture fixture;
     Node::BackendRequest request = requestTo(server.address());
     request.idempotencyKey = "key";
     request.fence = 4;
@@ -166,7 +113,7 @@
             it.readRequest();
             it.write(chatHead + event(0, "a") + rest);
         });
-        Fixture fixture;
+        ClientFixture fixture;
         fixture.client().send(requestTo(server.address()));
         fixture.expect<Node::BackendHead>();
         fixture.expect<Node::BackendPart>();
@@ -198,7 +145,7 @@
                     if (isReset)
                         it.reset();
                 });
-                Fixture fixture;
+                ClientFixture fixture;
                 Node::BackendRequest request = requestTo(server.address());
                 request.kind = Node::WorkKind::ServiceCall;
                 fixture.client().send(request);
@@ -249,7 +196,7 @@
             return;
         }
     });
-    Fixture fixture;
+    ClientFixture fixture;
     fixture.client().pollLoad(Base::ServerId("m1"), server.address());
     CHECK(fixture.expect<Node::BackendLoad>().report.running == 1);
     fixture.client().send(requestTo(server.address()));
@@ -274,7 +221,7 @@
             repeated.push(1);
         }
     });
-    Fixture fixture;
+    ClientFixture fixture;
     for (const char *body : {"old", "new"}) {
         Node::BackendRequest request = requestTo(server.address());
         request.kind = Node::WorkKind::ServiceCall;
@@ -293,7 +240,7 @@
         while (!it.readRequest().empty())
             it.write(fixedAnswer("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n", "ok"));
     });
-    Fixture fixture;
+    ClientFixture fixture;
     fixture.client().pollLoad(Base::ServerId("m1"), server.address());
     fixture.expect<Node::BackendLoad>();
     Node::BackendRequest request = requestTo(server.address());
@@ -308,7 +255,7 @@
 
 TEST_CASE("A service's error is its answer, unless it says that it did not run")
 {
-    Fixture fixture;
+    ClientFixture fixture;
     const auto callAt = [&](const ScriptedServer &server) {
         Node::BackendRequest request = requestTo(server.address());
         request.kind = Node::WorkKind::ServiceCall;
@@ -344,7 +291,7 @@
         it.waitForClose();
         observed.push("closed");
     });
-    Fixture fixture;
+    ClientFixture fixture;
     const Node::BackendRequest request = requestTo(server.address());
     fixture.client().send(request);
     fixture.expect<Node::BackendHead>();
@@ -372,7 +319,7 @@
     });
     // Only the pause can stop the client: the ring has room for all events.
     constexpr std::size_t ringCapacity = 16000;
-    Fixture fixture(ringCapacity);
+    ClientFixture fixture(ringCapacity);
     const Node::BackendRequest request = requestTo(server.address());
     fixture.client().send(request);
     fixture.expect<Node::BackendHead>();
@@ -410,7 +357,7 @@
             while (!it.readRequest().empty())
                 it.write(fixedAnswer("HTTP/1.1 200 OK\r\n", withMember(R"({"running":1})", odd)));
         });
-        Fixture fixture;
+        ClientFixture fixture;
         fixture.client().pollLoad(Base::ServerId("m1"), server.address());
         CHECK_FALSE(fixture.expect<Node::BackendLoad>().isReachable);
     }
@@ -418,7 +365,7 @@
 
 TEST_CASE("A load poll reports an unreachable server")
 {
-    Fixture fixture;
+    ClientFixture fixture;
     fixture.client().pollLoad(Base::ServerId("m1"), unusedAddress());
     CHECK_FALSE(fixture.expect<Node::BackendLoad>().isReachable);
 }
