--- a/tests/soak/soakcaller.cpp
+++ b/tests/soak/soakcaller.cpp
@@ -1,3 +1,5 @@
+#include "untrusted/answerheadreader.h"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
@@ -98,6 +100,19 @@
     return expected.compare(0, text.size(), text) == 0;
 }
 
+/// Whether \a head, which ends with the empty line, is one of HTTP.
+bool isHead(const std::string &head)
+{
+    Untrusted::AnswerHeadReader reader;
+    for (std::size_t at = 0; at < head.size();) {
+        const std::size_t end = head.find("\r\n", at) + 2;
+        if (!reader.read(std::string_view(head).substr(at, end - at)))
+            return false;
+        at = end;
+    }
+    return reader.isComplete();
+}
+
 /// The verdict on the \a answer to the request \a id.
 std::string verdictOf(const std::string &answer, const Kind &kind, const std::string &id,
                       const std::string &path)
@@ -107,6 +122,8 @@
         return "cut";
     const std::string head = answer.substr(0, headEnd);
     const std::string body = answer.substr(headEnd + 4);
+    if (!isHead(answer.substr(0, headEnd + 4)))
+        return "bad_head";
     if (answer.compare(9, 3, "200") != 0)
         return "failed";
     if (head.find("Attempt-Id: " + id) == std::string::npos)
--- a/tests/soak/stayingcaller.cpp
+++ b/tests/soak/stayingcaller.cpp
@@ -1,3 +1,5 @@
+#include "untrusted/answerhead.h"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
@@ -106,7 +108,7 @@
         http::response_parser<http::string_body> parser;
         if (!ec)
             http::read(*m_socket, m_buffer, parser, ec);
-        const bool isWhole = !ec;
+        const bool isWhole = !ec && Untrusted::isAnswerStatus(parser.get().result_int());
         const unsigned status = isWhole ? parser.get().result_int() : 0;
         if (!isWhole || !parser.get().keep_alive())
             m_socket.reset();
--- a/tests/soak/streamcaller.cpp
+++ b/tests/soak/streamcaller.cpp
@@ -1,3 +1,5 @@
+#include "untrusted/answerhead.h"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http.hpp>
 
@@ -379,6 +381,8 @@
                 if (parser.is_header_done() && answer.status == 0) {
                     answer.status = parser.get().result_int();
                     isStream = answer.status == 200;
+                    if (!Untrusted::isAnswerStatus(answer.status))
+                        checker.addFault("bad_status");
                     stamp = std::string(parser.get()["Server-Stamp"]);
                     if (isStream && parser.get()["Attempt-Id"] != id)
                         checker.addFault("bad_id");
