Cut off answers that end before their request at the routers

Callers of the product's own routers got part of an answer as a whole one, of a server that answers a long upload with a 200 without a length, ends its side and resets the connection while it is being written.

Cause: libcurl reports such an answer as complete, and the socket that could tell otherwise is closed when the transfer ends.

ClosedSockets closes the library's sockets and keeps what each knows of its end until the transfers of that turn are finished. HttpTransfer::end() decides by Base::isCutOff(), as the gateway does, and by the bytes of the request that the library has written.

--- a/src/libs/daemon/bufferedtransfer.cpp
+++ b/src/libs/daemon/bufferedtransfer.cpp
@@ -13,16 +13,7 @@
 
 void BufferedTransfer::finished(CURLcode code)
 {
-    m_done({code, isSent(), status(), m_isDelimited, std::move(m_answerBody)});
-}
-
-void BufferedTransfer::receiveHeader(std::string_view name, std::string_view value)
-{
-    if (!isInFinalHead())
-        return;
-    m_isDelimited |=
-        equalsIgnoringCase(name, "Content-Length")
-        || (equalsIgnoringCase(name, "Transfer-Encoding") && equalsIgnoringCase(value, "chunked"));
+    m_done({code, isSent(), status(), isDelimited(), std::move(m_answerBody)});
 }
 
 bool BufferedTransfer::receiveBody(std::string_view bytes)
--- a/src/libs/daemon/bufferedtransfer.h
+++ b/src/libs/daemon/bufferedtransfer.h
@@ -36,13 +36,12 @@
 
 private:
     void finished(CURLcode code) override;
-    void receiveHeader(std::string_view name, std::string_view value) override;
+    void receiveHeader(std::string_view, std::string_view) override {}
     bool receiveBody(std::string_view bytes) override;
 
     std::size_t m_maxAnswerBytes;
     Done m_done;
     std::string m_answerBody;
-    bool m_isDelimited = false;
 };
 
 } // namespace Daemon
--- a/src/libs/daemon/httptransfer.cpp
+++ b/src/libs/daemon/httptransfer.cpp
@@ -12,6 +12,18 @@
            && strncasecmp(text.data(), wanted.data(), wanted.size()) == 0;
 }
 
+namespace {
+
+/// Whether \a field tells where the body ends.
+bool tellsEnd(const Untrusted::AnswerField &field)
+{
+    return equalsIgnoringCase(field.name, "Content-Length")
+           || (equalsIgnoringCase(field.name, "Transfer-Encoding")
+               && equalsIgnoringCase(field.value, "chunked"));
+}
+
+} // namespace
+
 struct HttpTransfer::Callbacks
 {
     static std::size_t header(char *data, std::size_t, std::size_t size, void *transfer)
@@ -20,8 +32,10 @@
         // Any other count than that of the bytes fails the transfer.
         if (!self.m_head.read({data, size}))
             return 0;
-        if (const auto &field = self.m_head.field())
+        if (const auto &field = self.m_head.field()) {
+            self.m_isDelimited |= self.m_head.isInFinalHead() && tellsEnd(*field);
             self.receiveHeader(field->name, field->value);
+        }
         return size;
     }
 
@@ -59,9 +73,21 @@
 
 HttpTransfer::~HttpTransfer() = default;
 
-void HttpTransfer::end(CURLcode code)
+void HttpTransfer::end(CURLcode code, const Base::ConnectionEnd &connection)
+{
+    Base::ConnectionEnd end = connection;
+    end.isRequestReceived &= isWritten();
+    const bool isIncomplete =
+        !isHeadComplete()
+        || (!m_isDelimited && Base::isCutOff(end, static_cast<unsigned>(status())));
+    finished(code == CURLE_OK && isIncomplete ? CURLE_WEIRD_SERVER_REPLY : code);
+}
+
+bool HttpTransfer::isWritten() const
 {
-    finished(code == CURLE_OK && !isHeadComplete() ? CURLE_WEIRD_SERVER_REPLY : code);
+    curl_off_t bytes = 0;
+    return curl_easy_getinfo(handle(), CURLINFO_SIZE_UPLOAD_T, &bytes) != CURLE_OK
+           || bytes >= static_cast<curl_off_t>(m_body.size());
 }
 
 void HttpTransfer::setOptions(const TransferRequest &request)
--- a/src/libs/daemon/httptransfer.h
+++ b/src/libs/daemon/httptransfer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/connectionend.h"
 #include "base/time.h"
 #include "untrusted/answerheadreader.h"
 
@@ -47,10 +48,11 @@
     int status() const { return m_head.status(); }
     bool isExpired(Base::TimePoint now) const { return now >= m_deadline; }
 
-    /// Called once when the transfer ends, with the library's result \a code. A transfer that is
-    /// dropped from its loop gets no call. The library takes the end of the connection within the
-    /// head for the end of an answer without a length; here such a transfer fails.
-    void end(CURLcode code);
+    /// Called once when the transfer ends, with the library's result \a code and what is known of
+    /// the connection, if the transfer has closed it. A transfer that is dropped from its loop gets
+    /// no call. The library takes any end of the connection for the end of an answer without a
+    /// length; here such a transfer fails if the end comes within the head, or cuts the answer off.
+    void end(CURLcode code, const Base::ConnectionEnd &connection);
 
 protected:
     explicit HttpTransfer(const TransferRequest &request);
@@ -65,6 +67,8 @@
     /// Whether the fields that arrive now belong to the head of the final answer.
     bool isInFinalHead() const { return m_head.isInFinalHead(); }
     bool isHeadComplete() const { return m_head.isComplete(); }
+    /// Whether the head told where the body ends. Otherwise it ends with the connection.
+    bool isDelimited() const { return m_isDelimited; }
     void setDeadline(Base::TimePoint deadline) { m_deadline = deadline; }
 
 private:
@@ -79,6 +83,8 @@
     };
 
     void setOptions(const TransferRequest &request);
+    /// Whether the whole request has left this process.
+    bool isWritten() const;
 
     std::unique_ptr<CURL, HandleDeleter> m_handle;
     std::unique_ptr<curl_slist, ListDeleter> m_headers;
@@ -86,6 +92,7 @@
     Base::TimePoint m_deadline;
     /// The library takes many broken lines, and reports all of them here.
     Untrusted::AnswerHeadReader m_head;
+    bool m_isDelimited = false;
     bool m_isSent = false;
 };
 
--- a/src/libs/daemon/transferloop.cpp
+++ b/src/libs/daemon/transferloop.cpp
@@ -51,9 +51,11 @@
 void TransferLoop::add(std::unique_ptr<HttpTransfer> transfer)
 {
     CURL *const handle = transfer->handle();
+    if (handle)
+        m_closedSockets.watch(handle);
     const bool isAdded = handle && curl_multi_add_handle(m_multi, handle) == CURLM_OK;
     if (!isAdded) {
-        transfer->end(CURLE_FAILED_INIT);
+        transfer->end(CURLE_FAILED_INIT, {});
         return;
     }
     m_transfers[handle] = std::move(transfer);
@@ -97,6 +99,7 @@
         if (message->msg == CURLMSG_DONE)
             finish(message->easy_handle, message->data.result);
     }
+    m_closedSockets.clear();
 }
 
 void TransferLoop::expire(Base::TimePoint now)
@@ -115,9 +118,10 @@
 
 void TransferLoop::finish(CURL *handle, CURLcode code)
 {
+    const Base::ConnectionEnd connection = m_closedSockets.endOf(handle);
     const std::unique_ptr<HttpTransfer> transfer = remove(handle);
     if (transfer)
-        transfer->end(code);
+        transfer->end(code, connection);
 }
 
 std::unique_ptr<HttpTransfer> TransferLoop::remove(CURL *handle)
--- a/src/libs/daemon/transferloop.h
+++ b/src/libs/daemon/transferloop.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/result.h"
+#include "daemon/closedsockets.h"
 #include "daemon/httptransfer.h"
 
 #include <functional>
@@ -61,6 +62,7 @@
     std::unique_ptr<HttpTransfer> remove(CURL *handle);
 
     CURLM *m_multi;
+    ClosedSockets m_closedSockets;
     Transfers m_transfers;
     Base::TimePoint m_nextExpiry{};
     std::mutex m_mutex;
--- /dev/null
+++ b/tests/auto/daemon/tst_cutuploads.cpp
@@ -0,0 +1,50 @@
+#include "clientfixture.h"
+#include "scriptedserver.h"
+
+#include <catch2/catch.hpp>
+
+#include <chrono>
+#include <string>
+#include <thread>
+
+using namespace Daemon;
+
+namespace {
+
+constexpr std::size_t mebibyte = 1024 * 1024;
+const std::string okLine = "HTTP/1.1 200 OK\r\n";
+
+} // namespace
+
+// Guards against part of an answer that a caller gets as a whole one, since its server stopped
+// while the request was still being written.
+TEST_CASE("An answer without a length is cut off if it ends before its request", "[cutupload]")
+{
+    const bool isReset = GENERATE(false, true);
+    const std::size_t bytes = GENERATE(mebibyte / 2, mebibyte, 4 * mebibyte);
+    CAPTURE(isReset, bytes);
+    const ScriptedServer server([&](ScriptedConnection &it) {
+        it.readBegin();
+        it.write(okLine + "\r\nhello");
+        it.closeSending();
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        if (isReset)
+            it.reset();
+    });
+    CHECK(seenOf(callTo(server, std::string(bytes, 'u'))).isFailed());
+}
+
+// Guards against sound answers that are taken for cut ones.
+TEST_CASE("An answer without a length is whole once its request has arrived", "[cutupload]")
+{
+    for (const std::size_t bytes : {std::size_t(1), mebibyte, 4 * mebibyte}) {
+        CAPTURE(bytes);
+        const ScriptedServer server([&](ScriptedConnection &it) {
+            it.readRequest();
+            it.write(okLine + "\r\nhello");
+        });
+        const SeenAnswer seen = seenOf(callTo(server, std::string(bytes, 'u')));
+        CHECK(seen.isFinished);
+        CHECK(seen.text == "hello");
+    }
+}
