Bound the answers that a router keeps

A faulty server that sends a body without end made a router grow with it: with the answer to a call that may not be repeated, which is kept for a repeated call, and with a stream of which one completion is made.

Cause: neither OpenRequest::storedAnswer nor CompletionAssembler had a limit.

Evidence on the code before: tst_node "an answer without end is not kept for a repeated call", all 64 parts of 1 MiB were kept and nothing was cancelled; tst_daemon "A completion without end is given up" got no answer for 100 s, until I ended it.

Each has a limit of 16 MiB now, what the platform's client reads back. Beyond it the attempt is cancelled and fails as one that may have run. Both tests pass.

--- a/src/libs/daemon/daemonconstants.h
+++ b/src/libs/daemon/daemonconstants.h
@@ -55,6 +55,8 @@
 inline constexpr std::size_t platformConnections = 32;
 /// Longest time between two checks of the deadlines of transfers.
 inline constexpr Base::Milliseconds transferLoopInterval{100};
+/// Largest answer, in bytes, of which one completion is made for a caller who wants no stream.
+inline constexpr std::size_t maxCompletionBytes = 16777216;
 /// Largest event of a model's stream in bytes; a server that sends a larger one counts as failed.
 inline constexpr std::size_t maxSseEventBytes = 1048576;
 /// Largest answer of the platform that is read, in bytes.
--- a/src/libs/daemon/httpserver.cpp
+++ b/src/libs/daemon/httpserver.cpp
@@ -336,8 +336,14 @@
                                 const Node::AnswerHead &head, _u_response &response)
 {
     CompletionAssembler assembler;
+    std::size_t bytes = 0;
     while (const std::optional<SessionItem> item = session->take()) {
         if (const auto *part = std::get_if<Node::AnswerPart>(&*item)) {
+            bytes += part->payload.size();
+            if (bytes > maxCompletionBytes) {
+                respondTooLong(head, response);
+                return;
+            }
             assembler.add(part->payload);
             continue;
         }
@@ -355,6 +361,17 @@
     respondGivenUp(response);
 }
 
+void HttpServer::respondTooLong(const Node::AnswerHead &head, _u_response &response)
+{
+    Node::Failure failure;
+    failure.type = Node::FailureType::BackendFailed;
+    failure.message = "the answer is longer than " + std::to_string(maxCompletionBytes)
+                      + " bytes, and no stream was asked for";
+    failure.ran = Node::Ran::Unknown;
+    failure.requestId = head.requestId;
+    respondFailure(response, failure);
+}
+
 void HttpServer::respondGivenUp(_u_response &response)
 {
     Node::Failure failure;
--- a/src/libs/daemon/httpserver.h
+++ b/src/libs/daemon/httpserver.h
@@ -90,6 +90,8 @@
     /// Answers an exchange that was given up. A response that is left unset would be sent as an
     /// empty 200.
     void respondGivenUp(_u_response &response);
+    /// Answers for a stream that is too long for one completion.
+    static void respondTooLong(const Node::AnswerHead &head, _u_response &response);
     void refuse(RequestFault fault, _u_response &response);
     void refuseConnection(_u_response &response);
     /// Refuses a whole request for whose copies there is no memory.
--- a/src/libs/node/entryrequests.cpp
+++ b/src/libs/node/entryrequests.cpp
@@ -12,6 +12,16 @@
 
 namespace {
 
+/// Keeps \a payload for a repeated call. Returns false if the answer is too large to be kept.
+bool storePart(OpenRequest &open, const std::string &payload)
+{
+    open.storedAnswerBytes += payload.size();
+    if (open.storedAnswerBytes > maxStoredAnswerBytes)
+        return false;
+    open.storedAnswer.parts.push_back(payload);
+    return true;
+}
+
 /// Returns whether the backend server has sent nothing for backendIdleTimeout. The connection to
 /// a frozen server stays open, so without this check its caller would wait forever. A stream that
 /// is paused for a slow caller does not count as idle.
@@ -250,8 +260,10 @@
     open->received += part.units;
     if (open->received - open->charged >= m_context.settings.chargeStep)
         m_permits.charge(*open);
-    if (open->needsClaim())
-        open->storedAnswer.parts.push_back(part.payload);
+    if (open->needsClaim() && !storePart(*open, part.payload)) {
+        giveUpAttempt(part.attempt, now);
+        return;
+    }
     if (!open->isCallerDisconnected)
         m_context.environment.callers.appendAnswer(open->callerRequest.caller, {part.payload});
 }
@@ -298,6 +310,12 @@
     failWith(*open, failure, now);
 }
 
+void EntryRequests::giveUpAttempt(const AttemptId &attempt, Base::TimePoint now)
+{
+    m_context.environment.backends.cancel(attempt);
+    handleBackendFailed({attempt, SendState::MaybeRan, 0, std::nullopt}, now);
+}
+
 void EntryRequests::moveToCurrentHome(Base::TimePoint now)
 {
     for (auto &[key, open] : m_open)
@@ -334,10 +352,8 @@
     }
     for (const Base::RequestKey &key : expired)
         expire(m_open.at(key), now);
-    for (const AttemptId &attempt : idle) {
-        m_context.environment.backends.cancel(attempt);
-        handleBackendFailed({attempt, SendState::MaybeRan, 0, std::nullopt}, now);
-    }
+    for (const AttemptId &attempt : idle)
+        giveUpAttempt(attempt, now);
     for (const Base::RequestKey &key : due)
         runNextRetryStep(m_open.at(key), now);
 }
--- a/src/libs/node/entryrequests.h
+++ b/src/libs/node/entryrequests.h
@@ -106,6 +106,8 @@
     Scheduling::RetryDecision decideRetry(const OpenRequest &open, const BackendFailed &failed,
                                           Base::TimePoint now);
     void runNextRetryStep(OpenRequest &open, Base::TimePoint now);
+    /// Cancels the attempt, which may have run, and handles it as failed.
+    void giveUpAttempt(const AttemptId &attempt, Base::TimePoint now);
     /// Answers a repeated call with the stored answer of the first one.
     void replay(OpenRequest &open, const std::string &storedAnswer, Base::TimePoint now);
     void failWith(OpenRequest &open, Failure failure, Base::TimePoint now);
--- a/src/libs/node/nodeconstants.h
+++ b/src/libs/node/nodeconstants.h
@@ -3,6 +3,7 @@
 #include "base/ids.h"
 #include "base/time.h"
 
+#include <cstddef>
 #include <cstdint>
 
 namespace Node {
@@ -26,6 +27,9 @@
 inline constexpr Base::Milliseconds claimRetryAfter{2000};
 inline constexpr Base::Milliseconds backendRetryAfter{1000};
 
+/// Largest answer, in bytes, that is kept for a repeated call. The platform's client reads no
+/// larger one back.
+inline constexpr std::size_t maxStoredAnswerBytes = 16777216;
 /// An attempt fails if the backend server sends nothing for this long. The value is far above the
 /// time in the queue of a backend server, which the permit limits keep short.
 inline constexpr Base::Duration backendIdleTimeout = std::chrono::seconds(20);
--- a/src/libs/node/openrequest.h
+++ b/src/libs/node/openrequest.h
@@ -74,6 +74,7 @@
     /// The answer so far, collected only for work that is not repeatable, so that a repeated call
     /// gets the same answer.
     StoredAnswer storedAnswer;
+    std::size_t storedAnswerBytes = 0;
 
     bool needsClaim() const { return !callerRequest.isRepeatable; }
     AttemptId attemptId() const { return {key, attempt}; }
--- a/tests/auto/daemon/tst_httpserver.cpp
+++ b/tests/auto/daemon/tst_httpserver.cpp
@@ -58,6 +58,18 @@
         return std::get<Event>(*event);
     }
 
+    /// Waits for an \a Event and skips all others.
+    template <typename Event>
+    Event waitFor()
+    {
+        while (true) {
+            const auto event = m_ring.popFor(eventTimeout);
+            REQUIRE(event);
+            if (const auto *it = std::get_if<Event>(&*event))
+                return *it;
+        }
+    }
+
     bool hasNoEvents() const { return m_ring.size() == 0; }
 
 private:
@@ -161,6 +173,22 @@
     CHECK(json["usage"]["prompt_tokens"] == 3);
 }
 
+// Guards against memory that a stream without end takes whose caller wants one completion.
+TEST_CASE("A completion without end is given up")
+{
+    Fixture fixture;
+    const int socket = connectTo(fixture.port());
+    writeTo(socket, chat(false));
+    const auto asked = fixture.expect<Node::CallerRequest>();
+    fixture.sessions().startAnswer(asked.caller, chatHead);
+    for (int i = 0; i < 64; ++i)
+        fixture.sessions().appendAnswer(asked.caller, chunk(std::string(1024 * 1024, 'x')));
+    const std::string answer = readFrom(socket, "\"error\"");
+    ::close(socket);
+    CHECK(statusOf(answer) == 502);
+    CHECK(fixture.waitFor<Node::CallerDisconnected>().caller == asked.caller);
+}
+
 TEST_CASE("A failure is reported before and after the answer has begun")
 {
     Fixture fixture;
--- a/tests/auto/node/tst_guards.cpp
+++ b/tests/auto/node/tst_guards.cpp
@@ -64,3 +64,33 @@
         CHECK(router.callers.logs[7].failure->ran == Node::Ran::No);
     }
 }
+
+// Guards against memory that an answer without end takes which is kept for a repeated call.
+TEST_CASE("an answer without end is not kept for a repeated call", "[node]")
+{
+    constexpr std::size_t mebibyte = 1024 * 1024;
+    Pair pair;
+    Pair::Router &router = pair.router(0);
+    Node::CallerRequest request = chatRequest(7);
+    request.isRepeatable = false;
+    request.idempotencyKey = "deposit";
+    router.node->handle(request, pair.now());
+    pair.settle();
+    pair.run(1s);
+    REQUIRE(router.backends.sent.size() == 1);
+    const Node::AttemptId attempt = router.backends.sent.front().attempt;
+    router.node->handle(Node::BackendHead{attempt, 200, "text/plain", ""}, pair.now());
+    std::uint64_t parts = 0;
+    while (parts < 64 && router.backends.cancelled.empty())
+        router.node->handle(Node::BackendPart{attempt, parts++, std::string(mebibyte, 'x'), 4},
+                            pair.now());
+    CHECK(parts > 15);
+    CHECK(parts < 20);
+    CHECK(router.backends.cancelled == std::vector<Node::AttemptId>{attempt});
+    pair.run(2s);
+    REQUIRE(router.callers.logs[7].failure);
+    CHECK(router.callers.logs[7].failure->type == Node::FailureType::BackendFailed);
+    CHECK(router.callers.logs[7].failure->ran == Node::Ran::Unknown);
+    CHECK_FALSE(router.callers.logs[7].isFinished);
+    CHECK(router.backends.sent.size() == 1);
+}
