Bound the bytes that a router reads and drops

A chat at a router whose server answers with an error and a body or trailers without end got its failure only when the node's idle timeout ended it, since the bytes were read and dropped for as long as they came.

Evidence: tst_daemon "[endless]" on (as part of "[broken]"): no event within 20 s for a body of an error and for trailers; heads, a field and interim answers without end failed then as now.

HttpTransfer takes 64 KiB of heads and trailers and BackendTransfer 64 KiB of a body without use, which is enough to keep the connection of an ordinary error. All cases pass now.

--- a/src/libs/daemon/backendtransfer.cpp
+++ b/src/libs/daemon/backendtransfer.cpp
@@ -108,8 +108,10 @@
 bool BackendTransfer::receiveBody(std::string_view bytes)
 {
     extendDeadline();
-    if (isErrorAnswer())
-        return true;
+    if (isErrorAnswer() || m_isOutcomePushed) {
+        m_unusedBytes += bytes.size();
+        return m_unusedBytes <= maxUnusedBodyBytes;
+    }
     if (m_kind == Node::WorkKind::ChatCompletion)
         return receiveEvents(bytes);
     pushHead();
--- a/src/libs/daemon/backendtransfer.h
+++ b/src/libs/daemon/backendtransfer.h
@@ -55,6 +55,8 @@
     Node::BackendHead m_head;
     SseParser m_parser;
     std::uint64_t m_nextIndex = 0;
+    /// Bytes of the body that were read and not used.
+    std::size_t m_unusedBytes = 0;
     std::optional<Base::Milliseconds> m_retryAfter;
     bool m_isNotRun = false;
     bool m_isHeadPushed = false;
--- a/src/libs/daemon/daemonconstants.h
+++ b/src/libs/daemon/daemonconstants.h
@@ -57,6 +57,11 @@
 inline constexpr Base::Milliseconds transferLoopInterval{100};
 /// Largest answer, in bytes, of which one completion is made for a caller who wants no stream.
 inline constexpr std::size_t maxCompletionBytes = 16777216;
+/// Most bytes of all heads of an answer and of its trailers.
+inline constexpr std::size_t maxAnswerHeadBytes = 65536;
+/// Most bytes of a body without use, such as that of an error, that are read to keep its
+/// connection.
+inline constexpr std::size_t maxUnusedBodyBytes = 65536;
 /// Largest event of a model's stream in bytes; a server that sends a larger one counts as failed.
 inline constexpr std::size_t maxSseEventBytes = 1048576;
 /// Largest answer of the platform that is read, in bytes.
--- a/src/libs/daemon/httptransfer.cpp
+++ b/src/libs/daemon/httptransfer.cpp
@@ -29,8 +29,9 @@
     static std::size_t header(char *data, std::size_t, std::size_t size, void *transfer)
     {
         auto &self = *static_cast<HttpTransfer *>(transfer);
+        self.m_headBytes += size;
         // Any other count than that of the bytes fails the transfer.
-        if (!self.m_head.read({data, size}))
+        if (self.m_headBytes > maxAnswerHeadBytes || !self.m_head.read({data, size}))
             return 0;
         if (const auto &field = self.m_head.field()) {
             self.m_isDelimited |= self.m_head.isInFinalHead() && tellsEnd(*field);
--- a/src/libs/daemon/httptransfer.h
+++ b/src/libs/daemon/httptransfer.h
@@ -32,7 +32,7 @@
 bool equalsIgnoringCase(std::string_view text, std::string_view wanted);
 
 /// One outgoing HTTP request and its answer. It runs on the thread of a TransferLoop. It fails if a
-/// line of a head or of the trailers is broken.
+/// line of a head or of the trailers is broken, or if they are longer than maxAnswerHeadBytes.
 class HttpTransfer
 {
 public:
@@ -92,6 +92,7 @@
     Base::TimePoint m_deadline;
     /// The library takes many broken lines, and reports all of them here.
     Untrusted::AnswerHeadReader m_head;
+    std::size_t m_headBytes = 0;
     bool m_isDelimited = false;
     bool m_isSent = false;
 };
