Keep the status of answers that have no body at the routers

Callers of the product's own routers got 200 for a service's 204 and 304.

Cause: ulfius_set_binary_body_response() refuses an empty body and leaves the default status.

Evidence: tst_daemon "An answer that never has a body keeps its status" on the code before: 200 for both. It passes now.

--- a/src/libs/daemon/httpresponse.cpp
+++ b/src/libs/daemon/httpresponse.cpp
@@ -25,8 +25,12 @@
 void respondText(_u_response &response, int status, const std::string &contentType,
                  const std::string &body)
 {
-    ulfius_set_binary_body_response(&response, static_cast<unsigned int>(status), body.data(),
-                                    body.size());
+    // The library refuses an empty binary body, and would answer with its default status.
+    if (body.empty())
+        ulfius_set_empty_body_response(&response, static_cast<unsigned int>(status));
+    else
+        ulfius_set_binary_body_response(&response, static_cast<unsigned int>(status), body.data(),
+                                        body.size());
     if (!contentType.empty())
         setHeader(response, "Content-Type", contentType);
 }
--- a/tests/auto/daemon/tst_httpserver.cpp
+++ b/tests/auto/daemon/tst_httpserver.cpp
@@ -189,6 +189,23 @@
     CHECK(fixture.waitFor<Node::CallerDisconnected>().caller == asked.caller);
 }
 
+// Guards against another status than that of the server, where its answer has no body.
+TEST_CASE("An answer that never has a body keeps its status")
+{
+    for (const int status : {204, 304}) {
+        CAPTURE(status);
+        Fixture fixture;
+        const int socket = connectTo(fixture.port());
+        writeTo(socket, post("/v1/services/deposits/hold?a=b", "x"));
+        const auto asked = fixture.expect<Node::CallerRequest>();
+        fixture.sessions().startAnswer(asked.caller, {"id", status, "", false});
+        fixture.sessions().finishAnswer(asked.caller);
+        const std::string answer = readFrom(socket);
+        ::close(socket);
+        CHECK(statusOf(answer) == status);
+    }
+}
+
 TEST_CASE("A failure is reported before and after the answer has begun")
 {
     Fixture fixture;
