Stop a gateway under uploads that may not be repeated

Reported by another operator: in a planned stop, requests that came late in the grace were taken and cut at its end, some of them not repeatable.

--- a/tests/processes/shutdownunderload.sh
+++ b/tests/processes/shutdownunderload.sh
@@ -1,13 +1,15 @@
 #!/usr/bin/env bash
 # Guards against requests that end without an answer when a gateway is told to stop while its callers
 # go on sending until it is gone.
-# usage: shutdownunderload.sh BUILD_FOLDER [WORK_MS] [SLOW_MS]
-# The servers take WORK_MS. With SLOW_MS, they take so much longer from the signal on.
+# usage: shutdownunderload.sh BUILD_FOLDER [WORK_MS] [SLOW_MS] [BODY_BYTES]
+# The servers take WORK_MS. With SLOW_MS, they take so much longer from the signal on. Requests that
+# may not be repeated have bodies of BODY_BYTES.
 set -euo pipefail
 cd "$(dirname "$0")/../.."
 FLEET_BUILD=$1
 work_ms=${2:-60}
 slow_ms=${3:-0}
+body_bytes=${4:-1}
 . tests/processes/deployment.sh
 
 app_servers=(3 4 5)
@@ -27,7 +29,7 @@
 done
 
 callers=24
-"$FLEET_BUILD/tests/soak/stayingcaller" "$FLEET_IP" 19721 "${SEED:-1}" "$callers" once \
+"$FLEET_BUILD/tests/soak/stayingcaller" "$FLEET_IP" 19721 "${SEED:-1}" "$callers" once "$body_bytes" \
     >"$FLEET_DIR/requests" &
 caller=$!
 FLEET_PIDS+=("$caller")
--- a/tests/soak/stayingcaller.cpp
+++ b/tests/soak/stayingcaller.cpp
@@ -47,6 +47,8 @@
     int callers = 0;
     /// Whether a caller ends when nobody listens any more.
     bool endsWithGateway = false;
+    /// Length of the body of a request that may not be repeated.
+    std::size_t bodyBytes = 1;
 };
 
 /// One caller, who sends requests to one gateway for as long as it runs, whatever it says of its
@@ -101,7 +103,9 @@
         std::string request = isGet ? "GET /read/" : "POST /once/";
         request.append(id).append(" HTTP/1.1\r\nHost: cars.example\r\nDeadline-Ms: 8000\r\n");
         request.append("Authorization: Bearer key-1\r\nAttempt-Id: ").append(id);
-        request.append(isGet ? "\r\n\r\n" : "\r\nContent-Length: 1\r\n\r\nx");
+        request.append(isGet ? "\r\n\r\n"
+                             : "\r\nContent-Length: " + std::to_string(m_options.bodyBytes)
+                                   + "\r\n\r\n" + std::string(m_options.bodyBytes, 'x'));
         const std::int64_t sentAt = nowMs();
         boost::system::error_code ec;
         boost::asio::write(*m_socket, boost::asio::buffer(request), ec);
@@ -130,14 +134,14 @@
 
 } // namespace
 
-/// stayingcaller IP PORT SEED CALLERS [once]: runs CALLERS threads that send requests to one
-/// gateway until SIGTERM; with "once", each until nobody listens any more. Prints a line for each
-/// request: id, kind, times of sending and of the end (Unix time in ms), status, and whether the
-/// answer was whole or cut.
+/// stayingcaller IP PORT SEED CALLERS [once [BODY_BYTES]]: runs CALLERS threads that send requests
+/// to one gateway until SIGTERM; with "once", each until nobody listens any more. Requests that may
+/// not be repeated have BODY_BYTES, 1 by default. Prints a line for each request: id, kind, times
+/// of sending and of the end (Unix time in ms), status, and whether the answer was whole or cut.
 int main(int argc, char **argv)
 {
     if (argc < 5) {
-        std::fputs("usage: stayingcaller IP PORT SEED CALLERS [once]\n", stderr);
+        std::fputs("usage: stayingcaller IP PORT SEED CALLERS [once [BODY_BYTES]]\n", stderr);
         return 2;
     }
     Options options;
@@ -146,6 +150,8 @@
     options.seed = static_cast<std::uint32_t>(std::stoul(argv[3]));
     options.callers = std::stoi(argv[4]);
     options.endsWithGateway = argc > 5;
+    if (argc > 6)
+        options.bodyBytes = std::stoul(argv[6]);
     sigset_t signals;
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
