--- a/tests/auto/daemon/tst_cutuploads.cpp
+++ b/tests/auto/daemon/tst_cutuploads.cpp
@@ -20,6 +20,7 @@
 // while the request was still being written.
 TEST_CASE("An answer without a length is cut off if it ends before its request", "[cutupload]")
 {
+    // A socket that is closed with unread input resets its connection as well.
     const bool isReset = GENERATE(false, true);
     const std::size_t bytes = GENERATE(mebibyte / 2, mebibyte, 4 * mebibyte);
     CAPTURE(isReset, bytes);
