--- a/src/libs/daemon/httptransfer.cpp
+++ b/src/libs/daemon/httptransfer.cpp
@@ -78,9 +78,10 @@
 {
     Base::ConnectionEnd end = connection;
     end.isRequestReceived &= isWritten();
+    const bool endsWithConnection = !m_isDelimited && status() != 204 && status() != 304;
     const bool isIncomplete =
         !isHeadComplete()
-        || (!m_isDelimited && Base::isCutOff(end, static_cast<unsigned>(status())));
+        || (endsWithConnection && Base::isCutOff(end, static_cast<unsigned>(status())));
     finished(code == CURLE_OK && isIncomplete ? CURLE_WEIRD_SERVER_REPLY : code);
 }
 
--- a/tests/auto/daemon/tst_cutuploads.cpp
+++ b/tests/auto/daemon/tst_cutuploads.cpp
@@ -35,6 +35,22 @@
     CHECK(seenOf(callTo(server, std::string(bytes, 'u'))).isFailed());
 }
 
+// Guards against answers that end with their head, or a length, and are taken for cut ones.
+TEST_CASE("An answer that tells its end may end before its request", "[cutupload]")
+{
+    for (const std::string &answer :
+         {std::string("HTTP/1.1 204 No Content\r\n\r\n"), fixedAnswer(okLine, "hello")}) {
+        CAPTURE(answer);
+        const ScriptedServer server([&](ScriptedConnection &it) {
+            it.readBegin();
+            it.write(answer);
+            it.closeSending();
+            it.waitForClose();
+        });
+        CHECK(seenOf(callTo(server, std::string(4 * mebibyte, 'u'))).isFinished);
+    }
+}
+
 // Guards against sound answers that are taken for cut ones.
 TEST_CASE("An answer without a length is whole once its request has arrived", "[cutupload]")
 {
