--- a/tests/auto/daemon/tst_brokenanswers.cpp
+++ b/tests/auto/daemon/tst_brokenanswers.cpp
@@ -34,6 +34,30 @@
     return std::get<Storage::ObjectOutcome>(*event).status != Storage::ObjectStatus::Unknown;
 }
 
+/// An answer behind \a before whose status line is \a line.
+std::string answerWithLine(const std::string &before, const std::string &line)
+{
+    return before + fixedAnswer(line + "\r\n", "hello");
+}
+
+std::string statusLine(const std::string &status, const std::string &reason)
+{
+    return "HTTP/1.1 " + status + reason;
+}
+
+/// Answers with the line \a field first and last in their head, and in an interim answer.
+std::vector<std::string> answersWithField(const std::string &field)
+{
+    return {fixedAnswer(okLine + field, "hello"),
+            okLine + "Content-Length: 5\r\n" + field + "\r\nhello",
+            "HTTP/1.1 102 Processing\r\n" + field + "\r\n" + fixedAnswer(okLine, "hello")};
+}
+
+std::string answerWithTrailer(const std::string &field)
+{
+    return okLine + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n" + field + "\r\n";
+}
+
 } // namespace
 
 // Guards against callers that get an answer whose status is none.
@@ -42,7 +66,7 @@
     for (const std::string &line : brokenStatusLines()) {
         for (const std::string &before : {std::string(), interimAnswer}) {
             CAPTURE(line, before);
-            const std::string text = before + fixedAnswer(line + "\r\n", "hello");
+            const std::string text = answerWithLine(before, line);
             const SeenAnswer seen = seenOfCall(text);
             CHECK(seen.isFailed());
             CHECK(seen.isEmpty());
@@ -70,8 +94,7 @@
     for (const std::string status : {"200", "226", "302", "404", "418", "500", "599"}) {
         for (const std::string reason : {" Some Reason", " ", "", " R\xc3\xa9ussi"}) {
             CAPTURE(status, reason);
-            const SeenAnswer seen =
-                seenOfCall(fixedAnswer("HTTP/1.1 " + status + reason + "\r\n", "hello"));
+            const SeenAnswer seen = seenOfCall(answerWithLine({}, statusLine(status, reason)));
             CHECK(seen.isFinished);
             CHECK(seen.statuses == std::vector<int>{std::stoi(status)});
             CHECK(seen.text == "hello");
@@ -87,10 +110,7 @@
 TEST_CASE("An answer with a broken name of a field is no answer", "[broken]")
 {
     for (const std::string &field : brokenFieldLines()) {
-        for (const std::string &text :
-             {fixedAnswer(okLine + field, "hello"),
-              okLine + "Content-Length: 5\r\n" + field + "\r\nhello",
-              "HTTP/1.1 102 Processing\r\n" + field + "\r\n" + fixedAnswer(okLine, "hello")}) {
+        for (const std::string &text : answersWithField(field)) {
             CAPTURE(text);
             const SeenAnswer seen = seenOfCall(text);
             CHECK(seen.isFailed());
@@ -98,9 +118,7 @@
             CHECK_FALSE(isObject(text));
         }
         CAPTURE(field);
-        CHECK(seenOfCall(okLine + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n" + field
-                         + "\r\n")
-                  .isFailed());
+        CHECK(seenOfCall(answerWithTrailer(field)).isFailed());
     }
 }
 
--- a/tests/auto/daemon/tst_cutuploads.cpp
+++ b/tests/auto/daemon/tst_cutuploads.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr std::size_t mebibyte = 1024 * 1024;
+constexpr std::size_t mebibyte = 1U << 20;
 const std::string okLine = "HTTP/1.1 200 OK\r\n";
 
 } // namespace
--- a/tests/auto/daemon/tst_httpserver.cpp
+++ b/tests/auto/daemon/tst_httpserver.cpp
@@ -182,7 +182,7 @@
     const auto asked = fixture.expect<Node::CallerRequest>();
     fixture.sessions().startAnswer(asked.caller, chatHead);
     for (int i = 0; i < 64; ++i)
-        fixture.sessions().appendAnswer(asked.caller, chunk(std::string(1024 * 1024, 'x')));
+        fixture.sessions().appendAnswer(asked.caller, chunk(std::string(1U << 20, 'x')));
     const std::string answer = readFrom(socket, "\"error\"");
     ::close(socket);
     CHECK(statusOf(answer) == 502);
--- a/tests/auto/gateway/tst_brokenanswers.cpp
+++ b/tests/auto/gateway/tst_brokenanswers.cpp
@@ -13,7 +13,6 @@
 
 namespace {
 
-const std::string eventStreamField = "Content-Type: text/event-stream\r\n";
 const std::string interimAnswer = "HTTP/1.1 102 Processing\r\n\r\n";
 
 /// What a client of the store or another host takes from a server that sends \a text.
@@ -45,6 +44,25 @@
     return answer;
 }
 
+/// A stream whose status line is \a line.
+std::string streamWithLine(const std::string &line)
+{
+    return line + "\r\n" + ownFields + "Content-Type: text/event-stream\r\n\r\n"
+           + "id: 1\ndata: hello\n\n";
+}
+
+/// Answers with the line \a field first and last in their head, in an interim answer and in their
+/// trailers.
+std::vector<std::string> answersWithField(const std::string &field)
+{
+    const std::string okLine = "HTTP/1.1 200 OK\r\n";
+    return {okLine + field + ownFields + lengthOfHello + "\r\nhello",
+            okLine + ownFields + lengthOfHello + field + "\r\nhello",
+            "HTTP/1.1 102 Processing\r\n" + field + "\r\n" + answerWithLine("HTTP/1.1 200 OK"),
+            okLine + ownFields + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n" + field
+                + "\r\n"};
+}
+
 } // namespace
 
 // Guards against callers that get an answer whose status is none.
@@ -69,7 +87,7 @@
     for (const std::string &line : brokenStatusLines()) {
         CAPTURE(line);
         UpstreamRequest request(Routing::WorkKind::Stream);
-        request.answer(line + "\r\n" + ownFields + eventStreamField + "\r\nid: 1\ndata: hello\n\n");
+        request.answer(streamWithLine(line));
         CHECK(request.isFinished());
         CHECK(request.isFailed());
     }
@@ -135,15 +153,8 @@
 // Guards against fields that a caller reads in another way, and bodies that end elsewhere.
 TEST_CASE("an answer with a broken name of a field is no answer", "[gateway][broken]")
 {
-    const std::string okLine = "HTTP/1.1 200 OK\r\n";
     for (const std::string &field : brokenFieldLines()) {
-        const std::vector<std::string> forms = {
-            okLine + field + ownFields + lengthOfHello + "\r\nhello",
-            okLine + ownFields + lengthOfHello + field + "\r\nhello",
-            "HTTP/1.1 102 Processing\r\n" + field + "\r\n" + answerWithLine("HTTP/1.1 200 OK"),
-            okLine + ownFields + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n" + field
-                + "\r\n"};
-        for (const std::string &text : forms) {
+        for (const std::string &text : answersWithField(field)) {
             CAPTURE(text);
             UpstreamRequest request(Routing::WorkKind::NotIdempotent);
             request.answer(text);
--- a/tests/auto/node/tst_guards.cpp
+++ b/tests/auto/node/tst_guards.cpp
@@ -68,7 +68,7 @@
 // Guards against memory that an answer without end takes which is kept for a repeated call.
 TEST_CASE("an answer without end is not kept for a repeated call", "[node]")
 {
-    constexpr std::size_t mebibyte = 1024 * 1024;
+    constexpr std::size_t mebibyte = 1U << 20;
     Pair pair;
     Pair::Router &router = pair.router(0);
     Node::CallerRequest request = chatRequest(7);
