--- a/review/standin-2/common.h
+++ b/review/standin-2/common.h
@@ -373,6 +373,9 @@
         m_changed.notify_all();
     }
 
+    /// While it is down, the store answers 503 and does nothing.
+    void setDown(bool isDown) { m_isDown = isDown; }
+
     const std::string ip;
     const int port;
 
@@ -410,6 +413,8 @@
     }
     bool answer(int fd, const Message &request)
     {
+        if (m_isDown)
+            return sendAll(fd, "HTTP/1.1 503 Down\r\nContent-Length: 0\r\n\r\n");
         std::unique_lock lock(m_mutex);
         const std::string target = request.target();
         const std::string table = query(target, "table");
@@ -473,6 +478,7 @@
     std::map<std::tuple<std::string, std::string, std::string>, Row> m_rows;
     std::uint64_t m_version = 100;
     bool m_isInTransaction = false;
+    std::atomic<bool> m_isDown = false;
 };
 
 // ---- processes
